Describe the design and add the shared base modules

Cause: every part needs one page that fixes interfaces, state owners and failure reactions before it is written. Change: docs/design.md, branded ids, wire schemas, links, settings, configuration store and acceptance.

--- /dev/null
+++ b/src/configuration/configuration-service.ts
@@ -0,0 +1,45 @@
+/** The client of the platform's configuration service. */
+import {z} from 'zod';
+import {createRevision, type Revision} from '../ids/revision.ts';
+import type {PeerClient} from '../links/peer-client.ts';
+import {type ConfigEntry, configEntrySchema} from '../messages/config-sync.ts';
+
+/** Extra time for an answer beyond the wait that the service was asked for, in milliseconds. */
+const answerMarginMs = 3000;
+
+const treeAnswerSchema = z.object({
+	revision: z.number().int().nonnegative(),
+	entries: z.array(configEntrySchema.omit({fallback: true})),
+});
+
+/** What the service answered: entries that changed after the asked revision. */
+export type ServiceAnswer = {readonly revision: Revision; readonly entries: readonly ConfigEntry[]};
+
+/** Reads and watches the configuration service. */
+export class ConfigurationService {
+	private readonly links: PeerClient;
+	private readonly baseUrl: string;
+
+	/**
+	 * @param links - sends the requests
+	 * @param baseUrl - the service's address
+	 */
+	constructor(links: PeerClient, baseUrl: string) {
+		this.links = links;
+		this.baseUrl = baseUrl;
+	}
+
+	/**
+	 * Reads the entries that changed after a revision, waiting for a change when there is none.
+	 *
+	 * @param after - the known revision; 0 reads the whole tree
+	 * @param waitMs - how long the service may hold the request, in milliseconds
+	 * @param signal - cancels the wait
+	 * @throws LinkError when the service does not answer
+	 */
+	async read(after: Revision, waitMs: number, signal?: AbortSignal): Promise<ServiceAnswer> {
+		const url = `${this.baseUrl}/v1/tree?after=${after}&wait_ms=${waitMs}`;
+		const answer = treeAnswerSchema.parse(await this.links.json(url, {method: 'GET'}, {timeoutMs: waitMs + answerMarginMs, signal}));
+		return {revision: createRevision(answer.revision), entries: answer.entries};
+	}
+}
--- /dev/null
+++ b/src/links/peer-client.ts
@@ -0,0 +1,175 @@
+/**
+ * The client side of all links: HTTP and JSON-RPC 2.0 to peers, upstreams and the platform.
+ *
+ * Nothing here repeats a request. Only the caller of this module knows whether a repeat is safe.
+ */
+import type {Readable} from 'node:stream';
+import {createJSONRPCRequest, type JSONRPCResponse} from 'json-rpc-2.0';
+import {Agent, type Dispatcher, request} from 'undici';
+import {VError} from 'verror';
+import type {ZodType} from 'zod';
+import {rpcPath} from './rpc-dispatcher.ts';
+
+/** How long to wait for a TCP connection, in milliseconds. */
+export const connectTimeoutMs = 1000;
+
+/** How many connections one peer may hold open. */
+const connectionsPerPeer = 64;
+
+/** How a request may take place. */
+export type LinkOptions = {
+	/** Time until the whole answer is read, in milliseconds. */
+	readonly timeoutMs: number;
+	/** Opens a connection of its own, for when an open one may have gone silent. */
+	readonly fresh?: boolean;
+	/** Cancels the request. */
+	readonly signal?: AbortSignal;
+};
+
+/** An answer whose body is still to be read. */
+export type LinkResponse = {
+	readonly status: number;
+	readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+	readonly body: Readable;
+};
+
+/** Reports that a request failed; `sent` is false only when it certainly never left this process. */
+export class LinkError extends VError {
+	readonly sent: boolean;
+
+	/**
+	 * @param cause - what went wrong
+	 * @param sent - whether the peer may have received the request
+	 * @param message - the context
+	 */
+	constructor(cause: Error, sent: boolean, message: string) {
+		super(cause, '%s', message);
+		this.sent = sent;
+	}
+}
+
+/** Error codes that come before a connection exists, so that nothing can have been sent. */
+const unsentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
+
+/** Sends requests to other processes. */
+export class PeerClient {
+	private readonly pool = createPool();
+
+	/**
+	 * Calls a JSON-RPC method of a peer.
+	 *
+	 * @param address - the peer's control listener, `host:port`
+	 * @param call - the method and its parameters
+	 * @param schema - checks the result
+	 * @param options - limits of this call
+	 * @throws LinkError when there is no answer in time
+	 */
+	async rpc<Result>(address: string, call: {method: string; params: unknown}, schema: ZodType<Result>, options: LinkOptions): Promise<Result> {
+		const body = JSON.stringify(createJSONRPCRequest(1, call.method, call.params));
+		const answer = await this.json(`http://${address}${rpcPath}`, {method: 'POST', body}, options) as JSONRPCResponse;
+		if (answer.error) {
+			throw new VError('%s at %s: %s', call.method, address, answer.error.message);
+		}
+
+		return schema.parse(answer.result);
+	}
+
+	/**
+	 * Sends a request and reads its JSON answer.
+	 *
+	 * @param url - the whole URL
+	 * @param req - method and body
+	 * @param options - limits of this call
+	 * @throws LinkError when there is no answer in time or its status is not in 200 to 299
+	 */
+	async json(url: string, req: {method: Dispatcher.HttpMethod; body?: string}, options: LinkOptions): Promise<unknown> {
+		const signal = deadlineSignal(options);
+		const res = await this.send(url, req, {...options, signal});
+		try {
+			const text = await readText(res.body);
+			if (res.status < 200 || res.status > 299) {
+				throw new VError('status %d: %s', res.status, text.slice(0, 200));
+			}
+
+			return text === '' ? null : JSON.parse(text);
+		} catch (err) {
+			throw new LinkError(err as Error, true, `${req.method} ${url}`);
+		}
+	}
+
+	/**
+	 * Sends a request and returns as soon as the headers are there; the body must be read or destroyed.
+	 *
+	 * @param url - the whole URL
+	 * @param req - method and body
+	 * @param options - `timeoutMs` bounds the time to the headers, `signal` the whole exchange
+	 * @throws LinkError when no headers come in time
+	 */
+	async send(url: string, req: {method: Dispatcher.HttpMethod; body?: string}, options: LinkOptions): Promise<LinkResponse> {
+		const dispatcher = options.fresh ? createPool() : this.pool;
+		try {
+			const res = await request(url, {
+				method: req.method,
+				body: req.body,
+				headers: req.body === undefined ? {} : {'content-type': 'application/json'},
+				dispatcher,
+				signal: options.signal,
+				headersTimeout: options.timeoutMs,
+				bodyTimeout: 0,
+			});
+			if (options.fresh) {
+				res.body.once('close', () => {
+					void dispatcher.destroy();
+				});
+			}
+
+			return {status: res.statusCode, headers: res.headers, body: res.body};
+		} catch (err) {
+			if (options.fresh) {
+				void dispatcher.destroy();
+			}
+
+			const cause = err as Error & {code?: string};
+			throw new LinkError(cause, !unsentCodes.has(cause.code ?? ''), `${req.method} ${url}`);
+		}
+	}
+
+	/** Closes all connections. */
+	async close(): Promise<void> {
+		await this.pool.destroy();
+	}
+}
+
+/**
+ * Reads a body as text.
+ *
+ * @param body - the stream
+ */
+export async function readText(body: Readable): Promise<string> {
+	return (await readBytes(body)).toString('utf8');
+}
+
+/**
+ * Reads a body as bytes.
+ *
+ * @param body - the stream
+ */
+export async function readBytes(body: Readable): Promise<Buffer> {
+	const parts: Buffer[] = [];
+	for await (const part of body) {
+		parts.push(part as Buffer);
+	}
+
+	return Buffer.concat(parts);
+}
+
+function createPool(): Agent {
+	return new Agent({
+		connections: connectionsPerPeer, pipelining: 1, connect: {timeout: connectTimeoutMs}, keepAliveTimeout: 30_000,
+	});
+}
+
+function deadlineSignal(options: LinkOptions): AbortSignal {
+	const timeout = AbortSignal.timeout(options.timeoutMs);
+	return options.signal ? AbortSignal.any([options.signal, timeout]) : timeout;
+}
--- /dev/null
+++ b/src/runtime/rendezvous.ts
@@ -0,0 +1,26 @@
+/** Rendezvous hashing: every process ranks the same members in the same order without talking. */
+import xxhash from 'xxhash-wasm';
+
+const hasher = await xxhash();
+
+/**
+ * Orders members by their rendezvous rank for a key, best first.
+ *
+ * @param key - what is placed
+ * @param members - ids of the candidates
+ * @example
+ * rankMembers('chunk-7', ['vm-a', 'vm-b']); // the owner of chunk-7 comes first
+ */
+export function rankMembers<Id extends string>(key: string, members: readonly Id[]): Id[] {
+	const scored = members.map(id => ({id, score: hasher.h64(`${key}/${id}`)}));
+	scored.sort((a, b) => compare(b.score, a.score) || compare(a.id, b.id));
+	return scored.map(({id}) => id);
+}
+
+function compare(a: bigint | string, b: bigint | string): number {
+	if (a === b) {
+		return 0;
+	}
+
+	return a < b ? -1 : 1;
+}
--- /dev/null
+++ b/src/settings/settings-schema.ts
@@ -0,0 +1,82 @@
+/** The settings of a process, one schema per role. Units stand in the key names. */
+import {z} from 'zod';
+import {parseAddress, type ListenAddress} from '../links/http-listener.ts';
+import {createRegionId, type RegionId} from '../ids/region-id.ts';
+import {createServiceId, type ServiceId} from '../ids/service-id.ts';
+import {createVmId, type VmId} from '../ids/vm-id.ts';
+import {createZoneId, type ZoneId} from '../ids/zone-id.ts';
+import {logLevels} from '../runtime/logger.ts';
+
+const idText = z.string().regex(/^[\w.:-]{1,128}$/, 'must be 1 to 128 letters, digits, dots, dashes, underscores or colons');
+const addressText = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'must be an IPv4 address and a port, such as 127.0.0.1:8080');
+const address = addressText.transform((text): ListenAddress => parseAddress(text))
+	.refine(({port}) => port <= 65_535, 'must have a port of at most 65535');
+const baseUrl = z.string().regex(/^http:\/\/[\d.]+:\d{1,5}$/, 'must be a URL such as http://127.0.0.1:7000');
+const wholeNumber = z.string().regex(/^\d+$/, 'must be a whole number').transform(Number);
+const flag = z.enum(['true', 'false']).transform(text => text === 'true');
+
+const processSection = z.strictObject({
+	vm: idText.transform((text): VmId => createVmId(text)),
+	zone: idText.transform((text): ZoneId => createZoneId(text)),
+	region: idText.transform((text): RegionId => createRegionId(text)),
+	log_level: z.enum(logLevels).default('info'),
+	/** Seeds placement and jitter for a reproducible run; random when absent. */
+	random_seed: wholeNumber.optional(),
+});
+
+const platformSection = z.strictObject({
+	configuration: baseUrl,
+	vms: baseUrl,
+	origin: baseUrl,
+});
+
+/** Settings of an entry. */
+export const entrySettingsSchema = z.strictObject({
+	process: processSection,
+	listen: z.strictObject({callers: address, control: address}),
+	platform: platformSection,
+	limits: z.strictObject({
+		/** How long a new call may wait for its turn, in milliseconds. */
+		queue_wait_ms: wholeNumber.default(1000),
+		/** Deadline of a call that names none, in milliseconds. */
+		default_deadline_ms: wholeNumber.default(30_000),
+		/** How long new calls are still taken after SIGTERM, so that the balancer notices, in milliseconds. */
+		drain_notice_ms: wholeNumber.default(2000),
+	}).prefault({}),
+});
+
+/** Settings of an agent. */
+export const agentSettingsSchema = z.strictObject({
+	process: processSection,
+	listen: z.strictObject({control: address}),
+	platform: platformSection,
+	upstream: z.strictObject({
+		kind: z.enum(['engine', 'plain']),
+		service: idText.transform((text): ServiceId => createServiceId(text)),
+		address: baseUrl,
+		/** Whether the engine refuses orders with an old fencing number. */
+		checks_fence: flag.default(false),
+		/** Calls at once, for upstreams that report no capacity. */
+		capacity: wholeNumber.default(16),
+	}),
+	transfer: z.strictObject({
+		/** Memory for weights, in bytes. */
+		memory_bytes: wholeNumber.default(512 * 1024 * 1024),
+		/** The VM's link, in bytes per second each way. */
+		link_bytes_per_second: wholeNumber.default(125_000_000),
+	}).prefault({}),
+	limits: z.strictObject({
+		/** How many call records the agent keeps; a full table refuses calls. */
+		call_records: wholeNumber.default(100_000),
+	}).prefault({}),
+});
+
+/** Settings of an entry. */
+export type EntrySettings = z.infer<typeof entrySettingsSchema>;
+
+/** Settings of an agent. */
+export type AgentSettings = z.infer<typeof agentSettingsSchema>;
+
+/** Settings that both roles share. */
+export type ProcessSettings = Pick<EntrySettings, 'process' | 'platform'>;
+
