Serve the whole path as separate processes

Cause: the design needs one thin path end to end before any part is deepened. Change: entry and agent processes from INI settings, call ledger with tombstones, tickets, frames, configuration watch, VM list, transfer from the origin with digests, engine orders with fencing numbers, and stand-ins for platform, engine and plain service. Ruled out: top-level await in the bundle, since the single executable on Node.js 20 runs CommonJS; waiting for /healthz in tests, since the entry opens its callers' listener after it (the first run failed with ECONNREFUSED), so tests wait for /readyz.

--- a/.mocharc.cjs
+++ b/.mocharc.cjs
@@ -11,7 +11,7 @@
 
 module.exports = {
 	spec: 'test/**/*.test.ts',
-	import: 'tsx',
+	require: ['tsx', './test/setup.ts'],
 	timeout: 60_000,
 	reporter: './build/reporter.cjs',
 	exit: true,
--- /dev/null
+++ b/src/calls/call-ledger.ts
@@ -0,0 +1,252 @@
+/**
+ * The agent's record of every call: accepted, forwarded, finished, or cancelled before it started.
+ *
+ * Only the process next to the upstream can say truthfully that a call did not run. The ledger is bounded;
+ * at the bound it refuses new calls and forgets none that could still be repeated.
+ */
+import {digestOf, type Digest} from '../ids/digest.ts';
+import type {CallRequest} from '../messages/call-request.ts';
+import type {CallsCancelParams, CallsCancelResult} from '../messages/calls-cancel.ts';
+import type {RefusalCode} from '../messages/call-frame.ts';
+
+/** How long the record of a call without a ticket is kept after its last change, in milliseconds. */
+export const attemptRetentionMs = 150_000;
+
+/** The answer of a plain service. */
+export type RecordedAnswer = {readonly status: number; readonly body: unknown};
+
+/** One call at this agent. */
+export type CallRecord = {
+	readonly key: string;
+	readonly bodyDigest: Digest | undefined;
+	state: 'accepted' | 'forwarded' | 'finished' | 'tombstone';
+	answer: RecordedAnswer | undefined;
+	/** Monotonic time after which the record may be forgotten, in milliseconds. */
+	keepUntilMs: number;
+	/** Resolves when the call is finished or became a tombstone. */
+	readonly settled: Promise<void>;
+	readonly settle: () => void;
+	/** Stops the upstream's work; set while the call runs. */
+	abort: (() => void) | undefined;
+};
+
+/** What to do with a call that arrived. */
+export type LedgerDecision =
+	| {readonly kind: 'run'; readonly record: CallRecord}
+	| {readonly kind: 'duplicate'; readonly record: CallRecord}
+	| {readonly kind: 'refuse'; readonly code: RefusalCode};
+
+/** Limits and identity of the ledger. */
+export type CallLedgerOptions = {
+	readonly incarnation: string;
+	/** How many records are kept at most. */
+	readonly maxRecords: number;
+};
+
+/** Keeps the records of all calls at this agent. */
+export class CallLedger {
+	private readonly records = new Map<string, CallRecord>();
+
+	/** @param options - limits and identity */
+	constructor(private readonly options: CallLedgerOptions) {}
+
+	/** How many records are kept now. */
+	get size(): number {
+		return this.records.size;
+	}
+
+	/** How many calls are accepted or forwarded now. */
+	get open(): number {
+		return [...this.records.values()].filter(({state}) => state === 'accepted' || state === 'forwarded').length;
+	}
+
+	/**
+	 * Takes in a call that arrived and decides whether it runs.
+	 *
+	 * @param req - the call
+	 */
+	accept(req: CallRequest): LedgerDecision {
+		const key = keyOf(req.workspace, req.attempt, req.ticket?.nonce);
+		const refusal = this.refusalOf(req, key);
+		if (refusal) {
+			return {kind: 'refuse', code: refusal};
+		}
+
+		const existing = this.records.get(key);
+		if (existing) {
+			return {kind: 'duplicate', record: existing};
+		}
+
+		const record = createRecord(key, req.ticket ? digestOf(JSON.stringify(req.work)) : undefined);
+		record.keepUntilMs = keepUntil(req.ticket?.expiresAtMs);
+		this.records.set(key, record);
+		return {kind: 'run', record};
+	}
+
+	/**
+	 * Marks a call as forwarded; from here on it may have run.
+	 *
+	 * @param record - the call
+	 * @returns false when the call was cancelled in the meantime and must not be forwarded
+	 */
+	forward(record: CallRecord): boolean {
+		if (record.state !== 'accepted') {
+			return false;
+		}
+
+		record.state = 'forwarded';
+		return true;
+	}
+
+	/**
+	 * Marks a call as finished.
+	 *
+	 * @param record - the call
+	 * @param answer - the answer of a plain service, to be repeated to later tries
+	 */
+	finish(record: CallRecord, answer: RecordedAnswer | undefined): void {
+		record.state = 'finished';
+		record.answer = answer;
+		record.abort = undefined;
+		record.settle();
+	}
+
+	/**
+	 * Marks a call as certain never to run.
+	 *
+	 * @param record - a call that was accepted, or whose forwarding certainly reached nobody
+	 */
+	bury(record: CallRecord): void {
+		record.state = 'tombstone';
+		record.settle();
+	}
+
+	/**
+	 * Says what became of a call, and makes sure that a call which has not started never will.
+	 *
+	 * @param params - names the call
+	 */
+	cancel(params: CallsCancelParams): CallsCancelResult {
+		const {ticket} = params;
+		if (ticket && ticket.incarnation !== this.options.incarnation) {
+			return {state: 'unknown'};
+		}
+
+		const key = keyOf(params.workspace, params.attempt, ticket?.nonce);
+		const record = this.records.get(key);
+		if (!record) {
+			return this.cancelUnseen(key, ticket?.expiresAtMs);
+		}
+
+		if (record.state === 'accepted') {
+			this.bury(record);
+		}
+
+		if (record.state === 'forwarded' && params.abortRunning) {
+			record.abort?.();
+		}
+
+		return resultOf(record);
+	}
+
+	/** Forgets records whose time is over. */
+	sweep(): void {
+		const nowMs = performance.now();
+		for (const [key, record] of this.records) {
+			const settled = record.state === 'finished' || record.state === 'tombstone';
+			if (settled && record.keepUntilMs < nowMs) {
+				this.records.delete(key);
+			}
+		}
+	}
+
+	private cancelUnseen(key: string, expiresAtMs: number | undefined): CallsCancelResult {
+		// A record of an expired ticket may have been forgotten already, so nothing can be said of it.
+		if ((expiresAtMs !== undefined && expiresAtMs <= Date.now()) || this.isFull()) {
+			return {state: 'unknown'};
+		}
+
+		const record = createRecord(key, undefined);
+		record.keepUntilMs = keepUntil(expiresAtMs);
+		this.bury(record);
+		this.records.set(key, record);
+		return {state: 'not_started'};
+	}
+
+	private refusalOf(req: CallRequest, key: string): RefusalCode | undefined {
+		const {ticket} = req;
+		if (ticket && ticket.incarnation !== this.options.incarnation) {
+			return 'unknown_incarnation';
+		}
+
+		const existing = this.records.get(key);
+		if (existing) {
+			return refusalOfExisting(existing, req);
+		}
+
+		if (ticket && ticket.expiresAtMs <= Date.now()) {
+			return 'expired';
+		}
+
+		return this.isFull() ? 'table_full' : undefined;
+	}
+
+	private isFull(): boolean {
+		if (this.records.size >= this.options.maxRecords) {
+			this.sweep();
+		}
+
+		return this.records.size >= this.options.maxRecords;
+	}
+}
+
+function refusalOfExisting(record: CallRecord, req: CallRequest): RefusalCode | undefined {
+	if (record.state === 'tombstone') {
+		return 'cancelled';
+	}
+
+	const mismatch = req.ticket && record.bodyDigest !== digestOf(JSON.stringify(req.work));
+	return mismatch ? 'ticket_mismatch' : undefined;
+}
+
+function keyOf(workspace: string, attempt: string, nonce: string | undefined): string {
+	return nonce === undefined ? `attempt/${attempt}` : `ticket/${workspace}/${nonce}`;
+}
+
+function keepUntil(expiresAtMs: number | undefined): number {
+	const forMs = expiresAtMs === undefined ? attemptRetentionMs : Math.max(expiresAtMs - Date.now(), 0) + attemptRetentionMs;
+	return performance.now() + forMs;
+}
+
+function createRecord(key: string, bodyDigest: Digest | undefined): CallRecord {
+	const {promise, resolve} = withResolvers();
+	return {
+		key, bodyDigest, state: 'accepted', answer: undefined, keepUntilMs: 0, settled: promise, settle: resolve, abort: undefined,
+	};
+}
+
+/** `Promise.withResolvers` arrives with Node.js 22. */
+function withResolvers(): {promise: Promise<void>; resolve: () => void} {
+	let resolve: () => void = () => undefined;
+	const promise = new Promise<void>(_resolve => {
+		resolve = _resolve;
+	});
+	return {promise, resolve};
+}
+
+function resultOf(record: CallRecord): CallsCancelResult {
+	switch (record.state) {
+		case 'tombstone': {
+			return {state: 'not_started'};
+		}
+
+		case 'finished': {
+			return {state: 'finished', status: record.answer?.status ?? null, body: record.answer?.body ?? null};
+		}
+
+		case 'accepted':
+		case 'forwarded': {
+			return {state: 'running'};
+		}
+	}
+}
--- /dev/null
+++ b/src/calls/call-manager.ts
@@ -0,0 +1,130 @@
+/** The callers' API of an entry: reads requests, hands them to their handler, and answers errors. */
+import type http from 'node:http';
+import type {ConfigurationStore} from '../configuration/configuration-store.ts';
+import {
+	type HttpHandler, type HttpRoutes, readBody, sendJson,
+} from '../links/http-listener.ts';
+import type {Logger} from '../runtime/logger.ts';
+import {CallerError, sendCallerError} from './caller-error.ts';
+import {type CallerRequest, readCallerRequest, requestIdOf} from './caller-request.ts';
+import {type GenerateHandler, generateBodySchema} from './generate-handler.ts';
+import type {OperationAnswer, OperationHandler} from './operation-handler.ts';
+
+/** What the manager works with. */
+export type CallManagerOptions = {
+	readonly store: ConfigurationStore;
+	readonly generate: GenerateHandler;
+	readonly operations: OperationHandler;
+	readonly log: Logger;
+	/** Deadline of a call that names none, in milliseconds. */
+	readonly defaultDeadlineMs: number;
+};
+
+/** Serves callers. */
+export class CallManager {
+	private open = 0;
+	private refusing = false;
+
+	/** @param options - what the manager works with */
+	constructor(private readonly options: CallManagerOptions) {}
+
+	/** How many callers wait for an answer now. */
+	get openCalls(): number {
+		return this.open;
+	}
+
+	/** The routes of the callers' listener. */
+	get routes(): HttpRoutes {
+		return {
+			'POST /v1/generate/*': this.guard(async (req, res, [route = '']) => this.generate(req, res, route)),
+			'POST /v1/operations/*/*': this.guard(async (req, res, [route = '', operation = '']) => this.operation(req, res, [route, operation])),
+			'POST /v1/tickets/*': this.guard((req, res, [route = '']) => {
+				sendJson(res, 200, {ticket: this.options.operations.mintTicket(this.read(req, route))});
+			}),
+		};
+	}
+
+	/** Refuses every call from now on. */
+	refuseNewCalls(): void {
+		this.refusing = true;
+	}
+
+	private guard(handler: HttpHandler): HttpHandler {
+		return async (req, res, params) => {
+			this.open++;
+			try {
+				if (this.refusing) {
+					const outcome = req.headers['x-ticket'] === undefined ? 'not_run' : 'unknown';
+					throw new CallerError('draining', outcome, 'this entry is leaving; repeat the call at another');
+				}
+
+				await handler(req, res, params);
+			} catch (err) {
+				this.fail(req, res, err as Error);
+			} finally {
+				this.open--;
+			}
+		};
+	}
+
+	private fail(req: http.IncomingMessage, res: http.ServerResponse, err: Error): void {
+		const requestId = requestIdOf(req);
+		const callerError = err instanceof CallerError ? err : new CallerError('outcome_unknown', 'unknown', err.message);
+		this.options.log.info({
+			event: 'call_refused', code: callerError.code, outcome: callerError.outcome, request_id: requestId, workspace: req.headers['x-workspace'],
+		}, callerError.message);
+		if (res.headersSent) {
+			res.destroy();
+			return;
+		}
+
+		sendCallerError(res, callerError, requestId);
+	}
+
+	private async generate(req: http.IncomingMessage, res: http.ServerResponse, routeName: string): Promise<void> {
+		const caller = this.read(req, routeName);
+		const body = generateBodySchema.safeParse(parseJson(await readBody(req)));
+		if (!body.success) {
+			throw new CallerError('bad_request', 'not_run', body.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join('; '));
+		}
+
+		await this.options.generate.run(caller, body.data, res);
+	}
+
+	private async operation(req: http.IncomingMessage, res: http.ServerResponse, [routeName, operation]: [string, string]): Promise<void> {
+		const caller = this.read(req, routeName);
+		const rule = this.options.store.service(caller.route.service)?.operations[operation];
+		if (!rule) {
+			throw new CallerError('operation_not_found', 'not_run', `service ${caller.route.service} has no operation ${operation}`);
+		}
+
+		const body = parseJson(await readBody(req));
+		const answer = rule.repeatable
+			? await this.options.operations.runRepeatable(caller, operation, body)
+			: await this.runOnce(caller, operation, body);
+		res.setHeader('x-request-id', caller.requestId);
+		sendJson(res, answer.status, answer.body);
+	}
+
+	private async runOnce(caller: CallerRequest, operation: string, body: unknown): Promise<OperationAnswer> {
+		const {operations} = this.options;
+		if (!caller.ticket) {
+			// Without a ticket a balancer that repeats the request would cause a second run.
+			throw new CallerError('ticket_required', 'not_run', 'this operation needs header x-ticket; repeat with this ticket', operations.mintTicket(caller));
+		}
+
+		return operations.runOnce(caller, operation, body, caller.ticket);
+	}
+
+	private read(req: http.IncomingMessage, routeName: string): CallerRequest {
+		return readCallerRequest(req, routeName, this.options.store, this.options.defaultDeadlineMs);
+	}
+}
+
+function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text) as unknown;
+	} catch (err) {
+		throw new CallerError('bad_request', 'not_run', `body is not JSON: ${(err as Error).message}`);
+	}
+}
--- /dev/null
+++ b/src/calls/caller-request.ts
@@ -0,0 +1,105 @@
+/** What a caller's request says: workspace, request id, deadline, priority and ticket. */
+import {randomUUID} from 'node:crypto';
+import type http from 'node:http';
+import type {ConfigurationStore} from '../configuration/configuration-store.ts';
+import {priorities, type Priority, type Route} from '../configuration/documents.ts';
+import {createRequestId, isRequestId, type RequestId} from '../ids/request-id.ts';
+import {isWorkspaceId, type WorkspaceId} from '../ids/workspace-id.ts';
+import {CallerError} from './caller-error.ts';
+import {decodeTicket, type Ticket} from './ticket.ts';
+
+/** The longest deadline that a caller may ask for, in milliseconds. */
+export const maxDeadlineMs = 120_000;
+
+/** A caller's request with its route. */
+export type CallerRequest = {
+	readonly requestId: RequestId;
+	readonly workspace: WorkspaceId;
+	readonly routeName: string;
+	readonly route: Route;
+	readonly priority: Priority;
+	/** Monotonic time after which no more attempt is made, in milliseconds. */
+	readonly deadlineAtMs: number;
+	readonly ticket: Ticket | undefined;
+};
+
+/**
+ * Returns the caller's request id, or a new one.
+ *
+ * @param req - the HTTP request
+ */
+export function requestIdOf(req: http.IncomingMessage): RequestId {
+	const given = req.headers['x-request-id'];
+	return isRequestId(given) ? given : createRequestId(randomUUID());
+}
+
+/**
+ * Reads the headers of a caller's request and finds its route.
+ *
+ * @param req - the HTTP request
+ * @param routeName - the route that the path names
+ * @param store - the configuration in force
+ * @param defaultDeadlineMs - the deadline of a call that names none, in milliseconds
+ * @throws CallerError with outcome `not_run`
+ */
+export function readCallerRequest(req: http.IncomingMessage, routeName: string, store: ConfigurationStore, defaultDeadlineMs: number): CallerRequest {
+	const workspace = req.headers['x-workspace'];
+	if (!isWorkspaceId(workspace)) {
+		throw new CallerError('workspace_required', 'not_run', 'header x-workspace must name a workspace');
+	}
+
+	const route = store.route(workspace, routeName);
+	if (!route) {
+		throw new CallerError('route_not_found', 'not_run', `workspace ${workspace} has no route ${routeName}`);
+	}
+
+	const deadlineMs = readDeadline(req.headers['x-deadline-ms'], defaultDeadlineMs);
+	return {
+		requestId: requestIdOf(req),
+		workspace,
+		routeName,
+		route,
+		priority: readPriority(req.headers['x-priority']) ?? route.priority ?? store.limitsOf(workspace).default_priority,
+		deadlineAtMs: performance.now() + deadlineMs,
+		ticket: readTicket(req.headers['x-ticket'], workspace, routeName),
+	};
+}
+
+function readDeadline(text: string | string[] | undefined, defaultMs: number): number {
+	if (text === undefined) {
+		return defaultMs;
+	}
+
+	const ms = Number(text);
+	if (!Number.isInteger(ms) || ms <= 0 || ms > maxDeadlineMs) {
+		throw new CallerError('bad_request', 'not_run', `header x-deadline-ms must be a whole number from 1 to ${maxDeadlineMs}`);
+	}
+
+	return ms;
+}
+
+function readPriority(text: string | string[] | undefined): Priority | undefined {
+	if (text === undefined) {
+		return undefined;
+	}
+
+	const priority = priorities.find(item => item === text);
+	if (!priority) {
+		throw new CallerError('bad_request', 'not_run', `header x-priority must be one of ${priorities.join(', ')}`);
+	}
+
+	return priority;
+}
+
+function readTicket(text: string | string[] | undefined, workspace: WorkspaceId, routeName: string): Ticket | undefined {
+	if (text === undefined) {
+		return undefined;
+	}
+
+	const ticket = decodeTicket(String(text));
+	if (ticket?.workspace !== workspace || ticket.route !== routeName) {
+		throw new CallerError('ticket_invalid', 'not_run', 'header x-ticket holds no ticket of this workspace and route');
+	}
+
+	return ticket;
+}
--- /dev/null
+++ b/src/calls/engine-upstream.ts
@@ -0,0 +1,73 @@
+/** Runs generations at a model engine. */
+import {z} from 'zod';
+import type {PeerClient} from '../links/peer-client.ts';
+import type {CallRequest} from '../messages/call-request.ts';
+import {BrokenAnswerError, readLines} from './frame-reader.ts';
+import type {Upstream, UpstreamEvent} from './upstream.ts';
+
+const engineLineSchema = z.object({
+	version: z.string(),
+	seq: z.number(),
+	token: z.string().optional(),
+	done: z.literal(true).optional(),
+});
+
+/** What the adapter works with. */
+export type EngineUpstreamOptions = {
+	readonly links: PeerClient;
+	readonly baseUrl: string;
+	/** Tells whether the engine itself reports the version as served with verified weights. */
+	readonly isServed: (model: string, version: string, adapter: string | null) => boolean;
+};
+
+/** A model engine behind HTTP. */
+export class EngineUpstream implements Upstream {
+	/** @param options - what the adapter works with */
+	constructor(private readonly options: EngineUpstreamOptions) {}
+
+	/** Tells whether the engine serves the version that the call wants. */
+	serves(req: CallRequest): boolean {
+		return req.work.kind === 'generate' && this.options.isServed(req.work.model, req.work.version, req.work.adapter);
+	}
+
+	/** Sends the prompt and yields the tokens, all of one version. */
+	async * run(req: CallRequest, signal: AbortSignal): AsyncGenerator<UpstreamEvent> {
+		const {work} = req;
+		if (work.kind !== 'generate') {
+			return;
+		}
+
+		const body = JSON.stringify({
+			model: work.model, version: work.version, adapter: work.adapter, prompt: work.prompt,
+			tokens: work.maxTokens, priority: req.priority, resumeFrom: work.resumeFrom,
+		});
+		const url = `${this.options.baseUrl}/v1/generate`;
+		const res = await this.options.links.send(url, {method: 'POST', body}, {timeoutMs: req.remainingMs, signal});
+		if (res.status !== 200) {
+			res.body.destroy();
+			throw new BrokenAnswerError(`engine answered status ${res.status}`);
+		}
+
+		yield {kind: 'head', version: work.version};
+		yield * readEngineStream(readLines(res.body), work.version, work.resumeFrom);
+	}
+}
+
+async function * readEngineStream(lines: AsyncGenerator<string>, version: string, resumeFrom: number): AsyncGenerator<UpstreamEvent> {
+	let nextSeq = resumeFrom;
+	for await (const text of lines) {
+		const line = engineLineSchema.parse(JSON.parse(text));
+		if (line.version !== version || line.seq !== nextSeq) {
+			throw new BrokenAnswerError(`engine sent ${line.version}#${line.seq} where ${version}#${nextSeq} was due`);
+		}
+
+		if (line.done) {
+			return;
+		}
+
+		nextSeq++;
+		yield {kind: 'tokens', version, tokens: [line.token ?? '']};
+	}
+
+	throw new BrokenAnswerError('engine ended the stream without its last line');
+}
--- /dev/null
+++ b/src/cli/agent-process.ts
@@ -0,0 +1,192 @@
+/** The agent role: the process beside one upstream. */
+import {z} from 'zod';
+import {AgentCallHandler} from '../calls/agent-call-handler.ts';
+import {CallLedger} from '../calls/call-ledger.ts';
+import {EngineUpstream} from '../calls/engine-upstream.ts';
+import {PlainUpstream} from '../calls/plain-upstream.ts';
+import type {Upstream} from '../calls/upstream.ts';
+import {isDigest} from '../ids/digest.ts';
+import {
+	formatAddress, type HttpHandler, HttpListener, sendJson,
+} from '../links/http-listener.ts';
+import {type AgentReport, agentReportMethod} from '../messages/agent-report.ts';
+import {callsPath} from '../messages/call-request.ts';
+import {callsCancelMethod, callsCancelParamsSchema} from '../messages/calls-cancel.ts';
+import {OrderManager} from '../orders/order-manager.ts';
+import {createControlRoutes} from '../reports/control-routes.ts';
+import {ChunkStore} from '../rollout/chunk-store.ts';
+import {RolloutManager} from '../rollout/rollout-manager.ts';
+import type {AgentSettings} from '../settings/settings-schema.ts';
+import {BaseProcess, type RunningProcess} from './base-process.ts';
+
+/** How often old call records are looked for, in milliseconds. */
+const sweepIntervalMs = 10_000;
+
+/** How often the drain looks whether calls still run, in milliseconds. */
+const drainCheckMs = 50;
+
+/**
+ * Starts an agent.
+ *
+ * @param settings - the checked settings
+ */
+export async function startAgent(settings: AgentSettings): Promise<RunningProcess> {
+	const agent = new AgentProcess(settings);
+	await agent.start();
+	return agent;
+}
+
+/** The parts of an agent. */
+class AgentProcess implements RunningProcess {
+	private readonly base: BaseProcess;
+	private readonly ledger: CallLedger;
+	private readonly chunks = new ChunkStore();
+	private readonly orders: OrderManager | undefined;
+	private readonly rollout: RolloutManager | undefined;
+	private readonly calls: AgentCallHandler;
+	private readonly control: HttpListener;
+	private draining = false;
+	private sweepTimer: NodeJS.Timeout | undefined;
+
+	constructor(private readonly settings: AgentSettings) {
+		this.base = new BaseProcess(settings);
+		const {log, identity, wake} = this.base;
+		this.ledger = new CallLedger({incarnation: identity.incarnation, maxRecords: settings.limits.call_records});
+		if (settings.upstream.kind === 'engine') {
+			this.orders = this.createOrders();
+			this.rollout = this.createRollout(this.orders);
+		}
+
+		this.calls = new AgentCallHandler({
+			ledger: this.ledger,
+			upstream: this.createUpstream(),
+			log,
+			isDraining: () => this.isLeaving(),
+			beforeForward() {
+				wake.check();
+			},
+		});
+		this.control = new HttpListener(this.createRoutes(), log);
+	}
+
+	async start(): Promise<void> {
+		await this.control.start(this.settings.listen.control);
+		await this.base.start();
+		await this.orders?.start();
+		this.rollout?.start();
+		this.sweepTimer = setInterval(() => {
+			this.ledger.sweep();
+		}, sweepIntervalMs);
+		this.sweepTimer.unref();
+		this.base.log.info({event: 'agent_started', control: formatAddress(this.settings.listen.control)}, 'agent started');
+	}
+
+	async drain(): Promise<void> {
+		this.draining = true;
+		this.base.log.info({event: 'drain_started', running: this.calls.runningCalls}, 'drain started');
+		while (this.calls.runningCalls > 0) {
+			await new Promise(resolve => {
+				setTimeout(resolve, drainCheckMs);
+			});
+		}
+
+		await this.control.drain();
+		clearInterval(this.sweepTimer);
+		this.rollout?.stop();
+		this.orders?.stop();
+		await this.base.stop();
+		this.base.log.info({event: 'drain_finished'}, 'drain finished');
+	}
+
+	private isLeaving(): boolean {
+		const self = this.base.membership.members.find(member => member.vm === this.settings.process.vm);
+		return this.draining || self?.state === 'leaving';
+	}
+
+	private createOrders(): OrderManager {
+		const {store, links, log, identity} = this.base;
+		return new OrderManager({
+			store,
+			links,
+			log,
+			engineUrl: this.settings.upstream.address,
+			sourceUrl: `http://${formatAddress(this.settings.listen.control)}`,
+			startedAtMs: identity.startedAtMs,
+		});
+	}
+
+	private createRollout(orders: OrderManager): RolloutManager {
+		const {store, links, random, log} = this.base;
+		return new RolloutManager({
+			store, links, random, log, orders, chunks: this.chunks, originUrl: this.settings.platform.origin,
+		});
+	}
+
+	private createUpstream(): Upstream {
+		const {links} = this.base;
+		const baseUrl = this.settings.upstream.address;
+		const {orders} = this;
+		if (!orders) {
+			return new PlainUpstream(links, baseUrl);
+		}
+
+		return new EngineUpstream({
+			links, baseUrl, isServed: (model, version, adapter) => orders.isServed(model, version, adapter),
+		});
+	}
+
+	private createRoutes(): Record<string, HttpHandler> {
+		const {rpc, metrics} = this.base;
+		rpc.method(agentReportMethod, z.unknown(), () => this.report());
+		rpc.method(callsCancelMethod, callsCancelParamsSchema, params => this.ledger.cancel(params));
+		metrics.gauge('cactusreach_running_calls', 'Calls that run at the upstream.', () => this.calls.runningCalls);
+		metrics.gauge('cactusreach_call_records', 'Call records kept.', () => this.ledger.size);
+		metrics.gauge('cactusreach_chunk_bytes', 'Weights held in memory.', () => this.chunks.bytes);
+		return {
+			...createControlRoutes({
+				rpc, metrics, dump: () => this.dump(), isReady: () => !this.isLeaving() && this.base.store.revision > 0,
+			}),
+			[`POST ${callsPath}`]: async (req, res) => this.calls.handle(req, res),
+			'GET /chunks/*': (req, res, [digest]) => {
+				const bytes = isDigest(digest) ? this.chunks.get(digest) : undefined;
+				if (!bytes) {
+					sendJson(res, 404, {error: {code: 'not_held', message: `chunk ${digest} is not held here`}});
+					return;
+				}
+
+				res.writeHead(200, {'content-type': 'application/octet-stream', 'content-length': bytes.length});
+				res.end(bytes);
+			},
+		};
+	}
+
+	private report(): AgentReport {
+		const state = this.orders?.engineState;
+		const {process, upstream} = this.settings;
+		return {
+			vm: process.vm,
+			incarnation: this.base.identity.incarnation,
+			state: this.isLeaving() ? 'draining' : 'ready',
+			service: upstream.service,
+			configRevision: this.base.store.revision,
+			served: state?.served ?? [],
+			running: state?.running ?? this.calls.runningCalls,
+			queued: state?.queued ?? 0,
+			capacity: state?.capacity ?? upstream.capacity,
+			prefixes: [],
+		};
+	}
+
+	private dump(): unknown {
+		return {
+			role: 'agent',
+			...this.base.dump(),
+			report: this.report(),
+			calls: {running: this.calls.runningCalls, records: this.ledger.size},
+			chunks: {count: this.chunks.count, bytes: this.chunks.bytes},
+			rollout: this.rollout?.progress ?? [],
+			engine: this.orders?.engineState ?? null,
+			draining: this.draining,
+		};
+	}
+}
--- /dev/null
+++ b/src/cli/entry-process.ts
@@ -0,0 +1,68 @@
+/** The entry role: callers' HTTP front on an entry VM. */
+import {AttemptClient} from '../calls/attempt-client.ts';
+import {CallManager} from '../calls/call-manager.ts';
+import {GenerateHandler} from '../calls/generate-handler.ts';
+import {OperationHandler} from '../calls/operation-handler.ts';
+import {formatAddress, HttpListener} from '../links/http-listener.ts';
+import {ReportPoller} from '../membership/report-poller.ts';
+import {createControlRoutes} from '../reports/control-routes.ts';
+import {UpstreamRouter} from '../routing/upstream-router.ts';
+import type {EntrySettings} from '../settings/settings-schema.ts';
+import {BaseProcess, type RunningProcess} from './base-process.ts';
+
+/**
+ * Starts an entry.
+ *
+ * @param settings - the checked settings
+ */
+export async function startEntry(settings: EntrySettings): Promise<RunningProcess> {
+	const base = new BaseProcess(settings);
+	const {links, membership, store, random, log} = base;
+	const router = new UpstreamRouter({
+		membership, store, random, zone: settings.process.zone,
+	});
+	const attempts = new AttemptClient(links);
+	const calls = new CallManager({
+		store,
+		log,
+		generate: new GenerateHandler({attempts, router, log}),
+		operations: new OperationHandler({attempts, router, log}),
+		defaultDeadlineMs: settings.limits.default_deadline_ms,
+	});
+	let started = false;
+	let draining = false;
+	const poller = new ReportPoller({links, membership, random});
+	const callers = new HttpListener(calls.routes, log);
+	const control = new HttpListener(createControlRoutes({
+		rpc: base.rpc,
+		metrics: base.metrics,
+		dump: () => ({
+			role: 'entry', ...base.dump(), calls: {open: calls.openCalls}, draining,
+		}),
+		isReady: () => started && !draining && store.revision > 0,
+	}), log);
+	base.metrics.gauge('cactusreach_open_calls', 'Callers that wait for an answer.', () => calls.openCalls);
+	await control.start(settings.listen.control);
+	await base.start();
+	await poller.start();
+	await callers.start(settings.listen.callers);
+	started = true;
+	log.info({event: 'entry_started', callers: formatAddress(settings.listen.callers)}, 'entry started');
+
+	return {
+		async drain() {
+			draining = true;
+			log.info({event: 'drain_started', open: calls.openCalls}, 'drain started');
+			// The balancer learns from readiness within this time; until then new calls are still answered.
+			await new Promise(resolve => {
+				setTimeout(resolve, settings.limits.drain_notice_ms);
+			});
+			calls.refuseNewCalls();
+			await callers.drain();
+			poller.stop();
+			await base.stop();
+			control.destroy();
+			log.info({event: 'drain_finished'}, 'drain finished');
+		},
+	};
+}
--- a/src/configuration/configuration-manager.ts
+++ b/src/configuration/configuration-manager.ts
@@ -25,13 +25,11 @@
 
 /** Watches the configuration service and puts accepted revisions in force. */
 export class ConfigurationManager {
-	private readonly options: ConfigurationManagerOptions;
 	private readonly service: ConfigurationService;
 	private readonly stopping = new AbortController();
 
 	/** @param options - what the manager works with */
-	constructor(options: ConfigurationManagerOptions) {
-		this.options = options;
+	constructor(private readonly options: ConfigurationManagerOptions) {
 		this.service = new ConfigurationService(options.links, options.serviceUrl);
 	}
 
--- a/src/configuration/configuration-service.ts
+++ b/src/configuration/configuration-service.ts
@@ -17,17 +17,11 @@
 
 /** Reads and watches the configuration service. */
 export class ConfigurationService {
-	private readonly links: PeerClient;
-	private readonly baseUrl: string;
-
 	/**
 	 * @param links - sends the requests
 	 * @param baseUrl - the service's address
 	 */
-	constructor(links: PeerClient, baseUrl: string) {
-		this.links = links;
-		this.baseUrl = baseUrl;
-	}
+	constructor(private readonly links: PeerClient, private readonly baseUrl: string) {}
 
 	/**
 	 * Reads the entries that changed after a revision, waiting for a change when there is none.
--- a/src/configuration/documents.ts
+++ b/src/configuration/documents.ts
@@ -40,7 +40,7 @@
 		adapters: z.array(idText).default([]),
 	})),
 	objective: z.enum(['time', 'origin-bytes']).default('time'),
-}).refine(model => model.serve in model.versions, {message: 'names a version that is not in versions', path: ['serve']});
+}).refine(model => model.serve in model.versions, {error: 'names a version that is not in versions', path: ['serve']});
 
 /** `/services/SERVICE`: a service and its operations. */
 export const serviceSchema = z.strictObject({
--- a/src/links/http-listener.ts
+++ b/src/links/http-listener.ts
@@ -1,4 +1,5 @@
 /** A small HTTP server: a lookup table of handlers by method and path, and graceful shutdown. */
+import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {Logger} from '../runtime/logger.ts';
@@ -24,14 +25,12 @@
 export class HttpListener {
 	private readonly server: http.Server;
 	private readonly routes: readonly CompiledRoute[];
-	private readonly log: Logger;
 
 	/**
 	 * @param routes - handlers by `METHOD /path`
 	 * @param log - receives handler failures
 	 */
-	constructor(routes: HttpRoutes, log: Logger) {
-		this.log = log;
+	constructor(routes: HttpRoutes, private readonly log: Logger) {
 		this.routes = Object.entries(routes).map(([name, handler]) => compileRoute(name, handler));
 		this.server = http.createServer((req, res) => {
 			void this.serve(req, res);
@@ -85,7 +84,9 @@
 
 			sendJson(res, 404, {error: {code: 'not_found', outcome: 'not_run', message: `no resource ${req.method} ${path}`}});
 		} catch (err) {
-			this.log.error({event: 'handler_failed', err, method: req.method, url: req.url}, 'request handler failed');
+			this.log.error({
+				event: 'handler_failed', err, method: req.method, url: req.url,
+			}, 'request handler failed');
 			if (res.headersSent) {
 				res.destroy();
 			} else {
--- a/src/links/peer-client.ts
+++ b/src/links/peer-client.ts
@@ -3,6 +3,7 @@
  *
  * Nothing here repeats a request. Only the caller of this module knows whether a repeat is safe.
  */
+import {Buffer} from 'node:buffer';
 import type {Readable} from 'node:stream';
 import {createJSONRPCRequest, type JSONRPCResponse} from 'json-rpc-2.0';
 import {Agent, type Dispatcher, request} from 'undici';
@@ -146,7 +147,8 @@
  * @param body - the stream
  */
 export async function readText(body: Readable): Promise<string> {
-	return (await readBytes(body)).toString('utf8');
+	const bytes = await readBytes(body);
+	return bytes.toString('utf8');
 }
 
 /**
--- a/src/links/rpc-dispatcher.ts
+++ b/src/links/rpc-dispatcher.ts
@@ -8,9 +8,11 @@
 
 /** Answers JSON-RPC requests with methods whose parameters are checked against a schema. */
 export class RpcDispatcher {
-	private readonly server = new JSONRPCServer({errorListener() {
+	private readonly server = new JSONRPCServer({
+		errorListener() {
 		// The error goes back to the peer, which logs it with the method and its own context.
-	}});
+		},
+	});
 
 	/**
 	 * Adds a method.
--- a/src/messages/call-frame.ts
+++ b/src/messages/call-frame.ts
@@ -13,7 +13,9 @@
 	/** First frame: the agent forwarded the call. Plain services have no version. */
 	z.object({...common, kind: z.literal('head'), version: z.string().nullable()}),
 	/** Tokens of a stream, in order. */
-	z.object({...common, kind: z.literal('tokens'), version: z.string(), tokens: z.array(z.string())}),
+	z.object({
+		...common, kind: z.literal('tokens'), version: z.string(), tokens: z.array(z.string()),
+	}),
 	/** The whole answer of a plain service. */
 	z.object({
 		...common, kind: z.literal('result'), status: z.number().int(), body: z.unknown(),
@@ -21,7 +23,9 @@
 	/** Last frame of a whole answer; `tokens` counts all tokens of the stream. */
 	z.object({...common, kind: z.literal('end'), tokens: z.number().int().nonnegative()}),
 	/** The call did not reach the upstream. */
-	z.object({...common, kind: z.literal('refused'), code: z.string(), message: z.string()}),
+	z.object({
+		...common, kind: z.literal('refused'), code: z.string(), message: z.string(),
+	}),
 	/** The upstream ran the call and failed, or the answer broke off. */
 	z.object({
 		...common, kind: z.literal('failed'), code: z.string(), message: z.string(),
--- /dev/null
+++ b/src/rollout/manifest.ts
@@ -0,0 +1,54 @@
+/** Manifests: the list of a version's chunks by digest. */
+import {Buffer} from 'node:buffer';
+import {z} from 'zod';
+import {type Digest, digestOf, isDigest} from '../ids/digest.ts';
+
+const digestText = z.string().refine(isDigest, 'must be a SHA-256 digest');
+
+/** The content of a manifest. */
+export const manifestSchema = z.object({
+	model: z.string(),
+	version: z.string(),
+	/** Size of every chunk but the last, in bytes. */
+	chunk_bytes: z.number().int().positive(),
+	total_bytes: z.number().int().nonnegative(),
+	chunks: z.array(digestText),
+});
+
+/** The content of a manifest. */
+export type Manifest = z.infer<typeof manifestSchema>;
+
+/**
+ * Reads a manifest from bytes.
+ *
+ * @param bytes - JSON, already checked against the published digest
+ * @throws ZodError when the content is no manifest
+ */
+export function parseManifest(bytes: Uint8Array): Manifest {
+	return manifestSchema.parse(JSON.parse(Buffer.from(bytes).toString('utf8')));
+}
+
+/**
+ * Cuts weights into chunks and writes their manifest.
+ *
+ * @param model - the model
+ * @param version - the version
+ * @param weights - all bytes
+ * @param chunkBytes - size of every chunk but the last, in bytes
+ */
+export function createManifest(model: string, version: string, weights: Uint8Array, chunkBytes: number): {bytes: Buffer; digest: Digest; chunks: Map<Digest, Uint8Array>} {
+	const chunks = new Map<Digest, Uint8Array>();
+	const order: Digest[] = [];
+	for (let at = 0; at < weights.length; at += chunkBytes) {
+		const chunk = weights.subarray(at, at + chunkBytes);
+		const digest = digestOf(chunk);
+		chunks.set(digest, chunk);
+		order.push(digest);
+	}
+
+	const manifest: Manifest = {
+		model, version, chunk_bytes: chunkBytes, total_bytes: weights.length, chunks: order,
+	};
+	const bytes = Buffer.from(JSON.stringify(manifest));
+	return {bytes, digest: digestOf(bytes), chunks};
+}
--- a/src/runtime/logger.ts
+++ b/src/runtime/logger.ts
@@ -19,7 +19,9 @@
  * @param level - the least level that is written
  */
 export function createLogger(vm: VmId, level: LogLevel): Logger {
-	return bunyan.createLogger({name: 'cactusreach', vm, level, stream: process.stderr});
+	return bunyan.createLogger({
+		name: 'cactusreach', vm, level, stream: process.stderr,
+	});
 }
 
 /** Creates a logger that writes nothing, for tests and benchmarks. */
--- a/src/settings/parse-settings.ts
+++ b/src/settings/parse-settings.ts
@@ -92,7 +92,9 @@
 		// An unknown key is reported at the key itself, not at the section that holds it.
 		const keys = issue.code === 'unrecognized_keys' ? issue.keys.map(key => [...path, key]) : [path];
 		const reason = issue.code === 'unrecognized_keys' ? 'is not a known key' : issue.message;
-		return keys.map(key => ({file, line: lineOfKey(text, key), key: key.join('.'), reason}));
+		return keys.map(key => ({
+			file, line: lineOfKey(text, key), key: key.join('.'), reason,
+		}));
 	});
 }
 
--- /dev/null
+++ b/standins/engine.ts
@@ -0,0 +1,196 @@
+/** Stand-in for a model engine: streams tokens that prove which weights, adapter and prompt made them. */
+import {Buffer} from 'node:buffer';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {request} from 'undici';
+import {createDigest, digestOf} from '../src/ids/digest.ts';
+import {
+	type HttpHandler, HttpListener, type ListenAddress, readBody, sendJson,
+} from '../src/links/http-listener.ts';
+import {createSilentLogger} from '../src/runtime/logger.ts';
+import type {EngineState} from '../src/orders/engine-state.ts';
+import {parseManifest} from '../src/rollout/manifest.ts';
+
+/** How the engine behaves. */
+export type EngineOptions = {
+	/** Calls that run at once; more wait. */
+	readonly capacity: number;
+	/** Time between two tokens, in milliseconds. */
+	readonly tokenMs: number;
+	/** Whether orders with an old fencing number are refused. */
+	readonly checksFence: boolean;
+	/** How old the reported state is, in milliseconds. */
+	readonly stateLagMs: number;
+};
+
+type Order = {fence: number; kind: string; model: string; version: string; manifest: string; adapters?: string[]; source: string};
+
+type ServedVersion = EngineState['served'][number] & {readonly weightsDigest: string};
+
+type GenerateBody = {model: string; version: string; adapter: string | null; prompt: string; tokens: number; resumeFrom: number};
+
+/**
+ * Computes one token of an answer, so that a test can tell a foreign, mixed or wrong answer.
+ *
+ * @param weights - digest over the loaded weights
+ * @param adapter - the adapter, or null
+ * @param prompt - the caller's prompt
+ * @param seq - position of the token
+ */
+export function expectedToken(weights: string, adapter: string | null, prompt: string, seq: number): string {
+	return digestOf(`${weights}/${adapter}/${prompt}/${seq}`).slice(0, 8);
+}
+
+/** The engine's stand-in. */
+export class EngineStandin {
+	/** Orders in the order of their arrival, with whether they were obeyed. */
+	readonly orders: Array<Order & {readonly obeyed: boolean}> = [];
+	private readonly listener: HttpListener;
+	private readonly served = new Map<string, ServedVersion>();
+	private readonly loading = new Set<string>();
+	private fence = 0;
+	private running = 0;
+	private readonly waiting: Array<() => void> = [];
+	private reported: EngineState;
+
+	/** @param options - how the engine behaves */
+	constructor(private readonly options: EngineOptions) {
+		this.reported = this.state();
+		this.listener = new HttpListener({
+			'POST /v1/generate': async (req, res) => this.generate(req, res, []),
+			'POST /v1/orders': async (req, res) => this.order(req, res, []),
+			'GET /v1/state': (req, res) => {
+				this.serveState(res);
+			},
+			'GET /v1/cache-events'(req, res) {
+				sendJson(res, 200, {events: []});
+			},
+		}, createSilentLogger());
+	}
+
+	/**
+	 * Starts to listen.
+	 *
+	 * @param address - port 0 takes any free port
+	 */
+	async start(address: ListenAddress): Promise<ListenAddress> {
+		return this.listener.start(address);
+	}
+
+	/** Closes all connections. */
+	stop(): void {
+		this.listener.destroy();
+	}
+
+	private state(): EngineState {
+		return {
+			fence: this.fence,
+			served: [...this.served.values()].map(({model, version, manifest, adapters}) => ({
+				model, version, manifest, adapters,
+			})),
+			running: this.running,
+			queued: this.waiting.length,
+			capacity: this.options.capacity,
+			loading: [...this.loading],
+		};
+	}
+
+	private serveState(res: Parameters<HttpHandler>[1]): void {
+		const now = this.state();
+		if (this.options.stateLagMs === 0) {
+			this.reported = now;
+		} else {
+			setTimeout(() => {
+				this.reported = now;
+			}, this.options.stateLagMs).unref();
+		}
+
+		sendJson(res, 200, this.reported);
+	}
+
+	private readonly order: HttpHandler = async (req, res) => {
+		const order = JSON.parse(await readBody(req)) as Order;
+		const obeyed = !this.options.checksFence || order.fence >= this.fence;
+		this.orders.push({...order, obeyed});
+		if (!obeyed) {
+			sendJson(res, 409, {highest: this.fence});
+			return;
+		}
+
+		this.fence = Math.max(this.fence, order.fence);
+		if (order.kind === 'load') {
+			void this.load(order);
+		} else if (order.kind === 'unload') {
+			this.served.delete(`${order.model}/${order.version}`);
+		}
+
+		sendJson(res, 200, {});
+	};
+
+	private async load(order: Order): Promise<void> {
+		this.loading.add(order.manifest);
+		try {
+			const manifest = parseManifest(await fetchChunk(order.source, order.manifest));
+			const parts: Uint8Array[] = [];
+			for (const digest of manifest.chunks) {
+				parts.push(await fetchChunk(order.source, digest));
+			}
+
+			const {model, version} = order;
+			this.served.set(`${model}/${version}`, {
+				model, version, manifest: order.manifest, adapters: order.adapters ?? [], weightsDigest: digestOf(Buffer.concat(parts)),
+			});
+		} catch {
+			// The engine reports the version as not served; the agent repeats its order.
+		} finally {
+			this.loading.delete(order.manifest);
+		}
+	}
+
+	private readonly generate: HttpHandler = async (req, res) => {
+		const body = JSON.parse(await readBody(req)) as GenerateBody;
+		const served = this.served.get(`${body.model}/${body.version}`);
+		if (!served) {
+			sendJson(res, 404, {error: 'version is not served'});
+			return;
+		}
+
+		await this.takeSlot();
+		try {
+			res.writeHead(200, {'content-type': 'application/x-ndjson'});
+			for (let seq = body.resumeFrom; seq < body.tokens && !res.destroyed; seq++) {
+				await sleep(this.options.tokenMs);
+				const token = expectedToken(served.weightsDigest, body.adapter, body.prompt, seq);
+				res.write(`${JSON.stringify({version: body.version, seq, token})}\n`);
+			}
+
+			res.end(`${JSON.stringify({version: body.version, seq: body.tokens, done: true})}\n`);
+		} finally {
+			this.freeSlot();
+		}
+	};
+
+	private async takeSlot(): Promise<void> {
+		if (this.running >= this.options.capacity) {
+			await new Promise<void>(resolve => {
+				this.waiting.push(resolve);
+			});
+		}
+
+		this.running++;
+	}
+
+	private freeSlot(): void {
+		this.running--;
+		this.waiting.shift()?.();
+	}
+}
+
+async function fetchChunk(source: string, digest: string): Promise<Uint8Array> {
+	const res = await request(`${source}/chunks/${createDigest(digest)}`);
+	const bytes = Buffer.from(await res.body.arrayBuffer());
+	if (digestOf(bytes) !== digest) {
+		throw new Error(`chunk ${digest} has other content`);
+	}
+
+	return bytes;
+}
