Admit calls at the entry, and choose upstreams by joined load

Cause: an entry forwarded every call at once, chose by lagging reports alone, and had no retry budget and no ejection.

Change: - AdmissionQueue: one per service; slots limited by an additive-increase, multiplicative-decrease limit that starts at this entry's share of the reported capacity; deficit round robin over workspaces; weighted turns over priorities; bounded wait. Shed calls answer not_run (with a ticket: unknown), code overloaded, with retry-after. - The agent refuses a call while its own forwarded calls exceed the capacity by half; the entry's limit shrinks on such refusals. - selectUpstream works on the reported load plus the change of own calls since the report, spills to other zones, and prefers the prefix owner within a bounded load. - EjectionTracker, RetryBudget, spreadVersions (load moves to a new version as its replicas come up), adapters in resolveVersion, and no choice for a route whose model has no document. - Attempts that the caller or its deadline ended are 'abandoned' and say nothing about the upstream.

--- a/src/calls/agent-call-handler.ts
+++ b/src/calls/agent-call-handler.ts
@@ -17,6 +17,8 @@
 	readonly isDraining: () => boolean;
 	/** Called before a call is forwarded; after a pause it lets the process find out that it was paused. */
 	readonly beforeForward: () => void;
+	/** Tells whether the upstream's queue is past its bound while so many calls run; absent: never. */
+	readonly isOverloaded?: (runningCalls: number) => boolean;
 };
 
 type FrameBody = CallFrame extends infer Frame ? Frame extends CallFrame ? Omit<Frame, 'attempt' | 'seq'> : never : never;
@@ -103,7 +105,11 @@
 			return 'expired';
 		}
 
-		return this.options.upstream.serves(call) ? undefined : 'version_not_served';
+		if (!this.options.upstream.serves(call)) {
+			return 'version_not_served';
+		}
+
+		return this.options.isOverloaded?.(this.running) ? 'overloaded' : undefined;
 	}
 
 	private async forward(call: CallRequest, record: CallRecord, answer: FrameWriter): Promise<void> {
--- a/src/calls/call-manager.ts
+++ b/src/calls/call-manager.ts
@@ -4,17 +4,22 @@
 import {
 	type HttpHandler, type HttpRoutes, readBody, sendJson,
 } from '../links/http-listener.ts';
+import {type AdmissionManager, ShedError} from '../limits/admission-manager.ts';
 import type {Logger} from '../runtime/logger.ts';
 import {CallerError, sendCallerError} from './caller-error.ts';
 import {type CallerRequest, readCallerRequest, requestIdOf} from './caller-request.ts';
 import {type GenerateHandler, generateBodySchema} from './generate-handler.ts';
 import type {OperationAnswer, OperationHandler} from './operation-handler.ts';
 
+const msPerSecond = 1000;
+
 /** What the manager works with. */
 export type CallManagerOptions = {
 	readonly store: ConfigurationStore;
 	readonly generate: GenerateHandler;
 	readonly operations: OperationHandler;
+	/** Lets calls in or sheds them before anything is forwarded. */
+	readonly admission: AdmissionManager;
 	readonly log: Logger;
 	/** Deadline of a call that names none, in milliseconds. */
 	readonly defaultDeadlineMs: number;
@@ -88,7 +93,7 @@
 			throw new CallerError('bad_request', 'not_run', body.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join('; '));
 		}
 
-		await this.options.generate.run(caller, body.data, res);
+		await this.admit(caller, res, async () => this.options.generate.run(caller, body.data, res));
 	}
 
 	private async operation(req: http.IncomingMessage, res: http.ServerResponse, [routeName, operation]: [string, string]): Promise<void> {
@@ -100,20 +105,41 @@
 
 		const body = parseJson(await readBody(req));
 		const answer = rule.repeatable
-			? await this.options.operations.runRepeatable(caller, operation, body)
-			: await this.runOnce(caller, operation, body);
+			? await this.admit(caller, res, async () => this.options.operations.runRepeatable(caller, operation, body))
+			: await this.runOnce(caller, operation, body, res);
 		res.setHeader('x-request-id', caller.requestId);
 		sendJson(res, answer.status, answer.body);
 	}
 
-	private async runOnce(caller: CallerRequest, operation: string, body: unknown): Promise<OperationAnswer> {
+	private async runOnce(caller: CallerRequest, operation: string, body: unknown, res: http.ServerResponse): Promise<OperationAnswer> {
 		const {operations} = this.options;
-		if (!caller.ticket) {
+		const {ticket} = caller;
+		if (!ticket) {
 			// Without a ticket a balancer that repeats the request would cause a second run.
 			throw new CallerError('ticket_required', 'not_run', 'this operation needs header x-ticket; repeat with this ticket', operations.mintTicket(caller));
 		}
 
-		return operations.runOnce(caller, operation, body, caller.ticket);
+		return this.admit(caller, res, async () => operations.runOnce(caller, operation, body, ticket));
+	}
+
+	private async admit<Result>(caller: CallerRequest, res: http.ServerResponse, work: () => Promise<Result>): Promise<Result> {
+		const {workspace, priority, deadlineAtMs, route: {service}} = caller;
+		try {
+			return await this.options.admission.run({
+				workspace, service, priority, deadlineAtMs,
+			}, res, work);
+		} catch (err) {
+			if (!(err instanceof ShedError)) {
+				throw err;
+			}
+
+			if (!res.headersSent) {
+				res.setHeader('retry-after', Math.ceil(err.retryAfterMs / msPerSecond));
+			}
+
+			// An earlier attempt with the same ticket may have run through another entry.
+			throw new CallerError('overloaded', caller.ticket ? 'unknown' : 'not_run', `service ${service} is overloaded (${err.reason}); repeat later`);
+		}
 	}
 
 	private read(req: http.IncomingMessage, routeName: string): CallerRequest {
--- a/src/calls/generate-handler.ts
+++ b/src/calls/generate-handler.ts
@@ -60,7 +60,7 @@
 			generation.aborter.abort();
 		});
 		for (let tries = 0; tries < maxAttempts && !res.destroyed && performance.now() < caller.deadlineAtMs; tries++) {
-			const target = this.options.router.choose(caller.route, generation.excluded, generation.version);
+			const target = this.options.router.choose(caller.route, generation.excluded, generation.version, body.prompt);
 			if (!target) {
 				break;
 			}
@@ -90,12 +90,12 @@
 		const {attempts, router, log} = this.options;
 		const finish = router.begin(target.member.vm, generation.caller.route.service);
 		let result: AttemptResultKind = 'failed';
+		const call = createGenerateCall(generation, target);
+		const signal = AbortSignal.any([generation.aborter.signal, AbortSignal.timeout(call.remainingMs)]);
 		try {
-			const call = createGenerateCall(generation, target);
-			const signal = AbortSignal.any([generation.aborter.signal, AbortSignal.timeout(call.remainingMs)]);
 			for await (const frame of attempts.open(target.member.address, call, signal)) {
 				if (frame.kind === 'refused') {
-					result = 'refused';
+					result = frame.code === 'overloaded' ? 'overloaded' : 'refused';
 					return false;
 				}
 
@@ -113,6 +113,7 @@
 
 			return false;
 		} catch (err) {
+			result = signal.aborted ? 'abandoned' : 'failed';
 			generation.mayHaveRun ||= !(err instanceof LinkError) || err.sent;
 			log.info({
 				event: 'attempt_failed', err, vm: target.member.vm, request_id: generation.caller.requestId, workspace: generation.caller.workspace,
--- a/src/calls/operation-handler.ts
+++ b/src/calls/operation-handler.ts
@@ -133,11 +133,12 @@
 		const {attempts, router, log} = this.options;
 		const finish = router.begin(home.vm, call.service);
 		let resultKind: AttemptResultKind = 'failed';
+		const deadline = AbortSignal.timeout(call.remainingMs);
 		try {
 			let answer: OperationAnswer | undefined;
-			for await (const frame of attempts.open(home.address, call, AbortSignal.timeout(call.remainingMs))) {
+			for await (const frame of attempts.open(home.address, call, deadline)) {
 				if (frame.kind === 'refused') {
-					resultKind = 'refused';
+					resultKind = frame.code === 'overloaded' ? 'overloaded' : 'refused';
 					return {kind: 'refused', code: frame.code};
 				}
 
@@ -153,6 +154,7 @@
 			resultKind = answer ? 'answered' : 'failed';
 			return answer ? {kind: 'answer', answer} : {kind: 'doubtful', attempt: call.attempt};
 		} catch (err) {
+			resultKind = deadline.aborted ? 'abandoned' : 'failed';
 			log.info({
 				event: 'attempt_failed', err, vm: home.vm, request_id: call.requestId, workspace: call.workspace,
 			}, 'attempt failed');
@@ -181,6 +183,7 @@
 const refusalErrors: Readonly<Record<string, (() => CallerError) | undefined>> = {
 	draining: () => new CallerError('draining', 'not_run', 'the upstream is leaving; ask for a new ticket'),
 	expired: () => new CallerError('ticket_expired', 'unknown', 'the ticket or the deadline is over'),
+	overloaded: () => new CallerError('overloaded', 'not_run', 'the upstream is overloaded; ask for a new ticket'),
 	cancelled: () => new CallerError('cancelled', 'not_run', 'the call was cancelled before it reached the upstream'),
 	ticket_mismatch: () => new CallerError('ticket_mismatch', 'not_run', 'the ticket was used with another body'),
 	table_full: () => new CallerError('table_full', 'unknown', 'the upstream keeps too many records; repeat with the same ticket'),
--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -13,6 +13,7 @@
 import {callsPath} from '../messages/call-request.ts';
 import {callsCancelMethod, callsCancelParamsSchema} from '../messages/calls-cancel.ts';
 import {OrderManager} from '../orders/order-manager.ts';
+import {isQueueFull} from '../limits/is-queue-full.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {ChunkStore} from '../rollout/chunk-store.ts';
 import {RolloutManager} from '../rollout/rollout-manager.ts';
@@ -65,6 +66,7 @@
 			beforeForward() {
 				wake.check();
 			},
+			isOverloaded: running => isQueueFull(running, this.report().capacity),
 		});
 		this.control = new HttpListener(this.createRoutes(), log);
 	}
--- a/src/cli/entry-process.ts
+++ b/src/cli/entry-process.ts
@@ -4,9 +4,10 @@
 import {GenerateHandler} from '../calls/generate-handler.ts';
 import {OperationHandler} from '../calls/operation-handler.ts';
 import {formatAddress, HttpListener} from '../links/http-listener.ts';
+import {AdmissionManager, admissionMetrics} from '../limits/admission-manager.ts';
 import {ReportPoller} from '../membership/report-poller.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
-import {UpstreamRouter} from '../routing/upstream-router.ts';
+import {routingMetrics, UpstreamRouter} from '../routing/upstream-router.ts';
 import type {EntrySettings} from '../settings/settings-schema.ts';
 import {BaseProcess, type RunningProcess} from './base-process.ts';
 
@@ -19,12 +20,21 @@
 	const base = new BaseProcess(settings);
 	const {links, membership, store, random, log} = base;
 	const router = new UpstreamRouter({
-		membership, store, random, zone: settings.process.zone,
+		membership, store, random, zone: settings.process.zone, onOverload(service) {
+			admission.recordOverload(service);
+		},
+	});
+	const admission = new AdmissionManager({
+		shareOf: workspace => store.limitsOf(workspace),
+		capacityOf: service => router.capacityOf(service),
+		maxWaitMs: settings.limits.queue_wait_ms,
+		random,
 	});
 	const attempts = new AttemptClient(links);
 	const calls = new CallManager({
 		store,
 		log,
+		admission,
 		generate: new GenerateHandler({attempts, router, log}),
 		operations: new OperationHandler({attempts, router, log}),
 		defaultDeadlineMs: settings.limits.default_deadline_ms,
@@ -37,11 +47,15 @@
 		rpc: base.rpc,
 		metrics: base.metrics,
 		dump: () => ({
-			role: 'entry', ...base.dump(), calls: {open: calls.openCalls}, draining,
+			role: 'entry', ...base.dump(), calls: {open: calls.openCalls}, routing: router.dump(), admission: admission.dump(), draining,
 		}),
 		isReady: () => started && !draining && store.revision > 0,
 	}), log);
 	base.metrics.gauge('cactusreach_open_calls', 'Callers that wait for an answer.', () => calls.openCalls);
+	for (const [name, help, read] of [...admissionMetrics(admission), ...routingMetrics(router)]) {
+		base.metrics.gauge(name, help, read);
+	}
+
 	await control.start(settings.listen.control);
 	await base.start();
 	await poller.start();
--- /dev/null
+++ b/src/limits/concurrency-limit.ts
@@ -0,0 +1,68 @@
+/** The number of calls that one entry keeps in flight at a service: grows slowly and shrinks at signs of overload. */
+
+/** The factor by which one sign of overload shrinks the limit. */
+export const decreaseFactor = 0.9;
+
+/** Shortest time between two decreases, in milliseconds; refusals of one burst are one sign. */
+export const decreaseIntervalMs = 100;
+
+/** The limit's ceiling as a multiple of the capacity that this entry can reach, so that an idle entry may use most of it. */
+export const ceilingFactor = 1.25;
+
+/** The limit is only raised while at least this share of it is in use; an unused limit proves nothing. */
+const usedShare = 0.8;
+
+/**
+ * An additive-increase, multiplicative-decrease limit.
+ *
+ * Entries share agents without talking to each other. Equal increases and proportional decreases bring their limits
+ * towards equal shares.
+ */
+export class ConcurrencyLimit {
+	private value: number | undefined;
+	private ceiling = 1;
+	private lastDecreaseMs = Number.NEGATIVE_INFINITY;
+
+	/** How many calls may be in flight now: a whole number of at least 1. */
+	get current(): number {
+		return Math.max(1, Math.floor(Math.min(this.value ?? 1, this.ceiling)));
+	}
+
+	/**
+	 * Sets what the reports say.
+	 *
+	 * @param capacity - calls that all reachable upstreams can run at once
+	 * @param entries - entries that share these upstreams, this one included
+	 */
+	setCapacity(capacity: number, entries: number): void {
+		this.ceiling = Math.max(1, capacity * ceilingFactor);
+		if (this.value === undefined && capacity > 0) {
+			this.value = Math.max(1, capacity / Math.max(1, entries));
+		}
+	}
+
+	/**
+	 * Records a call that was answered.
+	 *
+	 * @param inFlight - calls in flight, this one included
+	 */
+	recordAnswer(inFlight: number): void {
+		if (this.value !== undefined && inFlight >= this.current * usedShare) {
+			this.value = Math.min(this.ceiling, this.value + (1 / this.value));
+		}
+	}
+
+	/**
+	 * Records a sign of overload: an agent's refusal, or calls that wait inside the upstreams.
+	 *
+	 * @param nowMs - monotonic time, in milliseconds
+	 */
+	recordOverload(nowMs: number): void {
+		if (this.value === undefined || nowMs - this.lastDecreaseMs < decreaseIntervalMs) {
+			return;
+		}
+
+		this.lastDecreaseMs = nowMs;
+		this.value = Math.max(1, Math.min(this.value, this.ceiling) * decreaseFactor);
+	}
+}
--- a/src/routing/resolve-version.ts
+++ b/src/routing/resolve-version.ts
@@ -2,20 +2,29 @@
 import type {Model} from '../configuration/documents.ts';
 import type {Member} from '../membership/member.ts';
 
+/** What a route asks of a model. */
+export type WantedVersion = {
+	/** The version that the route names, if any. */
+	readonly version?: string | undefined;
+	/** The adapter that the route names, if any; a version without it cannot answer the route. */
+	readonly adapter?: string | undefined;
+};
+
 /**
- * Returns the version that a call gets: the wanted one when a member serves it, otherwise one that was served before.
+ * Returns the version that a call gets: the named one when a member serves it, then `serve`, then `previous`, then the one
+ * that most members serve.
  *
  * @param modelName - the model
  * @param model - its document
- * @param wanted - the version that the rule names; the model's `serve` version when undefined
+ * @param wanted - what the route names
  * @param members - usable upstreams of the model's service
- * @returns undefined when no member serves any published version
+ * @returns undefined when no member serves any published version with the adapter
  */
-export function resolveVersion(modelName: string, model: Model, wanted: string | undefined, members: readonly Member[]): string | undefined {
-	const counts = countServed(modelName, model, members);
-	const byCount = [...counts].toSorted(([a, x], [b, y]) => y - x || (a < b ? 1 : -1)).map(([version]) => version);
-	const order = [wanted ?? model.serve, model.previous, ...byCount];
-	return order.find(version => version !== undefined && counts.has(version));
+export function resolveVersion(modelName: string, model: Model, wanted: WantedVersion, members: readonly Member[]): string | undefined {
+	const isServed = (version: string | undefined): version is string =>
+		version !== undefined && members.some(member => servesVersion(member, modelName, model, version, wanted.adapter));
+	const known = [wanted.version, model.serve, model.previous].find(version => isServed(version));
+	return known ?? mostServed(modelName, model, wanted, members);
 }
 
 /**
@@ -25,21 +34,26 @@
  * @param modelName - the model
  * @param model - the model's document
  * @param version - the version
+ * @param adapter - the adapter that must be loaded as well, if any
  */
-export function servesVersion(member: Member, modelName: string, model: Model, version: string): boolean {
+export function servesVersion(member: Member, modelName: string, model: Model, version: string, adapter?: string): boolean {
 	const manifest = model.versions[version]?.manifest;
 	const served = member.sight.report?.served ?? [];
-	return served.some(item => item.model === modelName && item.version === version && item.manifest === manifest);
+	return served.some(item => item.model === modelName && item.version === version && item.manifest === manifest
+		&& (adapter === undefined || item.adapters.includes(adapter)));
 }
 
-function countServed(modelName: string, model: Model, members: readonly Member[]): Map<string, number> {
-	const counts = new Map<string, number>();
-	for (const version of Object.keys(model.versions)) {
-		const count = members.filter(member => servesVersion(member, modelName, model, version)).length;
-		if (count > 0) {
-			counts.set(version, count);
+function mostServed(modelName: string, model: Model, wanted: WantedVersion, members: readonly Member[]): string | undefined {
+	let best: string | undefined;
+	let bestCount = 0;
+	for (const version of Object.keys(model.versions).toSorted()) {
+		const count = members.filter(member => servesVersion(member, modelName, model, version, wanted.adapter)).length;
+		// The later name wins a tie: it is usually the newer version.
+		if (count > 0 && count >= bestCount) {
+			best = version;
+			bestCount = count;
 		}
 	}
 
-	return counts;
+	return best;
 }
--- a/src/routing/upstream-router.ts
+++ b/src/routing/upstream-router.ts
@@ -1,57 +1,93 @@
-/** Owns the entry's own calls in flight per upstream, and chooses upstreams for calls. */
+/** Owns the entry's own calls in flight, ejections and retry budgets, and chooses upstreams for calls. */
 import type {ConfigurationStore} from '../configuration/configuration-store.ts';
 import type {Route} from '../configuration/documents.ts';
+import type {ServiceCapacity} from '../limits/admission-manager.ts';
+import {RetryBudget} from '../limits/retry-budget.ts';
 import type {Member} from '../membership/member.ts';
 import type {MembershipManager} from '../membership/membership-manager.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
-import {resolveVersion, servesVersion} from './resolve-version.ts';
-import {selectUpstream} from './select-upstream.ts';
+import {EjectionTracker, type HealthSign} from './ejection-tracker.ts';
+import {LoadView} from './load-view.ts';
+import {servesVersion} from './resolve-version.ts';
+import {type Candidate, selectUpstream} from './select-upstream.ts';
+import {spreadVersions} from './spread-versions.ts';
+
+/** The length of the prompt's start that decides its prefix owner, in characters. */
+export const prefixChars = 256;
+
+/** The smallest capacity to calculate with; an upstream that reports 0 is chosen only when there is no other. */
+const minCapacity = 0.01;
 
 /** What the router works with. */
 export type UpstreamRouterOptions = {
-	readonly membership: MembershipManager;
-	readonly store: ConfigurationStore;
+	readonly membership: Pick<MembershipManager, 'members' | 'upstreamsOf'>;
+	readonly store: Pick<ConfigurationStore, 'model' | 'service'>;
 	readonly random: RandomSource;
 	readonly zone: string;
+	/** Called when an agent of the service refused a call because its upstream is overloaded. */
+	readonly onOverload?: (service: string) => void;
 };
 
-/** How an attempt ended: with an answer, refused before it reached the upstream, or broken, silent or unreachable. */
-export type AttemptResultKind = 'answered' | 'refused' | 'failed';
+/**
+ * How an attempt ended: with an answer; refused before it reached the upstream, for load (`overloaded`) or another reason
+ * (`refused`); broken or unreachable (`failed`); without progress (`silent`); or given up by the caller or at its deadline
+ * (`abandoned`), which says nothing about the upstream.
+ */
+export type AttemptResultKind = 'answered' | 'refused' | 'overloaded' | 'failed' | 'silent' | 'abandoned';
 
 /** An upstream for a call; `version` is null for plain services. */
 export type RouteTarget = {readonly member: Member; readonly model: string | null; readonly version: string | null};
 
+const healthSigns: Readonly<Partial<Record<AttemptResultKind, HealthSign>>> = {answered: 'good', failed: 'failed', silent: 'silent'};
+
 /** Chooses upstreams. */
 export class UpstreamRouter {
-	private readonly inFlight = new Map<string, number>();
+	private readonly loads = new LoadView();
+	private readonly ejections = new EjectionTracker();
+	private readonly budgets = new Map<string, RetryBudget>();
+	/** Retries by service that were granted and did not begin yet. */
+	private readonly grantedRetries = new Map<string, number>();
+	private index: {view: readonly Member[]; byVm: ReadonlyMap<string, Member>} | undefined;
 
 	/** @param options - what the router works with */
 	constructor(private readonly options: UpstreamRouterOptions) {}
 
+	/** Retries granted at all services. */
+	get retries(): number {
+		return [...this.budgets.values()].reduce((sum, budget) => sum + budget.dump().granted, 0);
+	}
+
+	/** Ejections so far. */
+	get ejectionCount(): number {
+		return this.ejections.total;
+	}
+
 	/**
 	 * Chooses an upstream.
 	 *
 	 * @param route - the caller's route
 	 * @param excluded - VMs that this call tried already
 	 * @param fixedVersion - the version that the call must stay on, once a caller has received a part of it
+	 * @param prompt - the prompt; calls with the same start prefer the same upstream
 	 * @returns undefined when no upstream can run the call now
 	 */
-	choose(route: Route, excluded: ReadonlySet<string>, fixedVersion?: string): RouteTarget | undefined {
-		const {membership, store} = this.options;
-		const members = membership.upstreamsOf(route.service);
+	choose(route: Route, excluded: ReadonlySet<string>, fixedVersion?: string, prompt?: string): RouteTarget | undefined {
+		const candidates = this.candidatesOf(route.service, excluded);
 		const modelName = route.model;
-		const model = modelName === undefined ? undefined : store.model(modelName);
-		if (modelName === undefined || !model) {
-			return this.select(members, excluded, {model: null, version: null});
+		if (modelName === undefined) {
+			return this.select(candidates, undefined, () => ({model: null, version: null}));
 		}
 
-		const version = fixedVersion ?? resolveVersion(modelName, model, route.version, members);
-		if (version === undefined) {
+		const model = this.options.store.model(modelName);
+		if (!model) {
 			return undefined;
 		}
 
-		const serving = members.filter(member => servesVersion(member, modelName, model, version));
-		return this.select(serving, excluded, {model: modelName, version});
+		const versions = fixedVersion === undefined ? spreadVersions(modelName, model, route, candidates) : [fixedVersion];
+		const versionAt = (member: Member): string | undefined =>
+			versions.find(version => servesVersion(member, modelName, model, version, route.adapter));
+		const serving = candidates.filter(({member}) => versionAt(member) !== undefined);
+		return this.select(serving, prompt?.slice(0, prefixChars), member => ({model: modelName, version: versionAt(member) ?? null}));
 	}
 
 	/**
@@ -60,7 +96,12 @@
 	 * @param service - the service
 	 */
 	mayRetry(service: string): boolean {
-		return service !== '';
+		const granted = this.budgetOf(service).tryTake();
+		if (granted) {
+			this.grantedRetries.set(service, (this.grantedRetries.get(service) ?? 0) + 1);
+		}
+
+		return granted;
 	}
 
 	/**
@@ -70,15 +111,113 @@
 	 * @param service - the service, for its retry budget
 	 */
 	begin(vm: string, service: string): (result: AttemptResultKind) => void {
-		this.inFlight.set(vm, (this.inFlight.get(vm) ?? 0) + 1);
-		return () => {
-			this.inFlight.set(vm, (this.inFlight.get(vm) ?? 1) - 1);
+		const granted = this.grantedRetries.get(service) ?? 0;
+		if (granted > 0) {
+			this.grantedRetries.set(service, granted - 1);
+		} else {
+			this.budgetOf(service).recordFirstTry();
+		}
+
+		this.loads.change(vm, 1, this.memberOf(vm)?.sight.reportAtMs);
+		let ended = false;
+		return result => {
+			if (!ended) {
+				ended = true;
+				this.end(vm, service, result);
+			}
+		};
+	}
+
+	/**
+	 * Returns what the upstreams of a service can run, and how many entries share them.
+	 *
+	 * @param service - the service
+	 */
+	capacityOf(service: string): ServiceCapacity {
+		const {membership, zone} = this.options;
+		const usable = this.candidatesOf(service, new Set());
+		const local = usable.filter(({member}) => member.zone === zone);
+		const reached = local.length > 0 ? local : usable;
+		const zones = new Set(reached.map(({member}) => member.zone));
+		const here = membership.members.filter(member => zones.has(member.zone) && member.state === 'live');
+		const entries = here.filter(({role}) => role === 'entry').length;
+		const upstreams = here.filter(({role, services}) => role === 'upstream' && services.includes(service)).length;
+		return {
+			capacity: reached.reduce((sum, {capacity}) => sum + capacity, 0),
+			// An entry that links to a part of the agents shares them with the same part of the entries.
+			entries: Math.max(1, entries * reached.length / Math.max(1, upstreams)),
+		};
+	}
+
+	/** Returns the state for dumps. */
+	dump(): unknown {
+		return {
+			inFlight: this.loads.inFlight,
+			ejections: this.ejections.dump(performance.now()),
+			retryBudgets: Object.fromEntries([...this.budgets].map(([service, budget]) => [service, budget.dump()])),
 		};
 	}
 
-	private select(members: readonly Member[], excluded: ReadonlySet<string>, wanted: {model: string | null; version: string | null}): RouteTarget | undefined {
-		const candidates = members.filter(member => !excluded.has(member.vm));
-		const member = selectUpstream({candidates, zone: this.options.zone, inFlight: this.inFlight}, this.options.random);
-		return member && {member, ...wanted};
+	private end(vm: string, service: string, result: AttemptResultKind): void {
+		this.loads.change(vm, -1, this.memberOf(vm)?.sight.reportAtMs);
+		if (result === 'overloaded') {
+			this.options.onOverload?.(service);
+		}
+
+		const sign = healthSigns[result];
+		if (sign) {
+			const group = this.options.membership.upstreamsOf(service).map(member => member.vm);
+			this.ejections.record(vm, sign, group, performance.now());
+		}
+	}
+
+	/** Usable upstreams that are not excluded; ejected ones only when there is no other. */
+	private candidatesOf(service: string, excluded: ReadonlySet<string>): Candidate[] {
+		const nowMs = performance.now();
+		const members = this.options.membership.upstreamsOf(service).filter(({vm}) => !excluded.has(vm));
+		const healthy = members.filter(({vm}) => !this.ejections.isEjected(vm, nowMs));
+		const bound = this.options.store.service(service)?.max_concurrent_per_worker ?? Number.POSITIVE_INFINITY;
+		return (healthy.length > 0 ? healthy : members).map(member => ({
+			member,
+			load: this.loads.loadOf(member, nowMs),
+			capacity: Math.max(minCapacity, Math.min(bound, member.sight.report?.capacity ?? 1) * this.ejections.shareOf(member.vm, nowMs)),
+		}));
 	}
+
+	private select(candidates: readonly Candidate[], prefix: string | undefined, wanted: (member: Member) => {model: string | null; version: string | null}): RouteTarget | undefined {
+		const chosen = selectUpstream({candidates, zone: this.options.zone, prefix}, this.options.random);
+		return chosen && {member: chosen.member, ...wanted(chosen.member)};
+	}
+
+	private budgetOf(service: string): RetryBudget {
+		let budget = this.budgets.get(service);
+		if (!budget) {
+			budget = new RetryBudget();
+			this.budgets.set(service, budget);
+		}
+
+		return budget;
+	}
+
+	private memberOf(vm: string): Member | undefined {
+		const view = this.options.membership.members;
+		if (this.index?.view !== view) {
+			this.index = {view, byVm: new Map(view.map(member => [member.vm, member]))};
+			this.ejections.keepOnly(this.index.byVm);
+		}
+
+		return this.index.byVm.get(vm);
+	}
+}
+
+/**
+ * Returns the metrics of routing: name, help and how to read the value.
+ *
+ * @param router - the router
+ */
+export function routingMetrics(router: UpstreamRouter): Array<[name: string, help: string, read: () => number]> {
+	return [
+		['cactusreach_retries_total', 'Attempts after the first one of a call.', () => router.retries],
+		['cactusreach_ejections_total', 'Upstreams taken out of the choice after failures.', () => router.ejectionCount],
+	];
 }
--- a/src/runtime/rendezvous.ts
+++ b/src/runtime/rendezvous.ts
@@ -31,6 +31,34 @@
 	return scored.map(({id}) => id);
 }
 
+/**
+ * Returns the member with the best rendezvous rank for a key, without ranking the others.
+ *
+ * @param key - what is placed
+ * @param members - the candidates
+ * @param idOf - returns a candidate's id
+ */
+export function bestMember<Item>(key: string, members: readonly Item[], idOf: (item: Item) => string): Item | undefined {
+	if (!hasher) {
+		throw new Error('prepareRendezvous() must be awaited before members are ranked');
+	}
+
+	const {h32} = hasher;
+	const seed = h32(key);
+	let best: Item | undefined;
+	let bestScore = -1;
+	for (const item of members) {
+		// The key's hash seeds the hash of the short id; a long prompt prefix is read once, not once per member.
+		const score = h32(idOf(item), seed);
+		if (score > bestScore) {
+			best = item;
+			bestScore = score;
+		}
+	}
+
+	return best;
+}
+
 function compare(a: bigint | string, b: bigint | string): number {
 	if (a === b) {
 		return 0;
