--- /dev/null
+++ b/test/limits.test.ts
@@ -0,0 +1,269 @@
+/** Properties of admission, fair queueing and retry budgets. */
+import type http from 'node:http';
+import {PassThrough} from 'node:stream';
+import {install, type Clock} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import type {Priority} from '../src/configuration/documents.ts';
+import {AdmissionManager, type AdmissionRequest, type ShedError} from '../src/limits/admission-manager.ts';
+import {type AdmissionCall, AdmissionQueue} from '../src/limits/admission-queue.ts';
+import {ConcurrencyLimit} from '../src/limits/concurrency-limit.ts';
+import {FairQueue} from '../src/limits/fair-queue.ts';
+import {isQueueFull} from '../src/limits/is-queue-full.ts';
+import {PriorityQueue, priorityTurns} from '../src/limits/priority-queue.ts';
+import {RetryBudget} from '../src/limits/retry-budget.ts';
+import {RandomSource} from '../src/runtime/random-source.ts';
+
+const priority = fc.constantFrom<Priority>('high', 'normal', 'low');
+const weight = fc.double({min: 0.05, max: 50, noNaN: true});
+
+it('backlogged workspaces get their share within one quantum', () => {
+	fc.assert(fc.property(fc.array(weight, {minLength: 2, maxLength: 8}), fc.integer({min: 1, max: 400}), (weights, takes) => {
+		const queue = new FairQueue<{workspace: string; priority: Priority}>(name => ({weight: weights[Number(name)] ?? 1, max_concurrent: 1e9}));
+		for (const [name] of weights.entries()) {
+			for (let index = 0; index <= takes; index++) {
+				queue.push({workspace: String(name), priority: 'normal'});
+			}
+		}
+
+		const got = weights.map(() => 0);
+		const round = 1 / Math.max(...weights);
+		for (let take = 0; take < takes; take++) {
+			const name = Number(queue.shift(() => 0)?.workspace);
+			got[name] = (got[name] ?? 0) + 1;
+			const perWeight = weights.map((own, index) => (got[index] ?? 0) / own);
+			const excess = weights.flatMap((own, a) => weights.map((other, b) =>
+				Math.abs((perWeight[a] ?? 0) - (perWeight[b] ?? 0)) - Math.max(1 / own, 1 / other) - round));
+			expect(Math.max(...excess)).to.be.at.most(1e-6);
+		}
+	}), {seed: 1101, numRuns: 200});
+});
+
+it('a waiting call of any priority gets a turn within one cycle of turns', () => {
+	const cycle = priorityTurns.high + priorityTurns.normal + priorityTurns.low;
+	fc.assert(fc.property(fc.array(fc.array(priority, {maxLength: 3}), {minLength: 60, maxLength: 120}), priority, (steps, watched) => {
+		const queue = new PriorityQueue<{priority: Priority; watched: boolean}>();
+		queue.push({priority: watched, watched: true});
+		let takes = 0;
+		for (const arrivals of steps) {
+			for (const item of arrivals) {
+				queue.push({priority: item, watched: false});
+			}
+
+			takes++;
+			if (queue.shift()?.watched) {
+				expect(takes).to.be.at.most(cycle);
+				return;
+			}
+		}
+
+		expect.fail(`the ${watched} call still waits after ${takes} turns`);
+	}), {seed: 1102, numRuns: 500});
+});
+
+const step = fc.oneof(
+	{
+		weight: 4, arbitrary: fc.record({
+			kind: fc.constant('offer' as const), workspace: fc.constantFrom('a', 'b', 'c'), priority, deadlineMs: fc.integer({min: 1, max: 3000}),
+		}),
+	},
+	{weight: 2, arbitrary: fc.record({kind: fc.constant('release' as const), pick: fc.nat(), answered: fc.boolean()})},
+	fc.record({kind: fc.constant('withdraw' as const), pick: fc.nat()}),
+	fc.record({kind: fc.constant('wait' as const), ms: fc.integer({min: 0, max: 900})}),
+	fc.record({kind: fc.constant('limit' as const), limit: fc.integer({min: 1, max: 6})}),
+);
+
+it('admission never exceeds its limits, settles each call once and gets every slot back', () => {
+	fc.assert(fc.property(fc.array(step, {minLength: 1, maxLength: 120}), steps => {
+		const limit = {current: 3, recordAnswer: () => undefined};
+		const bound = {a: 2, b: 4, c: 100};
+		const queue = new AdmissionQueue<AdmissionCall>({limit, shareOf: name => ({weight: name === 'a' ? 5 : 1, max_concurrent: bound[name as 'a']}), maxWaitMs: 1000});
+		let nowMs = 0;
+		const waiting = new Set<AdmissionCall>();
+		const running = new Set<AdmissionCall>();
+		const pump = (): void => {
+			const before = running.size;
+			for (const {call, shed} of queue.pump(nowMs)) {
+				expect(waiting.delete(call), 'each call is settled once').to.equal(true);
+				if (!shed) {
+					expect(nowMs, 'no slot after the deadline').to.be.below(call.deadlineAtMs);
+					expect(nowMs - call.arrivedAtMs, 'wait').to.be.at.most(1000);
+					running.add(call);
+				}
+			}
+
+			expect(queue.running).to.equal(running.size);
+			expect(running.size, 'slots').to.be.at.most(Math.max(before, limit.current));
+			for (const [name, max] of Object.entries(bound)) {
+				expect([...running].filter(call => call.workspace === name).length).to.be.at.most(max);
+			}
+		};
+
+		const pickOf = (calls: Set<AdmissionCall>, pick: number): AdmissionCall | undefined => [...calls][pick % Math.max(1, calls.size)];
+		const handlers = {
+			offer(item: {workspace: string; priority: Priority; deadlineMs: number}) {
+				const call = {
+					workspace: item.workspace, priority: item.priority, arrivedAtMs: nowMs, deadlineAtMs: nowMs + item.deadlineMs,
+				};
+				if (!queue.offer(call, nowMs)) {
+					waiting.add(call);
+				}
+			},
+			release({pick, answered}: {pick: number; answered: boolean}) {
+				const call = pickOf(running, pick);
+				if (call) {
+					queue.release(call, nowMs, answered);
+					queue.release(call, nowMs, answered);
+					running.delete(call);
+				}
+			},
+			withdraw({pick}: {pick: number}) {
+				const call = pickOf(waiting, pick);
+				if (call) {
+					expect(queue.withdraw(call)).to.equal(true);
+					waiting.delete(call);
+				}
+			},
+			wait({ms}: {ms: number}) {
+				nowMs += ms;
+			},
+			limit(item: {limit: number}) {
+				limit.current = item.limit;
+			},
+		};
+		for (const item of steps) {
+			handlers[item.kind](item as never);
+			pump();
+			expect(queue.waiting).to.equal(waiting.size);
+		}
+
+		while (running.size > 0) {
+			handlers.release({pick: 0, answered: true});
+			pump();
+		}
+
+		expect([queue.running, queue.waiting], 'nothing waits while slots are free').to.deep.equal([0, 0]);
+	}), {seed: 1103, numRuns: 500});
+});
+
+it('retries stay within a tenth of first tries plus the reserve', () => {
+	fc.assert(fc.property(fc.array(fc.boolean(), {maxLength: 2000}), steps => {
+		const budget = new RetryBudget();
+		let first = 0;
+		let retries = 0;
+		for (const isRetry of steps) {
+			if (!isRetry) {
+				first++;
+				budget.recordFirstTry();
+			} else if (budget.tryTake()) {
+				retries++;
+			}
+
+			expect(retries).to.be.at.most((0.1 * first) + 3 + 1e-6);
+		}
+	}), {seed: 1104, numRuns: 200});
+});
+
+it('limits of several entries shrink to what the agents take, whatever they start with', () => {
+	fc.assert(fc.property(fc.array(fc.integer({min: 1, max: 200}), {minLength: 2, maxLength: 6}), starts => {
+		const capacity = 40;
+		const limits = starts.map(start => {
+			const limit = new ConcurrencyLimit();
+			limit.setCapacity(start, 1);
+			limit.setCapacity(capacity, starts.length);
+			return limit;
+		});
+		for (let round = 0; round < 400; round++) {
+			const wanted = limits.reduce((sum, limit) => sum + limit.current, 0);
+			for (const limit of limits) {
+				for (let answer = 0; answer < limit.current; answer++) {
+					limit.recordAnswer(limit.current);
+				}
+
+				if (isQueueFull(wanted - 1, capacity)) {
+					limit.recordOverload(round * 1000);
+				}
+			}
+		}
+
+		const wanted = limits.map(limit => limit.current);
+		const total = wanted.reduce((sum, current) => sum + current, 0);
+		expect(total).to.be.within(capacity * 0.9, (capacity * 1.5) + starts.length);
+		expect(Math.max(...wanted)).to.be.at.most((2 * Math.min(...wanted)) + 2);
+	}), {seed: 1105, numRuns: 100});
+});
+
+function createManager(capacity: number): AdmissionManager {
+	return new AdmissionManager({
+		shareOf: () => ({weight: 1, max_concurrent: 100}), capacityOf: () => ({capacity, entries: 1}), maxWaitMs: 1000, random: new RandomSource(1106),
+	});
+}
+
+async function withClock(run: (clock: Clock) => Promise<void>): Promise<void> {
+	const clock = install({toFake: ['setTimeout', 'clearTimeout', 'performance']});
+	try {
+		await run(clock);
+	} finally {
+		clock.uninstall();
+	}
+}
+
+const request = (deadlineMs: number): AdmissionRequest => ({
+	workspace: 'desk', service: 'assistant', priority: 'normal', deadlineAtMs: performance.now() + deadlineMs,
+});
+
+function start(manager: AdmissionManager, deadlineMs: number, res = new PassThrough()) {
+	const state = {started: false, shed: undefined as string | undefined, res};
+	const run = async (): Promise<void> => {
+		try {
+			await manager.run(request(deadlineMs), res as unknown as http.ServerResponse, async () => {
+				state.started = true;
+				return new Promise<void>(() => undefined); // eslint-disable-line no-promise-executor-return -- never settles
+			});
+		} catch (err) {
+			state.shed = (err as ShedError).reason;
+		}
+	};
+
+	void run();
+	return state;
+}
+
+it('a slot comes back at the deadline and when the caller is gone, even when the work hangs', async () => {
+	await withClock(async clock => {
+		const manager = createManager(1);
+		const first = start(manager, 500);
+		const second = start(manager, 5000);
+		await clock.tickAsync(400);
+		expect([first.started, second.started]).to.deep.equal([true, false]);
+		await clock.tickAsync(200);
+		expect(second.started).to.equal(true);
+		const third = start(manager, 5000);
+		await clock.tickAsync(10);
+		expect(third.started).to.equal(false);
+		second.res.destroy();
+		await clock.tickAsync(1);
+		expect([third.started, manager.running]).to.deep.equal([true, 1]);
+		third.res.destroy();
+		await clock.tickAsync(1);
+		expect([manager.running, manager.waiting]).to.deep.equal([0, 0]);
+	});
+});
+
+it('a waiting call is shed at its wait bound or deadline and never starts, and a caller that leaves stops waiting', async () => {
+	await withClock(async clock => {
+		const manager = createManager(1);
+		start(manager, 60_000);
+		await clock.tickAsync(1);
+		const patient = start(manager, 30_000);
+		const hurried = start(manager, 300);
+		const leaving = start(manager, 30_000);
+		const gone = start(manager, 30_000, new PassThrough().destroy());
+		leaving.res.destroy();
+		await clock.tickAsync(301);
+		expect([hurried.shed, patient.shed, manager.waiting]).to.deep.equal(['deadline', undefined, 1]);
+		await clock.tickAsync(700);
+		expect([patient.shed, manager.waiting, manager.running]).to.deep.equal(['wait_exceeded', 0, 1]);
+		expect([patient, hurried, leaving, gone].some(({started}) => started)).to.equal(false);
+	});
+});
