--- a/src/routing/upstream-router.ts
+++ b/src/routing/upstream-router.ts
@@ -171,21 +171,23 @@
 		}
 	}
 
-	/** Usable upstreams that are not excluded; ejected ones only when there is no other. */
+	/** Usable upstreams that are not excluded, with their load; ejected ones are included at their lowest share. */
 	private candidatesOf(service: string, excluded: ReadonlySet<string>): Candidate[] {
 		const nowMs = performance.now();
 		const members = this.options.membership.upstreamsOf(service).filter(({vm}) => !excluded.has(vm));
-		const healthy = members.filter(({vm}) => !this.ejections.isEjected(vm, nowMs));
 		const bound = this.options.store.service(service)?.max_concurrent_per_worker ?? Number.POSITIVE_INFINITY;
-		return (healthy.length > 0 ? healthy : members).map(member => ({
+		return members.map(member => ({
 			member,
 			load: this.loads.loadOf(member, nowMs),
 			capacity: Math.max(minCapacity, Math.min(bound, member.sight.report?.capacity ?? 1) * this.ejections.shareOf(member.vm, nowMs)),
 		}));
 	}
 
+	/** Ejected upstreams are suspected, not unusable: one is chosen when no other can run the call. */
 	private select(candidates: readonly Candidate[], prefix: string | undefined, wanted: (member: Member) => {model: string | null; version: string | null}): RouteTarget | undefined {
-		const chosen = selectUpstream({candidates, zone: this.options.zone, prefix}, this.options.random);
+		const nowMs = performance.now();
+		const healthy = candidates.filter(({member}) => !this.ejections.isEjected(member.vm, nowMs));
+		const chosen = selectUpstream({candidates: healthy.length > 0 ? healthy : candidates, zone: this.options.zone, prefix}, this.options.random);
 		return chosen && {member: chosen.member, ...wanted(chosen.member)};
 	}
 
