--- a/src/routing/load-view.ts
+++ b/src/routing/load-view.ts
@@ -52,7 +52,7 @@
 
 	/** Own calls in flight by VM. */
 	get inFlight(): Record<string, number> {
-		return Object.fromEntries([...this.calls].map(([vm, {now}]) => [vm, now]));
+		return Object.fromEntries([...this.calls].filter(([, {now}]) => now > 0).map(([vm, {now}]) => [vm, now]));
 	}
 
 	/** Own calls do not change between the arrival of a report and the first look after it. */
@@ -61,6 +61,9 @@
 		if (own && own.reportAtMs !== reportAtMs) {
 			own.reportAtMs = reportAtMs;
 			own.atReport = own.now;
+			if (own.now === 0) {
+				this.calls.delete(vm);
+			}
 		}
 	}
 }
