Let reports age, and lower the limit by one call per refusal

Ruled out: the limit alone.

Change: the calls of others in a report give way to the candidates' mean within about the duration of a call. A missing report counts as the mean and no longer as idle.

The bounds are unchanged.

--- a/src/limits/admission-manager.ts
+++ b/src/limits/admission-manager.ts
@@ -118,7 +118,7 @@
 	 * @param service - the service
 	 */
 	recordOverload(service: string): void {
-		this.stateOf(service).limit.recordOverload(performance.now());
+		this.stateOf(service).limit.recordOverload();
 	}
 
 	/** Returns the state for dumps. */
--- a/src/limits/concurrency-limit.ts
+++ b/src/limits/concurrency-limit.ts
@@ -1,10 +1,10 @@
 /** The number of calls that one entry keeps in flight at a service: grows slowly and shrinks at signs of overload. */
 
-/** The factor by which one sign of overload shrinks the limit. */
-export const decreaseFactor = 0.9;
+/** How much one answered round of calls raises the limit. */
+export const increasePerRound = 0.5;
 
-/** Shortest time between two decreases, in milliseconds; refusals of one burst are one sign. */
-export const decreaseIntervalMs = 100;
+/** How much one refusal lowers the limit. With the increase it settles where one of 2 × limit calls is refused. */
+export const decreasePerRefusal = 1;
 
 /** The limit's ceiling as a multiple of the capacity that this entry can reach, so that an idle entry may use most of it. */
 export const ceilingFactor = 1.25;
@@ -21,7 +21,6 @@
 export class ConcurrencyLimit {
 	private value: number | undefined;
 	private ceiling = 1;
-	private lastDecreaseMs = Number.NEGATIVE_INFINITY;
 
 	/** How many calls may be in flight now: a whole number of at least 1. */
 	get current(): number {
@@ -48,21 +47,19 @@
 	 */
 	recordAnswer(inFlight: number): void {
 		if (this.value !== undefined && inFlight >= this.current * usedShare) {
-			this.value = Math.min(this.ceiling, this.value + (1 / this.value));
+			this.value = Math.min(this.ceiling, this.value + (increasePerRound / this.value));
 		}
 	}
 
 	/**
-	 * Records a sign of overload: an agent's refusal, or calls that wait inside the upstreams.
+	 * Records a sign of overload: an agent's refusal.
 	 *
-	 * @param nowMs - monotonic time, in milliseconds
+	 * A refusal is first of all a crowded agent and no crowded service; the retry usually finds a free one. So one refusal
+	 * lowers the limit by one call only. The refusals of an entry are in proportion to its calls, and so is its decrease.
 	 */
-	recordOverload(nowMs: number): void {
-		if (this.value === undefined || nowMs - this.lastDecreaseMs < decreaseIntervalMs) {
-			return;
+	recordOverload(): void {
+		if (this.value !== undefined) {
+			this.value = Math.max(1, Math.min(this.value, this.ceiling) - decreasePerRefusal);
 		}
-
-		this.lastDecreaseMs = nowMs;
-		this.value = Math.max(1, Math.min(this.value, this.ceiling) * decreaseFactor);
 	}
 }
--- a/src/routing/load-view.ts
+++ b/src/routing/load-view.ts
@@ -4,6 +4,12 @@
 /** A report older than this counts as absent, in milliseconds. */
 export const maxReportAgeMs = 10_000;
 
+/** The mean duration of calls until one was seen, in milliseconds. */
+const initialCallMs = 500;
+
+/** The weight of a new duration in the moving average. */
+const durationWeight = 0.05;
+
 type OwnCalls = {
 	now: number;
 	/** Own calls in flight when the last report arrived. */
@@ -11,26 +17,49 @@
 	reportAtMs: number | undefined;
 };
 
+/** What a candidate runs, in two parts. */
+type Parts = {readonly own: number; readonly others: number; readonly trust: number};
+
 /** Keeps own calls in flight per VM, and what they were when the VM's last report arrived. */
 export class LoadView {
 	private readonly calls = new Map<string, OwnCalls>();
+	private meanCallMs = initialCallMs;
 
 	/**
-	 * Returns the load: reported calls plus the change of own calls since the report; own calls alone without a recent report.
+	 * Returns the loads of candidates: own calls in flight plus those of others.
 	 *
-	 * @param member - the upstream
+	 * The calls of others are known from the report, minus own calls at that time. They end within about the duration of a
+	 * call, and other entries see the same report and act on it. So with the report's age the reported value gives way to
+	 * the mean of the candidates; without a recent report only the mean is left.
+	 *
+	 * @param members - the candidates
 	 * @param nowMs - monotonic time, in milliseconds
 	 */
-	loadOf(member: Member, nowMs: number): number {
-		const {report, reportAtMs} = member.sight;
-		this.notice(member.vm, reportAtMs);
-		const own = this.calls.get(member.vm);
-		const now = own?.now ?? 0;
-		if (!report || reportAtMs === undefined || nowMs - reportAtMs > maxReportAgeMs) {
-			return now;
+	loadsOf(members: readonly Member[], nowMs: number): number[] {
+		const parts = members.map(member => this.partsOf(member, nowMs));
+		let others = 0;
+		let capacity = 0;
+		for (const [index, part] of parts.entries()) {
+			if (part.trust > 0) {
+				others += part.others;
+				capacity += members[index]?.sight.report?.capacity ?? 0;
+			}
 		}
 
-		return Math.max(now, report.running + report.queued + now - (own?.atReport ?? 0));
+		const meanPerCapacity = capacity > 0 ? others / capacity : 0;
+		return parts.map(({own, others: reported, trust}, index) => {
+			const mean = meanPerCapacity * (members[index]?.sight.report?.capacity ?? 1);
+			return own + (reported * trust) + (mean * (1 - trust));
+		});
+	}
+
+	/**
+	 * Records how long an answered call took.
+	 *
+	 * @param ms - its duration, in milliseconds
+	 */
+	recordDuration(ms: number): void {
+		this.meanCallMs = Math.max(1, this.meanCallMs + ((ms - this.meanCallMs) * durationWeight));
 	}
 
 	/**
@@ -55,6 +84,19 @@
 		return Object.fromEntries([...this.calls].filter(([, {now}]) => now > 0).map(([vm, {now}]) => [vm, now]));
 	}
 
+	private partsOf(member: Member, nowMs: number): Parts {
+		const {report, reportAtMs} = member.sight;
+		this.notice(member.vm, reportAtMs);
+		const own = this.calls.get(member.vm);
+		const now = own?.now ?? 0;
+		if (!report || reportAtMs === undefined || nowMs - reportAtMs > maxReportAgeMs) {
+			return {own: now, others: 0, trust: 0};
+		}
+
+		const others = Math.max(0, report.running + report.queued - (own?.atReport ?? 0));
+		return {own: now, others, trust: Math.exp((reportAtMs - nowMs) / this.meanCallMs)};
+	}
+
 	/** Own calls do not change between the arrival of a report and the first look after it. */
 	private notice(vm: string, reportAtMs: number | undefined): void {
 		const own = this.calls.get(vm);
--- a/src/routing/upstream-router.ts
+++ b/src/routing/upstream-router.ts
@@ -119,10 +119,15 @@
 		}
 
 		this.loads.change(vm, 1, this.memberOf(vm)?.sight.reportAtMs);
+		const startedMs = performance.now();
 		let ended = false;
 		return result => {
 			if (!ended) {
 				ended = true;
+				if (result === 'answered') {
+					this.loads.recordDuration(performance.now() - startedMs);
+				}
+
 				this.end(vm, service, result);
 			}
 		};
@@ -176,9 +181,10 @@
 		const nowMs = performance.now();
 		const members = this.options.membership.upstreamsOf(service).filter(({vm}) => !excluded.has(vm));
 		const bound = this.options.store.service(service)?.max_concurrent_per_worker ?? Number.POSITIVE_INFINITY;
-		return members.map(member => ({
+		const loads = this.loads.loadsOf(members, nowMs);
+		return members.map((member, index) => ({
 			member,
-			load: this.loads.loadOf(member, nowMs),
+			load: loads[index] ?? 0,
 			capacity: Math.max(minCapacity, Math.min(bound, member.sight.report?.capacity ?? 1) * this.ejections.shareOf(member.vm, nowMs)),
 		}));
 	}
