--- /dev/null
+++ b/bench/routing.ts
@@ -0,0 +1,91 @@
+/**
+ * Compares routing policies and writes its tables and plot into docs/ROUTING.md and docs/routing.svg.
+ *
+ * Run with `node build/bench.mjs routing` at the root, and with `--processes` to measure over real processes as well.
+ */
+import {readFileSync, writeFileSync} from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+import {prepareRendezvous} from '../src/runtime/rendezvous.ts';
+import {measureAdmission, measureChoice} from './decision-cost.ts';
+import {runOverProcesses} from './routing-processes.ts';
+import {
+	plotLoads, policies, runScenario, scenarios, type Summary, workspaceScenario,
+} from './scenarios.ts';
+import {drawPlots, type PlotLine} from './svg-plot.ts';
+
+const docs = path.resolve('docs');
+const colors = ['#1b7837', '#762a83', '#d95f02', '#2c7fb8'];
+const requestsPerSecond = 46;
+
+const columns = '| scenario | policy | p50 ms | p99 ms | goodput / capacity | answered in time | shed | late | retries per call |\n| --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: |';
+
+function percent(share: number): string {
+	return `${(share * 100).toFixed(1)} %`;
+}
+
+function formatRow(title: string, policy: string, sum: Summary): string {
+	const cells = [title, policy, sum.p50Ms.toFixed(0), sum.p99Ms.toFixed(0), sum.goodput.toFixed(3), percent(sum.answered), percent(sum.shed), percent(sum.late), percent(sum.retried)];
+	return `| ${cells.join(' | ')} |`;
+}
+
+function compareScenarios(): string {
+	const rows = scenarios.flatMap(([title, change]) => policies.map(policy => formatRow(title, policy, runScenario(policy, change))));
+	return [columns, ...rows].join('\n');
+}
+
+function compareWorkspaces(): string {
+	const groups = [['small', 'small-'], ['large', 'large-']] as const;
+	const rows = [0.5, 0.9, 2].flatMap(load => groups.flatMap(([name, prefix]) => policies.map(policy => {
+		const sum = runScenario(policy, {...workspaceScenario, load}, call => call.workspace.startsWith(prefix));
+		return formatRow(`load ${load}, the ${name} workspaces`, policy, sum);
+	})));
+	return [columns, ...rows].join('\n');
+}
+
+function measureCost(): string {
+	const rows = [24, 100, 400].map(count => {
+		const {chooseMicros, capacityMicros} = measureChoice(count);
+		const admissionMicros = measureAdmission(count);
+		const total = chooseMicros + capacityMicros + admissionMicros;
+		return `| ${count} | ${chooseMicros.toFixed(1)} | ${capacityMicros.toFixed(1)} | ${admissionMicros.toFixed(1)} | ${(total * requestsPerSecond / 1e4).toFixed(3)} % |`;
+	});
+	return ['| candidates, waiting workspaces | choose + begin + end, µs | capacity, µs | admission + release, µs | of a core at 46 requests/s |', '| ---: | ---: | ---: | ---: | ---: |', ...rows].join('\n');
+}
+
+function drawLoads(): void {
+	const sums = policies.map(policy => plotLoads.map(load => runScenario(policy, {load})));
+	const linesOf = (read: (sum: Summary) => number): PlotLine[] => policies.map((name, index) => ({
+		name, color: colors[index] ?? 'black', points: plotLoads.map((load, at) => [load, read(sums[index]![at]!)]),
+	}));
+	writeFileSync(path.join(docs, 'routing.svg'), drawPlots([
+		{
+			title: 'Goodput as a multiple of the capacity', xLabel: 'offered load / capacity', maxX: 2, maxY: 1.1, ticksY: [0, 0.25, 0.5, 0.75, 1], lines: linesOf(sum => sum.goodput),
+		},
+		{
+			title: 'p99 of answers in time, ms', xLabel: 'offered load / capacity', maxX: 2, maxY: 2100, ticksY: [0, 500, 1000, 1500, 2000], lines: linesOf(sum => sum.p99Ms),
+		},
+	]));
+}
+
+/** Replaces the text between the two marks of a part of docs/ROUTING.md. */
+function writePart(name: string, text: string): void {
+	const file = path.join(docs, 'ROUTING.md');
+	const page = readFileSync(file, 'utf8');
+	const [begin, end] = [`<!-- ${name}: begin -->`, `<!-- ${name}: end -->`];
+	const [before, rest] = page.split(begin);
+	if (rest === undefined) {
+		throw new Error(`docs/ROUTING.md has no mark ${begin}`);
+	}
+
+	writeFileSync(file, `${before}${begin}\n${text}\n${end}${rest.split(end)[1] ?? ''}`);
+}
+
+await prepareRendezvous();
+writePart('policies', compareScenarios());
+writePart('workspaces', compareWorkspaces());
+writePart('cost', measureCost());
+drawLoads();
+if (process.argv.includes('--processes')) {
+	writePart('processes', await runOverProcesses());
+}
