Raise the limit by one call per round of answered calls

Cause: with half a call per round the limits of 16 entries with 12 slots each stay low after a refusal while agents have room.

--- a/src/limits/concurrency-limit.ts
+++ b/src/limits/concurrency-limit.ts
@@ -1,9 +1,9 @@
 /** The number of calls that one entry keeps in flight at a service: grows slowly and shrinks at signs of overload. */
 
 /** How much one answered round of calls raises the limit. */
-export const increasePerRound = 0.5;
+export const increasePerRound = 1;
 
-/** How much one refusal lowers the limit. With the increase it settles where one of 2 × limit calls is refused. */
+/** How much one refusal lowers the limit. With the increase it settles where one call of a round is refused. */
 export const decreasePerRefusal = 1;
 
 /** The limit's ceiling as a multiple of the capacity that this entry can reach, so that an idle entry may use most of it. */
