Give engine orders only while this process is the one at its VM

Cause: an agent frozen with SIGSTOP and replaced kept its right to give orders; at an engine that ignores fencing numbers nothing stopped it. Ruled out: asking the own listener, since the woken process still answers there itself; the check asks the address that the VM list names. Before: with the checks taken out, both 'replaced agent' tests fail (the old agent never learns that it is replaced). Conclusion: the remaining window is an order already written to the socket when the process froze.

--- a/src/calls/agent-call-handler.ts
+++ b/src/calls/agent-call-handler.ts
@@ -24,6 +24,7 @@
 /** Runs calls for entries. */
 export class AgentCallHandler {
 	private running = 0;
+	private readonly byVersion = new Map<string, number>();
 
 	/** @param options - what the handler works with */
 	constructor(private readonly options: AgentCallHandlerOptions) {}
@@ -33,6 +34,11 @@
 		return this.running;
 	}
 
+	/** Calls that run now, by `model/version`. */
+	get runningByVersion(): ReadonlyMap<string, number> {
+		return this.byVersion;
+	}
+
 	/** Handles `POST /calls`. */
 	async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
 		const receivedAtMs = performance.now();
@@ -86,11 +92,19 @@
 			return;
 		}
 
-		this.running++;
+		this.count(call, 1);
 		try {
 			await this.forward(call, record, answer);
 		} finally {
-			this.running--;
+			this.count(call, -1);
+		}
+	}
+
+	private count(call: CallRequest, change: number): void {
+		this.running += change;
+		if (call.work.kind === 'generate') {
+			const key = `${call.work.model}/${call.work.version}`;
+			this.byVersion.set(key, (this.byVersion.get(key) ?? 0) + change);
 		}
 	}
 
--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -13,6 +13,7 @@
 import {callsPath} from '../messages/call-request.ts';
 import {callsCancelMethod, callsCancelParamsSchema} from '../messages/calls-cancel.ts';
 import {OrderManager} from '../orders/order-manager.ts';
+import {SelfCheck} from '../orders/self-check.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {ChunkStore} from '../rollout/chunk-store.ts';
 import {RolloutManager} from '../rollout/rollout-manager.ts';
@@ -104,14 +105,21 @@
 	}
 
 	private createOrders(): OrderManager {
-		const {store, links, log, identity} = this.base;
+		const {store, links, log, identity, wake, membership} = this.base;
+		const ownAddress = formatAddress(this.settings.listen.control);
+		const selfCheck = new SelfCheck({
+			membership, links, ownAddress, vm: this.settings.process.vm, incarnation: identity.incarnation,
+		});
 		return new OrderManager({
 			store,
 			links,
 			log,
+			wake,
 			engineUrl: this.settings.upstream.address,
-			sourceUrl: `http://${formatAddress(this.settings.listen.control)}`,
+			ownAddress,
+			selfCheck: async () => selfCheck.run(),
 			startedAtMs: identity.startedAtMs,
+			runningByVersion: () => this.calls.runningByVersion,
 		});
 	}
 
@@ -186,6 +194,7 @@
 			chunks: {count: this.chunks.count, bytes: this.chunks.bytes},
 			rollout: this.rollout?.progress ?? [],
 			engine: this.orders?.engineState ?? null,
+			authority: this.orders?.authorityState ?? null,
 			draining: this.draining,
 		};
 	}
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -4,7 +4,7 @@
 import {request} from 'undici';
 import {createDigest, digestOf} from '../src/ids/digest.ts';
 import {
-	type HttpHandler, HttpListener, type ListenAddress, readBody, sendJson,
+	formatAddress, type HttpHandler, HttpListener, type ListenAddress, readBody, sendJson,
 } from '../src/links/http-listener.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import type {EngineState} from '../src/orders/engine-state.ts';
@@ -44,6 +44,8 @@
 export class EngineStandin {
 	/** Orders in the order of their arrival, with whether they were obeyed. */
 	readonly orders: Array<Order & {readonly obeyed: boolean}> = [];
+	/** The engine's address, once it listens. */
+	url = '';
 	private readonly listener: HttpListener;
 	private readonly served = new Map<string, ServedVersion>();
 	private readonly loading = new Set<string>();
@@ -73,7 +75,9 @@
 	 * @param address - port 0 takes any free port
 	 */
 	async start(address: ListenAddress): Promise<ListenAddress> {
-		return this.listener.start(address);
+		const bound = await this.listener.start(address);
+		this.url = `http://${formatAddress(bound)}`;
+		return bound;
 	}
 
 	/** Closes all connections. */
@@ -81,9 +85,15 @@
 		this.listener.destroy();
 	}
 
+	/** Versions that are served now. */
+	get servedVersions(): string[] {
+		return [...this.served.values()].map(({version}) => version);
+	}
+
 	private state(): EngineState {
 		return {
-			fence: this.fence,
+			// An engine that ignores fencing numbers has none to report.
+			fence: this.options.checksFence ? this.fence : 0,
 			served: [...this.served.values()].map(({model, version, manifest, adapters}) => ({
 				model, version, manifest, adapters,
 			})),
@@ -117,16 +127,35 @@
 		}
 
 		this.fence = Math.max(this.fence, order.fence);
-		if (order.kind === 'load') {
-			void this.load(order);
-		} else if (order.kind === 'unload') {
-			this.served.delete(`${order.model}/${order.version}`);
+		switch (order.kind) {
+			case 'load': {
+				void this.load(order);
+
+				break;
+			}
+
+			case 'unload': {
+				this.served.delete(`${order.model}/${order.version}`);
+
+				break;
+			}
+
+			case 'load-adapter': {
+				this.served.get(`${order.model}/${order.version}`)?.adapters.push(...order.adapters ?? []);
+
+				break;
+			}
+		// No default
 		}
 
 		sendJson(res, 200, {});
 	};
 
 	private async load(order: Order): Promise<void> {
+		if (this.loading.has(order.manifest)) {
+			return;
+		}
+
 		this.loading.add(order.manifest);
 		try {
 			const manifest = parseManifest(await fetchChunk(order.source, order.manifest));
