Measure how single parts grow with their size

Cause: docs/CAPACITY.md may hold only users' figures, measured slopes and arithmetic. Change: bench/capacity.ts with least-squares slopes over three or more sizes; verror as default import, since the named one fails outside mocha's loader (the first run of the bench stopped there).

--- /dev/null
+++ b/bench/capacity.ts
@@ -0,0 +1,220 @@
+/**
+ * Measures how state and processor time of single parts grow with their size; docs/CAPACITY.md carries the slopes on.
+ *
+ * Run with `node --expose-gc --import tsx bench/capacity.ts`. It prints a Markdown table.
+ */
+import {Buffer} from 'node:buffer';
+import {randomBytes} from 'node:crypto';
+import process from 'node:process';
+import {CallLedger} from '../src/calls/call-ledger.ts';
+import {FrameChecker} from '../src/calls/frame-reader.ts';
+import {acceptTree} from '../src/configuration/accept-tree.ts';
+import {ConfigurationStore, emptyTree} from '../src/configuration/configuration-store.ts';
+import {digestOf} from '../src/ids/digest.ts';
+import {createRevision} from '../src/ids/revision.ts';
+import {mergeMembers} from '../src/membership/merge-members.ts';
+import type {ListedVm, Sight} from '../src/membership/member.ts';
+import {type AgentReport, agentReportSchema} from '../src/messages/agent-report.ts';
+import {callFrameSchema} from '../src/messages/call-frame.ts';
+import {callRequestSchema} from '../src/messages/call-request.ts';
+import {prepareRendezvous, rankMembers} from '../src/runtime/rendezvous.ts';
+import {fitSlope, type Point} from './support/slope.ts';
+
+const microsPerMilli = 1000;
+const repeats = 5;
+
+type Measurement = {
+	readonly name: string;
+	/** The unit of the slope. */
+	readonly unit: string;
+	readonly sizes: readonly number[];
+	/** Returns the cost at one size. */
+	readonly run: (size: number) => number;
+};
+
+/** Median processor time of a function in microseconds. */
+function cpuMicros(work: () => void): number {
+	const taken = Array.from({length: repeats}, () => {
+		const start = process.cpuUsage();
+		work();
+		const used = process.cpuUsage(start);
+		return used.user + used.system;
+	});
+	return taken.toSorted((a, b) => a - b)[Math.floor(repeats / 2)] ?? 0;
+}
+
+/** Growth of the heap by what a function returns, in bytes. */
+function heapBytes(create: () => unknown): number {
+	globalThis.gc?.();
+	const before = process.memoryUsage();
+	const kept = create();
+	globalThis.gc?.();
+	const after = process.memoryUsage();
+	return kept === undefined ? 0 : after.heapUsed - before.heapUsed + after.arrayBuffers - before.arrayBuffers;
+}
+
+function createCall(at: number): ReturnType<typeof callRequestSchema.parse> {
+	return callRequestSchema.parse({
+		attempt: `attempt-${at}`, requestId: `request-${at}`, workspace: 'desk', service: 'booking', priority: 'normal', remainingMs: 30_000,
+		ticket: {nonce: randomBytes(16).toString('hex'), incarnation: 'run-1', expiresAtMs: Date.now() + 600_000},
+		work: {kind: 'operation', operation: 'book', body: {booking: `b${at}`, part: 'wheel', slot: '10:30'}},
+	});
+}
+
+function createLedger(size: number): CallLedger {
+	const ledger = new CallLedger({incarnation: 'run-1', maxRecords: size + 1});
+	for (let at = 0; at < size; at++) {
+		const decision = ledger.accept(createCall(at));
+		if (decision.kind === 'run') {
+			ledger.forward(decision.record);
+			ledger.finish(decision.record, {status: 200, body: {booking: `b${at}`, slot: '10:30', price_cents: 4500}});
+		}
+	}
+
+	return ledger;
+}
+
+function createReport(at: number): AgentReport {
+	const served = ['v1', 'v2'].map(version => ({
+		model: 'assistant', version, manifest: digestOf(version), adapters: ['quotes', 'warranty'],
+	}));
+	return {
+		vm: `vm-${at}`, incarnation: `1790000000000-${at}`, state: 'ready', service: 'assistant', configRevision: 2900, served, running: 12, queued: 3, capacity: 64, prefixes: [],
+	};
+}
+
+function createVms(size: number): ListedVm[] {
+	return Array.from({length: size}, (_, at) => ({
+		vm: `vm-${at}`, role: 'upstream', state: 'live', zone: `zone-${at % 7}`, region: `region-${at % 3}`, address: `10.0.${at % 250}.7:9000`, services: ['assistant'],
+	}));
+}
+
+function createEntries(size: number): Array<{path: string; revision: number; value: unknown}> {
+	return Array.from({length: size}, (_, at) => ({
+		path: `/teams/team-${at}/routes/ask`, revision: at + 1, value: {service: 'assistant', model: 'assistant', version: 'v1'},
+	}));
+}
+
+function createStore(size: number): ConfigurationStore {
+	const store = new ConfigurationStore();
+	const decision = acceptTree(emptyTree, {revision: createRevision(size), whole: true, entries: createEntries(size)});
+	if (decision.accepted) {
+		store.replace(decision.tree, decision.findings);
+	}
+
+	return store;
+}
+
+function tokenLine(tokens: number): string {
+	const words = Array.from({length: tokens}, (_, at) => `token${at % 10}`);
+	return JSON.stringify({
+		attempt: 'a1', seq: 1, kind: 'tokens', version: 'v1', tokens: words,
+	});
+}
+
+/** Reads, checks and writes on a frame, as an entry does for each. */
+function passFrames(line: string, count: number): void {
+	for (let at = 0; at < count; at++) {
+		const checker = new FrameChecker('a1');
+		checker.accept({
+			attempt: 'a1', seq: 0, kind: 'head', version: 'v1',
+		});
+		const frame = callFrameSchema.parse(JSON.parse(line));
+		checker.accept(frame);
+		if (frame.kind === 'tokens') {
+			Buffer.from(frame.tokens.map(token => `${JSON.stringify({token})}\n`).join(''));
+		}
+	}
+}
+
+const framesPerRun = 2000;
+
+const measurements: readonly Measurement[] = [
+	{
+		name: 'agent: memory per kept call record', unit: 'bytes/record', sizes: [10_000, 20_000, 40_000, 80_000],
+		run: size => heapBytes(() => createLedger(size)),
+	},
+	{
+		name: 'agent: processor time per recorded call, with reading the request', unit: 'µs/call', sizes: [5000, 10_000, 20_000],
+		run: size => cpuMicros(() => {
+			createLedger(size);
+		}),
+	},
+	{
+		name: 'entry: processor time per frame by tokens in it', unit: 'µs/token', sizes: [1, 8, 32],
+		run: size => cpuMicros(() => {
+			passFrames(tokenLine(size), framesPerRun);
+		}) / framesPerRun,
+	},
+	{
+		name: 'entry: processor time to read reports', unit: 'µs/report', sizes: [24, 48, 96, 384],
+		run(size) {
+			const lines = Array.from({length: size}, (_, at) => JSON.stringify(createReport(at)));
+			return cpuMicros(() => {
+				for (const line of lines) {
+					agentReportSchema.parse(JSON.parse(line));
+				}
+			});
+		},
+	},
+	{
+		name: 'all: processor time to join the member view', unit: 'µs/member', sizes: [500, 1000, 2000, 3630],
+		run(size) {
+			const listed = createVms(size);
+			const sights = new Map<string, Sight>(listed.slice(0, 24).map(({vm}, at) => [vm, {failedConnects: 0, report: createReport(at)}]));
+			return cpuMicros(() => {
+				mergeMembers(listed, sights);
+			});
+		},
+	},
+	{
+		name: 'all: memory of the member view', unit: 'bytes/member', sizes: [1000, 2000, 3630],
+		run: size => heapBytes(() => mergeMembers(createVms(size), new Map())),
+	},
+	{
+		name: 'all: length of the VM list', unit: 'bytes/member', sizes: [1000, 2000, 3630],
+		run: size => JSON.stringify({vms: createVms(size)}).length,
+	},
+	{
+		name: 'all: memory of the configuration tree', unit: 'bytes/document', sizes: [1000, 5000, 10_000],
+		run: size => heapBytes(() => createStore(size)),
+	},
+	{
+		name: 'all: processor time to put a whole tree in force', unit: 'µs/document', sizes: [1000, 5000, 10_000],
+		run: size => cpuMicros(() => {
+			createStore(size);
+		}),
+	},
+	{
+		name: 'agent: processor time to rank the owners of a chunk', unit: 'µs/member', sizes: [100, 307, 920],
+		run: size => cpuMicros(() => {
+			const members = Array.from({length: size}, (_, at) => `vm-${at}`);
+			for (let chunk = 0; chunk < 20; chunk++) {
+				rankMembers(`chunk-${chunk}`, members);
+			}
+		}) / 20,
+	},
+	{
+		name: 'agent: processor time to verify chunks', unit: 'µs/MB', sizes: [8, 32, 64],
+		run(size) {
+			const megabyte = randomBytes(1_000_000);
+			return cpuMicros(() => {
+				for (let at = 0; at < size; at++) {
+					digestOf(megabyte);
+				}
+			});
+		},
+	},
+];
+
+await prepareRendezvous();
+console.log('| part | sizes | measured | slope | fixed | spread |\n| --- | --- | --- | --- | --- | --- |');
+for (const {name, unit, sizes, run} of measurements) {
+	run(sizes[0] ?? 1);
+	const points: Point[] = sizes.map(size => ({size, value: run(size)}));
+	const {fixed, perUnit, spread} = fitSlope(points);
+	const values = points.map(({value}) => value.toFixed(value < 100 ? 1 : 0)).join(', ');
+	console.log(`| ${name} | ${sizes.join(', ')} | ${values} | ${perUnit.toFixed(2)} ${unit} | ${fixed.toFixed(1)} | ${(spread * 100).toFixed(0)} % |`);
+}
+
+console.log(`\nProcessor times are medians of ${repeats} runs; the milliseconds of one core are ${microsPerMilli} µs.`);
--- a/src/ids/digest.ts
+++ b/src/ids/digest.ts
@@ -1,6 +1,6 @@
 /** SHA-256 digests that name content: chunks, manifests and configuration trees. */
 import {createHash} from 'node:crypto';
-import {VError} from 'verror';
+import VError from 'verror';
 import type {Branded} from '../runtime/branded.ts';
 
 /** A SHA-256 digest as 64 lower-case hexadecimal digits. */
--- a/src/ids/id-text.ts
+++ b/src/ids/id-text.ts
@@ -1,5 +1,5 @@
 /** The text form that all identifiers share: safe in a header, a path and a log line. */
-import {VError} from 'verror';
+import VError from 'verror';
 
 const idTextPattern = /^[\w.:-]{1,128}$/;
 
--- a/src/ids/revision.ts
+++ b/src/ids/revision.ts
@@ -1,5 +1,5 @@
 /** Revision numbers of the published configuration. */
-import {VError} from 'verror';
+import VError from 'verror';
 import type {Branded} from '../runtime/branded.ts';
 
 /** A configuration revision: a whole number from 0 (nothing published) that grows with each change. */
--- a/src/links/peer-client.ts
+++ b/src/links/peer-client.ts
@@ -7,7 +7,7 @@
 import type {Readable} from 'node:stream';
 import {createJSONRPCRequest, type JSONRPCResponse} from 'json-rpc-2.0';
 import {Agent, type Dispatcher, request} from 'undici';
-import {VError} from 'verror';
+import VError from 'verror';
 import type {ZodType} from 'zod';
 import {rpcPath} from './rpc-dispatcher.ts';
 
