--- a/src/calls/agent-call-handler.ts
+++ b/src/calls/agent-call-handler.ts
@@ -1,25 +1,34 @@
 /** The agent's call endpoint: records the call, forwards it at most once, and streams the answer as frames. */
 import type http from 'node:http';
-import {LinkError} from '../links/peer-client.ts';
+import {VError} from 'verror';
 import {readBody} from '../links/http-listener.ts';
-import type {CallFrame, RefusalCode} from '../messages/call-frame.ts';
+import type {RefusalCode} from '../messages/call-frame.ts';
 import {type CallRequest, callRequestSchema} from '../messages/call-request.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {CallLedger, CallRecord} from './call-ledger.ts';
-import type {Upstream} from './upstream.ts';
+import {FrameWriter} from './frame-writer.ts';
+import {type RunOptions, type Upstream, UpstreamStatusError} from './upstream.ts';
 
 /** What the handler works with. */
 export type AgentCallHandlerOptions = {
 	readonly ledger: CallLedger;
 	readonly upstream: Upstream;
 	readonly log: Logger;
+	readonly incarnation: string;
+	/** The service that this agent offers. */
+	readonly service: string;
 	/** Whether the agent refuses new work. */
 	readonly isDraining: () => boolean;
 	/** Called before a call is forwarded; after a pause it lets the process find out that it was paused. */
 	readonly beforeForward: () => void;
 };
 
-type FrameBody = CallFrame extends infer Frame ? Frame extends CallFrame ? Omit<Frame, 'attempt' | 'seq'> : never : never;
+/** Reports a call that must not be forwarded, found right before its first byte would have left. */
+class CallRefusedError extends Error {
+	constructor(readonly code: RefusalCode) {
+		super(`call is refused: ${code}`);
+	}
+}
 
 /** Runs calls for entries. */
 export class AgentCallHandler {
@@ -28,7 +37,7 @@
 	/** @param options - what the handler works with */
 	constructor(private readonly options: AgentCallHandlerOptions) {}
 
-	/** How many calls run at the upstream now. */
+	/** How many calls are accepted and not settled now. */
 	get runningCalls(): number {
 		return this.running;
 	}
@@ -38,62 +47,73 @@
 		const receivedAtMs = performance.now();
 		const call = callRequestSchema.parse(JSON.parse(await readBody(req)));
 		const answer = new FrameWriter(res, call.attempt);
-		const deadlineAtMs = receivedAtMs + call.remainingMs;
-		const decision = this.options.ledger.accept(call);
-		switch (decision.kind) {
-			case 'refuse': {
-				answer.refuse(decision.code);
-				break;
-			}
+		try {
+			const decision = this.options.ledger.accept(call);
+			switch (decision.kind) {
+				case 'refuse': {
+					answer.refuse(decision.code);
+					break;
+				}
 
-			case 'duplicate': {
-				await this.answerDuplicate(decision.record, answer);
-				break;
-			}
+				case 'duplicate': {
+					await answerDuplicate(decision.record, answer);
+					break;
+				}
 
-			case 'run': {
-				await this.run(call, decision.record, answer, deadlineAtMs);
-				break;
+				case 'run': {
+					await this.run(call, decision.record, answer, this.deadlineOf(call, receivedAtMs));
+					break;
+				}
 			}
+		} finally {
+			answer.stop();
 		}
 	}
 
-	private async answerDuplicate(record: CallRecord, answer: FrameWriter): Promise<void> {
-		await record.settled;
-		if (record.state === 'finished' && record.answer) {
-			answer.write({kind: 'head', version: null});
-			answer.write({kind: 'result', status: record.answer.status, body: record.answer.body});
-			answer.end();
-		} else if (record.state === 'tombstone') {
-			answer.refuse('cancelled');
-		} else {
-			answer.fail('outcome_unknown', 'an earlier try of this call did not finish');
-		}
+	/** The deadline in the agent's own clock also holds for a request that lay in a buffer, for example while the process was stopped. */
+	private deadlineOf({remainingMs, agentDeadline}: CallRequest, receivedAtMs: number): number {
+		const ownAtMs = agentDeadline?.incarnation === this.options.incarnation ? agentDeadline.atMs : Infinity;
+		return Math.min(receivedAtMs + remainingMs, ownAtMs);
 	}
 
 	private async run(call: CallRequest, record: CallRecord, answer: FrameWriter, deadlineAtMs: number): Promise<void> {
-		const {ledger} = this.options;
-		this.options.beforeForward();
-		const refusal = this.refusalBeforeForward(call, deadlineAtMs);
-		if (refusal) {
-			ledger.bury(record);
-			answer.refuse(refusal);
-			return;
-		}
+		this.running++;
+		const aborter = new AbortController();
+		record.abort = () => {
+			aborter.abort();
+		};
 
-		if (!ledger.forward(record)) {
-			answer.refuse('cancelled');
-			return;
+		// Nobody reads the rest of a stream after its deadline or when its entry is gone; an operation's answer is still recorded.
+		const streams = call.work.kind === 'generate';
+		const timer = streams ? setTimeout(record.abort, Math.max(0, deadlineAtMs - performance.now())) : undefined;
+		if (streams) {
+			answer.onClose(record.abort);
 		}
 
-		this.running++;
 		try {
-			await this.forward(call, record, answer);
+			const beforeSend = (): void => {
+				this.checkBeforeSend(call, record, deadlineAtMs);
+			};
+
+			await this.forward(call, record, answer, {signal: aborter.signal, beforeSend});
 		} finally {
+			clearTimeout(timer);
 			this.running--;
 		}
 	}
 
+	private checkBeforeSend(call: CallRequest, record: CallRecord, deadlineAtMs: number): void {
+		this.options.beforeForward();
+		const refusal = this.refusalBeforeForward(call, deadlineAtMs);
+		if (refusal) {
+			throw new CallRefusedError(refusal);
+		}
+
+		if (!this.options.ledger.forward(record)) {
+			throw new CallRefusedError('cancelled');
+		}
+	}
+
 	private refusalBeforeForward(call: CallRequest, deadlineAtMs: number): RefusalCode | undefined {
 		if (this.options.isDraining()) {
 			return 'draining';
@@ -103,119 +123,73 @@
 			return 'expired';
 		}
 
+		// A ticket may outlive a change of its route to another service; its call must not run at the old one.
+		if (call.service !== this.options.service) {
+			return 'wrong_service';
+		}
+
 		return this.options.upstream.serves(call) ? undefined : 'version_not_served';
 	}
 
-	private async forward(call: CallRequest, record: CallRecord, answer: FrameWriter): Promise<void> {
+	private async forward(call: CallRequest, record: CallRecord, answer: FrameWriter, options: RunOptions): Promise<void> {
 		const {ledger, upstream, log} = this.options;
-		const aborter = new AbortController();
-		record.abort = () => {
-			aborter.abort();
-		};
-
-		if (call.work.kind === 'generate') {
-			// Nobody reads the rest of a stream whose entry is gone; an operation's answer is still recorded.
-			answer.onClose(record.abort);
-		}
-
 		let result: {status: number; body: unknown} | undefined;
 		try {
-			for await (const event of upstream.run(call, aborter.signal)) {
+			const refusal = this.refusalBeforeForward(call, Infinity);
+			if (refusal) {
+				throw new CallRefusedError(refusal);
+			}
+
+			for await (const event of upstream.run(call, options)) {
 				if (event.kind === 'result') {
 					result = {status: event.status, body: event.body};
+					// The answer is kept before it is sent, so that a slow or lost entry cannot keep it from a repeat.
+					ledger.finish(record, result);
 				}
 
-				answer.write(event.kind === 'tokens' ? {...event, tokens: [...event.tokens]} : event);
+				await answer.write(event.kind === 'tokens' ? {...event, tokens: [...event.tokens]} : event);
 			}
 
 			ledger.finish(record, result);
 			answer.end();
 		} catch (err) {
+			this.settleFailure(record, answer, err as Error);
 			log.warn({
-				event: 'call_failed', err, request_id: call.requestId, workspace: call.workspace,
+				event: 'call_failed', err, state: record.state, request_id: call.requestId, workspace: call.workspace,
 			}, 'upstream did not finish the call');
-			this.settleFailure(record, answer, err as Error);
 		}
 	}
 
 	private settleFailure(record: CallRecord, answer: FrameWriter, err: Error): void {
-		if (err instanceof LinkError && !err.sent) {
-			this.options.ledger.bury(record);
-			answer.refuse('upstream_unreachable');
+		// Only a call that was never written to the upstream can become a tombstone.
+		if (this.options.ledger.bury(record)) {
+			answer.refuse(refusalCodeOf(err, record));
 			return;
 		}
 
 		this.options.ledger.finish(record, undefined);
-		answer.fail('upstream_failed', err.message);
+		answer.fail(err instanceof UpstreamStatusError ? 'upstream_failed' : 'outcome_unknown', err.message);
 	}
 }
 
-/** Writes the frames of one answer. */
-class FrameWriter {
-	private seq = 0;
-	private tokens = 0;
-
-	/**
-	 * @param res - the response, with nothing sent yet
-	 * @param attempt - the attempt that the frames answer
-	 */
-	constructor(private readonly res: http.ServerResponse, private readonly attempt: string) {}
-
-	/**
-	 * Calls a function when the entry closes the connection before the answer ended.
-	 *
-	 * @param listener - the function
-	 */
-	onClose(listener: () => void): void {
-		this.res.once('close', () => {
-			if (!this.res.writableFinished) {
-				listener();
-			}
-		});
-	}
-
-	/**
-	 * Writes one frame.
-	 *
-	 * @param body - the frame without attempt and position
-	 */
-	write(body: FrameBody): void {
-		if (this.seq === 0) {
-			this.res.writeHead(200, {'content-type': 'application/x-ndjson'});
-		}
-
-		if (body.kind === 'tokens') {
-			this.tokens += body.tokens.length;
-		}
-
-		this.res.write(`${JSON.stringify({attempt: this.attempt, seq: this.seq, ...body})}\n`);
-		this.seq++;
+function refusalCodeOf(err: Error, record: CallRecord): RefusalCode {
+	const cause = err instanceof VError ? VError.cause(err) : err;
+	if (cause instanceof CallRefusedError) {
+		return cause.code;
 	}
 
-	/** Ends a whole answer. */
-	end(): void {
-		this.write({kind: 'end', tokens: this.tokens});
-		this.res.end();
-	}
-
-	/**
-	 * Ends the answer of a call that did not reach the upstream.
-	 *
-	 * @param code - the reason
-	 */
-	refuse(code: RefusalCode): void {
-		this.write({kind: 'refused', code, message: `call was refused before it reached the upstream: ${code}`});
-		this.res.end();
-	}
+	return record.cancelled ? 'cancelled' : 'upstream_unreachable';
+}
 
-	/**
-	 * Ends the answer of a call that reached the upstream and did not finish.
-	 *
-	 * @param code - the reason
-	 * @param message - one sentence
-	 */
-	fail(code: string, message: string): void {
-		this.write({kind: 'failed', code, message});
-		this.res.end();
+async function answerDuplicate(record: CallRecord, answer: FrameWriter): Promise<void> {
+	await record.settled;
+	if (record.state === 'finished' && record.answer) {
+		await answer.write({kind: 'head', version: null});
+		await answer.write({kind: 'result', status: record.answer.status, body: record.answer.body});
+		answer.end();
+	} else if (record.state === 'tombstone') {
+		answer.refuse('cancelled');
+	} else {
+		answer.fail('outcome_unknown', 'an earlier try of this call did not finish');
 	}
 }
--- a/src/calls/call-ledger.ts
+++ b/src/calls/call-ledger.ts
@@ -8,10 +8,14 @@
 import type {CallRequest} from '../messages/call-request.ts';
 import type {CallsCancelParams, CallsCancelResult} from '../messages/calls-cancel.ts';
 import type {RefusalCode} from '../messages/call-frame.ts';
+import {type CallEvent, type CallState, nextCallState} from './call-states.ts';
 
 /** How long the record of a call without a ticket is kept after its last change, in milliseconds. */
 export const attemptRetentionMs = 150_000;
 
+/** How often a full table is searched for records to forget, in milliseconds; a search reads the whole table. */
+const fullSweepIntervalMs = 1000;
+
 /** The answer of a plain service. */
 export type RecordedAnswer = {readonly status: number; readonly body: unknown};
 
@@ -19,13 +23,15 @@
 export type CallRecord = {
 	readonly key: string;
 	readonly bodyDigest: Digest | undefined;
-	state: 'accepted' | 'forwarded' | 'finished' | 'tombstone';
+	state: CallState;
 	answer: RecordedAnswer | undefined;
 	/** Monotonic time after which the record may be forgotten, in milliseconds. */
 	keepUntilMs: number;
 	/** Resolves when the call is finished or became a tombstone. */
 	readonly settled: Promise<void>;
 	readonly settle: () => void;
+	/** Whether an entry cancelled the call before it was forwarded. */
+	cancelled: boolean;
 	/** Stops the upstream's work; set while the call runs. */
 	abort: (() => void) | undefined;
 };
@@ -46,6 +52,7 @@
 /** Keeps the records of all calls at this agent. */
 export class CallLedger {
 	private readonly records = new Map<string, CallRecord>();
+	private sweptAtMs = -Infinity;
 
 	/** @param options - limits and identity */
 	constructor(private readonly options: CallLedgerOptions) {}
@@ -55,11 +62,6 @@
 		return this.records.size;
 	}
 
-	/** How many calls are accepted or forwarded now. */
-	get open(): number {
-		return [...this.records.values()].filter(({state}) => state === 'accepted' || state === 'forwarded').length;
-	}
-
 	/**
 	 * Takes in a call that arrived and decides whether it runs.
 	 *
@@ -90,12 +92,7 @@
 	 * @returns false when the call was cancelled in the meantime and must not be forwarded
 	 */
 	forward(record: CallRecord): boolean {
-		if (record.state !== 'accepted') {
-			return false;
-		}
-
-		record.state = 'forwarded';
-		return true;
+		return move(record, 'FORWARD');
 	}
 
 	/**
@@ -105,20 +102,26 @@
 	 * @param answer - the answer of a plain service, to be repeated to later tries
 	 */
 	finish(record: CallRecord, answer: RecordedAnswer | undefined): void {
-		record.state = 'finished';
-		record.answer = answer;
-		record.abort = undefined;
-		record.settle();
+		if (move(record, 'FINISH')) {
+			record.answer = answer;
+			record.abort = undefined;
+			record.settle();
+		}
 	}
 
 	/**
 	 * Marks a call as certain never to run.
 	 *
-	 * @param record - a call that was accepted, or whose forwarding certainly reached nobody
+	 * @param record - a call that was accepted and not forwarded
+	 * @returns false when the call was forwarded, so that it may have run
 	 */
-	bury(record: CallRecord): void {
-		record.state = 'tombstone';
+	bury(record: CallRecord): boolean {
+		if (!move(record, 'BURY')) {
+			return record.state === 'tombstone';
+		}
+
 		record.settle();
+		return true;
 	}
 
 	/**
@@ -139,7 +142,9 @@
 		}
 
 		if (record.state === 'accepted') {
+			record.cancelled = true;
 			this.bury(record);
+			record.abort?.();
 		}
 
 		if (record.state === 'forwarded' && params.abortRunning) {
@@ -152,6 +157,7 @@
 	/** Forgets records whose time is over. */
 	sweep(): void {
 		const nowMs = performance.now();
+		this.sweptAtMs = nowMs;
 		for (const [key, record] of this.records) {
 			const settled = record.state === 'finished' || record.state === 'tombstone';
 			if (settled && record.keepUntilMs < nowMs) {
@@ -162,7 +168,7 @@
 
 	private cancelUnseen(key: string, expiresAtMs: number | undefined): CallsCancelResult {
 		// A record of an expired ticket may have been forgotten already, so nothing can be said of it.
-		if ((expiresAtMs !== undefined && expiresAtMs <= Date.now()) || this.isFull()) {
+		if ((expiresAtMs !== undefined && expiresAtMs <= wallClockMs()) || this.isFull()) {
 			return {state: 'unknown'};
 		}
 
@@ -184,15 +190,15 @@
 			return refusalOfExisting(existing, req);
 		}
 
-		if (ticket && ticket.expiresAtMs <= Date.now()) {
-			return 'expired';
+		if (ticket && ticket.expiresAtMs <= wallClockMs()) {
+			return 'ticket_expired';
 		}
 
 		return this.isFull() ? 'table_full' : undefined;
 	}
 
 	private isFull(): boolean {
-		if (this.records.size >= this.options.maxRecords) {
+		if (this.records.size >= this.options.maxRecords && performance.now() >= this.sweptAtMs + fullSweepIntervalMs) {
 			this.sweep();
 		}
 
@@ -200,6 +206,25 @@
 	}
 }
 
+/**
+ * Returns wall-clock time that never steps back.
+ *
+ * If the clock could be set back after a record was forgotten, an expired ticket would look fresh and run a second time.
+ */
+function wallClockMs(): number {
+	return performance.timeOrigin + performance.now();
+}
+
+function move(record: CallRecord, event: CallEvent): boolean {
+	const next = nextCallState(record.state, event);
+	if (next === undefined) {
+		return false;
+	}
+
+	record.state = next;
+	return true;
+}
+
 function refusalOfExisting(record: CallRecord, req: CallRequest): RefusalCode | undefined {
 	if (record.state === 'tombstone') {
 		return 'cancelled';
@@ -214,14 +239,14 @@
 }
 
 function keepUntil(expiresAtMs: number | undefined): number {
-	const forMs = expiresAtMs === undefined ? attemptRetentionMs : Math.max(expiresAtMs - Date.now(), 0) + attemptRetentionMs;
+	const forMs = expiresAtMs === undefined ? attemptRetentionMs : Math.max(expiresAtMs - wallClockMs(), 0) + attemptRetentionMs;
 	return performance.now() + forMs;
 }
 
 function createRecord(key: string, bodyDigest: Digest | undefined): CallRecord {
 	const {promise, resolve} = withResolvers();
 	return {
-		key, bodyDigest, state: 'accepted', answer: undefined, keepUntilMs: 0, settled: promise, settle: resolve, abort: undefined,
+		key, bodyDigest, state: 'accepted', answer: undefined, keepUntilMs: 0, settled: promise, settle: resolve, cancelled: false, abort: undefined,
 	};
 }
 
--- a/src/calls/call-manager.ts
+++ b/src/calls/call-manager.ts
@@ -5,10 +5,13 @@
 	type HttpHandler, type HttpRoutes, readBody, sendJson,
 } from '../links/http-listener.ts';
 import type {Logger} from '../runtime/logger.ts';
-import {CallerError, sendCallerError} from './caller-error.ts';
-import {type CallerRequest, readCallerRequest, requestIdOf} from './caller-request.ts';
+import {CallerError, messageByCode, sendCallerError} from './caller-error.ts';
+import {
+	type CallerRequest, readCallerRequest, readTicket, requestIdOf,
+} from './caller-request.ts';
 import {type GenerateHandler, generateBodySchema} from './generate-handler.ts';
-import type {OperationAnswer, OperationHandler} from './operation-handler.ts';
+import type {OperationAnswer, OperationCall, OperationHandler} from './operation-handler.ts';
+import type {Ticket} from './ticket.ts';
 
 /** What the manager works with. */
 export type CallManagerOptions = {
@@ -54,8 +57,7 @@
 			this.open++;
 			try {
 				if (this.refusing) {
-					const outcome = req.headers['x-ticket'] === undefined ? 'not_run' : 'unknown';
-					throw new CallerError('draining', outcome, 'this entry is leaving; repeat the call at another');
+					throw this.entryRefusal(req, new CallerError('draining', 'not_run', 'this entry is leaving; repeat the call at another'));
 				}
 
 				await handler(req, res, params);
@@ -81,6 +83,12 @@
 		sendCallerError(res, callerError, requestId);
 	}
 
+	/** Reports a refusal of the entry itself; an earlier call with the same ticket may have run through another entry. */
+	private entryRefusal(req: http.IncomingMessage, err: Error): Error {
+		const refused = err instanceof CallerError && err.outcome === 'not_run' && req.headers['x-ticket'] !== undefined;
+		return refused ? new CallerError(err.code, 'unknown', err.message, err.ticket) : err;
+	}
+
 	private async generate(req: http.IncomingMessage, res: http.ServerResponse, routeName: string): Promise<void> {
 		const caller = this.read(req, routeName);
 		const body = generateBodySchema.safeParse(parseJson(await readBody(req)));
@@ -92,28 +100,58 @@
 	}
 
 	private async operation(req: http.IncomingMessage, res: http.ServerResponse, [routeName, operation]: [string, string]): Promise<void> {
-		const caller = this.read(req, routeName);
-		const rule = this.options.store.service(caller.route.service)?.operations[operation];
-		if (!rule) {
-			throw new CallerError('operation_not_found', 'not_run', `service ${caller.route.service} has no operation ${operation}`);
-		}
-
-		const body = parseJson(await readBody(req));
-		const answer = rule.repeatable
-			? await this.options.operations.runRepeatable(caller, operation, body)
-			: await this.runOnce(caller, operation, body);
-		res.setHeader('x-request-id', caller.requestId);
+		const answer = await this.answerOf(req, res, routeName, operation);
+		res.setHeader('x-request-id', requestIdOf(req));
 		sendJson(res, answer.status, answer.body);
 	}
 
-	private async runOnce(caller: CallerRequest, operation: string, body: unknown): Promise<OperationAnswer> {
+	private async answerOf(req: http.IncomingMessage, res: http.ServerResponse, routeName: string, operation: string): Promise<OperationAnswer> {
 		const {operations} = this.options;
-		if (!caller.ticket) {
-			// Without a ticket a balancer that repeats the request would cause a second run.
-			throw new CallerError('ticket_required', 'not_run', 'this operation needs header x-ticket; repeat with this ticket', operations.mintTicket(caller));
+		const prepared = await this.prepare(req, routeName, operation);
+		if ('settle' in prepared) {
+			return operations.settle(prepared.settle);
+		}
+
+		const gone = new AbortController();
+		if (!prepared.asked.ticket) {
+			res.once('close', () => {
+				gone.abort();
+			});
 		}
 
-		return operations.runOnce(caller, operation, body, caller.ticket);
+		return operations.run(prepared.caller, prepared.asked, gone.signal);
+	}
+
+	/** Checks a request at the entry; what fails here was not forwarded by this request, but an earlier one with its ticket may have been. */
+	private async prepare(req: http.IncomingMessage, routeName: string, operation: string): Promise<{caller: CallerRequest; asked: OperationCall} | {settle: Ticket}> {
+		try {
+			const ticket = readTicket(req, routeName);
+			const isKnown = this.options.store.route(String(req.headers['x-workspace']), routeName) !== undefined;
+			if (ticket && !isKnown) {
+				return {settle: ticket};
+			}
+
+			const caller = this.read(req, routeName);
+			const rule = this.options.store.service(caller.route.service)?.operations[operation];
+			if (ticket && !rule) {
+				return {settle: ticket};
+			}
+
+			if (!rule) {
+				throw new CallerError('operation_not_found', 'not_run', `service ${caller.route.service} has no operation ${operation}`);
+			}
+
+			const body = parseJson(await readBody(req));
+			if (!ticket && !rule.repeatable) {
+				// Without a ticket a balancer that repeats the request would cause a second run.
+				throw new CallerError('ticket_required', 'not_run', messageByCode.ticket_required, this.options.operations.mintTicket(caller));
+			}
+
+			// A ticket binds the call to its home agent even when the operation has become repeatable since.
+			return {caller, asked: {operation, body, ticket: ticket ?? null}};
+		} catch (err) {
+			throw this.entryRefusal(req, err as Error);
+		}
 	}
 
 	private read(req: http.IncomingMessage, routeName: string): CallerRequest {
--- /dev/null
+++ b/src/calls/call-runner.ts
@@ -0,0 +1,215 @@
+/** Runs one call through its attempts: acts on what `decideOutcome` says until the call has an answer or an outcome. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {CallFrame} from '../messages/call-frame.ts';
+import type {CallRequest} from '../messages/call-request.ts';
+import type {CallsCancelResult} from '../messages/calls-cancel.ts';
+import type {Logger} from '../runtime/logger.ts';
+import type {AttemptResultKind, UpstreamRouter} from '../routing/upstream-router.ts';
+import {type AttemptClient, type AttemptEnd, cancelTimeoutMs} from './attempt-client.ts';
+import {CallerError, messageByCode} from './caller-error.ts';
+import type {CallerRequest} from './caller-request.ts';
+import {
+	type AttemptEndKind, type AttemptFacts, type CancelAnswer, decideOutcome, type DestroyStep, type RetryStep, type Step, type TellStep,
+} from './decide-outcome.ts';
+
+/** How many attempts one call may make. */
+export const maxAttempts = 3;
+
+/** Time before a running call is asked for again, in milliseconds; it doubles up to the second value. */
+const waitMs = {first: 100, most: 1000} as const;
+
+/** Where an attempt goes. */
+export type CallTarget = {readonly vm: string; readonly address: string};
+
+/** One call with all that its attempts need. */
+export type CallPlan<Target extends CallTarget> = {
+	readonly caller: CallerRequest;
+	readonly idempotent: boolean;
+	/** Returns the agent for the next attempt. */
+	readonly choose: (excluded: ReadonlySet<string>) => Target | undefined;
+	/** Creates the request of one attempt. */
+	readonly createCall: (target: Target) => CallRequest;
+	readonly onFrame: (frame: CallFrame) => Promise<void> | void;
+	/** Whether bytes of the answer went out to the caller. */
+	readonly hasSent: () => boolean;
+	/** Is aborted when nobody waits for the answer any more. */
+	readonly gone: AbortSignal;
+};
+
+/** How a call ended, when it did not end with an error for the caller. */
+export type CallEnd =
+	/** The frames held the whole answer. */
+	| {readonly kind: 'answered'}
+	/** The agent's record held the answer. */
+	| {readonly kind: 'recorded'; readonly status: number; readonly body: unknown}
+	/** The caller's connection must be destroyed. */
+	| {readonly kind: 'destroy'};
+
+/** What the runner works with. */
+export type CallRunnerOptions = {
+	readonly attempts: AttemptClient;
+	readonly router: UpstreamRouter;
+	readonly log: Logger;
+};
+
+type FinishedCall = Extract<CallsCancelResult, {state: 'finished'}>;
+
+/** What one attempt came to: the decided step, and the record when the step answers from it. */
+type Settled = {readonly step: Step; readonly record?: FinishedCall};
+
+/** How the router counts an attempt. */
+const resultByEnd: Readonly<Record<AttemptEndKind, AttemptResultKind>> = {
+	answered: 'answered', refused: 'refused', unsent: 'failed', failed: 'failed', broken: 'failed', silent: 'failed', expired: 'failed',
+};
+
+/** Runs calls. */
+export class CallRunner {
+	/** @param options - what the runner works with */
+	constructor(private readonly options: CallRunnerOptions) {}
+
+	/**
+	 * Runs a call.
+	 *
+	 * @param plan - the call
+	 * @throws CallerError with the outcome that the caller is told
+	 */
+	async run<Target extends CallTarget>(plan: CallPlan<Target>): Promise<CallEnd> {
+		const excluded = new Set<string>();
+		let mayHaveRun = false;
+		let otherwise: TellStep | DestroyStep = {kind: 'tell', outcome: 'not_run', code: 'no_upstream'};
+		for (let tries = 0; tries < maxAttempts && !plan.gone.aborted; tries++) {
+			const target = this.nextTarget(plan, excluded, tries);
+			if (!target) {
+				break;
+			}
+
+			const {step, record}: Settled = await this.attempt(plan, target, mayHaveRun);
+			if (step.kind === 'retry' || step.kind === 'resume') {
+				({mayHaveRun, otherwise} = step);
+				if (step.excludeVm) {
+					excluded.add(target.vm);
+				}
+
+				continue;
+			}
+
+			return endOf(step, record);
+		}
+
+		return endOf(plan.gone.aborted ? {kind: 'destroy'} : otherwise);
+	}
+
+	private nextTarget<Target extends CallTarget>(plan: CallPlan<Target>, excluded: ReadonlySet<string>, tries: number): Target | undefined {
+		if (remainingMs(plan.caller) <= 0) {
+			return undefined;
+		}
+
+		const target = plan.choose(excluded);
+		// The budget is taken only for a retry that will take place.
+		return target && (tries === 0 || this.options.router.mayRetry(plan.caller.route.service)) ? target : undefined;
+	}
+
+	private async attempt<Target extends CallTarget>(plan: CallPlan<Target>, target: Target, mayHaveRun: boolean): Promise<Settled> {
+		const {attempts, router, log} = this.options;
+		const call = plan.createCall(target);
+		const finish = router.begin(target.vm, call.service);
+		let result: AttemptResultKind = 'failed';
+		try {
+			const end = await attempts.run(target.address, call, plan);
+			if (plan.gone.aborted) {
+				// The attempt was ended by the caller, which says nothing about the upstream.
+				result = 'refused';
+				return {step: {kind: 'destroy'}};
+			}
+
+			result = resultByEnd[end.kind];
+			if (end.kind !== 'answered') {
+				log.info({
+					event: 'attempt_ended', end: end.kind, code: end.code, err: end.err, vm: target.vm, request_id: call.requestId, workspace: call.workspace,
+				}, 'attempt ended without a whole answer');
+			}
+
+			return await this.settle(plan, target, call, {end, mayHaveRun});
+		} finally {
+			finish(result);
+		}
+	}
+
+	private async settle<Target extends CallTarget>(plan: CallPlan<Target>, target: Target, call: CallRequest, known: {end: AttemptEnd; mayHaveRun: boolean}): Promise<Settled> {
+		let cancel: CancelAnswer | undefined;
+		let record: FinishedCall | undefined;
+		let pauseMs: number = waitMs.first;
+		for (;;) {
+			const step: Step = decideOutcome(factsOf(plan, call, known, cancel));
+			if (step.kind === 'wait') {
+				await sleep(Math.min(pauseMs, Math.max(1, remainingMs(plan.caller))));
+				pauseMs = Math.min(pauseMs * 2, waitMs.most);
+			} else if (step.kind !== 'ask') {
+				return {step, record};
+			}
+
+			const abortRunning = step.kind === 'ask' && step.abortRunning;
+			const {attempt, workspace, ticket} = call;
+			const timeoutMs = Math.max(1, Math.min(cancelTimeoutMs, remainingMs(plan.caller)));
+			const answer = await this.options.attempts.cancel(target.address, {
+				attempt, workspace, ticket, abortRunning,
+			}, timeoutMs);
+			record = answer.state === 'finished' ? answer : undefined;
+			cancel = cancelAnswerOf(answer);
+		}
+	}
+}
+
+function factsOf<Target extends CallTarget>(plan: CallPlan<Target>, call: CallRequest, known: {end: AttemptEnd; mayHaveRun: boolean}, cancel: CancelAnswer | undefined): AttemptFacts {
+	return {
+		end: known.end.kind,
+		code: known.end.code,
+		cancel,
+		idempotent: plan.idempotent,
+		hasTicket: call.ticket !== null,
+		sentToCaller: plan.hasSent(),
+		mayHaveRun: known.mayHaveRun,
+		timeLeft: remainingMs(plan.caller) > 0,
+	};
+}
+
+/**
+ * Names what an agent answered to `calls.cancel`.
+ *
+ * @param answer - the agent's answer
+ */
+export function cancelAnswerOf(answer: CallsCancelResult): CancelAnswer {
+	return answer.state === 'finished' && answer.status === null ? 'no_record' : answer.state;
+}
+
+/**
+ * Returns the time left for a call.
+ *
+ * @param caller - the caller's request
+ * @returns milliseconds, negative after the deadline
+ */
+export function remainingMs(caller: CallerRequest): number {
+	return caller.deadlineAtMs - performance.now();
+}
+
+function endOf(step: Exclude<Step, RetryStep>, record?: FinishedCall): CallEnd {
+	switch (step.kind) {
+		case 'answer': {
+			return {kind: 'answered'};
+		}
+
+		case 'answer_from_record': {
+			return {kind: 'recorded', status: record?.status ?? 200, body: record?.body};
+		}
+
+		case 'tell': {
+			throw new CallerError(step.code, step.outcome, messageByCode[step.code]);
+		}
+
+		case 'destroy':
+		case 'ask':
+		case 'wait': {
+			return {kind: 'destroy'};
+		}
+	}
+}
--- a/src/calls/caller-error.ts
+++ b/src/calls/caller-error.ts
@@ -29,6 +29,27 @@
 /** A stable error code. */
 export type CallerErrorCode = keyof typeof statusByCode;
 
+/** One sentence for a person by stable error code. */
+export const messageByCode: Readonly<Record<CallerErrorCode, string>> = {
+	bad_request: 'the request is not valid',
+	workspace_required: 'header x-workspace must name a workspace',
+	route_not_found: 'the workspace has no such route',
+	operation_not_found: 'the service has no such operation',
+	ticket_required: 'this operation needs header x-ticket; repeat with this ticket',
+	ticket_mismatch: 'the ticket was used with another body',
+	ticket_invalid: 'header x-ticket holds no ticket of this workspace and route',
+	ticket_expired: 'the ticket is over',
+	cancelled: 'the call was cancelled before it reached the upstream; ask for a new ticket',
+	overloaded: 'too many calls wait',
+	draining: 'the process that took the call is leaving',
+	no_upstream: 'no upstream could take the call',
+	table_full: 'the upstream keeps too many records; repeat with the same ticket',
+	upstream_unreachable: 'the upstream does not take connections',
+	upstream_failed: 'the upstream ran the call and reported failure',
+	outcome_unknown: 'the call may have run; a call with a ticket can be repeated with the same ticket',
+	deadline_exceeded: 'the deadline passed before there was an answer',
+};
+
 /** A failure to be told to the caller. */
 export class CallerError extends Error {
 	readonly code: CallerErrorCode;
--- a/src/calls/caller-request.ts
+++ b/src/calls/caller-request.ts
@@ -5,7 +5,7 @@
 import {priorities, type Priority, type Route} from '../configuration/documents.ts';
 import {createRequestId, isRequestId, type RequestId} from '../ids/request-id.ts';
 import {isWorkspaceId, type WorkspaceId} from '../ids/workspace-id.ts';
-import {CallerError} from './caller-error.ts';
+import {CallerError, messageByCode} from './caller-error.ts';
 import {decodeTicket, type Ticket} from './ticket.ts';
 
 /** The longest deadline that a caller may ask for, in milliseconds. */
@@ -61,7 +61,7 @@
 		route,
 		priority: readPriority(req.headers['x-priority']) ?? route.priority ?? store.limitsOf(workspace).default_priority,
 		deadlineAtMs: performance.now() + deadlineMs,
-		ticket: readTicket(req.headers['x-ticket'], workspace, routeName),
+		ticket: readTicket(req, routeName),
 	};
 }
 
@@ -91,14 +91,23 @@
 	return priority;
 }
 
-function readTicket(text: string | string[] | undefined, workspace: WorkspaceId, routeName: string): Ticket | undefined {
+/**
+ * Reads the ticket of a caller's request.
+ *
+ * @param req - the HTTP request
+ * @param routeName - the route that the path names
+ * @returns undefined when the request has no ticket
+ * @throws CallerError when the header holds no ticket of this workspace and route
+ */
+export function readTicket(req: http.IncomingMessage, routeName: string): Ticket | undefined {
+	const text = req.headers['x-ticket'];
 	if (text === undefined) {
 		return undefined;
 	}
 
 	const ticket = decodeTicket(String(text));
-	if (ticket?.workspace !== workspace || ticket.route !== routeName) {
-		throw new CallerError('ticket_invalid', 'not_run', 'header x-ticket holds no ticket of this workspace and route');
+	if (!ticket || ticket.workspace !== req.headers['x-workspace'] || ticket.route !== routeName) {
+		throw new CallerError('ticket_invalid', 'unknown', messageByCode.ticket_invalid);
 	}
 
 	return ticket;
--- /dev/null
+++ b/src/calls/decide-outcome.ts
@@ -0,0 +1,178 @@
+/** Decides what an entry does after an attempt, from what is known of it; `not_run` is told only when it is proven. */
+import type {CallerErrorCode, CallOutcome} from './caller-error.ts';
+
+/** How an attempt ended. */
+export type AttemptEndKind =
+	/** The whole answer arrived. */
+	| 'answered'
+	/** No connection came up, so the agent did not receive the call. */
+	| 'unsent'
+	/** The agent refused the call before it reached the upstream. */
+	| 'refused'
+	/** The upstream ran the call and reported failure, or the agent cannot tell how the run ended. */
+	| 'failed'
+	/** The connection or the answer broke. */
+	| 'broken'
+	/** No frame arrived within the progress deadline. */
+	| 'silent'
+	/** The deadline of the call passed during the attempt. */
+	| 'expired';
+
+/** What an agent answered to `calls.cancel`; `no_record` is a finished call whose answer is not kept. */
+export type CancelAnswer = 'not_started' | 'running' | 'finished' | 'no_record' | 'unknown';
+
+/** What is known after an attempt. */
+export type AttemptFacts = {
+	readonly end: AttemptEndKind;
+	/** The code of a `refused` or `failed` end. */
+	readonly code: string | undefined;
+	/** The answer over a fresh connection, once it was asked for. */
+	readonly cancel: CancelAnswer | undefined;
+	readonly idempotent: boolean;
+	readonly hasTicket: boolean;
+	/** Whether bytes of the answer went out to the caller. */
+	readonly sentToCaller: boolean;
+	/** Whether an earlier attempt of the same call may have run. */
+	readonly mayHaveRun: boolean;
+	/** Whether the deadline of the call is still ahead. */
+	readonly timeLeft: boolean;
+};
+
+/** Ends the call with an error. */
+export type TellStep = {readonly kind: 'tell'; readonly outcome: CallOutcome; readonly code: CallerErrorCode};
+
+/** Ends the call by destroying the caller's connection, which marks its answer as broken. */
+export type DestroyStep = {readonly kind: 'destroy'};
+
+type Repetition = {
+	/** Whether the next attempt must go to another VM. */
+	readonly excludeVm: boolean;
+	/** Whether an attempt up to now may have run. */
+	readonly mayHaveRun: boolean;
+	/** Applies when there is no other upstream, time or retry budget. */
+	readonly otherwise: TellStep | DestroyStep;
+};
+
+/** Tries again; `resume` continues a stream on the same version only. */
+export type RetryStep = ({readonly kind: 'retry'} & Repetition) | ({readonly kind: 'resume'} & Repetition);
+
+/** The next step of a call. */
+export type Step =
+	| {readonly kind: 'answer'}
+	/** The answer to `calls.cancel` holds the answer of the call. */
+	| {readonly kind: 'answer_from_record'}
+	/** Asks over a fresh connection what became of the attempt. */
+	| {readonly kind: 'ask'; readonly abortRunning: boolean}
+	/** Asks again later, since the call runs and may not be repeated. */
+	| {readonly kind: 'wait'}
+	| RetryStep
+	| TellStep
+	| DestroyStep;
+
+/** What a home agent's refusal proves; a refusal that leaves a tombstone proves that the ticket never ran and never will. */
+const ticketRefusals: Readonly<Record<string, TellStep | undefined>> = {
+	draining: {kind: 'tell', outcome: 'not_run', code: 'draining'},
+	expired: {kind: 'tell', outcome: 'not_run', code: 'deadline_exceeded'},
+	cancelled: {kind: 'tell', outcome: 'not_run', code: 'cancelled'},
+	wrong_service: {kind: 'tell', outcome: 'not_run', code: 'cancelled'},
+	version_not_served: {kind: 'tell', outcome: 'not_run', code: 'no_upstream'},
+	upstream_unreachable: {kind: 'tell', outcome: 'not_run', code: 'upstream_unreachable'},
+	// The following leave no tombstone: the ticket may have run under a forgotten record, or may still run.
+	ticket_expired: {kind: 'tell', outcome: 'unknown', code: 'ticket_expired'},
+	// The ticket belongs to another body, whose call may have run; a new ticket could repeat it.
+	ticket_mismatch: {kind: 'tell', outcome: 'unknown', code: 'ticket_mismatch'},
+	table_full: {kind: 'tell', outcome: 'unknown', code: 'table_full'},
+};
+
+const unknown: TellStep = {kind: 'tell', outcome: 'unknown', code: 'outcome_unknown'};
+
+/** Decisions by the way the attempt ended. */
+const byEnd: Readonly<Record<AttemptEndKind, (facts: AttemptFacts) => Step>> = {
+	answered: () => ({kind: 'answer'}),
+	unsent: facts => facts.hasTicket ? unknown : afterNoRun(facts, 'upstream_unreachable'),
+	refused: facts => facts.hasTicket ? (ticketRefusals[facts.code ?? ''] ?? unknown) : afterNoRun(facts, refusalCode(facts.code)),
+	failed: facts => afterFailure(facts),
+	broken: facts => afterDoubt(facts),
+	silent: facts => afterDoubt(facts),
+	expired: facts => giveUp(facts, true, 'deadline_exceeded'),
+};
+
+/** Decisions by what the agent said over a fresh connection. */
+const byCancel: Readonly<Record<CancelAnswer, (facts: AttemptFacts) => Step>> = {
+	not_started: facts => facts.hasTicket ? {kind: 'tell', outcome: 'not_run', code: 'cancelled'} : afterNoRun(facts, 'no_upstream'),
+	running: facts => facts.idempotent && !facts.hasTicket ? again(facts, true, false) : waitOrGiveUp(facts),
+	finished: facts => facts.sentToCaller ? again(facts, true, false) : {kind: 'answer_from_record'},
+	no_record: facts => again(facts, true, false),
+	unknown: facts => again(facts, true, true),
+};
+
+/**
+ * Decides the next step of a call.
+ *
+ * @param facts - what is known after the last attempt
+ * @example
+ * decideOutcome({end: 'unsent', hasTicket: true, ...}); // {kind: 'tell', outcome: 'unknown', code: 'outcome_unknown'}
+ */
+export function decideOutcome(facts: AttemptFacts): Step {
+	const step = byEnd[facts.end](facts);
+	return step.kind === 'tell' && facts.sentToCaller ? {kind: 'destroy'} : step;
+}
+
+function afterDoubt(facts: AttemptFacts): Step {
+	if (facts.cancel === undefined) {
+		return facts.timeLeft ? {kind: 'ask', abortRunning: facts.idempotent && !facts.hasTicket} : giveUp(facts, true, 'deadline_exceeded');
+	}
+
+	return byCancel[facts.cancel](facts);
+}
+
+function afterNoRun(facts: AttemptFacts, code: CallerErrorCode): RetryStep {
+	return {
+		kind: facts.sentToCaller ? 'resume' : 'retry', excludeVm: true, mayHaveRun: facts.mayHaveRun, otherwise: giveUp(facts, facts.mayHaveRun, code),
+	};
+}
+
+function afterFailure(facts: AttemptFacts): Step {
+	const reported = facts.code === 'upstream_failed';
+	if (facts.idempotent && !facts.hasTicket) {
+		const step = again(facts, true, true);
+		const tell: TellStep = {kind: 'tell', outcome: 'failed', code: 'upstream_failed'};
+		return step.kind === 'retry' && reported ? {...step, otherwise: tell} : step;
+	}
+
+	return reported ? {kind: 'tell', outcome: 'failed', code: 'upstream_failed'} : unknown;
+}
+
+function waitOrGiveUp(facts: AttemptFacts): Step {
+	return facts.timeLeft ? {kind: 'wait'} : giveUp(facts, true, 'deadline_exceeded');
+}
+
+/** Only a call that may be repeated is sent again after an attempt that may have run. */
+function again(facts: AttemptFacts, mayHaveRun: boolean, excludeVm: boolean): Step {
+	if (!facts.idempotent || facts.hasTicket) {
+		return unknown;
+	}
+
+	return {
+		kind: facts.sentToCaller ? 'resume' : 'retry', excludeVm, mayHaveRun, otherwise: giveUp(facts, mayHaveRun, 'outcome_unknown'),
+	};
+}
+
+function giveUp(facts: AttemptFacts, mayHaveRun: boolean, code: CallerErrorCode): TellStep | DestroyStep {
+	if (facts.sentToCaller) {
+		return {kind: 'destroy'};
+	}
+
+	if (facts.hasTicket || mayHaveRun) {
+		return {kind: 'tell', outcome: 'unknown', code: facts.timeLeft ? 'outcome_unknown' : 'deadline_exceeded'};
+	}
+
+	return {kind: 'tell', outcome: 'not_run', code: facts.timeLeft ? code : 'deadline_exceeded'};
+}
+
+function refusalCode(code: string | undefined): CallerErrorCode {
+	const codes: Readonly<Record<string, CallerErrorCode | undefined>> = {
+		expired: 'deadline_exceeded', table_full: 'table_full', upstream_unreachable: 'upstream_unreachable', overloaded: 'overloaded',
+	};
+	return codes[code ?? ''] ?? 'no_upstream';
+}
--- a/src/calls/engine-upstream.ts
+++ b/src/calls/engine-upstream.ts
@@ -2,15 +2,21 @@
 import {z} from 'zod';
 import type {PeerClient} from '../links/peer-client.ts';
 import type {CallRequest} from '../messages/call-request.ts';
-import {BrokenAnswerError, readLines} from './frame-reader.ts';
-import type {Upstream, UpstreamEvent} from './upstream.ts';
+import {BrokenAnswerError} from './frame-checker.ts';
+import {readLines} from './frame-reader.ts';
+import {
+	type RunOptions, type Upstream, type UpstreamEvent, UpstreamStatusError,
+} from './upstream.ts';
 
-const engineLineSchema = z.object({
-	version: z.string(),
-	seq: z.number(),
-	token: z.string().optional(),
-	done: z.literal(true).optional(),
-});
+const engineLineSchema = z.union([
+	z.object({
+		version: z.string(), seq: z.number(), token: z.string(), done: z.undefined().optional(),
+	}),
+	z.object({version: z.string(), seq: z.number(), done: z.literal(true)}),
+]);
+
+/** How long an engine may pause within an answer, in milliseconds; its queue is waited for before the answer starts. */
+const engineIdleMs = 10_000;
 
 /** What the adapter works with. */
 export type EngineUpstreamOptions = {
@@ -31,7 +37,7 @@
 	}
 
 	/** Sends the prompt and yields the tokens, all of one version. */
-	async * run(req: CallRequest, signal: AbortSignal): AsyncGenerator<UpstreamEvent> {
+	async * run(req: CallRequest, options: RunOptions): AsyncGenerator<UpstreamEvent> {
 		const {work} = req;
 		if (work.kind !== 'generate') {
 			return;
@@ -42,10 +48,10 @@
 			tokens: work.maxTokens, priority: req.priority, resumeFrom: work.resumeFrom,
 		});
 		const url = `${this.options.baseUrl}/v1/generate`;
-		const res = await this.options.links.send(url, {method: 'POST', body}, {timeoutMs: req.remainingMs, signal});
+		const res = await this.options.links.send(url, {method: 'POST', body}, {...options, timeoutMs: req.remainingMs, idleMs: engineIdleMs});
 		if (res.status !== 200) {
 			res.body.destroy();
-			throw new BrokenAnswerError(`engine answered status ${res.status}`);
+			throw new UpstreamStatusError(`engine answered status ${res.status}`);
 		}
 
 		yield {kind: 'head', version: work.version};
@@ -53,20 +59,32 @@
 	}
 }
 
-async function * readEngineStream(lines: AsyncGenerator<string>, version: string, resumeFrom: number): AsyncGenerator<UpstreamEvent> {
+async function * readEngineStream(pieces: AsyncGenerator<readonly string[]>, version: string, resumeFrom: number): AsyncGenerator<UpstreamEvent> {
 	let nextSeq = resumeFrom;
-	for await (const text of lines) {
-		const line = engineLineSchema.parse(JSON.parse(text));
-		if (line.version !== version || line.seq !== nextSeq) {
-			throw new BrokenAnswerError(`engine sent ${line.version}#${line.seq} where ${version}#${nextSeq} was due`);
+	for await (const lines of pieces) {
+		const tokens: string[] = [];
+		let done = false;
+		for (const text of lines) {
+			const line = engineLineSchema.parse(JSON.parse(text));
+			if (done || line.version !== version || line.seq !== nextSeq) {
+				throw new BrokenAnswerError(`engine sent ${line.version}#${line.seq} where ${version}#${nextSeq} was due`);
+			}
+
+			if (line.done) {
+				done = true;
+			} else {
+				tokens.push(line.token);
+				nextSeq++;
+			}
 		}
 
-		if (line.done) {
-			return;
+		if (tokens.length > 0) {
+			yield {kind: 'tokens', version, tokens};
 		}
 
-		nextSeq++;
-		yield {kind: 'tokens', version, tokens: [line.token ?? '']};
+		if (done) {
+			return;
+		}
 	}
 
 	throw new BrokenAnswerError('engine ended the stream without its last line');
--- a/src/calls/frame-reader.ts
+++ b/src/calls/frame-reader.ts
@@ -2,23 +2,23 @@
 import {type Buffer} from 'node:buffer';
 import type {Readable} from 'node:stream';
 import {type CallFrame, callFrameSchema} from '../messages/call-frame.ts';
-
-/** Reports an answer that is not the whole answer to the open attempt. */
-export class BrokenAnswerError extends Error {}
+import type {CallRequest} from '../messages/call-request.ts';
+import {BrokenAnswerError, FrameChecker} from './frame-checker.ts';
 
 /**
- * Splits a stream into lines.
+ * Splits a stream into lines and yields the lines of each piece together.
  *
  * @param body - UTF-8 bytes
  */
-export async function * readLines(body: Readable): AsyncGenerator<string> {
+export async function * readLines(body: Readable): AsyncGenerator<readonly string[]> {
 	const decoder = new TextDecoder();
 	let rest = '';
 	for await (const part of body) {
-		rest += decoder.decode(part as Buffer, {stream: true});
-		const lines = rest.split('\n');
+		const lines = (rest + decoder.decode(part as Buffer, {stream: true})).split('\n');
 		rest = lines.pop() ?? '';
-		yield * lines;
+		if (lines.length > 0) {
+			yield lines;
+		}
 	}
 
 	if (rest !== '') {
@@ -30,15 +30,18 @@
  * Reads the frames of one attempt.
  *
  * @param body - the agent's answer
- * @param attempt - the open attempt
+ * @param call - the call of the open attempt
  * @throws BrokenAnswerError when the answer has a gap, changes its version, or ends without a last frame
  */
-export async function * readFrames(body: Readable, attempt: string): AsyncGenerator<CallFrame> {
-	const checker = new FrameChecker(attempt);
-	for await (const line of readLines(body)) {
-		const frame = parseFrame(line);
-		if (checker.accept(frame)) {
-			yield frame;
+export async function * readFrames(body: Readable, call: Pick<CallRequest, 'attempt' | 'work'>): AsyncGenerator<CallFrame> {
+	const checker = new FrameChecker(call);
+	for await (const lines of readLines(body)) {
+		for (const line of lines) {
+			const frame = parseFrame(line);
+			if (checker.accept(frame)) {
+				yield frame;
+			}
+
 			if (checker.complete) {
 				return;
 			}
@@ -48,59 +51,6 @@
 	throw new BrokenAnswerError('answer ends without a last frame');
 }
 
-/** Checks that frames follow each other. */
-export class FrameChecker {
-	private nextSeq = 0;
-	private version: string | null | undefined;
-	private tokens = 0;
-	private done = false;
-
-	/** @param attempt - the open attempt */
-	constructor(private readonly attempt: string) {}
-
-	/** Whether the last frame was seen. */
-	get complete(): boolean {
-		return this.done;
-	}
-
-	/**
-	 * Takes in a frame.
-	 *
-	 * @param frame - the next frame of the stream
-	 * @returns false when the frame belongs to another attempt and must be dropped
-	 * @throws BrokenAnswerError when the frame does not follow the one before
-	 */
-	accept(frame: CallFrame): boolean {
-		if (frame.attempt !== this.attempt) {
-			return false;
-		}
-
-		if (frame.seq !== this.nextSeq) {
-			throw new BrokenAnswerError(`frame ${frame.seq} came where frame ${this.nextSeq} was due`);
-		}
-
-		this.nextSeq++;
-		this.checkKind(frame);
-		return true;
-	}
-
-	private checkKind(frame: CallFrame): void {
-		if (frame.kind === 'head') {
-			this.version = frame.version;
-		} else if (frame.kind === 'tokens') {
-			if (frame.version !== this.version) {
-				throw new BrokenAnswerError(`version changed from ${this.version} to ${frame.version} within the answer`);
-			}
-
-			this.tokens += frame.tokens.length;
-		} else if (frame.kind === 'end' && frame.tokens !== this.tokens) {
-			throw new BrokenAnswerError(`answer has ${this.tokens} tokens of ${frame.tokens}`);
-		}
-
-		this.done = frame.kind === 'end' || frame.kind === 'refused' || frame.kind === 'failed';
-	}
-}
-
 function parseFrame(line: string): CallFrame {
 	try {
 		return callFrameSchema.parse(JSON.parse(line));
--- a/src/calls/generate-handler.ts
+++ b/src/calls/generate-handler.ts
@@ -1,18 +1,15 @@
 /** Runs callers' generations: streams tokens, and tries again elsewhere while that is invisible to the caller. */
 import type http from 'node:http';
 import {z} from 'zod';
+import {writeWithBackpressure} from '../links/write-with-backpressure.ts';
 import type {CallFrame} from '../messages/call-frame.ts';
 import type {CallRequest} from '../messages/call-request.ts';
-import type {AttemptResultKind, RouteTarget, UpstreamRouter} from '../routing/upstream-router.ts';
-import {LinkError} from '../links/peer-client.ts';
-import type {Logger} from '../runtime/logger.ts';
-import {type AttemptClient, newAttemptId} from './attempt-client.ts';
-import {CallerError} from './caller-error.ts';
+import type {RouteTarget, UpstreamRouter} from '../routing/upstream-router.ts';
+import {agentDeadlineOf} from './agent-deadline.ts';
+import {newAttemptId} from './attempt-client.ts';
+import {type CallRunner, type CallTarget, remainingMs} from './call-runner.ts';
 import type {CallerRequest} from './caller-request.ts';
 
-/** How many agents one call may try. */
-export const maxAttempts = 3;
-
 /** The body of a generation. */
 export const generateBodySchema = z.strictObject({
 	prompt: z.string(),
@@ -21,22 +18,19 @@
 
 /** What the handler works with. */
 export type GenerateHandlerOptions = {
-	readonly attempts: AttemptClient;
+	readonly runner: CallRunner;
 	readonly router: UpstreamRouter;
-	readonly log: Logger;
 };
 
+type GenerateTarget = CallTarget & {readonly route: RouteTarget};
+
 type Generation = {
 	readonly caller: CallerRequest;
 	readonly body: z.infer<typeof generateBodySchema>;
 	readonly res: http.ServerResponse;
-	readonly excluded: Set<string>;
-	/** Ends all attempts when the caller is gone. */
-	readonly aborter: AbortController;
+	/** The model and version of the present attempt; fixed once the caller has received a part of the answer. */
+	attempted: {model: string; version: string} | undefined;
 	sentTokens: number;
-	version: string | undefined;
-	/** Whether an attempt may have reached an engine. */
-	mayHaveRun: boolean;
 };
 
 /** Runs generations. */
@@ -54,104 +48,75 @@
 	 */
 	async run(caller: CallerRequest, body: z.infer<typeof generateBodySchema>, res: http.ServerResponse): Promise<void> {
 		const generation: Generation = {
-			caller, body, res, excluded: new Set(), aborter: new AbortController(), sentTokens: 0, version: undefined, mayHaveRun: false,
+			caller, body, res, attempted: undefined, sentTokens: 0,
 		};
+		const gone = new AbortController();
 		res.once('close', () => {
-			generation.aborter.abort();
+			gone.abort();
 		});
-		for (let tries = 0; tries < maxAttempts && !res.destroyed && performance.now() < caller.deadlineAtMs; tries++) {
-			const target = this.options.router.choose(caller.route, generation.excluded, generation.version);
-			if (!target) {
-				break;
-			}
-
-			if (await this.attempt(generation, target)) {
-				return;
-			}
-
-			generation.excluded.add(target.member.vm);
-		}
-
-		this.giveUp(generation);
-	}
-
-	private giveUp(generation: Generation): void {
-		if (generation.res.headersSent) {
-			// A broken connection without a last line tells the caller that the answer is not whole.
-			generation.res.destroy();
-			return;
+		const end = await this.options.runner.run<GenerateTarget>({
+			caller,
+			idempotent: true,
+			choose: excluded => this.choose(generation, excluded),
+			createCall: target => createGenerateCall(generation, target.route),
+			onFrame: async frame => sendFrame(generation, frame),
+			hasSent: () => res.headersSent,
+			gone: gone.signal,
+		});
+		if (end.kind === 'answered') {
+			endAnswer(generation);
+		} else {
+			// A connection that breaks without a last line tells the caller that the answer is not whole.
+			res.destroy();
 		}
-
-		const outcome = generation.mayHaveRun ? 'unknown' : 'not_run';
-		throw new CallerError(generation.mayHaveRun ? 'outcome_unknown' : 'no_upstream', outcome, 'no upstream gave a whole answer in time');
 	}
 
-	private async attempt(generation: Generation, target: RouteTarget): Promise<boolean> {
-		const {attempts, router, log} = this.options;
-		const finish = router.begin(target.member.vm, generation.caller.route.service);
-		let result: AttemptResultKind = 'failed';
-		try {
-			const call = createGenerateCall(generation, target);
-			const signal = AbortSignal.any([generation.aborter.signal, AbortSignal.timeout(call.remainingMs)]);
-			for await (const frame of attempts.open(target.member.address, call, signal)) {
-				if (frame.kind === 'refused') {
-					result = 'refused';
-					return false;
-				}
-
-				generation.mayHaveRun = true;
-				if (frame.kind === 'failed') {
-					return false;
-				}
-
-				sendFrame(generation, frame);
-				if (frame.kind === 'end') {
-					result = 'answered';
-					return true;
-				}
-			}
-
-			return false;
-		} catch (err) {
-			generation.mayHaveRun ||= !(err instanceof LinkError) || err.sent;
-			log.info({
-				event: 'attempt_failed', err, vm: target.member.vm, request_id: generation.caller.requestId, workspace: generation.caller.workspace,
-			}, 'attempt failed');
-			return false;
-		} finally {
-			finish(result);
-		}
+	private choose(generation: Generation, excluded: ReadonlySet<string>): GenerateTarget | undefined {
+		const {caller, res, attempted} = generation;
+		const route = this.options.router.choose(caller.route, excluded, res.headersSent ? attempted?.version : undefined);
+		return route && {vm: route.member.vm, address: route.member.address, route};
 	}
 }
 
 function createGenerateCall(generation: Generation, target: RouteTarget): CallRequest {
 	const {caller, body} = generation;
+	const model = target.model ?? '';
+	const version = target.version ?? '';
+	generation.attempted = {model, version};
 	return {
 		attempt: newAttemptId(),
 		requestId: caller.requestId,
 		workspace: caller.workspace,
 		service: caller.route.service,
 		priority: caller.priority,
-		remainingMs: Math.max(1, Math.ceil(caller.deadlineAtMs - performance.now())),
+		remainingMs: Math.max(1, Math.ceil(remainingMs(caller))),
+		agentDeadline: agentDeadlineOf(target.member, caller.deadlineAtMs),
 		ticket: null,
 		work: {
-			kind: 'generate', model: target.model ?? '', version: target.version ?? '', adapter: caller.route.adapter ?? null,
+			kind: 'generate', model, version, adapter: caller.route.adapter ?? null,
 			prompt: body.prompt, maxTokens: body.max_tokens, resumeFrom: generation.sentTokens,
 		},
 	};
 }
 
-function sendFrame(generation: Generation, frame: CallFrame): void {
-	const {res, caller} = generation;
-	if (frame.kind === 'tokens') {
-		if (!res.headersSent) {
-			generation.version = frame.version;
-			res.writeHead(200, {'content-type': 'application/x-ndjson', 'x-request-id': caller.requestId, 'x-model-version': frame.version});
-		}
+async function sendFrame(generation: Generation, frame: CallFrame): Promise<void> {
+	const {res} = generation;
+	if (frame.kind !== 'tokens' || frame.tokens.length === 0) {
+		return;
+	}
+
+	sendHead(generation);
+	generation.sentTokens += frame.tokens.length;
+	await writeWithBackpressure(res, frame.tokens.map(token => `{"token":${JSON.stringify(token)}}\n`).join(''));
+}
 
-		res.write(frame.tokens.map(token => `${JSON.stringify({token})}\n`).join(''));
-		generation.sentTokens += frame.tokens.length;
-	} else if (frame.kind === 'end') {
-		res.end(`${JSON.stringify({done: true, tokens: generation.sentTokens, version: generation.version})}\n`);
+function sendHead({res, caller, attempted}: Generation): void {
+	if (!res.headersSent) {
+		res.writeHead(200, {'content-type': 'application/x-ndjson', 'x-request-id': caller.requestId, 'x-model-version': attempted?.version});
 	}
 }
+
+function endAnswer(generation: Generation): void {
+	sendHead(generation);
+	generation.res.end(`${JSON.stringify({done: true, tokens: generation.sentTokens, version: generation.attempted?.version})}\n`);
+}
--- a/src/calls/operation-handler.ts
+++ b/src/calls/operation-handler.ts
@@ -1,31 +1,35 @@
 /** Runs callers' operations at plain services; those that may not be repeated run under a ticket at one agent only. */
 import type {CallRequest} from '../messages/call-request.ts';
-import {LinkError} from '../links/peer-client.ts';
-import type {Logger} from '../runtime/logger.ts';
-import type {AttemptResultKind, UpstreamRouter} from '../routing/upstream-router.ts';
+import type {Member} from '../membership/member.ts';
+import type {UpstreamRouter} from '../routing/upstream-router.ts';
+import {agentDeadlineOf} from './agent-deadline.ts';
 import {type AttemptClient, newAttemptId} from './attempt-client.ts';
-import {CallerError} from './caller-error.ts';
+import {
+	cancelAnswerOf, type CallRunner, type CallTarget, remainingMs,
+} from './call-runner.ts';
+import {CallerError, messageByCode} from './caller-error.ts';
 import type {CallerRequest} from './caller-request.ts';
-import {maxAttempts} from './generate-handler.ts';
 import {createTicket, encodeTicket, type Ticket} from './ticket.ts';
 
 /** What the handler works with. */
 export type OperationHandlerOptions = {
 	readonly attempts: AttemptClient;
+	readonly runner: CallRunner;
 	readonly router: UpstreamRouter;
-	readonly log: Logger;
+	/** Finds a VM in the member view. */
+	readonly memberOf: (vm: string) => Member | undefined;
 };
 
 /** The answer of a plain service. */
 export type OperationAnswer = {readonly status: number; readonly body: unknown};
 
-/** What one attempt came to. */
-type AttemptResult =
-	| {readonly kind: 'answer'; readonly answer: OperationAnswer}
-	| {readonly kind: 'refused'; readonly code: string}
-	| {readonly kind: 'failed'; readonly message: string}
-	| {readonly kind: 'unsent'}
-	| {readonly kind: 'doubtful'; readonly attempt: string};
+/** An operation as the caller asked for it. */
+export type OperationCall = {readonly operation: string; readonly body: unknown; readonly ticket: Ticket | null};
+
+type OperationTarget = CallTarget & {readonly member: Member | undefined};
+
+/** The least status with which a plain service reports that a run failed. */
+const failureStatus = 500;
 
 /** Runs operations. */
 export class OperationHandler {
@@ -52,141 +56,89 @@
 	}
 
 	/**
-	 * Runs an operation that may be repeated, at one agent after the other.
+	 * Runs an operation: with a ticket at its home agent only, otherwise at one agent after the other.
 	 *
 	 * @param caller - the caller's request
-	 * @param operation - the operation's name
-	 * @param body - the caller's JSON
-	 * @throws CallerError when no agent gave an answer
+	 * @param asked - what the caller asked for
+	 * @param gone - is aborted when nobody waits for the answer any more
+	 * @throws CallerError when there is no answer
 	 */
-	async runRepeatable(caller: CallerRequest, operation: string, body: unknown): Promise<OperationAnswer> {
-		const excluded = new Set<string>();
-		let mayHaveRun = false;
-		for (let tries = 0; tries < maxAttempts && performance.now() < caller.deadlineAtMs; tries++) {
-			const target = this.options.router.choose(caller.route, excluded);
-			if (!target) {
-				break;
-			}
-
-			const result = await this.attempt(target.member, createOperationCall(caller, operation, body, null));
-			if (result.kind === 'answer') {
-				return result.answer;
-			}
-
-			mayHaveRun ||= result.kind === 'doubtful' || result.kind === 'failed';
-			excluded.add(target.member.vm);
+	async run(caller: CallerRequest, asked: OperationCall, gone: AbortSignal): Promise<OperationAnswer> {
+		const {ticket} = asked;
+		let answer: OperationAnswer | undefined;
+		const end = await this.options.runner.run<OperationTarget>({
+			caller,
+			idempotent: ticket === null,
+			choose: excluded => ticket ? this.home(ticket) : this.choose(caller, excluded),
+			createCall: target => createOperationCall(caller, asked, target),
+			onFrame(frame) {
+				if (frame.kind === 'result') {
+					answer = {status: frame.status, body: frame.body};
+				}
+			},
+			hasSent: () => false,
+			gone,
+		});
+		const given = end.kind === 'recorded' ? {status: end.status, body: end.body} : answer;
+		if (end.kind === 'destroy' || !given) {
+			throw new CallerError('outcome_unknown', 'unknown', messageByCode.outcome_unknown);
 		}
 
-		throw mayHaveRun
-			? new CallerError('outcome_unknown', 'unknown', 'no upstream gave an answer in time')
-			: new CallerError('no_upstream', 'not_run', `service ${caller.route.service} has no usable upstream`);
+		return requireSuccess(given);
 	}
 
 	/**
-	 * Runs an operation that may not be repeated, at the ticket's home agent only.
+	 * Finds out what became of the call of a ticket that can no longer run, since its route or operation is gone.
 	 *
-	 * @param caller - the caller's request
-	 * @param operation - the operation's name
-	 * @param body - the caller's JSON
-	 * @param ticket - the caller's ticket
-	 * @throws CallerError when the home agent gave no answer
+	 * @param ticket - the ticket
+	 * @throws CallerError when the record holds no answer
 	 */
-	async runOnce(caller: CallerRequest, operation: string, body: unknown, ticket: Ticket): Promise<OperationAnswer> {
-		const call = createOperationCall(caller, operation, body, ticket);
-		const result = await this.attempt(ticket, call);
-		switch (result.kind) {
-			case 'answer': {
-				return result.answer;
-			}
-
-			case 'refused': {
-				throw refusalError(result.code);
-			}
-
-			case 'failed': {
-				throw new CallerError('upstream_failed', 'unknown', result.message);
-			}
-
-			case 'unsent':
-			case 'doubtful': {
-				return this.askHome(caller, ticket, call);
-			}
-		}
-	}
-
-	private async askHome(caller: CallerRequest, ticket: Ticket, call: CallRequest): Promise<OperationAnswer> {
-		const became = await this.options.attempts.cancel(ticket.address, {
-			attempt: call.attempt, workspace: caller.workspace, ticket: call.ticket, abortRunning: false,
+	async settle(ticket: Ticket): Promise<OperationAnswer> {
+		const result = await this.options.attempts.cancel(this.home(ticket).address, {
+			attempt: newAttemptId(), workspace: ticket.workspace, ticket: homeTicketOf(ticket), abortRunning: false,
 		});
-		if (became.state === 'not_started') {
-			throw new CallerError('cancelled', 'not_run', 'the call was cancelled before it reached the upstream');
-		}
-
-		if (became.state === 'finished' && became.status !== null) {
-			return {status: became.status, body: became.body};
+		const answer = cancelAnswerOf(result);
+		if (answer === 'finished' && result.state === 'finished') {
+			return requireSuccess({status: result.status ?? failureStatus, body: result.body});
 		}
 
-		throw new CallerError('outcome_unknown', 'unknown', 'the call may have run; repeat it with the same ticket');
+		throw answer === 'not_started'
+			? new CallerError('cancelled', 'not_run', messageByCode.cancelled)
+			: new CallerError('outcome_unknown', 'unknown', messageByCode.outcome_unknown);
 	}
 
-	private async attempt(home: {vm: string; address: string}, call: CallRequest): Promise<AttemptResult> {
-		const {attempts, router, log} = this.options;
-		const finish = router.begin(home.vm, call.service);
-		let resultKind: AttemptResultKind = 'failed';
-		try {
-			let answer: OperationAnswer | undefined;
-			for await (const frame of attempts.open(home.address, call, AbortSignal.timeout(call.remainingMs))) {
-				if (frame.kind === 'refused') {
-					resultKind = 'refused';
-					return {kind: 'refused', code: frame.code};
-				}
-
-				if (frame.kind === 'failed') {
-					return {kind: 'failed', message: frame.message};
-				}
+	private choose(caller: CallerRequest, excluded: ReadonlySet<string>): OperationTarget | undefined {
+		const member = this.options.router.choose(caller.route, excluded)?.member;
+		return member && {vm: member.vm, address: member.address, member};
+	}
 
-				if (frame.kind === 'result') {
-					answer = {status: frame.status, body: frame.body};
-				}
-			}
-
-			resultKind = answer ? 'answered' : 'failed';
-			return answer ? {kind: 'answer', answer} : {kind: 'doubtful', attempt: call.attempt};
-		} catch (err) {
-			log.info({
-				event: 'attempt_failed', err, vm: home.vm, request_id: call.requestId, workspace: call.workspace,
-			}, 'attempt failed');
-			const unsent = err instanceof LinkError && !err.sent;
-			return unsent ? {kind: 'unsent'} : {kind: 'doubtful', attempt: call.attempt};
-		} finally {
-			finish(resultKind);
-		}
+	private home({vm, address}: Ticket): OperationTarget {
+		return {vm, address, member: this.options.memberOf(vm)};
 	}
 }
 
-function createOperationCall(caller: CallerRequest, operation: string, body: unknown, ticket: Ticket | null): CallRequest {
+function createOperationCall(caller: CallerRequest, {operation, body, ticket}: OperationCall, target: OperationTarget): CallRequest {
 	return {
 		attempt: newAttemptId(),
 		requestId: caller.requestId,
 		workspace: caller.workspace,
 		service: caller.route.service,
 		priority: caller.priority,
-		remainingMs: Math.max(1, Math.ceil(caller.deadlineAtMs - performance.now())),
-		ticket: ticket && {nonce: ticket.nonce, incarnation: ticket.incarnation, expiresAtMs: ticket.expiresAtMs},
+		remainingMs: Math.max(1, Math.ceil(remainingMs(caller))),
+		agentDeadline: agentDeadlineOf(target.member, caller.deadlineAtMs),
+		ticket: ticket && homeTicketOf(ticket),
 		work: {kind: 'operation', operation, body},
 	};
 }
 
-/** Errors by the refusal code of the home agent. A refusal that leaves a tombstone proves that the call never ran. */
-const refusalErrors: Readonly<Record<string, (() => CallerError) | undefined>> = {
-	draining: () => new CallerError('draining', 'not_run', 'the upstream is leaving; ask for a new ticket'),
-	expired: () => new CallerError('ticket_expired', 'unknown', 'the ticket or the deadline is over'),
-	cancelled: () => new CallerError('cancelled', 'not_run', 'the call was cancelled before it reached the upstream'),
-	ticket_mismatch: () => new CallerError('ticket_mismatch', 'not_run', 'the ticket was used with another body'),
-	table_full: () => new CallerError('table_full', 'unknown', 'the upstream keeps too many records; repeat with the same ticket'),
-	upstream_unreachable: () => new CallerError('upstream_unreachable', 'not_run', 'the upstream does not take connections'),
-};
+function homeTicketOf({nonce, incarnation, expiresAtMs}: Ticket): NonNullable<CallRequest['ticket']> {
+	return {nonce, incarnation, expiresAtMs};
+}
+
+function requireSuccess(answer: OperationAnswer): OperationAnswer {
+	if (answer.status >= failureStatus) {
+		throw new CallerError('upstream_failed', 'failed', `the upstream answered status ${answer.status}`);
+	}
 
-function refusalError(code: string): CallerError {
-	return refusalErrors[code]?.() ?? new CallerError('outcome_unknown', 'unknown', `the home agent cannot tell: ${code}`);
+	return answer;
 }
--- a/src/calls/upstream.ts
+++ b/src/calls/upstream.ts
@@ -7,6 +7,17 @@
 	| {readonly kind: 'tokens'; readonly version: string; readonly tokens: readonly string[]}
 	| {readonly kind: 'result'; readonly status: number; readonly body: unknown};
 
+/** Reports that the upstream itself answered with a failure status. */
+export class UpstreamStatusError extends Error {}
+
+/** How a call may run. */
+export type RunOptions = {
+	/** Stops the run. */
+	readonly signal: AbortSignal;
+	/** Is called right before the first byte leaves; when it throws, nothing is sent. */
+	readonly beforeSend: () => void;
+};
+
 /** Runs calls. */
 export type Upstream = {
 	/**
@@ -14,7 +25,7 @@
 	 *
 	 * @throws LinkError with `sent: false` when the call certainly reached nobody
 	 */
-	run(req: CallRequest, signal: AbortSignal): AsyncGenerator<UpstreamEvent>;
+	run(req: CallRequest, options: RunOptions): AsyncGenerator<UpstreamEvent>;
 	/** Tells whether the upstream serves what the call wants. */
 	serves(req: CallRequest): boolean;
 };
--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -61,6 +61,8 @@
 			ledger: this.ledger,
 			upstream: this.createUpstream(),
 			log,
+			incarnation: identity.incarnation,
+			service: settings.upstream.service,
 			isDraining: () => this.isLeaving(),
 			beforeForward() {
 				wake.check();
@@ -166,6 +168,7 @@
 		return {
 			vm: process.vm,
 			incarnation: this.base.identity.incarnation,
+			clockMs: performance.now(),
 			state: this.isLeaving() ? 'draining' : 'ready',
 			service: upstream.service,
 			configRevision: this.base.store.revision,
--- a/src/cli/entry-process.ts
+++ b/src/cli/entry-process.ts
@@ -1,6 +1,7 @@
 /** The entry role: callers' HTTP front on an entry VM. */
 import {AttemptClient} from '../calls/attempt-client.ts';
 import {CallManager} from '../calls/call-manager.ts';
+import {CallRunner} from '../calls/call-runner.ts';
 import {GenerateHandler} from '../calls/generate-handler.ts';
 import {OperationHandler} from '../calls/operation-handler.ts';
 import {formatAddress, HttpListener} from '../links/http-listener.ts';
@@ -22,11 +23,14 @@
 		membership, store, random, zone: settings.process.zone,
 	});
 	const attempts = new AttemptClient(links);
+	const runner = new CallRunner({attempts, router, log});
 	const calls = new CallManager({
 		store,
 		log,
-		generate: new GenerateHandler({attempts, router, log}),
-		operations: new OperationHandler({attempts, router, log}),
+		generate: new GenerateHandler({runner, router}),
+		operations: new OperationHandler({
+			attempts, runner, router, memberOf: vm => membership.members.find(member => member.vm === vm),
+		}),
 		defaultDeadlineMs: settings.limits.default_deadline_ms,
 	});
 	let started = false;
--- a/src/links/peer-client.ts
+++ b/src/links/peer-client.ts
@@ -6,7 +6,9 @@
 import {Buffer} from 'node:buffer';
 import type {Readable} from 'node:stream';
 import {createJSONRPCRequest, type JSONRPCResponse} from 'json-rpc-2.0';
-import {Agent, type Dispatcher, request} from 'undici';
+import {
+	Agent, DecoratorHandler, type Dispatcher, request,
+} from 'undici';
 import {VError} from 'verror';
 import type {ZodType} from 'zod';
 import {rpcPath} from './rpc-dispatcher.ts';
@@ -21,6 +23,10 @@
 export type LinkOptions = {
 	/** Time until the whole answer is read, in milliseconds. */
 	readonly timeoutMs: number;
+	/** Longest pause between two pieces of the answer's body, in milliseconds; none when absent. */
+	readonly idleMs?: number;
+	/** Is called right before the first byte leaves; when it throws, nothing is sent. */
+	readonly beforeSend?: () => void;
 	/** Opens a connection of its own, for when an open one may have gone silent. */
 	readonly fresh?: boolean;
 	/** Cancels the request. */
@@ -49,12 +55,10 @@
 	}
 }
 
-/** Error codes that come before a connection exists, so that nothing can have been sent. */
-const unsentCodes = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT']);
-
 /** Sends requests to other processes. */
 export class PeerClient {
 	private readonly pool = createPool();
+	private readonly tracked = trackStart(this.pool);
 
 	/**
 	 * Calls a JSON-RPC method of a peer.
@@ -107,31 +111,37 @@
 	 * @throws LinkError when no headers come in time
 	 */
 	async send(url: string, req: {method: Dispatcher.HttpMethod; body?: string}, options: LinkOptions): Promise<LinkResponse> {
-		const dispatcher = options.fresh ? createPool() : this.pool;
+		const pool = options.fresh ? createPool() : this.pool;
+		let sent = false;
+		const onStart = (): void => {
+			options.beforeSend?.();
+			sent = true;
+		};
+
 		try {
 			const res = await request(url, {
+				...({onStart} satisfies TrackedOptions),
 				method: req.method,
 				body: req.body,
 				headers: req.body === undefined ? {} : {'content-type': 'application/json'},
-				dispatcher,
+				dispatcher: options.fresh ? trackStart(pool) : this.tracked,
 				signal: options.signal,
 				headersTimeout: options.timeoutMs,
-				bodyTimeout: 0,
+				bodyTimeout: options.idleMs ?? 0,
 			});
 			if (options.fresh) {
 				res.body.once('close', () => {
-					void dispatcher.destroy();
+					void pool.destroy();
 				});
 			}
 
 			return {status: res.statusCode, headers: res.headers, body: res.body};
 		} catch (err) {
 			if (options.fresh) {
-				void dispatcher.destroy();
+				void pool.destroy();
 			}
 
-			const cause = err as Error & {code?: string};
-			throw new LinkError(cause, !unsentCodes.has(cause.code ?? ''), `${req.method} ${url}`);
+			throw new LinkError(err as Error, sent, `${req.method} ${url}`);
 		}
 	}
 
@@ -165,6 +175,24 @@
 	return Buffer.concat(parts);
 }
 
+type TrackedOptions = {readonly onStart: () => void};
+
+/** Tells when a request starts to be written; error codes cannot, since an open connection may fail with the same ones. */
+class StartHandler extends DecoratorHandler {
+	constructor(handler: Dispatcher.DispatchHandler, private readonly onStart: () => void) {
+		super(handler);
+	}
+
+	onRequestStart(...args: Parameters<NonNullable<Dispatcher.DispatchHandler['onRequestStart']>>): void {
+		this.onStart();
+		(DecoratorHandler.prototype as Dispatcher.DispatchHandler).onRequestStart?.apply(this, args);
+	}
+}
+
+function trackStart(pool: Agent): Dispatcher {
+	return pool.compose(dispatch => (options, handler) => dispatch(options, new StartHandler(handler, (options as unknown as TrackedOptions).onStart)));
+}
+
 function createPool(): Agent {
 	return new Agent({
 		connections: connectionsPerPeer, pipelining: 1, connect: {timeout: connectTimeoutMs}, keepAliveTimeout: 30_000,
--- a/src/messages/agent-report.ts
+++ b/src/messages/agent-report.ts
@@ -8,6 +8,8 @@
 export const agentReportSchema = z.object({
 	vm: z.string(),
 	incarnation: z.string(),
+	/** The agent's monotonic clock when it wrote the report, in milliseconds. */
+	clockMs: z.number().optional(),
 	/** `draining` agents refuse new work. */
 	state: z.enum(['ready', 'draining']),
 	service: z.string(),
--- a/src/messages/call-frame.ts
+++ b/src/messages/call-frame.ts
@@ -12,6 +12,8 @@
 export const callFrameSchema = z.discriminatedUnion('kind', [
 	/** First frame: the agent forwarded the call. Plain services have no version. */
 	z.object({...common, kind: z.literal('head'), version: z.string().nullable()}),
+	/** The agent still works on the call; sent when there was no other frame for a while. */
+	z.object({...common, kind: z.literal('progress')}),
 	/** Tokens of a stream, in order. */
 	z.object({
 		...common, kind: z.literal('tokens'), version: z.string(), tokens: z.array(z.string()),
@@ -39,6 +41,8 @@
 export type RefusalCode =
 	| 'draining'
 	| 'expired'
+	| 'ticket_expired'
+	| 'wrong_service'
 	| 'cancelled'
 	| 'version_not_served'
 	| 'table_full'
--- a/src/messages/call-request.ts
+++ b/src/messages/call-request.ts
@@ -13,6 +13,12 @@
 	priority: z.enum(['high', 'normal', 'low']),
 	/** Time left for the call, in milliseconds from the moment that the agent reads it. */
 	remainingMs: z.number().int().positive(),
+	/**
+	 * The deadline in the agent's own monotonic clock, derived from its last report.
+	 *
+	 * It holds however long the request was under way, without any agreement on wall-clock time.
+	 */
+	agentDeadline: z.object({incarnation: z.string(), atMs: z.number()}).nullable().default(null),
 	/** The ticket's nonce for a call that may not be repeated. */
 	ticket: z.object({
 		nonce: z.string(),
