--- /dev/null
+++ b/test/call-ledger.test.ts
@@ -0,0 +1,145 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {type Clock, install} from '@sinonjs/fake-timers';
+import {attemptRetentionMs, CallLedger, type CallRecord} from '../src/calls/call-ledger.ts';
+import type {CallRequest} from '../src/messages/call-request.ts';
+import {bookingCall} from './support/call-samples.ts';
+
+const maxRecords = 4;
+const ticketMs = 600_000;
+
+/** What the judge knows of one ticket, without looking into the ledger. */
+type Truth = {runs: number; toldNotRun: boolean; record?: CallRecord};
+
+type Model = {tickets: Map<string, Truth>; clock: Clock; startMs: number};
+
+type LedgerCommand = fc.Command<Model, CallLedger>;
+
+function truthOf(model: Model, nonce: string): Truth {
+	const truth = model.tickets.get(nonce) ?? {runs: 0, toldNotRun: false};
+	model.tickets.set(nonce, truth);
+	return truth;
+}
+
+function ticketOf(model: Model, nonce: string): NonNullable<CallRequest['ticket']> {
+	return {nonce, incarnation: 'i1', expiresAtMs: model.startMs + ticketMs};
+}
+
+function check(model: Model, ledger: CallLedger): void {
+	expect(ledger.size).to.be.at.most(maxRecords);
+	for (const {runs, toldNotRun} of model.tickets.values()) {
+		expect(runs).to.be.at.most(toldNotRun ? 0 : 1);
+	}
+}
+
+/** Creates a command that acts on one ticket and checks the judge's account afterwards. */
+function command(name: string, act: (model: Model, ledger: CallLedger) => void): LedgerCommand {
+	return {
+		check: () => true,
+		run(model, ledger) {
+			act(model, ledger);
+			check(model, ledger);
+		},
+		toString: () => name,
+	};
+}
+
+const tombstoneRefusals = new Set(['cancelled']);
+
+const nonces = fc.constantFrom('n1', 'n2', 'n3', 'n4', 'n5', 'n6');
+
+const commands = [
+	nonces.map(nonce => command(`arrive ${nonce}`, (model, ledger) => {
+		const truth = truthOf(model, nonce);
+		const decision = ledger.accept(bookingCall({attempt: `a-${nonce}`, ticket: ticketOf(model, nonce)}));
+		if (decision.kind === 'run') {
+			truth.record = decision.record;
+		} else if (decision.kind === 'refuse' && tombstoneRefusals.has(decision.code)) {
+			truth.toldNotRun = true;
+		}
+	})),
+	nonces.map(nonce => command(`forward ${nonce}`, (model, ledger) => {
+		const truth = truthOf(model, nonce);
+		if (truth.record && ledger.forward(truth.record)) {
+			truth.runs++;
+		}
+	})),
+	nonces.map(nonce => command(`finish ${nonce}`, (model, ledger) => {
+		const {record} = truthOf(model, nonce);
+		if (record) {
+			ledger.finish(record, {status: 200, body: nonce});
+		}
+	})),
+	nonces.map(nonce => command(`bury ${nonce}`, (model, ledger) => {
+		const truth = truthOf(model, nonce);
+		if (truth.record && ledger.bury(truth.record)) {
+			truth.toldNotRun = true;
+		}
+	})),
+	nonces.map(nonce => command(`cancel ${nonce}`, (model, ledger) => {
+		const truth = truthOf(model, nonce);
+		const answer = ledger.cancel({
+			attempt: `a-${nonce}`, workspace: 'desk', ticket: ticketOf(model, nonce), abortRunning: false,
+		});
+		truth.toldNotRun ||= answer.state === 'not_started';
+		if (answer.state === 'finished') {
+			expect([truth.runs, answer.body]).to.deep.equal([1, nonce]);
+		}
+	})),
+	fc.constantFrom(1000, ticketMs / 2, ticketMs + attemptRetentionMs).map(ms => command(`wait ${ms}`, (model, ledger) => {
+		model.clock.tick(ms);
+		ledger.sweep();
+	})),
+	// An operator or a time service sets the wall clock back.
+	fc.constant(command('clock back', model => {
+		model.clock.setSystemTime(model.startMs);
+	})),
+];
+
+// Guards against a second run and against "not run" for a call that ran, over duplicates, cancels, late originals, expiry and a full table (H3, H4).
+it('a ticket runs at most once, and never after not_started', () => {
+	fc.assert(fc.property(fc.commands(commands, {maxCommands: 40, size: '+1'}), sequence => {
+		const clock = install({now: 1_800_000_000_000});
+		try {
+			fc.modelRun(() => ({
+				model: {tickets: new Map<string, Truth>(), clock, startMs: clock.now},
+				real: new CallLedger({incarnation: 'i1', maxRecords}),
+			}), sequence);
+		} finally {
+			clock.uninstall();
+		}
+	}), {seed: 67, numRuns: 800});
+});
+
+// Guards against a ledger that makes room by forgetting a ticket that can still be repeated.
+it('a full table refuses new tickets until an old one can no longer be repeated', () => {
+	const clock = install({now: 1_800_000_000_000});
+	try {
+		const ledger = new CallLedger({incarnation: 'i1', maxRecords: 1});
+		const ticket = (nonce: string) => ({nonce, incarnation: 'i1', expiresAtMs: Date.now() + ticketMs});
+		const first = bookingCall({ticket: ticket('n1')});
+		const accepted = ledger.accept(first);
+		if (accepted.kind === 'run') {
+			ledger.forward(accepted.record);
+			ledger.finish(accepted.record, {status: 200, body: 1});
+		}
+
+		const second = bookingCall({ticket: ticket('n2')});
+		expect(ledger.accept(second)).to.deep.equal({kind: 'refuse', code: 'table_full'});
+		expect(ledger.accept(first).kind).to.equal('duplicate');
+		clock.tick(ticketMs + attemptRetentionMs + 1);
+		expect(ledger.accept(bookingCall({ticket: ticket('n3')})).kind).to.equal('run');
+		expect(ledger.accept(first)).to.deep.equal({kind: 'refuse', code: 'ticket_expired'});
+	} finally {
+		clock.uninstall();
+	}
+});
+
+// Guards against answering one call with the record of another that used the same ticket.
+it('the same ticket with another body is refused', () => {
+	const ledger = new CallLedger({incarnation: 'i1', maxRecords});
+	const ticket = {nonce: 'n1', incarnation: 'i1', expiresAtMs: Date.now() + ticketMs};
+	ledger.accept(bookingCall({ticket}));
+	const other = bookingCall({ticket, work: {kind: 'operation', operation: 'book', body: {booking: 'b2'}}});
+	expect(ledger.accept(other)).to.deep.equal({kind: 'refuse', code: 'ticket_mismatch'});
+});
--- /dev/null
+++ b/test/decide-outcome.test.ts
@@ -0,0 +1,92 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {type AttemptFacts, decideOutcome, type Step} from '../src/calls/decide-outcome.ts';
+
+const refusals = ['draining',
+	'expired',
+	'cancelled',
+	'wrong_service',
+	'version_not_served',
+	'table_full',
+	'unknown_incarnation',
+	'ticket_expired',
+	'ticket_mismatch',
+	'upstream_unreachable',
+	'overloaded',
+	'code-of-a-later-version'];
+
+/** Refusals of a ticket that leave a tombstone at the home agent, see `CallLedger` and `AgentCallHandler`. */
+const tombstoned = new Set(['draining', 'expired', 'cancelled', 'wrong_service', 'version_not_served', 'upstream_unreachable']);
+
+const facts: fc.Arbitrary<AttemptFacts> = fc.record({
+	end: fc.constantFrom('answered', 'unsent', 'refused', 'failed', 'broken', 'silent', 'expired'),
+	code: fc.constantFrom(undefined, 'upstream_failed', 'outcome_unknown', ...refusals),
+	cancel: fc.constantFrom(undefined, 'not_started', 'running', 'finished', 'no_record', 'unknown'),
+	idempotent: fc.boolean(),
+	hasTicket: fc.boolean(),
+	sentToCaller: fc.boolean(),
+	mayHaveRun: fc.boolean(),
+	timeLeft: fc.boolean(),
+});
+
+/** Returns the step with what happens when it cannot be taken. */
+function allOf(step: Step): Step[] {
+	return 'otherwise' in step ? [step, step.otherwise] : [step];
+}
+
+/** Whether the facts prove that this attempt did not run. */
+function attemptDidNotRun(known: AttemptFacts): boolean {
+	const cancelled = (known.end === 'broken' || known.end === 'silent') && known.cancel === 'not_started';
+	if (known.hasTicket) {
+		return cancelled || (known.end === 'refused' && tombstoned.has(known.code ?? ''));
+	}
+
+	return cancelled || known.end === 'unsent' || known.end === 'refused';
+}
+
+function always(check: (known: AttemptFacts, step: Step) => void, seed: number): void {
+	fc.assert(fc.property(facts, known => {
+		check(known, decideOutcome(known));
+	}), {seed, numRuns: 5000});
+}
+
+// Guards against "not run" for a request that may have run (H3).
+it('not_run is told only when it is proven', () => {
+	always((known, step) => {
+		if (allOf(step).some(item => item.kind === 'tell' && item.outcome === 'not_run')) {
+			expect(attemptDidNotRun(known)).to.equal(true);
+			expect(known.hasTicket || !known.mayHaveRun).to.equal(true);
+		}
+	}, 63);
+});
+
+// Guards against a second run of a call that may not be repeated (H4).
+it('a call that may not be repeated goes nowhere else after it may have run, and one with a ticket never', () => {
+	always((known, step) => {
+		if (step.kind === 'retry' || step.kind === 'resume') {
+			expect(known.hasTicket).to.equal(false);
+			expect(known.idempotent || attemptDidNotRun(known)).to.equal(true);
+			expect(step.mayHaveRun || (attemptDidNotRun(known) && !known.mayHaveRun)).to.equal(true);
+		}
+
+		if (step.kind === 'ask' && step.abortRunning) {
+			expect(known.idempotent && !known.hasTicket).to.equal(true);
+		}
+	}, 64);
+});
+
+// Guards against an error document or a fresh answer behind bytes that already went out (H2).
+it('a started answer is resumed, ended or destroyed', () => {
+	always((known, step) => {
+		const kinds = new Set(allOf(step).map(item => item.kind));
+		expect(known.sentToCaller && (kinds.has('tell') || kinds.has('retry') || kinds.has('answer_from_record'))).to.equal(false);
+		expect(!known.sentToCaller && (kinds.has('resume') || kinds.has('destroy'))).to.equal(false);
+	}, 65);
+});
+
+// Guards against waiting or asking without an end.
+it('after the deadline nothing is asked or waited for', () => {
+	always((known, step) => {
+		expect(!known.timeLeft && (step.kind === 'ask' || step.kind === 'wait')).to.equal(false);
+	}, 66);
+});
--- /dev/null
+++ b/test/frame-checker.test.ts
@@ -0,0 +1,83 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {BrokenAnswerError, FrameChecker} from '../src/calls/frame-checker.ts';
+import type {CallFrame} from '../src/messages/call-frame.ts';
+import {generateCall, wholeAnswer} from './support/call-samples.ts';
+
+const answers = fc.array(fc.array(fc.string({minLength: 1, maxLength: 2}), {minLength: 1, maxLength: 3}), {maxLength: 6});
+
+type Fault = {readonly kind: string; readonly at: number};
+
+/** What a link or a mix-up of connections does; sequence numbers stay as the agent wrote them. */
+const linkFaults = fc.array(fc.record({kind: fc.constantFrom('drop', 'repeat', 'swap', 'foreign', 'version'), at: fc.nat(7)}), {maxLength: 3});
+
+/** What an agent does wrong before it numbers the frames. */
+const agentFaults = fc.option(fc.record({kind: fc.constantFrom('loss', 'second-head', 'version'), at: fc.nat(7)}), {nil: undefined});
+
+function spoil(frames: CallFrame[], {kind, at}: Fault): CallFrame[] {
+	const index = at % Math.max(1, frames.length);
+	const frame = frames[index];
+	if (!frame) {
+		return frames;
+	}
+
+	const handlers: Record<string, () => CallFrame[]> = {
+		drop: () => frames.toSpliced(index, 1),
+		repeat: () => frames.toSpliced(index, 0, frame),
+		swap: () => frames.toSpliced(index, 2, ...frames.slice(index, index + 2).toReversed()),
+		foreign: () => frames.toSpliced(index, 0, {...frame, attempt: 'b'}),
+		version: () => frames.with(index, 'version' in frame ? {...frame, version: 'v2'} : frame),
+		loss: () => renumber(frames.toSpliced(index, 1)),
+		'second-head': () => renumber(frames.toSpliced(index, 0, {
+			attempt: 'a', seq: 0, kind: 'head', version: 'v2',
+		})),
+	};
+	return handlers[kind]?.() ?? frames;
+}
+
+function renumber(frames: CallFrame[]): CallFrame[] {
+	return frames.map((frame, seq) => ({...frame, seq}));
+}
+
+/** Returns the frames that a reader takes for the whole answer, or undefined when it finds the answer broken. */
+function read(frames: readonly CallFrame[]): CallFrame[] | undefined {
+	const checker = new FrameChecker(generateCall);
+	const accepted: CallFrame[] = [];
+	try {
+		for (const frame of frames) {
+			if (checker.accept(frame)) {
+				accepted.push(frame);
+			}
+
+			if (checker.complete) {
+				return accepted;
+			}
+		}
+	} catch (err) {
+		expect(err).to.be.instanceOf(BrokenAnswerError);
+	}
+
+	return undefined;
+}
+
+// Guards against a clean end of an answer with lost, repeated, reordered, foreign or mixed-version tokens (H1, H2).
+it('spoiled frames never end cleanly with another answer', () => {
+	fc.assert(fc.property(answers, agentFaults, linkFaults, (pieces, agentFault, applied) => {
+		let frames = wholeAnswer(pieces);
+		for (const fault of agentFault ? [agentFault, ...applied] : applied) {
+			frames = spoil(frames, fault);
+		}
+
+		const accepted = read(frames);
+		if (accepted) {
+			expect(accepted).to.deep.equal(wholeAnswer(pieces));
+		}
+	}), {seed: 61, numRuns: 5000});
+});
+
+// Guards against a checker that is strict beyond the protocol and breaks correct answers.
+it('a whole answer ends cleanly', () => {
+	fc.assert(fc.property(answers, pieces => {
+		expect(read(wholeAnswer(pieces))).to.deep.equal(wholeAnswer(pieces));
+	}), {seed: 62, numRuns: 300});
+});
--- /dev/null
+++ b/test/support/call-samples.ts
@@ -0,0 +1,37 @@
+/** Calls and frames for tests. */
+import type {CallFrame} from '../../src/messages/call-frame.ts';
+import type {CallRequest} from '../../src/messages/call-request.ts';
+
+/** A request of a generation, with the attempt `a`. */
+export const generateCall: CallRequest = {
+	attempt: 'a', requestId: 'r', workspace: 'desk', service: 'assistant', priority: 'normal', remainingMs: 10_000, agentDeadline: null, ticket: null,
+	work: {
+		kind: 'generate', model: 'm', version: 'v1', adapter: null, prompt: 'p', maxTokens: 100, resumeFrom: 0,
+	},
+};
+
+/**
+ * Returns a request of a booking.
+ *
+ * @param change - what differs from the sample
+ */
+export function bookingCall(change: Partial<CallRequest> = {}): CallRequest {
+	return {
+		...generateCall, service: 'booking', work: {kind: 'operation', operation: 'book', body: {booking: 'b1'}}, ...change,
+	};
+}
+
+/**
+ * Returns the frames of a whole answer to {@link generateCall}.
+ *
+ * @param pieces - the tokens of each frame
+ * @param version - the version
+ */
+export function wholeAnswer(pieces: readonly string[][], version = 'v1'): CallFrame[] {
+	const bodies = [
+		{kind: 'head' as const, version},
+		...pieces.map(tokens => ({kind: 'tokens' as const, version, tokens})),
+		{kind: 'end' as const, tokens: pieces.flat().length},
+	];
+	return bodies.map((body, seq) => ({attempt: 'a', seq, ...body}));
+}
