--- a/src/calls/call-manager.ts
+++ b/src/calls/call-manager.ts
@@ -4,6 +4,7 @@
 import {
 	type HttpHandler, type HttpRoutes, readBody, sendJson,
 } from '../links/http-listener.ts';
+import {type AdmissionManager, ShedError} from '../limits/admission-manager.ts';
 import type {Logger} from '../runtime/logger.ts';
 import {CallerError, messageByCode, sendCallerError} from './caller-error.ts';
 import {
@@ -13,11 +14,15 @@
 import type {OperationAnswer, OperationCall, OperationHandler} from './operation-handler.ts';
 import type {Ticket} from './ticket.ts';
 
+const msPerSecond = 1000;
+
 /** What the manager works with. */
 export type CallManagerOptions = {
 	readonly store: ConfigurationStore;
 	readonly generate: GenerateHandler;
 	readonly operations: OperationHandler;
+	/** Lets calls in or sheds them before anything is forwarded. */
+	readonly admission: AdmissionManager;
 	readonly log: Logger;
 	/** Deadline of a call that names none, in milliseconds. */
 	readonly defaultDeadlineMs: number;
@@ -96,7 +101,7 @@
 			throw new CallerError('bad_request', 'not_run', body.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join('; '));
 		}
 
-		await this.options.generate.run(caller, body.data, res);
+		await this.admit(caller, res, async () => this.options.generate.run(caller, body.data, res));
 	}
 
 	private async operation(req: http.IncomingMessage, res: http.ServerResponse, [routeName, operation]: [string, string]): Promise<void> {
@@ -119,7 +124,28 @@
 			});
 		}
 
-		return operations.run(prepared.caller, prepared.asked, gone.signal);
+		const {caller, asked} = prepared;
+		return this.admit(caller, res, async () => operations.run(caller, asked, gone.signal));
+	}
+
+	private async admit<Result>(caller: CallerRequest, res: http.ServerResponse, work: () => Promise<Result>): Promise<Result> {
+		const {workspace, priority, deadlineAtMs, route: {service}} = caller;
+		try {
+			return await this.options.admission.run({
+				workspace, service, priority, deadlineAtMs,
+			}, res, work);
+		} catch (err) {
+			if (!(err instanceof ShedError)) {
+				throw err;
+			}
+
+			if (!res.headersSent) {
+				res.setHeader('retry-after', Math.ceil(err.retryAfterMs / msPerSecond));
+			}
+
+			// An earlier attempt with the same ticket may have run through another entry.
+			throw new CallerError('overloaded', caller.ticket ? 'unknown' : 'not_run', `service ${service} is overloaded (${err.reason}); repeat later`);
+		}
 	}
 
 	/** Checks a request at the entry; what fails here was not forwarded by this request, but an earlier one with its ticket may have been. */
--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -13,6 +13,7 @@
 import {callsPath} from '../messages/call-request.ts';
 import {callsCancelMethod, callsCancelParamsSchema} from '../messages/calls-cancel.ts';
 import {OrderManager} from '../orders/order-manager.ts';
+import {isQueueFull} from '../limits/is-queue-full.ts';
 import {SelfCheck} from '../orders/self-check.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {ChunkStore} from '../rollout/chunk-store.ts';
@@ -68,6 +69,7 @@
 			beforeForward() {
 				wake.check();
 			},
+			isOverloaded: running => isQueueFull(running, this.report().capacity),
 		});
 		this.control = new HttpListener(this.createRoutes(), log);
 	}
