Build a single executable and run it as a smoke test

The bundle leaves out bunyan's optional packages: in the executable each look for one printed a warning on standard error. The hidden command standin serves stand-ins, so that the smoke test needs no second program.

--- a/build/bundle.mjs
+++ b/build/bundle.mjs
@@ -1,6 +1,21 @@
 /** Bundles the command line into one CommonJS file that Node.js or the single executable runs. */
+import {readFile} from 'node:fs/promises';
 import {build} from 'esbuild';
 
+/**
+ * Leaves out the optional packages that bunyan looks for at run time (tracing, file rotation, source maps).
+ * None of them is installed, and in the single executable each look would print a warning.
+ */
+const withoutOptionalPackages = {
+	name: 'without-optional-packages',
+	setup(plugin) {
+		plugin.onLoad({filter: /bunyan\/lib\/bunyan\.js$/}, async ({path}) => {
+			const text = await readFile(path, 'utf8');
+			return {contents: text.replaceAll(/require\('(dtrace-provider|mv|source-map-support)' \+ ''\)/g, 'null')};
+		});
+	},
+};
+
 await build({
 	entryPoints: ['src/cli/main.ts'],
 	outfile: 'dist/cactusreach.cjs',
@@ -8,7 +23,6 @@
 	platform: 'node',
 	target: 'node20',
 	format: 'cjs',
-	// Optional tracing of bunyan, a native package that is not needed.
-	external: ['dtrace-provider', 'mv', 'source-map-support'],
+	plugins: [withoutOptionalPackages],
 	logLevel: 'warning',
 });
--- /dev/null
+++ b/build/smoke.mjs
@@ -0,0 +1,158 @@
+/** Runs the built executable: version, help, the examples' check, and one call from entry to engine and back. */
+import {execFileSync, spawn} from 'node:child_process';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {Buffer} from 'node:buffer';
+import net from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import {setTimeout as sleep} from 'node:timers/promises';
+
+const root = path.join(import.meta.dirname, '..');
+const executable = path.join(root, 'dist/cactusreach');
+const folder = mkdtempSync(path.join(tmpdir(), 'cactusreach-smoke-'));
+const children = [];
+/** What the processes log; printed when a step fails. */
+const log = [];
+
+/** Bounds every wait against hanging, in milliseconds. */
+const waitLimitMs = 60_000;
+
+try {
+	expectText('--version', run('--version'), 'cactusreach/');
+	expectText('--help', run('--help'), 'agent');
+	const examples = ['entry.ini', 'agent-engine.ini', 'agent-plain.ini', 'configuration.json'];
+	expectText('check', run('check', ...examples.map(name => path.join('examples', name))), ' 0 findings');
+	await callThroughBinary();
+} catch (err) {
+	console.error(Buffer.concat(log).toString('utf8'));
+	throw err;
+} finally {
+	await Promise.all(children.map(async child => end(child)));
+	rmSync(folder, {recursive: true});
+}
+
+async function callThroughBinary() {
+	const [platform, engine, control, entryControl, callers] = await freeAddresses(5);
+	start('standin', `platform=${platform}`, `engine=${engine}`);
+	await waitFor('the stand-ins', async () => {
+		const res = await fetch(`http://${platform}/v1/vms`);
+		return res.ok;
+	});
+	const place = {zone: 'zone-a', region: 'region-a'};
+	await post(platform, '/admin/vms', [
+		{
+			vm: 'engine-1', role: 'upstream', state: 'live', address: control, services: ['assistant'], ...place,
+		},
+		{
+			vm: 'entry-1', role: 'entry', state: 'live', address: entryControl, services: [], ...place,
+		},
+	]);
+	const {manifest} = await post(platform, '/admin/weights', {
+		model: 'assistant', version: 'v1', seed: 'smoke', bytes: 100_000, chunkBytes: 16_384,
+	});
+	await post(platform, '/admin/publish', {
+		'/services/assistant': {kind: 'engine'},
+		'/models/assistant': {serve: 'v1', versions: {v1: {manifest}}},
+		'/teams/desk/routes/ask': {service: 'assistant', model: 'assistant'},
+	});
+	const url = `http://${platform}`;
+	const platformSection = `[platform]\nconfiguration = ${url}\nvms = ${url}\norigin = ${url}\n`;
+	start('agent', '--settings', settingsFile('engine-1', `${platformSection}[listen]\ncontrol = ${control}\n[upstream]\nkind = engine\nservice = assistant\naddress = http://${engine}\nchecks_fence = true\n`));
+	start('entry', '--settings', settingsFile('entry-1', `${platformSection}[listen]\ncallers = ${callers}\ncontrol = ${entryControl}\n`));
+	await waitFor('a whole answer of v1', async () => {
+		const res = await fetch(`http://${callers}/v1/generate/ask`, {
+			method: 'POST', headers: {'x-workspace': 'desk'}, body: '{"prompt": "wheel is loose", "max_tokens": 5}',
+		});
+		const text = await res.text();
+		return text.endsWith('{"done":true,"tokens":5,"version":"v1"}\n');
+	});
+	console.log('smoke: entry and agent from the executable served a call');
+}
+
+function settingsFile(vm, text) {
+	const file = path.join(folder, `${vm}.ini`);
+	writeFileSync(file, `[process]\nvm = ${vm}\nzone = zone-a\nregion = region-a\n${text}`);
+	return file;
+}
+
+function run(...args) {
+	return execFileSync(executable, args, {cwd: root, encoding: 'utf8'});
+}
+
+function expectText(name, text, part) {
+	if (!text.includes(part)) {
+		throw new Error(`${name} printed ${JSON.stringify(text)}, without ${JSON.stringify(part)}`);
+	}
+
+	console.log(`smoke: ${name} passes`);
+}
+
+function start(...args) {
+	const child = spawn(executable, args, {cwd: root, stdio: ['ignore', 'ignore', 'pipe']});
+	child.stderr.on('data', part => {
+		log.push(part);
+	});
+	children.push(child);
+}
+
+async function end(child) {
+	if (child.exitCode === null && child.signalCode === null) {
+		await new Promise(resolve => {
+			child.once('exit', resolve);
+			child.kill('SIGKILL');
+		});
+	}
+}
+
+async function waitFor(what, condition) {
+	const endMs = performance.now() + waitLimitMs;
+	while (performance.now() < endMs) {
+		try {
+			if (await condition()) {
+				return;
+			}
+		} catch {
+			// The process does not listen yet.
+		}
+
+		if (children.some(child => child.exitCode !== null)) {
+			throw new Error(`a process ended while waiting for ${what}`);
+		}
+
+		await sleep(50);
+	}
+
+	throw new Error(`did not happen: ${what}`);
+}
+
+async function post(address, resource, body) {
+	const res = await fetch(`http://${address}${resource}`, {method: 'POST', body: JSON.stringify(body)});
+	return res.json();
+}
+
+/** Finds ports below the range from which the kernel takes the ports of outgoing connections. */
+async function freeAddresses(count) {
+	const addresses = [];
+	while (addresses.length < count) {
+		const port = 20_000 + Math.floor(Math.random() * 12_000);
+		if (!addresses.includes(`127.0.0.1:${port}`) && await isFree(port)) {
+			addresses.push(`127.0.0.1:${port}`);
+		}
+	}
+
+	return addresses;
+}
+
+async function isFree(port) {
+	return new Promise(resolve => {
+		const server = net.createServer();
+		server.once('error', () => {
+			resolve(false);
+		});
+		server.listen(port, '127.0.0.1', () => {
+			server.close(() => {
+				resolve(true);
+			});
+		});
+	});
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -6,10 +6,14 @@
 import {checkCommand} from './check-command.ts';
 import {dumpCommand} from './dump-command.ts';
 import {runAgentCommand, runEntryCommand} from './role-commands.ts';
+import {standinCommand, type StandinOptions} from './standin-command.ts';
 
 /** The version that `--version` prints. */
 const programVersion = '0.1.0';
 
+/** Marks commands that the general help leaves out. */
+const hiddenCommandNote = 'Serve stand-ins, for development';
+
 /** Exit codes of all commands. */
 export const exitCodes = {fine: 0, findings: 1, usage: 2} as const;
 
@@ -29,7 +33,18 @@
 cli.command('dump <address>', 'Print the state of a running process as JSON')
 	.action(async (address: string) => dumpCommand(address));
 
-cli.help();
+cli.command('standin <...parts>', hiddenCommandNote)
+	.option('--token-ms <ms>', 'Time between two tokens of an engine')
+	.option('--capacity <calls>', 'Calls that an engine runs at once')
+	.option('--state-lag-ms <ms>', 'Age of an engine\'s reported state')
+	.option('--run-ms <ms>', 'Time that one run of a plain service takes')
+	.option('--origin-bytes-per-second <bytes>', 'Rate of the origin')
+	.action(async (parts: string[], options: StandinOptions) => standinCommand(parts, options));
+
+// The general help lists what operators use; the stand-ins are for development only.
+cli.help(sections => sections.map(section => ({
+	...section, body: section.body.split('\n').filter(line => !line.includes(hiddenCommandNote) && !/^ +\$ cactusreach standin --help/.test(line)).join('\n'),
+})));
 cli.version(programVersion);
 
 // The single executable runs CommonJS, which has no top-level await.
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -1,6 +1,8 @@
 /** Stand-in for the platform: configuration service, VM list, and origin of weights, on one listener. */
+import {createCipheriv, createHash} from 'node:crypto';
+import {Buffer} from 'node:buffer';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {createDigest, type Digest} from '../src/ids/digest.ts';
+import {createDigest, digestOf, type Digest} from '../src/ids/digest.ts';
 import {
 	type HttpHandler, HttpListener, type ListenAddress, readBody, sendJson,
 } from '../src/links/http-listener.ts';
@@ -30,6 +32,9 @@
 	readonly maxReads: number;
 };
 
+/** What `POST /admin/weights` is asked for: the weights are generated here, so that they need not be sent. */
+type WeightsRequest = {model: string; version: string; seed: string; bytes: number; chunkBytes: number};
+
 /** An origin without limits that matter to tests. */
 export const unlimitedOrigin: OriginOptions = {bytesPerSecond: 0, maxReads: 64};
 
@@ -68,6 +73,14 @@
 				this.publish(JSON.parse(await readBody(req)) as Record<string, unknown>);
 				sendJson(res, 200, {revision: this.revision});
 			},
+			'POST /admin/weights': async (req, res) => {
+				const {model, version, seed, bytes, chunkBytes} = JSON.parse(await readBody(req)) as WeightsRequest;
+				const weights = generateWeights(seed, bytes);
+				sendJson(res, 200, {manifest: this.addWeights(model, version, weights, chunkBytes), weights: digestOf(weights)});
+			},
+			'GET /admin/statistics': (req, res) => {
+				sendJson(res, 200, {revision: this.revision, originBytes: this.originBytes, configurationCalls: this.configurationCalls});
+			},
 			'POST /admin/vms': async (req, res) => {
 				this.setVms(JSON.parse(await readBody(req)) as ListedVm[]);
 				sendJson(res, 200, {});
@@ -261,3 +274,9 @@
 		await sleep(this.originFreeAtMs - nowMs);
 	}
 }
+
+/** Generates the same bytes for the same seed; they do not repeat, so that no two chunks are equal. */
+function generateWeights(seed: string, bytes: number): Uint8Array {
+	const key = createHash('sha256').update(seed).digest();
+	return createCipheriv('aes-256-ctr', key, Buffer.alloc(16)).update(Buffer.alloc(bytes));
+}
