Show a rollout with live calls in one command

cactusreach demo starts the stand-ins, three entries and twelve agents as child processes on loopback, publishes v1, rolls out v2 under generations, lookups and bookings, kills an agent and replaces it. Every answer is checked: tokens against version, prompt and position, bookings against the services' ledgers.

--- /dev/null
+++ b/src/cli/demo-command.ts
@@ -0,0 +1,176 @@
+/** `cactusreach demo`: a rollout with live calls and a killed agent on loopback, checked answer by answer. */
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {DemoCallers} from '../demo/demo-callers.ts';
+import {
+	type DemoVm, DemoFleet, demoRegions, enginesPerZone,
+} from '../demo/demo-fleet.ts';
+import {DemoProcesses} from '../demo/demo-processes.ts';
+import {readProgress} from '../demo/demo-progress.ts';
+import {type DemoResult, summarize} from '../demo/demo-summary.ts';
+import {PeerClient} from '../links/peer-client.ts';
+import {RandomSource, randomSeed} from '../runtime/random-source.ts';
+
+/** Size of the demo's weights, in bytes. */
+const weightsBytes = 4_000_000;
+
+/** Size of one chunk, in bytes. */
+const chunkBytes = 62_500;
+
+/** How long calls run before and after the rollout, in milliseconds. */
+const steadyMs = 1500;
+
+/** When the agent is killed after the rollout began, in milliseconds. */
+const killAfterMs = 300;
+
+/** How long the platform takes to replace a lost VM, in milliseconds. */
+const replaceAfterMs = 700;
+
+/** Time between two progress lines of a zone, in milliseconds. */
+const progressIntervalMs = 400;
+
+/**
+ * Runs the demo.
+ *
+ * @returns the exit code: 1 when an idempotent call was lost or answered wrongly, when a booking ran twice, or on an interrupt
+ */
+export async function demoCommand(): Promise<number> {
+	const interrupt = new AbortController();
+	for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+		process.on(signal, () => {
+			interrupt.abort(new Error('interrupted'));
+		});
+	}
+
+	const processes = new DemoProcesses(new RandomSource(randomSeed()));
+	const links = new PeerClient();
+	const fleet = new DemoFleet({processes, links, signal: interrupt.signal});
+	const demo = new Demo(fleet, interrupt.signal);
+	try {
+		return summarize(await demo.run());
+	} catch (err) {
+		console.error(`demo failed: ${(err as Error).message}`);
+		return 1;
+	} finally {
+		await demo.stopCallers();
+		await processes.endAll();
+		await links.close();
+		fleet.removeFiles();
+		demo.say(`all processes ended, ${processes.runningCount} left`);
+	}
+}
+
+/** The steps of the demo. */
+class Demo {
+	private readonly startedAtMs = performance.now();
+	private readonly weightsByVersion = new Map<string, string>();
+	private readonly callers = new DemoCallers(this.weightsByVersion);
+	private readonly versions: Record<string, {manifest: string}> = {};
+
+	constructor(private readonly fleet: DemoFleet, private readonly signal: AbortSignal) {}
+
+	async run(): Promise<DemoResult> {
+		const {fleet} = this;
+		const replicas = demoRegions.length * enginesPerZone;
+		this.say(`starting ${demoRegions.length} regions on 127.0.0.1, each with 1 entry, ${enginesPerZone} agents beside engines and 1 agent beside a booking service`);
+		await fleet.start();
+		await this.publishVersion('v1');
+		await fleet.waitFor('all entries are ready', async () => {
+			const states = await Promise.all(fleet.entries.map(async vm => fleet.getJson(vm.address, '/readyz')));
+			return states.length === demoRegions.length;
+		});
+		const firstMs = await this.followRollout('v1');
+		this.say(`v1 is served by ${replicas} replicas; callers start`);
+		for (const {callers = ''} of fleet.entries) {
+			this.callers.start(callers);
+		}
+
+		await this.pause(steadyMs);
+		const before = await fleet.platformStatistics();
+		await this.publishVersion('v2', 'v1');
+		const [rolloutMs] = await Promise.all([this.followRollout('v2'), this.loseAgent()]);
+		this.say(`v2 is served by ${replicas} replicas`);
+		await this.pause(steadyMs);
+		await this.callers.stop();
+		const after = await fleet.platformStatistics();
+		return {
+			counts: this.callers.counts,
+			runsByBooking: await this.readRuns(),
+			replicas,
+			firstMs,
+			rolloutMs,
+			originCopies: (after.originBytes - before.originBytes) / weightsBytes,
+		};
+	}
+
+	async stopCallers(): Promise<void> {
+		await this.callers.stop();
+	}
+
+	say(text: string): void {
+		const seconds = ((performance.now() - this.startedAtMs) / 1000).toFixed(1).padStart(5);
+		console.log(`${seconds} s  ${text}`);
+	}
+
+	private async publishVersion(version: string, previous?: string): Promise<void> {
+		const {manifest, weights} = await this.fleet.addWeights(version, weightsBytes, chunkBytes);
+		this.weightsByVersion.set(version, weights);
+		this.versions[version] = {manifest};
+		await this.fleet.publish({
+			'/services/assistant': {kind: 'engine'},
+			'/services/booking': {kind: 'plain', operations: {book: {repeatable: false}, status: {repeatable: true}}},
+			'/models/assistant': {serve: version, ...(previous ? {previous} : {}), versions: this.versions},
+			'/teams/counter/routes/ask': {service: 'assistant', model: 'assistant'},
+			'/teams/counter/routes/booking': {service: 'booking'},
+		});
+		this.say(`published ${version}: ${weightsBytes / 1_000_000} MB in ${weightsBytes / chunkBytes} chunks`);
+	}
+
+	/** Prints a line per zone when it changes, until all replicas serve the version; returns the time in milliseconds. */
+	private async followRollout(version: string): Promise<number> {
+		const startMs = performance.now();
+		const printed = new Map<string, string>();
+		let printAtMs = 0;
+		await this.fleet.waitFor(`all replicas serve ${version}`, async () => {
+			const zones = await readProgress(this.fleet, version);
+			const isDone = zones.every(zone => zone.serving === enginesPerZone);
+			if (isDone || performance.now() >= printAtMs) {
+				printAtMs = performance.now() + progressIntervalMs;
+				for (const {zone, serving, agents, heldChunks} of zones) {
+					const text = `${version} in ${zone}: served by ${serving} of ${agents}, ${heldChunks} of ${agents * weightsBytes / chunkBytes} chunks`;
+					if (printed.get(zone) !== text) {
+						printed.set(zone, text);
+						this.say(text);
+					}
+				}
+			}
+
+			return isDone;
+		});
+		return performance.now() - startMs;
+	}
+
+	private async loseAgent(): Promise<void> {
+		await this.pause(killAfterMs);
+		const lost = this.fleet.engineAgents.find(vm => vm.region === 'oost')!;
+		await this.fleet.kill(lost);
+		this.say(`killed agent ${lost.vm} (pid ${lost.process.child.pid})`);
+		await this.pause(replaceAfterMs);
+		const vm = await this.fleet.replace(lost);
+		this.say(`replaced ${lost.vm} by ${vm.vm} (pid ${vm.process.child.pid})`);
+	}
+
+	private async readRuns(): Promise<Map<string, number>> {
+		const ledgers = await Promise.all(this.fleet.plainServices.map(async address => this.fleet.getJson(address, '/v1/ledger') as Promise<Record<string, number>>));
+		const runs = new Map<string, number>();
+		for (const [booking, count] of ledgers.flatMap(ledger => Object.entries(ledger))) {
+			runs.set(booking, (runs.get(booking) ?? 0) + count);
+		}
+
+		return runs;
+	}
+
+	private async pause(ms: number): Promise<void> {
+		await sleep(ms, undefined, {signal: this.signal});
+	}
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -4,6 +4,7 @@
 import {prepareRendezvous} from '../runtime/rendezvous.ts';
 import {InvalidSettingsError} from '../settings/parse-settings.ts';
 import {checkCommand} from './check-command.ts';
+import {demoCommand} from './demo-command.ts';
 import {dumpCommand} from './dump-command.ts';
 import {runAgentCommand, runEntryCommand} from './role-commands.ts';
 import {standinCommand, type StandinOptions} from './standin-command.ts';
@@ -33,6 +34,9 @@
 cli.command('dump <address>', 'Print the state of a running process as JSON')
 	.action(async (address: string) => dumpCommand(address));
 
+cli.command('demo', 'Run a rollout with live calls on loopback and check every answer')
+	.action(async () => demoCommand());
+
 cli.command('standin <...parts>', hiddenCommandNote)
 	.option('--token-ms <ms>', 'Time between two tokens of an engine')
 	.option('--capacity <calls>', 'Calls that an engine runs at once')
--- a/standins/plain-service.ts
+++ b/standins/plain-service.ts
@@ -23,7 +23,13 @@
 	constructor(private readonly options: PlainServiceOptions) {
 		this.listener = new HttpListener({
 			'POST /v1/operations/*': async (req, res, [operation]) => {
-				const body = JSON.parse(await readBody(req)) as {booking?: string} | null;
+				const body = JSON.parse(await readBody(req)) as {booking?: string; query?: string} | null;
+				if (body?.query !== undefined) {
+					await sleep(this.options.runMs);
+					sendJson(res, 200, {operation, query: body.query});
+					return;
+				}
+
 				const booking = body?.booking ?? 'none';
 				const run = (this.ledger.get(booking) ?? 0) + 1;
 				this.ledger.set(booking, run);
