Transfer weights between agents without a coordinator

Every agent read every chunk from the origin, one after the other, so origin bytes grew with the fleet. Agents now plan from the notices of a bounded set of neighbours: four importers per region bring chunks in, everyone else pulls from peers of the region, rarest first.

--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -5,17 +5,18 @@
 import {EngineUpstream} from '../calls/engine-upstream.ts';
 import {PlainUpstream} from '../calls/plain-upstream.ts';
 import type {Upstream} from '../calls/upstream.ts';
-import {isDigest} from '../ids/digest.ts';
-import {
-	formatAddress, type HttpHandler, HttpListener, sendJson,
-} from '../links/http-listener.ts';
+import {formatAddress, type HttpHandler, HttpListener} from '../links/http-listener.ts';
 import {type AgentReport, agentReportMethod} from '../messages/agent-report.ts';
 import {callsPath} from '../messages/call-request.ts';
 import {callsCancelMethod, callsCancelParamsSchema} from '../messages/calls-cancel.ts';
+import {rolloutHaveMethod, rolloutHaveParamsSchema} from '../messages/rollout-have.ts';
 import {OrderManager} from '../orders/order-manager.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {ChunkStore} from '../rollout/chunk-store.ts';
 import {RolloutManager} from '../rollout/rollout-manager.ts';
+import {TransferNode} from '../rollout/transfer-node.ts';
+import {defaultNoticeBytesPerSecond, type TransferOptions} from '../rollout/transfer-options.ts';
+import {TransferPacer} from '../rollout/transfer-pacer.ts';
 import type {AgentSettings} from '../settings/settings-schema.ts';
 import {BaseProcess, type RunningProcess} from './base-process.ts';
 
@@ -51,6 +52,9 @@
 	constructor(private readonly settings: AgentSettings) {
 		this.base = new BaseProcess(settings);
 		const {log, identity, wake} = this.base;
+		wake.onWake(() => {
+			this.rollout?.node.wake();
+		});
 		this.ledger = new CallLedger({incarnation: identity.incarnation, maxRecords: settings.limits.call_records});
 		if (settings.upstream.kind === 'engine') {
 			this.orders = this.createOrders();
@@ -116,12 +120,32 @@
 	}
 
 	private createRollout(orders: OrderManager): RolloutManager {
-		const {store, links, random, log} = this.base;
+		const {store, random, log} = this.base;
 		return new RolloutManager({
-			store, links, random, log, orders, chunks: this.chunks, originUrl: this.settings.platform.origin,
+			store, random, log, orders, createNode: onHeld => new TransferNode(this.transferOptions(), onHeld),
 		});
 	}
 
+	private transferOptions(): TransferOptions {
+		const {store, links, random, log, membership} = this.base;
+		const {process, transfer, platform, upstream} = this.settings;
+		const linkRate = () => transfer.link_bytes_per_second * store.transferLimits().link_share;
+		return {
+			self: {vm: process.vm, region: process.region},
+			peers: () => membership.upstreamsOf(upstream.service),
+			links,
+			chunks: this.chunks,
+			upPacer: new TransferPacer(linkRate),
+			downPacer: new TransferPacer(linkRate),
+			originUrl: platform.origin,
+			random,
+			log,
+			limits: () => store.transferLimits(),
+			memoryBytes: transfer.memory_bytes,
+			noticeBytesPerSecond: defaultNoticeBytesPerSecond,
+		};
+	}
+
 	private createUpstream(): Upstream {
 		const {links} = this.base;
 		const baseUrl = this.settings.upstream.address;
@@ -139,6 +163,11 @@
 		const {rpc, metrics} = this.base;
 		rpc.method(agentReportMethod, z.unknown(), () => this.report());
 		rpc.method(callsCancelMethod, callsCancelParamsSchema, params => this.ledger.cancel(params));
+		const {rollout} = this;
+		if (rollout) {
+			rpc.method(rolloutHaveMethod, rolloutHaveParamsSchema, params => rollout.node.have(params));
+		}
+
 		metrics.gauge('cactusreach_running_calls', 'Calls that run at the upstream.', () => this.calls.runningCalls);
 		metrics.gauge('cactusreach_call_records', 'Call records kept.', () => this.ledger.size);
 		metrics.gauge('cactusreach_chunk_bytes', 'Weights held in memory.', () => this.chunks.bytes);
@@ -147,16 +176,7 @@
 				rpc, metrics, dump: () => this.dump(), isReady: () => !this.isLeaving() && this.base.store.revision > 0,
 			}),
 			[`POST ${callsPath}`]: async (req, res) => this.calls.handle(req, res),
-			'GET /chunks/*': (req, res, [digest]) => {
-				const bytes = isDigest(digest) ? this.chunks.get(digest) : undefined;
-				if (!bytes) {
-					sendJson(res, 404, {error: {code: 'not_held', message: `chunk ${digest} is not held here`}});
-					return;
-				}
-
-				res.writeHead(200, {'content-type': 'application/octet-stream', 'content-length': bytes.length});
-				res.end(bytes);
-			},
+			...(this.rollout ? {'GET /chunks/*': this.rollout.node.serveChunk} : {}),
 		};
 	}
 
@@ -185,6 +205,7 @@
 			calls: {running: this.calls.runningCalls, records: this.ledger.size},
 			chunks: {count: this.chunks.count, bytes: this.chunks.bytes},
 			rollout: this.rollout?.progress ?? [],
+			rolloutFindings: this.rollout?.findings ?? [],
 			engine: this.orders?.engineState ?? null,
 			draining: this.draining,
 		};
--- /dev/null
+++ b/src/rollout/chunk-fetcher.ts
@@ -0,0 +1,194 @@
+/** Runs the downloads of one version and reacts to failing sources. */
+import type {Digest} from '../ids/digest.ts';
+import {downloadChunk, SourceBusyError} from './chunk-download.ts';
+import {CorruptChunkError} from './chunk-store.ts';
+import type {Neighbourhood} from './neighbourhood.ts';
+import {type OpenTransfer, originSource, type PlannedTransfer} from './plan-transfers.ts';
+import type {TransferOptions} from './transfer-options.ts';
+
+/** The first pause after a failure, as a share of the progress deadline. */
+const firstPauseShare = 0.1;
+
+/** The longest pause after failures in a row of the same source, in milliseconds. */
+const maxPauseMs = 10_000;
+
+/** Failures in a row after which the pause no longer doubles. */
+const maxDoublings = 6;
+
+/** What the fetcher needs. */
+export type ChunkFetcherOptions = {
+	readonly node: TransferOptions;
+	readonly manifest: Digest;
+	readonly neighbourhood: Neighbourhood;
+	/** Returns the digest of a chunk. */
+	readonly digestAt: (chunk: number) => Digest;
+	/** Takes a chunk whose bytes were verified and stored. */
+	readonly onChunk: (digest: Digest) => void;
+	/** Is called when a download has ended, whether it worked or not. */
+	readonly onEnd: () => void;
+};
+
+type OpenDownload = OpenTransfer & {receivedBytes: number; readonly controller: AbortController};
+
+/** Downloads chunks. */
+export class ChunkFetcher {
+	/** Bytes that were read from the origin. */
+	originBytes = 0;
+	/** Bytes that were read from outside of the region. */
+	importedBytes = 0;
+	/** The origin is not asked before this time, in milliseconds. */
+	originNotBeforeMs = 0;
+	private originFailures = 0;
+	private stopped = false;
+	private readonly downloads = new Map<number, OpenDownload>();
+
+	/** @param options - what the fetcher needs */
+	constructor(private readonly options: ChunkFetcherOptions) {}
+
+	/** Downloads in progress. */
+	get open(): OpenTransfer[] {
+		return [...this.downloads.values()];
+	}
+
+	/** Chunks that are read from outside of the region now. */
+	get importing(): number[] {
+		return this.open.filter(({source}) => this.isOutside(source)).map(({chunk}) => chunk);
+	}
+
+	/**
+	 * Starts a download.
+	 *
+	 * @param planned - what to fetch from where
+	 */
+	fetch(planned: PlannedTransfer): void {
+		const url = this.urlOf(planned);
+		if (url !== undefined && !this.stopped) {
+			void this.run(planned, url);
+		}
+	}
+
+	/** Aborts all downloads. */
+	stop(): void {
+		this.stopped = true;
+		for (const {controller} of this.downloads.values()) {
+			controller.abort();
+		}
+
+		this.downloads.clear();
+	}
+
+	private async run({chunk, source}: PlannedTransfer, url: string): Promise<void> {
+		const {node, neighbourhood, digestAt, onChunk, onEnd} = this.options;
+		const controller = new AbortController();
+		const open: OpenDownload = {
+			chunk, source, startedAtMs: performance.now(), receivedBytes: 0, controller,
+		};
+		const digest = digestAt(chunk);
+		this.downloads.set(chunk, open);
+		if (this.isOutside(source)) {
+			neighbourhood.announce();
+		}
+
+		try {
+			const bytes = await downloadChunk({
+				links: node.links,
+				url,
+				pacer: node.downPacer,
+				stallMs: node.limits().chunk_timeout_ms,
+				fresh: neighbourhood.isSilent(source),
+				controller,
+				onBytes: count => {
+					this.countBytes(open, count);
+				},
+			});
+			if (!this.stopped) {
+				node.chunks.put(digest, bytes);
+				this.noteSuccess(source);
+				this.downloads.delete(chunk);
+				onChunk(digest);
+			}
+		} catch (err) {
+			if (!this.stopped) {
+				this.noteFailure(source, err);
+			}
+		} finally {
+			if (this.downloads.get(chunk) === open) {
+				this.downloads.delete(chunk);
+			}
+
+			onEnd();
+		}
+	}
+
+	private isOutside(source: string): boolean {
+		return source === originSource || this.options.neighbourhood.peer(source)?.region !== this.options.node.self.region;
+	}
+
+	private urlOf({chunk, source, lastResort}: PlannedTransfer): string | undefined {
+		const {node, manifest, neighbourhood, digestAt} = this.options;
+		if (source === originSource) {
+			return `${node.originUrl}/v1/chunks/${digestAt(chunk)}`;
+		}
+
+		const address = neighbourhood.peer(source)?.address;
+		return address && `http://${address}/chunks/${digestAt(chunk)}?manifest=${manifest}${lastResort ? '&last_resort=1' : ''}`;
+	}
+
+	private countBytes(open: OpenDownload, count: number): void {
+		open.receivedBytes += count;
+		if (open.source === originSource) {
+			this.originBytes += count;
+		}
+
+		if (this.isOutside(open.source)) {
+			this.importedBytes += count;
+		}
+	}
+
+	private noteSuccess(source: string): void {
+		this.options.neighbourhood.noteContact(source, false);
+		if (source === originSource) {
+			this.originFailures = 0;
+		}
+	}
+
+	private noteFailure(source: string, err: unknown): void {
+		const {node, neighbourhood} = this.options;
+		if (err instanceof SourceBusyError) {
+			this.noteRefusal(source, err);
+			return;
+		}
+
+		node.log.warn({event: 'chunk_failed', source, err}, 'chunk failed; it is fetched again');
+		if (err instanceof CorruptChunkError && source !== originSource) {
+			neighbourhood.peers.shun(source);
+			return;
+		}
+
+		neighbourhood.noteContact(source, true);
+		const failures = source === originSource ? ++this.originFailures : neighbourhood.peers.fail(source);
+		const pauseMs = node.limits().chunk_timeout_ms * firstPauseShare * (2 ** Math.min(failures, maxDoublings));
+		this.pause(source, node.random.jitter(Math.min(maxPauseMs, pauseMs)));
+	}
+
+	private noteRefusal(source: string, err: SourceBusyError): void {
+		const {random} = this.options.node;
+		if (err.code === 'over_budget') {
+			this.options.neighbourhood.peers.markOverBudget(source);
+		} else if (source === originSource) {
+			// The origin names the shortest wait; the jitter spreads the readers beyond it.
+			this.pause(source, err.retryAfterMs + random.below(Math.ceil(err.retryAfterMs / 2) + 1));
+		} else {
+			this.pause(source, random.jitter(err.retryAfterMs));
+		}
+	}
+
+	private pause(source: string, forMs: number): void {
+		const untilMs = performance.now() + forMs;
+		if (source === originSource) {
+			this.originNotBeforeMs = untilMs;
+		} else {
+			this.options.neighbourhood.peers.pause(source, untilMs);
+		}
+	}
+}
--- /dev/null
+++ b/src/rollout/chunk-owners.ts
@@ -0,0 +1,62 @@
+/** Who brings a chunk into a region, in which order, without talking. */
+import {rankMembers} from '../runtime/rendezvous.ts';
+
+/**
+ * How many VMs of a region read from outside of it.
+ *
+ * With every VM as an owner the origin's link is split over all of them, and the first chunk arrives after a quarter of the rollout.
+ */
+export const importersPerRegion = 4;
+
+/** A VM and its region. */
+export type PlacedVm = {readonly vm: string; readonly region: string};
+
+/** The order in which VMs bring the chunks of one manifest in. */
+export type ChunkOwners = {
+	/** VMs that read from outside of their region, over all regions. */
+	readonly importers: ReadonlySet<string>;
+	/** The VMs of one's own region that come before oneself for a chunk. */
+	readonly beforeInRegion: (chunk: string) => readonly string[];
+	/** The VMs of all regions that come before oneself for a chunk. */
+	readonly beforeInAll: (chunk: string) => readonly string[];
+};
+
+/**
+ * Ranks the owners of a manifest's chunks.
+ *
+ * @param manifest - the manifest's digest
+ * @param self - the VM that asks
+ * @param vms - all VMs of the group, with or without `self`
+ */
+export function rankOwners(manifest: string, self: PlacedVm, vms: readonly PlacedVm[]): ChunkOwners {
+	const group = [...vms.filter(({vm}) => vm !== self.vm), self];
+	const regions = new Set(group.map(({region}) => region));
+	const importersOf = new Map([...regions].map(region => {
+		const local = group.filter(item => item.region === region).map(({vm}) => vm);
+		return [region, rankMembers(manifest, local).slice(0, importersPerRegion)] as const;
+	}));
+	const localImporters = importersOf.get(self.region)!;
+	const allImporters = [...importersOf.values()].flat();
+	const local = group.filter(item => item.region === self.region).map(({vm}) => vm);
+	const rest = local.filter(vm => !localImporters.includes(vm));
+	const before = (chunk: string, importers: readonly string[]) => {
+		const ranked = rankMembers(chunk, importers);
+		const order = importers.includes(self.vm) ? ranked : [...ranked, ...rankMembers(chunk, rest)];
+		return order.slice(0, order.indexOf(self.vm));
+	};
+
+	return {
+		importers: new Set(allImporters),
+		beforeInRegion: memoize(chunk => before(chunk, localImporters)),
+		beforeInAll: memoize(chunk => before(chunk, allImporters)),
+	};
+}
+
+function memoize(compute: (chunk: string) => readonly string[]): (chunk: string) => readonly string[] {
+	const known = new Map<string, readonly string[]>();
+	return chunk => {
+		const found = known.get(chunk) ?? compute(chunk);
+		known.set(chunk, found);
+		return found;
+	};
+}
--- /dev/null
+++ b/src/rollout/neighbourhood.ts
@@ -0,0 +1,177 @@
+/** The peers that one version's transfer exchanges notices with. */
+import type {Digest} from '../ids/digest.ts';
+import {
+	rolloutHaveMethod, rolloutHaveResultSchema, type TransferNotice,
+} from '../messages/rollout-have.ts';
+import {type ChunkOwners, rankOwners} from './chunk-owners.ts';
+import {chooseNeighbours} from './choose-neighbours.ts';
+import {NoticeSender} from './notice-sender.ts';
+import {PeerTable} from './peer-table.ts';
+import type {TransferOptions, TransferPeer} from './transfer-options.ts';
+
+/** Mean time between two exchanges without news, in milliseconds. */
+const surveyIntervalMs = 1000;
+
+/** Surveys per step-in time, so that an owner at work is seen before the next rank steps in. */
+const surveysPerStepIn = 3;
+
+/** Neighbours that an agent asks in each survey, in case a notice was lost. */
+const surveyedNeighbours = 2;
+
+/** How long an exchange of notices may take, in milliseconds. */
+const exchangeTimeoutMs = 1000;
+
+/** Neighbours in all: the chosen ones and those that chose this agent. */
+const maxNeighbours = 24;
+
+/** What a neighbourhood needs. */
+export type NeighbourhoodOptions = {
+	readonly node: TransferOptions;
+	readonly manifest: Digest;
+	/** Returns the own notice. */
+	readonly notice: () => TransferNotice;
+	/** Is called when a peer holds something new. */
+	readonly onNews: () => void;
+};
+
+/** Knows the group, its owners and neighbours, and what they told. */
+export class Neighbourhood {
+	readonly peers = new PeerTable();
+	/** Whether all neighbours were asked once, so that what they hold is known. */
+	surveyed = false;
+	private readonly notices: NoticeSender;
+	private readonly silent = new Set<string>();
+	private groupKey: string | undefined;
+	private ranked!: ChunkOwners;
+	private chosen: ReadonlySet<string> = new Set();
+	private byVm: ReadonlyMap<string, TransferPeer> = new Map();
+	private nextSurveyMs = 0;
+
+	/** @param options - what the neighbourhood needs */
+	constructor(private readonly options: NeighbourhoodOptions) {
+		this.notices = new NoticeSender({
+			bytesPerSecond: options.node.noticeBytesPerSecond, exchange: async vm => this.exchange(vm),
+		});
+		this.refreshGroup();
+	}
+
+	/** Who brings which chunk into the region. */
+	get owners(): ChunkOwners {
+		return this.ranked;
+	}
+
+	/** Whether this agent reads from outside of its region in the first place. */
+	get isImporter(): boolean {
+		return this.ranked.importers.has(this.options.node.self.vm);
+	}
+
+	/** Regions by VM. */
+	get regions(): ReadonlyMap<string, string> {
+		return new Map([...this.byVm.values()].map(({vm, region}) => [vm, region]));
+	}
+
+	/**
+	 * Returns a peer of the group.
+	 *
+	 * @param vm - the peer
+	 */
+	peer(vm: string): TransferPeer | undefined {
+		return this.byVm.get(vm);
+	}
+
+	/** Ranks owners and neighbours again when the group has changed. */
+	refreshGroup(): void {
+		const {self, peers} = this.options.node;
+		const group = peers();
+		const key = group.map(({vm, address}) => `${vm}@${address}`).join(' ');
+		if (key !== this.groupKey) {
+			this.groupKey = key;
+			this.byVm = new Map(group.map(peer => [peer.vm, peer]));
+			this.ranked = rankOwners(this.options.manifest, self, group);
+			this.chosen = chooseNeighbours(self, group, this.ranked.importers);
+		}
+	}
+
+	/**
+	 * Takes a notice over.
+	 *
+	 * @param notice - a peer's notice
+	 */
+	record(notice: TransferNotice): void {
+		// Only members of the group count, which also bounds the table.
+		if (this.byVm.has(notice.vm) && this.peers.record(notice, performance.now())) {
+			this.options.onNews();
+		}
+	}
+
+	/** Tells all neighbours the own news. */
+	announce(): void {
+		this.notices.notify([...new Set([...this.chosen, ...this.peers.vms])].slice(0, maxNeighbours));
+	}
+
+	/** Asks all chosen neighbours what they hold. */
+	async survey(): Promise<void> {
+		this.surveyed = false;
+		await Promise.all([...this.chosen].map(async vm => this.exchange(vm)));
+		this.surveyed = true;
+	}
+
+	/** Asks again after a while: importers watch each other, others ask a few neighbours. */
+	surveyAgain(): void {
+		const nowMs = performance.now();
+		if (nowMs < this.nextSurveyMs) {
+			return;
+		}
+
+		const {self, random, limits} = this.options.node;
+		this.nextSurveyMs = nowMs + random.jitter(Math.min(surveyIntervalMs, limits().step_in_ms / surveysPerStepIn));
+		const watched = this.isImporter ? [...this.ranked.importers].filter(vm => vm !== self.vm) : [];
+		this.notices.notify([...watched, ...random.sample([...this.chosen], surveyedNeighbours)]);
+	}
+
+	/**
+	 * Tells whether the last contact with a source failed, so that the next one takes a connection of its own.
+	 *
+	 * @param source - a peer or the origin
+	 */
+	isSilent(source: string): boolean {
+		return this.silent.has(source);
+	}
+
+	/**
+	 * Notes how a contact with a source went.
+	 *
+	 * @param source - a peer or the origin
+	 * @param failed - whether it failed
+	 */
+	noteContact(source: string, failed: boolean): void {
+		if (failed) {
+			this.silent.add(source);
+		} else {
+			this.silent.delete(source);
+		}
+	}
+
+	/** Stops all exchanges. */
+	stop(): void {
+		this.notices.stop();
+	}
+
+	/** Exchanges notices with one peer; a peer that does not answer makes no progress. */
+	private async exchange(vm: string): Promise<void> {
+		const peer = this.byVm.get(vm);
+		if (!peer) {
+			return;
+		}
+
+		const {node, manifest, notice} = this.options;
+		try {
+			const call = {method: rolloutHaveMethod, params: {manifest, notice: notice()}};
+			const answer = await node.links.rpc(peer.address, call, rolloutHaveResultSchema, {timeoutMs: exchangeTimeoutMs, fresh: this.isSilent(vm)});
+			this.noteContact(vm, false);
+			this.record(answer);
+		} catch {
+			this.noteContact(vm, true);
+		}
+	}
+}
--- a/src/rollout/rollout-manager.ts
+++ b/src/rollout/rollout-manager.ts
@@ -1,29 +1,24 @@
 /** Brings the published versions to this VM and orders the engine to load and serve them. */
 import type {ConfigurationStore} from '../configuration/configuration-store.ts';
-import {createDigest, type Digest} from '../ids/digest.ts';
-import {type PeerClient, readBytes} from '../links/peer-client.ts';
+import {createDigest} from '../ids/digest.ts';
 import type {OrderManager} from '../orders/order-manager.ts';
+import type {Finding} from '../runtime/finding.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
-import type {ChunkStore} from './chunk-store.ts';
-import {parseManifest} from './manifest.ts';
+import type {TransferState} from './transfer-machine.ts';
+import type {TransferNode, WantedVersion} from './transfer-node.ts';
 
 /** Mean time between two looks at what is still to be done, in milliseconds. */
 const rolloutIntervalMs = 500;
 
-/** How long one chunk may take, in milliseconds. */
-const chunkTimeoutMs = 30_000;
-
 /** What the manager works with. */
 export type RolloutManagerOptions = {
 	readonly store: ConfigurationStore;
-	readonly chunks: ChunkStore;
 	readonly orders: OrderManager;
-	readonly links: PeerClient;
 	readonly random: RandomSource;
 	readonly log: Logger;
-	/** The origin's address. */
-	readonly originUrl: string;
+	/** Creates the transfer side; `onHeld` is called when every digest of a version holds. */
+	readonly createNode: (onHeld: (wanted: WantedVersion) => void) => TransferNode;
 };
 
 /** Where one version stands. */
@@ -32,29 +27,44 @@
 	readonly version: string;
 	readonly held: number;
 	readonly total: number;
-	readonly state: 'transferring' | 'held';
+	readonly state: TransferState;
+	/** Bytes that this VM read from the origin for the version. */
+	readonly originBytes: number;
 };
 
 /** Drives transfers and orders. */
 export class RolloutManager {
-	private readonly progressByManifest = new Map<Digest, VersionProgress>();
+	readonly node: TransferNode;
 	private timer: NodeJS.Timeout | undefined;
 	private stopped = false;
-	private busy = false;
+	private readonly ordering = new Set<string>();
 
 	/** @param options - what the manager works with */
-	constructor(private readonly options: RolloutManagerOptions) {}
+	constructor(private readonly options: RolloutManagerOptions) {
+		this.node = options.createNode(held => {
+			void this.order(held);
+		});
+	}
 
-	/** Progress of each published version. */
+	/** Progress of each version that is wanted or still in memory. */
 	get progress(): readonly VersionProgress[] {
-		return [...this.progressByManifest.values()];
+		return this.node.versions.map(({model, version, transfer}) => ({
+			model, version, held: transfer.heldCount, total: transfer.manifest?.chunks.length ?? 0, state: transfer.state, originBytes: transfer.originBytes,
+		}));
+	}
+
+	/** Versions that do not fit into the memory for weights. */
+	get findings(): readonly Finding[] {
+		return this.node.versions.filter(({doesNotFit}) => doesNotFit)
+			.map(({model, version}) => ({file: `/models/${model}`, key: `versions.${version}`, reason: 'does not fit into transfer.memory_bytes beside the versions that are served'}));
 	}
 
 	/** Starts to follow the configuration. */
 	start(): void {
 		this.options.store.onChange(() => {
-			void this.step();
+			this.step();
 		});
+		this.step();
 		this.schedule();
 	}
 
@@ -62,6 +72,7 @@
 	stop(): void {
 		this.stopped = true;
 		clearTimeout(this.timer);
+		this.node.stop();
 	}
 
 	private schedule(): void {
@@ -69,62 +80,56 @@
 			return;
 		}
 
-		this.timer = setTimeout(async () => {
-			await this.step();
+		this.timer = setTimeout(() => {
+			this.step();
 			this.schedule();
 		}, this.options.random.jitter(rolloutIntervalMs));
 		this.timer.unref();
 	}
 
-	private async step(): Promise<void> {
-		if (this.busy || this.stopped) {
+	private step(): void {
+		if (this.stopped) {
 			return;
 		}
 
-		this.busy = true;
-		try {
-			for (const [name, model] of this.options.store.models()) {
-				const version = model.versions[model.serve];
-				if (version) {
-					await this.bring(name, model.serve, createDigest(version.manifest));
-				}
+		const wanted = this.wanted();
+		const served = new Set(this.options.orders.engineState?.served.map(({manifest}) => manifest));
+		this.node.follow(wanted, served);
+		// An order may fail or the engine may restart, so it is repeated for as long as the version is wanted.
+		const wantedDigests = new Set(wanted.map(({manifest}) => manifest));
+		for (const version of this.node.versions) {
+			if (version.transfer.state === 'held' && wantedDigests.has(version.manifest)) {
+				void this.order(version);
 			}
-		} catch (err) {
-			this.options.log.warn({event: 'rollout_step_failed', err}, 'rollout step failed; it is tried again');
-		} finally {
-			this.busy = false;
 		}
 	}
 
-	private async bring(model: string, version: string, manifestDigest: Digest): Promise<void> {
-		const {chunks, orders} = this.options;
-		const manifest = parseManifest(await this.hold(manifestDigest));
-		for (const digest of manifest.chunks) {
-			await this.hold(digest);
-			const held = manifest.chunks.filter(chunk => chunks.has(chunk)).length;
-			this.progressByManifest.set(manifestDigest, {
-				model, version, held, total: manifest.chunks.length, state: held === manifest.chunks.length ? 'held' : 'transferring',
-			});
+	private wanted(): WantedVersion[] {
+		const wanted: WantedVersion[] = [];
+		for (const [model, document] of this.options.store.models()) {
+			const version = document.versions[document.serve];
+			if (version) {
+				wanted.push({
+					model, version: document.serve, manifest: createDigest(version.manifest), objective: document.objective,
+				});
+			}
 		}
 
-		await orders.bringIntoService({model, version, manifest: manifestDigest});
+		return wanted;
 	}
 
-	private async hold(digest: Digest): Promise<Uint8Array> {
-		const {chunks, links, originUrl} = this.options;
-		const held = chunks.get(digest);
-		if (held) {
-			return held;
+	private async order({model, version, manifest}: WantedVersion): Promise<void> {
+		if (this.ordering.has(manifest)) {
+			return;
 		}
 
-		const signal = AbortSignal.timeout(chunkTimeoutMs);
-		const res = await links.send(`${originUrl}/v1/chunks/${digest}`, {method: 'GET'}, {timeoutMs: chunkTimeoutMs, signal});
-		const bytes = await readBytes(res.body);
-		if (res.status !== 200) {
-			throw new Error(`origin answered status ${res.status} for chunk ${digest}`);
+		this.ordering.add(manifest);
+		try {
+			await this.options.orders.bringIntoService({model, version, manifest});
+		} catch (err) {
+			this.options.log.warn({event: 'engine_order_failed', err}, 'engine order failed; it is repeated');
+		} finally {
+			this.ordering.delete(manifest);
 		}
-
-		chunks.put(digest, bytes);
-		return bytes;
 	}
 }
--- /dev/null
+++ b/src/rollout/transfer-options.ts
@@ -0,0 +1,43 @@
+/** What the transfers of one agent share. */
+import type {PeerClient} from '../links/peer-client.ts';
+import type {Logger} from '../runtime/logger.ts';
+import type {RandomSource} from '../runtime/random-source.ts';
+import type {ChunkStore} from './chunk-store.ts';
+import type {PlacedVm} from './chunk-owners.ts';
+import type {TransferPacer} from './transfer-pacer.ts';
+
+/** An agent of the group that a version goes to. */
+export type TransferPeer = PlacedVm & {
+	/** The control listener, `host:port`. */
+	readonly address: string;
+};
+
+/** Limits that the configuration sets. */
+export type TransferLimits = {
+	readonly chunk_timeout_ms: number;
+	readonly step_in_ms: number;
+	readonly upload_copies: number;
+};
+
+/** What the transfers of one agent share. */
+export type TransferOptions = {
+	readonly self: PlacedVm;
+	/** All agents of the group now; `self` may be among them. */
+	readonly peers: () => readonly TransferPeer[];
+	readonly links: PeerClient;
+	readonly chunks: ChunkStore;
+	readonly upPacer: TransferPacer;
+	readonly downPacer: TransferPacer;
+	/** The origin's address. */
+	readonly originUrl: string;
+	readonly random: RandomSource;
+	readonly log: Logger;
+	readonly limits: () => TransferLimits;
+	/** Memory for weights, in bytes. */
+	readonly memoryBytes: number;
+	/** Control bytes per second for notices, both ways. */
+	readonly noticeBytesPerSecond: number;
+};
+
+/** Control bytes per second for notices: under half of the 12 KB/s of all control traffic, since neighbours send as many. */
+export const defaultNoticeBytesPerSecond = 5000;
--- /dev/null
+++ b/src/rollout/version-transfer.ts
@@ -0,0 +1,272 @@
+/** Brings one version to one agent: plans, downloads, verifies and tells neighbours. */
+import type {Digest} from '../ids/digest.ts';
+import type {TransferNotice} from '../messages/rollout-have.ts';
+import {ChunkBitmap} from './chunk-bitmap.ts';
+import {ChunkFetcher} from './chunk-fetcher.ts';
+import {type Manifest, parseManifest} from './manifest.ts';
+import {Neighbourhood} from './neighbourhood.ts';
+import {manifestPhaseSize} from './peer-table.ts';
+import {type PlannedTransfer, planTransfers} from './plan-transfers.ts';
+import {TransferMachine, type TransferState} from './transfer-machine.ts';
+import type {TransferOptions} from './transfer-options.ts';
+
+/** Downloads that are open at once. */
+const maxOpenDownloads = 4;
+
+/** Chunks that one agent reads from the origin at once. */
+const maxOriginReads = 1;
+
+/** Mean time between two plans without news, in milliseconds. */
+const planIntervalMs = 50;
+
+/** What a transfer needs from its agent. */
+export type VersionTransferOptions = {
+	readonly node: TransferOptions;
+	readonly manifest: Digest;
+	readonly objective: 'time' | 'origin-bytes';
+	/** Returns how many bytes of this version were sent on. */
+	readonly sentBytes: () => number;
+	/** Makes room and returns whether the version fits. */
+	readonly makeRoom: (manifest: Manifest) => boolean;
+	/** Reports or withdraws that the version does not fit. */
+	readonly reportDoesNotFit: (doesNotFit: boolean) => void;
+	/** Is called once when every digest holds. */
+	readonly onHeld: () => void;
+};
+
+/** One version's transfer to one agent. */
+export class VersionTransfer {
+	private readonly neighbourhood: Neighbourhood;
+	private readonly fetcher: ChunkFetcher;
+	private readonly machine: TransferMachine;
+	private content: Manifest | undefined;
+	private held = new ChunkBitmap(manifestPhaseSize);
+	private startedAtMs = performance.now();
+	private progressAtMs = this.startedAtMs;
+	private order: readonly number[] = [0];
+	private timer: NodeJS.Timeout | undefined;
+
+	/** @param options - what the transfer needs */
+	constructor(private readonly options: VersionTransferOptions) {
+		const {node, manifest} = options;
+		this.neighbourhood = new Neighbourhood({
+			node,
+			manifest,
+			notice: () => this.notice(),
+			onNews: () => {
+				this.advance();
+			},
+		});
+		this.fetcher = new ChunkFetcher({
+			node,
+			manifest,
+			neighbourhood: this.neighbourhood,
+			digestAt: chunk => this.digestAt(chunk),
+			onChunk: digest => {
+				this.accept(digest);
+			},
+			onEnd: () => {
+				this.advance();
+			},
+		});
+		this.machine = this.createMachine();
+	}
+
+	/** The state that the version is in. */
+	get state(): TransferState {
+		return this.machine.state;
+	}
+
+	/** The manifest, once it is held. */
+	get manifest(): Manifest | undefined {
+		return this.content;
+	}
+
+	/** Chunks held of this version. */
+	get heldCount(): number {
+		return this.content ? this.held.count : 0;
+	}
+
+	/** Bytes that were read from the origin. */
+	get originBytes(): number {
+		return this.fetcher.originBytes;
+	}
+
+	/** Begins the transfer. */
+	start(): void {
+		this.machine.start();
+		this.takeManifest();
+		this.schedule();
+	}
+
+	/** Ends the transfer because the version is no longer wanted. */
+	supersede(): void {
+		this.machine.send('SUPERSEDED');
+	}
+
+	/** Re-reads what peers hold after the process was paused. */
+	wake(): void {
+		this.neighbourhood.peers.clear();
+		this.startedAtMs = performance.now();
+		this.machine.send('WOKEN');
+	}
+
+	/**
+	 * Takes a peer's notice and returns the own one.
+	 *
+	 * @param notice - the peer's notice
+	 */
+	have(notice: TransferNotice): TransferNotice {
+		this.neighbourhood.record(notice);
+		return this.notice();
+	}
+
+	private createMachine(): TransferMachine {
+		const {makeRoom, reportDoesNotFit, onHeld} = this.options;
+		return new TransferMachine({
+			fitsInMemory: () => this.content !== undefined && makeRoom(this.content),
+			everyDigestHolds: () => this.everyDigestHolds(),
+		}, {
+			survey: () => {
+				void this.survey();
+			},
+			announce: () => {
+				this.neighbourhood.announce();
+			},
+			reportFinding() {
+				reportDoesNotFit(true);
+			},
+			clearFinding() {
+				reportDoesNotFit(false);
+			},
+			bringIntoService: onHeld,
+			stopTransfers: () => {
+				clearTimeout(this.timer);
+				this.neighbourhood.stop();
+				this.fetcher.stop();
+			},
+		});
+	}
+
+	private notice(): TransferNotice {
+		const reading = new ChunkBitmap(this.held.size);
+		for (const chunk of this.fetcher.importing) {
+			reading.add(chunk);
+		}
+
+		const copies = this.content ? this.options.sentBytes() / this.content.total_bytes : 0;
+		return {
+			vm: this.options.node.self.vm,
+			bitmap: this.content ? this.held.encode() : '',
+			reading: reading.count > 0 ? reading.encode() : '',
+			imported: this.fetcher.importedBytes,
+			uploaded: Number(copies.toFixed(3)),
+		};
+	}
+
+	private isRunning(): boolean {
+		return this.state === 'manifest' || this.state === 'chunks';
+	}
+
+	private async survey(): Promise<void> {
+		await this.neighbourhood.survey();
+		this.advance();
+	}
+
+	private schedule(): void {
+		clearTimeout(this.timer);
+		if (this.state === 'held' || this.state === 'dropped') {
+			return;
+		}
+
+		this.timer = setTimeout(() => {
+			this.machine.send('ROOM_CHECKED');
+			this.neighbourhood.refreshGroup();
+			this.neighbourhood.surveyAgain();
+			this.advance();
+			this.schedule();
+		}, this.options.node.random.jitter(planIntervalMs));
+		this.timer.unref();
+	}
+
+	private advance(): void {
+		if (!this.isRunning()) {
+			return;
+		}
+
+		for (const planned of this.plan()) {
+			this.fetcher.fetch(planned);
+		}
+	}
+
+	private plan(): PlannedTransfer[] {
+		const {node, objective} = this.options;
+		const {neighbourhood, fetcher} = this;
+		const {owners} = neighbourhood;
+		return planTransfers({
+			nowMs: performance.now(),
+			held: this.held,
+			open: fetcher.open,
+			peers: neighbourhood.peers.plan(neighbourhood.regions, node.self.region),
+			beforeInRegion: chunk => owners.beforeInRegion(this.digestAt(chunk)),
+			beforeInAll: chunk => owners.beforeInAll(this.digestAt(chunk)),
+			objective,
+			isImporter: neighbourhood.isImporter,
+			startedAtMs: this.startedAtMs,
+			progressAtMs: this.progressAtMs,
+			originNotBeforeMs: fetcher.originNotBeforeMs,
+			surveyed: neighbourhood.surveyed,
+			stepInMs: node.limits().step_in_ms,
+			maxOpen: maxOpenDownloads,
+			maxOriginReads,
+			shuffle: chunk => this.order[chunk] ?? chunk,
+		});
+	}
+
+	private digestAt(chunk: number): Digest {
+		return this.content?.chunks[chunk] ?? this.options.manifest;
+	}
+
+	private accept(digest: Digest): void {
+		this.progressAtMs = performance.now();
+		if (this.content) {
+			this.markHeld(digest);
+			this.machine.send('CHUNK_HELD');
+		} else {
+			this.takeManifest();
+		}
+	}
+
+	/** A digest may stand at several positions of a manifest. */
+	private markHeld(digest: Digest): void {
+		for (const [at, other] of this.content!.chunks.entries()) {
+			if (other === digest) {
+				this.held.add(at);
+			}
+		}
+	}
+
+	private takeManifest(): void {
+		const {node, manifest} = this.options;
+		const bytes = node.chunks.get(manifest);
+		if (!bytes || this.content) {
+			return;
+		}
+
+		this.content = parseManifest(bytes);
+		this.held = new ChunkBitmap(this.content.chunks.length);
+		this.neighbourhood.peers.enterChunks(this.held.size);
+		this.order = node.random.sample([...this.content.chunks.keys()], this.held.size);
+		for (const digest of new Set(this.content.chunks)) {
+			if (node.chunks.has(digest)) {
+				this.markHeld(digest);
+			}
+		}
+
+		this.machine.send('MANIFEST_HELD');
+	}
+
+	private everyDigestHolds(): boolean {
+		return this.content?.chunks.every(digest => this.options.node.chunks.has(digest)) ?? false;
+	}
+}
