--- /dev/null
+++ b/bench/rollout.ts
@@ -0,0 +1,74 @@
+/**
+ * Measures rollouts to 8, 16, 32 and 64 VMs in three regions against two baselines.
+ *
+ * `node build/bench.mjs rollout [--only MODE] [--vms 64] [--objective time] [--write]`
+ */
+import {parseArgs} from 'node:util';
+import {prepareRendezvous} from '../src/runtime/rendezvous.ts';
+import {
+	type BenchResult, type BenchRun, type BenchScale, runRollout,
+} from './rollout-run.ts';
+
+const mebibyte = 1024 * 1024;
+
+const linkBytesPerSecond = 4 * mebibyte;
+
+/** One copy takes 3 s on a VM's link; in that time the VM's link carries one copy down and one up, and the origin's link four. */
+const scale: BenchScale = {
+	chunkCount: 64,
+	chunkBytes: 3 * mebibyte / 16,
+	linkBytesPerSecond,
+	originBytesPerSecond: 4 * linkBytesPerSecond,
+	// 15 Mbit/s against the 13.3 Mbit/s with which a VM's link carries a copy of 300 MB in 180 s.
+	regionBytesPerSecond: 1.125 * linkBytesPerSecond,
+	stepInMs: 500,
+	// 5 KB/s at 180 s per copy, at the bench's 3 s per copy.
+	noticeBytesPerSecond: 60 * 5000,
+};
+
+const {values} = parseArgs({
+	options: {
+		only: {type: 'string'}, vms: {type: 'string'}, objective: {type: 'string'}, seed: {type: 'string'}, write: {type: 'boolean'},
+	},
+});
+
+const seed = Number(values.seed ?? 1);
+
+const kinds = [
+	{name: 'origin only', mode: 'origin', objective: 'time'},
+	{name: 'fixed tree', mode: 'tree', objective: 'time'},
+	{name: 'peers, time', mode: 'peers', objective: 'time'},
+	{name: 'peers, origin-bytes', mode: 'peers', objective: 'origin-bytes'},
+] as const;
+
+function chosenRuns(): BenchRun[] {
+	const sizes = values.vms ? values.vms.split(',').map(Number) : [8, 16, 32, 64];
+	return kinds
+		.filter(({mode, objective}) => (!values.only || values.only === mode) && (!values.objective || values.objective === objective))
+		.flatMap(kind => sizes.map(vms => ({...kind, vms, seed})));
+}
+
+const columns: ReadonlyArray<readonly [string, (result: BenchResult) => string]> = [
+	['run', result => result.name],
+	['N', result => String(result.vms)],
+	['time to N, s', result => result.seconds.toFixed(2)],
+	['median, s', result => result.medianSeconds.toFixed(2)],
+	['ratio to bound', result => result.ratio.toFixed(2)],
+	['origin copies', result => result.originCopies.toFixed(3)],
+	['copies per VM, max', result => result.maxCopies.toFixed(2)],
+	['median', result => result.medianCopies.toFixed(2)],
+	['max up', result => result.maxUp.toFixed(2)],
+	['busiest region link, copies', result => result.regionCopies.toFixed(2)],
+	['CPU ms/MB', result => result.cpuMsPerMb.toFixed(1)],
+	['control KB per node', result => (result.controlBytesPerNode / 1000).toFixed(0)],
+];
+
+await prepareRendezvous();
+const results: BenchResult[] = [];
+console.log(`| ${columns.map(([name]) => name).join(' | ')} |`);
+console.log(`|${columns.map(() => ' --- |').join('')}`);
+for (const run of chosenRuns()) {
+	const result = await runRollout(run, scale);
+	results.push(result);
+	console.log(`| ${columns.map(([, text]) => text(result)).join(' | ')} |`);
+}
