Drain entry and agent through a state chart

Cause: the entry closed its listener as soon as the notice time was over, so that new callers met refused connections in place of an answer with an outcome, and a kept-alive connection that became idle later was never closed.

Change: charts/drain.json names the states, guards and actions; Drain supplies them to xstate. The listener stays open and refuses while calls are open, and closes each connection with its next answer.

--- /dev/null
+++ b/src/calls/drain.ts
@@ -0,0 +1,78 @@
+/** Graceful shutdown of a process: runs `charts/drain.json`, so that no call in progress is cut. */
+import {createActor, createMachine, waitFor} from 'xstate';
+import chart from '../../charts/drain.json' with {type: 'json'};
+import type {Logger} from '../runtime/logger.ts';
+
+/** How often the drain looks whether calls are still open, in milliseconds. */
+const checkIntervalMs = 20;
+
+/** What the drain acts on. */
+export type DrainOptions = {
+	readonly log: Logger;
+	/** How long new calls are still taken, so that a balancer notices, in milliseconds; 0 refuses them at once. */
+	readonly noticeMs: number;
+	readonly openCalls: () => number;
+	/** Refuses new calls from now on, with an answer. */
+	readonly refuseNewCalls: () => void;
+	/** Stops taking connections and waits until every open request has its answer. */
+	readonly closeListeners: () => Promise<void>;
+	/** Stops the other parts of the process. */
+	readonly stopParts: () => Promise<void>;
+};
+
+/** Runs the graceful shutdown of one process. */
+export class Drain {
+	private stopping: Promise<void> = Promise.resolve();
+	private readonly actor;
+
+	/** @param options - what the drain acts on */
+	constructor(private readonly options: DrainOptions) {
+		const {noticeMs, openCalls, refuseNewCalls, closeListeners, stopParts} = options;
+		const machine = createMachine(chart as Parameters<typeof createMachine>[0]).provide({
+			guards: {
+				needsNotice: () => noticeMs > 0,
+				isIdle: () => openCalls() === 0,
+			},
+			actions: {
+				startNotice: () => {
+					setTimeout(() => {
+						this.actor.send({type: 'NOTICE_OVER'});
+					}, noticeMs);
+				},
+				refuseNewCalls,
+				watchCalls: () => {
+					const timer = setInterval(() => {
+						this.actor.send({type: 'CHECK'});
+						if (!this.actor.getSnapshot().matches('refusing')) {
+							clearInterval(timer);
+						}
+					}, checkIntervalMs);
+				},
+				closeListeners: async () => {
+					await closeListeners();
+					this.actor.send({type: 'CLOSED'});
+				},
+				stopParts: () => {
+					this.stopping = stopParts();
+				},
+			},
+		});
+		this.actor = createActor(machine);
+		this.actor.start();
+	}
+
+	/** Whether the process is leaving. */
+	get isDraining(): boolean {
+		return !this.actor.getSnapshot().matches('serving');
+	}
+
+	/** Starts the shutdown and waits for its end. */
+	async run(): Promise<void> {
+		const {log, openCalls} = this.options;
+		log.info({event: 'drain_started', open: openCalls()}, 'drain started');
+		this.actor.send({type: 'STOP'});
+		await waitFor(this.actor, snapshot => snapshot.status === 'done');
+		await this.stopping;
+		log.info({event: 'drain_finished'}, 'drain finished');
+	}
+}
--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -2,6 +2,7 @@
 import {z} from 'zod';
 import {AgentCallHandler} from '../calls/agent-call-handler.ts';
 import {CallLedger} from '../calls/call-ledger.ts';
+import {Drain} from '../calls/drain.ts';
 import {EngineUpstream} from '../calls/engine-upstream.ts';
 import {PlainUpstream} from '../calls/plain-upstream.ts';
 import type {Upstream} from '../calls/upstream.ts';
@@ -22,9 +23,6 @@
 /** How often old call records are looked for, in milliseconds. */
 const sweepIntervalMs = 10_000;
 
-/** How often the drain looks whether calls still run, in milliseconds. */
-const drainCheckMs = 50;
-
 /**
  * Starts an agent.
  *
@@ -45,7 +43,7 @@
 	private readonly rollout: RolloutManager | undefined;
 	private readonly calls: AgentCallHandler;
 	private readonly control: HttpListener;
-	private draining = false;
+	private readonly shutdown: Drain;
 	private sweepTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly settings: AgentSettings) {
@@ -69,6 +67,7 @@
 			},
 		});
 		this.control = new HttpListener(this.createRoutes(), log);
+		this.shutdown = this.createDrain();
 	}
 
 	async start(): Promise<void> {
@@ -84,25 +83,32 @@
 	}
 
 	async drain(): Promise<void> {
-		this.draining = true;
-		this.base.log.info({event: 'drain_started', running: this.calls.runningCalls}, 'drain started');
-		while (this.calls.runningCalls > 0) {
-			await new Promise(resolve => {
-				setTimeout(resolve, drainCheckMs);
-			});
-		}
+		await this.shutdown.run();
+	}
+
+	private isLeaving(): boolean {
+		const self = this.base.membership.members.find(member => member.vm === this.settings.process.vm);
+		return this.shutdown.isDraining || self?.state === 'leaving';
+	}
 
-		await this.control.drain();
+	private createDrain(): Drain {
+		return new Drain({
+			log: this.base.log,
+			noticeMs: 0,
+			openCalls: () => this.calls.runningCalls,
+			refuseNewCalls() {
+				// The call handler asks `isLeaving` before it forwards a call.
+			},
+			closeListeners: async () => this.control.drain(),
+			stopParts: async () => this.stopParts(),
+		});
+	}
+
+	private async stopParts(): Promise<void> {
 		clearInterval(this.sweepTimer);
 		this.rollout?.stop();
 		this.orders?.stop();
 		await this.base.stop();
-		this.base.log.info({event: 'drain_finished'}, 'drain finished');
-	}
-
-	private isLeaving(): boolean {
-		const self = this.base.membership.members.find(member => member.vm === this.settings.process.vm);
-		return this.draining || self?.state === 'leaving';
 	}
 
 	private createOrders(): OrderManager {
@@ -189,7 +195,7 @@
 			chunks: {count: this.chunks.count, bytes: this.chunks.bytes},
 			rollout: this.rollout?.progress ?? [],
 			engine: this.orders?.engineState ?? null,
-			draining: this.draining,
+			draining: this.shutdown.isDraining,
 		};
 	}
 }
--- a/src/cli/entry-process.ts
+++ b/src/cli/entry-process.ts
@@ -2,6 +2,7 @@
 import {AttemptClient} from '../calls/attempt-client.ts';
 import {CallManager} from '../calls/call-manager.ts';
 import {CallRunner} from '../calls/call-runner.ts';
+import {Drain} from '../calls/drain.ts';
 import {GenerateHandler} from '../calls/generate-handler.ts';
 import {OperationHandler} from '../calls/operation-handler.ts';
 import {formatAddress, HttpListener} from '../links/http-listener.ts';
@@ -34,16 +35,31 @@
 		defaultDeadlineMs: settings.limits.default_deadline_ms,
 	});
 	let started = false;
-	let draining = false;
 	const poller = new ReportPoller({links, membership, random});
 	const callers = new HttpListener(calls.routes, log);
+	const drain = new Drain({
+		log,
+		// The balancer learns from readiness within this time; until then new calls are still answered.
+		noticeMs: settings.limits.drain_notice_ms,
+		openCalls: () => calls.openCalls,
+		refuseNewCalls() {
+			calls.refuseNewCalls();
+			callers.closeConnectionsAfterUse();
+		},
+		closeListeners: async () => callers.drain(),
+		async stopParts() {
+			poller.stop();
+			await base.stop();
+			control.destroy();
+		},
+	});
 	const control = new HttpListener(createControlRoutes({
 		rpc: base.rpc,
 		metrics: base.metrics,
 		dump: () => ({
-			role: 'entry', ...base.dump(), calls: {open: calls.openCalls}, draining,
+			role: 'entry', ...base.dump(), calls: {open: calls.openCalls}, draining: drain.isDraining,
 		}),
-		isReady: () => started && !draining && store.revision > 0,
+		isReady: () => started && !drain.isDraining && store.revision > 0,
 	}), log);
 	base.metrics.gauge('cactusreach_open_calls', 'Callers that wait for an answer.', () => calls.openCalls);
 	await control.start(settings.listen.control);
@@ -55,18 +71,7 @@
 
 	return {
 		async drain() {
-			draining = true;
-			log.info({event: 'drain_started', open: calls.openCalls}, 'drain started');
-			// The balancer learns from readiness within this time; until then new calls are still answered.
-			await new Promise(resolve => {
-				setTimeout(resolve, settings.limits.drain_notice_ms);
-			});
-			calls.refuseNewCalls();
-			await callers.drain();
-			poller.stop();
-			await base.stop();
-			control.destroy();
-			log.info({event: 'drain_finished'}, 'drain finished');
+			await drain.run();
 		},
 	};
 }
--- a/src/links/http-listener.ts
+++ b/src/links/http-listener.ts
@@ -19,12 +19,16 @@
 /** Reports a request body over the size limit. */
 export class BodyTooLargeError extends Error {}
 
+/** How often a listener that drains looks for idle connections, in milliseconds. */
+const idleCheckMs = 50;
+
 type CompiledRoute = {readonly method: string; readonly pattern: RegExp; readonly handler: HttpHandler};
 
 /** Serves routes on one address. */
 export class HttpListener {
 	private readonly server: http.Server;
 	private readonly routes: readonly CompiledRoute[];
+	private closing = false;
 
 	/**
 	 * @param routes - handlers by `METHOD /path`
@@ -55,12 +59,23 @@
 		});
 	}
 
+	/** Closes each connection with its next answer, so that clients move to other processes without a cut request. */
+	closeConnectionsAfterUse(): void {
+		this.closing = true;
+	}
+
 	/** Stops taking connections and waits until every open request has its answer. */
 	async drain(): Promise<void> {
-		return new Promise(resolve => {
+		this.closing = true;
+		await new Promise<void>(resolve => {
 			this.server.close(() => {
+				clearInterval(timer);
 				resolve();
 			});
+			// A connection that had a request open at the first look becomes idle later.
+			const timer = setInterval(() => {
+				this.server.closeIdleConnections();
+			}, idleCheckMs);
 			this.server.closeIdleConnections();
 		});
 	}
@@ -72,6 +87,10 @@
 	}
 
 	private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+		if (this.closing) {
+			res.setHeader('connection', 'close');
+		}
+
 		try {
 			const path = (req.url ?? '/').split('?')[0] ?? '/';
 			for (const route of this.routes) {
