--- a/src/calls/agent-call-handler.ts
+++ b/src/calls/agent-call-handler.ts
@@ -1,6 +1,6 @@
 /** The agent's call endpoint: records the call, forwards it at most once, and streams the answer as frames. */
 import type http from 'node:http';
-import {VError} from 'verror';
+import VError from 'verror';
 import {readBody} from '../links/http-listener.ts';
 import type {RefusalCode} from '../messages/call-frame.ts';
 import {type CallRequest, callRequestSchema} from '../messages/call-request.ts';
@@ -33,6 +33,7 @@
 /** Runs calls for entries. */
 export class AgentCallHandler {
 	private running = 0;
+	private readonly byVersion = new Map<string, number>();
 
 	/** @param options - what the handler works with */
 	constructor(private readonly options: AgentCallHandlerOptions) {}
@@ -42,6 +43,11 @@
 		return this.running;
 	}
 
+	/** Calls that run now, by `model/version`. */
+	get runningByVersion(): ReadonlyMap<string, number> {
+		return this.byVersion;
+	}
+
 	/** Handles `POST /calls`. */
 	async handle(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
 		const receivedAtMs = performance.now();
@@ -77,7 +83,7 @@
 	}
 
 	private async run(call: CallRequest, record: CallRecord, answer: FrameWriter, deadlineAtMs: number): Promise<void> {
-		this.running++;
+		this.count(call, 1);
 		const aborter = new AbortController();
 		record.abort = () => {
 			aborter.abort();
@@ -98,7 +104,7 @@
 			await this.forward(call, record, answer, {signal: aborter.signal, beforeSend});
 		} finally {
 			clearTimeout(timer);
-			this.running--;
+			this.count(call, -1);
 		}
 	}
 
@@ -114,6 +120,14 @@
 		}
 	}
 
+	private count(call: CallRequest, change: number): void {
+		this.running += change;
+		if (call.work.kind === 'generate') {
+			const key = `${call.work.model}/${call.work.version}`;
+			this.byVersion.set(key, (this.byVersion.get(key) ?? 0) + change);
+		}
+	}
+
 	private refusalBeforeForward(call: CallRequest, deadlineAtMs: number): RefusalCode | undefined {
 		if (this.options.isDraining()) {
 			return 'draining';
--- a/src/links/peer-client.ts
+++ b/src/links/peer-client.ts
@@ -9,7 +9,7 @@
 import {
 	Agent, DecoratorHandler, type Dispatcher, request,
 } from 'undici';
-import {VError} from 'verror';
+import VError from 'verror';
 import type {ZodType} from 'zod';
 import {rpcPath} from './rpc-dispatcher.ts';
 
