Let a call wait for an upstream instead of failing at once

Change: a call looks for an upstream for up to limits.queue_wait_ms. Before: the new test answers 503. After: 200 with the whole answer.

--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -18,6 +18,9 @@
 /** Time before a running call is asked for again, in milliseconds; it doubles up to the second value. */
 const waitMs = {first: 100, most: 1000} as const;
 
+/** Time between two looks for an upstream while there is none, in milliseconds. */
+const upstreamCheckMs = 25;
+
 /** Where an attempt goes. */
 export type CallTarget = {readonly vm: string; readonly address: string};
 
@@ -50,6 +53,8 @@
 	readonly attempts: AttemptClient;
 	readonly router: UpstreamRouter;
 	readonly log: Logger;
+	/** How long a call waits for an upstream when there is none, in milliseconds. */
+	readonly upstreamWaitMs: number;
 };
 
 type FinishedCall = Extract<CallsCancelResult, {state: 'finished'}>;
@@ -78,7 +83,7 @@
 		let mayHaveRun = false;
 		let otherwise: TellStep | DestroyStep = {kind: 'tell', outcome: 'not_run', code: 'no_upstream'};
 		for (let tries = 0; tries < maxAttempts && !plan.gone.aborted; tries++) {
-			const target = this.nextTarget(plan, excluded, tries);
+			const target = await this.awaitTarget(plan, excluded, tries);
 			if (!target) {
 				break;
 			}
@@ -99,6 +104,19 @@
 		return endOf(plan.gone.aborted ? {kind: 'destroy'} : otherwise);
 	}
 
+	/** A version may not be served yet, or its last upstream is being replaced; the call waits a while before it is given up. */
+	private async awaitTarget<Target extends CallTarget>(plan: CallPlan<Target>, excluded: ReadonlySet<string>, tries: number): Promise<Target | undefined> {
+		const endMs = performance.now() + Math.min(this.options.upstreamWaitMs, remainingMs(plan.caller));
+		for (;;) {
+			const target = this.nextTarget(plan, excluded, tries);
+			if (target !== undefined || performance.now() >= endMs || plan.gone.aborted) {
+				return target;
+			}
+
+			await sleep(upstreamCheckMs);
+		}
+	}
+
 	private nextTarget<Target extends CallTarget>(plan: CallPlan<Target>, excluded: ReadonlySet<string>, tries: number): Target | undefined {
 		if (remainingMs(plan.caller) <= 0) {
 			return undefined;
--- a/src/cli/entry-process.ts
+++ b/src/cli/entry-process.ts
@@ -33,7 +33,9 @@
 		random,
 	});
 	const attempts = new AttemptClient(links);
-	const runner = new CallRunner({attempts, router, log});
+	const runner = new CallRunner({
+		attempts, router, log, upstreamWaitMs: settings.limits.queue_wait_ms,
+	});
 	const calls = new CallManager({
 		store,
 		log,
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -36,7 +36,7 @@
 	listen: z.strictObject({callers: address, control: address}),
 	platform: platformSection,
 	limits: z.strictObject({
-		/** How long a new call may wait for its turn, in milliseconds. */
+		/** How long a new call may wait for its turn, and for an upstream when there is none, in milliseconds. */
 		queue_wait_ms: wholeNumber.default(1000),
 		/** Deadline of a call that names none, in milliseconds. */
 		default_deadline_ms: wholeNumber.default(30_000),
--- a/test/whole-path.test.ts
+++ b/test/whole-path.test.ts
@@ -61,3 +61,19 @@
 		await fleet.stop();
 	}
 });
+
+it('a call that comes before any upstream serves its version waits for one', async () => {
+	const fleet = await startFleet();
+	try {
+		const entry = await fleet.entry('vm-entry', {limits: {queue_wait_ms: 20_000}});
+		const answer = fetch(`http://${entry.callers}/v1/generate/ask`, {
+			method: 'POST', headers: {'x-workspace': 'desk'}, body: JSON.stringify({prompt: 'early', max_tokens: 3}),
+		});
+		await fleet.engineAgent('vm-engine', 'assistant');
+		const res = await answer;
+		const text = await res.text();
+		expect([res.status, text.trim().split('\n').at(-1)]).to.deep.equal([200, '{"done":true,"tokens":3,"version":"v1"}']);
+	} finally {
+		await fleet.stop();
+	}
+});
