--- a/standins/plain-service.ts
+++ b/standins/plain-service.ts
@@ -17,6 +17,8 @@
 	readonly ledger = new Map<string, number>();
 	/** Drops the connection after the run, before the answer. */
 	loseAnswers = false;
+	/** Runs wait for this before they answer. */
+	gate: Promise<void> = Promise.resolve();
 	private readonly listener: HttpListener;
 
 	/** @param options - how the service behaves */
@@ -28,6 +30,7 @@
 				const run = (this.ledger.get(booking) ?? 0) + 1;
 				this.ledger.set(booking, run);
 				await sleep(this.options.runMs);
+				await this.gate;
 				if (this.loseAnswers) {
 					res.destroy();
 					return;
--- /dev/null
+++ b/test/calls-failure.test.ts
@@ -0,0 +1,372 @@
+/** Calls under failure over separate processes; the ledger of the plain service is the judge. */
+import {Buffer} from 'node:buffer';
+import {randomBytes} from 'node:crypto';
+import net from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {decodeTicket, encodeTicket} from '../src/calls/ticket.ts';
+import {digestOf} from '../src/ids/digest.ts';
+import {formatAddress} from '../src/links/http-listener.ts';
+import {expectedToken} from '../standins/engine.ts';
+import {PlainServiceStandin} from '../standins/plain-service.ts';
+import {bookingCall} from './support/call-samples.ts';
+import {
+	endProcess, Fleet, type FleetProcess, getJson, waitFor,
+} from './support/fleet.ts';
+import {TcpRelay} from './support/tcp-relay.ts';
+
+const weights = randomBytes(50_000);
+
+type Answer = {status: number; body: {error?: {code: string; outcome: string; ticket?: string}; run?: number}};
+
+/** Runs a test with a fleet whose platform serves one model and two plain services. */
+async function withFleet(test: (fleet: Fleet) => Promise<void>): Promise<void> {
+	const fleet = new Fleet();
+	try {
+		await fleet.start();
+		const manifest = fleet.platform.addWeights('assistant', 'v1', weights, 65_536);
+		const operations = {book: {repeatable: false}, status: {repeatable: true}};
+		fleet.platform.publish({
+			'/models/assistant': {serve: 'v1', versions: {v1: {manifest}}},
+			'/services/assistant': {kind: 'engine'},
+			'/services/booking': {kind: 'plain', operations},
+			'/services/stock': {kind: 'plain', operations},
+			'/teams/desk/routes/ask': {service: 'assistant', model: 'assistant'},
+			'/teams/desk/routes/booking': {service: 'booking'},
+		});
+		await test(fleet);
+	} finally {
+		await fleet.stop();
+	}
+}
+
+async function post(entry: FleetProcess, path: string, headers: Record<string, string>, body: unknown): Promise<Answer> {
+	const res = await fetch(`http://${entry.callers}/v1/${path}`, {
+		method: 'POST', headers: {'x-workspace': 'desk', connection: 'close', ...headers}, body: JSON.stringify(body),
+	});
+	return {status: res.status, body: await res.json() as Answer['body']};
+}
+
+/** Returns undefined when the connection breaks. */
+async function tryTo<Result>(act: () => Promise<Result>): Promise<Result | undefined> {
+	try {
+		return await act();
+	} catch {
+		return undefined;
+	}
+}
+
+async function book(entry: FleetProcess, ticket: string, booking: string, deadlineMs = 20_000): Promise<Answer> {
+	return post(entry, 'operations/booking/book', {'x-ticket': ticket, 'x-deadline-ms': String(deadlineMs)}, {booking});
+}
+
+/** Gets a ticket as soon as the entry has seen an agent of the service. */
+async function takeTicket(entry: FleetProcess): Promise<string> {
+	let ticket: string | undefined;
+	await waitFor('a ticket is given', async () => {
+		const {body} = await post(entry, 'operations/booking/book', {}, {booking: 'none'});
+		ticket = body.error?.ticket;
+		return ticket !== undefined;
+	});
+	return ticket ?? '';
+}
+
+/** Returns how often the booking had run according to its answer. */
+async function runOf(answer: Promise<Answer>): Promise<number | undefined> {
+	const {body} = await answer;
+	return body.run;
+}
+
+function outcomeOf({body}: Answer): Array<string | undefined> {
+	return [body.error?.code, body.error?.outcome];
+}
+
+async function waitForRun(fleet: Fleet, booking: string): Promise<void> {
+	await waitFor(`${booking} runs`, () => fleet.services[0]?.ledger.get(booking) === 1);
+}
+
+/** Makes the runs of the first service wait until the returned function is called. */
+function hold(fleet: Fleet): () => void {
+	let release: () => void = () => undefined;
+	const gate = new Promise<void>(resolve => {
+		release = resolve;
+	});
+	const [service] = fleet.services;
+	if (service) {
+		service.gate = gate;
+	}
+
+	return release;
+}
+
+/** Puts a relay between the entries and an agent. */
+async function relayTo(fleet: Fleet, agent: FleetProcess): Promise<TcpRelay> {
+	const relay = new TcpRelay(agent.control);
+	fleet.readdress(agent.vm, await relay.start());
+	return relay;
+}
+
+async function isUnready({control}: FleetProcess): Promise<boolean> {
+	const answer = await getJson(control, '/readyz');
+	return answer?.ready === false;
+}
+
+async function waitForVersion(entry: FleetProcess, agents = 1): Promise<void> {
+	await waitFor('the version is served', async () => {
+		const text = JSON.stringify(await getJson(entry.control, '/dump'));
+		return text.split('"version":"v1"').length > agents;
+	});
+}
+
+async function ask(entry: FleetProcess, tokens: number, onPart: (text: string) => void = () => undefined): Promise<string> {
+	const res = await fetch(`http://${entry.callers}/v1/generate/ask`, {
+		method: 'POST', headers: {'x-workspace': 'desk'}, body: JSON.stringify({prompt: 'p', max_tokens: tokens}),
+	});
+	let text = '';
+	for await (const part of res.body ?? []) {
+		text += Buffer.from(part as Uint8Array).toString('utf8');
+		onPart(text);
+	}
+
+	return text;
+}
+
+function wholeText(tokens: number): string {
+	const lines = Array.from({length: tokens}, (_, seq) => JSON.stringify({token: expectedToken(digestOf(weights), null, 'p', seq)}));
+	return `${[...lines, JSON.stringify({done: true, tokens, version: 'v1'})].join('\n')}\n`;
+}
+
+// Guards against a second booking when a caller repeats through another entry after its own one died.
+it('an entry killed during a booking: the repeat through another entry gets the one run', async () => {
+	await withFleet(async fleet => {
+		await fleet.plainAgent('vm-booking', 'booking');
+		const release = hold(fleet);
+		const [first, second] = await Promise.all([fleet.entry('vm-entry1'), fleet.entry('vm-entry2')]);
+		const ticket = await takeTicket(first);
+		const lost = tryTo(async () => book(first, ticket, 'b1'));
+		await waitForRun(fleet, 'b1');
+		await endProcess(first.child);
+		expect(await lost).to.equal(undefined);
+		const repeated = book(second, ticket, 'b1');
+		release();
+		expect(await runOf(repeated)).to.equal(1);
+		expect(fleet.services[0]?.ledger.get('b1')).to.equal(1);
+	});
+});
+
+// Guards against a new incarnation that takes an old ticket for one that has not run.
+it('an agent killed and replaced during a booking: unknown, and no second run', async () => {
+	await withFleet(async fleet => {
+		const service = new PlainServiceStandin({runMs: 1});
+		fleet.services.push(service);
+		const upstream = {kind: 'plain', service: 'booking', address: `http://${formatAddress(await service.start({host: '127.0.0.1', port: 0}))}`};
+		const agent = await fleet.agent('vm-booking', upstream);
+		hold(fleet);
+		const entry = await fleet.entry('vm-entry');
+		const ticket = await takeTicket(entry);
+		const broken = book(entry, ticket, 'b1');
+		await waitForRun(fleet, 'b1');
+		await endProcess(agent.child);
+		expect(outcomeOf(await broken)).to.deep.equal(['outcome_unknown', 'unknown']);
+		expect(outcomeOf(await book(entry, ticket, 'b2'))).to.deep.equal(['outcome_unknown', 'unknown']);
+		await fleet.agent('vm-booking', upstream, {listen: {control: agent.control}});
+		expect(outcomeOf(await book(entry, ticket, 'b1'))).to.deep.equal(['outcome_unknown', 'unknown']);
+		expect([...service.ledger]).to.deep.equal([['b1', 1]]);
+	});
+});
+
+// Guards against a process that forwards a call after its deadline because it was stopped in between.
+it('an agent stopped before it forwards drops the expired calls when it wakes up', async () => {
+	await withFleet(async fleet => {
+		const agent = await fleet.plainAgent('vm-booking', 'booking');
+		const entry = await fleet.entry('vm-entry');
+		const ticket = await takeTicket(entry);
+		// The first request is received in part before the stop, the second one lies in a buffer of the stopped process.
+		const {port, hostname} = new URL(`http://${agent.control}`);
+		const socket = net.connect(Number(port), hostname);
+		const call = JSON.stringify(bookingCall({
+			attempt: 'direct', remainingMs: 1000, work: {kind: 'operation', operation: 'status', body: {booking: 'b1'}},
+		}));
+		socket.write(`POST /calls HTTP/1.1\r\nhost: a\r\ncontent-length: ${call.length}\r\n\r\n${call.slice(0, 50)}`);
+		await getJson(agent.control, '/healthz');
+		await sleep(200);
+		agent.child.kill('SIGSTOP');
+		socket.write(call.slice(50));
+		const answers = await Promise.all([book(entry, ticket, 'b2', 1500), sleep(1200)]);
+		expect(answers[0].body.error?.outcome).to.equal('unknown');
+		const text = new Promise<string>(resolve => {
+			socket.once('data', part => {
+				resolve(part.toString('utf8'));
+			});
+		});
+		agent.child.kill('SIGCONT');
+		expect(await text).to.contain('"code":"expired"');
+		await waitFor('the agent answers from its record', async () => outcomeOf(await book(entry, ticket, 'b2'))[1] === 'not_run');
+		expect([...fleet.services[0]?.ledger ?? []]).to.deep.equal([]);
+		socket.destroy();
+	});
+});
+
+// Guards against "not run" or a second run when the service ran the booking and its answer was lost.
+it('an answer lost after the run: unknown, and no second run', async () => {
+	await withFleet(async fleet => {
+		await fleet.plainAgent('vm-booking', 'booking');
+		const entry = await fleet.entry('vm-entry');
+		const ticket = await takeTicket(entry);
+		for (const service of fleet.services) {
+			service.loseAnswers = true;
+		}
+
+		expect(outcomeOf(await book(entry, ticket, 'b1'))).to.deep.equal(['outcome_unknown', 'unknown']);
+		expect(outcomeOf(await book(entry, ticket, 'b1'))).to.deep.equal(['outcome_unknown', 'unknown']);
+		expect(fleet.services[0]?.ledger.get('b1')).to.equal(1);
+	});
+});
+
+// Guards against a repeat by an HTTP library, and against giving up on a booking that still runs, when connections break or go silent.
+it('a connection cut or silent during a booking: the answer arrives over a fresh one, with one run', async () => {
+	await withFleet(async fleet => {
+		const agent = await fleet.plainAgent('vm-booking', 'booking');
+		const relay = await relayTo(fleet, agent);
+		const entry = await fleet.entry('vm-entry');
+		for (const [booking, fault] of [['b1', 'cutOpen'], ['b2', 'stallOpen']] as const) {
+			const ticket = await takeTicket(entry);
+			const release = hold(fleet);
+			const answer = book(entry, ticket, booking);
+			await waitForRun(fleet, booking);
+			const asked = relay.cancels;
+			relay[fault]();
+			await waitFor('the entry has asked over a fresh connection', () => relay.cancels > asked);
+			release();
+			expect(await runOf(answer)).to.equal(1);
+			expect(fleet.services[0]?.ledger.get(booking)).to.equal(1);
+		}
+
+		relay.stop();
+	});
+});
+
+// Guards against a ticket that runs at the old service, or is told "not run" after it ran, when its route or operation changes.
+it('a route moved to another service: finished tickets keep their answer, others do not run', async () => {
+	await withFleet(async fleet => {
+		await fleet.plainAgent('vm-booking', 'booking');
+		await fleet.plainAgent('vm-stock', 'stock');
+		const entry = await fleet.entry('vm-entry');
+		const [used, unused, unseen] = [await takeTicket(entry), await takeTicket(entry), await takeTicket(entry)];
+		expect(await runOf(book(entry, used, 'b1'))).to.equal(1);
+		const publish = async (documents: Record<string, unknown>) => {
+			fleet.platform.publish(documents);
+			await waitFor('the change is in force', async () => {
+				const dump = await getJson(entry.control, '/dump') as {configuration?: {revision: number}};
+				return dump.configuration?.revision === fleet.platform.publishedRevision;
+			});
+		};
+
+		await publish({'/teams/desk/routes/booking': {service: 'stock'}});
+		expect(await runOf(book(entry, used, 'b1'))).to.equal(1);
+		expect(outcomeOf(await book(entry, unused, 'b2'))).to.deep.equal(['cancelled', 'not_run']);
+		await publish({'/teams/desk/routes/booking': null});
+		expect(await runOf(book(entry, used, 'b1'))).to.equal(1);
+		expect(outcomeOf(await book(entry, unseen, 'b3'))).to.deep.equal(['cancelled', 'not_run']);
+		expect(fleet.services.map(({ledger}) => [...ledger])).to.deep.equal([[['b1', 1]], []]);
+	});
+});
+
+// Guards against a full table that forgets a finished booking, and against "not run" for a ticket that could still run.
+it('a full table and a foreign incarnation: unknown, and the records stay', async () => {
+	await withFleet(async fleet => {
+		await fleet.plainAgent('vm-booking', 'booking', 1, {limits: {call_records: 1}});
+		const entry = await fleet.entry('vm-entry');
+		const [first, second] = [await takeTicket(entry), await takeTicket(entry)];
+		await book(entry, first, 'b1');
+		expect(outcomeOf(await book(entry, second, 'b2'))).to.deep.equal(['table_full', 'unknown']);
+		expect(await runOf(book(entry, first, 'b1'))).to.equal(1);
+		expect(outcomeOf(await book(entry, first, 'other'))).to.deep.equal(['ticket_mismatch', 'unknown']);
+		const decoded = decodeTicket(second);
+		const foreign = decoded ? encodeTicket({...decoded, incarnation: 'earlier'}) : '';
+		expect(outcomeOf(await book(entry, foreign, 'b3'))).to.deep.equal(['outcome_unknown', 'unknown']);
+		expect([...fleet.services[0]?.ledger ?? []]).to.deep.equal([['b1', 1]]);
+	});
+});
+
+// Guards against a stream that ends short, doubled or mixed when an agent dies, a connection goes silent or an engine swaps versions (H1, H2).
+it('a stream is resumed whole on the same version after a killed agent, a silent connection and a version mix', async () => {
+	await withFleet(async fleet => {
+		const agents: FleetProcess[] = [];
+		for (const vm of ['vm-a', 'vm-b', 'vm-c']) {
+			agents.push(await fleet.engineAgent(vm, 'assistant', {tokenMs: 5}));
+		}
+
+		const relays: TcpRelay[] = [];
+		for (const agent of agents) {
+			relays.push(await relayTo(fleet, agent));
+		}
+
+		const entry = await fleet.entry('vm-entry');
+		await waitForVersion(entry, 3);
+		const once = (act: () => void) => {
+			let done = false;
+			return (text: string) => {
+				if (!done && text.split('\n').length > 20) {
+					done = true;
+					act();
+				}
+			};
+		};
+
+		expect(await ask(entry, 100, once(() => {
+			for (const relay of relays) {
+				relay.stallOpen();
+			}
+		}))).to.equal(wholeText(100));
+		const [mixing] = fleet.engines;
+		if (mixing) {
+			mixing.mixesVersionFrom = 10;
+		}
+
+		const before = mixing?.generations ?? 0;
+		await waitFor('the mixing engine was asked', async () => {
+			expect(await ask(entry, 30)).to.equal(wholeText(30));
+			return (mixing?.generations ?? 0) > before;
+		});
+		const started = fleet.engines.map(engine => engine.generations);
+		let killed: Promise<void> | undefined;
+		expect(await ask(entry, 100, once(() => {
+			const index = fleet.engines.findLastIndex((engine, at) => engine.generations > (started[at] ?? 0));
+			const agent = agents[index];
+			killed = agent && endProcess(agent.child);
+		}))).to.equal(wholeText(100));
+		await killed;
+		expect(agents.filter(({child}) => child.signalCode === 'SIGKILL')).to.have.length(1);
+		for (const relay of relays) {
+			relay.stop();
+		}
+	});
+});
+
+// Guards against a planned stop that cuts a call, and against new work at a process that is leaving (H3, H5, H6).
+it('SIGTERM of agent and entry during calls: what runs is answered, new calls are refused', async () => {
+	await withFleet(async fleet => {
+		const agent = await fleet.plainAgent('vm-booking', 'booking');
+		const entry = await fleet.entry('vm-entry', {limits: {drain_notice_ms: 300}});
+		const [done, running, fresh] = [await takeTicket(entry), await takeTicket(entry), await takeTicket(entry)];
+		expect(await runOf(book(entry, done, 'b0'))).to.equal(1);
+		const release = hold(fleet);
+		const answer = book(entry, running, 'b1');
+		await waitForRun(fleet, 'b1');
+		agent.child.kill('SIGTERM');
+		await waitFor('the agent is not ready', async () => isUnready(agent));
+		expect(outcomeOf(await book(entry, fresh, 'b2'))).to.deep.equal(['draining', 'not_run']);
+		expect(await runOf(book(entry, done, 'b0'))).to.equal(1);
+		entry.child.kill('SIGTERM');
+		await waitFor('the entry refuses', async () => {
+			const refused = await tryTo(async () => post(entry, 'operations/booking/status', {}, {booking: 'b3'}));
+			return refused !== undefined && outcomeOf(refused).join(' ') === 'draining not_run';
+		});
+		expect(outcomeOf(await book(entry, running, 'b1'))).to.deep.equal(['draining', 'unknown']);
+		release();
+		expect(await runOf(answer)).to.equal(1);
+		await waitFor('both have ended', () => entry.child.exitCode === 0 && agent.child.exitCode === 0);
+		expect([...fleet.services[0]?.ledger ?? []]).to.deep.equal([['b0', 1], ['b1', 1]]);
+	});
+});
--- a/test/support/tcp-relay.ts
+++ b/test/support/tcp-relay.ts
@@ -8,8 +8,8 @@
 export class TcpRelay {
 	/** Delay of each piece of bytes, in milliseconds. */
 	delayMs = 0;
-	/** Connections made through the relay since its start. */
-	connections = 0;
+	/** Questions what became of a call that went through the relay. */
+	cancels = 0;
 	/** Takes connections without passing any byte while true. */
 	stallNew = false;
 	private readonly pairs = new Set<Pair>();
@@ -56,10 +56,12 @@
 	}
 
 	private connect(client: net.Socket): void {
-		this.connections++;
 		const server = net.connect(this.target);
 		const pair = {client, server, stalled: this.stallNew};
 		this.pairs.add(pair);
+		client.on('data', bytes => {
+			this.cancels += bytes.includes('calls.cancel') ? 1 : 0;
+		});
 		this.pass(pair, client, server);
 		this.pass(pair, server, client);
 	}
