--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -55,7 +55,7 @@
 
 function createCall(at: number): ReturnType<typeof callRequestSchema.parse> {
 	return callRequestSchema.parse({
-		attempt: `attempt-${at}`, requestId: `request-${at}`, workspace: 'desk', service: 'booking', priority: 'normal', remainingMs: 30_000,
+		attempt: `attempt-${at}`, requestId: `request-${at}`, workspace: 'desk', service: 'booking', priority: 'normal', remainingMs: 30_000, agentDeadline: null,
 		ticket: {nonce: randomBytes(16).toString('hex'), incarnation: 'run-1', expiresAtMs: Date.now() + 600_000},
 		work: {kind: 'operation', operation: 'book', body: {booking: `b${at}`, part: 'wheel', slot: '10:30'}},
 	});
@@ -112,14 +112,17 @@
 	});
 }
 
-const benchWork = {
-	kind: 'generate', model: 'm', version: 'v1', adapter: null, prompt: '', maxTokens: 100_000, resumeFrom: 0,
-} as const;
+const generateCall = callRequestSchema.parse({
+	attempt: 'a1', requestId: 'r1', workspace: 'desk', service: 'assistant', priority: 'normal', remainingMs: 30_000, agentDeadline: null, ticket: null,
+	work: {
+		kind: 'generate', model: 'assistant', version: 'v1', adapter: null, prompt: 'wheel is loose', maxTokens: 100, resumeFrom: 0,
+	},
+});
 
 /** Reads, checks and writes on a frame, as an entry does for each. */
 function passFrames(line: string, count: number): void {
 	for (let at = 0; at < count; at++) {
-		const checker = new FrameChecker({attempt: 'a1', work: benchWork});
+		const checker = new FrameChecker(generateCall);
 		checker.accept({
 			attempt: 'a1', seq: 0, kind: 'head', version: 'v1',
 		});
--- a/src/calls/generate-handler.ts
+++ b/src/calls/generate-handler.ts
@@ -73,7 +73,7 @@
 
 	private choose(generation: Generation, excluded: ReadonlySet<string>): GenerateTarget | undefined {
 		const {caller, res, attempted} = generation;
-		const route = this.options.router.choose(caller.route, excluded, res.headersSent ? attempted?.version : undefined);
+		const route = this.options.router.choose(caller.route, excluded, res.headersSent ? attempted?.version : undefined, generation.body.prompt);
 		return route && {vm: route.member.vm, address: route.member.address, route};
 	}
 }
