Spread the configuration by gossip with two watchers per zone

Cause: every process watched the configuration service itself; 3630 processes would hold 3630 waiting calls. Ruled out: a most stream that unfolds for the watch, since it keeps a chain of all earlier promises; a digest over deleted paths and last good values, since two processes with the same documents would differ. Change: watchers by rendezvous rank with two standbys, offers, delta fetch with the whole tree on a digest mismatch, two-way digest exchange, direct reads as the last resort, the floor at start, an overlap of 16 revisions at each read of the service, the 8 MB bound. Decisions are in ConfigurationReplica and pure functions, apart from I/O.

--- a/src/cli/base-process.ts
+++ b/src/cli/base-process.ts
@@ -2,6 +2,7 @@
 import process from 'node:process';
 import {ConfigurationManager} from '../configuration/configuration-manager.ts';
 import {ConfigurationStore} from '../configuration/configuration-store.ts';
+import {formatAddress, type ListenAddress} from '../links/http-listener.ts';
 import {PeerClient} from '../links/peer-client.ts';
 import {RpcDispatcher} from '../links/rpc-dispatcher.ts';
 import {MembershipManager} from '../membership/membership-manager.ts';
@@ -32,15 +33,23 @@
 	readonly membership: MembershipManager;
 
 	/** @param settings - the settings that both roles share */
-	constructor(private readonly settings: ProcessSettings) {
+	constructor(private readonly settings: ProcessSettings & {readonly listen: {readonly control: ListenAddress}}) {
 		this.log = createLogger(settings.process.vm, settings.process.log_level);
 		this.random = new RandomSource(settings.process.random_seed ?? randomSeed());
 		const {links, random, log, store} = this;
-		this.configuration = new ConfigurationManager({
-			store, links, random, log, serviceUrl: settings.platform.configuration,
-		});
+		const {vm, zone} = settings.process;
 		this.membership = new MembershipManager({
-			links, random, log, listUrl: settings.platform.vms,
+			vm, links, random, log, listUrl: settings.platform.vms,
+		});
+		this.configuration = new ConfigurationManager({
+			store,
+			links,
+			rpc: this.rpc,
+			random,
+			log,
+			serviceUrl: settings.platform.configuration,
+			own: {vm, zone, address: formatAddress(settings.listen.control)},
+			peers: () => this.membership.peers,
 		});
 		this.metrics.gauge('cactusreach_configuration_revision', 'Revision of the configuration in force.', () => store.revision);
 		this.metrics.gauge('cactusreach_resident_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss());
@@ -49,7 +58,7 @@
 	/** Starts membership and configuration. */
 	async start(): Promise<void> {
 		await this.membership.start();
-		this.configuration.start();
+		void this.configuration.start();
 	}
 
 	/** Stops membership, configuration and links. */
@@ -68,7 +77,9 @@
 			zone,
 			region,
 			incarnation: this.identity.incarnation,
-			configuration: {revision: this.store.revision, digest: this.store.digest, findings: this.store.findings},
+			configuration: {
+				revision: this.store.revision, digest: this.store.digest, findings: this.store.findings, ...this.configuration.state,
+			},
 			members: this.membership.members,
 		};
 	}
--- a/src/configuration/accept-tree.ts
+++ b/src/configuration/accept-tree.ts
@@ -1,25 +1,49 @@
 /** Decides whether a received configuration replaces the one in force. */
+import type {Digest} from '../ids/digest.ts';
 import type {Revision} from '../ids/revision.ts';
 import type {ConfigEntry} from '../messages/config-sync.ts';
 import type {Finding} from '../runtime/finding.ts';
-import {checkDocument} from './check-document.ts';
-import type {ConfigurationTree} from './configuration-store.ts';
+import {checkEntry} from './check-document.ts';
+import {betterFallback, lastGoodOf} from './fallback.ts';
+import {
+	bytesOfTree, type ConfigurationTree, deletionHorizon, digestOfTree,
+} from './tree.ts';
+
+/** The largest tree that is put in force, in bytes of documents; a quarter of the 32 MB that control may use. */
+export const maxTreeBytes = 8 * 1024 * 1024;
 
 /** A received configuration. */
 export type ConfigurationUpdate = {
 	readonly revision: Revision;
-	/** True when `entries` is the whole tree, false when they are changes to the tree in force. */
+	/** True when `entries` is the whole tree, false when they are changes to the tree at revision `base`. */
 	readonly whole: boolean;
+	/** The revision that the changes start from. */
+	readonly base: Revision;
 	readonly entries: readonly ConfigEntry[];
+	/** The digest that the tree must have; absent from the configuration service, which sends none. */
+	readonly digest?: string;
 };
 
+/** Why an update was not put in force. */
+export type Refusal =
+	/** A lower revision than the one in force. */
+	| 'older'
+	/** The tree in force itself. */
+	| 'same'
+	/** The revision in force with other content. */
+	| 'conflict'
+	/** The changes do not lead to the announced tree: only the whole tree helps. */
+	| 'incomplete'
+	/** More documents than a process may hold. */
+	| 'oversized';
+
 /** The decision. */
 export type Acceptance =
-	| {readonly accepted: true; readonly tree: ConfigurationTree; readonly findings: readonly Finding[]}
-	| {readonly accepted: false; readonly findings: readonly Finding[]};
+	| {readonly accepted: true; readonly tree: ConfigurationTree; readonly digest: Digest; readonly findings: readonly Finding[]}
+	| {readonly accepted: false; readonly refusal: Refusal};
 
 /**
- * Accepts an update only when its revision is greater than the one in force.
+ * Accepts an update only when its revision is greater than the one in force and its content is what the sender announced.
  *
  * A document that fails its check keeps its last good value as fallback; other documents of the same revision are not held up.
  *
@@ -28,42 +52,54 @@
  */
 export function acceptTree(current: ConfigurationTree, update: ConfigurationUpdate): Acceptance {
 	if (update.revision < current.revision) {
-		const reason = `revision ${update.revision} is older than revision ${current.revision} in force`;
-		return {accepted: false, findings: [{file: '/', key: '(revision)', reason}]};
+		return {accepted: false, refusal: 'older'};
+	}
+
+	if (!update.whole && update.base !== current.revision) {
+		return {accepted: false, refusal: 'incomplete'};
 	}
 
+	const tree = combine(current, update);
+	const digest = digestOfTree(tree);
 	if (update.revision === current.revision) {
-		return {accepted: false, findings: []};
+		return {accepted: false, refusal: digest === digestOfTree(current) ? 'same' : 'conflict'};
+	}
+
+	if (update.digest !== undefined && update.digest !== digest) {
+		return {accepted: false, refusal: 'incomplete'};
+	}
+
+	if (bytesOfTree(tree) > maxTreeBytes) {
+		return {accepted: false, refusal: 'oversized'};
 	}
 
+	return {
+		accepted: true, tree, digest, findings: [...tree.entries.values()].flatMap(entry => findingsOf(entry)),
+	};
+}
+
+function combine(current: ConfigurationTree, update: ConfigurationUpdate): ConfigurationTree {
 	const entries = update.whole ? new Map<string, ConfigEntry>() : new Map(current.entries);
-	const findings: Finding[] = [];
 	for (const entry of update.entries) {
 		entries.set(entry.path, withFallback(entry, current.entries.get(entry.path)));
 	}
 
 	for (const entry of entries.values()) {
-		findings.push(...findingsOf(entry));
+		if (entry.value === null && entry.revision < update.revision - deletionHorizon) {
+			entries.delete(entry.path);
+		}
 	}
 
-	return {accepted: true, tree: {revision: update.revision, entries}, findings};
+	return {revision: update.revision, entries};
 }
 
 function withFallback(entry: ConfigEntry, previous: ConfigEntry | undefined): ConfigEntry {
-	if (entry.value === null || checkDocument(entry.path, entry.value).ok || entry.fallback) {
+	if (entry.value === null || checkEntry(entry).ok) {
 		return entry;
 	}
 
-	const fallback = lastGood(previous);
-	return fallback ? {...entry, fallback} : entry;
-}
-
-function lastGood(entry: ConfigEntry | undefined): ConfigEntry['fallback'] {
-	if (!entry || entry.value === null) {
-		return undefined;
-	}
-
-	return checkDocument(entry.path, entry.value).ok ? {revision: entry.revision, value: entry.value} : entry.fallback;
+	const fallback = betterFallback(entry.fallback, lastGoodOf(previous));
+	return fallback === entry.fallback ? entry : {...entry, fallback};
 }
 
 function findingsOf(entry: ConfigEntry): readonly Finding[] {
@@ -71,6 +107,6 @@
 		return [];
 	}
 
-	const checked = checkDocument(entry.path, entry.value);
+	const checked = checkEntry(entry);
 	return checked.ok ? [] : checked.findings;
 }
--- a/src/configuration/configuration-service.ts
+++ b/src/configuration/configuration-service.ts
@@ -2,7 +2,8 @@
 import {z} from 'zod';
 import {createRevision, type Revision} from '../ids/revision.ts';
 import type {PeerClient} from '../links/peer-client.ts';
-import {type ConfigEntry, configEntrySchema} from '../messages/config-sync.ts';
+import {configEntrySchema} from '../messages/config-sync.ts';
+import type {ServiceAnswer} from './configuration-replica.ts';
 
 /** Extra time for an answer beyond the wait that the service was asked for, in milliseconds. */
 const answerMarginMs = 3000;
@@ -12,9 +13,6 @@
 	entries: z.array(configEntrySchema.omit({fallback: true})),
 });
 
-/** What the service answered: entries that changed after the asked revision. */
-export type ServiceAnswer = {readonly revision: Revision; readonly entries: readonly ConfigEntry[]};
-
 /** Reads and watches the configuration service. */
 export class ConfigurationService {
 	/**
--- a/src/configuration/configuration-store.ts
+++ b/src/configuration/configuration-store.ts
@@ -1,30 +1,26 @@
 /** The configuration in force on this process: entries by path, and typed access to their documents. */
-import {digestOf, type Digest} from '../ids/digest.ts';
-import {noRevision, type Revision} from '../ids/revision.ts';
-import type {ConfigEntry} from '../messages/config-sync.ts';
+import {fromEvent, type Stream} from 'most';
+import type {Digest} from '../ids/digest.ts';
+import type {Revision} from '../ids/revision.ts';
+import type {ConfigEntry, ConfigVersion} from '../messages/config-sync.ts';
 import type {Finding} from '../runtime/finding.ts';
-import {checkDocument} from './check-document.ts';
+import {checkDocument, checkEntry} from './check-document.ts';
 import {
 	type Model, type Route, type Service, type TransferLimits, transferSchema, type WorkspaceLimits, workspaceLimitsSchema,
 } from './documents.ts';
-
-/** A whole tree of entries at one revision. */
-export type ConfigurationTree = {
-	readonly revision: Revision;
-	/** Entries by path; deleted paths stay as entries with a null value, so that deltas carry them. */
-	readonly entries: ReadonlyMap<string, ConfigEntry>;
-};
-
-/** The tree before anything was published. */
-export const emptyTree: ConfigurationTree = {revision: noRevision, entries: new Map()};
+import {
+	type ConfigurationTree, digestOfFallbacks, digestOfTree, emptyTree,
+} from './tree.ts';
 
 /** Holds the tree in force. */
 export class ConfigurationStore {
 	private tree: ConfigurationTree = emptyTree;
 	private readonly documents = new Map<string, unknown>();
-	private readonly listeners = new Set<() => void>();
+	private readonly events = new EventTarget();
 	private digestText: Digest = digestOfTree(emptyTree);
+	private fallbackDigest: Digest = digestOfFallbacks(emptyTree);
 	private openFindings: readonly Finding[] = [];
+	private readonly conditions = new Map<string, Finding>();
 
 	/** The revision in force. */
 	get revision(): Revision {
@@ -41,11 +37,48 @@
 		return this.tree;
 	}
 
-	/** Problems of documents whose last good value stays in force. */
+	/** Revision and digests of the tree in force. */
+	get version(): ConfigVersion {
+		return {revision: this.tree.revision, digest: this.digestText, fallbackDigest: this.fallbackDigest};
+	}
+
+	/** Problems of documents whose last good value stays in force, and of the tree as a whole. */
 	get findings(): readonly Finding[] {
+		return [...this.conditions.values(), ...this.openFindings];
+	}
+
+	/** Problems of documents whose last good value stays in force. */
+	get documentFindings(): readonly Finding[] {
 		return this.openFindings;
 	}
 
+	/**
+	 * Reports a problem of the tree as a whole until it is cleared.
+	 *
+	 * @param finding - replaces the finding with the same key
+	 */
+	setCondition(finding: Finding): void {
+		if (!this.conditions.has(finding.key)) {
+			this.events.dispatchEvent(new CustomEvent('finding', {detail: finding}));
+		}
+
+		this.conditions.set(finding.key, finding);
+	}
+
+	/**
+	 * Clears a problem of the tree as a whole.
+	 *
+	 * @param key - the finding's key
+	 */
+	clearCondition(key: string): void {
+		this.conditions.delete(key);
+	}
+
+	/** The findings as they appear. */
+	appearingFindings(): Stream<Finding> {
+		return fromEvent<CustomEvent<Finding>>('finding', this.events as never).map(({detail}) => detail);
+	}
+
 	/**
 	 * Puts a tree in force.
 	 *
@@ -55,6 +88,11 @@
 	replace(tree: ConfigurationTree, findings: readonly Finding[]): void {
 		this.tree = tree;
 		this.digestText = digestOfTree(tree);
+		this.fallbackDigest = digestOfFallbacks(tree);
+		for (const finding of findings) {
+			this.events.dispatchEvent(new CustomEvent('finding', {detail: finding}));
+		}
+
 		this.openFindings = findings;
 		this.documents.clear();
 		for (const entry of tree.entries.values()) {
@@ -64,9 +102,12 @@
 			}
 		}
 
-		for (const listener of this.listeners) {
-			listener();
-		}
+		this.events.dispatchEvent(new CustomEvent('change', {detail: tree}));
+	}
+
+	/** The trees that are put in force from now on. */
+	changes(): Stream<ConfigurationTree> {
+		return fromEvent<CustomEvent<ConfigurationTree>>('change', this.events as never).map(({detail}) => detail);
 	}
 
 	/**
@@ -75,7 +116,7 @@
 	 * @param listener - reads what it needs from the store
 	 */
 	onChange(listener: () => void): void {
-		this.listeners.add(listener);
+		this.events.addEventListener('change', listener);
 	}
 
 	/**
@@ -128,24 +169,12 @@
 	}
 }
 
-/**
- * Computes the digest of a tree over path, revision and value of all entries.
- *
- * @param tree - the tree
- */
-export function digestOfTree(tree: ConfigurationTree): Digest {
-	const lines = [...tree.entries.values()]
-		.toSorted((a, b) => (a.path < b.path ? -1 : 1))
-		.map(entry => JSON.stringify([entry.path, entry.revision, entry.value]));
-	return digestOf(`${tree.revision}\n${lines.join('\n')}`);
-}
-
 function documentInForce(entry: ConfigEntry): unknown {
 	if (entry.value === null) {
 		return undefined;
 	}
 
-	const checked = checkDocument(entry.path, entry.value);
+	const checked = checkEntry(entry);
 	if (checked.ok) {
 		return checked.document;
 	}
--- /dev/null
+++ b/src/configuration/service-watch.ts
@@ -0,0 +1,123 @@
+/** Reads and watches the configuration service for one process. */
+import type {PeerClient} from '../links/peer-client.ts';
+import type {Logger} from '../runtime/logger.ts';
+import type {RandomSource} from '../runtime/random-source.ts';
+import type {ConfigurationReplica} from './configuration-replica.ts';
+import {ConfigurationService} from './configuration-service.ts';
+
+/** How long one watch waits at the service, in milliseconds; a quiet watch renews the service's word this often. */
+export const watchWaitMs = 5000;
+
+/** Mean pause after a failed read, in milliseconds; it doubles with each failure. */
+export const watchRetryMs = 500;
+
+/** Longest mean pause after a failed read, in milliseconds. */
+export const maxWatchRetryMs = 5000;
+
+/** Shortest time between two watches, in milliseconds: a burst of changes costs each watcher at most 8 calls per second. */
+export const watchSpacingMs = 250;
+
+/** What the watch works with. */
+export type ServiceWatchOptions = {
+	readonly replica: ConfigurationReplica;
+	readonly links: PeerClient;
+	readonly random: RandomSource;
+	readonly log: Logger;
+	/** The configuration service's address. */
+	readonly serviceUrl: string;
+	/** Is called after each answer of the service. */
+	readonly onAnswer: () => void;
+};
+
+/** Asks the service what the replica wants to know. */
+export class ServiceWatch {
+	private readonly service: ConfigurationService;
+	private readonly stopping = new AbortController();
+	private failures = 0;
+	private isWatching = false;
+
+	/** @param options - what the watch works with */
+	constructor(private readonly options: ServiceWatchOptions) {
+		this.service = new ConfigurationService(options.links, options.serviceUrl);
+	}
+
+	/**
+	 * Watches until told otherwise; a second call while a watch runs does nothing.
+	 *
+	 * @param isNeeded - is asked before each read
+	 */
+	watchWhile(isNeeded: () => boolean): void {
+		if (!this.isWatching) {
+			this.isWatching = true;
+			void this.watch(isNeeded);
+		}
+	}
+
+	/**
+	 * Reads the service without waiting for a change.
+	 *
+	 * @returns whether the service answered
+	 */
+	async readOnce(): Promise<boolean> {
+		const {replica} = this.options;
+		const question = replica.serviceQuestion(performance.now());
+		// A question that follows from the first answer, such as a whole read, is asked too.
+		const isAnswered = await this.ask();
+		if (isAnswered && question.kind !== 'whole' && replica.serviceQuestion(performance.now()).kind !== 'watch') {
+			return this.ask();
+		}
+
+		return isAnswered;
+	}
+
+	/** Ends the watch. */
+	stop(): void {
+		this.stopping.abort();
+	}
+
+	// A loop instead of a stream that unfolds: `most` keeps a chain of all earlier promises of an unfolding stream.
+	private async watch(isNeeded: () => boolean): Promise<void> {
+		try {
+			while (!this.stopping.signal.aborted && isNeeded()) {
+				await this.askPaced();
+			}
+		} finally {
+			this.isWatching = false;
+		}
+	}
+
+	private async askPaced(): Promise<void> {
+		const isAnswered = await this.ask(watchWaitMs);
+		if (!isAnswered) {
+			await this.pause(this.options.random.jitter(Math.min(maxWatchRetryMs, watchRetryMs * (2 ** this.failures))));
+		} else if (this.options.replica.serviceQuestion(performance.now()).kind === 'watch') {
+			await this.pause(watchSpacingMs);
+		}
+	}
+
+	private async ask(waitMs = 0): Promise<boolean> {
+		const {replica, log, onAnswer} = this.options;
+		const question = replica.serviceQuestion(performance.now());
+		try {
+			const answer = await this.service.read(question.after, question.kind === 'watch' ? waitMs : 0, this.stopping.signal);
+			replica.receiveService(question, answer, performance.now());
+			this.failures = 0;
+			onAnswer();
+			return true;
+		} catch (err) {
+			if (!this.stopping.signal.aborted) {
+				this.failures++;
+				replica.serviceFailed();
+				log.warn({event: 'configuration_read_failed', kind: question.kind, err}, 'configuration service did not answer');
+			}
+
+			return false;
+		}
+	}
+
+	private async pause(ms: number): Promise<void> {
+		await new Promise(resolve => {
+			setTimeout(resolve, ms).unref();
+		});
+	}
+}
--- a/src/membership/membership-manager.ts
+++ b/src/membership/membership-manager.ts
@@ -16,6 +16,8 @@
 
 /** What the manager works with. */
 export type MembershipManagerOptions = {
+	/** This process's VM. */
+	readonly vm: string;
 	readonly links: PeerClient;
 	readonly random: RandomSource;
 	readonly log: Logger;
@@ -28,6 +30,7 @@
 	private listed: readonly ListedVm[] = [];
 	private readonly sights = new Map<string, Sight>();
 	private view: readonly Member[] = [];
+	private others: readonly ListedVm[] = [];
 	private timer: NodeJS.Timeout | undefined;
 	private stopped = false;
 
@@ -39,6 +42,11 @@
 		return this.view;
 	}
 
+	/** All listed VMs but this one. */
+	get peers(): readonly ListedVm[] {
+		return this.others;
+	}
+
 	/**
 	 * Returns the usable upstreams of a service.
 	 *
@@ -66,6 +74,7 @@
 		try {
 			const answer = await links.json(`${listUrl}/v1/vms`, {method: 'GET'}, {timeoutMs: vmListTimeoutMs});
 			this.listed = vmListSchema.parse(answer).vms;
+			this.others = this.listed.filter(({vm}) => vm !== this.options.vm);
 			this.rebuild();
 		} catch (err) {
 			log.warn({event: 'vm_list_failed', err}, 'VM list did not answer; the last list stays');
--- a/src/messages/config-sync.ts
+++ b/src/messages/config-sync.ts
@@ -1,20 +1,34 @@
-/** Messages that spread the configuration between processes. */
+/** Messages that spread the configuration and the VM list between processes. */
 import {z} from 'zod';
 
-/** Notifies a peer of a revision; the peer fetches it when it is newer than its own. */
+/** Notifies a peer of what a process holds; the peer fetches what is newer than its own. */
 export const configOfferMethod = 'config.offer';
 
 /** Fetches what changed after a revision. */
 export const configGetMethod = 'config.get';
 
-/** Returns revision and digest, for anti-entropy and for the floor at start. */
+/** Exchanges what both sides hold, for anti-entropy and for the floor at start. */
 export const configDigestMethod = 'config.digest';
 
-/** A revision and the digest of the whole tree at that revision. */
-export const configVersionSchema = z.object({revision: z.number().int().nonnegative(), digest: z.string()});
+/** What a process holds. */
+export const configVersionSchema = z.object({
+	revision: z.number().int().nonnegative(),
+	/** Digest of all documents at that revision. */
+	digest: z.string(),
+	/** Digest of the last good values that replace invalid documents. */
+	fallbackDigest: z.string(),
+});
 
-/** A revision, its digest, and where to fetch it. */
-export const configOfferSchema = configVersionSchema.extend({address: z.string()});
+/** What a process holds, where to fetch it, and how fresh its word from the platform is. */
+export const configOfferSchema = configVersionSchema.extend({
+	vm: z.string(),
+	/** The control listener, `ip:port`. */
+	address: z.string(),
+	/** Time since the configuration service last confirmed a revision to any process that this one heard of, in milliseconds. */
+	serviceAgeMs: z.number().nonnegative(),
+	/** The VM list that is held, and the time since it was read from the platform, in milliseconds. */
+	list: z.object({digest: z.string(), ageMs: z.number().nonnegative()}).optional(),
+});
 
 /** One published document; `value` is null for a deleted path. */
 export const configEntrySchema = z.object({
@@ -25,8 +39,13 @@
 	fallback: z.object({revision: z.number().int(), value: z.unknown()}).optional(),
 });
 
-/** Which entries are wanted: all that changed after a revision; 0 for the whole tree. */
-export const configGetParamsSchema = z.object({after: z.number().int().nonnegative()});
+/** Which entries are wanted. */
+export const configGetParamsSchema = z.object({
+	/** Entries that changed after this revision; 0 for the whole tree. */
+	after: z.number().int().nonnegative(),
+	/** Only entries that carry a last good value. */
+	onlyFallbacks: z.boolean().default(false),
+});
 
 /** Changed entries and the version that they lead to. */
 export const configGetResultSchema = configVersionSchema.extend({
@@ -35,11 +54,17 @@
 	entries: z.array(configEntrySchema),
 });
 
-/** A revision and the digest of the whole tree at that revision. */
+/** What a process holds. */
 export type ConfigVersion = z.infer<typeof configVersionSchema>;
 
+/** What a process holds and where to fetch it. */
+export type ConfigOffer = z.infer<typeof configOfferSchema>;
+
 /** One published document. */
 export type ConfigEntry = z.infer<typeof configEntrySchema>;
 
+/** Which entries are wanted. */
+export type ConfigGetParams = z.infer<typeof configGetParamsSchema>;
+
 /** Changed entries and the version that they lead to. */
 export type ConfigGetResult = z.infer<typeof configGetResultSchema>;
