--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -7,7 +7,7 @@
 import {randomBytes} from 'node:crypto';
 import process from 'node:process';
 import {CallLedger} from '../src/calls/call-ledger.ts';
-import {FrameChecker} from '../src/calls/frame-reader.ts';
+import {FrameChecker} from '../src/calls/frame-checker.ts';
 import {acceptTree} from '../src/configuration/accept-tree.ts';
 import {ConfigurationStore, emptyTree} from '../src/configuration/configuration-store.ts';
 import {digestOf} from '../src/ids/digest.ts';
@@ -55,7 +55,7 @@
 
 function createCall(at: number): ReturnType<typeof callRequestSchema.parse> {
 	return callRequestSchema.parse({
-		attempt: `attempt-${at}`, requestId: `request-${at}`, workspace: 'desk', service: 'booking', priority: 'normal', remainingMs: 30_000,
+		attempt: `attempt-${at}`, requestId: `request-${at}`, workspace: 'desk', service: 'booking', priority: 'normal', remainingMs: 30_000, agentDeadline: null,
 		ticket: {nonce: randomBytes(16).toString('hex'), incarnation: 'run-1', expiresAtMs: Date.now() + 600_000},
 		work: {kind: 'operation', operation: 'book', body: {booking: `b${at}`, part: 'wheel', slot: '10:30'}},
 	});
@@ -112,10 +112,17 @@
 	});
 }
 
+const generateCall = callRequestSchema.parse({
+	attempt: 'a1', requestId: 'r1', workspace: 'desk', service: 'assistant', priority: 'normal', remainingMs: 30_000, agentDeadline: null, ticket: null,
+	work: {
+		kind: 'generate', model: 'assistant', version: 'v1', adapter: null, prompt: 'wheel is loose', maxTokens: 100, resumeFrom: 0,
+	},
+});
+
 /** Reads, checks and writes on a frame, as an entry does for each. */
 function passFrames(line: string, count: number): void {
 	for (let at = 0; at < count; at++) {
-		const checker = new FrameChecker('a1');
+		const checker = new FrameChecker(generateCall);
 		checker.accept({
 			attempt: 'a1', seq: 0, kind: 'head', version: 'v1',
 		});
--- a/src/calls/agent-call-handler.ts
+++ b/src/calls/agent-call-handler.ts
@@ -21,6 +21,8 @@
 	readonly isDraining: () => boolean;
 	/** Called before a call is forwarded; after a pause it lets the process find out that it was paused. */
 	readonly beforeForward: () => void;
+	/** Tells whether the upstream's queue is past its bound while so many calls run; absent: never. */
+	readonly isOverloaded?: (runningCalls: number) => boolean;
 };
 
 /** Reports a call that must not be forwarded, found right before its first byte would have left. */
@@ -142,7 +144,12 @@
 			return 'wrong_service';
 		}
 
-		return this.options.upstream.serves(call) ? undefined : 'version_not_served';
+		if (!this.options.upstream.serves(call)) {
+			return 'version_not_served';
+		}
+
+		// The count includes this call itself.
+		return this.options.isOverloaded?.(this.running - 1) === true ? 'overloaded' : undefined;
 	}
 
 	private async forward(call: CallRequest, record: CallRecord, answer: FrameWriter, options: RunOptions): Promise<void> {
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -59,7 +59,7 @@
 
 /** How the router counts an attempt. */
 const resultByEnd: Readonly<Record<AttemptEndKind, AttemptResultKind>> = {
-	answered: 'answered', refused: 'refused', unsent: 'failed', failed: 'failed', broken: 'failed', silent: 'failed', expired: 'failed',
+	answered: 'answered', refused: 'refused', unsent: 'failed', failed: 'failed', broken: 'failed', silent: 'silent', expired: 'abandoned',
 };
 
 /** Runs calls. */
@@ -118,11 +118,11 @@
 			const end = await attempts.run(target.address, call, plan);
 			if (plan.gone.aborted) {
 				// The attempt was ended by the caller, which says nothing about the upstream.
-				result = 'refused';
+				result = 'abandoned';
 				return {step: {kind: 'destroy'}};
 			}
 
-			result = resultByEnd[end.kind];
+			result = end.code === 'overloaded' ? 'overloaded' : resultByEnd[end.kind];
 			if (end.kind !== 'answered') {
 				log.info({
 					event: 'attempt_ended', end: end.kind, code: end.code, err: end.err, vm: target.vm, request_id: call.requestId, workspace: call.workspace,
