Pass the VM list on beside the configuration and poll a subset of agents

Cause: every process read the whole VM list every second and every entry polled every agent; at the design size a list is about 0.7 MB and an entry would poll 2700 agents. Ruled out: slow polling of the list by all processes (0.7 MB every 10 s is 72 KB/s per node, over the 12 KB/s target); a sequence number of the list (the platform gives none), so the youngest reading wins by its age. Change: the zone's watchers read the list every second with entity tags, offers and digest exchanges carry its digest and age, peers pull changes (members.get). Reports are ordered by incarnation and the agent's clock, and reset when a VM id has a new address. Failed agents are asked again with backoff. Being told to leave is final for a process.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -9,7 +9,8 @@
 import {CallLedger} from '../src/calls/call-ledger.ts';
 import {FrameChecker} from '../src/calls/frame-checker.ts';
 import {acceptTree} from '../src/configuration/accept-tree.ts';
-import {ConfigurationStore, emptyTree} from '../src/configuration/configuration-store.ts';
+import {ConfigurationStore} from '../src/configuration/configuration-store.ts';
+import {emptyTree} from '../src/configuration/tree.ts';
 import {digestOf} from '../src/ids/digest.ts';
 import {createRevision} from '../src/ids/revision.ts';
 import {mergeMembers} from '../src/membership/merge-members.ts';
@@ -97,7 +98,9 @@
 
 function createStore(size: number): ConfigurationStore {
 	const store = new ConfigurationStore();
-	const decision = acceptTree(emptyTree, {revision: createRevision(size), whole: true, entries: createEntries(size)});
+	const decision = acceptTree(emptyTree, {
+		revision: createRevision(size), whole: true, base: emptyTree.revision, entries: createEntries(size),
+	});
 	if (decision.accepted) {
 		store.replace(decision.tree, decision.findings);
 	}
@@ -170,13 +173,17 @@
 			const listed = createVms(size);
 			const sights = new Map<string, Sight>(listed.slice(0, 24).map(({vm}, at) => [vm, {failedConnects: 0, report: createReport(at)}]));
 			return cpuMicros(() => {
-				mergeMembers(listed, sights);
+				mergeMembers({
+					listed, unlisted: [], sights, nowMs: 0,
+				});
 			});
 		},
 	},
 	{
 		name: 'all: memory of the member view', unit: 'bytes/member', sizes: [1000, 2000, 3630],
-		run: size => heapBytes(() => mergeMembers(createVms(size), new Map())),
+		run: size => heapBytes(() => mergeMembers({
+			listed: createVms(size), unlisted: [], sights: new Map(), nowMs: 0,
+		})),
 	},
 	{
 		name: 'all: length of the VM list', unit: 'bytes/member', sizes: [1000, 2000, 3630],
--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -108,8 +108,7 @@
 	}
 
 	private isLeaving(): boolean {
-		const self = this.base.membership.members.find(member => member.vm === this.settings.process.vm);
-		return this.draining || self?.state === 'leaving';
+		return this.draining || this.base.membership.isLeaving;
 	}
 
 	private createOrders(): OrderManager {
--- a/src/cli/base-process.ts
+++ b/src/cli/base-process.ts
@@ -38,8 +38,13 @@
 		this.random = new RandomSource(settings.process.random_seed ?? randomSeed());
 		const {links, random, log, store} = this;
 		const {vm, zone} = settings.process;
+		const address = formatAddress(settings.listen.control);
 		this.membership = new MembershipManager({
-			vm, links, random, log, listUrl: settings.platform.vms,
+			own: {vm, zone, address}, links, rpc: this.rpc, random, log, listUrl: settings.platform.vms,
+			isReader: () => this.configuration.isWatcher,
+			onChange: told => {
+				void this.configuration.offer(told);
+			},
 		});
 		this.configuration = new ConfigurationManager({
 			store,
@@ -48,8 +53,9 @@
 			random,
 			log,
 			serviceUrl: settings.platform.configuration,
-			own: {vm, zone, address: formatAddress(settings.listen.control)},
+			own: {vm, zone, address},
 			peers: () => this.membership.peers,
+			list: this.membership.list,
 		});
 		this.metrics.gauge('cactusreach_configuration_revision', 'Revision of the configuration in force.', () => store.revision);
 		this.metrics.gauge('cactusreach_resident_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss());
@@ -57,6 +63,10 @@
 
 	/** Starts membership and configuration. */
 	async start(): Promise<void> {
+		this.wake.onWake(() => {
+			void this.membership.refresh();
+			void this.configuration.refresh();
+		});
 		await this.membership.start();
 		void this.configuration.start();
 	}
@@ -81,6 +91,7 @@
 				revision: this.store.revision, digest: this.store.digest, findings: this.store.findings, ...this.configuration.state,
 			},
 			members: this.membership.members,
+			list: this.membership.state,
 		};
 	}
 }
--- /dev/null
+++ b/src/membership/is-newer-report.ts
@@ -0,0 +1,28 @@
+/** Decides whether a report replaces the one that is held. */
+import type {AgentReport} from '../messages/agent-report.ts';
+import type {Sight} from './member.ts';
+
+/**
+ * Tells whether a report is newer than what is known of its VM.
+ *
+ * Incarnations start with their start time; a replaced VM at a new address counts as newer whatever its clock says.
+ *
+ * @param sight - what is known of the VM
+ * @param report - the report
+ */
+export function isNewerReport(sight: Sight | undefined, report: AgentReport): boolean {
+	if (sight?.retired === report.incarnation) {
+		return false;
+	}
+
+	const held = sight?.report;
+	if (!held) {
+		return true;
+	}
+
+	return held.incarnation === report.incarnation ? (report.clockMs ?? 0) > (held.clockMs ?? -1) : startOf(report) > startOf(held);
+}
+
+function startOf({incarnation}: AgentReport): number {
+	return Number.parseInt(incarnation, 10);
+}
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -1,24 +1,12 @@
 /** A VM of the fleet as this process sees it. */
 import {z} from 'zod';
 import type {AgentReport} from '../messages/agent-report.ts';
-
-/** One line of the platform's VM list. */
-export const listedVmSchema = z.object({
-	vm: z.string(),
-	role: z.enum(['entry', 'upstream']),
-	state: z.enum(['live', 'leaving']),
-	zone: z.string(),
-	region: z.string(),
-	/** The control listener, `ip:port`. */
-	address: z.string(),
-	services: z.array(z.string()),
-});
+import {type ListedVm, listedVmSchema} from '../messages/member-sync.ts';
 
 /** The platform's VM list. */
 export const vmListSchema = z.object({vms: z.array(listedVmSchema)});
 
-/** One line of the platform's VM list. */
-export type ListedVm = z.infer<typeof listedVmSchema>;
+export type {ListedVm} from '../messages/member-sync.ts';
 
 /** What this process itself knows of a VM. */
 export type Sight = {
@@ -26,6 +14,8 @@
 	readonly report?: AgentReport;
 	/** Monotonic time of the last report, in milliseconds. */
 	readonly reportAtMs?: number;
+	/** The incarnation that ran at an earlier address of the VM; its reports are late ones. */
+	readonly retired?: string;
 	/** Fresh connections that failed in a row since the last contact. */
 	readonly failedConnects: number;
 };
--- a/src/membership/merge-members.ts
+++ b/src/membership/merge-members.ts
@@ -1,25 +1,43 @@
-/** Joins the platform's lagging list with what this process sees itself. */
+/** Joins the platform's lagging list with what this process sees itself and with the VMs' own word. */
 import type {ListedVm, Member, Sight} from './member.ts';
 
 /** Failed fresh connections in a row that take a VM out. */
 export const failedConnectLimit = 3;
 
+/** How long a VM that is not listed stays in after it was observed, in milliseconds. */
+export const observedMs = 30_000;
+
 const nothingSeen: Sight = {failedConnects: 0};
 
+/** What is known of all VMs. */
+export type MemberSources = {
+	readonly listed: Iterable<ListedVm>;
+	/** VMs that the list lacks but that may still be there. */
+	readonly unlisted: Iterable<ListedVm>;
+	/** Own knowledge by VM id. */
+	readonly sights: ReadonlyMap<string, Sight>;
+	/** Monotonic time. */
+	readonly nowMs: number;
+};
+
 /**
- * Decides for each listed VM whether it may receive new work.
+ * Decides for each VM whether it may receive new work.
  *
- * @param listed - the platform's list
- * @param sights - own knowledge by VM id
+ * @param sources - what is known of all VMs
  */
-export function mergeMembers(listed: readonly ListedVm[], sights: ReadonlyMap<string, Sight>): Member[] {
-	return listed.map(vm => {
-		const sight = sights.get(vm.vm) ?? nothingSeen;
-		const outReason = reasonToExclude(vm, sight);
-		return {
-			...vm, sight, usable: outReason === undefined, reason: outReason ?? 'listed live',
-		};
-	});
+export function mergeMembers(sources: MemberSources): Member[] {
+	const {listed, unlisted, sights, nowMs} = sources;
+	const isObserved = ({vm}: ListedVm) => nowMs - (sights.get(vm)?.reportAtMs ?? -observedMs) < observedMs;
+	const missing = [...unlisted].map(vm => toMember(vm, sights, isObserved(vm) ? 'not listed, but observed' : undefined));
+	return [...[...listed].map(vm => toMember(vm, sights, 'listed live')), ...missing];
+}
+
+function toMember(vm: ListedVm, sights: ReadonlyMap<string, Sight>, inReason: string | undefined): Member {
+	const sight = sights.get(vm.vm) ?? nothingSeen;
+	const outReason = reasonToExclude(vm, sight);
+	return {
+		...vm, sight, usable: outReason === undefined && inReason !== undefined, reason: outReason ?? inReason ?? 'neither listed nor observed',
+	};
 }
 
 function reasonToExclude(vm: ListedVm, sight: Sight): string | undefined {
--- a/src/membership/report-poller.ts
+++ b/src/membership/report-poller.ts
@@ -1,4 +1,4 @@
-/** Asks the agents for their reports at a fixed mean interval. */
+/** Asks the agents that this process keeps links to for their reports. */
 import {LinkError, type PeerClient} from '../links/peer-client.ts';
 import {agentReportMethod, agentReportSchema} from '../messages/agent-report.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
@@ -6,7 +6,16 @@
 import type {MembershipManager} from './membership-manager.ts';
 
 /** Mean time between two reports of one agent, in milliseconds. */
-export const reportIntervalMs = 1000;
+export const reportIntervalMs = 3000;
+
+/** Mean time until an agent that failed once is asked again, in milliseconds; it doubles with each failure. */
+export const failedIntervalMs = 500;
+
+/** Longest mean time until an agent that failed is asked again, in milliseconds. */
+export const maxFailedIntervalMs = 30_000;
+
+/** How often due agents are looked for, in milliseconds. */
+const tickMs = 200;
 
 /** How long an agent may take to report, in milliseconds. */
 const reportTimeoutMs = 1500;
@@ -20,52 +29,59 @@
 
 /** Polls agents for reports. */
 export class ReportPoller {
+	private readonly dueAtMs = new Map<string, number>();
 	private timer: NodeJS.Timeout | undefined;
-	private stopped = false;
 
 	/** @param options - what the poller works with */
 	constructor(private readonly options: ReportPollerOptions) {}
 
-	/** Polls once and goes on until stopped. */
+	/** Polls every linked agent once and goes on until stopped. */
 	async start(): Promise<void> {
-		await this.pollAll();
-		this.schedule();
+		await this.pollDue();
+		this.timer = setInterval(() => {
+			void this.pollDue();
+		}, tickMs);
+		this.timer.unref();
 	}
 
 	/** Stops polling. */
 	stop(): void {
-		this.stopped = true;
-		clearTimeout(this.timer);
+		clearInterval(this.timer);
 	}
 
-	private schedule(): void {
-		if (this.stopped) {
-			return;
+	private async pollDue(): Promise<void> {
+		const nowMs = performance.now();
+		const agents = this.options.membership.linkedUpstreams();
+		const due = agents.filter(agent => (this.dueAtMs.get(agent.address) ?? 0) <= nowMs && !isFresh(agent, nowMs));
+		const linked = new Set(agents.map(agent => agent.address));
+		for (const address of this.dueAtMs.keys()) {
+			if (!linked.has(address)) {
+				this.dueAtMs.delete(address);
+			}
 		}
 
-		this.timer = setTimeout(async () => {
-			await this.pollAll();
-			this.schedule();
-		}, this.options.random.jitter(reportIntervalMs));
-		this.timer.unref();
-	}
-
-	private async pollAll(): Promise<void> {
-		const agents = this.options.membership.members.filter(member => member.role === 'upstream');
-		await Promise.all(agents.map(async agent => this.poll(agent)));
+		await Promise.all(due.map(async agent => this.poll(agent, nowMs)));
 	}
 
-	private async poll(agent: Member): Promise<void> {
-		const {links, membership} = this.options;
-		// After a failure the next question goes over a connection of its own, since the pooled one may have gone silent.
-		const fresh = agent.sight.failedConnects > 0;
+	private async poll(agent: Member, nowMs: number): Promise<void> {
+		const {links, membership, random} = this.options;
+		const failures = agent.sight.failedConnects;
+		const meanMs = failures === 0 ? reportIntervalMs : Math.min(maxFailedIntervalMs, failedIntervalMs * (2 ** failures));
+		this.dueAtMs.set(agent.address, nowMs + random.jitter(meanMs));
 		try {
 			const call = {method: agentReportMethod, params: {}};
-			membership.recordReport(await links.rpc(agent.address, call, agentReportSchema, {timeoutMs: reportTimeoutMs, fresh}));
+			// After a failure the next question goes over a connection of its own, since the pooled one may have gone silent.
+			membership.recordReport(await links.rpc(agent.address, call, agentReportSchema, {timeoutMs: reportTimeoutMs, fresh: failures > 0}), agent.address);
 		} catch (err) {
 			if (err instanceof LinkError) {
 				membership.recordFailedConnect(agent.vm);
+				this.dueAtMs.set(agent.address, nowMs + random.jitter(failedIntervalMs * (2 ** Math.min(failures, 6))));
 			}
 		}
 	}
 }
+
+/** A report that rode on an answer replaces a poll. */
+function isFresh({sight}: Member, nowMs: number): boolean {
+	return sight.reportAtMs !== undefined && sight.failedConnects === 0 && nowMs - sight.reportAtMs < reportIntervalMs / 2;
+}
--- a/src/messages/agent-report.ts
+++ b/src/messages/agent-report.ts
@@ -8,7 +8,7 @@
 export const agentReportSchema = z.object({
 	vm: z.string(),
 	incarnation: z.string(),
-	/** The agent's monotonic clock when it wrote the report, in milliseconds. */
+	/** The agent's monotonic clock when it wrote the report, in milliseconds; a late report does not overwrite a newer one. */
 	clockMs: z.number().optional(),
 	/** `draining` agents refuse new work. */
 	state: z.enum(['ready', 'draining']),
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -2,7 +2,7 @@
 import {createCipheriv, createHash} from 'node:crypto';
 import {Buffer} from 'node:buffer';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {createDigest, digestOf, type Digest} from '../src/ids/digest.ts';
+import {createDigest, type Digest, digestOf} from '../src/ids/digest.ts';
 import {
 	type HttpHandler, HttpListener, type ListenAddress, readBody, sendJson,
 } from '../src/links/http-listener.ts';
@@ -49,6 +49,8 @@
 
 	/** Calls of the configuration service since the start. */
 	configurationCalls = 0;
+	/** Reads of the VM list since the start. */
+	listCalls = 0;
 	/** Bytes that the origin has sent. */
 	originBytes = 0;
 	private revision = 0;
@@ -66,7 +68,7 @@
 		this.listener = new HttpListener({
 			'GET /v1/tree': async (req, res) => this.serveTree(req, res, []),
 			'GET /v1/vms': (req, res) => {
-				this.serveVms(res);
+				this.serveVms(req, res);
 			},
 			'GET /v1/chunks/*': async (req, res, params) => this.serveChunk(req, res, params),
 			'POST /admin/publish': async (req, res) => {
@@ -218,12 +220,20 @@
 		});
 	}
 
-	private serveVms(res: Parameters<HttpHandler>[1]): void {
+	private serveVms(req: Parameters<HttpHandler>[0], res: Parameters<HttpHandler>[1]): void {
+		this.listCalls++;
 		if (this.faults.listDown) {
 			res.destroy();
 			return;
 		}
 
+		const tag = `"${digestOf(JSON.stringify(this.laggingVms))}"`;
+		res.setHeader('etag', tag);
+		if (req.headers['if-none-match'] === tag) {
+			res.writeHead(304).end();
+			return;
+		}
+
 		sendJson(res, 200, {vms: this.laggingVms});
 	}
 
