--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -94,8 +94,7 @@
 	}
 
 	private isLeaving(): boolean {
-		const self = this.base.membership.members.find(member => member.vm === this.settings.process.vm);
-		return this.shutdown.isDraining || self?.state === 'leaving';
+		return this.shutdown.isDraining || this.base.membership.isLeaving;
 	}
 
 	private createDrain(): Drain {
