Report every finding of settings and documents with its line

check parses JSON with the line of each key, reports syntax errors and repeated keys with their line, and checks references between documents: services, models, versions and adapters that a route names, previous versions, and operations of an engine service. Settings findings always have a line, repeated keys are findings, addresses must be IPv4, and counts must be positive.

Wrong usage ends with exit code 2 and one line; findings and failures, such as a port in use, end with 1. Before, a port in use ended with 2.

--- /dev/null
+++ b/src/checks/check-file.ts
@@ -0,0 +1,95 @@
+/** Checks one file of settings (INI) or published documents (JSON) and collects every finding. */
+import {readFileSync} from 'node:fs';
+import type {ZodError} from 'zod';
+import {documentSchemas} from '../configuration/documents.ts';
+import type {Finding} from '../runtime/finding.ts';
+import {listIniLines} from '../settings/ini-lines.ts';
+import {parseSettings} from '../settings/parse-settings.ts';
+import {agentSettingsSchema, entrySettingsSchema} from '../settings/settings-schema.ts';
+import {checkReferences} from './check-references.ts';
+import {type JsonLines, type JsonPath, parseJsonLines} from './parse-json-lines.ts';
+
+/**
+ * Checks a file.
+ *
+ * @param file - a `.json` file holds documents by path; any other file holds settings
+ */
+export function checkFile(file: string): readonly Finding[] {
+	let text: string;
+	try {
+		text = readFileSync(file, 'utf8');
+	} catch (err) {
+		return [{file, key: '(file)', reason: `cannot be read: ${(err as Error).message}`}];
+	}
+
+	return file.endsWith('.json') ? checkDocuments(text, file) : checkSettings(text, file);
+}
+
+/**
+ * Checks settings; the role follows from the sections that they have.
+ *
+ * @param text - INI text
+ * @param file - the file's name
+ */
+export function checkSettings(text: string, file: string): readonly Finding[] {
+	const lines = listIniLines(text);
+	const hasUpstream = lines.some(({section}) => section === 'upstream');
+	const hasCallers = lines.some(({section, key}) => section === 'listen' && key === 'callers');
+	const parsed = parseSettings<unknown>(text, file, hasCallers && !hasUpstream ? entrySettingsSchema : agentSettingsSchema);
+	return parsed.ok ? [] : parsed.findings;
+}
+
+/**
+ * Checks published documents, each one and their references to each other.
+ *
+ * @param text - JSON text: an object of documents by path; null marks a deleted path
+ * @param file - the file's name
+ */
+export function checkDocuments(text: string, file: string): readonly Finding[] {
+	const parsed = parseJsonLines(text);
+	if (!parsed.ok) {
+		return [{
+			file, line: parsed.line, key: '(syntax)', reason: parsed.reason,
+		}];
+	}
+
+	const {value, lines, duplicates} = parsed;
+	if (typeof value !== 'object' || value === null || Array.isArray(value)) {
+		return [{
+			file, line: 1, key: '(document)', reason: 'must be an object of documents by path',
+		}];
+	}
+
+	const findings: Finding[] = duplicates.map(path => createFinding(file, lines, path, 'is given more than once'));
+	const documents = new Map<string, unknown>();
+	for (const [path, published] of Object.entries(value).filter(([, document]) => document !== null)) {
+		const schema = documentSchemas.find(({pattern}) => pattern.test(path))?.schema;
+		const result = schema?.safeParse(published);
+		if (!result) {
+			findings.push(createFinding(file, lines, [path], 'is not a known path'));
+		} else if (result.success) {
+			documents.set(path, result.data);
+		} else {
+			findings.push(...listIssues(result.error).map(({key, reason}) => createFinding(file, lines, [path, ...key], reason)));
+		}
+	}
+
+	const references = checkReferences(documents).map(({path, key, reason}) => createFinding(file, lines, [path, ...key], reason));
+	return [...findings, ...references];
+}
+
+function listIssues(err: ZodError): Array<{key: JsonPath; reason: string}> {
+	return err.issues.flatMap(issue => {
+		const path = issue.path.map(part => (typeof part === 'number' ? part : String(part)));
+		return issue.code === 'unrecognized_keys'
+			? issue.keys.map(key => ({key: [...path, key], reason: 'is not a known key'}))
+			: [{key: path, reason: issue.message}];
+	});
+}
+
+function createFinding(file: string, lines: JsonLines, path: JsonPath, reason: string): Finding {
+	const [documentPath, ...key] = path;
+	return {
+		file, line: lines.get(path), key: [documentPath, key.join('.')].join(' ').trim(), reason,
+	};
+}
--- a/src/cli/dump-command.ts
+++ b/src/cli/dump-command.ts
@@ -1,5 +1,6 @@
 /** `cactusreach dump`: prints the state of a running process. */
 import {PeerClient} from '../links/peer-client.ts';
+import {UsageError} from './usage-error.ts';
 
 /** How long the process may take to answer, in milliseconds. */
 const dumpTimeoutMs = 5000;
@@ -9,8 +10,13 @@
  *
  * @param address - its control listener, `host:port`
  * @returns the exit code: 1 when the process does not answer
+ * @throws UsageError when the address is not `host:port`
  */
 export async function dumpCommand(address: string): Promise<number> {
+	if (!/^[\w.-]+:\d{1,5}$/.test(address)) {
+		throw new UsageError(`address ${address} is not host:port`);
+	}
+
 	const links = new PeerClient();
 	try {
 		const state = await links.json(`http://${address}/dump`, {method: 'GET'}, {timeoutMs: dumpTimeoutMs});
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -6,8 +6,10 @@
 import {checkCommand} from './check-command.ts';
 import {demoCommand} from './demo-command.ts';
 import {dumpCommand} from './dump-command.ts';
+import {exitCodes} from './exit-codes.ts';
 import {runAgentCommand, runEntryCommand} from './role-commands.ts';
 import {standinCommand, type StandinOptions} from './standin-command.ts';
+import {UsageError} from './usage-error.ts';
 
 /** The version that `--version` prints. */
 const programVersion = '0.1.0';
@@ -15,9 +17,6 @@
 /** Marks commands that the general help leaves out. */
 const hiddenCommandNote = 'Serve stand-ins, for development';
 
-/** Exit codes of all commands. */
-export const exitCodes = {fine: 0, findings: 1, usage: 2} as const;
-
 const cli = cac('cactusreach');
 
 cli.command('entry', 'Run the callers\' front on an entry VM')
@@ -62,11 +61,23 @@
 		if (cli.matchedCommand) {
 			process.exitCode = (await cli.runMatchedCommand() as number | undefined) ?? exitCodes.fine;
 		} else if (!cli.options.help && !cli.options.version) {
-			cli.outputHelp();
-			process.exitCode = exitCodes.usage;
+			throw new UsageError(cli.args[0] === undefined ? 'a command is required, see --help' : `unknown command ${cli.args[0]}, see --help`);
 		}
 	} catch (err) {
-		console.error((err as Error).message);
-		process.exitCode = err instanceof InvalidSettingsError ? exitCodes.findings : exitCodes.usage;
+		console.error(err instanceof InvalidSettingsError ? err.message : `cactusreach: ${describeFailure(err as Error)}`);
+		// Parts that started before the failure keep timers and connections open.
+		// eslint-disable-next-line unicorn/no-process-exit
+		process.exit(err instanceof UsageError || (err as Error).name === 'CACError' ? exitCodes.usage : exitCodes.findings);
 	}
 }
+
+/** Messages by the code of a system error. */
+const failureMessages: Readonly<Record<string, ((err: NodeJS.ErrnoException & {address?: string; port?: number}) => string) | undefined>> = {
+	EADDRINUSE: err => `cannot listen on ${err.address}:${err.port}: the port is already in use`,
+	EADDRNOTAVAIL: err => `cannot listen on ${err.address}:${err.port}: this machine does not have the address`,
+	EACCES: err => (err.port === undefined ? err.message : `cannot listen on ${err.address}:${err.port}: permission denied`),
+};
+
+function describeFailure(err: NodeJS.ErrnoException): string {
+	return failureMessages[err.code ?? '']?.(err) ?? err.message;
+}
--- a/src/cli/role-commands.ts
+++ b/src/cli/role-commands.ts
@@ -5,6 +5,7 @@
 import {startAgent} from './agent-process.ts';
 import type {RunningProcess} from './base-process.ts';
 import {startEntry} from './entry-process.ts';
+import {UsageError} from './usage-error.ts';
 
 /**
  * Runs an entry until SIGTERM or SIGINT, then drains it.
@@ -28,7 +29,7 @@
 
 function requireFile(file: string | undefined): string {
 	if (file === undefined) {
-		throw new Error('option --settings FILE is required');
+		throw new UsageError('option --settings FILE is required');
 	}
 
 	return file;
--- a/src/cli/standin-command.ts
+++ b/src/cli/standin-command.ts
@@ -4,6 +4,7 @@
 import {PlainServiceStandin} from '../../standins/plain-service.ts';
 import {PlatformStandin} from '../../standins/platform.ts';
 import {type ListenAddress, parseAddress} from '../links/http-listener.ts';
+import {UsageError} from './usage-error.ts';
 
 /** How the stand-ins behave, as options of the command. */
 export type StandinOptions = {
@@ -39,7 +40,7 @@
  * @param parts - `NAME=ADDRESS` each, such as `engine=127.0.0.1:7101`
  * @param options - how the stand-ins behave
  * @returns the exit code
- * @throws Error when a part names no stand-in
+ * @throws UsageError when a part names no stand-in
  */
 export async function standinCommand(parts: readonly string[], options: StandinOptions): Promise<number> {
 	const standins = parts.map(part => createStandin(part, options));
@@ -63,7 +64,7 @@
 	const [name = '', address = ''] = part.split('=');
 	const make = makers[name];
 	if (!make) {
-		throw new Error(`unknown stand-in ${part}; known are ${Object.keys(makers).join(', ')}`);
+		throw new UsageError(`unknown stand-in ${part}; known are ${Object.keys(makers).join(', ')}`);
 	}
 
 	return {standin: make(options), address: parseAddress(address)};
--- a/src/settings/parse-settings.ts
+++ b/src/settings/parse-settings.ts
@@ -3,6 +3,9 @@
 import {parse} from 'ini';
 import type {ZodError, ZodType} from 'zod';
 import {type Finding, formatFinding} from '../runtime/finding.ts';
+import {
+	type IniLine, lineOfPath, listDuplicateKeys, listIniLines,
+} from './ini-lines.ts';
 
 /** Parsed settings, or all that is wrong with them. */
 export type ParsedSettings<Settings> =
@@ -28,12 +31,28 @@
  * @param schema - the role's schema
  */
 export function parseSettings<Settings>(text: string, file: string, schema: ZodType<Settings>): ParsedSettings<Settings> {
-	const result = schema.safeParse(plainObject(parse(text)));
-	if (result.success) {
+	const lines = listIniLines(text);
+	const duplicates = listDuplicateKeys(lines).map(({line, section, key}) => ({
+		file, line, key: `${section}.${key}`, reason: 'is given more than once',
+	}));
+	let values: unknown;
+	try {
+		values = plainObject(parse(text));
+	} catch {
+		const line = lineThatFails(text);
+		return {
+			ok: false, findings: [...duplicates, {
+				file, line, key: '(line)', reason: 'cannot be read as INI',
+			}],
+		};
+	}
+
+	const result = schema.safeParse(values);
+	if (result.success && duplicates.length === 0) {
 		return {ok: true, settings: result.data};
 	}
 
-	return {ok: false, findings: toFindings(result.error, text, file)};
+	return {ok: false, findings: [...duplicates, ...(result.success ? [] : toFindings(result.error, lines, file))]};
 }
 
 /**
@@ -52,32 +71,6 @@
 	return parsed.settings;
 }
 
-/**
- * Finds the line of a key, or of its section when the key is absent.
- *
- * @param text - INI text; the `ini` package keeps no line numbers
- * @param path - section and key
- * @returns the line from 1, or undefined when the section is absent too
- */
-export function lineOfKey(text: string, path: readonly string[]): number | undefined {
-	const [section, key] = path;
-	let sectionLine: number | undefined;
-	let current = '';
-	for (const [at, line] of text.split('\n').entries()) {
-		const header = /^\s*\[([^\]]*)]/.exec(line);
-		if (header) {
-			current = (header[1] ?? '').trim();
-			if (current === section) {
-				sectionLine = at + 1;
-			}
-		} else if (current === section && key !== undefined && line.split('=')[0]?.trim() === key) {
-			return at + 1;
-		}
-	}
-
-	return sectionLine;
-}
-
 function readSettingsText(file: string): string {
 	try {
 		return readFileSync(file, 'utf8');
@@ -86,14 +79,30 @@
 	}
 }
 
-function toFindings(err: ZodError, text: string, file: string): Finding[] {
+/** Returns the first line that makes the `ini` package throw, such as a key of a section whose name is also a key. */
+function lineThatFails(text: string): number {
+	const lines = text.split(/\r\n|\r|\n/);
+	const at = lines.findIndex((_, end) => {
+		try {
+			parse(lines.slice(0, end + 1).join('\n'));
+			return false;
+		} catch {
+			return true;
+		}
+	});
+	return Math.max(at, 0) + 1;
+}
+
+function toFindings(err: ZodError, lines: readonly IniLine[], file: string): Finding[] {
 	return err.issues.flatMap(issue => {
 		const path = issue.path.map(String);
 		// An unknown key is reported at the key itself, not at the section that holds it.
-		const keys = issue.code === 'unrecognized_keys' ? issue.keys.map(key => [...path, key]) : [path];
-		const reason = issue.code === 'unrecognized_keys' ? 'is not a known key' : issue.message;
+		const isUnknownKey = issue.code === 'unrecognized_keys';
+		const keys = isUnknownKey ? issue.keys.map(key => [...path, key]) : [path];
+		const isMissing = issue.code === 'invalid_type' && issue.message.endsWith('received undefined');
+		const reason = isUnknownKey ? 'is not a known key' : (isMissing ? 'is missing' : issue.message);
 		return keys.map(key => ({
-			file, line: lineOfKey(text, key), key: key.join('.'), reason,
+			file, line: lineOfPath(lines, key), key: key.join('.'), reason,
 		}));
 	});
 }
@@ -104,5 +113,9 @@
 		return typeof value === 'boolean' ? String(value) : value;
 	}
 
+	if (Array.isArray(value)) {
+		return value.map(item => plainObject(item));
+	}
+
 	return Object.fromEntries(Object.entries(value).map(([key, item]) => [key, plainObject(item)]));
 }
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -1,4 +1,5 @@
 /** The settings of a process, one schema per role. Units stand in the key names. */
+import {isIPv4} from 'node:net';
 import {z} from 'zod';
 import {parseAddress, type ListenAddress} from '../links/http-listener.ts';
 import {createRegionId, type RegionId} from '../ids/region-id.ts';
@@ -7,12 +8,16 @@
 import {createZoneId, type ZoneId} from '../ids/zone-id.ts';
 import {logLevels} from '../runtime/logger.ts';
 
+const urlPrefix = 'http://';
 const idText = z.string().regex(/^[\w.:-]{1,128}$/, 'must be 1 to 128 letters, digits, dots, dashes, underscores or colons');
-const addressText = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'must be an IPv4 address and a port, such as 127.0.0.1:8080');
-const address = addressText.transform((text): ListenAddress => parseAddress(text))
-	.refine(({port}) => port <= 65_535, 'must have a port of at most 65535');
-const baseUrl = z.string().regex(/^http:\/\/[\d.]+:\d{1,5}$/, 'must be a URL such as http://127.0.0.1:7000');
-const wholeNumber = z.string().regex(/^\d+$/, 'must be a whole number').transform(Number);
+const address = z.string().refine(isAddress, 'must be an IPv4 address and a port, such as 127.0.0.1:8080')
+	.transform((text): ListenAddress => parseAddress(text));
+const baseUrl = z.string().refine(
+	text => text.startsWith(urlPrefix) && isAddress(text.slice(urlPrefix.length)),
+	'must be a URL of an IPv4 address and a port, such as http://127.0.0.1:7000',
+);
+const wholeNumber = z.string().regex(/^\d{1,15}$/, 'must be a whole number of at most 15 digits').transform(Number);
+const positiveNumber = wholeNumber.refine(number => number > 0, 'must be more than 0');
 const flag = z.enum(['true', 'false']).transform(text => text === 'true');
 
 const processSection = z.strictObject({
@@ -39,7 +44,7 @@
 		/** How long a new call may wait for its turn, in milliseconds. */
 		queue_wait_ms: wholeNumber.default(1000),
 		/** Deadline of a call that names none, in milliseconds. */
-		default_deadline_ms: wholeNumber.default(30_000),
+		default_deadline_ms: positiveNumber.default(30_000),
 		/** How long new calls are still taken after SIGTERM, so that the balancer notices, in milliseconds. */
 		drain_notice_ms: wholeNumber.default(2000),
 	}).prefault({}),
@@ -57,17 +62,17 @@
 		/** Whether the engine refuses orders with an old fencing number. */
 		checks_fence: flag.default(false),
 		/** Calls at once, for upstreams that report no capacity. */
-		capacity: wholeNumber.default(16),
+		capacity: positiveNumber.default(16),
 	}),
 	transfer: z.strictObject({
 		/** Memory for weights, in bytes. */
-		memory_bytes: wholeNumber.default(512 * 1024 * 1024),
+		memory_bytes: positiveNumber.default(512 * 1024 * 1024),
 		/** The VM's link, in bytes per second each way. */
-		link_bytes_per_second: wholeNumber.default(125_000_000),
+		link_bytes_per_second: positiveNumber.default(125_000_000),
 	}).prefault({}),
 	limits: z.strictObject({
 		/** How many call records the agent keeps; a full table refuses calls. */
-		call_records: wholeNumber.default(100_000),
+		call_records: positiveNumber.default(100_000),
 	}).prefault({}),
 });
 
@@ -80,3 +85,7 @@
 /** Settings that both roles share. */
 export type ProcessSettings = Pick<EntrySettings, 'process' | 'platform'>;
 
+function isAddress(text: string): boolean {
+	const {host, port} = parseAddress(text);
+	return isIPv4(host) && /:\d{1,5}$/.test(text) && port <= 65_535;
+}
