Let pacing catch up after short pauses, and announce imports to importers only

Cause: a bucket that saved up 20 ms lost the rest of every longer pause of the event loop, and the stand-ins for origin and region links saved up nothing; at a machine load of 20 (pauses of 150 to 600 ms) the links ran at a fraction of their rate.

--- a/src/rollout/chunk-fetcher.ts
+++ b/src/rollout/chunk-fetcher.ts
@@ -89,7 +89,7 @@
 		const digest = digestAt(chunk);
 		this.downloads.set(chunk, open);
 		if (this.isOutside(source)) {
-			neighbourhood.announce();
+			neighbourhood.announceImport();
 		}
 
 		try {
--- a/src/rollout/neighbourhood.ts
+++ b/src/rollout/neighbourhood.ts
@@ -16,7 +16,7 @@
 const surveysPerStepIn = 3;
 
 /** Neighbours that an agent asks in each survey, in case a notice was lost. */
-const surveyedNeighbours = 2;
+const surveyedNeighbours = 1;
 
 /** How long an exchange of notices may take, in milliseconds. */
 const exchangeTimeoutMs = 1000;
@@ -127,6 +127,11 @@
 		this.notices.notify(this.all());
 	}
 
+	/** Tells those whose turn depends on it that a chunk is being brought in. */
+	announceImport(): void {
+		this.notices.notify(this.watched());
+	}
+
 	/**
 	 * Tells neighbours about a chunk that they lack: at once while it is rare, otherwise together with later ones.
 	 *
@@ -152,11 +157,10 @@
 			return;
 		}
 
-		const {self, random, limits} = this.options.node;
+		const {random, limits} = this.options.node;
 		const intervalMs = Math.min(surveyIntervalMs, limits().step_in_ms / surveysPerStepIn);
 		this.nextSurveyMs = nowMs + random.jitter(intervalMs);
-		const watched = this.isImporter ? [...this.ranked.importers].filter(vm => vm !== self.vm && (this.options.watchesAll || this.byVm.get(vm)?.region === self.region)) : [];
-		this.notices.notify([...watched, ...random.sample([...this.chosen], surveyedNeighbours)], intervalMs);
+		this.notices.notify([...this.watched(), ...random.sample([...this.chosen], surveyedNeighbours)], intervalMs);
 	}
 
 	/**
@@ -187,6 +191,13 @@
 		this.notices.stop();
 	}
 
+	/** Importers whose progress decides whose turn it is. */
+	private watched(): string[] {
+		const {self} = this.options.node;
+		const isWatched = (vm: string) => vm !== self.vm && (this.options.watchesAll || this.byVm.get(vm)?.region === self.region);
+		return this.isImporter ? [...this.ranked.importers].filter(vm => isWatched(vm)) : [];
+	}
+
 	private all(): string[] {
 		return [...new Set([...this.chosen, ...this.peers.vms])].slice(0, maxNeighbours);
 	}
--- a/standins/region-links.ts
+++ b/standins/region-links.ts
@@ -4,6 +4,9 @@
 import {parseAddress} from '../src/links/http-listener.ts';
 import {TransferPacer} from '../src/rollout/transfer-pacer.ts';
 
+/** Rate that a link may catch up on after the stand-in's process was not scheduled, in milliseconds. */
+const catchUpMs = 500;
+
 /** Relays between regions. */
 export class RegionLinks {
 	private readonly pacers = new Map<string, TransferPacer>();
@@ -91,7 +94,7 @@
 
 	private pacer(from: string, to: string): TransferPacer {
 		const name = `${from}>${to}`;
-		const pacer = this.pacers.get(name) ?? new TransferPacer(() => this.bytesPerSecond);
+		const pacer = this.pacers.get(name) ?? new TransferPacer(() => this.bytesPerSecond, catchUpMs);
 		this.pacers.set(name, pacer);
 		return pacer;
 	}
--- a/standins/transfer-agent.ts
+++ b/standins/transfer-agent.ts
@@ -25,6 +25,9 @@
 	readonly noticeIntervalMs?: number;
 };
 
+/** Rate that a link may catch up on after the process was not scheduled, in milliseconds; many agents share one machine here. */
+const catchUpMs = 300;
+
 /** A peer in weight transfer without calls, engine or configuration. */
 export class TransferAgent {
 	readonly chunks = new ChunkStore();
@@ -39,8 +42,8 @@
 
 	/** @param options - how the agent is set up */
 	constructor(readonly options: TransferAgentOptions) {
-		this.upPacer = new TransferPacer(() => options.linkBytesPerSecond);
-		this.downPacer = new TransferPacer(() => options.linkBytesPerSecond);
+		this.upPacer = new TransferPacer(() => options.linkBytesPerSecond, catchUpMs);
+		this.downPacer = new TransferPacer(() => options.linkBytesPerSecond, catchUpMs);
 		this.node = new TransferNode(this.transferOptions(), ({manifest}) => {
 			this.heldAtMs.set(manifest, performance.now());
 		});
