--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -2,30 +2,30 @@
 import {z} from 'zod';
 import {AgentCallHandler} from '../calls/agent-call-handler.ts';
 import {CallLedger} from '../calls/call-ledger.ts';
+import {Drain} from '../calls/drain.ts';
 import {EngineUpstream} from '../calls/engine-upstream.ts';
 import {PlainUpstream} from '../calls/plain-upstream.ts';
 import type {Upstream} from '../calls/upstream.ts';
-import {isDigest} from '../ids/digest.ts';
-import {
-	formatAddress, type HttpHandler, HttpListener, sendJson,
-} from '../links/http-listener.ts';
+import {formatAddress, type HttpHandler, HttpListener} from '../links/http-listener.ts';
 import {type AgentReport, agentReportMethod} from '../messages/agent-report.ts';
 import {callsPath} from '../messages/call-request.ts';
 import {callsCancelMethod, callsCancelParamsSchema} from '../messages/calls-cancel.ts';
+import {rolloutHaveMethod, rolloutHaveParamsSchema} from '../messages/rollout-have.ts';
 import {OrderManager} from '../orders/order-manager.ts';
 import {isQueueFull} from '../limits/is-queue-full.ts';
+import {SelfCheck} from '../orders/self-check.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {ChunkStore} from '../rollout/chunk-store.ts';
 import {RolloutManager} from '../rollout/rollout-manager.ts';
+import {TransferNode} from '../rollout/transfer-node.ts';
+import {defaultNoticeBytesPerSecond, defaultNoticeIntervalMs, type TransferOptions} from '../rollout/transfer-options.ts';
+import {TransferPacer} from '../rollout/transfer-pacer.ts';
 import type {AgentSettings} from '../settings/settings-schema.ts';
 import {BaseProcess, type RunningProcess} from './base-process.ts';
 
 /** How often old call records are looked for, in milliseconds. */
 const sweepIntervalMs = 10_000;
 
-/** How often the drain looks whether calls still run, in milliseconds. */
-const drainCheckMs = 50;
-
 /**
  * Starts an agent.
  *
@@ -46,12 +46,15 @@
 	private readonly rollout: RolloutManager | undefined;
 	private readonly calls: AgentCallHandler;
 	private readonly control: HttpListener;
-	private draining = false;
+	private readonly shutdown: Drain;
 	private sweepTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly settings: AgentSettings) {
 		this.base = new BaseProcess(settings);
 		const {log, identity, wake} = this.base;
+		wake.onWake(() => {
+			this.rollout?.node.wake();
+		});
 		this.ledger = new CallLedger({incarnation: identity.incarnation, maxRecords: settings.limits.call_records});
 		if (settings.upstream.kind === 'engine') {
 			this.orders = this.createOrders();
@@ -62,6 +65,8 @@
 			ledger: this.ledger,
 			upstream: this.createUpstream(),
 			log,
+			incarnation: identity.incarnation,
+			service: settings.upstream.service,
 			isDraining: () => this.isLeaving(),
 			beforeForward() {
 				wake.check();
@@ -69,6 +74,7 @@
 			isOverloaded: running => isQueueFull(running, this.report().capacity),
 		});
 		this.control = new HttpListener(this.createRoutes(), log);
+		this.shutdown = this.createDrain();
 	}
 
 	async start(): Promise<void> {
@@ -84,46 +90,80 @@
 	}
 
 	async drain(): Promise<void> {
-		this.draining = true;
-		this.base.log.info({event: 'drain_started', running: this.calls.runningCalls}, 'drain started');
-		while (this.calls.runningCalls > 0) {
-			await new Promise(resolve => {
-				setTimeout(resolve, drainCheckMs);
-			});
-		}
+		await this.shutdown.run();
+	}
+
+	private isLeaving(): boolean {
+		return this.shutdown.isDraining || this.base.membership.isLeaving;
+	}
+
+	private createDrain(): Drain {
+		return new Drain({
+			log: this.base.log,
+			noticeMs: 0,
+			openCalls: () => this.calls.runningCalls,
+			refuseNewCalls() {
+				// The call handler asks `isLeaving` before it forwards a call.
+			},
+			closeListeners: async () => this.control.drain(),
+			stopParts: async () => this.stopParts(),
+		});
+	}
 
-		await this.control.drain();
+	private async stopParts(): Promise<void> {
 		clearInterval(this.sweepTimer);
 		this.rollout?.stop();
 		this.orders?.stop();
 		await this.base.stop();
-		this.base.log.info({event: 'drain_finished'}, 'drain finished');
-	}
-
-	private isLeaving(): boolean {
-		const self = this.base.membership.members.find(member => member.vm === this.settings.process.vm);
-		return this.draining || self?.state === 'leaving';
 	}
 
 	private createOrders(): OrderManager {
-		const {store, links, log, identity} = this.base;
+		const {store, links, log, identity, wake, membership} = this.base;
+		const ownAddress = formatAddress(this.settings.listen.control);
+		const selfCheck = new SelfCheck({
+			membership, links, ownAddress, vm: this.settings.process.vm, incarnation: identity.incarnation,
+		});
 		return new OrderManager({
 			store,
 			links,
 			log,
+			wake,
 			engineUrl: this.settings.upstream.address,
-			sourceUrl: `http://${formatAddress(this.settings.listen.control)}`,
+			ownAddress,
+			selfCheck: async () => selfCheck.run(),
 			startedAtMs: identity.startedAtMs,
+			runningByVersion: () => this.calls.runningByVersion,
 		});
 	}
 
 	private createRollout(orders: OrderManager): RolloutManager {
-		const {store, links, random, log} = this.base;
+		const {store, random, log} = this.base;
 		return new RolloutManager({
-			store, links, random, log, orders, chunks: this.chunks, originUrl: this.settings.platform.origin,
+			store, random, log, orders, createNode: onHeld => new TransferNode(this.transferOptions(), onHeld),
 		});
 	}
 
+	private transferOptions(): TransferOptions {
+		const {store, links, random, log, membership} = this.base;
+		const {process, transfer, platform, upstream} = this.settings;
+		const linkRate = () => transfer.link_bytes_per_second * store.transferLimits().link_share;
+		return {
+			self: {vm: process.vm, region: process.region},
+			peers: () => membership.upstreamsOf(upstream.service),
+			links,
+			chunks: this.chunks,
+			upPacer: new TransferPacer(linkRate),
+			downPacer: new TransferPacer(linkRate),
+			originUrl: platform.origin,
+			random,
+			log,
+			limits: () => store.transferLimits(),
+			memoryBytes: transfer.memory_bytes,
+			noticeBytesPerSecond: defaultNoticeBytesPerSecond,
+			noticeIntervalMs: defaultNoticeIntervalMs,
+		};
+	}
+
 	private createUpstream(): Upstream {
 		const {links} = this.base;
 		const baseUrl = this.settings.upstream.address;
@@ -141,6 +181,11 @@
 		const {rpc, metrics} = this.base;
 		rpc.method(agentReportMethod, z.unknown(), () => this.report());
 		rpc.method(callsCancelMethod, callsCancelParamsSchema, params => this.ledger.cancel(params));
+		const {rollout} = this;
+		if (rollout) {
+			rpc.method(rolloutHaveMethod, rolloutHaveParamsSchema, params => rollout.node.have(params));
+		}
+
 		metrics.gauge('cactusreach_running_calls', 'Calls that run at the upstream.', () => this.calls.runningCalls);
 		metrics.gauge('cactusreach_call_records', 'Call records kept.', () => this.ledger.size);
 		metrics.gauge('cactusreach_chunk_bytes', 'Weights held in memory.', () => this.chunks.bytes);
@@ -149,16 +194,7 @@
 				rpc, metrics, dump: () => this.dump(), isReady: () => !this.isLeaving() && this.base.store.revision > 0,
 			}),
 			[`POST ${callsPath}`]: async (req, res) => this.calls.handle(req, res),
-			'GET /chunks/*': (req, res, [digest]) => {
-				const bytes = isDigest(digest) ? this.chunks.get(digest) : undefined;
-				if (!bytes) {
-					sendJson(res, 404, {error: {code: 'not_held', message: `chunk ${digest} is not held here`}});
-					return;
-				}
-
-				res.writeHead(200, {'content-type': 'application/octet-stream', 'content-length': bytes.length});
-				res.end(bytes);
-			},
+			...(this.rollout ? {'GET /chunks/*': this.rollout.node.serveChunk} : {}),
 		};
 	}
 
@@ -168,6 +204,7 @@
 		return {
 			vm: process.vm,
 			incarnation: this.base.identity.incarnation,
+			clockMs: performance.now(),
 			state: this.isLeaving() ? 'draining' : 'ready',
 			service: upstream.service,
 			configRevision: this.base.store.revision,
@@ -187,8 +224,10 @@
 			calls: {running: this.calls.runningCalls, records: this.ledger.size},
 			chunks: {count: this.chunks.count, bytes: this.chunks.bytes},
 			rollout: this.rollout?.progress ?? [],
+			rolloutFindings: this.rollout?.findings ?? [],
 			engine: this.orders?.engineState ?? null,
-			draining: this.draining,
+			authority: this.orders?.authorityState ?? null,
+			draining: this.shutdown.isDraining,
 		};
 	}
 }
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -1,6 +1,8 @@
 /** Stand-in for the platform: configuration service, VM list, and origin of weights, on one listener. */
+import {createCipheriv, createHash} from 'node:crypto';
+import {Buffer} from 'node:buffer';
 import {setTimeout as sleep} from 'node:timers/promises';
-import {createDigest, type Digest} from '../src/ids/digest.ts';
+import {createDigest, type Digest, digestOf} from '../src/ids/digest.ts';
 import {
 	type HttpHandler, HttpListener, type ListenAddress, readBody, sendJson,
 } from '../src/links/http-listener.ts';
@@ -30,9 +32,15 @@
 	readonly maxReads: number;
 };
 
+/** What `POST /admin/weights` is asked for: the weights are generated here, so that they need not be sent. */
+type WeightsRequest = {model: string; version: string; seed: string; bytes: number; chunkBytes: number};
+
 /** An origin without limits that matter to tests. */
 export const unlimitedOrigin: OriginOptions = {bytesPerSecond: 0, maxReads: 64};
 
+/** Bandwidth that the origin may catch up on after this process was not scheduled, in milliseconds. */
+const catchUpMs = 500;
+
 /** Pieces in which paced bytes are sent, in bytes. */
 const paceBytes = 16 * 1024;
 
@@ -44,6 +52,8 @@
 
 	/** Calls of the configuration service since the start. */
 	configurationCalls = 0;
+	/** Reads of the VM list since the start. */
+	listCalls = 0;
 	/** Bytes that the origin has sent. */
 	originBytes = 0;
 	private revision = 0;
@@ -61,13 +71,21 @@
 		this.listener = new HttpListener({
 			'GET /v1/tree': async (req, res) => this.serveTree(req, res, []),
 			'GET /v1/vms': (req, res) => {
-				this.serveVms(res);
+				this.serveVms(req, res);
 			},
 			'GET /v1/chunks/*': async (req, res, params) => this.serveChunk(req, res, params),
 			'POST /admin/publish': async (req, res) => {
 				this.publish(JSON.parse(await readBody(req)) as Record<string, unknown>);
 				sendJson(res, 200, {revision: this.revision});
 			},
+			'POST /admin/weights': async (req, res) => {
+				const {model, version, seed, bytes, chunkBytes} = JSON.parse(await readBody(req)) as WeightsRequest;
+				const weights = generateWeights(seed, bytes);
+				sendJson(res, 200, {manifest: this.addWeights(model, version, weights, chunkBytes), weights: digestOf(weights)});
+			},
+			'GET /admin/statistics': (req, res) => {
+				sendJson(res, 200, {revision: this.revision, originBytes: this.originBytes, configurationCalls: this.configurationCalls});
+			},
 			'POST /admin/vms': async (req, res) => {
 				this.setVms(JSON.parse(await readBody(req)) as ListedVm[]);
 				sendJson(res, 200, {});
@@ -205,12 +223,20 @@
 		});
 	}
 
-	private serveVms(res: Parameters<HttpHandler>[1]): void {
+	private serveVms(req: Parameters<HttpHandler>[0], res: Parameters<HttpHandler>[1]): void {
+		this.listCalls++;
 		if (this.faults.listDown) {
 			res.destroy();
 			return;
 		}
 
+		const tag = `"${digestOf(JSON.stringify(this.laggingVms))}"`;
+		res.setHeader('etag', tag);
+		if (req.headers['if-none-match'] === tag) {
+			res.writeHead(304).end();
+			return;
+		}
+
 		sendJson(res, 200, {vms: this.laggingVms});
 	}
 
@@ -257,7 +283,16 @@
 		}
 
 		const nowMs = performance.now();
-		this.originFreeAtMs = Math.max(this.originFreeAtMs, nowMs) + (bytes / this.origin.bytesPerSecond * 1000);
-		await sleep(this.originFreeAtMs - nowMs);
+		this.originFreeAtMs = Math.max(this.originFreeAtMs, nowMs - catchUpMs) + (bytes / this.origin.bytesPerSecond * 1000);
+		const waitMs = this.originFreeAtMs - nowMs;
+		if (waitMs >= 1) {
+			await sleep(waitMs);
+		}
 	}
 }
+
+/** Generates the same bytes for the same seed; they do not repeat, so that no two chunks are equal. */
+function generateWeights(seed: string, bytes: number): Uint8Array {
+	const key = createHash('sha256').update(seed).digest();
+	return createCipheriv('aes-256-ctr', key, Buffer.alloc(16)).update(Buffer.alloc(bytes));
+}
