Resume streams after several silent or dead upstreams in a row

Cause 1: after a silent attempt the next one went over a pooled connection that had gone silent too, since report polling keeps one open per agent; three attempts of 2 s were used up and the stream broke. Cause 2: on a quiet service the retry budget held 3 tries and earned none by time; the fourth failure within a few calls broke a stream that another upstream could have resumed. Cause 3: the HTTP client's coarse header timer ended an attempt some 70 ms before its deadline, which was told as a broken connection. Ruled out: ejection (no upstream was ejected) and the deadline. Change: every further attempt uses a fresh connection; reserve 10 with 1 a second back; header timer 2 s after the deadline.

--- a/src/calls/attempt-client.ts
+++ b/src/calls/attempt-client.ts
@@ -17,6 +17,9 @@
 /** How long an attempt may receive no frame, in milliseconds; agents send a progress frame four times as often. */
 export const progressMs = 2000;
 
+/** Room beyond the deadline for the HTTP client's own timer, which is coarse and must not end an attempt first, in milliseconds. */
+const headersMarginMs = 2000;
+
 /** How an attempt ended; `code` is the agent's code of a refusal or failure. */
 export type AttemptEnd = {readonly kind: AttemptEndKind; readonly code?: string; readonly err?: Error};
 
@@ -26,6 +29,8 @@
 	readonly onFrame: (frame: CallFrame) => Promise<void> | void;
 	/** Ends the attempt when the caller is gone. */
 	readonly gone: AbortSignal;
+	/** Uses a connection of its own; after a silent attempt other idle connections may be silent too. */
+	readonly fresh?: boolean;
 };
 
 /** Creates the id of a new attempt. */
@@ -76,7 +81,7 @@
 
 	private async exchange(address: string, call: CallRequest, options: AttemptOptions, watch: AttemptWatch): Promise<AttemptEnd> {
 		const req = {method: 'POST', body: JSON.stringify(call)} as const;
-		const res = await this.links.send(`http://${address}${callsPath}`, req, {timeoutMs: call.remainingMs, signal: watch.signal});
+		const res = await this.links.send(`http://${address}${callsPath}`, req, {timeoutMs: call.remainingMs + headersMarginMs, signal: watch.signal, fresh: options.fresh});
 		try {
 			if (res.status !== 200) {
 				throw new BrokenAnswerError(`agent answered status ${res.status}`);
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -88,7 +88,7 @@
 				break;
 			}
 
-			const {step, record}: Settled = await this.attempt(plan, target, mayHaveRun);
+			const {step, record}: Settled = await this.attempt(plan, target, {mayHaveRun, fresh: tries > 0});
 			if (step.kind === 'retry' || step.kind === 'resume') {
 				({mayHaveRun, otherwise} = step);
 				if (step.excludeVm) {
@@ -127,13 +127,13 @@
 		return target && (tries === 0 || this.options.router.mayRetry(plan.caller.route.service)) ? target : undefined;
 	}
 
-	private async attempt<Target extends CallTarget>(plan: CallPlan<Target>, target: Target, mayHaveRun: boolean): Promise<Settled> {
+	private async attempt<Target extends CallTarget>(plan: CallPlan<Target>, target: Target, {mayHaveRun, fresh}: {mayHaveRun: boolean; fresh: boolean}): Promise<Settled> {
 		const {attempts, router, log} = this.options;
 		const call = plan.createCall(target);
 		const finish = router.begin(target.vm, call.service);
 		let result: AttemptResultKind = 'failed';
 		try {
-			const end = await attempts.run(target.address, call, plan);
+			const end = await attempts.run(target.address, call, {onFrame: plan.onFrame, gone: plan.gone, fresh});
 			if (plan.gone.aborted) {
 				// The attempt was ended by the caller, which says nothing about the upstream.
 				result = 'abandoned';
--- a/src/limits/retry-budget.ts
+++ b/src/limits/retry-budget.ts
@@ -3,8 +3,17 @@
 /** Retries earned by one first try. */
 export const retryShare = 0.1;
 
-/** Retries that may be made before any first try earned one. */
-export const retryReserve = 3;
+/**
+ * Retries that a quiet service keeps ready, so that a VM that dies does not break the few streams on it.
+ *
+ * With 3 and no refill by time, the fourth failure within a few calls ended a stream that another upstream could have resumed.
+ */
+export const retryReserve = 10;
+
+/** Retries that come back each second while fewer than the reserve are left. */
+export const retryRefillPerSecond = 1;
+
+const msPerSecond = 1000;
 
 /** Most retries that can be saved up; a quiet service does not save an unbounded burst. */
 export const maxSavedRetries = 100;
@@ -15,6 +24,7 @@
 	private firstTries = 0;
 	private granted = 0;
 	private denied = 0;
+	private refilledAtMs = performance.now();
 
 	/** Earns a part of a retry. */
 	recordFirstTry(): void {
@@ -24,6 +34,7 @@
 
 	/** Takes one retry; false when none is left. */
 	tryTake(): boolean {
+		this.refill();
 		// Ten shares of 0.1 add up to slightly less than 1 in binary floating point.
 		if (this.tokens < 1 - 1e-9) {
 			this.denied++;
@@ -42,4 +53,11 @@
 			tokens: Math.round(tokens * 10) / 10, firstTries, granted, denied,
 		};
 	}
+
+	private refill(): void {
+		const nowMs = performance.now();
+		const earned = (nowMs - this.refilledAtMs) / msPerSecond * retryRefillPerSecond;
+		this.refilledAtMs = nowMs;
+		this.tokens = Math.max(this.tokens, Math.min(retryReserve, this.tokens + earned));
+	}
 }
