--- a/src/calls/decide-outcome.ts
+++ b/src/calls/decide-outcome.ts
@@ -77,6 +77,7 @@
 	wrong_service: {kind: 'tell', outcome: 'not_run', code: 'cancelled'},
 	version_not_served: {kind: 'tell', outcome: 'not_run', code: 'no_upstream'},
 	upstream_unreachable: {kind: 'tell', outcome: 'not_run', code: 'upstream_unreachable'},
+	overloaded: {kind: 'tell', outcome: 'not_run', code: 'overloaded'},
 	// The following leave no tombstone: the ticket may have run under a forgotten record, or may still run.
 	ticket_expired: {kind: 'tell', outcome: 'unknown', code: 'ticket_expired'},
 	// The ticket belongs to another body, whose call may have run; a new ticket could repeat it.
--- a/src/links/peer-client.ts
+++ b/src/links/peer-client.ts
@@ -19,6 +19,9 @@
 /** How many connections one peer may hold open. */
 const connectionsPerPeer = 64;
 
+/** The timers of undici count in steps of about half a second and may fire early by one, in milliseconds. */
+const timerSlackMs = 1000;
+
 /** How a request may take place. */
 export type LinkOptions = {
 	/** Time until the whole answer is read, in milliseconds. */
@@ -57,8 +60,8 @@
 
 /** Sends requests to other processes. */
 export class PeerClient {
-	private readonly pool = createPool();
-	private readonly tracked = trackStart(this.pool);
+	private readonly pools = new Map<string, TrackedPool>();
+	private readonly retired = new Set<Agent>();
 
 	/**
 	 * Calls a JSON-RPC method of a peer.
@@ -111,7 +114,7 @@
 	 * @throws LinkError when no headers come in time
 	 */
 	async send(url: string, req: {method: Dispatcher.HttpMethod; body?: string}, options: LinkOptions): Promise<LinkResponse> {
-		const pool = options.fresh ? createPool() : this.pool;
+		const {pool, tracked} = options.fresh ? createPool() : this.poolOf(url);
 		let sent = false;
 		const onStart = (): void => {
 			options.beforeSend?.();
@@ -124,9 +127,9 @@
 				method: req.method,
 				body: req.body,
 				headers: req.body === undefined ? {} : {'content-type': 'application/json'},
-				dispatcher: options.fresh ? trackStart(pool) : this.tracked,
+				dispatcher: tracked,
 				signal: options.signal,
-				headersTimeout: options.timeoutMs,
+				headersTimeout: options.timeoutMs + timerSlackMs,
 				bodyTimeout: options.idleMs ?? 0,
 			});
 			if (options.fresh) {
@@ -145,9 +148,43 @@
 		}
 	}
 
+	/**
+	 * Leaves the open connections to a peer to their present requests and opens new ones for all others.
+	 *
+	 * When one connection has gone silent, others on the same path usually have too, and each would cost a progress deadline.
+	 *
+	 * @param address - the peer's control listener, `host:port`
+	 */
+	renew(address: string): void {
+		const origin = `http://${address}`;
+		const old = this.pools.get(origin);
+		if (old) {
+			this.pools.delete(origin);
+			void this.retire(old.pool);
+		}
+	}
+
 	/** Closes all connections. */
 	async close(): Promise<void> {
-		await this.pool.destroy();
+		const pools = [...this.pools.values()].map(({pool}) => pool);
+		await Promise.all([...pools, ...this.retired].map(async pool => pool.destroy()));
+	}
+
+	private async retire(pool: Agent): Promise<void> {
+		this.retired.add(pool);
+		await pool.close();
+		this.retired.delete(pool);
+	}
+
+	private poolOf(url: string): TrackedPool {
+		const {origin} = new URL(url);
+		let entry = this.pools.get(origin);
+		if (!entry) {
+			entry = createPool();
+			this.pools.set(origin, entry);
+		}
+
+		return entry;
 	}
 }
 
@@ -189,14 +226,14 @@
 	}
 }
 
-function trackStart(pool: Agent): Dispatcher {
-	return pool.compose(dispatch => (options, handler) => dispatch(options, new StartHandler(handler, (options as unknown as TrackedOptions).onStart)));
-}
+type TrackedPool = {readonly pool: Agent; readonly tracked: Dispatcher};
 
-function createPool(): Agent {
-	return new Agent({
+function createPool(): TrackedPool {
+	const pool = new Agent({
 		connections: connectionsPerPeer, pipelining: 1, connect: {timeout: connectTimeoutMs}, keepAliveTimeout: 30_000,
 	});
+	const tracked = pool.compose(dispatch => (options, handler) => dispatch(options, new StartHandler(handler, (options as unknown as TrackedOptions).onStart)));
+	return {pool, tracked};
 }
 
 function deadlineSignal(options: LinkOptions): AbortSignal {
--- a/test/calls-failure.test.ts
+++ b/test/calls-failure.test.ts
@@ -6,6 +6,7 @@
 import {expect} from 'chai';
 import {decodeTicket, encodeTicket} from '../src/calls/ticket.ts';
 import {digestOf} from '../src/ids/digest.ts';
+import type {CallRequest} from '../src/messages/call-request.ts';
 import {formatAddress} from '../src/links/http-listener.ts';
 import {expectedToken} from '../standins/engine.ts';
 import {PlainServiceStandin} from '../standins/plain-service.ts';
@@ -81,6 +82,40 @@
 	return [body.error?.code, body.error?.outcome];
 }
 
+async function readReport({control}: FleetProcess): Promise<{incarnation: string; clockMs: number}> {
+	const res = await fetch(`http://${control}/rpc`, {
+		method: 'POST', body: JSON.stringify({
+			jsonrpc: '2.0', id: 1, method: 'agent.report', params: {},
+		}),
+	});
+	const {result} = await res.json() as {result: {incarnation: string; clockMs: number}};
+	return result;
+}
+
+/** A request whose bytes a test sends in parts. */
+class RawRequest {
+	readonly answer: Promise<string>;
+	private readonly socket: net.Socket;
+
+	constructor(agent: FleetProcess, private readonly body: string) {
+		const {port, hostname} = new URL(`http://${agent.control}`);
+		this.socket = net.connect(Number(port), hostname);
+		this.socket.write(`POST /calls HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-length: ${body.length}\r\n\r\n`);
+		this.answer = new Promise(resolve => {
+			let text = '';
+			this.socket.on('data', part => {
+				text += part.toString('utf8');
+			}).once('close', () => {
+				resolve(text);
+			});
+		});
+	}
+
+	send(from: number, to?: number): void {
+		this.socket.write(this.body.slice(from, to));
+	}
+}
+
 async function waitForRun(fleet: Fleet, booking: string): Promise<void> {
 	await waitFor(`${booking} runs`, () => fleet.services[0]?.ledger.get(booking) === 1);
 }
@@ -181,29 +216,27 @@
 		const agent = await fleet.plainAgent('vm-booking', 'booking');
 		const entry = await fleet.entry('vm-entry');
 		const ticket = await takeTicket(entry);
-		// The first request is received in part before the stop, the second one lies in a buffer of the stopped process.
-		const {port, hostname} = new URL(`http://${agent.control}`);
-		const socket = net.connect(Number(port), hostname);
-		const call = JSON.stringify(bookingCall({
-			attempt: 'direct', remainingMs: 1000, work: {kind: 'operation', operation: 'status', body: {booking: 'b1'}},
+		const report = await readReport(agent);
+		const call = (booking: string, change: Partial<CallRequest>) => JSON.stringify(bookingCall({
+			attempt: booking, remainingMs: 1000, work: {kind: 'operation', operation: 'status', body: {booking}}, ...change,
 		}));
-		socket.write(`POST /calls HTTP/1.1\r\nhost: a\r\ncontent-length: ${call.length}\r\n\r\n${call.slice(0, 50)}`);
+		// One request is received in part before the stop; the other lies whole in a buffer of the stopped process.
+		const begun = new RawRequest(agent, call('b1', {}));
+		begun.send(0, 50);
 		await getJson(agent.control, '/healthz');
 		await sleep(200);
 		agent.child.kill('SIGSTOP');
-		socket.write(call.slice(50));
-		const answers = await Promise.all([book(entry, ticket, 'b2', 1500), sleep(1200)]);
-		expect(answers[0].body.error?.outcome).to.equal('unknown');
-		const text = new Promise<string>(resolve => {
-			socket.once('data', part => {
-				resolve(part.toString('utf8'));
-			});
-		});
+		begun.send(50);
+		const buffered = new RawRequest(agent, call('b2', {
+			remainingMs: 60_000, agentDeadline: {incarnation: report.incarnation, atMs: report.clockMs + 1000},
+		}));
+		buffered.send(0);
+		const [answer] = await Promise.all([book(entry, ticket, 'b3', 1500), sleep(1300)]);
+		expect(answer.body.error?.outcome).to.equal('unknown');
 		agent.child.kill('SIGCONT');
-		expect(await text).to.contain('"code":"expired"');
-		await waitFor('the agent answers from its record', async () => outcomeOf(await book(entry, ticket, 'b2'))[1] === 'not_run');
+		expect(await begun.answer).to.contain('"code":"expired"');
+		expect(await buffered.answer).to.contain('"code":"expired"');
 		expect([...fleet.services[0]?.ledger ?? []]).to.deep.equal([]);
-		socket.destroy();
 	});
 });
 
@@ -319,15 +352,18 @@
 				relay.stallOpen();
 			}
 		}))).to.equal(wholeText(100));
-		const [mixing] = fleet.engines;
-		if (mixing) {
-			mixing.mixesVersionFrom = 10;
-		}
+		let turn = 0;
+		await waitFor('a mixing engine was asked', async () => {
+			const engine = fleet.engines[turn++ % fleet.engines.length];
+			const before = engine?.generations ?? 0;
+			if (!engine) {
+				return false;
+			}
 
-		const before = mixing?.generations ?? 0;
-		await waitFor('the mixing engine was asked', async () => {
+			engine.mixesVersionFrom = 10;
 			expect(await ask(entry, 30)).to.equal(wholeText(30));
-			return (mixing?.generations ?? 0) > before;
+			engine.mixesVersionFrom = Infinity;
+			return engine.generations > before;
 		});
 		const started = fleet.engines.map(engine => engine.generations);
 		let killed: Promise<void> | undefined;
--- a/test/decide-outcome.test.ts
+++ b/test/decide-outcome.test.ts
@@ -16,7 +16,7 @@
 	'code-of-a-later-version'];
 
 /** Refusals of a ticket that leave a tombstone at the home agent, see `CallLedger` and `AgentCallHandler`. */
-const tombstoned = new Set(['draining', 'expired', 'cancelled', 'wrong_service', 'version_not_served', 'upstream_unreachable']);
+const tombstoned = new Set(['draining', 'expired', 'cancelled', 'wrong_service', 'version_not_served', 'upstream_unreachable', 'overloaded']);
 
 const facts: fc.Arbitrary<AttemptFacts> = fc.record({
 	end: fc.constantFrom('answered', 'unsent', 'refused', 'failed', 'broken', 'silent', 'expired'),
