Prove the exchange with properties and failures, and tell entries when an agent leaves

Cause: the exchange had no proof; the failure tests found that calls to a leaving VM failed with 502 for up to 8 s (its agent exits at once, and an entry needs three failed connections at the poll interval), and that the finding about an older service stayed after a newer tree. Ruled out: a longer stay of the agent after its last call, since the list may lag for longer. Change: a leaving agent sends its report to every entry that asked for one in the last minute (agent.leaving); readers tell new and leaving VMs of the list directly; a newer tree clears the findings of the whole tree; zones of fewer than three peers exchange with other zones every second time.

--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -1,15 +1,15 @@
 /** The agent role: the process beside one upstream. */
-import {z} from 'zod';
 import {AgentCallHandler} from '../calls/agent-call-handler.ts';
 import {CallLedger} from '../calls/call-ledger.ts';
 import {EngineUpstream} from '../calls/engine-upstream.ts';
 import {PlainUpstream} from '../calls/plain-upstream.ts';
 import type {Upstream} from '../calls/upstream.ts';
 import {formatAddress, type HttpHandler, HttpListener} from '../links/http-listener.ts';
-import {type AgentReport, agentReportMethod} from '../messages/agent-report.ts';
+import type {AgentReport} from '../messages/agent-report.ts';
 import {callsPath} from '../messages/call-request.ts';
 import {callsCancelMethod, callsCancelParamsSchema} from '../messages/calls-cancel.ts';
 import {rolloutHaveMethod, rolloutHaveParamsSchema} from '../messages/rollout-have.ts';
+import {LeaveNotice} from '../membership/leave-notice.ts';
 import {OrderManager} from '../orders/order-manager.ts';
 import {isQueueFull} from '../limits/is-queue-full.ts';
 import {SelfCheck} from '../orders/self-check.ts';
@@ -48,6 +48,7 @@
 	private readonly rollout: RolloutManager | undefined;
 	private readonly calls: AgentCallHandler;
 	private readonly control: HttpListener;
+	private readonly notice: LeaveNotice;
 	private draining = false;
 	private sweepTimer: NodeJS.Timeout | undefined;
 
@@ -75,6 +76,10 @@
 			},
 			isOverloaded: running => isQueueFull(running, this.report().capacity),
 		});
+		this.notice = new LeaveNotice(this.base.links, this.base.rpc, () => this.report());
+		this.base.membership.onToldToLeave(() => {
+			void this.notice.send();
+		});
 		this.control = new HttpListener(this.createRoutes(), log);
 	}
 
@@ -93,6 +98,7 @@
 	async drain(): Promise<void> {
 		this.draining = true;
 		this.base.log.info({event: 'drain_started', running: this.calls.runningCalls}, 'drain started');
+		await this.notice.send();
 		while (this.calls.runningCalls > 0) {
 			await new Promise(resolve => {
 				setTimeout(resolve, drainCheckMs);
@@ -173,7 +179,6 @@
 
 	private createRoutes(): Record<string, HttpHandler> {
 		const {rpc, metrics} = this.base;
-		rpc.method(agentReportMethod, z.unknown(), () => this.report());
 		rpc.method(callsCancelMethod, callsCancelParamsSchema, params => this.ledger.cancel(params));
 		const {rollout} = this;
 		if (rollout) {
--- a/src/configuration/choose-peers.ts
+++ b/src/configuration/choose-peers.ts
@@ -8,7 +8,7 @@
 /** How many peers are asked at start. */
 export const startPeers = 5;
 
-/** Every how many exchanges one goes to another zone. */
+/** Every how many exchanges one goes to another zone; in zones of fewer than three peers every second one does. */
 export const exchangesPerForeignOne = 4;
 
 /** What the choice depends on. */
@@ -48,7 +48,8 @@
  */
 export function chooseExchangePeer(choice: PeerChoice, count: number, random: RandomSource): Peer | undefined {
 	const {own, foreign} = split(choice);
-	const isForeign = count % exchangesPerForeignOne === exchangesPerForeignOne - 1;
+	const period = own.length < 3 ? 2 : exchangesPerForeignOne;
+	const isForeign = count % period === period - 1;
 	const [first, second] = isForeign ? [foreign, own] : [own, foreign];
 	return random.sample(first.length > 0 ? first : second, 1)[0];
 }
--- a/src/configuration/configuration-replica.ts
+++ b/src/configuration/configuration-replica.ts
@@ -219,8 +219,11 @@
 
 		const decision = acceptTree(this.store.current, update);
 		if (decision.accepted) {
-			this.store.clearCondition('two-histories');
-			this.store.clearCondition('oversized');
+			// A newer tree settles all of them; a service that is still older is reported again by the next watch.
+			for (const key of ['service-older', 'two-histories', 'oversized']) {
+				this.store.clearCondition(key);
+			}
+
 			this.store.replace(decision.tree, decision.findings);
 			return undefined;
 		}
--- a/src/membership/membership-manager.ts
+++ b/src/membership/membership-manager.ts
@@ -1,7 +1,7 @@
 /** Owns the member view: the VM list, own observation and the VMs' own word. */
 import type {PeerClient} from '../links/peer-client.ts';
 import type {RpcDispatcher} from '../links/rpc-dispatcher.ts';
-import type {AgentReport} from '../messages/agent-report.ts';
+import {agentLeavingMethod, type AgentReport, agentReportSchema} from '../messages/agent-report.ts';
 import type {ConfigOffer} from '../messages/config-sync.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
@@ -23,6 +23,9 @@
 /** Longest mean time between two reads that fail, in milliseconds. */
 export const maxListRetryMs = 60_000;
 
+/** How many changed VMs a reader tells directly; gossip reaches the others. */
+const maxToldVms = 16;
+
 /** How long a start waits for the first list, in milliseconds. */
 const startListMs = 2000;
 
@@ -55,6 +58,7 @@
 	private readonly subsets = new Map<string, readonly Member[]>();
 	private others: readonly ListedVm[] = [];
 	private toldToLeave = false;
+	private readonly leaveListeners: Array<() => void> = [];
 	private timer: NodeJS.Timeout | undefined;
 	private failures = 0;
 	private stopped = false;
@@ -62,6 +66,10 @@
 	/** @param options - what the manager works with */
 	constructor(private readonly options: MembershipManagerOptions) {
 		const {links, rpc, listUrl} = options;
+		rpc.method(agentLeavingMethod, agentReportSchema, report => {
+			this.recordReport(report);
+			return true;
+		});
 		this.service = new VmListService(listUrl);
 		this.exchange = new VmListExchange({
 			links, rpc, onList: (list, before) => {
@@ -90,11 +98,25 @@
 		return this.others;
 	}
 
+	/** The control listener of this process. */
+	get ownAddress(): string {
+		return this.options.own.address;
+	}
+
 	/** Whether the platform told this VM to leave. It never takes that back: an older reading of the list proves nothing. */
 	get isLeaving(): boolean {
 		return this.toldToLeave;
 	}
 
+	/**
+	 * Adds a listener that is called once, when the platform's list tells this VM to leave.
+	 *
+	 * @param listener - starts what the leave needs
+	 */
+	onToldToLeave(listener: () => void): void {
+		this.leaveListeners.push(listener);
+	}
+
 	/** The list as it travels beside the configuration. */
 	get list(): {version: () => ConfigOffer['list']; hear: (offer: ConfigOffer) => void} {
 		return {
@@ -232,7 +254,8 @@
 
 		this.others = [...list.vms.values(), ...this.trusted.retained.values()].filter(({vm}) => vm !== own.vm);
 		this.view = undefined;
-		onChange(isReader() ? changed.filter(line => line.state === 'leaving' && line.vm !== own.vm) : []);
+		// New and leaving VMs hear of the change at once; a restarted zone would be too many.
+		onChange(isReader() ? changed.filter(line => line.vm !== own.vm).slice(0, maxToldVms) : []);
 	}
 
 	private noteChange(line: ListedVm, before: ListedVm | undefined): void {
@@ -241,6 +264,9 @@
 		if (line.vm === own.vm && line.address === own.address && line.state === 'leaving' && !this.toldToLeave) {
 			this.toldToLeave = true;
 			log.info({event: 'told_to_leave'}, 'the VM list says that this VM leaves');
+			for (const listener of this.leaveListeners) {
+				listener();
+			}
 		}
 
 		// A replaced VM may reuse the id; what was seen at the old address says nothing about the new one.
--- a/src/membership/report-poller.ts
+++ b/src/membership/report-poller.ts
@@ -69,7 +69,7 @@
 		const meanMs = failures === 0 ? reportIntervalMs : Math.min(maxFailedIntervalMs, failedIntervalMs * (2 ** failures));
 		this.dueAtMs.set(agent.address, nowMs + random.jitter(meanMs));
 		try {
-			const call = {method: agentReportMethod, params: {}};
+			const call = {method: agentReportMethod, params: {address: membership.ownAddress}};
 			// After a failure the next question goes over a connection of its own, since the pooled one may have gone silent.
 			membership.recordReport(await links.rpc(agent.address, call, agentReportSchema, {timeoutMs: reportTimeoutMs, fresh: failures > 0}), agent.address);
 		} catch (err) {
--- a/src/messages/agent-report.ts
+++ b/src/messages/agent-report.ts
@@ -4,6 +4,15 @@
 /** The JSON-RPC method that returns the report. */
 export const agentReportMethod = 'agent.report';
 
+/** The JSON-RPC method with which a leaving agent sends its report unasked. */
+export const agentLeavingMethod = 'agent.leaving';
+
+/** Who asks for a report; the agent tells it when it leaves. */
+export const agentReportParamsSchema = z.object({
+	/** The asking process's control listener, `ip:port`. */
+	address: z.string().optional(),
+}).default({});
+
 /** What an agent says of itself and its upstream. */
 export const agentReportSchema = z.object({
 	vm: z.string(),
--- /dev/null
+++ b/test/configuration.test.ts
@@ -0,0 +1,102 @@
+/** Properties of the configuration exchange. */
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {maxTreeBytes} from '../src/configuration/accept-tree.ts';
+import {ConfigurationReplica} from '../src/configuration/configuration-replica.ts';
+import {ConfigurationStore} from '../src/configuration/configuration-store.ts';
+import {digestOfTree} from '../src/configuration/tree.ts';
+import {createRevision, noRevision} from '../src/ids/revision.ts';
+import {ConfigNetwork, type Step} from './support/config-network.ts';
+
+const zones = [5, 4, 3];
+
+const steps: fc.Arbitrary<Step[]> = fc.array(fc.oneof(
+	{weight: 5, arbitrary: fc.record({kind: fc.constant('publish' as const), document: fc.nat(5), isBad: fc.boolean()})},
+	{weight: 2, arbitrary: fc.record({kind: fc.constantFrom('restart' as const, 'kill' as const, 'cut' as const), node: fc.nat(11)})},
+	{weight: 3, arbitrary: fc.record({kind: fc.constantFrom('snapshot' as const, 'restore' as const, 'down' as const, 'up' as const, 'heal' as const, 'list' as const)})},
+	{weight: 5, arbitrary: fc.record({kind: fc.constant('exchange' as const), turns: fc.integer({min: 1, max: 60})})},
+), {maxLength: 40});
+
+function run(seed: number, script: readonly Step[]): ConfigNetwork {
+	const network = new ConfigNetwork(seed, zones);
+	for (const step of script) {
+		network.apply(step);
+	}
+
+	return network;
+}
+
+/** Publishes until the service has passed every revision in force, as an operator does after a restore. */
+function passAll(network: ConfigNetwork): void {
+	const highest = Math.max(0, ...network.nodes.map(({store}) => store.revision), ...network.nodes.map(({replica}) => replica.startFloor));
+	do {
+		network.service.publish(0, false);
+	} while (network.service.revision <= highest);
+}
+
+it('no process goes back or starts below what it heard, whatever is lost, late, restarted or restored', () => {
+	fc.assert(fc.property(fc.nat(), steps, (seed, script) => {
+		expect(run(seed, script).violations).to.deep.equal([]);
+	}), {seed: 41, numRuns: 400});
+});
+
+it('every process ends with the tree of the service once that passed them, whatever happened before', () => {
+	fc.assert(fc.property(fc.nat(), steps, (seed, script) => {
+		const network = run(seed, script);
+		network.settle(8);
+		passAll(network);
+		network.settle(16);
+		const {service, alive, violations} = network;
+		const expected = digestOfTree({revision: createRevision(service.revision), entries: service.entries});
+		expect(new Set(alive.map(({store}) => store.digest))).to.deep.equal(new Set(alive.length > 0 ? [expected] : []));
+		expect(new Set(alive.map(({store}) => store.version.fallbackDigest)).size).to.be.at.most(1);
+		expect(violations).to.deep.equal([]);
+	}), {seed: 42, numRuns: 400});
+});
+
+it('a process that read an invalid document from the service gets the last good value from its peers', () => {
+	const network = new ConfigNetwork(43, [3]);
+	network.service.publish(1, false);
+	network.settle(3);
+	network.service.publish(1, true);
+	network.settle(3);
+	const reader = network.replace(0);
+	network.readWhole(reader);
+	expect(reader.store.limitsOf('team-1').weight).to.equal(1);
+	expect(reader.store.current.entries.get('/teams/team-1/limits')?.fallback).to.equal(undefined);
+	network.settle(3);
+	expect(reader.store.current.entries.get('/teams/team-1/limits')?.fallback).to.deep.equal({revision: 1, value: {weight: 1}});
+	expect(reader.store.findings.map(({file}) => file)).to.deep.equal(['/teams/team-1/limits']);
+});
+
+it('a tree over the size limit is refused with a finding, and the next one that fits is put in force', () => {
+	const store = new ConfigurationStore();
+	const replica = new ConfigurationReplica(store);
+	const answer = (revision: number, text: string) => {
+		const entries = [{path: '/teams/a/routes/ask', revision, value: {service: text}}];
+		replica.receiveService({kind: 'whole', after: noRevision, own: store.revision}, {revision: createRevision(revision), entries}, 0);
+	};
+
+	answer(1, 'assistant');
+	answer(2, 'x'.repeat(maxTreeBytes));
+	expect([store.revision, store.findings.map(({key}) => key)]).to.deep.equal([1, ['oversized']]);
+	answer(3, 'booking');
+	expect([store.revision, store.findings]).to.deep.equal([3, []]);
+});
+
+it('other content at the revision in force is a finding, and the next revision of the service replaces it', () => {
+	const network = new ConfigNetwork(44, [3]);
+	network.service.snapshot();
+	network.service.publish(1, false);
+	network.settle(3);
+	network.service.restore();
+	network.service.publish(2, false);
+	network.settle(3);
+	const findings = () => network.alive.flatMap(({store}) => store.findings.map(({key}) => key));
+	expect(new Set(network.alive.map(({store}) => store.limitsOf('team-1').weight))).to.deep.equal(new Set([1]));
+	network.service.publish(3, false);
+	network.settle(3);
+	const trees = network.alive.map(({store}) => [...store.current.entries.keys()]);
+	expect(trees).to.deep.equal(Array.from({length: 3}, () => ['/teams/team-2/limits', '/teams/team-3/limits']));
+	expect(findings()).to.deep.equal([]);
+});
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -50,6 +50,11 @@
 		this.platform = new PlatformStandin(origin);
 	}
 
+	/** The platform's address, `host:port`. */
+	get platformAddress(): string {
+		return this.platformUrl.replace('http://', '');
+	}
+
 	/** Starts the platform's stand-in. */
 	async start(): Promise<void> {
 		this.platformUrl = `http://${formatAddress(await this.platform.start({host: '127.0.0.1', port: 0}))}`;
