--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -1,6 +1,7 @@
 /** The agent role: the process beside one upstream. */
 import {AgentCallHandler} from '../calls/agent-call-handler.ts';
 import {CallLedger} from '../calls/call-ledger.ts';
+import {Drain} from '../calls/drain.ts';
 import {EngineUpstream} from '../calls/engine-upstream.ts';
 import {PlainUpstream} from '../calls/plain-upstream.ts';
 import type {Upstream} from '../calls/upstream.ts';
@@ -25,9 +26,6 @@
 /** How often old call records are looked for, in milliseconds. */
 const sweepIntervalMs = 10_000;
 
-/** How often the drain looks whether calls still run, in milliseconds. */
-const drainCheckMs = 50;
-
 /**
  * Starts an agent.
  *
@@ -49,7 +47,8 @@
 	private readonly calls: AgentCallHandler;
 	private readonly control: HttpListener;
 	private readonly notice: LeaveNotice;
-	private draining = false;
+	private readonly shutdown: Drain;
+	private noticed: Promise<void> = Promise.resolve();
 	private sweepTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly settings: AgentSettings) {
@@ -81,6 +80,7 @@
 			void this.notice.send();
 		});
 		this.control = new HttpListener(this.createRoutes(), log);
+		this.shutdown = this.createDrain();
 	}
 
 	async start(): Promise<void> {
@@ -96,25 +96,35 @@
 	}
 
 	async drain(): Promise<void> {
-		this.draining = true;
-		this.base.log.info({event: 'drain_started', running: this.calls.runningCalls}, 'drain started');
-		await this.notice.send();
-		while (this.calls.runningCalls > 0) {
-			await new Promise(resolve => {
-				setTimeout(resolve, drainCheckMs);
-			});
-		}
+		const drained = this.shutdown.run();
+		// The shutdown refuses new calls from here on, so that the report says so.
+		this.noticed = this.notice.send();
+		await drained;
+	}
 
-		await this.control.drain();
+	private isLeaving(): boolean {
+		return this.shutdown.isDraining || this.base.membership.isLeaving;
+	}
+
+	private createDrain(): Drain {
+		return new Drain({
+			log: this.base.log,
+			noticeMs: 0,
+			openCalls: () => this.calls.runningCalls,
+			refuseNewCalls() {
+				// The call handler asks `isLeaving` before it forwards a call.
+			},
+			closeListeners: async () => this.control.drain(),
+			stopParts: async () => this.stopParts(),
+		});
+	}
+
+	private async stopParts(): Promise<void> {
+		await this.noticed;
 		clearInterval(this.sweepTimer);
 		this.rollout?.stop();
 		this.orders?.stop();
 		await this.base.stop();
-		this.base.log.info({event: 'drain_finished'}, 'drain finished');
-	}
-
-	private isLeaving(): boolean {
-		return this.draining || this.base.membership.isLeaving;
 	}
 
 	private createOrders(): OrderManager {
@@ -226,7 +236,7 @@
 			rolloutFindings: this.rollout?.findings ?? [],
 			engine: this.orders?.engineState ?? null,
 			authority: this.orders?.authorityState ?? null,
-			draining: this.draining,
+			draining: this.shutdown.isDraining,
 		};
 	}
 }
--- a/test/configuration-faults.test.ts
+++ b/test/configuration-faults.test.ts
@@ -138,7 +138,7 @@
 	}
 
 	await waitFor('the other zones list the zone', async () => {
-		const lists = await Promise.all(fleet.processes.map(listOf));
+		const lists = await Promise.all(fleet.processes.map(async process => listOf(process)));
 		return lists.every(list => list?.listed === 6);
 	});
 	proxy.stop();
