--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -1,5 +1,4 @@
 /** The agent role: the process beside one upstream. */
-import {z} from 'zod';
 import {AgentCallHandler} from '../calls/agent-call-handler.ts';
 import {CallLedger} from '../calls/call-ledger.ts';
 import {Drain} from '../calls/drain.ts';
@@ -7,10 +6,11 @@
 import {PlainUpstream} from '../calls/plain-upstream.ts';
 import type {Upstream} from '../calls/upstream.ts';
 import {formatAddress, type HttpHandler, HttpListener} from '../links/http-listener.ts';
-import {type AgentReport, agentReportMethod} from '../messages/agent-report.ts';
+import type {AgentReport} from '../messages/agent-report.ts';
 import {callsPath} from '../messages/call-request.ts';
 import {callsCancelMethod, callsCancelParamsSchema} from '../messages/calls-cancel.ts';
 import {rolloutHaveMethod, rolloutHaveParamsSchema} from '../messages/rollout-have.ts';
+import {LeaveNotice} from '../membership/leave-notice.ts';
 import {OrderManager} from '../orders/order-manager.ts';
 import {isQueueFull} from '../limits/is-queue-full.ts';
 import {SelfCheck} from '../orders/self-check.ts';
@@ -46,7 +46,9 @@
 	private readonly rollout: RolloutManager | undefined;
 	private readonly calls: AgentCallHandler;
 	private readonly control: HttpListener;
+	private readonly notice: LeaveNotice;
 	private readonly shutdown: Drain;
+	private noticed: Promise<void> = Promise.resolve();
 	private sweepTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly settings: AgentSettings) {
@@ -73,6 +75,10 @@
 			},
 			isOverloaded: running => isQueueFull(running, this.report().capacity),
 		});
+		this.notice = new LeaveNotice(this.base.links, this.base.rpc, () => this.report());
+		this.base.membership.onToldToLeave(() => {
+			void this.notice.send();
+		});
 		this.control = new HttpListener(this.createRoutes(), log);
 		this.shutdown = this.createDrain();
 	}
@@ -90,7 +96,10 @@
 	}
 
 	async drain(): Promise<void> {
-		await this.shutdown.run();
+		const drained = this.shutdown.run();
+		// The shutdown refuses new calls from here on, so that the report says so.
+		this.noticed = this.notice.send();
+		await drained;
 	}
 
 	private isLeaving(): boolean {
@@ -111,6 +120,7 @@
 	}
 
 	private async stopParts(): Promise<void> {
+		await this.noticed;
 		clearInterval(this.sweepTimer);
 		this.rollout?.stop();
 		this.orders?.stop();
@@ -179,7 +189,6 @@
 
 	private createRoutes(): Record<string, HttpHandler> {
 		const {rpc, metrics} = this.base;
-		rpc.method(agentReportMethod, z.unknown(), () => this.report());
 		rpc.method(callsCancelMethod, callsCancelParamsSchema, params => this.ledger.cancel(params));
 		const {rollout} = this;
 		if (rollout) {
