Count calls by outcome and show rollouts by zone

Metrics: calls by outcome, time to the first token and between tokens in HDR histograms, event-loop delay, processor time, and chunks held, needed and read from the origin for each version.

A call without x-request-id had a new id in its refusal, other than in its attempts' log lines; the id is now kept with the request.

--- a/src/calls/call-manager.ts
+++ b/src/calls/call-manager.ts
@@ -5,6 +5,7 @@
 	type HttpHandler, type HttpRoutes, readBody, sendJson,
 } from '../links/http-listener.ts';
 import {type AdmissionManager, ShedError} from '../limits/admission-manager.ts';
+import type {CallMetrics} from '../reports/call-metrics.ts';
 import type {Logger} from '../runtime/logger.ts';
 import {CallerError, messageByCode, sendCallerError} from './caller-error.ts';
 import {
@@ -24,6 +25,7 @@
 	/** Lets calls in or sheds them before anything is forwarded. */
 	readonly admission: AdmissionManager;
 	readonly log: Logger;
+	readonly metrics: CallMetrics;
 	/** Deadline of a call that names none, in milliseconds. */
 	readonly defaultDeadlineMs: number;
 };
@@ -66,6 +68,7 @@
 				}
 
 				await handler(req, res, params);
+				this.options.metrics.recordEnd(res.writableEnded ? 'answered' : 'broken');
 			} catch (err) {
 				this.fail(req, res, err as Error);
 			} finally {
@@ -80,6 +83,7 @@
 		this.options.log.info({
 			event: 'call_refused', code: callerError.code, outcome: callerError.outcome, request_id: requestId, workspace: req.headers['x-workspace'],
 		}, callerError.message);
+		this.options.metrics.recordEnd(res.headersSent ? 'broken' : callerError.outcome);
 		if (res.headersSent) {
 			res.destroy();
 			return;
--- a/src/calls/caller-request.ts
+++ b/src/calls/caller-request.ts
@@ -30,7 +30,14 @@
  */
 export function requestIdOf(req: http.IncomingMessage): RequestId {
 	const given = req.headers['x-request-id'];
-	return isRequestId(given) ? given : createRequestId(randomUUID());
+	if (isRequestId(given)) {
+		return given;
+	}
+
+	// Kept in the request, so that the call's log lines and its answer all carry the same id.
+	const created = createRequestId(randomUUID());
+	req.headers['x-request-id'] = created;
+	return created;
 }
 
 /**
--- a/src/calls/generate-handler.ts
+++ b/src/calls/generate-handler.ts
@@ -4,6 +4,7 @@
 import {writeWithBackpressure} from '../links/write-with-backpressure.ts';
 import type {CallFrame} from '../messages/call-frame.ts';
 import type {CallRequest} from '../messages/call-request.ts';
+import type {CallMetrics, TokenTiming} from '../reports/call-metrics.ts';
 import type {RouteTarget, UpstreamRouter} from '../routing/upstream-router.ts';
 import {agentDeadlineOf} from './agent-deadline.ts';
 import {newAttemptId} from './attempt-client.ts';
@@ -20,6 +21,7 @@
 export type GenerateHandlerOptions = {
 	readonly runner: CallRunner;
 	readonly router: UpstreamRouter;
+	readonly metrics: CallMetrics;
 };
 
 type GenerateTarget = CallTarget & {readonly route: RouteTarget};
@@ -31,6 +33,8 @@
 	/** The model and version of the present attempt; fixed once the caller has received a part of the answer. */
 	attempted: {model: string; version: string} | undefined;
 	sentTokens: number;
+	/** Measures the times between what the caller receives. */
+	readonly timing: TokenTiming;
 };
 
 /** Runs generations. */
@@ -48,7 +52,7 @@
 	 */
 	async run(caller: CallerRequest, body: z.infer<typeof generateBodySchema>, res: http.ServerResponse): Promise<void> {
 		const generation: Generation = {
-			caller, body, res, attempted: undefined, sentTokens: 0,
+			caller, body, res, attempted: undefined, sentTokens: 0, timing: this.options.metrics.startGeneration(),
 		};
 		const gone = new AbortController();
 		res.once('close', () => {
@@ -107,6 +111,7 @@
 
 	sendHead(generation);
 	generation.sentTokens += frame.tokens.length;
+	generation.timing.recordTokens();
 	await writeWithBackpressure(res, frame.tokens.map(token => `{"token":${JSON.stringify(token)}}\n`).join(''));
 }
 
--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -14,6 +14,7 @@
 import {isQueueFull} from '../limits/is-queue-full.ts';
 import {SelfCheck} from '../orders/self-check.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
+import {addRolloutMetrics} from '../reports/rollout-metrics.ts';
 import {ChunkStore} from '../rollout/chunk-store.ts';
 import {RolloutManager} from '../rollout/rollout-manager.ts';
 import {TransferNode} from '../rollout/transfer-node.ts';
@@ -183,6 +184,7 @@
 
 		metrics.gauge('cactusreach_running_calls', 'Calls that run at the upstream.', () => this.calls.runningCalls);
 		metrics.gauge('cactusreach_call_records', 'Call records kept.', () => this.ledger.size);
+		addRolloutMetrics(metrics, () => this.rollout?.progress ?? []);
 		metrics.gauge('cactusreach_chunk_bytes', 'Weights held in memory.', () => this.chunks.bytes);
 		return {
 			...createControlRoutes({
@@ -211,7 +213,7 @@
 		};
 	}
 
-	private dump(): unknown {
+	private dump(): Record<string, unknown> {
 		return {
 			role: 'agent',
 			...this.base.dump(),
--- a/src/cli/base-process.ts
+++ b/src/cli/base-process.ts
@@ -1,11 +1,11 @@
 /** What entry and agent share: identity, configuration, membership, control listener and drain. */
-import process from 'node:process';
 import {ConfigurationManager} from '../configuration/configuration-manager.ts';
 import {ConfigurationStore} from '../configuration/configuration-store.ts';
 import {PeerClient} from '../links/peer-client.ts';
 import {RpcDispatcher} from '../links/rpc-dispatcher.ts';
 import {MembershipManager} from '../membership/membership-manager.ts';
 import {Metrics} from '../reports/metrics.ts';
+import {ProcessMetrics} from '../reports/process-metrics.ts';
 import {createLogger, type Logger} from '../runtime/logger.ts';
 import {createIdentity} from '../runtime/process-identity.ts';
 import {RandomSource, randomSeed} from '../runtime/random-source.ts';
@@ -30,6 +30,7 @@
 	readonly random: RandomSource;
 	readonly configuration: ConfigurationManager;
 	readonly membership: MembershipManager;
+	private readonly processMetrics: ProcessMetrics;
 
 	/** @param settings - the settings that both roles share */
 	constructor(private readonly settings: ProcessSettings) {
@@ -43,7 +44,7 @@
 			links, random, log, listUrl: settings.platform.vms,
 		});
 		this.metrics.gauge('cactusreach_configuration_revision', 'Revision of the configuration in force.', () => store.revision);
-		this.metrics.gauge('cactusreach_resident_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss());
+		this.processMetrics = new ProcessMetrics(this.metrics);
 	}
 
 	/** Starts membership and configuration. */
@@ -57,6 +58,7 @@
 		this.configuration.stop();
 		this.membership.stop();
 		this.wake.stop();
+		this.processMetrics.stop();
 		await this.links.close();
 	}
 
--- a/src/cli/demo-command.ts
+++ b/src/cli/demo-command.ts
@@ -6,13 +6,13 @@
 	type DemoVm, DemoFleet, demoRegions, enginesPerZone,
 } from '../demo/demo-fleet.ts';
 import {DemoProcesses} from '../demo/demo-processes.ts';
-import {readProgress} from '../demo/demo-progress.ts';
 import {type DemoResult, summarize} from '../demo/demo-summary.ts';
 import {PeerClient} from '../links/peer-client.ts';
+import {formatProgress, readAgentStates, summarizeRollout} from '../reports/rollout-overview.ts';
 import {RandomSource, randomSeed} from '../runtime/random-source.ts';
 
 /** Size of the demo's weights, in bytes. */
-const weightsBytes = 4_000_000;
+const weightsBytes = 2_000_000;
 
 /** Size of one chunk, in bytes. */
 const chunkBytes = 62_500;
@@ -27,7 +27,7 @@
 const replaceAfterMs = 700;
 
 /** Time between two progress lines of a zone, in milliseconds. */
-const progressIntervalMs = 400;
+const progressIntervalMs = 800;
 
 /**
  * Runs the demo.
@@ -45,7 +45,7 @@
 	const processes = new DemoProcesses(new RandomSource(randomSeed()));
 	const links = new PeerClient();
 	const fleet = new DemoFleet({processes, links, signal: interrupt.signal});
-	const demo = new Demo(fleet, interrupt.signal);
+	const demo = new Demo(fleet, links, interrupt.signal);
 	try {
 		return summarize(await demo.run());
 	} catch (err) {
@@ -60,6 +60,8 @@
 	}
 }
 
+type EntryDump = {zone: string; members: Array<{zone: string; sight: {report?: {served?: unknown[]}}}>};
+
 /** The steps of the demo. */
 class Demo {
 	private readonly startedAtMs = performance.now();
@@ -67,7 +69,7 @@
 	private readonly callers = new DemoCallers(this.weightsByVersion);
 	private readonly versions: Record<string, {manifest: string}> = {};
 
-	constructor(private readonly fleet: DemoFleet, private readonly signal: AbortSignal) {}
+	constructor(private readonly fleet: DemoFleet, private readonly links: PeerClient, private readonly signal: AbortSignal) {}
 
 	async run(): Promise<DemoResult> {
 		const {fleet} = this;
@@ -75,11 +77,8 @@
 		this.say(`starting ${demoRegions.length} regions on 127.0.0.1, each with 1 entry, ${enginesPerZone} agents beside engines and 1 agent beside a booking service`);
 		await fleet.start();
 		await this.publishVersion('v1');
-		await fleet.waitFor('all entries are ready', async () => {
-			const states = await Promise.all(fleet.entries.map(async vm => fleet.getJson(vm.address, '/readyz')));
-			return states.length === demoRegions.length;
-		});
 		const firstMs = await this.followRollout('v1');
+		await fleet.waitFor('all entries know the replicas of their zone', async () => this.entriesKnowReplicas());
 		this.say(`v1 is served by ${replicas} replicas; callers start`);
 		for (const {callers = ''} of fleet.entries) {
 			this.callers.start(callers);
@@ -132,14 +131,15 @@
 		const printed = new Map<string, string>();
 		let printAtMs = 0;
 		await this.fleet.waitFor(`all replicas serve ${version}`, async () => {
-			const zones = await readProgress(this.fleet, version);
-			const isDone = zones.every(zone => zone.serving === enginesPerZone);
+			const states = await readAgentStates(this.links, this.fleet.engineAgents);
+			const zones = summarizeRollout(states).filter(progress => progress.version === version);
+			const isDone = zones.length === demoRegions.length && zones.every(zone => zone.serving === enginesPerZone);
 			if (isDone || performance.now() >= printAtMs) {
 				printAtMs = performance.now() + progressIntervalMs;
-				for (const {zone, serving, agents, heldChunks} of zones) {
-					const text = `${version} in ${zone}: served by ${serving} of ${agents}, ${heldChunks} of ${agents * weightsBytes / chunkBytes} chunks`;
-					if (printed.get(zone) !== text) {
-						printed.set(zone, text);
+				for (const progress of zones) {
+					const text = formatProgress(progress);
+					if (printed.get(progress.zone) !== text) {
+						printed.set(progress.zone, text);
 						this.say(text);
 					}
 				}
@@ -160,6 +160,14 @@
 		this.say(`replaced ${lost.vm} by ${vm.vm} (pid ${vm.process.child.pid})`);
 	}
 
+	private async entriesKnowReplicas(): Promise<boolean> {
+		const dumps = await Promise.all(this.fleet.entries.map(async vm => this.fleet.getJson(vm.address, '/dump?part=zone&part=members') as Promise<EntryDump>));
+		return dumps.every(({zone, members}) => {
+			const known = members.filter(member => member.zone === zone && (member.sight.report?.served?.length ?? 0) > 0);
+			return known.length === enginesPerZone;
+		});
+	}
+
 	private async readRuns(): Promise<Map<string, number>> {
 		const ledgers = await Promise.all(this.fleet.plainServices.map(async address => this.fleet.getJson(address, '/v1/ledger') as Promise<Record<string, number>>));
 		const runs = new Map<string, number>();
--- a/src/cli/entry-process.ts
+++ b/src/cli/entry-process.ts
@@ -7,6 +7,7 @@
 import {formatAddress, HttpListener} from '../links/http-listener.ts';
 import {AdmissionManager, admissionMetrics} from '../limits/admission-manager.ts';
 import {ReportPoller} from '../membership/report-poller.ts';
+import {CallMetrics} from '../reports/call-metrics.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {routingMetrics, UpstreamRouter} from '../routing/upstream-router.ts';
 import type {EntrySettings} from '../settings/settings-schema.ts';
@@ -33,11 +34,13 @@
 	});
 	const attempts = new AttemptClient(links);
 	const runner = new CallRunner({attempts, router, log});
+	const callMetrics = new CallMetrics(base.metrics);
 	const calls = new CallManager({
 		store,
 		log,
+		metrics: callMetrics,
 		admission,
-		generate: new GenerateHandler({runner, router}),
+		generate: new GenerateHandler({runner, router, metrics: callMetrics}),
 		operations: new OperationHandler({
 			attempts, runner, router, memberOf: vm => membership.members.find(member => member.vm === vm),
 		}),
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -31,7 +31,8 @@
 	.action((files: string[]) => checkCommand(files));
 
 cli.command('dump <address>', 'Print the state of a running process as JSON')
-	.action(async (address: string) => dumpCommand(address));
+	.option('--rollout', 'Print the progress of rollouts by zone, asking every agent that the process knows')
+	.action(async (address: string, options: {rollout?: boolean}) => dumpCommand(address, options));
 
 cli.command('demo', 'Run a rollout with live calls on loopback and check every answer')
 	.action(async () => demoCommand());
--- a/src/demo/demo-fleet.ts
+++ b/src/demo/demo-fleet.ts
@@ -14,11 +14,11 @@
 /** Agents beside engines in each zone. */
 export const enginesPerZone = 3;
 
-/** The origin's rate, in bytes per second: four copies of the demo's weights in about three seconds. */
-const originBytesPerSecond = 6_000_000;
+/** The origin's rate, in bytes per second: four copies of the demo's weights in 2 s. */
+const originBytesPerSecond = 4_000_000;
 
 /** The link of each agent, in bytes per second. */
-const linkBytesPerSecond = 12_000_000;
+const linkBytesPerSecond = 8_000_000;
 
 /** How long one request of the demo itself may take, in milliseconds. */
 const requestTimeoutMs = 5000;
--- a/src/reports/control-routes.ts
+++ b/src/reports/control-routes.ts
@@ -8,7 +8,7 @@
 	readonly rpc: RpcDispatcher;
 	readonly metrics: Metrics;
 	/** Returns the process's state as JSON. */
-	readonly dump: () => unknown;
+	readonly dump: () => Record<string, unknown>;
 	/** Whether the process takes new work. */
 	readonly isReady: () => boolean;
 };
@@ -22,7 +22,7 @@
 	return {
 		[`POST ${rpcPath}`]: options.rpc.handle,
 		'GET /dump'(req, res) {
-			sendJson(res, 200, options.dump());
+			sendJson(res, 200, selectParts(options.dump(), req.url ?? ''));
 		},
 		async 'GET /metrics'(req, res) {
 			const text = await options.metrics.text();
@@ -38,3 +38,9 @@
 		},
 	};
 }
+
+/** Returns the parts that `/dump?part=A&part=B` names, or the whole state; a large fleet's members are most of a dump. */
+function selectParts(dump: Record<string, unknown>, url: string): Record<string, unknown> {
+	const parts = new URL(url, 'http://localhost').searchParams.getAll('part');
+	return parts.length === 0 ? dump : Object.fromEntries(parts.map(part => [part, dump[part]]));
+}
--- a/src/reports/metrics.ts
+++ b/src/reports/metrics.ts
@@ -1,6 +1,6 @@
 /** Metrics of a process: latencies in HDR histograms, everything else read when asked. */
 import {build as buildHistogram, type Histogram} from 'hdr-histogram-js';
-import {Gauge, Registry} from 'prom-client';
+import {Counter, Gauge, Registry} from 'prom-client';
 
 const microsPerMilli = 1000;
 
@@ -9,6 +9,9 @@
 
 const quantiles = [0.5, 0.95, 0.99];
 
+/** One value with its labels. */
+export type Reading = {readonly labels: Readonly<Record<string, string>>; readonly value: number};
+
 /** Collects metrics. */
 export class Metrics {
 	private readonly registry = new Registry();
@@ -33,6 +36,42 @@
 		});
 	}
 
+	/**
+	 * Adds values with labels that are read whenever metrics are asked for.
+	 *
+	 * @param name - the metric's name with its unit
+	 * @param help - one sentence
+	 * @param labelNames - the labels that every reading has
+	 * @param read - returns all readings
+	 */
+	readings(name: string, help: string, labelNames: readonly string[], read: () => readonly Reading[]): void {
+		const gauge = new Gauge({
+			name, help, labelNames, registers: [this.registry], collect() {
+				gauge.reset();
+				for (const {labels, value} of read()) {
+					gauge.set(labels, value);
+				}
+			},
+		});
+	}
+
+	/**
+	 * Adds a count that only grows.
+	 *
+	 * @param name - the metric's name, ending in `_total`
+	 * @param help - one sentence
+	 * @param label - the label that tells the counted kinds apart
+	 * @returns counts one of a kind
+	 */
+	counter(name: string, help: string, label: string): (kind: string) => void {
+		const counter = new Counter({
+			name, help, labelNames: [label], registers: [this.registry],
+		});
+		return kind => {
+			counter.inc({[label]: kind});
+		};
+	}
+
 	/**
 	 * Adds a latency histogram.
 	 *
