--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -46,6 +46,10 @@
 	readonly orders: Array<Order & {readonly obeyed: boolean}> = [];
 	/** The engine's address, once it listens. */
 	url = '';
+	/** Position from which answers carry another version: a fault of an engine that swaps weights under a running call. */
+	mixesVersionFrom = Infinity;
+	/** Answers that were started. */
+	generations = 0;
 	private readonly listener: HttpListener;
 	private readonly served = new Map<string, ServedVersion>();
 	private readonly loading = new Set<string>();
@@ -183,13 +187,15 @@
 			return;
 		}
 
+		this.generations++;
 		await this.takeSlot();
 		try {
 			res.writeHead(200, {'content-type': 'application/x-ndjson'});
 			for (let seq = body.resumeFrom; seq < body.tokens && !res.destroyed; seq++) {
 				await sleep(this.options.tokenMs);
 				const token = expectedToken(served.weightsDigest, body.adapter, body.prompt, seq);
-				res.write(`${JSON.stringify({version: body.version, seq, token})}\n`);
+				const version = seq >= this.mixesVersionFrom ? `${body.version}-other` : body.version;
+				res.write(`${JSON.stringify({version, seq, token})}\n`);
 			}
 
 			res.end(`${JSON.stringify({version: body.version, seq: body.tokens, done: true})}\n`);
