Give the engine's stand-in priorities, a prompt cache and cancelled streams

Waiting calls take slots by priority and leave when their caller does; before, a caller that went away kept its place and its slot. The cache of prompt prefixes is limited, makes a cached prompt faster, and publishes its events late and with gaps. A call for an adapter that is not loaded is refused; before, it was answered.

--- a/src/cli/standin-command.ts
+++ b/src/cli/standin-command.ts
@@ -14,6 +14,12 @@
 	readonly capacity?: number;
 	/** How old an engine's reported state is, in milliseconds. */
 	readonly stateLagMs?: number;
+	/** Prompt prefixes that an engine keeps; 0 for no cache. */
+	readonly cachedPrefixes?: number;
+	/** Time that an engine takes to read a prompt that is not cached, in milliseconds. */
+	readonly prefillMs?: number;
+	/** Ignore fencing numbers, as some engines do. */
+	readonly ignoreFence?: boolean;
 	/** Time that one run of a plain service takes, in milliseconds. */
 	readonly runMs?: number;
 	/** The origin's rate, in bytes per second; 0 for no limit. */
@@ -29,7 +35,11 @@
 const makers: Readonly<Record<string, ((options: StandinOptions) => Standin) | undefined>> = {
 	platform: options => new PlatformStandin({bytesPerSecond: options.originBytesPerSecond ?? 0, maxReads: 64}),
 	engine: options => new EngineStandin({
-		capacity: options.capacity ?? 8, tokenMs: options.tokenMs ?? 5, checksFence: true, stateLagMs: options.stateLagMs ?? 0,
+		capacity: options.capacity ?? 8,
+		tokenMs: options.tokenMs ?? 5,
+		checksFence: !options.ignoreFence,
+		stateLagMs: options.stateLagMs ?? 0,
+		cache: {cachedPrefixes: options.cachedPrefixes ?? 0, prefillMs: options.prefillMs ?? 0},
 	}),
 	plain: options => new PlainServiceStandin({runMs: options.runMs ?? 5}),
 };
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -9,6 +9,8 @@
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import type {EngineState} from '../src/orders/engine-state.ts';
 import {parseManifest} from '../src/rollout/manifest.ts';
+import {PromptCache, type PromptCacheOptions} from './prompt-cache.ts';
+import {SlotQueue} from './slot-queue.ts';
 
 /** How the engine behaves. */
 export type EngineOptions = {
@@ -20,13 +22,15 @@
 	readonly checksFence: boolean;
 	/** How old the reported state is, in milliseconds. */
 	readonly stateLagMs: number;
+	/** The prompt cache; without it every prompt is read at once. */
+	readonly cache?: Partial<PromptCacheOptions>;
 };
 
 type Order = {fence: number; kind: string; model: string; version: string; manifest: string; adapters?: string[]; source: string};
 
 type ServedVersion = EngineState['served'][number] & {readonly weightsDigest: string};
 
-type GenerateBody = {model: string; version: string; adapter: string | null; prompt: string; tokens: number; resumeFrom: number};
+type GenerateBody = {model: string; version: string; adapter: string | null; prompt: string; tokens: number; resumeFrom: number; priority?: string};
 
 /**
  * Computes one token of an answer, so that a test can tell a foreign, mixed or wrong answer.
@@ -54,12 +58,16 @@
 	private readonly served = new Map<string, ServedVersion>();
 	private readonly loading = new Set<string>();
 	private fence = 0;
-	private running = 0;
-	private readonly waiting: Array<() => void> = [];
+	private readonly slots: SlotQueue;
+	private readonly cache: PromptCache;
 	private reported: EngineState;
 
 	/** @param options - how the engine behaves */
 	constructor(private readonly options: EngineOptions) {
+		this.slots = new SlotQueue(options.capacity);
+		this.cache = new PromptCache({
+			cachedPrefixes: 0, prefillMs: 0, cacheEventLagMs: 0, cacheEventGap: 0, ...options.cache,
+		});
 		this.reported = this.state();
 		this.listener = new HttpListener({
 			'POST /v1/generate': async (req, res) => this.generate(req, res, []),
@@ -67,8 +75,9 @@
 			'GET /v1/state': (req, res) => {
 				this.serveState(res);
 			},
-			'GET /v1/cache-events'(req, res) {
-				sendJson(res, 200, {events: []});
+			'GET /v1/cache-events': (req, res) => {
+				const after = Number(new URL(req.url ?? '/', 'http://localhost').searchParams.get('after') ?? 0);
+				sendJson(res, 200, {events: this.cache.eventsAfter(after)});
 			},
 		}, createSilentLogger());
 	}
@@ -89,6 +98,20 @@
 		this.listener.destroy();
 	}
 
+	/**
+	 * Serves a version without an order, as an engine that was loaded before its agent started.
+	 *
+	 * @param model - the model
+	 * @param version - the version
+	 * @param weightsDigest - digest over the weights
+	 * @param adapters - loaded adapters
+	 */
+	serve(model: string, version: string, weightsDigest: string, adapters: string[] = []): void {
+		this.served.set(`${model}/${version}`, {
+			model, version, manifest: weightsDigest, adapters, weightsDigest,
+		});
+	}
+
 	/** Versions that are served now. */
 	get servedVersions(): string[] {
 		return [...this.served.values()].map(({version}) => version);
@@ -101,8 +124,8 @@
 			served: [...this.served.values()].map(({model, version, manifest, adapters}) => ({
 				model, version, manifest, adapters,
 			})),
-			running: this.running,
-			queued: this.waiting.length,
+			running: this.slots.running,
+			queued: this.slots.queued,
 			capacity: this.options.capacity,
 			loading: [...this.loading],
 		};
@@ -182,14 +205,18 @@
 	private readonly generate: HttpHandler = async (req, res) => {
 		const body = JSON.parse(await readBody(req)) as GenerateBody;
 		const served = this.served.get(`${body.model}/${body.version}`);
-		if (!served) {
-			sendJson(res, 404, {error: 'version is not served'});
+		if (!served || (body.adapter !== null && !served.adapters.includes(body.adapter))) {
+			sendJson(res, 404, {error: 'version or adapter is not served'});
 			return;
 		}
 
 		this.generations++;
-		await this.takeSlot();
+		if (!await this.slots.take(body.priority ?? 'normal', res)) {
+			return;
+		}
+
 		try {
+			await this.cache.read(body.prompt);
 			res.writeHead(200, {'content-type': 'application/x-ndjson'});
 			for (let seq = body.resumeFrom; seq < body.tokens && !res.destroyed; seq++) {
 				await sleep(this.options.tokenMs);
@@ -200,24 +227,9 @@
 
 			res.end(`${JSON.stringify({version: body.version, seq: body.tokens, done: true})}\n`);
 		} finally {
-			this.freeSlot();
+			this.slots.free();
 		}
 	};
-
-	private async takeSlot(): Promise<void> {
-		if (this.running >= this.options.capacity) {
-			await new Promise<void>(resolve => {
-				this.waiting.push(resolve);
-			});
-		}
-
-		this.running++;
-	}
-
-	private freeSlot(): void {
-		this.running--;
-		this.waiting.shift()?.();
-	}
 }
 
 async function fetchChunk(source: string, digest: string): Promise<Uint8Array> {
