--- a/build/smoke.mjs
+++ b/build/smoke.mjs
@@ -57,7 +57,7 @@
 	});
 	const url = `http://${platform}`;
 	const platformSection = `[platform]\nconfiguration = ${url}\nvms = ${url}\norigin = ${url}\n`;
-	start('agent', '--settings', settingsFile('engine-1', `${platformSection}[listen]\ncontrol = ${control}\n[upstream]\nkind = engine\nservice = assistant\naddress = http://${engine}\nchecks_fence = true\n`));
+	start('agent', '--settings', settingsFile('engine-1', `${platformSection}[listen]\ncontrol = ${control}\n[upstream]\nkind = engine\nservice = assistant\naddress = http://${engine}\n`));
 	start('entry', '--settings', settingsFile('entry-1', `${platformSection}[listen]\ncallers = ${callers}\ncontrol = ${entryControl}\n`));
 	await waitFor('a whole answer of v1', async () => {
 		const res = await fetch(`http://${callers}/v1/generate/ask`, {
--- a/src/demo/demo-fleet.ts
+++ b/src/demo/demo-fleet.ts
@@ -206,7 +206,7 @@
 		const control = await processes.freeAddress();
 		const file = this.writeSettings(vm, region, {
 			listen: {control},
-			upstream: {...upstream, address: `http://${upstream.address}`, checks_fence: upstream.kind === 'engine'},
+			upstream: {...upstream, address: `http://${upstream.address}`},
 			transfer: {link_bytes_per_second: linkBytesPerSecond},
 		});
 		const started: DemoVm = {
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -18,7 +18,6 @@
 );
 const wholeNumber = z.string().regex(/^\d{1,15}$/, 'must be a whole number of at most 15 digits').transform(Number);
 const positiveNumber = wholeNumber.refine(number => number > 0, 'must be more than 0');
-const flag = z.enum(['true', 'false']).transform(text => text === 'true');
 
 const processSection = z.strictObject({
 	vm: idText.transform((text): VmId => createVmId(text)),
@@ -59,8 +58,6 @@
 		kind: z.enum(['engine', 'plain']),
 		service: idText.transform((text): ServiceId => createServiceId(text)),
 		address: baseUrl,
-		/** Whether the engine refuses orders with an old fencing number. */
-		checks_fence: flag.default(false),
 		/** Calls at once, for upstreams that report no capacity. */
 		capacity: positiveNumber.default(16),
 	}),
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -45,8 +45,11 @@
 	private platformUrl = '';
 	private readonly folder = mkdtempSync(path.join(tmpdir(), 'cactusreach-'));
 
-	/** @param origin - how the origin behaves */
-	constructor(origin?: OriginOptions) {
+	/**
+	 * @param origin - how the origin behaves
+	 * @param executable - the single executable; Node.js with the bundle when absent
+	 */
+	constructor(origin?: OriginOptions, private readonly executable?: string) {
 		this.platform = new PlatformStandin(origin);
 	}
 
@@ -169,7 +172,8 @@
 		};
 		const file = path.join(this.folder, `${vm}.ini`);
 		writeFileSync(file, stringify({...sections, listen: {...listen, ...sections.listen}, platform}));
-		const child = spawn(process.execPath, [program, role, '--settings', file], {stdio: ['ignore', 'inherit', 'pipe']});
+		const command = this.executable === undefined ? [process.execPath, program] : [this.executable];
+		const child = spawn(command[0] ?? '', [...command.slice(1), role, '--settings', file], {stdio: ['ignore', 'inherit', 'pipe']});
 		const log: string[] = [];
 		child.stderr.on('data', (part: Buffer) => {
 			log.push(...part.toString('utf8').split('\n'));
