--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -31,7 +31,8 @@
 	.action((files: string[]) => checkCommand(files));
 
 cli.command('dump <address>', 'Print the state of a running process as JSON')
-	.action(async (address: string) => dumpCommand(address));
+	.option('--rollout', 'Print the progress of rollouts by zone, asking every agent that the process knows')
+	.action(async (address: string, options: {rollout?: boolean}) => dumpCommand(address, options));
 
 cli.command('demo', 'Run a rollout with live calls on loopback and check every answer')
 	.action(async () => demoCommand());
@@ -40,6 +41,9 @@
 	.option('--token-ms <ms>', 'Time between two tokens of an engine')
 	.option('--capacity <calls>', 'Calls that an engine runs at once')
 	.option('--state-lag-ms <ms>', 'Age of an engine\'s reported state')
+	.option('--cached-prefixes <count>', 'Prompt prefixes that an engine keeps')
+	.option('--prefill-ms <ms>', 'Time to read a prompt that is not cached')
+	.option('--ignore-fence', 'Obey orders with an old fencing number')
 	.option('--run-ms <ms>', 'Time that one run of a plain service takes')
 	.option('--origin-bytes-per-second <bytes>', 'Rate of the origin')
 	.action(async (parts: string[], options: StandinOptions) => standinCommand(parts, options));
