Prove transfer failures over loopback, and draw the bench's results

Faults found by the tests: a peer that answers notices but stalls on every chunk kept a whole region at 0 of 40 chunks, since its claim counted as a supplier; a peer with two failed downloads in a row no longer does.

--- a/bench/rollout.ts
+++ b/bench/rollout.ts
@@ -1,8 +1,13 @@
 /**
  * Measures rollouts to 8, 16, 32 and 64 VMs in three regions against two baselines.
  *
- * `node build/bench.mjs rollout [--only MODE] [--vms 64] [--objective time] [--write]`
+ * Results are kept in dist/bench/rollout-results.json, so that modes can be run one after the other; `--write` draws all of them.
+ *
+ * `node build/bench.mjs rollout [--only MODE] [--vms 8,64] [--objective time] [--seed 1] [--write]`
  */
+import {
+	existsSync, mkdirSync, readFileSync, writeFileSync,
+} from 'node:fs';
 import {parseArgs} from 'node:util';
 import {prepareRendezvous} from '../src/runtime/rendezvous.ts';
 import {
@@ -74,3 +79,14 @@
 	results.push(result);
 	console.log(`| ${columns.map(([, text]) => text(result)).join(' | ')} |`);
 }
+
+const file = 'dist/bench/rollout-results.json';
+const earlier = existsSync(file) ? JSON.parse(readFileSync(file, 'utf8')) as BenchResult[] : [];
+const isRepeated = (old: BenchResult) => results.some(({name, vms}) => name === old.name && vms === old.vms);
+const all = [...earlier.filter(old => !isRepeated(old)), ...results];
+mkdirSync('dist/bench', {recursive: true});
+writeFileSync(file, JSON.stringify(all, undefined, '\t'));
+if (values.write) {
+	const copySeconds = scale.chunkCount * scale.chunkBytes / scale.linkBytesPerSecond;
+	writeFileSync('docs/rollout.svg', drawPlot(all, vms => copySeconds * (1 + (Math.log2(vms) / scale.chunkCount))));
+}
--- a/src/rollout/chunk-fetcher.ts
+++ b/src/rollout/chunk-fetcher.ts
@@ -176,7 +176,22 @@
 		neighbourhood.noteContact(source, true);
 		const failures = source === originSource ? ++this.originFailures : neighbourhood.peers.fail(source);
 		const pauseMs = node.limits().chunk_timeout_ms * firstPauseShare * (2 ** Math.min(failures, maxDoublings));
-		this.pause(source, node.random.jitter(Math.min(maxPauseMs, pauseMs)));
+		const jitteredMs = node.random.jitter(Math.min(maxPauseMs, pauseMs));
+		if (source === originSource) {
+			this.resumeOriginAfter(jitteredMs);
+		} else {
+			this.pause(source, jitteredMs);
+		}
+	}
+
+	/** Peers are asked again first: a region that was cut off finds the chunks there and leaves the origin alone. */
+	private resumeOriginAfter(pauseMs: number): void {
+		this.originNotBeforeMs = Number.POSITIVE_INFINITY;
+		setTimeout(async () => {
+			await this.options.neighbourhood.survey();
+			this.originNotBeforeMs = 0;
+			this.options.onEnd();
+		}, pauseMs).unref();
 	}
 
 	private noteRefusal(source: string, err: SourceBusyError): void {
--- a/src/rollout/peer-table.ts
+++ b/src/rollout/peer-table.ts
@@ -6,6 +6,9 @@
 /** The manifest is fetched like a version of one chunk before its chunks are known. */
 export const manifestPhaseSize = 1;
 
+/** Failed downloads in a row after which a peer no longer keeps others from bringing its chunks in. */
+const failingAfter = 2;
+
 type PeerState = {
 	notice: TransferNotice;
 	holds: ChunkBitmap;
@@ -164,6 +167,7 @@
 				const {holds, reading, progressAtMs, contactAtMs, notBeforeMs, shunned, overBudget} = state;
 				peers.push({
 					vm, local: peerRegion === region, holds, reading, progressAtMs, contactAtMs, notBeforeMs, shunned, overBudget, uploaded: state.notice.uploaded,
+					failing: state.failures >= failingAfter,
 				});
 			}
 		}
--- a/src/rollout/plan-transfers.ts
+++ b/src/rollout/plan-transfers.ts
@@ -21,6 +21,8 @@
 	readonly progressAtMs: number;
 	/** The last notice of the peer came at this time, in milliseconds. */
 	readonly contactAtMs: number;
+	/** Downloads from the peer failed several times in a row, although it may still answer notices. */
+	readonly failing: boolean;
 	/** The peer said that its upload budget is used up. */
 	readonly overBudget: boolean;
 };
@@ -183,7 +185,7 @@
 
 /** A peer that reads a chunk without progress, or holds it and does not answer, keeps nobody from bringing it in again. */
 function isSupplier(input: Pick<PlanInput, 'nowMs' | 'stepInMs'>, peer: PlanPeer, chunk: number): boolean {
-	if (peer.shunned) {
+	if (peer.shunned || peer.failing) {
 		return false;
 	}
 
--- a/standins/transfer-agent.ts
+++ b/standins/transfer-agent.ts
@@ -37,6 +37,8 @@
 	readonly node: TransferNode;
 	/** When each version was held, by manifest, in milliseconds of the process's monotonic clock. */
 	readonly heldAtMs = new Map<string, number>();
+	/** Where the agent listens, once it is started. */
+	address = '';
 	private peers: readonly TransferPeer[] = [];
 	private readonly listener: HttpListener;
 
@@ -54,7 +56,8 @@
 
 	/** Starts to listen on a free port and returns the address, `host:port`. */
 	async start(): Promise<string> {
-		return formatAddress(await this.listener.start({host: '127.0.0.1', port: 0}));
+		this.address = formatAddress(await this.listener.start({host: '127.0.0.1', port: 0}));
+		return this.address;
 	}
 
 	/**
--- /dev/null
+++ b/test/support/transfer-fleet.ts
@@ -0,0 +1,101 @@
+/** In-process agents with an origin and region links, on loopback. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {formatAddress} from '../../src/links/http-listener.ts';
+import type {TransferPeer} from '../../src/rollout/transfer-options.ts';
+import {PlatformStandin} from '../../standins/platform.ts';
+import {RegionLinks} from '../../standins/region-links.ts';
+import {TransferAgent, type TransferAgentOptions} from '../../standins/transfer-agent.ts';
+
+const regions = ['region-a', 'region-b', 'region-c'];
+
+const linkBytesPerSecond = 1_500_000;
+
+/** Timing of the transfer in tests, in milliseconds. */
+export const testLimits = {chunk_timeout_ms: 600, step_in_ms: 600, upload_copies: 1.05};
+
+/** Agents in three regions. */
+export class TransferFleet {
+	readonly platform = new PlatformStandin({bytesPerSecond: 4 * linkBytesPerSecond, maxReads: 64});
+	readonly links = new RegionLinks(1.125 * linkBytesPerSecond);
+	readonly agents: TransferAgent[] = [];
+	private readonly originUrls = new Map<string, string>();
+	private readonly addresses = new Map<string, string>();
+
+	/** Agents by name. */
+	agent(vm: string): TransferAgent {
+		return this.agents.find(item => item.options.vm === vm)!;
+	}
+
+	async start(perRegion: number, extra: Partial<TransferAgentOptions> = {}): Promise<void> {
+		const origin = formatAddress(await this.platform.start({host: '127.0.0.1', port: 0}));
+		for (const region of regions) {
+			this.originUrls.set(region, `http://${await this.links.relay(region, regions[0]!, origin)}`);
+		}
+
+		for (const region of regions) {
+			for (let at = 0; at < perRegion; at++) {
+				await this.add(`${region}-${at}`, region, extra);
+			}
+		}
+
+		await this.introduce();
+	}
+
+	async add(vm: string, region: string, extra: Partial<TransferAgentOptions> = {}): Promise<TransferAgent> {
+		const agent = new TransferAgent({
+			vm, region, originUrl: this.originUrls.get(region)!, linkBytesPerSecond, limits: testLimits, seed: this.agents.length, ...extra,
+		});
+		this.agents.push(agent);
+		this.addresses.set(vm, await agent.start());
+		return agent;
+	}
+
+	/** Adds an address under which no agent of this class answers. */
+	addForeign(vm: string, address: string): void {
+		this.addresses.set(vm, address);
+	}
+
+	/** Tells every agent the group. */
+	async introduce(): Promise<void> {
+		for (const from of regions) {
+			const peers: TransferPeer[] = [];
+			for (const [vm, address] of this.addresses) {
+				const region = regions.find(name => vm.startsWith(name))!;
+				peers.push({vm, region, address: await this.links.relay(from, region, address)});
+			}
+
+			for (const agent of this.agents.filter(({options}) => options.region === from)) {
+				agent.setPeers(peers);
+			}
+		}
+	}
+
+	want(manifest: string, objective: 'time' | 'origin-bytes' = 'time'): void {
+		for (const agent of this.agents) {
+			agent.want(manifest, objective);
+		}
+	}
+
+	/** Waits until all agents hold the version, and checks every byte of what they hold. */
+	async allHold(manifest: string, agents: readonly TransferAgent[] = this.agents): Promise<void> {
+		await waitUntil(() => agents.every(agent => agent.holds(manifest)), () => agents.map(agent => `${agent.options.vm}:${agent.heldCount(manifest)}`).join(' '));
+	}
+
+	async stop(): Promise<void> {
+		await Promise.all(this.agents.map(async agent => agent.stop()));
+		this.links.stop();
+		this.platform.stop();
+	}
+}
+
+/** Waits for a condition; the limit guards only against hanging. */
+export async function waitUntil(condition: () => boolean, describe: () => string): Promise<void> {
+	const endMs = performance.now() + 50_000;
+	while (!condition()) {
+		if (performance.now() > endMs) {
+			throw new Error(`did not happen: ${describe()}`);
+		}
+
+		await sleep(10);
+	}
+}
