--- a/bench/rollout.ts
+++ b/bench/rollout.ts
@@ -10,6 +10,7 @@
 } from 'node:fs';
 import {parseArgs} from 'node:util';
 import {prepareRendezvous} from '../src/runtime/rendezvous.ts';
+import {drawPlot} from './rollout-plot.ts';
 import {
 	type BenchResult, type BenchRun, type BenchScale, runRollout,
 } from './rollout-run.ts';
