--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -2,6 +2,7 @@
 import {z} from 'zod';
 import {AgentCallHandler} from '../calls/agent-call-handler.ts';
 import {CallLedger} from '../calls/call-ledger.ts';
+import {Drain} from '../calls/drain.ts';
 import {EngineUpstream} from '../calls/engine-upstream.ts';
 import {PlainUpstream} from '../calls/plain-upstream.ts';
 import type {Upstream} from '../calls/upstream.ts';
@@ -11,6 +12,8 @@
 import {callsCancelMethod, callsCancelParamsSchema} from '../messages/calls-cancel.ts';
 import {rolloutHaveMethod, rolloutHaveParamsSchema} from '../messages/rollout-have.ts';
 import {OrderManager} from '../orders/order-manager.ts';
+import {isQueueFull} from '../limits/is-queue-full.ts';
+import {SelfCheck} from '../orders/self-check.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {ChunkStore} from '../rollout/chunk-store.ts';
 import {RolloutManager} from '../rollout/rollout-manager.ts';
@@ -23,9 +26,6 @@
 /** How often old call records are looked for, in milliseconds. */
 const sweepIntervalMs = 10_000;
 
-/** How often the drain looks whether calls still run, in milliseconds. */
-const drainCheckMs = 50;
-
 /**
  * Starts an agent.
  *
@@ -46,7 +46,7 @@
 	private readonly rollout: RolloutManager | undefined;
 	private readonly calls: AgentCallHandler;
 	private readonly control: HttpListener;
-	private draining = false;
+	private readonly shutdown: Drain;
 	private sweepTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly settings: AgentSettings) {
@@ -65,12 +65,16 @@
 			ledger: this.ledger,
 			upstream: this.createUpstream(),
 			log,
+			incarnation: identity.incarnation,
+			service: settings.upstream.service,
 			isDraining: () => this.isLeaving(),
 			beforeForward() {
 				wake.check();
 			},
+			isOverloaded: running => isQueueFull(running, this.report().capacity),
 		});
 		this.control = new HttpListener(this.createRoutes(), log);
+		this.shutdown = this.createDrain();
 	}
 
 	async start(): Promise<void> {
@@ -86,36 +90,49 @@
 	}
 
 	async drain(): Promise<void> {
-		this.draining = true;
-		this.base.log.info({event: 'drain_started', running: this.calls.runningCalls}, 'drain started');
-		while (this.calls.runningCalls > 0) {
-			await new Promise(resolve => {
-				setTimeout(resolve, drainCheckMs);
-			});
-		}
+		await this.shutdown.run();
+	}
+
+	private isLeaving(): boolean {
+		return this.shutdown.isDraining || this.base.membership.isLeaving;
+	}
+
+	private createDrain(): Drain {
+		return new Drain({
+			log: this.base.log,
+			noticeMs: 0,
+			openCalls: () => this.calls.runningCalls,
+			refuseNewCalls() {
+				// The call handler asks `isLeaving` before it forwards a call.
+			},
+			closeListeners: async () => this.control.drain(),
+			stopParts: async () => this.stopParts(),
+		});
+	}
 
-		await this.control.drain();
+	private async stopParts(): Promise<void> {
 		clearInterval(this.sweepTimer);
 		this.rollout?.stop();
 		this.orders?.stop();
 		await this.base.stop();
-		this.base.log.info({event: 'drain_finished'}, 'drain finished');
-	}
-
-	private isLeaving(): boolean {
-		const self = this.base.membership.members.find(member => member.vm === this.settings.process.vm);
-		return this.draining || self?.state === 'leaving';
 	}
 
 	private createOrders(): OrderManager {
-		const {store, links, log, identity} = this.base;
+		const {store, links, log, identity, wake, membership} = this.base;
+		const ownAddress = formatAddress(this.settings.listen.control);
+		const selfCheck = new SelfCheck({
+			membership, links, ownAddress, vm: this.settings.process.vm, incarnation: identity.incarnation,
+		});
 		return new OrderManager({
 			store,
 			links,
 			log,
+			wake,
 			engineUrl: this.settings.upstream.address,
-			sourceUrl: `http://${formatAddress(this.settings.listen.control)}`,
+			ownAddress,
+			selfCheck: async () => selfCheck.run(),
 			startedAtMs: identity.startedAtMs,
+			runningByVersion: () => this.calls.runningByVersion,
 		});
 	}
 
@@ -187,6 +204,7 @@
 		return {
 			vm: process.vm,
 			incarnation: this.base.identity.incarnation,
+			clockMs: performance.now(),
 			state: this.isLeaving() ? 'draining' : 'ready',
 			service: upstream.service,
 			configRevision: this.base.store.revision,
@@ -208,7 +226,8 @@
 			rollout: this.rollout?.progress ?? [],
 			rolloutFindings: this.rollout?.findings ?? [],
 			engine: this.orders?.engineState ?? null,
-			draining: this.draining,
+			authority: this.orders?.authorityState ?? null,
+			draining: this.shutdown.isDraining,
 		};
 	}
 }
--- a/src/cli/entry-process.ts
+++ b/src/cli/entry-process.ts
@@ -1,12 +1,15 @@
 /** The entry role: callers' HTTP front on an entry VM. */
 import {AttemptClient} from '../calls/attempt-client.ts';
 import {CallManager} from '../calls/call-manager.ts';
+import {CallRunner} from '../calls/call-runner.ts';
+import {Drain} from '../calls/drain.ts';
 import {GenerateHandler} from '../calls/generate-handler.ts';
 import {OperationHandler} from '../calls/operation-handler.ts';
 import {formatAddress, HttpListener} from '../links/http-listener.ts';
+import {AdmissionManager, admissionMetrics} from '../limits/admission-manager.ts';
 import {ReportPoller} from '../membership/report-poller.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
-import {UpstreamRouter} from '../routing/upstream-router.ts';
+import {routingMetrics, UpstreamRouter} from '../routing/upstream-router.ts';
 import type {EntrySettings} from '../settings/settings-schema.ts';
 import {BaseProcess, type RunningProcess} from './base-process.ts';
 
@@ -19,29 +22,62 @@
 	const base = new BaseProcess(settings);
 	const {links, membership, store, random, log} = base;
 	const router = new UpstreamRouter({
-		membership, store, random, zone: settings.process.zone,
+		membership, store, random, zone: settings.process.zone, onOverload(service) {
+			admission.recordOverload(service);
+		},
+	});
+	const admission = new AdmissionManager({
+		shareOf: workspace => store.limitsOf(workspace),
+		capacityOf: service => router.capacityOf(service),
+		maxWaitMs: settings.limits.queue_wait_ms,
+		random,
 	});
 	const attempts = new AttemptClient(links);
+	const runner = new CallRunner({
+		attempts, router, log, upstreamWaitMs: settings.limits.queue_wait_ms,
+	});
 	const calls = new CallManager({
 		store,
 		log,
-		generate: new GenerateHandler({attempts, router, log}),
-		operations: new OperationHandler({attempts, router, log}),
+		admission,
+		generate: new GenerateHandler({runner, router}),
+		operations: new OperationHandler({
+			attempts, runner, router, memberOf: vm => membership.members.find(member => member.vm === vm),
+		}),
 		defaultDeadlineMs: settings.limits.default_deadline_ms,
 	});
 	let started = false;
-	let draining = false;
 	const poller = new ReportPoller({links, membership, random});
 	const callers = new HttpListener(calls.routes, log);
+	const drain = new Drain({
+		log,
+		// The balancer learns from readiness within this time; until then new calls are still answered.
+		noticeMs: settings.limits.drain_notice_ms,
+		openCalls: () => calls.openCalls,
+		refuseNewCalls() {
+			calls.refuseNewCalls();
+			callers.closeConnectionsAfterUse();
+		},
+		closeListeners: async () => callers.drain(),
+		async stopParts() {
+			poller.stop();
+			await base.stop();
+			control.destroy();
+		},
+	});
 	const control = new HttpListener(createControlRoutes({
 		rpc: base.rpc,
 		metrics: base.metrics,
 		dump: () => ({
-			role: 'entry', ...base.dump(), calls: {open: calls.openCalls}, draining,
+			role: 'entry', ...base.dump(), calls: {open: calls.openCalls}, routing: router.dump(), admission: admission.dump(), draining: drain.isDraining,
 		}),
-		isReady: () => started && !draining && store.revision > 0,
+		isReady: () => started && !drain.isDraining && store.revision > 0,
 	}), log);
 	base.metrics.gauge('cactusreach_open_calls', 'Callers that wait for an answer.', () => calls.openCalls);
+	for (const [name, help, read] of [...admissionMetrics(admission), ...routingMetrics(router)]) {
+		base.metrics.gauge(name, help, read);
+	}
+
 	await control.start(settings.listen.control);
 	await base.start();
 	await poller.start();
@@ -51,18 +87,7 @@
 
 	return {
 		async drain() {
-			draining = true;
-			log.info({event: 'drain_started', open: calls.openCalls}, 'drain started');
-			// The balancer learns from readiness within this time; until then new calls are still answered.
-			await new Promise(resolve => {
-				setTimeout(resolve, settings.limits.drain_notice_ms);
-			});
-			calls.refuseNewCalls();
-			await callers.drain();
-			poller.stop();
-			await base.stop();
-			control.destroy();
-			log.info({event: 'drain_finished'}, 'drain finished');
+			await drain.run();
 		},
 	};
 }
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -4,14 +4,18 @@
 import {prepareRendezvous} from '../runtime/rendezvous.ts';
 import {InvalidSettingsError} from '../settings/parse-settings.ts';
 import {checkCommand} from './check-command.ts';
+import {demoCommand} from './demo-command.ts';
 import {dumpCommand} from './dump-command.ts';
+import {exitCodes} from './exit-codes.ts';
 import {runAgentCommand, runEntryCommand} from './role-commands.ts';
+import {standinCommand, type StandinOptions} from './standin-command.ts';
+import {UsageError} from './usage-error.ts';
 
 /** The version that `--version` prints. */
 const programVersion = '0.1.0';
 
-/** Exit codes of all commands. */
-export const exitCodes = {fine: 0, findings: 1, usage: 2} as const;
+/** Marks commands that the general help leaves out. */
+const hiddenCommandNote = 'Serve stand-ins, for development';
 
 const cli = cac('cactusreach');
 
@@ -29,7 +33,21 @@
 cli.command('dump <address>', 'Print the state of a running process as JSON')
 	.action(async (address: string) => dumpCommand(address));
 
-cli.help();
+cli.command('demo', 'Run a rollout with live calls on loopback and check every answer')
+	.action(async () => demoCommand());
+
+cli.command('standin <...parts>', hiddenCommandNote)
+	.option('--token-ms <ms>', 'Time between two tokens of an engine')
+	.option('--capacity <calls>', 'Calls that an engine runs at once')
+	.option('--state-lag-ms <ms>', 'Age of an engine\'s reported state')
+	.option('--run-ms <ms>', 'Time that one run of a plain service takes')
+	.option('--origin-bytes-per-second <bytes>', 'Rate of the origin')
+	.action(async (parts: string[], options: StandinOptions) => standinCommand(parts, options));
+
+// The general help lists what operators use; the stand-ins are for development only.
+cli.help(sections => sections.map(section => ({
+	...section, body: section.body.split('\n').filter(line => !line.includes(hiddenCommandNote) && !/^ +\$ cactusreach standin --help/.test(line)).join('\n'),
+})));
 cli.version(programVersion);
 
 // The single executable runs CommonJS, which has no top-level await.
@@ -43,11 +61,23 @@
 		if (cli.matchedCommand) {
 			process.exitCode = (await cli.runMatchedCommand() as number | undefined) ?? exitCodes.fine;
 		} else if (!cli.options.help && !cli.options.version) {
-			cli.outputHelp();
-			process.exitCode = exitCodes.usage;
+			throw new UsageError(cli.args[0] === undefined ? 'a command is required, see --help' : `unknown command ${cli.args[0]}, see --help`);
 		}
 	} catch (err) {
-		console.error((err as Error).message);
-		process.exitCode = err instanceof InvalidSettingsError ? exitCodes.findings : exitCodes.usage;
+		console.error(err instanceof InvalidSettingsError ? err.message : `cactusreach: ${describeFailure(err as Error)}`);
+		// Parts that started before the failure keep timers and connections open.
+		// eslint-disable-next-line unicorn/no-process-exit
+		process.exit(err instanceof UsageError || (err as Error).name === 'CACError' ? exitCodes.usage : exitCodes.findings);
 	}
 }
+
+/** Messages by the code of a system error. */
+const failureMessages: Readonly<Record<string, ((err: NodeJS.ErrnoException & {address?: string; port?: number}) => string) | undefined>> = {
+	EADDRINUSE: err => `cannot listen on ${err.address}:${err.port}: the port is already in use`,
+	EADDRNOTAVAIL: err => `cannot listen on ${err.address}:${err.port}: this machine does not have the address`,
+	EACCES: err => (err.port === undefined ? err.message : `cannot listen on ${err.address}:${err.port}: permission denied`),
+};
+
+function describeFailure(err: NodeJS.ErrnoException): string {
+	return failureMessages[err.code ?? '']?.(err) ?? err.message;
+}
--- a/standins/plain-service.ts
+++ b/standins/plain-service.ts
@@ -17,17 +17,26 @@
 	readonly ledger = new Map<string, number>();
 	/** Drops the connection after the run, before the answer. */
 	loseAnswers = false;
+	/** Runs wait for this before they answer. */
+	gate: Promise<void> = Promise.resolve();
 	private readonly listener: HttpListener;
 
 	/** @param options - how the service behaves */
 	constructor(private readonly options: PlainServiceOptions) {
 		this.listener = new HttpListener({
 			'POST /v1/operations/*': async (req, res, [operation]) => {
-				const body = JSON.parse(await readBody(req)) as {booking?: string} | null;
+				const body = JSON.parse(await readBody(req)) as {booking?: string; query?: string} | null;
+				if (body?.query !== undefined) {
+					await sleep(this.options.runMs);
+					sendJson(res, 200, {operation, query: body.query});
+					return;
+				}
+
 				const booking = body?.booking ?? 'none';
 				const run = (this.ledger.get(booking) ?? 0) + 1;
 				this.ledger.set(booking, run);
 				await sleep(this.options.runMs);
+				await this.gate;
 				if (this.loseAnswers) {
 					res.destroy();
 					return;
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -113,7 +113,8 @@
 	 * @param place - zone and region
 	 */
 	async agent(vm: string, upstream: {kind: string; service: string; address: string}, extra: Record<string, Record<string, unknown>> = {}, place = defaultPlace): Promise<FleetProcess> {
-		const [control = ''] = await freeAddresses(1);
+		const [free = ''] = await freeAddresses(1);
+		const control = (extra.listen?.control ?? free) as string;
 		this.list({
 			vm, role: 'upstream', address: control, services: [upstream.service], place,
 		});
@@ -137,6 +138,17 @@
 		this.platform.setVms(this.vms);
 	}
 
+	/**
+	 * Lists a VM under another address, such as a relay's.
+	 *
+	 * @param vm - the VM
+	 * @param address - `host:port`
+	 */
+	readdress(vm: string, address: string): void {
+		this.vms = this.vms.map(item => item.vm === vm ? {...item, address} : item);
+		this.platform.setVms(this.vms);
+	}
+
 	/** Ends all processes and stand-ins. */
 	async stop(): Promise<void> {
 		await Promise.all(this.processes.map(async ({child}) => endProcess(child)));
