Let transfers yield to live calls

The agent measures the time to the first byte of each call and halves the share of the link that transfers use when it rises over 1.25 times its level without transfers; the share grows by 5 % of the rate every 500 ms and stays at 1/16 or more. The rule nextShare is pure; a variant that grows back in one step fails the property at its first recovery. The effect on p99 is not measured yet.

--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -16,6 +16,7 @@
 import {SelfCheck} from '../orders/self-check.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {ChunkStore} from '../rollout/chunk-store.ts';
+import {LiveYield} from '../rollout/live-yield.ts';
 import {RolloutManager} from '../rollout/rollout-manager.ts';
 import {TransferNode} from '../rollout/transfer-node.ts';
 import {defaultNoticeBytesPerSecond, defaultNoticeIntervalMs, type TransferOptions} from '../rollout/transfer-options.ts';
@@ -44,6 +45,9 @@
 	private readonly chunks = new ChunkStore();
 	private readonly orders: OrderManager | undefined;
 	private readonly rollout: RolloutManager | undefined;
+	private readonly upPacer: TransferPacer;
+	private readonly downPacer: TransferPacer;
+	private readonly liveYield: LiveYield;
 	private readonly calls: AgentCallHandler;
 	private readonly control: HttpListener;
 	private readonly shutdown: Drain;
@@ -56,6 +60,12 @@
 			this.rollout?.node.wake();
 		});
 		this.ledger = new CallLedger({incarnation: identity.incarnation, maxRecords: settings.limits.call_records});
+		const linkRate = () => settings.transfer.link_bytes_per_second * this.base.store.transferLimits().link_share;
+		this.upPacer = new TransferPacer(linkRate);
+		this.downPacer = new TransferPacer(linkRate);
+		this.liveYield = new LiveYield({
+			pacers: [this.upPacer, this.downPacer], isTransferring: () => this.rollout?.node.isTransferring ?? false,
+		});
 		if (settings.upstream.kind === 'engine') {
 			this.orders = this.createOrders();
 			this.rollout = this.createRollout(this.orders);
@@ -82,6 +92,7 @@
 		await this.base.start();
 		await this.orders?.start();
 		this.rollout?.start();
+		this.liveYield.start();
 		this.sweepTimer = setInterval(() => {
 			this.ledger.sweep();
 		}, sweepIntervalMs);
@@ -113,6 +124,7 @@
 	private async stopParts(): Promise<void> {
 		clearInterval(this.sweepTimer);
 		this.rollout?.stop();
+		this.liveYield.stop();
 		this.orders?.stop();
 		await this.base.stop();
 	}
@@ -146,14 +158,13 @@
 	private transferOptions(): TransferOptions {
 		const {store, links, random, log, membership} = this.base;
 		const {process, transfer, platform, upstream} = this.settings;
-		const linkRate = () => transfer.link_bytes_per_second * store.transferLimits().link_share;
 		return {
 			self: {vm: process.vm, region: process.region},
 			peers: () => membership.upstreamsOf(upstream.service),
 			links,
 			chunks: this.chunks,
-			upPacer: new TransferPacer(linkRate),
-			downPacer: new TransferPacer(linkRate),
+			upPacer: this.upPacer,
+			downPacer: this.downPacer,
 			originUrl: platform.origin,
 			random,
 			log,
@@ -193,7 +204,10 @@
 			...createControlRoutes({
 				rpc, metrics, dump: () => this.dump(), isReady: () => !this.isLeaving() && this.base.store.revision > 0,
 			}),
-			[`POST ${callsPath}`]: async (req, res) => this.calls.handle(req, res),
+			[`POST ${callsPath}`]: async (req, res) => {
+				this.liveYield.watch(res);
+				await this.calls.handle(req, res);
+			},
 			...(this.rollout ? {'GET /chunks/*': this.rollout.node.serveChunk} : {}),
 		};
 	}
--- /dev/null
+++ b/src/rollout/live-yield.ts
@@ -0,0 +1,112 @@
+/** Transfers yield to live calls on the same link. */
+import type http from 'node:http';
+import type {TransferPacer} from './transfer-pacer.ts';
+
+/** Live latency over idle latency from which transfers slow down. */
+export const yieldRatio = 1.25;
+
+/** The share that transfers keep, so that a rollout ends even on a busy VM. */
+export const leastShare = 1 / 16;
+
+/** How much the share grows per step without disturbance; from a half to all takes ten steps. */
+const growth = 0.05;
+
+/** Time between two steps, in milliseconds. */
+const stepMs = 500;
+
+/** Weight of a new latency in the running means. */
+const weight = 0.2;
+
+/** A latency older than this says nothing of now, in milliseconds. */
+const staleMs = 3000;
+
+/**
+ * Decides the share of the rate that transfers may use next.
+ *
+ * @param share - the share now
+ * @param liveMs - latency of live calls now, or undefined without recent calls
+ * @param idleMs - their latency without transfers, or undefined when it was never seen
+ */
+export function nextShare(share: number, liveMs: number | undefined, idleMs: number | undefined): number {
+	const disturbed = liveMs !== undefined && idleMs !== undefined && liveMs > idleMs * yieldRatio;
+	return disturbed ? Math.max(leastShare, share / 2) : Math.min(1, share + growth);
+}
+
+/** What the yield works with. */
+export type LiveYieldOptions = {
+	readonly pacers: readonly TransferPacer[];
+	/** Whether chunks are sent or received now. */
+	readonly isTransferring: () => boolean;
+};
+
+/** Measures live calls and sets the pacers' share. */
+export class LiveYield {
+	private idleMs: number | undefined;
+	private busyMs: number | undefined;
+	private lastAtMs = Number.NEGATIVE_INFINITY;
+	private timer: NodeJS.Timeout | undefined;
+
+	/** @param options - what the yield works with */
+	constructor(private readonly options: LiveYieldOptions) {}
+
+	/**
+	 * Returns the latency of live calls while chunks move, in milliseconds, or undefined without recent calls.
+	 */
+	get liveLatencyMs(): number | undefined {
+		return performance.now() - this.lastAtMs < staleMs ? this.busyMs : undefined;
+	}
+
+	/** Starts to adapt the share. */
+	start(): void {
+		this.timer = setInterval(() => {
+			this.step();
+		}, stepMs);
+		this.timer.unref();
+	}
+
+	/** Stops adapting. */
+	stop(): void {
+		clearInterval(this.timer);
+	}
+
+	/**
+	 * Measures the time to the first byte of a call's answer.
+	 *
+	 * @param res - the answer, with nothing written yet
+	 */
+	watch(res: http.ServerResponse): void {
+		const startedAtMs = performance.now();
+		const write = res.write.bind(res) as (...args: unknown[]) => boolean;
+		res.write = (...args: unknown[]) => {
+			res.write = write;
+			this.record(performance.now() - startedAtMs);
+			return write(...args);
+		};
+	}
+
+	/**
+	 * Takes the latency of one call.
+	 *
+	 * @param ms - milliseconds
+	 */
+	record(ms: number): void {
+		this.lastAtMs = performance.now();
+		if (this.options.isTransferring()) {
+			this.busyMs = mean(this.busyMs, ms);
+		} else {
+			this.idleMs = mean(this.idleMs, ms);
+			this.busyMs = undefined;
+		}
+	}
+
+	/** Decides the share once. */
+	step(): void {
+		for (const pacer of this.options.pacers) {
+			pacer.share = nextShare(pacer.share, this.liveLatencyMs, this.idleMs);
+		}
+	}
+}
+
+function mean(before: number | undefined, ms: number): number {
+	return before === undefined ? ms : before + (weight * (ms - before));
+}
--- a/src/rollout/transfer-node.ts
+++ b/src/rollout/transfer-node.ts
@@ -45,6 +45,11 @@
 		return [...this.entries.values()].map(({wanted, transfer, doesNotFit}) => ({...wanted, transfer, doesNotFit}));
 	}
 
+	/** Whether chunks are received or sent now. */
+	get isTransferring(): boolean {
+		return this.server.slots.load > 0 || [...this.entries.values()].some(({transfer}) => transfer.isRunning);
+	}
+
 	/**
 	 * Sets which versions are wanted or served; others stop and stay in memory only while there is room.
 	 *
--- a/src/rollout/version-transfer.ts
+++ b/src/rollout/version-transfer.ts
@@ -100,6 +100,11 @@
 		return this.fetcher.originBytes;
 	}
 
+	/** Whether the manifest or chunks are being fetched. */
+	get isRunning(): boolean {
+		return this.state === 'manifest' || this.state === 'chunks';
+	}
+
 	/** Begins the transfer. */
 	start(): void {
 		this.machine.start();
@@ -173,10 +178,6 @@
 		};
 	}
 
-	private isRunning(): boolean {
-		return this.state === 'manifest' || this.state === 'chunks';
-	}
-
 	private async survey(): Promise<void> {
 		await this.neighbourhood.survey();
 		this.advance();
@@ -200,7 +201,7 @@
 
 	/** Plans soon; several pieces of news in a short time lead to one plan. */
 	private advance(): void {
-		if (this.planTimer === undefined && this.isRunning()) {
+		if (this.planTimer === undefined && this.isRunning) {
 			this.planTimer = setTimeout(() => {
 				this.planTimer = undefined;
 				this.runPlan();
@@ -209,7 +210,7 @@
 	}
 
 	private runPlan(): void {
-		if (!this.isRunning()) {
+		if (!this.isRunning) {
 			return;
 		}
 
--- a/test/rollout-plan.test.ts
+++ b/test/rollout-plan.test.ts
@@ -4,6 +4,7 @@
 import {createDigest, digestOf, type Digest} from '../src/ids/digest.ts';
 import {ChunkBitmap} from '../src/rollout/chunk-bitmap.ts';
 import {planEviction} from '../src/rollout/evict-versions.ts';
+import {leastShare, nextShare, yieldRatio} from '../src/rollout/live-yield.ts';
 import {simulate} from './support/transfer-simulation.ts';
 
 const readingRegions = {time: 3, 'origin-bytes': 1} as const;
@@ -65,3 +66,17 @@
 		expect(last === undefined || size([...kept, last]) > memoryBytes).to.equal(true);
 	}), {seed: 4, numRuns: 300});
 });
+
+it('transfers give way at once when live calls slow down, and come back slowly and never beyond their rate', () => {
+	fc.assert(fc.property(fc.array(fc.tuple(fc.double({min: 1, max: 100, noNaN: true}), fc.double({min: 1, max: 100, noNaN: true})), {maxLength: 50}), steps => {
+		let share = 1;
+		for (const [liveMs, idleMs] of steps) {
+			const next = nextShare(share, liveMs, idleMs);
+			expect(next).to.be.within(leastShare, 1);
+			expect(next).to.equal(liveMs > idleMs * yieldRatio ? Math.max(leastShare, share / 2) : next);
+			expect(next - share).to.be.at.most(0.05 + 1e-9);
+			expect(liveMs > idleMs * yieldRatio || next >= share).to.equal(true);
+			share = next;
+		}
+	}), {seed: 6, numRuns: 100});
+});
