Keep the concurrency limit when the last upstream is leaving

Cause: with no usable upstream the reported capacity is 0, which lowered the limit to 1; a call with a ticket, which belongs to the leaving agent, then waited behind the one that still ran and was shed as 'overloaded, unknown' instead of getting the agent's 'draining, not_run'. Ruled out: the agent, which refuses truthfully; the drain. Change: a capacity of 0 leaves the limit as it was, and 64 while nothing has reported. Before: 'SIGTERM of agent and entry' failed.

--- a/src/limits/concurrency-limit.ts
+++ b/src/limits/concurrency-limit.ts
@@ -9,6 +9,9 @@
 /** The limit's ceiling as a multiple of the capacity that this entry can reach, so that an idle entry may use most of it. */
 export const ceilingFactor = 1.25;
 
+/** Calls in flight while no upstream has reported; they only wait for one, and the agents refuse what is too much. */
+export const limitWhenUnknown = 64;
+
 /** The limit is only raised while at least this share of it is in use; an unused limit proves nothing. */
 const usedShare = 0.8;
 
@@ -20,11 +23,11 @@
  */
 export class ConcurrencyLimit {
 	private value: number | undefined;
-	private ceiling = 1;
+	private ceiling = limitWhenUnknown;
 
 	/** How many calls may be in flight now: a whole number of at least 1. */
 	get current(): number {
-		return Math.max(1, Math.floor(Math.min(this.value ?? 1, this.ceiling)));
+		return Math.max(1, Math.floor(Math.min(this.value ?? limitWhenUnknown, this.ceiling)));
 	}
 
 	/**
@@ -34,10 +37,13 @@
 	 * @param entries - entries that share these upstreams, this one included
 	 */
 	setCapacity(capacity: number, entries: number): void {
-		this.ceiling = Math.max(1, capacity * ceilingFactor);
-		if (this.value === undefined && capacity > 0) {
-			this.value = Math.max(1, capacity / Math.max(1, entries));
+		if (capacity <= 0) {
+			// The last upstream is leaving or away. Calls with a ticket still belong to it, so the limit stays as it was.
+			return;
 		}
+
+		this.ceiling = Math.max(1, capacity * ceilingFactor);
+		this.value ??= Math.max(1, capacity / Math.max(1, entries));
 	}
 
 	/**
