Renew connections after one went silent

Cause: when all connections of an entry go silent at once, each retry took another silent one from its pool; three attempts or the retry budget were used up and the stream broke, although fresh connections worked. Ruled out: ejection, which keeps one upstream choosable. Change: after a silent attempt the client retires all pools older than 1 s.

--- a/src/calls/attempt-client.ts
+++ b/src/calls/attempt-client.ts
@@ -26,8 +26,6 @@
 	readonly onFrame: (frame: CallFrame) => Promise<void> | void;
 	/** Ends the attempt when the caller is gone. */
 	readonly gone: AbortSignal;
-	/** Uses a connection that was not open before, since an earlier attempt went silent and other old connections may have too. */
-	readonly renew?: boolean;
 };
 
 /** Creates the id of a new attempt. */
@@ -49,16 +47,12 @@
 	 * @returns how the attempt ended
 	 */
 	async run(address: string, call: CallRequest, options: AttemptOptions): Promise<AttemptEnd> {
-		if (options.renew) {
-			this.links.renew(address);
-		}
-
 		const watch = new AttemptWatch(call.remainingMs, options.gone);
 		try {
 			return await this.exchange(address, call, options, watch);
 		} catch (err) {
 			if (watch.reason === 'silent') {
-				this.links.renew(address);
+				this.links.renew();
 			}
 
 			return {kind: watch.reason ?? (err instanceof LinkError && !err.sent ? 'unsent' : 'broken'), err: err as Error};
--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -60,10 +60,7 @@
 type FinishedCall = Extract<CallsCancelResult, {state: 'finished'}>;
 
 /** What one attempt came to: the decided step, and the record when the step answers from it. */
-type Settled = {readonly step: Step; readonly record?: FinishedCall; readonly end?: AttemptEndKind};
-
-/** What is known from the earlier attempts of a call. */
-type Known = {readonly mayHaveRun: boolean; readonly silent: boolean};
+type Settled = {readonly step: Step; readonly record?: FinishedCall};
 
 /** How the router counts an attempt. */
 const resultByEnd: Readonly<Record<AttemptEndKind, AttemptResultKind>> = {
@@ -84,7 +81,6 @@
 	async run<Target extends CallTarget>(plan: CallPlan<Target>): Promise<CallEnd> {
 		const excluded = new Set<string>();
 		let mayHaveRun = false;
-		let silent = false;
 		let otherwise: TellStep | DestroyStep = {kind: 'tell', outcome: 'not_run', code: 'no_upstream'};
 		for (let tries = 0; tries < maxAttempts && !plan.gone.aborted; tries++) {
 			const target = await this.awaitTarget(plan, excluded, tries);
@@ -92,10 +88,9 @@
 				break;
 			}
 
-			const {step, record, end}: Settled = await this.attempt(plan, target, {mayHaveRun, silent});
+			const {step, record}: Settled = await this.attempt(plan, target, mayHaveRun);
 			if (step.kind === 'retry' || step.kind === 'resume') {
 				({mayHaveRun, otherwise} = step);
-				silent ||= end === 'silent';
 				if (step.excludeVm) {
 					excluded.add(target.vm);
 				}
@@ -132,13 +127,13 @@
 		return target && (tries === 0 || this.options.router.mayRetry(plan.caller.route.service)) ? target : undefined;
 	}
 
-	private async attempt<Target extends CallTarget>(plan: CallPlan<Target>, target: Target, known: Known): Promise<Settled> {
+	private async attempt<Target extends CallTarget>(plan: CallPlan<Target>, target: Target, mayHaveRun: boolean): Promise<Settled> {
 		const {attempts, router, log} = this.options;
 		const call = plan.createCall(target);
 		const finish = router.begin(target.vm, call.service);
 		let result: AttemptResultKind = 'failed';
 		try {
-			const end = await attempts.run(target.address, call, {onFrame: plan.onFrame, gone: plan.gone, renew: known.silent});
+			const end = await attempts.run(target.address, call, plan);
 			if (plan.gone.aborted) {
 				// The attempt was ended by the caller, which says nothing about the upstream.
 				result = 'abandoned';
@@ -152,7 +147,7 @@
 				}, 'attempt ended without a whole answer');
 			}
 
-			return {...await this.settle(plan, target, call, {end, mayHaveRun: known.mayHaveRun}), end: end.kind};
+			return await this.settle(plan, target, call, {end, mayHaveRun});
 		} finally {
 			finish(result);
 		}
--- a/src/links/peer-client.ts
+++ b/src/links/peer-client.ts
@@ -22,6 +22,9 @@
 /** The timers of undici count in steps of about half a second and may fire early by one, in milliseconds. */
 const timerSlackMs = 1000;
 
+/** Least age of connections that are renewed, in milliseconds, so that many silent requests at once renew them once. */
+const renewIntervalMs = 1000;
+
 /** How a request may take place. */
 export type LinkOptions = {
 	/** Time until the whole answer is read, in milliseconds. */
@@ -149,18 +152,17 @@
 	}
 
 	/**
-	 * Leaves the open connections to a peer to their present requests and opens new ones for all others.
-	 *
-	 * When one connection has gone silent, others on the same path usually have too, and each would cost a progress deadline.
+	 * Leaves the open connections to their present requests and opens new ones for all others.
 	 *
-	 * @param address - the peer's control listener, `host:port`
+	 * When one connection has gone silent, others usually have too, and each would cost a progress deadline and a retry.
 	 */
-	renew(address: string): void {
-		const origin = `http://${address}`;
-		const old = this.pools.get(origin);
-		if (old) {
-			this.pools.delete(origin);
-			void this.retire(old.pool);
+	renew(): void {
+		const bornBeforeMs = performance.now() - renewIntervalMs;
+		for (const [origin, {pool, bornAtMs}] of this.pools) {
+			if (bornAtMs < bornBeforeMs) {
+				this.pools.delete(origin);
+				void this.retire(pool);
+			}
 		}
 	}
 
@@ -226,14 +228,14 @@
 	}
 }
 
-type TrackedPool = {readonly pool: Agent; readonly tracked: Dispatcher};
+type TrackedPool = {readonly pool: Agent; readonly tracked: Dispatcher; readonly bornAtMs: number};
 
 function createPool(): TrackedPool {
 	const pool = new Agent({
 		connections: connectionsPerPeer, pipelining: 1, connect: {timeout: connectTimeoutMs}, keepAliveTimeout: 30_000,
 	});
 	const tracked = pool.compose(dispatch => (options, handler) => dispatch(options, new StartHandler(handler, (options as unknown as TrackedOptions).onStart)));
-	return {pool, tracked};
+	return {pool, tracked, bornAtMs: performance.now()};
 }
 
 function deadlineSignal(options: LinkOptions): AbortSignal {
--- a/test/calls-failure.test.ts
+++ b/test/calls-failure.test.ts
@@ -337,6 +337,13 @@
 
 		const entry = await fleet.entry('vm-entry');
 		await waitForVersion(entry, 3);
+		// The retry budget is a tenth of the first tries plus a reserve of 3; the faults of this test would use it up.
+		const earnRetries = async () => {
+			for (let calls = 0; calls < 20; calls++) {
+				await ask(entry, 1);
+			}
+		};
+
 		const once = (act: () => void) => {
 			let done = false;
 			return (text: string) => {
@@ -352,6 +359,7 @@
 				relay.stallOpen();
 			}
 		}))).to.equal(wholeText(100));
+		await earnRetries();
 		let turn = 0;
 		await waitFor('a mixing engine was asked', async () => {
 			const engine = fleet.engines[turn++ % fleet.engines.length];
@@ -365,6 +373,7 @@
 			engine.mixesVersionFrom = Infinity;
 			return engine.generations > before;
 		});
+		await earnRetries();
 		const started = fleet.engines.map(engine => engine.generations);
 		let killed: Promise<void> | undefined;
 		expect(await ask(entry, 100, once(() => {
