--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -1,5 +1,4 @@
 /** The agent role: the process beside one upstream. */
-import {z} from 'zod';
 import {AgentCallHandler} from '../calls/agent-call-handler.ts';
 import {CallLedger} from '../calls/call-ledger.ts';
 import {Drain} from '../calls/drain.ts';
@@ -7,14 +6,16 @@
 import {PlainUpstream} from '../calls/plain-upstream.ts';
 import type {Upstream} from '../calls/upstream.ts';
 import {formatAddress, type HttpHandler, HttpListener} from '../links/http-listener.ts';
-import {type AgentReport, agentReportMethod} from '../messages/agent-report.ts';
+import type {AgentReport} from '../messages/agent-report.ts';
 import {callsPath} from '../messages/call-request.ts';
 import {callsCancelMethod, callsCancelParamsSchema} from '../messages/calls-cancel.ts';
 import {rolloutHaveMethod, rolloutHaveParamsSchema} from '../messages/rollout-have.ts';
+import {LeaveNotice} from '../membership/leave-notice.ts';
 import {OrderManager} from '../orders/order-manager.ts';
 import {isQueueFull} from '../limits/is-queue-full.ts';
 import {SelfCheck} from '../orders/self-check.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
+import {addRolloutMetrics} from '../reports/rollout-metrics.ts';
 import {ChunkStore} from '../rollout/chunk-store.ts';
 import {LiveYield} from '../rollout/live-yield.ts';
 import {RolloutManager} from '../rollout/rollout-manager.ts';
@@ -50,7 +51,9 @@
 	private readonly liveYield: LiveYield;
 	private readonly calls: AgentCallHandler;
 	private readonly control: HttpListener;
+	private readonly notice: LeaveNotice;
 	private readonly shutdown: Drain;
+	private noticed: Promise<void> = Promise.resolve();
 	private sweepTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly settings: AgentSettings) {
@@ -83,6 +86,10 @@
 			},
 			isOverloaded: running => isQueueFull(running, this.report().capacity),
 		});
+		this.notice = new LeaveNotice(this.base.links, this.base.rpc, () => this.report());
+		this.base.membership.onToldToLeave(() => {
+			void this.notice.send();
+		});
 		this.control = new HttpListener(this.createRoutes(), log);
 		this.shutdown = this.createDrain();
 	}
@@ -101,7 +108,10 @@
 	}
 
 	async drain(): Promise<void> {
-		await this.shutdown.run();
+		const drained = this.shutdown.run();
+		// The shutdown refuses new calls from here on, so that the report says so.
+		this.noticed = this.notice.send();
+		await drained;
 	}
 
 	private isLeaving(): boolean {
@@ -122,6 +132,7 @@
 	}
 
 	private async stopParts(): Promise<void> {
+		await this.noticed;
 		clearInterval(this.sweepTimer);
 		this.rollout?.stop();
 		this.liveYield.stop();
@@ -190,7 +201,6 @@
 
 	private createRoutes(): Record<string, HttpHandler> {
 		const {rpc, metrics} = this.base;
-		rpc.method(agentReportMethod, z.unknown(), () => this.report());
 		rpc.method(callsCancelMethod, callsCancelParamsSchema, params => this.ledger.cancel(params));
 		const {rollout} = this;
 		if (rollout) {
@@ -199,6 +209,7 @@
 
 		metrics.gauge('cactusreach_running_calls', 'Calls that run at the upstream.', () => this.calls.runningCalls);
 		metrics.gauge('cactusreach_call_records', 'Call records kept.', () => this.ledger.size);
+		addRolloutMetrics(metrics, () => this.rollout?.progress ?? []);
 		metrics.gauge('cactusreach_chunk_bytes', 'Weights held in memory.', () => this.chunks.bytes);
 		return {
 			...createControlRoutes({
@@ -230,7 +241,7 @@
 		};
 	}
 
-	private dump(): unknown {
+	private dump(): Record<string, unknown> {
 		return {
 			role: 'agent',
 			...this.base.dump(),
--- a/src/cli/base-process.ts
+++ b/src/cli/base-process.ts
@@ -1,5 +1,4 @@
 /** What entry and agent share: identity, configuration, membership, control listener and drain. */
-import process from 'node:process';
 import {ConfigurationManager} from '../configuration/configuration-manager.ts';
 import {ConfigurationStore} from '../configuration/configuration-store.ts';
 import {formatAddress, type ListenAddress} from '../links/http-listener.ts';
@@ -7,6 +6,7 @@
 import {RpcDispatcher} from '../links/rpc-dispatcher.ts';
 import {MembershipManager} from '../membership/membership-manager.ts';
 import {Metrics} from '../reports/metrics.ts';
+import {ProcessMetrics} from '../reports/process-metrics.ts';
 import {createLogger, type Logger} from '../runtime/logger.ts';
 import {createIdentity} from '../runtime/process-identity.ts';
 import {RandomSource, randomSeed} from '../runtime/random-source.ts';
@@ -31,6 +31,7 @@
 	readonly random: RandomSource;
 	readonly configuration: ConfigurationManager;
 	readonly membership: MembershipManager;
+	private readonly processMetrics: ProcessMetrics;
 
 	/** @param settings - the settings that both roles share */
 	constructor(private readonly settings: ProcessSettings & {readonly listen: {readonly control: ListenAddress}}) {
@@ -58,7 +59,7 @@
 			list: this.membership.list,
 		});
 		this.metrics.gauge('cactusreach_configuration_revision', 'Revision of the configuration in force.', () => store.revision);
-		this.metrics.gauge('cactusreach_resident_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss());
+		this.processMetrics = new ProcessMetrics(this.metrics);
 	}
 
 	/** Starts membership and configuration. */
@@ -76,6 +77,7 @@
 		this.configuration.stop();
 		this.membership.stop();
 		this.wake.stop();
+		this.processMetrics.stop();
 		await this.links.close();
 	}
 
