--- a/src/configuration/configuration-replica.ts
+++ b/src/configuration/configuration-replica.ts
@@ -105,6 +105,16 @@
 			return undefined;
 		}
 
+		const own = this.store.revision;
+		if (result.revision <= own) {
+			return undefined;
+		}
+
+		if (!result.whole && params.after !== own) {
+			// Another answer came first; what is still missing are fewer changes, not the whole tree.
+			return {after: own, onlyFallbacks: false};
+		}
+
 		const update = {
 			...result, revision: createRevision(result.revision), base: createRevision(params.after),
 		};
