--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -15,7 +15,9 @@
 import {isQueueFull} from '../limits/is-queue-full.ts';
 import {SelfCheck} from '../orders/self-check.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
+import {addRolloutMetrics} from '../reports/rollout-metrics.ts';
 import {ChunkStore} from '../rollout/chunk-store.ts';
+import {LiveYield} from '../rollout/live-yield.ts';
 import {RolloutManager} from '../rollout/rollout-manager.ts';
 import {TransferNode} from '../rollout/transfer-node.ts';
 import {defaultNoticeBytesPerSecond, defaultNoticeIntervalMs, type TransferOptions} from '../rollout/transfer-options.ts';
@@ -44,6 +46,9 @@
 	private readonly chunks = new ChunkStore();
 	private readonly orders: OrderManager | undefined;
 	private readonly rollout: RolloutManager | undefined;
+	private readonly upPacer: TransferPacer;
+	private readonly downPacer: TransferPacer;
+	private readonly liveYield: LiveYield;
 	private readonly calls: AgentCallHandler;
 	private readonly control: HttpListener;
 	private readonly notice: LeaveNotice;
@@ -58,6 +63,12 @@
 			this.rollout?.node.wake();
 		});
 		this.ledger = new CallLedger({incarnation: identity.incarnation, maxRecords: settings.limits.call_records});
+		const linkRate = () => settings.transfer.link_bytes_per_second * this.base.store.transferLimits().link_share;
+		this.upPacer = new TransferPacer(linkRate);
+		this.downPacer = new TransferPacer(linkRate);
+		this.liveYield = new LiveYield({
+			pacers: [this.upPacer, this.downPacer], isTransferring: () => this.rollout?.node.isTransferring ?? false,
+		});
 		if (settings.upstream.kind === 'engine') {
 			this.orders = this.createOrders();
 			this.rollout = this.createRollout(this.orders);
@@ -88,6 +99,7 @@
 		await this.base.start();
 		await this.orders?.start();
 		this.rollout?.start();
+		this.liveYield.start();
 		this.sweepTimer = setInterval(() => {
 			this.ledger.sweep();
 		}, sweepIntervalMs);
@@ -123,6 +135,7 @@
 		await this.noticed;
 		clearInterval(this.sweepTimer);
 		this.rollout?.stop();
+		this.liveYield.stop();
 		this.orders?.stop();
 		await this.base.stop();
 	}
@@ -156,14 +169,13 @@
 	private transferOptions(): TransferOptions {
 		const {store, links, random, log, membership} = this.base;
 		const {process, transfer, platform, upstream} = this.settings;
-		const linkRate = () => transfer.link_bytes_per_second * store.transferLimits().link_share;
 		return {
 			self: {vm: process.vm, region: process.region},
 			peers: () => membership.upstreamsOf(upstream.service),
 			links,
 			chunks: this.chunks,
-			upPacer: new TransferPacer(linkRate),
-			downPacer: new TransferPacer(linkRate),
+			upPacer: this.upPacer,
+			downPacer: this.downPacer,
 			originUrl: platform.origin,
 			random,
 			log,
@@ -197,12 +209,16 @@
 
 		metrics.gauge('cactusreach_running_calls', 'Calls that run at the upstream.', () => this.calls.runningCalls);
 		metrics.gauge('cactusreach_call_records', 'Call records kept.', () => this.ledger.size);
+		addRolloutMetrics(metrics, () => this.rollout?.progress ?? []);
 		metrics.gauge('cactusreach_chunk_bytes', 'Weights held in memory.', () => this.chunks.bytes);
 		return {
 			...createControlRoutes({
 				rpc, metrics, dump: () => this.dump(), isReady: () => !this.isLeaving() && this.base.store.revision > 0,
 			}),
-			[`POST ${callsPath}`]: async (req, res) => this.calls.handle(req, res),
+			[`POST ${callsPath}`]: async (req, res) => {
+				this.liveYield.watch(res);
+				await this.calls.handle(req, res);
+			},
 			...(this.rollout ? {'GET /chunks/*': this.rollout.node.serveChunk} : {}),
 		};
 	}
@@ -225,7 +241,7 @@
 		};
 	}
 
-	private dump(): unknown {
+	private dump(): Record<string, unknown> {
 		return {
 			role: 'agent',
 			...this.base.dump(),
--- a/src/cli/entry-process.ts
+++ b/src/cli/entry-process.ts
@@ -8,6 +8,7 @@
 import {formatAddress, HttpListener} from '../links/http-listener.ts';
 import {AdmissionManager, admissionMetrics} from '../limits/admission-manager.ts';
 import {ReportPoller} from '../membership/report-poller.ts';
+import {CallMetrics} from '../reports/call-metrics.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {routingMetrics, UpstreamRouter} from '../routing/upstream-router.ts';
 import type {EntrySettings} from '../settings/settings-schema.ts';
@@ -36,11 +37,13 @@
 	const runner = new CallRunner({
 		attempts, router, log, upstreamWaitMs: settings.limits.queue_wait_ms,
 	});
+	const callMetrics = new CallMetrics(base.metrics);
 	const calls = new CallManager({
 		store,
 		log,
+		metrics: callMetrics,
 		admission,
-		generate: new GenerateHandler({runner, router}),
+		generate: new GenerateHandler({runner, router, metrics: callMetrics}),
 		operations: new OperationHandler({
 			attempts, runner, router, memberOf: vm => membership.members.find(member => member.vm === vm),
 		}),
