--- a/build/bundle.mjs
+++ b/build/bundle.mjs
@@ -1,7 +1,10 @@
 /** Bundles the command line into one CommonJS file that Node.js or the single executable runs. */
 import {readFile} from 'node:fs/promises';
+import path from 'node:path';
 import {build} from 'esbuild';
 
+const root = path.join(import.meta.dirname, '..');
+
 /**
  * Leaves out the optional packages that bunyan looks for at run time (tracing, file rotation, source maps).
  * None of them is installed, and in the single executable each look would print a warning.
@@ -16,6 +19,16 @@
 	},
 };
 
+/** Leaves out the translations of zod's messages, of which only English is used; each process would keep them in memory. */
+const withoutTranslations = {
+	name: 'without-translations',
+	setup(plugin) {
+		plugin.onLoad({filter: /zod\/v4\/locales\/index\.js$/}, () => ({
+			contents: 'export {default as en} from "./en.js";', resolveDir: path.join(root, 'node_modules/zod/v4/locales'),
+		}));
+	},
+};
+
 await build({
 	entryPoints: ['src/cli/main.ts'],
 	outfile: 'dist/cactusreach.cjs',
@@ -23,6 +36,9 @@
 	platform: 'node',
 	target: 'node20',
 	format: 'cjs',
-	plugins: [withoutOptionalPackages],
+	// Without white space a process at rest takes 4 MB less. Names stay as they are, for stack traces.
+	minifyWhitespace: true,
+	minifySyntax: true,
+	plugins: [withoutOptionalPackages, withoutTranslations],
 	logLevel: 'warning',
 });
