Keep the concurrency limit while no upstream is usable

Cause: since a leaving agent tells its entries at once, the last usable upstream of a service can be gone while a call still runs; the reported capacity of 0 lowered the limit to one slot, and a ticket's repeat waited behind the running call until it was shed as overloaded instead of getting its home agent's draining answer. Ruled out: sending the leave notice later, since entries would then offer calls to an agent that refuses them. Change: a capacity of 0 leaves the limit as it is; 0 means that nothing is known. Conclusion: the call goes on and is refused where it belongs.

--- a/src/limits/concurrency-limit.ts
+++ b/src/limits/concurrency-limit.ts
@@ -34,8 +34,13 @@
 	 * @param entries - entries that share these upstreams, this one included
 	 */
 	setCapacity(capacity: number, entries: number): void {
+		// Without a usable upstream nothing is known: calls go on to be refused where they belong, instead of waiting for one slot.
+		if (capacity === 0) {
+			return;
+		}
+
 		this.ceiling = Math.max(1, capacity * ceilingFactor);
-		if (this.value === undefined && capacity > 0) {
+		if (this.value === undefined) {
 			this.value = Math.max(1, capacity / Math.max(1, entries));
 		}
 	}
