--- a/src/limits/concurrency-limit.ts
+++ b/src/limits/concurrency-limit.ts
@@ -40,9 +40,7 @@
 		}
 
 		this.ceiling = Math.max(1, capacity * ceilingFactor);
-		if (this.value === undefined) {
-			this.value = Math.max(1, capacity / Math.max(1, entries));
-		}
+		this.value ??= Math.max(1, capacity / Math.max(1, entries));
 	}
 
 	/**
