Change the member view one VM at a time

Cause: each report threw the joined view of all VMs away, and the next choice joined 3,630 VMs and ranked its subset anew, several times a second. Ruled out: a smaller list; entries need all zones for spillover and the exchange of configuration. Change: MemberView joins one VM per report, SubsetCache keeps the places of the chosen 24 until a member comes, goes or changes its right to work.

--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -13,7 +13,10 @@
 import {emptyTree} from '../src/configuration/tree.ts';
 import {digestOf} from '../src/ids/digest.ts';
 import {createRevision} from '../src/ids/revision.ts';
+import {chooseSubset} from '../src/membership/choose-subset.ts';
+import {MemberView} from '../src/membership/member-view.ts';
 import {mergeMembers} from '../src/membership/merge-members.ts';
+import {SubsetCache} from '../src/membership/subset-cache.ts';
 import type {ListedVm, Sight} from '../src/membership/member.ts';
 import {type AgentReport, agentReportSchema} from '../src/messages/agent-report.ts';
 import {callFrameSchema} from '../src/messages/call-frame.ts';
@@ -139,6 +142,19 @@
 
 const framesPerRun = 2000;
 
+const reportsPerRun = 50;
+
+const owner = {vm: 'entry-1', zone: 'zone-0'};
+
+function createSources(size: number): {vms: ListedVm[]; sources: {listed: ListedVm[]; unlisted: ListedVm[]; sights: Map<string, Sight>; nowMs: number}} {
+	const vms = createVms(size);
+	return {
+		vms, sources: {
+			listed: vms, unlisted: [], sights: new Map(), nowMs: 1,
+		},
+	};
+}
+
 const measurements: readonly Measurement[] = [
 	{
 		name: 'agent: memory per kept call record', unit: 'bytes/record', sizes: [10_000, 20_000, 40_000, 80_000],
@@ -179,6 +195,33 @@
 			});
 		},
 	},
+	{
+		name: 'entry: a report and a choice of the subset, joining all members anew (baseline)', unit: 'µs/member', sizes: [500, 1000, 2000, 3630],
+		run: size => cpuMicros(() => {
+			const {sources, vms} = createSources(size);
+			for (let at = 0; at < reportsPerRun; at++) {
+				sources.sights.set(vms[at % 24]?.vm ?? '', {failedConnects: 0, report: createReport(at)});
+				chooseSubset(owner, 'assistant', mergeMembers(sources));
+			}
+		}) / reportsPerRun,
+	},
+	{
+		name: 'entry: a report and a choice of the subset, one member at a time', unit: 'µs/member', sizes: [500, 1000, 2000, 3630],
+		run(size) {
+			const {sources, vms} = createSources(size);
+			const view = new MemberView();
+			const subsets = new SubsetCache(owner);
+			view.rebuild(sources);
+			return cpuMicros(() => {
+				for (let at = 0; at < reportsPerRun; at++) {
+					const vm = vms[at % 24]?.vm ?? '';
+					sources.sights.set(vm, {failedConnects: 0, report: createReport(at)});
+					view.update(vm, sources);
+					subsets.of('assistant', view.members, view.version);
+				}
+			}) / reportsPerRun;
+		},
+	},
 	{
 		name: 'all: memory of the member view', unit: 'bytes/member', sizes: [1000, 2000, 3630],
 		run: size => heapBytes(() => mergeMembers({
--- a/src/membership/membership-manager.ts
+++ b/src/membership/membership-manager.ts
@@ -5,10 +5,11 @@
 import type {ConfigOffer} from '../messages/config-sync.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
-import {chooseSubset} from './choose-subset.ts';
 import {isNewerReport} from './is-newer-report.ts';
 import type {ListedVm, Member, Sight} from './member.ts';
-import {mergeMembers, observedMs} from './merge-members.ts';
+import {MemberView} from './member-view.ts';
+import {observedMs} from './merge-members.ts';
+import {SubsetCache} from './subset-cache.ts';
 import {type TrustedList, trustList} from './trust-list.ts';
 import {createVmList, emptyList, type VmList} from './vm-list.ts';
 import {VmListExchange} from './vm-list-exchange.ts';
@@ -29,6 +30,9 @@
 /** How long a start waits for the first list, in milliseconds. */
 const startListMs = 2000;
 
+/** How often VMs that are not listed are looked at for having run out, in milliseconds. */
+const wholeJoinIntervalMs = 3000;
+
 /** What the manager works with. */
 export type MembershipManagerOptions = {
 	/** This process with its control listener. */
@@ -53,9 +57,10 @@
 	/** VMs that left a trusted list while they were in, with the time, in milliseconds. */
 	private readonly removed = new Map<string, {readonly line: ListedVm; readonly atMs: number}>();
 	private readonly sights = new Map<string, Sight>();
-	private view: readonly Member[] | undefined;
-	private viewAtMs = 0;
-	private readonly subsets = new Map<string, readonly Member[]>();
+	private readonly view = new MemberView();
+	/** Monotonic time of the last whole join; undefined when the list changed since. */
+	private joinedAtMs: number | undefined;
+	private readonly subsets: SubsetCache;
 	private others: readonly ListedVm[] = [];
 	private toldToLeave = false;
 	private readonly leaveListeners: Array<() => void> = [];
@@ -65,7 +70,8 @@
 
 	/** @param options - what the manager works with */
 	constructor(private readonly options: MembershipManagerOptions) {
-		const {links, rpc, listUrl} = options;
+		const {links, rpc, listUrl, own} = options;
+		this.subsets = new SubsetCache(own);
 		rpc.method(agentLeavingMethod, agentReportSchema, report => {
 			this.recordReport(report);
 			return true;
@@ -81,16 +87,15 @@
 	/** All members, usable or not. */
 	get members(): readonly Member[] {
 		const nowMs = performance.now();
-		// Observations run out with time alone.
-		if (!this.view || nowMs - this.viewAtMs > vmListIntervalMs) {
-			this.view = mergeMembers({
+		// Observations of VMs that are not listed run out with time alone.
+		if (this.joinedAtMs === undefined || nowMs - this.joinedAtMs > wholeJoinIntervalMs) {
+			this.view.rebuild({
 				listed: this.trusted.list.vms.values(), unlisted: this.unlisted(nowMs), sights: this.sights, nowMs,
 			});
-			this.viewAtMs = nowMs;
-			this.subsets.clear();
+			this.joinedAtMs = nowMs;
 		}
 
-		return this.view;
+		return this.view.members;
 	}
 
 	/** All VMs but this one that may answer, for the exchange of configuration. */
@@ -141,14 +146,7 @@
 	 * @param service - the service
 	 */
 	upstreamsOf(service: string): readonly Member[] {
-		const {members} = this;
-		let subset = this.subsets.get(service);
-		if (!subset) {
-			subset = chooseSubset(this.options.own, service, members);
-			this.subsets.set(service, subset);
-		}
-
-		return subset;
+		return this.subsets.of(service, this.members, this.view.version);
 	}
 
 	/** Returns the upstreams of all services that this process keeps links to, and those that are out for a while. */
@@ -214,7 +212,7 @@
 		this.sights.set(report.vm, {
 			report, reportAtMs: performance.now(), failedConnects: 0, retired: sight?.retired,
 		});
-		this.view = undefined;
+		this.view.update(report.vm, {sights: this.sights, nowMs: performance.now()});
 	}
 
 	/**
@@ -225,7 +223,7 @@
 	recordFailedConnect(vm: string): void {
 		const sight = this.sights.get(vm);
 		this.sights.set(vm, {...sight, failedConnects: (sight?.failedConnects ?? 0) + 1});
-		this.view = undefined;
+		this.view.update(vm, {sights: this.sights, nowMs: performance.now()});
 	}
 
 	private lineOf(vm: string): ListedVm | undefined {
@@ -253,7 +251,7 @@
 		}
 
 		this.others = [...list.vms.values(), ...this.trusted.retained.values()].filter(({vm}) => vm !== own.vm);
-		this.view = undefined;
+		this.joinedAtMs = undefined;
 		// New and leaving VMs hear of the change at once; a restarted zone would be too many.
 		onChange(isReader() ? changed.filter(line => line.vm !== own.vm).slice(0, maxToldVms) : []);
 	}
--- a/src/membership/merge-members.ts
+++ b/src/membership/merge-members.ts
@@ -26,20 +26,30 @@
  * @param sources - what is known of all VMs
  */
 export function mergeMembers(sources: MemberSources): Member[] {
-	const {listed, unlisted, sights, nowMs} = sources;
-	const isObserved = ({vm}: ListedVm) => nowMs - (sights.get(vm)?.reportAtMs ?? -observedMs) < observedMs;
-	const missing = [...unlisted].map(vm => toMember(vm, sights, isObserved(vm) ? 'not listed, but observed' : undefined));
-	return [...[...listed].map(vm => toMember(vm, sights, 'listed live')), ...missing];
+	const listed = [...sources.listed].map(line => joinMember(line, true, sources));
+	return [...listed, ...[...sources.unlisted].map(line => joinMember(line, false, sources))];
 }
 
-function toMember(vm: ListedVm, sights: ReadonlyMap<string, Sight>, inReason: string | undefined): Member {
-	const sight = sights.get(vm.vm) ?? nothingSeen;
-	const outReason = reasonToExclude(vm, sight);
+/**
+ * Decides for one VM whether it may receive new work.
+ *
+ * @param line - its line of the list, or the last one that it had
+ * @param isListed - whether the list has it now
+ * @param sources - own knowledge and the time
+ */
+export function joinMember(line: ListedVm, isListed: boolean, sources: Pick<MemberSources, 'sights' | 'nowMs'>): Member {
+	const sight = sources.sights.get(line.vm) ?? nothingSeen;
+	const inReason = isListed ? 'listed live' : observedReason(sight, sources.nowMs);
+	const outReason = reasonToExclude(line, sight);
 	return {
-		...vm, sight, usable: outReason === undefined && inReason !== undefined, reason: outReason ?? inReason ?? 'neither listed nor observed',
+		...line, sight, usable: outReason === undefined && inReason !== undefined, reason: outReason ?? inReason ?? 'neither listed nor observed',
 	};
 }
 
+function observedReason(sight: Sight, nowMs: number): string | undefined {
+	return nowMs - (sight.reportAtMs ?? -observedMs) < observedMs ? 'not listed, but observed' : undefined;
+}
+
 function reasonToExclude(vm: ListedVm, sight: Sight): string | undefined {
 	if (vm.state === 'leaving') {
 		return 'listed as leaving';
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -4,6 +4,7 @@
 import {chooseSubset, subsetSize} from '../src/membership/choose-subset.ts';
 import {isNewerReport} from '../src/membership/is-newer-report.ts';
 import type {Member, Sight} from '../src/membership/member.ts';
+import {MemberView} from '../src/membership/member-view.ts';
 import {failedConnectLimit, mergeMembers, observedMs} from '../src/membership/merge-members.ts';
 import {trustList} from '../src/membership/trust-list.ts';
 import {applyChanges, changesBetween, createVmList} from '../src/membership/vm-list.ts';
@@ -102,3 +103,27 @@
 	expect(trustList(shrunk, size(5), 3)).to.deep.equal({list: size(5), retained: new Map(), trustedCount: 5});
 	expect(trustList(first, size(5), 1).retained.size).to.equal(0);
 });
+
+// Guards against a view that is updated one VM at a time and drifts from the whole join.
+it('a view updated one VM at a time is the whole join', () => {
+	const vms = Array.from({length: 6}, (_, at) => listedVm(at));
+	const change = fc.record({
+		vm: fc.constantFrom(...vms.map(({vm}) => vm)), failedConnects: fc.nat({max: 4}), draining: fc.boolean(), reported: fc.boolean(),
+	});
+	fc.assert(fc.property(fc.array(change, {maxLength: 30}), fc.nat({max: 6}), (changes, listedCount) => {
+		const sights = new Map<string, Sight>();
+		const sources = {
+			listed: vms.slice(0, listedCount), unlisted: vms.slice(listedCount), sights, nowMs: 50_000,
+		};
+		const view = new MemberView();
+		view.rebuild(sources);
+		for (const {vm, failedConnects, draining, reported} of changes) {
+			const before = {version: view.version, usable: view.members.map(({usable}) => usable)};
+			sights.set(vm, {failedConnects, reportAtMs: reported ? 49_000 : undefined, report: draining ? {...report, vm, state: 'draining'} : undefined});
+			view.update(vm, sources);
+			expect(view.members).to.deep.equal(mergeMembers(sources));
+			const changed = view.members.some(({usable}, place) => usable !== before.usable[place]);
+			expect(view.version !== before.version).to.equal(changed);
+		}
+	}), {seed: 1306, numRuns: 300});
+});
