--- a/bench/overhead.ts
+++ b/bench/overhead.ts
@@ -142,4 +142,5 @@
 }
 
 const standinKind = process.argv[2];
-await (standinKind === undefined ? main() : serveStandin(standinKind));
+const work = standinKind === undefined ? main : async () => serveStandin(standinKind);
+await work();
