--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -1,5 +1,4 @@
 /** The agent role: the process beside one upstream. */
-import {z} from 'zod';
 import {AgentCallHandler} from '../calls/agent-call-handler.ts';
 import {CallLedger} from '../calls/call-ledger.ts';
 import {Drain} from '../calls/drain.ts';
@@ -7,15 +6,18 @@
 import {PlainUpstream} from '../calls/plain-upstream.ts';
 import type {Upstream} from '../calls/upstream.ts';
 import {formatAddress, type HttpHandler, HttpListener} from '../links/http-listener.ts';
-import {type AgentReport, agentReportMethod} from '../messages/agent-report.ts';
+import type {AgentReport} from '../messages/agent-report.ts';
 import {callsPath} from '../messages/call-request.ts';
 import {callsCancelMethod, callsCancelParamsSchema} from '../messages/calls-cancel.ts';
 import {rolloutHaveMethod, rolloutHaveParamsSchema} from '../messages/rollout-have.ts';
+import {LeaveNotice} from '../membership/leave-notice.ts';
 import {OrderManager} from '../orders/order-manager.ts';
 import {isQueueFull} from '../limits/is-queue-full.ts';
 import {SelfCheck} from '../orders/self-check.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
+import {addRolloutMetrics} from '../reports/rollout-metrics.ts';
 import {ChunkStore} from '../rollout/chunk-store.ts';
+import {LiveYield} from '../rollout/live-yield.ts';
 import {RolloutManager} from '../rollout/rollout-manager.ts';
 import {TransferNode} from '../rollout/transfer-node.ts';
 import {defaultNoticeBytesPerSecond, defaultNoticeIntervalMs, type TransferOptions} from '../rollout/transfer-options.ts';
@@ -44,9 +46,14 @@
 	private readonly chunks = new ChunkStore();
 	private readonly orders: OrderManager | undefined;
 	private readonly rollout: RolloutManager | undefined;
+	private readonly upPacer: TransferPacer;
+	private readonly downPacer: TransferPacer;
+	private readonly liveYield: LiveYield;
 	private readonly calls: AgentCallHandler;
 	private readonly control: HttpListener;
+	private readonly notice: LeaveNotice;
 	private readonly shutdown: Drain;
+	private noticed: Promise<void> = Promise.resolve();
 	private sweepTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly settings: AgentSettings) {
@@ -56,6 +63,12 @@
 			this.rollout?.node.wake();
 		});
 		this.ledger = new CallLedger({incarnation: identity.incarnation, maxRecords: settings.limits.call_records});
+		const linkRate = () => settings.transfer.link_bytes_per_second * this.base.store.transferLimits().link_share;
+		this.upPacer = new TransferPacer(linkRate);
+		this.downPacer = new TransferPacer(linkRate);
+		this.liveYield = new LiveYield({
+			pacers: [this.upPacer, this.downPacer], isTransferring: () => this.rollout?.node.isTransferring ?? false,
+		});
 		if (settings.upstream.kind === 'engine') {
 			this.orders = this.createOrders();
 			this.rollout = this.createRollout(this.orders);
@@ -73,6 +86,10 @@
 			},
 			isOverloaded: running => isQueueFull(running, this.report().capacity),
 		});
+		this.notice = new LeaveNotice(this.base.links, this.base.rpc, () => this.report());
+		this.base.membership.onToldToLeave(() => {
+			void this.notice.send();
+		});
 		this.control = new HttpListener(this.createRoutes(), log);
 		this.shutdown = this.createDrain();
 	}
@@ -82,6 +99,7 @@
 		await this.base.start();
 		await this.orders?.start();
 		this.rollout?.start();
+		this.liveYield.start();
 		this.sweepTimer = setInterval(() => {
 			this.ledger.sweep();
 		}, sweepIntervalMs);
@@ -90,7 +108,10 @@
 	}
 
 	async drain(): Promise<void> {
-		await this.shutdown.run();
+		const drained = this.shutdown.run();
+		// The shutdown refuses new calls from here on, so that the report says so.
+		this.noticed = this.notice.send();
+		await drained;
 	}
 
 	private isLeaving(): boolean {
@@ -111,8 +132,10 @@
 	}
 
 	private async stopParts(): Promise<void> {
+		await this.noticed;
 		clearInterval(this.sweepTimer);
 		this.rollout?.stop();
+		this.liveYield.stop();
 		this.orders?.stop();
 		await this.base.stop();
 	}
@@ -146,14 +169,13 @@
 	private transferOptions(): TransferOptions {
 		const {store, links, random, log, membership} = this.base;
 		const {process, transfer, platform, upstream} = this.settings;
-		const linkRate = () => transfer.link_bytes_per_second * store.transferLimits().link_share;
 		return {
 			self: {vm: process.vm, region: process.region},
 			peers: () => membership.upstreamsOf(upstream.service),
 			links,
 			chunks: this.chunks,
-			upPacer: new TransferPacer(linkRate),
-			downPacer: new TransferPacer(linkRate),
+			upPacer: this.upPacer,
+			downPacer: this.downPacer,
 			originUrl: platform.origin,
 			random,
 			log,
@@ -179,7 +201,6 @@
 
 	private createRoutes(): Record<string, HttpHandler> {
 		const {rpc, metrics} = this.base;
-		rpc.method(agentReportMethod, z.unknown(), () => this.report());
 		rpc.method(callsCancelMethod, callsCancelParamsSchema, params => this.ledger.cancel(params));
 		const {rollout} = this;
 		if (rollout) {
@@ -188,12 +209,16 @@
 
 		metrics.gauge('cactusreach_running_calls', 'Calls that run at the upstream.', () => this.calls.runningCalls);
 		metrics.gauge('cactusreach_call_records', 'Call records kept.', () => this.ledger.size);
+		addRolloutMetrics(metrics, () => this.rollout?.progress ?? []);
 		metrics.gauge('cactusreach_chunk_bytes', 'Weights held in memory.', () => this.chunks.bytes);
 		return {
 			...createControlRoutes({
 				rpc, metrics, dump: () => this.dump(), isReady: () => !this.isLeaving() && this.base.store.revision > 0,
 			}),
-			[`POST ${callsPath}`]: async (req, res) => this.calls.handle(req, res),
+			[`POST ${callsPath}`]: async (req, res) => {
+				this.liveYield.watch(res);
+				await this.calls.handle(req, res);
+			},
 			...(this.rollout ? {'GET /chunks/*': this.rollout.node.serveChunk} : {}),
 		};
 	}
@@ -216,7 +241,7 @@
 		};
 	}
 
-	private dump(): unknown {
+	private dump(): Record<string, unknown> {
 		return {
 			role: 'agent',
 			...this.base.dump(),
--- a/src/configuration/configuration-replica.ts
+++ b/src/configuration/configuration-replica.ts
@@ -105,6 +105,16 @@
 			return undefined;
 		}
 
+		const own = this.store.revision;
+		if (result.revision <= own) {
+			return undefined;
+		}
+
+		if (!result.whole && params.after !== own) {
+			// Another answer came first; what is still missing are fewer changes, not the whole tree.
+			return {after: own, onlyFallbacks: false};
+		}
+
 		const update = {
 			...result, revision: createRevision(result.revision), base: createRevision(params.after),
 		};
@@ -219,8 +229,11 @@
 
 		const decision = acceptTree(this.store.current, update);
 		if (decision.accepted) {
-			this.store.clearCondition('two-histories');
-			this.store.clearCondition('oversized');
+			// A newer tree settles all of them; a service that is still older is reported again by the next watch.
+			for (const key of ['service-older', 'two-histories', 'oversized']) {
+				this.store.clearCondition(key);
+			}
+
 			this.store.replace(decision.tree, decision.findings);
 			return undefined;
 		}
