Keep the limit of a service without usable upstream

Cause: when the only agent of a service drained, the reported capacity was 0 and the limit 1. Change: a capacity of 0 leaves the limit as it is; before any capacity is known 64 calls may wait for a first upstream.

--- a/src/limits/concurrency-limit.ts
+++ b/src/limits/concurrency-limit.ts
@@ -6,6 +6,9 @@
 /** How much one refusal lowers the limit. With the increase it settles where one call of a round is refused. */
 export const decreasePerRefusal = 1;
 
+/** The limit until a capacity is known; these calls wait for a first upstream and load none. */
+export const unknownCapacityLimit = 64;
+
 /** The limit's ceiling as a multiple of the capacity that this entry can reach, so that an idle entry may use most of it. */
 export const ceilingFactor = 1.25;
 
@@ -24,20 +27,23 @@
 
 	/** How many calls may be in flight now: a whole number of at least 1. */
 	get current(): number {
-		return Math.max(1, Math.floor(Math.min(this.value ?? 1, this.ceiling)));
+		return this.value === undefined ? unknownCapacityLimit : Math.max(1, Math.floor(Math.min(this.value, this.ceiling)));
 	}
 
 	/**
-	 * Sets what the reports say.
+	 * Sets what the reports say. Without a usable upstream the last limit stays: calls for a service that is gone or leaving
+	 * must be answered as such, and not wait as if it were overloaded.
 	 *
-	 * @param capacity - calls that all reachable upstreams can run at once
+	 * @param capacity - calls that all reachable upstreams can run at once; 0 when none is usable
 	 * @param entries - entries that share these upstreams, this one included
 	 */
 	setCapacity(capacity: number, entries: number): void {
-		this.ceiling = Math.max(1, capacity * ceilingFactor);
-		if (this.value === undefined && capacity > 0) {
-			this.value = Math.max(1, capacity / Math.max(1, entries));
+		if (capacity <= 0) {
+			return;
 		}
+
+		this.ceiling = Math.max(1, capacity * ceilingFactor);
+		this.value ??= Math.max(1, capacity / Math.max(1, entries));
 	}
 
 	/**
--- a/test/limits.test.ts
+++ b/test/limits.test.ts
@@ -7,7 +7,7 @@
 import type {Priority} from '../src/configuration/documents.ts';
 import {AdmissionManager, type AdmissionRequest, type ShedError} from '../src/limits/admission-manager.ts';
 import {type AdmissionCall, AdmissionQueue} from '../src/limits/admission-queue.ts';
-import {ConcurrencyLimit} from '../src/limits/concurrency-limit.ts';
+import {ConcurrencyLimit, unknownCapacityLimit} from '../src/limits/concurrency-limit.ts';
 import {FairQueue} from '../src/limits/fair-queue.ts';
 import {isQueueFull} from '../src/limits/is-queue-full.ts';
 import {PriorityQueue, priorityTurns} from '../src/limits/priority-queue.ts';
@@ -208,6 +208,15 @@
 	}), {seed: 1105, numRuns: 100});
 });
 
+it('a service without usable upstream keeps its limit, so that its calls are not shed as overloaded', () => {
+	const limit = new ConcurrencyLimit();
+	limit.setCapacity(0, 1);
+	expect(limit.current).to.equal(unknownCapacityLimit);
+	limit.setCapacity(16, 2);
+	limit.setCapacity(0, 2);
+	expect(limit.current).to.equal(8);
+});
+
 function createManager(capacity: number): AdmissionManager {
 	return new AdmissionManager({
 		shareOf: () => ({weight: 1, max_concurrent: 100}), capacityOf: () => ({capacity, entries: 1}), maxWaitMs: 1000, random: new RandomSource(1106),
