Let the limit follow a changed capacity at once

Cause: the limit was set from the first capacity seen and then grew by one call a round: an entry that first saw one agent of 24 with calls of 3 s needs minutes for its share of the rest. Change: the limit changes in proportion to this entry's share of the capacity.

--- a/src/limits/concurrency-limit.ts
+++ b/src/limits/concurrency-limit.ts
@@ -24,6 +24,8 @@
 export class ConcurrencyLimit {
 	private value: number | undefined;
 	private ceiling = 1;
+	/** This entry's part of the capacity at the last look. */
+	private share = 1;
 
 	/** How many calls may be in flight now: a whole number of at least 1. */
 	get current(): number {
@@ -43,7 +45,10 @@
 		}
 
 		this.ceiling = Math.max(1, capacity * ceilingFactor);
-		this.value ??= Math.max(1, capacity / Math.max(1, entries));
+		const share = capacity / Math.max(1, entries);
+		// Upstreams that come or go change the limit in proportion; steps of one call would take minutes with long calls.
+		this.value = Math.max(1, this.value === undefined ? share : this.value * share / this.share);
+		this.share = share;
 	}
 
 	/**
