--- a/src/limits/concurrency-limit.ts
+++ b/src/limits/concurrency-limit.ts
@@ -41,6 +41,7 @@
 	 */
 	setCapacity(capacity: number, entries: number): void {
 		if (capacity <= 0) {
+			// The last upstream is leaving or away. Calls with a ticket still belong to it, so the limit stays as it was.
 			return;
 		}
 
