Tell 'unknown' for a ticket without a target, and join members from iterators

Cause 1: a call with a ticket whose deadline passed while it waited at the entry was told 'not_run', though an earlier call with the same ticket may have run through another entry. Found while reading CallRunner. Cause 2: the entry connected to the address that the ticket named; tickets are not signed, so a forged one could point it anywhere. Cause 3: MemberView.rebuild read the iterators of its sources twice, so every process had an empty view and no call found an upstream. Change: tickets name no address, the member view does; without a target the outcome of a ticket is 'unknown'; the sources are read once. Before: call-runner.test.ts got 'not_run', the view property (now with iterators) failed, 'a ticket is given' never happened. After: they pass.

--- a/src/calls/call-runner.ts
+++ b/src/calls/call-runner.ts
@@ -65,6 +65,10 @@
 /** What is known from the earlier attempts of a call. */
 type Known = {readonly mayHaveRun: boolean; readonly silent: boolean};
 
+const notRun: TellStep = {kind: 'tell', outcome: 'not_run', code: 'no_upstream'};
+
+const outcomeUnknown: TellStep = {kind: 'tell', outcome: 'unknown', code: 'outcome_unknown'};
+
 /** How the router counts an attempt. */
 const resultByEnd: Readonly<Record<AttemptEndKind, AttemptResultKind>> = {
 	answered: 'answered', refused: 'refused', unsent: 'failed', failed: 'failed', broken: 'failed', silent: 'silent', expired: 'abandoned',
@@ -85,7 +89,8 @@
 		const excluded = new Set<string>();
 		let mayHaveRun = false;
 		let silent = false;
-		let otherwise: TellStep | DestroyStep = {kind: 'tell', outcome: 'not_run', code: 'no_upstream'};
+		// An earlier call with the same ticket may have run, so the entry alone cannot say that it did not.
+		let otherwise: TellStep | DestroyStep = plan.idempotent ? notRun : outcomeUnknown;
 		for (let tries = 0; tries < maxAttempts && !plan.gone.aborted; tries++) {
 			const target = await this.awaitTarget(plan, excluded, tries);
 			if (!target) {
--- a/src/calls/operation-handler.ts
+++ b/src/calls/operation-handler.ts
@@ -49,9 +49,9 @@
 			throw new CallerError('no_upstream', 'not_run', `service ${caller.route.service} has no usable upstream`);
 		}
 
-		const {vm, address} = target.member;
+		const {vm} = target.member;
 		return encodeTicket(createTicket({
-			vm, address, incarnation, workspace: caller.workspace, route: caller.routeName,
+			vm, incarnation, workspace: caller.workspace, route: caller.routeName,
 		}));
 	}
 
@@ -94,7 +94,12 @@
 	 * @throws CallerError when the record holds no answer
 	 */
 	async settle(ticket: Ticket): Promise<OperationAnswer> {
-		const result = await this.options.attempts.cancel(this.home(ticket).address, {
+		const home = this.home(ticket);
+		if (!home) {
+			throw new CallerError('outcome_unknown', 'unknown', messageByCode.outcome_unknown);
+		}
+
+		const result = await this.options.attempts.cancel(home.address, {
 			attempt: newAttemptId(), workspace: ticket.workspace, ticket: homeTicketOf(ticket), abortRunning: false,
 		});
 		const answer = cancelAnswerOf(result);
@@ -112,8 +117,10 @@
 		return member && {vm: member.vm, address: member.address, member};
 	}
 
-	private home({vm, address}: Ticket): OperationTarget {
-		return {vm, address, member: this.options.memberOf(vm)};
+	/** The address comes from the member view: tickets are not signed, and a forged one must not make an entry connect anywhere else. */
+	private home({vm}: Ticket): OperationTarget | undefined {
+		const member = this.options.memberOf(vm);
+		return member && {vm, address: member.address, member};
 	}
 }
 
--- a/src/calls/ticket.ts
+++ b/src/calls/ticket.ts
@@ -11,8 +11,6 @@
 const ticketSchema = z.object({
 	/** The home agent. */
 	vm: z.string(),
-	/** The home agent's control listener, for entries that do not know the VM. */
-	address: z.string(),
 	incarnation: z.string(),
 	workspace: z.string(),
 	route: z.string(),
--- a/src/membership/member-view.ts
+++ b/src/membership/member-view.ts
@@ -4,7 +4,7 @@
  * Joining 3,630 VMs anew at each report took 40 ms, several times a second; a report changes one of them.
  */
 import type {ListedVm, Member} from './member.ts';
-import {joinMember, type MemberSources, mergeMembers} from './merge-members.ts';
+import {joinMember, type MemberSources} from './merge-members.ts';
 
 /** Where a member comes from. */
 type Origin = {readonly line: ListedVm; readonly isListed: boolean};
@@ -35,7 +35,7 @@
 		const before = {origins: this.origins, list: this.list};
 		const listed = [...sources.listed].map(line => ({line, isListed: true}));
 		this.origins = [...listed, ...[...sources.unlisted].map(line => ({line, isListed: false}))];
-		this.list = mergeMembers(sources);
+		this.list = this.origins.map(({line, isListed}) => joinMember(line, isListed, sources));
 		this.places.clear();
 		for (const [place, {vm}] of this.list.entries()) {
 			this.places.set(vm, place);
--- a/test/calls-failure.test.ts
+++ b/test/calls-failure.test.ts
@@ -318,6 +318,8 @@
 		const decoded = decodeTicket(second);
 		const foreign = decoded ? encodeTicket({...decoded, incarnation: 'earlier'}) : '';
 		expect(outcomeOf(await book(entry, foreign, 'b3'))).to.deep.equal(['outcome_unknown', 'unknown']);
+		const elsewhere = decoded ? encodeTicket({...decoded, vm: 'vm-unlisted'}) : '';
+		expect(outcomeOf(await book(entry, elsewhere, 'b4'))).to.deep.equal(['outcome_unknown', 'unknown']);
 		expect([...fleet.services[0]?.ledger ?? []]).to.deep.equal([['b1', 1]]);
 	});
 });
--- a/test/membership.test.ts
+++ b/test/membership.test.ts
@@ -116,7 +116,9 @@
 			listed: vms.slice(0, listedCount), unlisted: vms.slice(listedCount), sights, nowMs: 50_000,
 		};
 		const view = new MemberView();
-		view.rebuild(sources);
+		// The manager hands over iterators of maps, which can be read only once.
+		view.rebuild({...sources, listed: sources.listed.values(), unlisted: sources.unlisted.values()});
+		expect(view.members).to.deep.equal(mergeMembers(sources));
 		for (const {vm, failedConnects, draining, reported} of changes) {
 			const before = {version: view.version, usable: view.members.map(({usable}) => usable)};
 			sights.set(vm, {failedConnects, reportAtMs: reported ? 49_000 : undefined, report: draining ? {...report, vm, state: 'draining'} : undefined});
