Read the engine's state less often while nothing is outstanding

Cause: an engine's agent used 2.95 % of a core at rest (bundle; 3.15 % as executable) against a target of 1.2 %; it read the engine's state four times a second. A profile of 23 s shows 0.84 % on the main thread, a third of it garbage collection, the rest spread over HTTP exchanges. Change: 250 ms while an order or a check is outstanding, else 1500 ms.

--- a/src/orders/order-manager.ts
+++ b/src/orders/order-manager.ts
@@ -10,8 +10,11 @@
 import {type EngineOrder, reconcileOrders, type VersionRef} from './reconcile-orders.ts';
 import type {SelfCheckResult} from './self-check.ts';
 
-/** How often the engine's state is read, in milliseconds. */
-export const engineStateIntervalMs = 250;
+/** Time between two reads of the engine's state while an order or a check is outstanding, in milliseconds. */
+export const busyStateIntervalMs = 250;
+
+/** The same while nothing is outstanding; each read costs about 1 ms of processor time, and entries ask for reports every 3 s only. */
+export const quietStateIntervalMs = 1500;
 
 /** How long the engine may take to answer, in milliseconds. */
 const engineTimeoutMs = 5000;
@@ -156,14 +159,18 @@
 			return;
 		}
 
-		const order = reconcileOrders({
-			models: this.options.store.models(), held: this.held, engine: this.engine, running: this.options.runningByVersion(),
-		});
+		const order = this.nextOrder();
 		if (order && !this.isRepeat(order)) {
 			await this.give(order, this.term);
 		}
 	}
 
+	private nextOrder(): EngineOrder | undefined {
+		return this.engine && reconcileOrders({
+			models: this.options.store.models(), held: this.held, engine: this.engine, running: this.options.runningByVersion(),
+		});
+	}
+
 	private isRepeat(order: EngineOrder): boolean {
 		const key = JSON.stringify(order);
 		if (key === this.lastOrder.key && performance.now() - this.lastOrder.atMs < orderRepeatMs) {
@@ -217,6 +224,10 @@
 		}
 	}
 
+	private isQuiet(): boolean {
+		return this.engine !== undefined && this.authority.state !== 'unverified' && this.engine.loading.length === 0 && this.nextOrder() === undefined;
+	}
+
 	private schedule(): void {
 		if (this.stopped) {
 			return;
@@ -225,7 +236,7 @@
 		this.timer = setTimeout(async () => {
 			await this.step();
 			this.schedule();
-		}, engineStateIntervalMs);
+		}, this.isQuiet() ? quietStateIntervalMs : busyStateIntervalMs);
 		this.timer.unref();
 	}
 }
