Reuse the connection between entry and agent, and share the call envelope

Cause: a profile of an entry under sequential calls showed AbortError, DOMException and socket close on each call: the reader destroyed the body after the last frame, before the response had run out, so every call opened a new connection; and the close of each finished answer aborted a signal, which builds an exception with its stack. Ruled out: new connections from agent to service (1 for 1,376 calls). Change: a body whose answer is whole runs out for at most 1 s; a close after the whole answer aborts nothing. The eight lines that generations and operations had twice are now createCall.

--- a/src/calls/attempt-client.ts
+++ b/src/calls/attempt-client.ts
@@ -1,7 +1,7 @@
 /** One attempt of an entry at one agent, and the question what became of it. */
 import {randomUUID} from 'node:crypto';
 import {type AttemptId, createAttemptId} from '../ids/attempt-id.ts';
-import {LinkError, type PeerClient} from '../links/peer-client.ts';
+import {LinkError, type PeerClient, releaseBody} from '../links/peer-client.ts';
 import type {CallFrame} from '../messages/call-frame.ts';
 import {type CallRequest, callsPath} from '../messages/call-request.ts';
 import {
@@ -87,6 +87,7 @@
 	private async exchange(address: string, call: CallRequest, options: AttemptOptions, watch: AttemptWatch): Promise<AttemptEnd> {
 		const req = {method: 'POST', body: JSON.stringify(call)} as const;
 		const res = await this.links.send(`http://${address}${callsPath}`, req, {timeoutMs: call.remainingMs, signal: watch.signal});
+		let isWhole = false;
 		try {
 			if (res.status !== 200) {
 				throw new BrokenAnswerError(`agent answered status ${res.status}`);
@@ -94,6 +95,7 @@
 
 			for await (const frame of readFrames(res.body, call)) {
 				watch.pause();
+				isWhole = frame.kind === 'end' || frame.kind === 'refused' || frame.kind === 'failed';
 				if (frame.kind === 'refused' || frame.kind === 'failed') {
 					return {kind: frame.kind, code: frame.code, err: new Error(frame.message)};
 				}
@@ -104,7 +106,7 @@
 
 			return {kind: 'answered'};
 		} finally {
-			res.body.destroy();
+			releaseBody(res.body, isWhole);
 		}
 	}
 }
--- a/src/calls/call-manager.ts
+++ b/src/calls/call-manager.ts
@@ -124,7 +124,10 @@
 		const gone = new AbortController();
 		if (!prepared.asked.ticket) {
 			res.once('close', () => {
-				gone.abort();
+				// A close after the whole answer is the usual end; aborting then would cost an exception with its stack on each call.
+				if (!res.writableFinished) {
+					gone.abort();
+				}
 			});
 		}
 
--- a/src/calls/engine-upstream.ts
+++ b/src/calls/engine-upstream.ts
@@ -1,6 +1,6 @@
 /** Runs generations at a model engine. */
 import {z} from 'zod';
-import type {PeerClient} from '../links/peer-client.ts';
+import {type PeerClient, releaseBody} from '../links/peer-client.ts';
 import type {CallRequest} from '../messages/call-request.ts';
 import {BrokenAnswerError} from './frame-checker.ts';
 import {readLines} from './frame-reader.ts';
@@ -55,7 +55,13 @@
 		}
 
 		yield {kind: 'head', version: work.version};
-		yield * readEngineStream(readLines(res.body), work.version, work.resumeFrom);
+		let isWhole = false;
+		try {
+			yield * readEngineStream(readLines(res.body), work.version, work.resumeFrom);
+			isWhole = true;
+		} finally {
+			releaseBody(res.body, isWhole);
+		}
 	}
 }
 
--- a/src/calls/frame-reader.ts
+++ b/src/calls/frame-reader.ts
@@ -8,12 +8,14 @@
 /**
  * Splits a stream into lines and yields the lines of each piece together.
  *
+ * A reader that stops early leaves the stream as it is; it must destroy it or let it run out.
+ *
  * @param body - UTF-8 bytes
  */
 export async function * readLines(body: Readable): AsyncGenerator<readonly string[]> {
 	const decoder = new TextDecoder();
 	let rest = '';
-	for await (const part of body) {
+	for await (const part of body.iterator({destroyOnReturn: false})) {
 		const lines = (rest + decoder.decode(part as Buffer, {stream: true})).split('\n');
 		rest = lines.pop() ?? '';
 		if (lines.length > 0) {
--- a/src/calls/generate-handler.ts
+++ b/src/calls/generate-handler.ts
@@ -6,10 +6,9 @@
 import type {CallRequest} from '../messages/call-request.ts';
 import type {CallMetrics, TokenTiming} from '../reports/call-metrics.ts';
 import type {RouteTarget, UpstreamRouter} from '../routing/upstream-router.ts';
-import {agentDeadlineOf} from './agent-deadline.ts';
-import {newAttemptId} from './attempt-client.ts';
-import {type CallRunner, type CallTarget, remainingMs} from './call-runner.ts';
+import type {CallRunner, CallTarget} from './call-runner.ts';
 import type {CallerRequest} from './caller-request.ts';
+import {createCall} from './create-call.ts';
 
 /** The body of a generation. */
 export const generateBodySchema = z.strictObject({
@@ -56,7 +55,10 @@
 		};
 		const gone = new AbortController();
 		res.once('close', () => {
-			gone.abort();
+			// A close after the whole answer is the usual end; aborting then would cost an exception with its stack on each call.
+			if (!res.writableFinished) {
+				gone.abort();
+			}
 		});
 		const end = await this.options.runner.run<GenerateTarget>({
 			caller,
@@ -87,20 +89,13 @@
 	const model = target.model ?? '';
 	const version = target.version ?? '';
 	generation.attempted = {model, version};
-	return {
-		attempt: newAttemptId(),
-		requestId: caller.requestId,
-		workspace: caller.workspace,
-		service: caller.route.service,
-		priority: caller.priority,
-		remainingMs: Math.max(1, Math.ceil(remainingMs(caller))),
-		agentDeadline: agentDeadlineOf(target.member, caller.deadlineAtMs),
+	return createCall(caller, target.member, {
 		ticket: null,
 		work: {
 			kind: 'generate', model, version, adapter: caller.route.adapter ?? null,
 			prompt: body.prompt, maxTokens: body.max_tokens, resumeFrom: generation.sentTokens,
 		},
-	};
+	});
 }
 
 async function sendFrame(generation: Generation, frame: CallFrame): Promise<void> {
--- a/src/calls/operation-handler.ts
+++ b/src/calls/operation-handler.ts
@@ -2,13 +2,11 @@
 import type {CallRequest} from '../messages/call-request.ts';
 import type {Member} from '../membership/member.ts';
 import type {UpstreamRouter} from '../routing/upstream-router.ts';
-import {agentDeadlineOf} from './agent-deadline.ts';
 import {type AttemptClient, newAttemptId} from './attempt-client.ts';
-import {
-	cancelAnswerOf, type CallRunner, type CallTarget, remainingMs,
-} from './call-runner.ts';
+import {cancelAnswerOf, type CallRunner, type CallTarget} from './call-runner.ts';
 import {CallerError, messageByCode} from './caller-error.ts';
 import type {CallerRequest} from './caller-request.ts';
+import {createCall} from './create-call.ts';
 import {createTicket, encodeTicket, type Ticket} from './ticket.ts';
 
 /** What the handler works with. */
@@ -125,17 +123,10 @@
 }
 
 function createOperationCall(caller: CallerRequest, {operation, body, ticket}: OperationCall, target: OperationTarget): CallRequest {
-	return {
-		attempt: newAttemptId(),
-		requestId: caller.requestId,
-		workspace: caller.workspace,
-		service: caller.route.service,
-		priority: caller.priority,
-		remainingMs: Math.max(1, Math.ceil(remainingMs(caller))),
-		agentDeadline: agentDeadlineOf(target.member, caller.deadlineAtMs),
+	return createCall(caller, target.member, {
 		ticket: ticket && homeTicketOf(ticket),
 		work: {kind: 'operation', operation, body},
-	};
+	});
 }
 
 function homeTicketOf({nonce, incarnation, expiresAtMs}: Ticket): NonNullable<CallRequest['ticket']> {
--- a/src/links/peer-client.ts
+++ b/src/links/peer-client.ts
@@ -22,6 +22,9 @@
 /** The timers of undici count in steps of about half a second and may fire early by one, in milliseconds. */
 const timerSlackMs = 1000;
 
+/** How long an answered body may take to run out, in milliseconds. */
+const runOutMs = 1000;
+
 /** How a request may take place. */
 export type LinkOptions = {
 	/** Time until the whole answer is read, in milliseconds. */
@@ -212,6 +215,31 @@
 	return Buffer.concat(parts);
 }
 
+/**
+ * Ends the use of a body.
+ *
+ * Destroying a body closes its connection; a new one for each call cost about half of an entry's processor time.
+ *
+ * @param body - the stream
+ * @param isWhole - whether all that matters was read; the rest then runs out, for 1 s at most, and the connection is reused
+ */
+export function releaseBody(body: Readable, isWhole: boolean): void {
+	if (!isWhole || body.destroyed) {
+		body.destroy();
+		return;
+	}
+
+	const timer = setTimeout(() => {
+		body.destroy();
+	}, runOutMs);
+	body.once('close', () => {
+		clearTimeout(timer);
+	});
+	// An error after the whole answer concerns the connection only.
+	body.on('error', () => undefined);
+	body.resume();
+}
+
 type TrackedOptions = {readonly onStart: () => void};
 
 /** Tells when a request starts to be written; error codes cannot, since an open connection may fail with the same ones. */
