--- a/bench/capacity.ts
+++ b/bench/capacity.ts
@@ -172,6 +172,13 @@
 			passFrames(tokenLine(size), framesPerRun);
 		}) / framesPerRun,
 	},
+	{
+		name: 'agent: length of a report by served versions', unit: 'bytes/version', sizes: [1, 2, 4],
+		run(size) {
+			const {served, ...rest} = createReport(1);
+			return JSON.stringify({...rest, served: Array.from({length: size}, () => served[0])}).length;
+		},
+	},
 	{
 		name: 'entry: processor time to read reports', unit: 'µs/report', sizes: [24, 48, 96, 384],
 		run(size) {
