--- a/bench/overhead.ts
+++ b/bench/overhead.ts
@@ -7,7 +7,6 @@
 import {type ChildProcess, execFileSync, fork} from 'node:child_process';
 import {once} from 'node:events';
 import {readFileSync} from 'node:fs';
-import path from 'node:path';
 import process from 'node:process';
 import {Agent, request} from 'undici';
 import {EngineStandin} from '../standins/engine.ts';
--- a/src/cli/demo-command.ts
+++ b/src/cli/demo-command.ts
@@ -3,7 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {DemoCallers} from '../demo/demo-callers.ts';
 import {
-	type DemoVm, DemoFleet, demoRegions, enginesPerZone,
+	DemoFleet, demoRegions, enginesPerZone,
 } from '../demo/demo-fleet.ts';
 import {DemoProcesses} from '../demo/demo-processes.ts';
 import {type DemoResult, summarize} from '../demo/demo-summary.ts';
--- a/src/rollout/chunk-server.ts
+++ b/src/rollout/chunk-server.ts
@@ -1,6 +1,6 @@
 /** Serves chunks to peers, paced and within slots and budget, and to the local engine without limits. */
 import type http from 'node:http';
-import {type Digest, isDigest} from '../ids/digest.ts';
+import {isDigest} from '../ids/digest.ts';
 import {sendJson} from '../links/http-listener.ts';
 import {
 	decodeNotice, encodeNotice, noticeHeader, type TransferNotice,
