Forward calls to upstreams directly and bring weights to engines on the users' platform

Cause: the platform lists none of our machines, offers a store that can only be read, and its services beside the engines have no VM for an agent, so that the path entry -> agent -> upstream of the product cannot serve there. Change: two roles, gateway and stager. The gateway finds a route by host and prefix, places each call by a forecast of the engine's published timing, and repeats only what may be repeated. The stager uses the existing transfer between VMs, stages verified chunks, checks them and orders the engine. Both watch the store themselves and exchange what they know with each other. platform/ holds headers, keys and calls of the platform only. Commands load their modules when they run.

--- a/build/bundle.mjs
+++ b/build/bundle.mjs
@@ -1,10 +1,14 @@
 /** Bundles the command line into one CommonJS file that Node.js or the single executable runs. */
 import {readFile} from 'node:fs/promises';
 import path from 'node:path';
+import process from 'node:process';
 import {build} from 'esbuild';
 
 const root = path.join(import.meta.dirname, '..');
 
+/** The folder that the bundle is written to. */
+const outdir = process.argv[2] ?? 'dist';
+
 /**
  * Leaves out the optional packages that bunyan looks for at run time (tracing, file rotation, source maps).
  * None of them is installed, and in the single executable each look would print a warning.
@@ -31,7 +35,7 @@
 
 await build({
 	entryPoints: ['src/cli/main.ts'],
-	outfile: 'dist/cactusreach.cjs',
+	outfile: `${outdir}/cactusreach.cjs`,
 	bundle: true,
 	platform: 'node',
 	target: 'node20',
--- /dev/null
+++ b/src/cli/direct-commands.ts
@@ -0,0 +1,29 @@
+/** The commands that run gateway and stager. */
+import {platformAdapter} from '../../platform/platform-adapter.ts';
+import {gatewaySettingsSchema, stagerSettingsSchema} from '../settings/direct-settings.ts';
+import {readSettings} from '../settings/parse-settings.ts';
+import {startGateway} from './gateway-process.ts';
+import {requireFile, runUntilSignal} from './run-until-signal.ts';
+import {startStager} from './stager-process.ts';
+
+/**
+ * Runs a gateway until SIGTERM or SIGINT, then drains it.
+ *
+ * @param file - the settings file; the platform's environment names it when absent
+ * @returns the exit code
+ */
+export async function runGatewayCommand(file: string | undefined): Promise<number> {
+	const path = requireFile(file ?? platformAdapter.settingsFile());
+	return runUntilSignal(await startGateway({file: path, read: () => readSettings(path, gatewaySettingsSchema)}, platformAdapter));
+}
+
+/**
+ * Runs a stager until SIGTERM or SIGINT, then ends it.
+ *
+ * @param file - the settings file; the platform's environment names it when absent
+ * @returns the exit code
+ */
+export async function runStagerCommand(file: string | undefined): Promise<number> {
+	const path = requireFile(file ?? platformAdapter.settingsFile());
+	return runUntilSignal(await startStager({file: path, read: () => readSettings(path, stagerSettingsSchema)}, platformAdapter));
+}
--- /dev/null
+++ b/src/cli/gateway-process.ts
@@ -0,0 +1,111 @@
+/** The gateway role: callers' front that sends calls to upstreams itself. */
+import {Drain} from '../calls/drain.ts';
+import {CallForwarder} from '../forwarding/call-forwarder.ts';
+import {CallerListener} from '../forwarding/caller-listener.ts';
+import {InstanceUse} from '../forwarding/instance-use.ts';
+import type {WireCodec} from '../forwarding/wire-codec.ts';
+import {formatAddress, HttpListener, sendJson} from '../links/http-listener.ts';
+import {directoryGetMethod} from '../messages/peers-exchange.ts';
+import {directoryGetParamsSchema} from '../peers/directory-snapshot-schema.ts';
+import {LoadDatagrams} from '../peers/load-datagrams.ts';
+import {createControlRoutes} from '../reports/control-routes.ts';
+import {ForwardingMetrics} from '../reports/forwarding-metrics.ts';
+import type {GatewaySettings} from '../settings/direct-settings.ts';
+import type {RunningProcess} from './base-process.ts';
+import {type CreateSource, DirectBase, type SettingsSource} from './direct-base.ts';
+
+const msPerSecond = 1000;
+
+/** Time before the process is killed at which its last calls are cut, in milliseconds. */
+const killMarginMs = 300;
+
+/** What the platform's adapter supplies. */
+export type GatewayAdapter = {readonly createSource: CreateSource; readonly codec: WireCodec};
+
+/**
+ * Starts a gateway.
+ *
+ * @param settingsSource - where settings are read from
+ * @param adapter - the platform's adapter
+ */
+export async function startGateway(settingsSource: SettingsSource<GatewaySettings>, adapter: GatewayAdapter): Promise<RunningProcess> {
+	const base = new DirectBase(settingsSource, ({listen}) => ({
+		role: 'gateway', control: listen.control, parts: ['published', 'instances'], takes: 'directory',
+	}), adapter.createSource);
+	const {directory, log, random, group, metrics, rpc, settings} = base;
+	const use = new InstanceUse(log);
+	const forwardingMetrics = new ForwardingMetrics(metrics);
+	const forwarder = new CallForwarder({
+		directory,
+		codec: adapter.codec,
+		use,
+		random,
+		log,
+		zone: settings.process.zone,
+		retryBound: {ratio: settings.limits.retry_ratio, slack: settings.limits.retry_slack, windowMs: settings.limits.retry_window_s * msPerSecond},
+		versionBoundMs: settings.limits.version_bound_ms,
+		entryCount: () => group.entriesSeen.size,
+		onEnd(route, outcome, ms) {
+			forwardingMetrics.recordEnd(route?.kind, outcome, ms);
+		},
+	});
+	const callers = new CallerListener({
+		forwarder, codec: adapter.codec, log, limits: () => directory.table?.configuration.limits,
+	});
+	directory.onChange(() => {
+		callers.followLimits();
+		use.retain(new Set(directory.instances.map(({id}) => id)));
+	});
+	const datagrams = new LoadDatagrams({
+		vm: settings.process.vm, use, port: settings.listen.datagrams.port, log, entries: () => group.others.filter(({role}) => role === 'gateway'),
+	});
+	const isReady = () => !drain.isDraining && directory.configurationVersion > 0 && directory.instancesRevision > 0;
+	const drain = new Drain({
+		log,
+		noticeMs: settings.limits.drain_notice_ms,
+		openCalls: () => forwarder.openCalls,
+		refuseNewCalls() {
+			callers.closeConnectionsAfterUse();
+		},
+		closeListeners: async () => callers.drain(),
+		async stopParts() {
+			datagrams.stop();
+			control.destroy();
+			readiness.destroy();
+			await base.stop();
+		},
+	});
+	rpc.method(directoryGetMethod, directoryGetParamsSchema, ({configurationVersion, instancesRevision, servicesOnly}) =>
+		(servicesOnly ? directory.servicesSnapshot(configurationVersion) : directory.snapshot(configurationVersion, instancesRevision)));
+	const control = new HttpListener(createControlRoutes({
+		rpc, metrics, isReady, dump: () => ({role: 'gateway', ...base.dump(), openCalls: forwarder.openCalls}),
+	}), log);
+	const readiness = new HttpListener({
+		[`GET ${settings.listen.readiness_path}`](req, res) {
+			sendJson(res, isReady() ? 200 : 503, {ready: isReady()});
+		},
+	}, log);
+	metrics.gauge('cactusreach_open_calls', 'Calls without a whole answer.', () => forwarder.openCalls);
+
+	await control.start(settings.listen.control);
+	await readiness.start(settings.listen.readiness);
+	await datagrams.start(settings.listen.datagrams);
+	base.start();
+	await callers.start(settings.listen.callers);
+	log.info({event: 'gateway_started', callers: formatAddress(settings.listen.callers)}, 'gateway started');
+
+	return {
+		async drain() {
+			log.info({event: 'drain_started', openCalls: forwarder.openCalls}, 'drain started');
+			callers.closeConnectionsAfterUse();
+			await Promise.race([drain.run(), limit((settings.limits.grace_s * msPerSecond) - killMarginMs)]);
+			callers.destroy();
+		},
+	};
+}
+
+async function limit(ms: number): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, ms).unref();
+	});
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -3,12 +3,8 @@
 import {cac} from 'cac';
 import {prepareRendezvous} from '../runtime/rendezvous.ts';
 import {InvalidSettingsError} from '../settings/parse-settings.ts';
-import {checkCommand} from './check-command.ts';
-import {demoCommand} from './demo-command.ts';
-import {dumpCommand} from './dump-command.ts';
 import {exitCodes} from './exit-codes.ts';
-import {runAgentCommand, runEntryCommand} from './role-commands.ts';
-import {standinCommand, type StandinOptions} from './standin-command.ts';
+import type {StandinOptions} from './standin-command.ts';
 import {UsageError} from './usage-error.ts';
 
 /** The version that `--version` prints. */
@@ -17,25 +13,55 @@
 /** Marks commands that the general help leaves out. */
 const hiddenCommandNote = 'Serve stand-ins, for development';
 
+// Each command loads its own modules, so that a small process keeps no others in memory.
 const cli = cac('cactusreach');
 
 cli.command('entry', 'Run the callers\' front on an entry VM')
 	.option('--settings <file>', 'Settings in INI')
-	.action(async (options: {settings?: string}) => runEntryCommand(options.settings));
+	.action(async (options: {settings?: string}) => {
+		const {runEntryCommand} = await import('./role-commands.ts');
+		return runEntryCommand(options.settings);
+	});
 
 cli.command('agent', 'Run the process beside one upstream')
 	.option('--settings <file>', 'Settings in INI')
-	.action(async (options: {settings?: string}) => runAgentCommand(options.settings));
+	.action(async (options: {settings?: string}) => {
+		const {runAgentCommand} = await import('./role-commands.ts');
+		return runAgentCommand(options.settings);
+	});
+
+cli.command('gateway', 'Run the callers\' front that calls upstreams itself')
+	.option('--settings <file>', 'Settings in INI')
+	.action(async (options: {settings?: string}) => {
+		const {runGatewayCommand} = await import('./direct-commands.ts');
+		return runGatewayCommand(options.settings);
+	});
+
+cli.command('stager', 'Run the process that brings weights into the engine on its VM')
+	.option('--settings <file>', 'Settings in INI')
+	.action(async (options: {settings?: string}) => {
+		const {runStagerCommand} = await import('./direct-commands.ts');
+		return runStagerCommand(options.settings);
+	});
 
 cli.command('check <...files>', 'Check settings (.ini) and configuration documents (.json)')
-	.action((files: string[]) => checkCommand(files));
+	.action(async (files: string[]) => {
+		const {checkCommand} = await import('./check-command.ts');
+		return checkCommand(files);
+	});
 
 cli.command('dump <address>', 'Print the state of a running process as JSON')
 	.option('--rollout', 'Print the progress of rollouts by zone, asking every agent that the process knows')
-	.action(async (address: string, options: {rollout?: boolean}) => dumpCommand(address, options));
+	.action(async (address: string, options: {rollout?: boolean}) => {
+		const {dumpCommand} = await import('./dump-command.ts');
+		return dumpCommand(address, options);
+	});
 
 cli.command('demo', 'Run a rollout with live calls on loopback and check every answer')
-	.action(async () => demoCommand());
+	.action(async () => {
+		const {demoCommand} = await import('./demo-command.ts');
+		return demoCommand();
+	});
 
 cli.command('standin <...parts>', hiddenCommandNote)
 	.option('--token-ms <ms>', 'Time between two tokens of an engine')
@@ -46,7 +72,10 @@
 	.option('--ignore-fence', 'Obey orders with an old fencing number')
 	.option('--run-ms <ms>', 'Time that one run of a plain service takes')
 	.option('--origin-bytes-per-second <bytes>', 'Rate of the origin')
-	.action(async (parts: string[], options: StandinOptions) => standinCommand(parts, options));
+	.action(async (parts: string[], options: StandinOptions) => {
+		const {standinCommand} = await import('./standin-command.ts');
+		return standinCommand(parts, options);
+	});
 
 // The general help lists what operators use; the stand-ins are for development only.
 cli.help(sections => sections.map(section => ({
--- /dev/null
+++ b/src/cli/stager-process.ts
@@ -0,0 +1,224 @@
+/** The stager role: brings named versions of weights into the engine on the same VM. */
+import type {Directory} from '../directory/directory.ts';
+import type {EngineTiming, OriginInfo} from '../directory/directory-types.ts';
+import {createServiceId} from '../ids/service-id.ts';
+import {formatAddress, HttpListener} from '../links/http-listener.ts';
+import type {PeerClient} from '../links/peer-client.ts';
+import {manifestGetMethod, manifestGetParamsSchema} from '../messages/peers-exchange.ts';
+import {rolloutHaveMethod, rolloutHaveParamsSchema} from '../messages/rollout-have.ts';
+import {createControlRoutes} from '../reports/control-routes.ts';
+import {ChunkStore} from '../rollout/chunk-store.ts';
+import {type Manifest, manifestSchema, parseManifest} from '../rollout/manifest.ts';
+import {TransferNode} from '../rollout/transfer-node.ts';
+import type {OriginChunk, TransferOptions} from '../rollout/transfer-options.ts';
+import {TransferPacer} from '../rollout/transfer-pacer.ts';
+import {rankMembers} from '../runtime/rendezvous.ts';
+import type {StagerSettings} from '../settings/direct-settings.ts';
+import type {StagedEngine, WeightOrigin} from '../staging/staged-engine.ts';
+import {StagingManager} from '../staging/staging-manager.ts';
+import type {RunningProcess} from './base-process.ts';
+import {type CreateSource, DirectBase, type SettingsSource} from './direct-base.ts';
+
+/** Bytes per second of a megabit per second. */
+const bytesPerMegabit = 125_000;
+
+/** Limits of transfers of a few megabytes within seconds, in milliseconds and copies. */
+const transferLimits = {chunk_timeout_ms: 1500, step_in_ms: 900, upload_copies: 4};
+
+/** Notices between agents: the least time between two about common chunks, in milliseconds, and bytes per second. */
+const notices = {noticeIntervalMs: 250, noticeBytesPerSecond: 20_000};
+
+/** How long a manifest may take from a peer, in milliseconds. */
+const manifestTimeoutMs = 700;
+
+/** Agents that ask the origin for a manifest at once; others ask peers first. */
+const firstReaders = 2;
+
+/** How long after the first look an agent that is no first reader asks the origin, in milliseconds. */
+const patienceMs = 900;
+
+/** Time between two readings of the published services from the source while no gateway tells them, in milliseconds. */
+const ownReadingMs = 2500;
+
+/** What the platform's adapter supplies. */
+export type StagerAdapter = {
+	readonly createSource: CreateSource;
+	readonly createEngine: (links: PeerClient, address: string) => StagedEngine;
+	readonly createOrigin: (links: PeerClient) => WeightOrigin;
+};
+
+/**
+ * Starts a stager.
+ *
+ * @param settingsSource - where settings are read from
+ * @param adapter - the platform's adapter
+ */
+export async function startStager(settingsSource: SettingsSource<StagerSettings>, adapter: StagerAdapter): Promise<RunningProcess> {
+	const stager = new StagerProcess(settingsSource, adapter);
+	await stager.start();
+	return stager;
+}
+
+/** The parts of a stager. */
+class StagerProcess implements RunningProcess {
+	private readonly base: DirectBase<StagerSettings>;
+	private readonly chunks = new ChunkStore();
+	private readonly origin: WeightOrigin;
+	private readonly node: TransferNode;
+	private readonly staging: StagingManager;
+	private readonly control: HttpListener;
+	private readonly manifestSince = new Map<string, number>();
+	private readingTimer: NodeJS.Timeout | undefined;
+
+	constructor(settingsSource: SettingsSource<StagerSettings>, adapter: StagerAdapter) {
+		this.base = new DirectBase(settingsSource, ({listen, engine}) => ({
+			role: 'stager', control: listen.control, service: engine.service, parts: ['versions'], takes: 'services',
+		}), adapter.createSource);
+		const {links, log, directory, settings, wake} = this.base;
+		this.origin = adapter.createOrigin(links);
+		this.node = new TransferNode(this.transferOptions(), held => {
+			log.info({event: 'version_held', model: held.model, version: held.version}, 'every chunk of a version is held');
+		});
+		wake.onWake(() => {
+			this.node.wake();
+		});
+		this.staging = new StagingManager({
+			vm: settings.process.vm,
+			plan: () => planOf(directory, settings.engine.service),
+			directory,
+			engine: adapter.createEngine(links, formatAddress(settings.engine.address)),
+			chunks: this.chunks,
+			node: this.node,
+			fetchManifest: async (model, version) => this.fetchManifest(model, version),
+			group: () => [settings.process.vm, ...this.neighbours().map(({vm}) => vm)],
+			versionBoundMs: settings.limits.version_bound_ms,
+			log,
+		});
+		this.control = new HttpListener(this.createRoutes(), log);
+	}
+
+	async start(): Promise<void> {
+		const {base, control, staging} = this;
+		await control.start(base.settings.listen.control);
+		base.start();
+		staging.start();
+		this.readingTimer = setInterval(() => {
+			void this.readServices();
+		}, ownReadingMs);
+		base.log.info({event: 'stager_started', control: formatAddress(base.settings.listen.control)}, 'stager started');
+	}
+
+	async drain(): Promise<void> {
+		clearInterval(this.readingTimer);
+		this.staging.stop();
+		this.control.destroy();
+		await this.base.stop();
+	}
+
+	private createRoutes() {
+		const {rpc, metrics} = this.base;
+		rpc.method(rolloutHaveMethod, rolloutHaveParamsSchema, params => this.node.have(params));
+		rpc.method(manifestGetMethod, manifestGetParamsSchema, ({model, version}) => this.staging.manifestOf(model, version) ?? null);
+		metrics.gauge('cactusreach_chunk_bytes', 'Weights held in memory.', () => this.chunks.bytes);
+		return {
+			...createControlRoutes({
+				rpc, metrics, isReady: () => true, dump: () => ({role: 'stager', ...this.base.dump(), staging: this.staging.dump()}),
+			}),
+			'GET /chunks/*': this.node.serveChunk,
+		};
+	}
+
+	private transferOptions(): TransferOptions {
+		const {links, random, log, settings} = this.base;
+		const {process, transfer} = settings;
+		const rate = () => transfer.link_mbps * bytesPerMegabit * transfer.link_share;
+		return {
+			self: {vm: process.vm, region: process.region},
+			peers: () => this.neighbours(),
+			links,
+			chunks: this.chunks,
+			upPacer: new TransferPacer(rate),
+			downPacer: new TransferPacer(rate),
+			originUrl: '',
+			originChunkUrl: chunk => this.originChunkUrl(chunk),
+			random,
+			log,
+			limits: () => transferLimits,
+			memoryBytes: transfer.memory_bytes,
+			...notices,
+		};
+	}
+
+	/** The other agents beside engines of the same service. */
+	private neighbours() {
+		const {group, settings} = this.base;
+		return group.others.filter(({role, service}) => role === 'stager' && service === settings.engine.service);
+	}
+
+	private originChunkUrl({manifest, position}: OriginChunk): string | undefined {
+		const plan = planOf(this.base.directory, this.base.settings.engine.service);
+		const bytes = this.chunks.get(manifest);
+		if (!plan?.origin || !bytes) {
+			return undefined;
+		}
+
+		const {model, version} = parseManifest(bytes);
+		return this.origin.chunkUrl(plan.origin.address, model, Number(version), position);
+	}
+
+	/** Asks a peer for a manifest, and the origin when it is this agent's turn or peers had none for a while. */
+	private async fetchManifest(model: string, version: number): Promise<Manifest | undefined> {
+		const {random, settings, directory} = this.base;
+		const key = `${model}/${version}`;
+		const sinceMs = this.manifestSince.get(key) ?? performance.now();
+		this.manifestSince.set(key, sinceMs);
+		const neighbours = this.neighbours();
+		for (const {address} of random.sample(neighbours, 1)) {
+			const manifest = await this.manifestFromPeer(address, model, version);
+			if (manifest) {
+				return manifest;
+			}
+		}
+
+		const rank = rankMembers(key, [settings.process.vm, ...neighbours.map(({vm}) => vm)]).indexOf(settings.process.vm);
+		const origin = planOf(directory, settings.engine.service)?.origin;
+		const isTurn = rank < firstReaders || performance.now() - sinceMs > patienceMs;
+		if (!origin || !isTurn) {
+			return undefined;
+		}
+
+		const manifest = await this.origin.manifest(origin.address, model, version);
+		return manifest.version === String(version) ? manifest : undefined;
+	}
+
+	private async manifestFromPeer(address: string, model: string, version: number): Promise<Manifest | undefined> {
+		const {links, log} = this.base;
+		try {
+			const call = {method: manifestGetMethod, params: {model, version}};
+			return await links.rpc(address, call, manifestSchema.nullable(), {timeoutMs: manifestTimeoutMs}) ?? undefined;
+		} catch (err) {
+			log.debug({event: 'manifest_not_told', address, err}, 'a peer did not tell a manifest');
+			return undefined;
+		}
+	}
+
+	/** Reads what is published itself when no gateway tells it. */
+	private async readServices(): Promise<void> {
+		const {directory, source, log} = this.base;
+		if (directory.table) {
+			return;
+		}
+
+		try {
+			directory.apply(await source.read('published', AbortSignal.timeout(ownReadingMs)));
+		} catch (err) {
+			log.warn({event: 'services_unknown', err}, 'neither a gateway nor the source tells the published services');
+		}
+	}
+}
+
+function planOf(directory: Directory, service: string): {readonly engine: EngineTiming; readonly origin: OriginInfo | undefined} | undefined {
+	const engine = directory.table?.service(createServiceId(service))?.engine;
+	const origin = directory.table?.configuration.services.find(item => item.origin)?.origin;
+	return engine && {engine, origin};
+}
--- /dev/null
+++ b/src/forwarding/answer-sink.ts
@@ -0,0 +1,101 @@
+/** The caller's side of one call: at most one answer, and the news that the caller left. */
+import {Buffer} from 'node:buffer';
+import type http from 'node:http';
+
+/** Writes one answer. */
+export class AnswerSink {
+	/** Whether the first byte of an answer went out. */
+	hasBegun = false;
+	private isOver = false;
+
+	/**
+	 * @param res - the response, with nothing sent yet
+	 * @param onLeft - is called once when the caller closes before the answer is whole
+	 */
+	constructor(private readonly res: http.ServerResponse, onLeft: () => void) {
+		res.once('close', () => {
+			if (!this.isOver) {
+				this.isOver = true;
+				onLeft();
+			}
+		});
+		res.on('error', () => {
+			// A write after the caller left; `close` follows.
+		});
+	}
+
+	/** Whether nothing more can be sent. */
+	get isClosed(): boolean {
+		return this.isOver;
+	}
+
+	/**
+	 * Sends a whole answer.
+	 *
+	 * @param status - the HTTP status
+	 * @param headers - name and value in turn
+	 * @param body - the whole body
+	 */
+	sendWhole(status: number, headers: readonly string[], body: Buffer): void {
+		if (this.isOver) {
+			return;
+		}
+
+		this.hasBegun = true;
+		this.isOver = true;
+		this.res.writeHead(status, ['content-length', String(body.length), ...headers]);
+		this.res.end(body);
+	}
+
+	/**
+	 * Sends an answer of our own.
+	 *
+	 * @param status - the HTTP status
+	 * @param message - for the caller
+	 * @param headers - name and value in turn
+	 */
+	sendError(status: number, message: string, headers: readonly string[] = []): void {
+		const body = Buffer.from(JSON.stringify({error: message}));
+		this.sendWhole(status, ['content-type', 'application/json', ...headers], body);
+	}
+
+	/**
+	 * Begins an answer whose length is not known.
+	 *
+	 * @param status - the HTTP status
+	 * @param headers - name and value in turn
+	 */
+	begin(status: number, headers: readonly string[]): void {
+		if (!this.isOver) {
+			this.hasBegun = true;
+			this.res.writeHead(status, [...headers]);
+		}
+	}
+
+	/**
+	 * Sends the next part.
+	 *
+	 * @param part - bytes
+	 */
+	write(part: Buffer): void {
+		if (!this.isOver) {
+			this.res.write(part);
+		}
+	}
+
+	/** Ends an answer that is whole. */
+	end(): void {
+		if (!this.isOver) {
+			this.isOver = true;
+			this.res.end();
+		}
+	}
+
+	/** Cuts an answer that will not become whole, so that it does not look complete. */
+	cut(): void {
+		if (!this.isOver) {
+			this.isOver = true;
+			this.res.destroy();
+		}
+	}
+}
--- /dev/null
+++ b/src/forwarding/caller-listener.ts
@@ -0,0 +1,194 @@
+/** The callers' HTTP listener: reads whole calls within the published limits and hands them on. */
+import {Buffer} from 'node:buffer';
+import http from 'node:http';
+import type {Duplex} from 'node:stream';
+import type {CallerLimits} from '../directory/directory-types.ts';
+import type {ListenAddress} from '../links/http-listener.ts';
+import type {Logger} from '../runtime/logger.ts';
+import {AnswerSink} from './answer-sink.ts';
+import type {CallForwarder} from './call-forwarder.ts';
+import type {ForwardedCall} from './forwarded-call.ts';
+import type {WireCodec} from './wire-codec.ts';
+
+/** The largest header that is parsed, in bytes; published limits below it are checked one by one. */
+const maxParsedHeaderBytes = 65_536;
+
+/** How often connections are checked against the time for headers, in milliseconds. */
+const checkIntervalMs = 500;
+
+/** How long a whole call may take to arrive, in milliseconds. */
+const wholeRequestMs = 30_000;
+
+/** How often a listener that drains looks for idle connections, in milliseconds. */
+const idleCheckMs = 50;
+
+/** Limits before a configuration is known. */
+const defaultLimits: CallerLimits = {
+	headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+};
+
+/** Statuses for bytes that are no call, by the parser's code. */
+const parseFailures: Readonly<Record<string, string | undefined>> = {
+	HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
+/** What the listener works with. */
+export type CallerListenerOptions = {
+	readonly forwarder: CallForwarder;
+	readonly codec: WireCodec;
+	readonly log: Logger;
+	/** Returns the published limits, once they are known. */
+	readonly limits: () => CallerLimits | undefined;
+};
+
+/** Serves callers. */
+export class CallerListener {
+	private readonly server: http.Server;
+	private closing = false;
+
+	/** @param options - what the listener works with */
+	constructor(private readonly options: CallerListenerOptions) {
+		this.server = http.createServer({
+			maxHeaderSize: maxParsedHeaderBytes, connectionsCheckingInterval: checkIntervalMs, noDelay: true, requestTimeout: wholeRequestMs,
+		}, (req, res) => {
+			this.serve(req, res);
+		});
+		this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
+			this.answerUnreadable(err, socket);
+		});
+		this.followLimits();
+	}
+
+	/** Takes the published limits over. */
+	followLimits(): void {
+		const {headerTimeoutMs, idleTimeoutMs} = this.limits;
+		this.server.headersTimeout = headerTimeoutMs;
+		this.server.keepAliveTimeout = idleTimeoutMs;
+	}
+
+	/**
+	 * Starts to listen.
+	 *
+	 * @param address - where
+	 */
+	async start(address: ListenAddress): Promise<void> {
+		return new Promise((resolve, reject) => {
+			this.server.once('error', reject);
+			this.server.listen(address.port, address.host, resolve);
+		});
+	}
+
+	/** Closes each connection with its next answer. */
+	closeConnectionsAfterUse(): void {
+		this.closing = true;
+	}
+
+	/** Stops taking connections and waits until every open call has its answer. */
+	async drain(): Promise<void> {
+		this.closing = true;
+		await new Promise<void>(resolve => {
+			const timer = setInterval(() => {
+				this.server.closeIdleConnections();
+			}, idleCheckMs);
+			this.server.close(() => {
+				clearInterval(timer);
+				resolve();
+			});
+		});
+	}
+
+	/** Closes all connections at once. */
+	destroy(): void {
+		this.server.close();
+		this.server.closeAllConnections();
+	}
+
+	private get limits(): CallerLimits {
+		return this.options.limits() ?? defaultLimits;
+	}
+
+	private serve(req: http.IncomingMessage, res: http.ServerResponse): void {
+		const receivedAtMs = performance.now();
+		if (this.closing) {
+			res.setHeader('connection', 'close');
+		}
+
+		let call: ForwardedCall | undefined;
+		const sink = new AnswerSink(res, () => {
+			call?.leave();
+		});
+		const problem = this.problemOf(req);
+		if (problem) {
+			this.refuse(req, sink, problem);
+			return;
+		}
+
+		this.readBody(req, sink, body => {
+			call = this.options.forwarder.take({
+				method: req.method ?? 'GET',
+				target: req.url ?? '/',
+				rawHeaders: req.rawHeaders,
+				headers: this.options.codec.readCall(req.rawHeaders),
+				body,
+				receivedAtMs,
+			}, sink);
+		});
+	}
+
+	private problemOf(req: http.IncomingMessage): {status: number; reason: string} | undefined {
+		let headerBytes = 0;
+		for (const text of req.rawHeaders) {
+			headerBytes += text.length + 2;
+		}
+
+		if (headerBytes > this.limits.headerBytes) {
+			return {status: 431, reason: 'headers are too large'};
+		}
+
+		if (Number(req.headers['content-length'] ?? 0) > this.limits.bodyBytes) {
+			return {status: 413, reason: 'body is too large'};
+		}
+
+		return req.url?.startsWith('/') ? undefined : {status: 400, reason: 'the target is not a path'};
+	}
+
+	private refuse(req: http.IncomingMessage, sink: AnswerSink, {status, reason}: {status: number; reason: string}): void {
+		this.options.log.warn({event: 'call_malformed', status, reason}, 'malformed call');
+		sink.sendError(status, reason, ['connection', 'close']);
+		req.resume();
+	}
+
+	private readBody(req: http.IncomingMessage, sink: AnswerSink, onWhole: (body: Buffer) => void): void {
+		const parts: Buffer[] = [];
+		let bytes = 0;
+		let isTooLarge = false;
+		req.on('data', (part: Buffer) => {
+			bytes += part.length;
+			if (bytes <= this.limits.bodyBytes) {
+				parts.push(part);
+			} else if (!isTooLarge) {
+				isTooLarge = true;
+				this.refuse(req, sink, {status: 413, reason: 'body is too large'});
+			}
+		});
+		req.once('end', () => {
+			if (!isTooLarge && !sink.isClosed) {
+				onWhole(Buffer.concat(parts));
+			}
+		});
+		req.on('error', () => {
+			// The caller closed before its call was whole; the response's close event follows.
+		});
+	}
+
+	private answerUnreadable(err: NodeJS.ErrnoException, socket: Duplex): void {
+		if (err.code === 'ECONNRESET' || !socket.writable) {
+			socket.destroy();
+			return;
+		}
+
+		this.options.log.warn({event: 'call_unreadable', code: err.code}, 'bytes that are no call');
+		socket.end(`HTTP/1.1 ${parseFailures[err.code ?? ''] ?? '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+	}
+}
--- /dev/null
+++ b/src/forwarding/engine-forecast.ts
@@ -0,0 +1,55 @@
+/**
+ * Predicts when an engine that batches continuously gives a call's first token, from its published timing.
+ *
+ * The forecast answers the load of many streams on few engines, where a place with the least calls is not the one with the least waiting.
+ */
+import type {EngineTiming} from '../directory/directory-types.ts';
+
+/** What is known of the work at one engine. */
+export type EngineLoad = {
+	/** Calls in flight, from all entries. */
+	readonly calls: number;
+	/** Prompt tokens of calls that have no first token yet. */
+	readonly unreadTokens: number;
+	/** How much slower than published the engine is; 1 is as published. */
+	readonly slowness: number;
+};
+
+const tokensPerKilotoken = 1000;
+
+/**
+ * Returns the time of one token step, in milliseconds.
+ *
+ * @param timing - the published timing
+ * @param writers - calls that write at once
+ */
+export function stepMs(timing: EngineTiming, writers: number): number {
+	const contextKilotokens = (timing.usualPromptTokens + (timing.usualAnswerTokens / 2)) / tokensPerKilotoken;
+	return timing.stepMs + (writers * (timing.perCallMs + (timing.contextMsPerKilotoken * contextKilotokens)));
+}
+
+/**
+ * Returns the mean time that a call holds its slot on a full engine, in milliseconds.
+ *
+ * @param timing - the published timing
+ */
+export function slotTimeMs(timing: EngineTiming): number {
+	const readingOfAllMs = timing.slots * timing.usualPromptTokens / timing.readTokensPerMs;
+	return (timing.usualAnswerTokens * stepMs(timing, timing.slots)) + readingOfAllMs;
+}
+
+/**
+ * Predicts the time to the first token, in milliseconds.
+ *
+ * @param timing - the published timing
+ * @param load - the work at the engine
+ * @param promptTokens - the prompt of the call to place
+ */
+export function firstTokenMs(timing: EngineTiming, load: EngineLoad, promptTokens: number): number {
+	const writers = Math.min(load.calls, timing.slots);
+	const readingMs = (load.unreadTokens + promptTokens) / timing.readTokensPerMs;
+	const restOfPassMs = writers > 0 ? timing.stepsPerPass * stepMs(timing, writers) / 2 : 0;
+	const queuedBefore = load.calls - timing.slots + 1;
+	const queueMs = queuedBefore > 0 ? queuedBefore * slotTimeMs(timing) / timing.slots : 0;
+	return load.slowness * (readingMs + restOfPassMs + queueMs + stepMs(timing, writers + 1));
+}
--- /dev/null
+++ b/src/forwarding/place-call.ts
@@ -0,0 +1,121 @@
+/**
+ * Decides where a call goes, or that it is refused and when it may return. No I/O, no clock.
+ *
+ * It answers two loads: streams above what the engines carry, where only calls that can still be on time are worth a place,
+ * and calls to plain services, where any place that works will do.
+ */
+import type {EngineTiming} from '../directory/directory-types.ts';
+import {type EngineLoad, firstTokenMs, slotTimeMs} from './engine-forecast.ts';
+
+/** An instance that may take the call. */
+export type Candidate = {
+	readonly id: string;
+	readonly isLocal: boolean;
+	readonly load: EngineLoad;
+	/** Calls that the instance runs at once. */
+	readonly slots: number;
+	/** Whether recent calls there failed. */
+	readonly isSuspect: boolean;
+};
+
+/** The call to place. */
+export type PlacedCall = {
+	readonly promptTokens: number;
+	/** Time left until the answer counts as late, in milliseconds; negative when it is late already. */
+	readonly aimLeftMs: number;
+	/** Time left until the caller leaves, in milliseconds. */
+	readonly deadlineLeftMs: number;
+};
+
+/** What was decided. */
+export type Placement =
+	| {readonly kind: 'place'; readonly id: string; readonly predictedMs: number}
+	| {readonly kind: 'refuse'; readonly reason: 'no_upstream' | 'overloaded'; readonly retryAfterMs: number};
+
+/** Forecasts closer than this are the same, in milliseconds; the place is then drawn, since several entries choose at once. */
+const sameForecastMs = 12;
+
+/** What a place in another zone must be better by, in milliseconds; its bytes cross a narrow link. */
+const remotePenaltyMs = 25;
+
+/** What a place with recent failures must be better by, in milliseconds. */
+const suspectPenaltyMs = 300;
+
+/** Share of the slots that late calls may use; the rest is kept for calls that can be on time. */
+const lateShare = 0.9;
+
+/** Share of the aim within which a forecast counts as on time; the forecast does not see other entries' latest calls. */
+const onTimeShare = 0.92;
+
+/** When a call returns that found no upstream at all, in milliseconds. */
+const noUpstreamRetryMs = 1000;
+
+/** Shortest and longest time to return after a refusal for load, in milliseconds. */
+const overloadRetryMs = {min: 300, max: 1800};
+
+/** Calls per slot at a plain service beyond which its queue would only grow. */
+const plainQueuePerSlot = 3;
+
+/**
+ * Places a call at an engine.
+ *
+ * @param timing - the engine's published timing
+ * @param candidates - the instances that hold what the call needs
+ * @param call - the call
+ * @param draw - returns a whole number below its argument
+ */
+export function placeAtEngine(timing: EngineTiming, candidates: readonly Candidate[], call: PlacedCall, draw: (bound: number) => number): Placement {
+	const forecasts = candidates.map(candidate => {
+		const predictedMs = firstTokenMs(timing, candidate.load, call.promptTokens);
+		return {candidate, predictedMs, costMs: predictedMs + penaltyMs(candidate)};
+	});
+	const best = drawLowest(forecasts, draw);
+	if (!best) {
+		return {kind: 'refuse', reason: 'no_upstream', retryAfterMs: noUpstreamRetryMs};
+	}
+
+	const isOnTime = best.predictedMs <= call.aimLeftMs * onTimeShare;
+	const hasRoomForLate = best.candidate.load.calls < best.candidate.slots * lateShare;
+	if (best.predictedMs < call.deadlineLeftMs && (isOnTime || hasRoomForLate)) {
+		return {kind: 'place', id: best.candidate.id, predictedMs: best.predictedMs};
+	}
+
+	const excess = Math.max(1, best.candidate.load.calls - best.candidate.slots + 1);
+	const freeMs = excess * slotTimeMs(timing) / timing.slots;
+	return {
+		kind: 'refuse', reason: 'overloaded', retryAfterMs: Math.min(overloadRetryMs.max, Math.max(overloadRetryMs.min, freeMs * 4)),
+	};
+}
+
+/**
+ * Places a call at a plain service: the fewest calls per slot, in the own zone first.
+ *
+ * @param candidates - the instances of the service
+ * @param draw - returns a whole number below its argument
+ */
+export function placeAtService(candidates: readonly Candidate[], draw: (bound: number) => number): Placement {
+	const ranked = candidates.map(candidate => {
+		const perSlot = candidate.load.calls / Math.max(1, candidate.slots);
+		return {candidate, predictedMs: 0, costMs: (perSlot * 100) + penaltyMs(candidate)};
+	});
+	const best = drawLowest(ranked, draw);
+	if (!best) {
+		return {kind: 'refuse', reason: 'no_upstream', retryAfterMs: noUpstreamRetryMs / 4};
+	}
+
+	if (best.candidate.load.calls >= best.candidate.slots * plainQueuePerSlot) {
+		return {kind: 'refuse', reason: 'overloaded', retryAfterMs: overloadRetryMs.min};
+	}
+
+	return {kind: 'place', id: best.candidate.id, predictedMs: 0};
+}
+
+function penaltyMs({isLocal, isSuspect}: Candidate): number {
+	return (isLocal ? 0 : remotePenaltyMs) + (isSuspect ? suspectPenaltyMs : 0);
+}
+
+function drawLowest<Item extends {readonly costMs: number}>(items: readonly Item[], draw: (bound: number) => number): Item | undefined {
+	const lowest = Math.min(...items.map(({costMs}) => costMs));
+	const equal = items.filter(({costMs}) => costMs <= lowest + sameForecastMs);
+	return equal.length === 0 ? undefined : equal[draw(equal.length)];
+}
--- /dev/null
+++ b/src/forwarding/wire-codec.ts
@@ -0,0 +1,61 @@
+/** What the forwarding needs of the platform's message format; the adapter implements it. */
+import type {WorkspaceId} from '../ids/workspace-id.ts';
+
+/** What a caller's headers say. */
+export type CallHeaders = {
+	/** The id of the caller's attempt; undefined when it names none. */
+	readonly attemptId: string | undefined;
+	readonly host: string;
+	readonly key: string | undefined;
+	/** How long the caller waits, in milliseconds; undefined when it does not say. */
+	readonly deadlineMs: number | undefined;
+	/** The id of the last event that the caller has of a stream that it resumes. */
+	readonly lastEventId: string | undefined;
+	readonly model: string | undefined;
+	/** Tokens of the prompt; 0 when unknown. */
+	readonly promptTokens: number;
+	/** Expected tokens of the answer; 0 when unknown. */
+	readonly answerTokens: number;
+};
+
+/** What the system adds to a call that it sends to an upstream. */
+export type SendInstructions = {
+	readonly deadlineMs: number;
+	/** Only this instance may run the call. */
+	readonly instance: string;
+	/** Only weights of this version may run the call. */
+	readonly version: number | undefined;
+	readonly workspace: WorkspaceId | undefined;
+	/** 0 is the most urgent. */
+	readonly priority: number | undefined;
+	/** Where a stream goes on. */
+	readonly lastEventId: string | undefined;
+	readonly bodyBytes: number;
+	readonly hasBody: boolean;
+};
+
+/** What an upstream's answer says besides its status and body. */
+export type AnswerHeaders = {
+	readonly attemptId: string | undefined;
+	/** Whether the answer carries the upstream's signature, which successes must. */
+	readonly isSigned: boolean;
+	/** Whether the upstream says that it did not run the call. */
+	readonly isNotRun: boolean;
+	/** Whether the body has an encoding, which is never the upstream's own. */
+	readonly isEncoded: boolean;
+	/** Calls that run and wait at the upstream. */
+	readonly load: {readonly calls: number; readonly slots: number} | undefined;
+	/** The version of the weights that answered. */
+	readonly version: number | undefined;
+	/** Headers to pass on, as name and value in turn. */
+	readonly passedOn: readonly string[];
+};
+
+/** Reads and writes the headers of calls and answers; raw headers are name and value in turn. */
+export type WireCodec = {
+	readonly readCall: (rawHeaders: readonly string[]) => CallHeaders;
+	readonly writeCall: (rawHeaders: readonly string[], instructions: SendInstructions) => string[];
+	readonly readAnswer: (status: number, rawHeaders: readonly string[]) => AnswerHeaders;
+	/** Returns the headers of a refusal with the time to return. */
+	readonly writeRefusal: (retryAfterMs: number) => string[];
+};
--- a/src/links/peer-client.ts
+++ b/src/links/peer-client.ts
@@ -116,7 +116,7 @@
 	 * @param options - `timeoutMs` bounds the time to the headers, `signal` the whole exchange
 	 * @throws LinkError when no headers come in time
 	 */
-	async send(url: string, req: {method: Dispatcher.HttpMethod; body?: string}, options: LinkOptions): Promise<LinkResponse> {
+	async send(url: string, req: {method: Dispatcher.HttpMethod; body?: string | Buffer}, options: LinkOptions): Promise<LinkResponse> {
 		const {pool, tracked} = options.fresh ? createPool() : this.poolOf(url);
 		let sent = false;
 		const onStart = (): void => {
--- /dev/null
+++ b/src/peers/directory-snapshot-schema.ts
@@ -0,0 +1,74 @@
+/** The wire form in which one process passes its directory on to another. */
+import {z} from 'zod';
+import {directoryAgeSchema, namedVersionSchema} from '../messages/peers-exchange.ts';
+
+/** What the asking process knows already, and whether it needs services only. */
+export const directoryGetParamsSchema = directoryAgeSchema.extend({servicesOnly: z.boolean().default(false)});
+
+const routeSchema = z.object({
+	name: z.string(),
+	host: z.string(),
+	prefix: z.string(),
+	kind: z.enum(['idempotent', 'once', 'stream']),
+	timeoutMs: z.number(),
+	aimMs: z.number(),
+	attempts: z.number(),
+	priority: z.number(),
+	isPublic: z.boolean(),
+	isResumable: z.boolean(),
+	targets: z.array(z.object({service: z.string(), weight: z.number()})),
+});
+
+const engineSchema = z.object({
+	slots: z.number(),
+	stepMs: z.number(),
+	perCallMs: z.number(),
+	contextMsPerKilotoken: z.number(),
+	readTokensPerMs: z.number(),
+	stepsPerPass: z.number(),
+	usualPromptTokens: z.number(),
+	usualAnswerTokens: z.number(),
+	layers: z.number(),
+	chunkCount: z.number(),
+	chunkBytes: z.number(),
+	models: z.array(z.string()),
+});
+
+const serviceSchema = z.object({
+	name: z.string(),
+	maxConnections: z.number(),
+	engine: engineSchema.optional(),
+	origin: z.object({address: z.string(), linkBytesPerSecond: z.number(), maxConnections: z.number()}).optional(),
+});
+
+const configurationSchema = z.object({
+	version: z.number(),
+	routes: z.array(routeSchema),
+	services: z.array(serviceSchema),
+	limits: z.object({
+		headerBytes: z.number(), bodyBytes: z.number(), headerTimeoutMs: z.number(), idleTimeoutMs: z.number(),
+	}),
+	keys: z.record(z.string(), z.object({workspace: z.string(), priority: z.number().optional()})).optional(),
+});
+
+const instanceSchema = z.object({
+	id: z.string(),
+	service: z.string(),
+	address: z.string(),
+	zone: z.string(),
+	isDraining: z.boolean(),
+	slots: z.number(),
+	coldLeftMs: z.number(),
+	startedAtMs: z.number(),
+	held: z.array(z.object({
+		model: z.string(), version: z.number(), fromLayer: z.number(), toLayer: z.number(),
+	})),
+});
+
+/** The parts that the asking process lacks. */
+export const directorySnapshotSchema = z.object({
+	configuration: configurationSchema.optional(),
+	versions: z.array(namedVersionSchema),
+	instances: z.array(instanceSchema).optional(),
+	instancesRevision: z.number(),
+});
--- a/src/rollout/chunk-fetcher.ts
+++ b/src/rollout/chunk-fetcher.ts
@@ -133,7 +133,7 @@
 	private urlOf({chunk, source, lastResort}: PlannedTransfer): string | undefined {
 		const {node, manifest, neighbourhood, digestAt, notice} = this.options;
 		if (source === originSource) {
-			return `${node.originUrl}/v1/chunks/${digestAt(chunk)}`;
+			return node.originChunkUrl ? node.originChunkUrl({manifest, position: chunk}) : `${node.originUrl}/v1/chunks/${digestAt(chunk)}`;
 		}
 
 		const address = neighbourhood.peer(source)?.address;
--- a/src/rollout/transfer-options.ts
+++ b/src/rollout/transfer-options.ts
@@ -1,4 +1,5 @@
 /** What the transfers of one agent share. */
+import type {Digest} from '../ids/digest.ts';
 import type {PeerClient} from '../links/peer-client.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
@@ -19,6 +20,9 @@
 	readonly upload_copies: number;
 };
 
+/** A chunk to read from the origin. */
+export type OriginChunk = {readonly manifest: Digest; readonly position: number};
+
 /** What the transfers of one agent share. */
 export type TransferOptions = {
 	readonly self: PlacedVm;
@@ -30,6 +34,8 @@
 	readonly downPacer: TransferPacer;
 	/** The origin's address. */
 	readonly originUrl: string;
+	/** Returns where the origin serves a chunk; by digest below {@link originUrl} when absent. */
+	readonly originChunkUrl?: (chunk: OriginChunk) => string | undefined;
 	readonly random: RandomSource;
 	readonly log: Logger;
 	readonly limits: () => TransferLimits;
--- a/src/runtime/logger.ts
+++ b/src/runtime/logger.ts
@@ -1,7 +1,7 @@
-/** Structured logs: one JSON line per event on standard error, one event name per kind. */
-import process from 'node:process';
+/** Structured logs: one JSON line per event on standard output, one event name per kind. */
 import bunyan from 'bunyan';
 import type {VmId} from '../ids/vm-id.ts';
+import {LogSink} from './log-sink.ts';
 
 /** The logger that every part is handed. */
 export type Logger = bunyan;
@@ -12,6 +12,11 @@
 /** A log level. */
 export type LogLevel = (typeof logLevels)[number];
 
+const standardOutput = 1;
+
+/** The one writer of this process. */
+export const logSink = new LogSink(standardOutput);
+
 /**
  * Creates the logger of a process.
  *
@@ -20,7 +25,10 @@
  */
 export function createLogger(vm: VmId, level: LogLevel): Logger {
 	return bunyan.createLogger({
-		name: 'cactusreach', vm, level, stream: process.stderr,
+		name: 'cactusreach',
+		vm,
+		serializers: {err: describeError},
+		streams: [{level, type: 'raw', stream: logSink as unknown as NodeJS.WritableStream}],
 	});
 }
 
@@ -28,3 +36,8 @@
 export function createSilentLogger(): Logger {
 	return bunyan.createLogger({name: 'silent', level: bunyan.FATAL + 1});
 }
+
+/** One line without a stack: failures of the network are frequent and their messages name their cause. */
+function describeError(err: unknown): unknown {
+	return err instanceof Error ? {name: err.name, message: err.message} : err;
+}
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -9,17 +9,17 @@
 import {logLevels} from '../runtime/logger.ts';
 
 const urlPrefix = 'http://';
-const idText = z.string().regex(/^[\w.:-]{1,128}$/, 'must be 1 to 128 letters, digits, dots, dashes, underscores or colons');
-const address = z.string().refine(isAddress, 'must be an IPv4 address and a port, such as 127.0.0.1:8080')
+export const idText = z.string().regex(/^[\w.:-]{1,128}$/, 'must be 1 to 128 letters, digits, dots, dashes, underscores or colons');
+export const address = z.string().refine(isAddress, 'must be an IPv4 address and a port, such as 127.0.0.1:8080')
 	.transform((text): ListenAddress => parseAddress(text));
 const baseUrl = z.string().refine(
 	text => text.startsWith(urlPrefix) && isAddress(text.slice(urlPrefix.length)),
 	'must be a URL of an IPv4 address and a port, such as http://127.0.0.1:7000',
 );
-const wholeNumber = z.string().regex(/^\d{1,15}$/, 'must be a whole number of at most 15 digits').transform(Number);
-const positiveNumber = wholeNumber.refine(number => number > 0, 'must be more than 0');
+export const wholeNumber = z.string().regex(/^\d{1,15}$/, 'must be a whole number of at most 15 digits').transform(Number);
+export const positiveNumber = wholeNumber.refine(number => number > 0, 'must be more than 0');
 
-const processSection = z.strictObject({
+export const processSection = z.strictObject({
 	vm: idText.transform((text): VmId => createVmId(text)),
 	zone: idText.transform((text): ZoneId => createZoneId(text)),
 	region: idText.transform((text): RegionId => createRegionId(text)),
--- /dev/null
+++ b/src/staging/staged-engine.ts
@@ -0,0 +1,26 @@
+/** What an agent needs of the engine on its VM and of the origin of weights; the adapter implements it. */
+import type {Manifest} from '../rollout/manifest.ts';
+import type {EngineReport} from './next-staging-step.ts';
+
+/** How an engine answered an order. */
+export type OrderAnswer = 'begun' | 'in-effect' | 'refused';
+
+/** The engine beside the agent. Every method rejects when there is no usable answer and repeats nothing. */
+export type StagedEngine = {
+	/** Asks the engine for its state; `layers` is the number that makes a model whole. */
+	readonly report: (model: string, layers: number) => Promise<EngineReport>;
+	/** Writes a chunk beside the engine. */
+	readonly putChunk: (model: string, number: number, bytes: Uint8Array) => Promise<void>;
+	/** Reads a chunk back; undefined when there is none. */
+	readonly getChunk: (model: string, number: number) => Promise<Uint8Array | undefined>;
+	/** Orders the engine to load what is staged, if it has accepted as many orders as expected. */
+	readonly start: (model: string, version: number, expectedOrders: number) => Promise<OrderAnswer>;
+};
+
+/** The origin of weights. */
+export type WeightOrigin = {
+	/** Reads the digests of a version. */
+	readonly manifest: (address: string, model: string, version: number) => Promise<Manifest>;
+	/** Returns where a chunk of a version is read. */
+	readonly chunkUrl: (address: string, model: string, version: number, number: number) => string;
+};
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,6 +1,6 @@
 /** @type {import('xo').FlatXoConfig} */
 const config = [
-	{ignores: ['dist/**', 'node_modules/**', 'docs/**']},
+	{ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**', 'docs/**']},
 	{
 		rules: {
 			// Short customary names (req, res, cfg, err) are part of the house style.
