Keep named versions apart, drain gateways and bundle a file per command

Change: the rule looks at every newer version; a starting process assumes that a version it finds was named a while ago; after the notice a gateway refuses new calls as not run. Logs go to standard output through a bounded writer.

--- a/build/bundle.mjs
+++ b/build/bundle.mjs
@@ -1,4 +1,4 @@
-/** Bundles the command line into one CommonJS file that Node.js or the single executable runs. */
+/** Bundles the command line: `node build/bundle.mjs [dist|target]`, one file for the single executable or a file per command. */
 import {readFile} from 'node:fs/promises';
 import path from 'node:path';
 import process from 'node:process';
@@ -6,8 +6,6 @@
 
 const root = path.join(import.meta.dirname, '..');
 
-/** The folder that the bundle is written to. */
-const outdir = process.argv[2] ?? 'dist';
 
 /**
  * Leaves out the optional packages that bunyan looks for at run time (tracing, file rotation, source maps).
@@ -33,16 +31,34 @@
 	},
 };
 
-await build({
+const shared = {
 	entryPoints: ['src/cli/main.ts'],
-	outfile: `${outdir}/cactusreach.cjs`,
 	bundle: true,
 	platform: 'node',
 	target: 'node20',
-	format: 'cjs',
 	// Without white space a process at rest takes 4 MB less. Names stay as they are, for stack traces.
 	minifyWhitespace: true,
 	minifySyntax: true,
 	plugins: [withoutOptionalPackages, withoutTranslations],
 	logLevel: 'warning',
-});
+};
+
+/** One file, which the single executable needs. */
+const oneFile = {...shared, outfile: 'dist/cactusreach.cjs', format: 'cjs'};
+
+/** A file per command and what commands share, so that a small process reads only what it runs. */
+const filePerCommand = {
+	...shared,
+	entryPoints: [{in: 'src/cli/main.ts', out: 'cactusreach'}],
+	outdir: 'target',
+	outExtension: {'.js': '.mjs'},
+	chunkNames: 'parts/[name]-[hash]',
+	format: 'esm',
+	splitting: true,
+	// CommonJS packages inside the bundle call `require` for Node's own modules.
+	banner: {js: 'import {createRequire} from \'node:module\'; const require = createRequire(import.meta.url);'},
+};
+
+const layouts = {dist: oneFile, target: filePerCommand};
+
+await build(layouts[process.argv[2] ?? 'dist']);
--- a/build/smoke.mjs
+++ b/build/smoke.mjs
@@ -88,10 +88,13 @@
 }
 
 function start(...args) {
-	const child = spawn(executable, args, {cwd: root, stdio: ['ignore', 'ignore', 'pipe']});
-	child.stderr.on('data', part => {
-		log.push(part);
-	});
+	const child = spawn(executable, args, {cwd: root, stdio: ['ignore', 'pipe', 'pipe']});
+	for (const output of [child.stdout, child.stderr]) {
+		output.on('data', part => {
+			log.push(part);
+		});
+	}
+
 	children.push(child);
 }
 
--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -4,6 +4,7 @@
 import {CallerListener} from '../forwarding/caller-listener.ts';
 import {InstanceUse} from '../forwarding/instance-use.ts';
 import type {WireCodec} from '../forwarding/wire-codec.ts';
+import {logSink} from '../runtime/logger.ts';
 import {formatAddress, HttpListener, sendJson} from '../links/http-listener.ts';
 import {directoryGetMethod} from '../messages/peers-exchange.ts';
 import {directoryGetParamsSchema} from '../peers/directory-snapshot-schema.ts';
@@ -65,7 +66,7 @@
 		noticeMs: settings.limits.drain_notice_ms,
 		openCalls: () => forwarder.openCalls,
 		refuseNewCalls() {
-			callers.closeConnectionsAfterUse();
+			forwarder.refuseNewCalls();
 		},
 		closeListeners: async () => callers.drain(),
 		async stopParts() {
@@ -96,16 +97,21 @@
 
 	return {
 		async drain() {
-			log.info({event: 'drain_started', openCalls: forwarder.openCalls}, 'drain started');
 			callers.closeConnectionsAfterUse();
-			await Promise.race([drain.run(), limit((settings.limits.grace_s * msPerSecond) - killMarginMs)]);
-			callers.destroy();
+			const ended = await Promise.race([drain.run(), limit((settings.limits.grace_s * msPerSecond) - killMarginMs)]);
+			if (ended === 'late') {
+				log.warn({event: 'drain_cut', openCalls: forwarder.openCalls}, 'calls are cut, since the time to end is over');
+				callers.destroy();
+				await logSink.drain();
+			}
 		},
 	};
 }
 
-async function limit(ms: number): Promise<void> {
+async function limit(ms: number): Promise<'late'> {
 	return new Promise(resolve => {
-		setTimeout(resolve, ms).unref();
+		setTimeout(() => {
+			resolve('late');
+		}, ms).unref();
 	});
 }
--- a/src/demo/demo-processes.ts
+++ b/src/demo/demo-processes.ts
@@ -47,14 +47,17 @@
 	start(name: string, args: readonly string[]): DemoChild {
 		// The single executable is the program itself; otherwise Node.js runs the bundle.
 		const script = isSea() ? [] : [process.argv[1] ?? ''];
-		const child = spawn(process.execPath, [...script, ...args], {stdio: ['ignore', 'ignore', 'pipe']});
+		const child = spawn(process.execPath, [...script, ...args], {stdio: ['ignore', 'pipe', 'pipe']});
 		const started: DemoChild = {
 			name, child, log: [], ended: false,
 		};
-		child.stderr.setEncoding('utf8').on('data', (text: string) => {
-			started.log.push(...text.trimEnd().split('\n'));
-			started.log.splice(0, started.log.length - keptLogLines);
-		});
+		for (const output of [child.stdout, child.stderr]) {
+			output.setEncoding('utf8').on('data', (text: string) => {
+				started.log.push(...text.trimEnd().split('\n'));
+				started.log.splice(0, started.log.length - keptLogLines);
+			});
+		}
+
 		this.children.push(started);
 		return started;
 	}
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -35,6 +35,7 @@
 	/** Monotonic time of the last answer, in milliseconds. */
 	contactAtMs = Number.NEGATIVE_INFINITY;
 	private revision: number | undefined;
+	private hasRead = false;
 	private failures = 0;
 	private failingSinceMs: number | undefined;
 	private stopped = false;
@@ -101,9 +102,11 @@
 		if (isWhole && part === 'instances') {
 			directory.replaceInstances(changes);
 		} else {
-			directory.apply(changes);
+			directory.apply(changes, isWhole && !this.hasRead);
 		}
 
+		this.hasRead = true;
+
 		if (part === 'instances') {
 			directory.noteInstancesRevision(changes.revision);
 		}
--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -9,18 +9,27 @@
 /** How long an instance counts that was missing after an outage of the source, in milliseconds; living ones register again within 2 s. */
 export const confirmMs = 2500;
 
+/** Namings of a version that differ by less are the same, in milliseconds; messages between processes take time. */
+const sameNamingMs = 100;
+
+/** Versions of a model that are remembered. */
+const maxNamings = 4;
+
 /** Most keys whose last revision is remembered. */
 const maxRevisions = 20_000;
 
 type KnownInstance = {readonly instance: Instance; readonly revision: number; missingSinceMs?: number};
 
-/** A version of weights and since when it is known. */
-export type KnownVersion = {readonly version: number; readonly sinceMs: number};
+/** A version of weights and since when it is named; `isAssumed` when this process found it named already. */
+export type KnownVersion = {readonly version: number; readonly sinceMs: number; readonly isAssumed: boolean};
+
+/** How long ago a version was named that a starting process finds, in milliseconds: long enough that older ones soon stop. */
+const assumedAgeMs = 4000;
 
 /** The directory as one process passes it on to another. */
 export type DirectorySnapshot = {
 	readonly configuration?: PublishedConfiguration;
-	readonly versions: ReadonlyArray<{readonly model: string; readonly version: number; readonly ageMs: number}>;
+	readonly versions: ReadonlyArray<{readonly model: string; readonly version: number; readonly ageMs: number; readonly isAssumed: boolean}>;
 	readonly instances?: readonly Instance[];
 	readonly instancesRevision: number;
 };
@@ -32,7 +41,7 @@
 	private routes: RouteTable | undefined;
 	private readonly known = new Map<string, KnownInstance>();
 	private readonly revisions = new Map<string, number>();
-	private readonly knownVersions = new Map<string, KnownVersion>();
+	private readonly named = new Map<string, readonly KnownVersion[]>();
 	private readonly listeners = new Set<() => void>();
 	/** Changes of instances up to this revision are in the state already. */
 	private floor = 0;
@@ -51,9 +60,18 @@
 		return this.routes?.configuration.version ?? 0;
 	}
 
-	/** Versions of weights by model. */
+	/** The newest version of weights by model. */
 	get versions(): ReadonlyMap<string, KnownVersion> {
-		return this.knownVersions;
+		return new Map([...this.named].map(([model, versions]) => [model, versions.at(-1)!]));
+	}
+
+	/**
+	 * Returns all versions of a model that were named, oldest first.
+	 *
+	 * @param model - the model
+	 */
+	versionsOf(model: string): readonly KnownVersion[] {
+		return this.named.get(model) ?? [];
 	}
 
 	/** All instances that may be alive. */
@@ -99,10 +117,15 @@
 	 * Takes changes over.
 	 *
 	 * @param changes - what changed and up to which revision
+	 * @param isFirstReading - whether the process has just started, so that versions may have been named long ago
 	 */
-	apply({changes}: DirectoryChanges): void {
+	apply({changes}: DirectoryChanges, isFirstReading = false): void {
 		for (const {revision, change} of changes) {
-			this.applyOne(revision, change);
+			if (change.kind === 'version' && isFirstReading) {
+				this.setVersion(change.model, {version: change.version, sinceMs: performance.now() - assumedAgeMs, isAssumed: true});
+			} else {
+				this.applyOne(revision, change);
+			}
 		}
 
 		this.changed();
@@ -151,7 +174,9 @@
 		const nowMs = performance.now();
 		return {
 			...(this.configurationVersion > configurationVersion ? {configuration: this.routes?.configuration} : {}),
-			versions: [...this.knownVersions].map(([model, {version, sinceMs}]) => ({model, version, ageMs: nowMs - sinceMs})),
+			versions: [...this.named].flatMap(([model, versions]) => versions.map(({version, sinceMs, isAssumed}) => ({
+				model, version, ageMs: nowMs - sinceMs, isAssumed,
+			}))),
 			...(this.instancesRevision > instancesRevision ? {instances: this.instances} : {}),
 			instancesRevision: this.instancesRevision,
 		};
@@ -185,8 +210,8 @@
 			this.setConfiguration(snapshot.configuration, 'peer');
 		}
 
-		for (const {model, version, ageMs} of snapshot.versions) {
-			this.setVersion(model, version, performance.now() - ageMs);
+		for (const {model, version, ageMs, isAssumed} of snapshot.versions) {
+			this.setVersion(model, {version, sinceMs: performance.now() - ageMs, isAssumed});
 		}
 
 		if (snapshot.instances && snapshot.instancesRevision > this.instancesRevision) {
@@ -221,7 +246,7 @@
 			}
 
 			case 'version': {
-				this.setVersion(change.model, change.version, performance.now());
+				this.setVersion(change.model, {version: change.version, sinceMs: performance.now(), isAssumed: false});
 				return;
 			}
 
@@ -277,14 +302,20 @@
 		}
 	}
 
-	private setVersion(model: string, version: number, sinceMs: number): void {
-		const known = this.knownVersions.get(model);
-		if (!known || version > known.version || (version === known.version && sinceMs < known.sinceMs)) {
-			this.knownVersions.set(model, {version, sinceMs});
-			this.log.info({
-				event: 'version_named', model, version, before: known?.version, ageMs: Math.round(performance.now() - sinceMs),
-			}, 'version of weights named');
+	/** An observed naming replaces an assumed one; of two alike the earlier counts, since a bound runs from it. */
+	private setVersion(model: string, naming: KnownVersion): void {
+		const versions = this.named.get(model) ?? [];
+		const known = versions.find(({version}) => version === naming.version);
+		const isBetter = !known || (known.isAssumed && !naming.isAssumed) || (known.isAssumed === naming.isAssumed && naming.sinceMs < known.sinceMs - sameNamingMs);
+		if (!isBetter) {
+			return;
 		}
+
+		const others = versions.filter(({version}) => version !== naming.version);
+		this.named.set(model, [...others, naming].toSorted((a, b) => a.version - b.version).slice(-maxNamings));
+		this.log.info({
+			event: 'version_named', model, version: naming.version, newestBefore: versions.at(-1)?.version, ageMs: Math.round(performance.now() - naming.sinceMs), isAssumed: naming.isAssumed,
+		}, 'version of weights named');
 	}
 
 	private setInstance(instance: Instance, revision: number, from: string): void {
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -38,6 +38,9 @@
 	readonly onEnd: (route: Route | undefined, outcome: string, ms: number) => void;
 };
 
+/** When a caller returns whose call came to a process that ends, in milliseconds; another one takes it. */
+const leavingRetryMs = 50;
+
 type Refusal = {readonly status: number; readonly reason: string; readonly retryAfterMs?: number};
 
 const noRoute: Refusal = {status: 404, reason: 'no_route'};
@@ -48,12 +51,18 @@
 	private readonly budgets = new Map<string, RetryWindow>();
 	private readonly usualDeadlines = new Map<string, number>();
 	private readonly versionRule: VersionRule;
+	private isLeaving = false;
 
 	/** @param options - what the forwarder works with */
 	constructor(private readonly options: CallForwarderOptions) {
 		this.versionRule = new VersionRule(options.directory, options.versionBoundMs);
 	}
 
+	/** Refuses calls from now on, since the process ends. */
+	refuseNewCalls(): void {
+		this.isLeaving = true;
+	}
+
 	/** Calls without a whole answer. */
 	get openCalls(): number {
 		return this.open.size;
@@ -110,6 +119,10 @@
 	}
 
 	private refusalOf(table: RouteTable | undefined, route: Route | undefined, holder: KeyHolder | undefined, {headers}: ReadCall): Refusal | undefined {
+		if (this.isLeaving) {
+			return {status: 503, reason: 'leaving', retryAfterMs: leavingRetryMs};
+		}
+
 		if (!table) {
 			return {status: 503, reason: 'no_configuration', retryAfterMs: noConfigurationRetryMs};
 		}
--- a/src/forwarding/version-rule.ts
+++ b/src/forwarding/version-rule.ts
@@ -5,7 +5,7 @@
 /** Time before the bound at which older versions stop, in milliseconds; covers the way of a call and the wait at its upstream. */
 const marginMs = 1500;
 
-/** Decides by the age of the newest named version. */
+/** Decides by the age of every newer version. */
 export class VersionRule {
 	/**
 	 * @param directory - knows the named versions
@@ -19,7 +19,8 @@
 	 * @param held - what an instance holds
 	 */
 	mayBegin({model, version}: HeldModel): boolean {
-		const newest = this.directory.versions.get(model);
-		return !newest || version >= newest.version || performance.now() - newest.sinceMs < this.boundMs - marginMs;
+		const nowMs = performance.now();
+		// A still newer version does not extend the time of those before it.
+		return this.directory.versionsOf(model).every(named => version >= named.version || nowMs - named.sinceMs < this.boundMs - marginMs);
 	}
 }
--- a/src/messages/peers-exchange.ts
+++ b/src/messages/peers-exchange.ts
@@ -25,7 +25,9 @@
 export const directoryAgeSchema = z.object({configurationVersion: z.number(), instancesRevision: z.number()});
 
 /** A version of weights that was named, and how long ago. */
-export const namedVersionSchema = z.object({model: z.string(), version: z.number(), ageMs: z.number()});
+export const namedVersionSchema = z.object({
+	model: z.string(), version: z.number(), ageMs: z.number(), isAssumed: z.boolean(),
+});
 
 /** What one side tells the other. */
 export const peersExchangeSchema = z.object({
--- a/src/runtime/log-sink.ts
+++ b/src/runtime/log-sink.ts
@@ -12,6 +12,9 @@
 /** The bunyan level from which a line is no routine. */
 const warnLevel = 40;
 
+/** How long lines are gathered for one write, in milliseconds. */
+const gatherMs = 50;
+
 /** How long and how often the end of a process waits for its last lines, in milliseconds. */
 const longestDrainMs = 200;
 const drainCheckMs = 5;
@@ -25,6 +28,7 @@
 	private readonly queue: Buffer[] = [];
 	private queuedBytes = 0;
 	private isWriting = false;
+	private timer: NodeJS.Timeout | undefined;
 	private reportedDropped = 0;
 	private tokens = lineRate.burst;
 	private filledAtMs = performance.now();
@@ -51,12 +55,13 @@
 
 		this.queue.push(line);
 		this.queuedBytes += line.length;
-		this.flush();
+		this.flushSoon();
 	}
 
 	/** Waits until what is queued was written, for a short time at most. */
 	async drain(): Promise<void> {
 		const endMs = performance.now() + longestDrainMs;
+		this.flush();
 		while ((this.isWriting || this.queue.length > 0) && performance.now() < endMs) {
 			await sleep(drainCheckMs);
 		}
@@ -76,6 +81,17 @@
 		return true;
 	}
 
+	/** Lines within a short time go out in one write. */
+	private flushSoon(): void {
+		if (this.timer === undefined && !this.isWriting) {
+			this.timer = setTimeout(() => {
+				this.timer = undefined;
+				this.flush();
+			}, gatherMs);
+			this.timer.unref();
+		}
+	}
+
 	private flush(): void {
 		if (this.isWriting || this.queue.length === 0) {
 			return;
@@ -111,7 +127,9 @@
 			}
 
 			this.isWriting = false;
-			this.flush();
+			if (this.queue.length > 0) {
+				this.flushSoon();
+			}
 		});
 	}
 }
--- /dev/null
+++ b/test/forwarding-decisions.test.ts
@@ -0,0 +1,217 @@
+/** The gateway's decisions without a network: routes, places, repeats, budgets, versions and events. */
+import {Buffer} from 'node:buffer';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {install} from '@sinonjs/fake-timers';
+import {Directory} from '../src/directory/directory.ts';
+import {decideNext, type NextInput} from '../src/forwarding/decide-next.ts';
+import {EventSplitter} from '../src/forwarding/event-splitter.ts';
+import {firstTokenMs} from '../src/forwarding/engine-forecast.ts';
+import {type Candidate, placeAtEngine} from '../src/forwarding/place-call.ts';
+import {RetryWindow} from '../src/forwarding/retry-window.ts';
+import {RouteTable} from '../src/forwarding/route-table.ts';
+import {VersionRule} from '../src/forwarding/version-rule.ts';
+import {createSilentLogger} from '../src/runtime/logger.ts';
+import {
+	testConfiguration, testEngine, testInstance, testRoute,
+} from './support/direct-fixtures.ts';
+
+const nextInputs = fc.record({
+	outcome: fc.constantFrom<NextInput['outcome']>({kind: 'not-run', reason: 'r'}, {kind: 'failed', reason: 'r'}, {kind: 'upstream-error', status: 500}),
+	kind: fc.constantFrom<NextInput['kind']>('idempotent', 'once', 'stream'),
+	isResumable: fc.boolean(),
+	hasBegun: fc.boolean(),
+	runs: fc.integer({min: 0, max: 3}),
+	attempts: fc.integer({min: 1, max: 3}),
+	refusals: fc.integer({min: 0, max: 4}),
+	hasTime: fc.boolean(),
+	budget: fc.boolean(),
+});
+
+it('guards against double runs and false promises: a call is repeated after a possible run only where that is safe, and refused only when none is possible', () => {
+	fc.assert(fc.property(nextInputs, ({budget, ...input}) => {
+		const step = decideNext({...input, takeRepeat: () => budget});
+		if (step === 'repeat' && input.outcome.kind !== 'not-run') {
+			expect(input.kind === 'idempotent' || (input.kind === 'stream' && input.isResumable)).to.equal(true);
+			expect(input.runs).to.be.lessThan(input.attempts);
+		}
+
+		if (step === 'refuse') {
+			expect([input.outcome.kind, input.runs, input.hasBegun]).to.deep.equal(['not-run', 0, false]);
+		}
+
+		if (input.hasBegun) {
+			expect(step).to.be.oneOf(['repeat', 'cut']);
+		}
+
+		if (step === 'repeat') {
+			expect([budget, input.hasTime]).to.deep.equal([true, true]);
+		}
+	}), {seed: 20_261_204, numRuns: 600});
+});
+
+it('guards against wrong routes: the longest prefix of the host wins, whatever the order of routes and the query', () => {
+	const routes = [testRoute({name: 'short', prefix: '/a/'}), testRoute({name: 'long', prefix: '/a/b/'}), testRoute({name: 'other', host: 'b.example', prefix: '/a/b/c/'})];
+	for (const list of [routes, routes.toReversed()]) {
+		const table = new RouteTable({...testConfiguration(1), routes: list});
+		expect(['/a/b/c/x', '/a/x', '/a/bx', '/b/', '/x?/a/b/'].map(path => table.find('A.example:80', path)?.name)).to.deep.equal(['long', 'short', 'short', undefined, undefined]);
+	}
+});
+
+it('guards against events cut or joined: however the bytes arrive, the same whole events come out', () => {
+	const events = fc.array(fc.record({id: fc.nat(999), data: fc.string({unit: fc.constantFrom('a', 'é', ' ', ':'), maxLength: 12})}), {maxLength: 8});
+	fc.assert(fc.property(events, fc.array(fc.integer({min: 1, max: 9})), fc.constantFrom('\n', '\r\n'), (list, cuts, newline) => {
+		const texts = list.map(({id, data}) => `id: ${id}${newline}data: ${data}${newline}${newline}`);
+		const bytes = Buffer.from(`${texts.join('')}id: 1${newline}da`);
+		const splitter = new EventSplitter();
+		const out: string[] = [];
+		let at = 0;
+		for (const size of [...cuts, bytes.length]) {
+			out.push(...splitter.push(bytes.subarray(at, at + size)).map(event => `${event.id}|${event.bytes.toString('utf8')}`));
+			at = Math.min(bytes.length, at + size);
+		}
+
+		expect(out).to.deep.equal(list.map(({id}, index) => `${id}|${texts[index]}`));
+		expect(splitter.pendingBytes).to.be.greaterThan(0);
+	}), {seed: 5, numRuns: 300});
+});
+
+it('guards against a retry storm: repeats of all entries together stay within the published bound, also when each sees only itself', () => {
+	const clock = install();
+	try {
+		const entries = Array.from({length: 6}, () => new RetryWindow({ratio: 0.2, slack: 100, windowMs: 10_000}, () => 6));
+		let calls = 0;
+		let repeats = 0;
+		for (let ms = 0; ms < 10_000; ms += 50) {
+			for (const entry of entries) {
+				entry.recordCall();
+				calls++;
+				repeats += entry.tryTake() ? 1 : 0;
+			}
+
+			clock.tick(50);
+		}
+
+		expect(repeats).to.be.at.most((calls * 0.2) + 100);
+		expect(repeats).to.be.greaterThan(calls * 0.1);
+	} finally {
+		clock.uninstall();
+	}
+});
+
+it('guards against old weights: an older version may begin only until the bound after a newer one was named', () => {
+	const clock = install();
+	try {
+		const directory = new Directory(createSilentLogger());
+		const rule = new VersionRule(directory, 8000);
+		const held = {
+			model: 'm', version: 1, fromLayer: 0, toLayer: 16,
+		};
+		expect(rule.mayBegin(held)).to.equal(true);
+		directory.apply({revision: 5, changes: [{revision: 5, change: {kind: 'version', model: 'm', version: 2}}]});
+		expect(rule.mayBegin(held)).to.equal(true);
+		clock.tick(7900);
+		expect(rule.mayBegin(held)).to.equal(false);
+		expect(rule.mayBegin({...held, version: 2})).to.equal(true);
+	} finally {
+		clock.uninstall();
+	}
+});
+
+it('guards against old weights when versions follow each other: a third one does not give the first more time', () => {
+	const clock = install();
+	try {
+		const directory = new Directory(createSilentLogger());
+		const rule = new VersionRule(directory, 8000);
+		const name = (version: number) => {
+			directory.apply({revision: version, changes: [{revision: version, change: {kind: 'version', model: 'm', version}}]});
+		};
+
+		name(2);
+		clock.tick(3000);
+		name(3);
+		clock.tick(4900);
+		const held = {model: 'm', fromLayer: 0, toLayer: 16};
+		expect([1, 2, 3].map(version => rule.mayBegin({...held, version}))).to.deep.equal([false, true, true]);
+	} finally {
+		clock.uninstall();
+	}
+});
+
+it('guards against old weights after a restart: a version that was named before counts as named a while ago, unless a peer saw when', () => {
+	const clock = install();
+	try {
+		const directory = new Directory(createSilentLogger());
+		const rule = new VersionRule(directory, 8000);
+		const held = {
+			model: 'm', version: 1, fromLayer: 0, toLayer: 16,
+		};
+		directory.apply({revision: 5, changes: [{revision: 5, change: {kind: 'version', model: 'm', version: 2}}]}, true);
+		clock.tick(3000);
+		expect(rule.mayBegin(held)).to.equal(false);
+		directory.adopt({
+			versions: [{
+				model: 'm', version: 2, ageMs: 3500, isAssumed: false,
+			}], instancesRevision: 0,
+		});
+		expect(rule.mayBegin(held)).to.equal(true);
+	} finally {
+		clock.uninstall();
+	}
+});
+
+const candidate = (id: string, calls: number, extra: Partial<Candidate> = {}): Candidate => ({
+	id, isLocal: true, slots: 16, isSuspect: false, load: {calls, unreadTokens: 0, slowness: 1}, ...extra,
+});
+
+it('guards against late answers under load: a stream goes where its first token is soonest, and is refused when no place can be on time', () => {
+	const call = {promptTokens: 900, aimLeftMs: 400, deadlineLeftMs: 6000};
+	const slow = candidate('slow', 3, {load: {calls: 3, unreadTokens: 0, slowness: 5}});
+	expect(placeAtEngine(testEngine, [candidate('full', 20), candidate('free', 5), slow], call, () => 0)).to.include({kind: 'place', id: 'free'});
+	const refused = placeAtEngine(testEngine, [candidate('a', 40), candidate('b', 60)], call, () => 0);
+	expect(refused.kind).to.equal('refuse');
+	expect(refused).to.have.property('retryAfterMs').that.is.within(300, 2000);
+	expect(placeAtEngine(testEngine, [], call, () => 0)).to.include({kind: 'refuse', reason: 'no_upstream'});
+});
+
+it('guards against a forecast that rewards load: more calls, more unread tokens or a slower engine never mean an earlier first token', () => {
+	fc.assert(fc.property(fc.nat(60), fc.nat(20_000), fc.nat(20_000), fc.double({min: 0.8, max: 6, noNaN: true}), (calls, unreadTokens, prompt, slowness) => {
+		const at = firstTokenMs(testEngine, {calls, unreadTokens, slowness}, prompt);
+		expect(firstTokenMs(testEngine, {calls: calls + 1, unreadTokens, slowness}, prompt)).to.be.at.least(at);
+		expect(firstTokenMs(testEngine, {calls, unreadTokens: unreadTokens + 100, slowness}, prompt)).to.be.greaterThan(at);
+		expect(firstTokenMs(testEngine, {calls, unreadTokens, slowness: slowness + 0.5}, prompt)).to.be.greaterThan(at);
+	}), {seed: 9, numRuns: 300});
+});
+
+it('guards against reversion: neither the source nor a peer puts an older configuration or an older entry in force', () => {
+	const directory = new Directory(createSilentLogger());
+	directory.apply({revision: 9, changes: [{revision: 9, change: {kind: 'configuration', configuration: testConfiguration(7)}}]});
+	directory.adopt({configuration: testConfiguration(6), versions: [], instancesRevision: 0});
+	directory.apply({revision: 10, changes: [{revision: 10, change: {kind: 'configuration', configuration: testConfiguration(5)}}]});
+	expect(directory.configurationVersion).to.equal(7);
+	const draining = testInstance({id: 'i-1', isDraining: true});
+	directory.apply({revision: 12, changes: [{revision: 12, change: {kind: 'instance', instance: draining}}]});
+	directory.apply({revision: 13, changes: [{revision: 11, change: {kind: 'instance', instance: testInstance({id: 'i-1'})}}]});
+	expect(directory.instance('i-1')?.isDraining).to.equal(true);
+	directory.apply({revision: 14, changes: [{revision: 14, change: {kind: 'instance-gone', id: 'i-1'}}]});
+	directory.apply({revision: 14, changes: [{revision: 12, change: {kind: 'instance', instance: draining}}]});
+	expect(directory.instance('i-1')).to.equal(undefined);
+});
+
+it('guards against losing every upstream in an outage: entries that lapsed meanwhile count until they had time to return, and no longer', () => {
+	const clock = install();
+	try {
+		const directory = new Directory(createSilentLogger());
+		const there = (id: string, revision: number) => ({revision, change: {kind: 'instance' as const, instance: testInstance({id})}});
+		directory.replaceInstances({revision: 5, changes: [there('i-1', 3), there('i-2', 4)]});
+		directory.noteRegained();
+		directory.replaceInstances({revision: 9, changes: [there('i-2', 4)]});
+		expect(directory.instances.map(({id}) => id)).to.deep.equal(['i-1', 'i-2']);
+		clock.tick(2600);
+		expect(directory.instances.map(({id}) => id)).to.deep.equal(['i-2']);
+		directory.replaceInstances({revision: 12, changes: []});
+		expect(directory.instances).to.deep.equal([]);
+	} finally {
+		clock.uninstall();
+	}
+});
--- /dev/null
+++ b/test/support/direct-fixtures.ts
@@ -0,0 +1,145 @@
+/** Published state, upstreams and callers for tests of the gateway's parts. */
+import {Buffer} from 'node:buffer';
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {platformCodec} from '../../platform/call-headers.ts';
+import {Directory} from '../../src/directory/directory.ts';
+import type {
+	EngineTiming, Instance, PublishedConfiguration, Route,
+} from '../../src/directory/directory-types.ts';
+import {CallForwarder} from '../../src/forwarding/call-forwarder.ts';
+import {CallerListener} from '../../src/forwarding/caller-listener.ts';
+import {InstanceUse} from '../../src/forwarding/instance-use.ts';
+import {createServiceId} from '../../src/ids/service-id.ts';
+import {createWorkspaceId} from '../../src/ids/workspace-id.ts';
+import {createSilentLogger} from '../../src/runtime/logger.ts';
+import {RandomSource} from '../../src/runtime/random-source.ts';
+
+/** An engine as deployments publish it. */
+export const testEngine: EngineTiming = {
+	slots: 16, stepMs: 8.87, perCallMs: 0.0388, contextMsPerKilotoken: 0.0227, readTokensPerMs: 19.1, stepsPerPass: 5,
+	usualPromptTokens: 977, usualAnswerTokens: 94, layers: 16, chunkCount: 4, chunkBytes: 8, models: ['m'],
+};
+
+/** Returns a route. */
+export function testRoute(route: Partial<Route> = {}): Route {
+	return {
+		name: 'r', host: 'a.example', prefix: '/p/', kind: 'once', timeoutMs: 1000, aimMs: 100, attempts: 2, priority: 1, isPublic: false, isResumable: false,
+		targets: [{service: createServiceId('desk'), weight: 1}], ...route,
+	};
+}
+
+/** Returns a configuration with one route. */
+export function testConfiguration(version: number, route: Partial<Route> = {}): PublishedConfiguration {
+	return {
+		version,
+		routes: [testRoute(route)],
+		services: [{name: createServiceId('desk'), maxConnections: 50}, {name: createServiceId('models'), maxConnections: 50, engine: testEngine}],
+		limits: {
+			headerBytes: 2000, bodyBytes: 10_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
+		},
+		keys: {k1: {workspace: createWorkspaceId('w1')}},
+	};
+}
+
+/** Returns an instance. */
+export function testInstance(instance: Partial<Instance> & {readonly id: string}): Instance {
+	return {
+		service: createServiceId('desk'), address: '127.0.0.1:1', zone: 'z', isDraining: false, slots: 6, coldLeftMs: 0, startedAtMs: 1, held: [], ...instance,
+	};
+}
+
+/** A stand-in of an upstream that answers by a function and counts what arrives. */
+export type TestUpstream = {readonly address: string; readonly seen: http.IncomingMessage[]; readonly close: () => void};
+
+/** Answers one call of a stand-in. */
+export type UpstreamAnswer = (req: http.IncomingMessage, res: http.ServerResponse, bodyText: string) => void;
+
+/** Starts an upstream. */
+export async function startUpstream(answer: UpstreamAnswer): Promise<TestUpstream> {
+	const seen: http.IncomingMessage[] = [];
+	const server = http.createServer((req, res) => {
+		seen.push(req);
+		const parts: Buffer[] = [];
+		req.on('data', (part: Buffer) => {
+			parts.push(part);
+		});
+		req.on('end', () => {
+			answer(req, res, Buffer.concat(parts).toString('utf8'));
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	return {
+		address: `127.0.0.1:${(server.address() as AddressInfo).port}`, seen, close() {
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+}
+
+/** Sends an answer as an upstream does: with the call's id and a signature. */
+export function sealed(req: http.IncomingMessage, res: http.ServerResponse, status: number, body: string): void {
+	res.writeHead(status, {'attempt-id': req.headers['attempt-id'] as string, 'response-seal': 's.1', 'content-length': Buffer.byteLength(body)});
+	res.end(body);
+}
+
+/** A gateway's parts in this process. */
+export type TestGateway = {readonly directory: Directory; readonly use: InstanceUse; readonly url: string; readonly close: () => void};
+
+/** Starts a gateway's listener over the given state. */
+export async function startTestGateway(configuration: PublishedConfiguration | undefined, instances: readonly Instance[]): Promise<TestGateway> {
+	const log = createSilentLogger();
+	const directory = new Directory(log);
+	directory.apply({revision: 1, changes: configuration ? [{revision: 1, change: {kind: 'configuration', configuration}}] : []});
+	directory.replaceInstances({revision: 2, changes: instances.map(instance => ({revision: 2, change: {kind: 'instance', instance}}))});
+	const use = new InstanceUse(log);
+	const forwarder = new CallForwarder({
+		directory, codec: platformCodec, use, random: new RandomSource(7), log, zone: 'z',
+		retryBound: {ratio: 0.2, slack: 100, windowMs: 10_000}, versionBoundMs: 8000, entryCount: () => 1, onEnd: () => undefined,
+	});
+	const port = 20_000 + new RandomSource(Date.now() % 2_147_483_647).below(12_000);
+	const listener = new CallerListener({
+		forwarder, codec: platformCodec, log, limits: () => directory.table?.configuration.limits,
+	});
+	await listener.start({host: '127.0.0.1', port});
+	return {
+		directory, use, url: `http://127.0.0.1:${port}`, close() {
+			listener.destroy();
+		},
+	};
+}
+
+/** One caller's call and what came back; `complete` is false when the answer was cut. */
+export type TestAnswer = {readonly status: number; readonly headers: http.IncomingHttpHeaders; readonly body: string; readonly complete: boolean};
+
+/** Sends a call as a caller does. */
+export async function callGateway(url: string, options: {path?: string; method?: string; headers?: Record<string, string>; body?: string; leaveAfterMs?: number} = {}): Promise<TestAnswer> {
+	const {path = '/p/x', method = 'POST', headers = {}, body = 'b', leaveAfterMs} = options;
+	return new Promise((resolve, reject) => {
+		const req = http.request(`${url}${path}`, {
+			method, agent: false, headers: {
+				host: 'a.example', 'attempt-id': 'id-1', 'api-key': 'k1', 'deadline-ms': '900', ...headers,
+			},
+		}, res => {
+			let text = '';
+			res.setEncoding('utf8').on('data', (part: string) => {
+				text += part;
+			});
+			res.on('error', () => undefined);
+			res.on('close', () => {
+				resolve({
+					status: res.statusCode ?? 0, headers: res.headers, body: text, complete: res.complete,
+				});
+			});
+		});
+		req.on('error', reject);
+		req.end(body);
+		if (leaveAfterMs !== undefined) {
+			setTimeout(() => {
+				req.destroy(new Error('left'));
+			}, leaveAfterMs);
+		}
+	});
+}
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -178,11 +178,14 @@
 		const file = path.join(this.folder, `${vm}.ini`);
 		writeFileSync(file, stringify({...sections, listen: {...listen, ...sections.listen}, platform}));
 		const command = this.executable === undefined ? [process.execPath, program] : [this.executable];
-		const child = spawn(command[0] ?? '', [...command.slice(1), role, '--settings', file], {stdio: ['ignore', 'inherit', 'pipe']});
+		const child = spawn(command[0] ?? '', [...command.slice(1), role, '--settings', file], {stdio: ['ignore', 'pipe', 'pipe']});
 		const log: string[] = [];
-		child.stderr.on('data', (part: Buffer) => {
-			log.push(...part.toString('utf8').split('\n'));
-		});
+		for (const output of [child.stdout, child.stderr]) {
+			output.on('data', (part: Buffer) => {
+				log.push(...part.toString('utf8').split('\n'));
+			});
+		}
+
 		const started = {
 			vm, control: listen.control, callers: listen.callers ?? '', child, log,
 		};
