Tell gateways what an engine loaded, and split the directory

Cause: a loaded engine waits up to a heartbeat of 1.2 s until the list says so. Change: its stager tells the gateways by datagram; what is told counts for that run of the engine and never goes back.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -58,7 +58,7 @@
 		use.retain(new Set(directory.instances.map(({id}) => id)));
 	});
 	const datagrams = new LoadDatagrams({
-		vm: settings.process.vm, use, port: settings.listen.datagrams.port, log, entries: () => group.others.filter(({role}) => role === 'gateway'),
+		vm: settings.process.vm, use, directory, port: settings.listen.datagrams.port, log, entries: () => group.others.filter(({role}) => role === 'gateway'),
 	});
 	const isReady = () => !drain.isDraining && directory.configurationVersion > 0 && directory.instancesRevision > 0;
 	const drain = new Drain({
--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -6,6 +6,7 @@
 import type {PeerClient} from '../links/peer-client.ts';
 import {manifestGetMethod, manifestGetParamsSchema} from '../messages/peers-exchange.ts';
 import {rolloutHaveMethod, rolloutHaveParamsSchema} from '../messages/rollout-have.ts';
+import {HeldSender} from '../peers/held-sender.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {ChunkStore} from '../rollout/chunk-store.ts';
 import {type Manifest, manifestSchema, parseManifest} from '../rollout/manifest.ts';
@@ -77,11 +78,12 @@
 		this.base = new DirectBase(settingsSource, ({listen, engine}) => ({
 			role: 'stager', control: listen.control, service: engine.service, parts: ['versions'], takes: 'services',
 		}), adapter.createSource);
-		const {links, log, directory, settings, wake} = this.base;
+		const {links, log, directory, settings, wake, group} = this.base;
 		this.origin = adapter.createOrigin(links);
 		this.node = new TransferNode(this.transferOptions(), held => {
 			log.info({event: 'version_held', model: held.model, version: held.version}, 'every chunk of a version is held');
 		});
+		const sender = new HeldSender(() => group.others.filter(({role}) => role === 'gateway'), settings.peers.datagram_port, log);
 		wake.onWake(() => {
 			this.node.wake();
 		});
@@ -95,6 +97,11 @@
 			fetchManifest: async (model, version) => this.fetchManifest(model, version),
 			group: () => [settings.process.vm, ...this.neighbours().map(({vm}) => vm)],
 			versionBoundMs: settings.limits.version_bound_ms,
+			onServed({model, version, layers, startedAtMs}) {
+				sender.tell(['held', formatAddress(settings.engine.address), startedAtMs, {
+					model, version, fromLayer: 0, toLayer: layers,
+				}]);
+			},
 			log,
 		});
 		this.control = new HttpListener(this.createRoutes(), log);
--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -1,26 +1,12 @@
 /** What this process believes of the published configuration, the versions of weights and the instances. */
+import {RouteTable} from '../forwarding/route-table.ts';
 import type {ServiceId} from '../ids/service-id.ts';
 import type {Logger} from '../runtime/logger.ts';
-import {RouteTable} from '../forwarding/route-table.ts';
 import type {
-	DirectoryChange, DirectoryChanges, Instance, PublishedConfiguration,
+	DirectoryChange, DirectoryChanges, HeldModel, Instance, PublishedConfiguration,
 } from './directory-types.ts';
-
-/**
- * How long an instance counts whose entry was missing after an outage of the source, in milliseconds.
- *
- * Living ones register again soon; those that left get no call for longer than leaving ones may.
- */
-export const confirmMs = 1600;
-
-/** Namings of a version that differ by less are the same, in milliseconds; messages between processes take time. */
-const sameNamingMs = 100;
-
-/** Versions of a model that are remembered. */
-const maxNamings = 4;
-
-/** Most keys whose last revision is remembered. */
-const maxRevisions = 20_000;
+import {InstanceTable} from './instance-table.ts';
+import {type KnownVersion, NamedVersions, type ToldVersion} from './named-versions.ts';
 
 /** How changes were learned. */
 export type ChangeContext = {
@@ -32,36 +18,29 @@
 
 const liveChanges: ChangeContext = {isFirstReading: false, isAfterOutage: false};
 
-type KnownInstance = {readonly instance: Instance; readonly revision: number; missingSinceMs?: number};
-
-/** A version of weights and since when it is named; `isAssumed` when this process found it named already. */
-export type KnownVersion = {readonly version: number; readonly sinceMs: number; readonly isAssumed: boolean};
-
 /** How long ago a version was named that a starting process finds, in milliseconds: long enough that older ones soon stop. */
 const assumedAgeMs = 5000;
 
 /** The directory as one process passes it on to another. */
 export type DirectorySnapshot = {
 	readonly configuration?: PublishedConfiguration;
-	readonly versions: ReadonlyArray<{readonly model: string; readonly version: number; readonly ageMs: number; readonly isAssumed: boolean}>;
+	readonly versions: readonly ToldVersion[];
 	readonly instances?: readonly Instance[];
 	readonly instancesRevision: number;
 };
 
 /** Holds the newest state; nothing in it ever goes back to an older revision. */
 export class Directory {
-	/** Revision up to which instances are known. */
-	instancesRevision = 0;
 	private routes: RouteTable | undefined;
-	private readonly known = new Map<string, KnownInstance>();
-	private readonly revisions = new Map<string, number>();
-	private readonly named = new Map<string, readonly KnownVersion[]>();
+	private readonly named: NamedVersions;
+	private readonly instanceTable: InstanceTable;
 	private readonly listeners = new Set<() => void>();
-	/** Changes of instances up to this revision are in the state already. */
-	private floor = 0;
 
 	/** @param log - receives what is taken and refused */
-	constructor(private readonly log: Logger) {}
+	constructor(private readonly log: Logger) {
+		this.named = new NamedVersions(log);
+		this.instanceTable = new InstanceTable(log);
+	}
 
 	/** The lookups of the configuration in force; undefined before the first one. */
 	get table(): RouteTable | undefined {
@@ -73,9 +52,19 @@
 		return this.routes?.configuration.version ?? 0;
 	}
 
+	/** Revision up to which instances are known. */
+	get instancesRevision(): number {
+		return this.instanceTable.revision;
+	}
+
 	/** The newest version of weights by model. */
 	get versions(): ReadonlyMap<string, KnownVersion> {
-		return new Map([...this.named].map(([model, versions]) => [model, versions.at(-1)!]));
+		return this.named.newest;
+	}
+
+	/** All instances that may be alive. */
+	get instances(): readonly Instance[] {
+		return this.instanceTable.all;
 	}
 
 	/**
@@ -84,13 +73,7 @@
 	 * @param model - the model
 	 */
 	versionsOf(model: string): readonly KnownVersion[] {
-		return this.named.get(model) ?? [];
-	}
-
-	/** All instances that may be alive. */
-	get instances(): readonly Instance[] {
-		const nowMs = performance.now();
-		return [...this.known.values()].filter(known => isPresent(known, nowMs)).map(({instance}) => instance);
+		return this.named.of(model);
 	}
 
 	/**
@@ -108,8 +91,7 @@
 	 * @param id - its id
 	 */
 	instance(id: string): Instance | undefined {
-		const known = this.known.get(id);
-		return known && isPresent(known, performance.now()) ? known.instance : undefined;
+		return this.instanceTable.get(id);
 	}
 
 	/**
@@ -150,12 +132,7 @@
 			}
 		}
 
-		for (const [id, {revision}] of this.known) {
-			if (!present.has(id) && revision <= reading.revision) {
-				this.remove(id, reading.revision, context);
-			}
-		}
-
+		this.instanceTable.retain(present, reading.revision, context.isAfterOutage);
 		this.noteInstancesRevision(reading.revision);
 		this.changed();
 	}
@@ -166,7 +143,19 @@
 	 * @param revision - the revision of the newest answer
 	 */
 	noteInstancesRevision(revision: number): void {
-		this.instancesRevision = Math.max(this.instancesRevision, revision);
+		this.instanceTable.revision = Math.max(this.instanceTable.revision, revision);
+	}
+
+	/**
+	 * Takes over what the process beside an engine tells of it.
+	 *
+	 * @param address - the engine
+	 * @param startedAtMs - its start, in milliseconds since 1970
+	 * @param held - what it holds
+	 */
+	noteHeld(address: string, startedAtMs: number, held: HeldModel): void {
+		this.instanceTable.noteHeld(address, startedAtMs, held);
+		this.changed();
 	}
 
 	/**
@@ -176,12 +165,9 @@
 	 * @param instancesRevision - the revision up to which it knows the instances
 	 */
 	snapshot(configurationVersion: number, instancesRevision: number): DirectorySnapshot {
-		const nowMs = performance.now();
 		return {
 			...(this.configurationVersion > configurationVersion ? {configuration: this.routes?.configuration} : {}),
-			versions: [...this.named].flatMap(([model, versions]) => versions.map(({version, sinceMs, isAssumed}) => ({
-				model, version, ageMs: nowMs - sinceMs, isAssumed,
-			}))),
+			versions: this.named.told,
 			...(this.instancesRevision > instancesRevision ? {instances: this.instances} : {}),
 			instancesRevision: this.instancesRevision,
 		};
@@ -194,14 +180,15 @@
 	 */
 	servicesSnapshot(configurationVersion: number): DirectorySnapshot {
 		const {configuration, ...rest} = this.snapshot(configurationVersion, Number.POSITIVE_INFINITY);
+		if (!configuration) {
+			return rest;
+		}
+
+		const {version, limits, services} = configuration;
 		return {
-			...rest, ...(configuration
-				? {
-					configuration: {
-						version: configuration.version, limits: configuration.limits, services: configuration.services, routes: [],
-					},
-				}
-				: {}),
+			...rest, configuration: {
+				version, limits, services, routes: [],
+			},
 		};
 	}
 
@@ -216,33 +203,16 @@
 		}
 
 		for (const {model, version, ageMs, isAssumed} of snapshot.versions) {
-			this.setVersion(model, {version, sinceMs: performance.now() - ageMs, isAssumed});
+			this.named.set(model, {version, sinceMs: performance.now() - ageMs, isAssumed});
 		}
 
 		if (snapshot.instances && snapshot.instancesRevision > this.instancesRevision) {
-			this.adoptInstances(snapshot.instances, snapshot.instancesRevision);
+			this.instanceTable.adopt(snapshot.instances, snapshot.instancesRevision);
 		}
 
 		this.changed();
 	}
 
-	private adoptInstances(instances: readonly Instance[], revision: number): void {
-		const ids = new Set(instances.map(({id}) => id));
-		for (const id of [...this.known.keys()].filter(known => !ids.has(known))) {
-			this.known.delete(id);
-			this.log.info({
-				event: 'instance_gone', instance: id, revision, from: 'peer',
-			}, 'instance gone');
-		}
-
-		for (const instance of instances) {
-			this.setInstance(instance, revision, 'peer');
-		}
-
-		this.floor = Math.max(this.floor, revision);
-		this.instancesRevision = revision;
-	}
-
 	private applyOne(revision: number, change: DirectoryChange, context: ChangeContext): void {
 		switch (change.kind) {
 			case 'configuration': {
@@ -252,23 +222,17 @@
 
 			case 'version': {
 				const ageMs = context.isFirstReading ? assumedAgeMs : 0;
-				this.setVersion(change.model, {version: change.version, sinceMs: performance.now() - ageMs, isAssumed: context.isFirstReading});
+				this.named.set(change.model, {version: change.version, sinceMs: performance.now() - ageMs, isAssumed: context.isFirstReading});
 				return;
 			}
 
 			case 'instance': {
-				if (this.isNews(change.instance.id, revision)) {
-					this.setInstance(change.instance, revision, 'source');
-				}
-
+				this.instanceTable.put(change.instance, revision);
 				return;
 			}
 
 			case 'instance-gone': {
-				if (this.isNews(change.id, revision)) {
-					this.remove(change.id, revision, context);
-				}
-
+				this.instanceTable.remove(change.id, revision, context.isAfterOutage);
 				return;
 			}
 
@@ -280,20 +244,6 @@
 		}
 	}
 
-	private isNews(id: string, revision: number): boolean {
-		if (revision <= Math.max(this.floor, this.revisions.get(id) ?? 0)) {
-			return false;
-		}
-
-		if (this.revisions.size >= maxRevisions) {
-			this.floor = Math.max(this.floor, ...this.revisions.values());
-			this.revisions.clear();
-		}
-
-		this.revisions.set(id, revision);
-		return true;
-	}
-
 	private setConfiguration(configuration: PublishedConfiguration, from: string): void {
 		const before = this.configurationVersion;
 		if (configuration.version > before) {
@@ -308,58 +258,9 @@
 		}
 	}
 
-	/** An observed naming replaces an assumed one; of two alike the earlier counts, since a bound runs from it. */
-	private setVersion(model: string, naming: KnownVersion): void {
-		const versions = this.named.get(model) ?? [];
-		const known = versions.find(({version}) => version === naming.version);
-		const isBetter = !known || (known.isAssumed && !naming.isAssumed) || (known.isAssumed === naming.isAssumed && naming.sinceMs < known.sinceMs - sameNamingMs);
-		if (!isBetter) {
-			return;
-		}
-
-		const others = versions.filter(({version}) => version !== naming.version);
-		this.named.set(model, [...others, naming].toSorted((a, b) => a.version - b.version).slice(-maxNamings));
-		this.log.info({
-			event: 'version_named', model, version: naming.version, newestBefore: versions.at(-1)?.version, ageMs: Math.round(performance.now() - naming.sinceMs), isAssumed: naming.isAssumed,
-		}, 'version of weights named');
-	}
-
-	private setInstance(instance: Instance, revision: number, from: string): void {
-		const before = this.known.get(instance.id)?.instance;
-		this.known.set(instance.id, {instance, revision});
-		if (before?.isDraining !== instance.isDraining || before.startedAtMs !== instance.startedAtMs || JSON.stringify(before.held) !== JSON.stringify(instance.held)) {
-			const {id, service, address, zone, isDraining, held} = instance;
-			this.log.info({
-				event: 'instance_seen', instance: id, service, address, zone, isDraining, held, revision, from,
-			}, 'instance registered or changed');
-		}
-	}
-
-	private remove(id: string, revision: number, {isAfterOutage}: ChangeContext): void {
-		const known = this.known.get(id);
-		if (!known) {
-			return;
-		}
-
-		if (isAfterOutage && !known.instance.isDraining) {
-			known.missingSinceMs ??= performance.now();
-			this.log.info({event: 'instance_unconfirmed', instance: id, revision}, 'instance missing after an outage');
-			return;
-		}
-
-		this.known.delete(id);
-		this.log.info({
-			event: 'instance_gone', instance: id, revision, from: 'source',
-		}, 'instance gone');
-	}
-
 	private changed(): void {
 		for (const listener of this.listeners) {
 			listener();
 		}
 	}
 }
-
-function isPresent({missingSinceMs}: KnownInstance, nowMs: number): boolean {
-	return missingSinceMs === undefined || nowMs - missingSinceMs < confirmMs;
-}
--- a/src/peers/load-datagrams.ts
+++ b/src/peers/load-datagrams.ts
@@ -1,9 +1,11 @@
-/** Tells other entries by datagram how many calls this one has at each instance, since they place calls at the same ones. */
+/** Tells other entries by datagram how many calls this one has at each instance, and takes what stagers tell of their engines. */
 import {Buffer} from 'node:buffer';
 import dgram from 'node:dgram';
 import {z} from 'zod';
 import type {InstanceUse, UseCount} from '../forwarding/instance-use.ts';
 import type {ListenAddress} from '../links/http-listener.ts';
+import type {Directory} from '../directory/directory.ts';
+import {heldDatagramSchema} from '../messages/held-datagram.ts';
 import type {PeerInfo} from '../messages/peers-exchange.ts';
 import type {Logger} from '../runtime/logger.ts';
 
@@ -17,12 +19,15 @@
 const maxBytes = 1400;
 
 /** VM, sequence number, then calls and unread tokens by instance. */
-const datagramSchema = z.tuple([z.string(), z.number(), z.record(z.string(), z.tuple([z.number(), z.number()]))]);
+const loadSchema = z.tuple([z.literal('load'), z.string(), z.number(), z.record(z.string(), z.tuple([z.number(), z.number()]))]);
+
+const datagramSchema = z.union([loadSchema, heldDatagramSchema]);
 
 /** What the exchange works with. */
 export type LoadDatagramsOptions = {
 	readonly vm: string;
 	readonly use: InstanceUse;
+	readonly directory: Directory;
 	/** The other entries. */
 	readonly entries: () => readonly PeerInfo[];
 	/** The port on which every entry takes datagrams. */
@@ -80,7 +85,7 @@
 			return;
 		}
 
-		const datagram = Buffer.from(JSON.stringify([vm, ++this.sequence, counts]));
+		const datagram = Buffer.from(JSON.stringify(['load', vm, ++this.sequence, counts]));
 		if (datagram.length > maxBytes) {
 			return;
 		}
@@ -99,7 +104,13 @@
 			return;
 		}
 
-		const [vm, sequence, counts] = datagram;
+		if (datagram[0] === 'held') {
+			const [, address, startedAtMs, held] = datagram;
+			this.options.directory.noteHeld(address, startedAtMs, held);
+			return;
+		}
+
+		const [, vm, sequence, counts] = datagram;
 		if (sequence <= (this.lastSequence.get(vm) ?? 0)) {
 			return;
 		}
--- a/src/settings/direct-settings.ts
+++ b/src/settings/direct-settings.ts
@@ -56,7 +56,11 @@
 export const stagerSettingsSchema = z.strictObject({
 	process: processSection,
 	listen: z.strictObject({control: address}),
-	peers: peersSection,
+	peers: z.strictObject({
+		seeds: addressList,
+		/** The port on which gateways take datagrams. */
+		datagram_port: positiveNumber,
+	}),
 	directory: directorySection,
 	engine: z.strictObject({
 		/** The engine on the same VM, `ip:port`. */
--- a/src/staging/staging-manager.ts
+++ b/src/staging/staging-manager.ts
@@ -39,6 +39,8 @@
 	/** VMs of the agents beside engines of the same service, the own one included. */
 	readonly group: () => readonly string[];
 	readonly versionBoundMs: number;
+	/** Is called when the engine serves another version than at the last look. */
+	readonly onServed: (served: {readonly model: string; readonly version: number; readonly layers: number; readonly startedAtMs: number}) => void;
 	readonly log: Logger;
 };
 
@@ -167,6 +169,12 @@
 			}
 
 			this.engineSilent = false;
+			if (report.servedVersion !== undefined && report.servedVersion !== this.servedVersion) {
+				this.options.onServed({
+					model, version: report.servedVersion, layers, startedAtMs: report.startedAtMs,
+				});
+			}
+
 			this.servedVersion = report.servedVersion;
 			return report;
 		} catch (err) {
--- a/test/forwarding-decisions.test.ts
+++ b/test/forwarding-decisions.test.ts
@@ -230,3 +230,27 @@
 		clock.uninstall();
 	}
 });
+
+it('guards against an idle engine that loaded: what its stager tells counts at once, for that run only, and no older entry takes it back', () => {
+	const directory = new Directory(createSilentLogger());
+	const held = (version: number) => ({
+		model: 'm', version, fromLayer: 0, toLayer: 16,
+	});
+	const entry = (revision: number, startedAtMs: number, version?: number) => {
+		const instance = testInstance({
+			id: 'i-1', address: '10.0.0.1:80', startedAtMs, held: version === undefined ? [] : [held(version)],
+		});
+		directory.apply({revision, changes: [{revision, change: {kind: 'instance', instance}}]});
+	};
+
+	const versions = () => directory.instance('i-1')?.held.map(({version}) => version);
+	entry(3, 100);
+	directory.noteHeld('10.0.0.1:80', 100, held(2));
+	expect(versions()).to.deep.equal([2]);
+	entry(4, 100, 1);
+	expect(versions()).to.deep.equal([2]);
+	entry(5, 100, 3);
+	expect(versions()).to.deep.equal([3]);
+	entry(6, 200);
+	expect(versions()).to.deep.equal([]);
+});
--- /dev/null
+++ b/test/staging.test.ts
@@ -0,0 +1,153 @@
+/** Staging beside an engine: what is written, checked and ordered, and when. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {Directory} from '../src/directory/directory.ts';
+import {digestOf} from '../src/ids/digest.ts';
+import {ChunkStore} from '../src/rollout/chunk-store.ts';
+import type {Manifest} from '../src/rollout/manifest.ts';
+import type {TransferNode} from '../src/rollout/transfer-node.ts';
+import {createSilentLogger} from '../src/runtime/logger.ts';
+import {nextStagingStep, type StagingInput, turnAfterMs} from '../src/staging/next-staging-step.ts';
+import type {StagedEngine} from '../src/staging/staged-engine.ts';
+import {StagingManager} from '../src/staging/staging-manager.ts';
+import {testEngine} from './support/direct-fixtures.ts';
+
+const contents = ['one', 'two', 'three', 'four'].map(text => new TextEncoder().encode(text));
+
+const manifest: Manifest = {
+	model: 'm', version: '2', chunk_bytes: 8, total_bytes: 32, chunks: contents.map(bytes => digestOf(bytes)),
+};
+
+/** An engine that keeps staged chunks and loads whatever lies there, as real ones do. */
+class FakeEngine implements StagedEngine {
+	readonly staged = new Map<number, Uint8Array>();
+	loaded: Array<Uint8Array | undefined> = [];
+	orders = 0;
+	startedAtMs = 1;
+	/** Is called after each write. */
+	onPut: (number: number) => void = () => undefined;
+
+	async report() {
+		return {
+			startedAtMs: this.startedAtMs, isBusy: false, orderCount: this.orders, servedVersion: this.loaded.length > 0 ? 2 : undefined,
+		};
+	}
+
+	async listChunks() {
+		return [...this.staged.keys()];
+	}
+
+	async putChunk(_model: string, number: number, bytes: Uint8Array) {
+		this.staged.set(number, bytes);
+		this.onPut(number);
+	}
+
+	async getChunk(_model: string, number: number) {
+		return this.staged.get(number);
+	}
+
+	async start() {
+		this.orders++;
+		this.loaded = contents.map((_, number) => this.staged.get(number));
+		return 'begun' as const;
+	}
+}
+
+async function runStaging(engine: FakeEngine, until: () => boolean): Promise<void> {
+	const log = createSilentLogger();
+	const directory = new Directory(log);
+	directory.apply({revision: 1, changes: [{revision: 1, change: {kind: 'version', model: 'm', version: 2}}]});
+	const chunks = new ChunkStore();
+	for (const bytes of contents) {
+		chunks.put(digestOf(bytes), bytes);
+	}
+
+	const node = {follow: () => undefined, stop: () => undefined} as unknown as TransferNode;
+	const manager = new StagingManager({
+		vm: 'a', plan: () => ({engine: testEngine, origin: undefined}), directory, engine, chunks, node, fetchManifest: async () => manifest, group: () => ['a'], versionBoundMs: 8000, onServed: () => undefined, log,
+	});
+	manager.start();
+	try {
+		for (let at = 0; at < 200 && !until(); at++) {
+			await sleep(20);
+		}
+	} finally {
+		manager.stop();
+	}
+}
+
+const text = (parts: ReadonlyArray<Uint8Array | undefined>) => parts.map(bytes => (bytes ? new TextDecoder().decode(bytes) : '')).join(' ');
+
+it('guards against serving spoilt weights: a chunk that goes bad after it was written is written again before the engine is ordered', async () => {
+	const engine = new FakeEngine();
+	let spoilt = 0;
+	engine.onPut = number => {
+		if (number === 2 && spoilt++ === 0) {
+			engine.staged.set(2, new TextEncoder().encode('rot'));
+		}
+	};
+
+	await runStaging(engine, () => engine.loaded.length > 0);
+	expect([text(engine.loaded), engine.orders]).to.deep.equal(['one two three four', 1]);
+});
+
+it('guards against trusting what another run left: spoilt and missing chunks beside a restarted engine are replaced, intact ones stay', async () => {
+	const engine = new FakeEngine();
+	engine.staged.set(0, contents[0]!);
+	engine.staged.set(1, contents[3]!);
+	const written: number[] = [];
+	engine.onPut = number => {
+		written.push(number);
+	};
+
+	await runStaging(engine, () => engine.loaded.length > 0);
+	expect(text(engine.loaded)).to.equal('one two three four');
+	expect(written.toSorted((a, b) => a - b)).to.deep.equal([1, 2, 3]);
+});
+
+it('guards against an engine that restarts empty and stays so: it is staged and ordered again', async () => {
+	const engine = new FakeEngine();
+	let restarted = false;
+	await runStaging(engine, () => {
+		if (engine.orders === 1 && !restarted) {
+			restarted = true;
+			engine.loaded = [];
+			engine.staged.clear();
+			engine.startedAtMs = 2;
+		}
+
+		return engine.orders === 2;
+	});
+	expect(text(engine.loaded)).to.equal('one two three four');
+});
+
+it('guards against orders that must not be given: only held, staged and idle engines that lack the version are ordered to start', () => {
+	const inputs: fc.Arbitrary<StagingInput> = fc.record({
+		wantedVersion: fc.integer({min: 1, max: 3}),
+		report: fc.option(fc.record({
+			startedAtMs: fc.constant(1), isBusy: fc.boolean(), orderCount: fc.nat(3), servedVersion: fc.option(fc.integer({min: 1, max: 3}), {nil: undefined}),
+		}), {nil: undefined}),
+		isHeld: fc.boolean(),
+		isStaged: fc.boolean(),
+		isTurn: fc.boolean(),
+	});
+	fc.assert(fc.property(inputs, input => {
+		if (nextStagingStep(input) === 'start') {
+			expect([input.isHeld, input.isStaged, input.report?.isBusy]).to.deep.equal([true, true, false]);
+			expect(input.report!.servedVersion ?? 0).to.be.lessThan(input.wantedVersion);
+		}
+	}), {seed: 4, numRuns: 300});
+});
+
+it('guards against a fall of capacity: turns of a group are spread over the time that is left and end before the bound', () => {
+	const turns = Array.from({length: 10}, (_, rank) => turnAfterMs({
+		rank, count: 10, boundMs: 8000, stagedAfterMs: 4000,
+	}));
+	expect(turns[0]).to.equal(4000);
+	expect(turns.every((turn, at) => at === 0 || turn > turns[at - 1]!)).to.equal(true);
+	expect(turns.at(-1)).to.be.lessThan(7000);
+	expect(turnAfterMs({
+		rank: 9, count: 10, boundMs: 8000, stagedAfterMs: 9000,
+	})).to.equal(9000);
+});
