Do not take a reset for the end of an answer without a length

Change: such an answer ends only when its connection closes in order. A retired connection pool that is closed twice no longer ends the process. The check stays, since a reset must never count.

--- a/src/forwarding/upstream-exchange.ts
+++ b/src/forwarding/upstream-exchange.ts
@@ -40,6 +40,8 @@
 	private readonly connectTimer: NodeJS.Timeout;
 	private isConnected = false;
 	private isOver = false;
+	/** Whether the upstream closed the connection in order, rather than by a reset. */
+	private hasClosedInOrder = false;
 
 	/**
 	 * @param request - what is sent
@@ -75,6 +77,9 @@
 			this.isConnected = true;
 			clearTimeout(this.connectTimer);
 		});
+		socket.once('end', () => {
+			this.hasClosedInOrder = true;
+		});
 	}
 
 	private read(res: http.IncomingMessage): void {
@@ -89,7 +94,9 @@
 			}
 		});
 		res.on('end', () => {
-			if (res.complete) {
+			// An answer without a length counts as complete to the parser also when a reset ended it.
+			const isFramed = res.headers['content-length'] !== undefined || res.headers['transfer-encoding'] !== undefined;
+			if (res.complete && (isFramed || this.hasClosedInOrder)) {
 				this.end();
 			} else {
 				this.fail('answer_cut');
--- a/src/links/peer-client.ts
+++ b/src/links/peer-client.ts
@@ -175,7 +175,12 @@
 
 	private async retire(pool: Agent): Promise<void> {
 		this.retired.add(pool);
-		await pool.close();
+		try {
+			await pool.close();
+		} catch {
+			// The client was closed meanwhile, and all its connections with it.
+		}
+
 		this.retired.delete(pool);
 	}
 
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -126,6 +126,23 @@
 	expect([answer.status, answer.body, calls]).to.deep.equal([200, 'whole', 2]);
 });
 
+it('guards against an answer without a length that a reset ended: it is not passed on as whole, one that ends in order is', async () => {
+	for (const [isReset, status] of [[true, 502], [false, 200]] as const) {
+		const {gateway} = await start({kind: 'once'}, [req => {
+			req.socket.write('HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nResponse-Seal: s\r\nConnection: close\r\n\r\npart');
+			setTimeout(() => {
+				if (isReset) {
+					req.socket.resetAndDestroy();
+				} else {
+					req.socket.end();
+				}
+			}, 30);
+		}]);
+		const answer = await callGateway(gateway.url);
+		expect(answer.status).to.equal(status);
+	}
+});
+
 it('guards against missing and doubled events: a resumable stream goes on at another upstream after its last whole event', async () => {
 	const breaks = stream(6, 3);
 	let first = true;
