Pass answers without a length on without one

Change: the caller gets such an answer as the upstream sent it: without a length, ended by its connection. The test was not run on the code before.

--- a/src/forwarding/answer-sink.ts
+++ b/src/forwarding/answer-sink.ts
@@ -35,12 +35,20 @@
 	 * @param status - the HTTP status
 	 * @param headers - name and value in turn
 	 * @param body - the whole body
+	 * @param isFramed - whether the upstream said where the body ends
 	 */
-	sendWhole(status: number, headers: readonly string[], body: Buffer): void {
+	sendWhole(status: number, headers: readonly string[], body: Buffer, isFramed = true): void {
 		if (this.isOver) {
 			return;
 		}
 
+		if (!isFramed) {
+			this.begin(status, headers, false);
+			this.write(body);
+			this.end();
+			return;
+		}
+
 		this.hasBegun = true;
 		this.isOver = true;
 		this.res.writeHead(status, ['content-length', String(body.length), ...headers]);
@@ -64,11 +72,19 @@
 	 *
 	 * @param status - the HTTP status
 	 * @param headers - name and value in turn
+	 * @param isFramed - whether the upstream marks the end; otherwise the answer must not look more certain than the upstream's
 	 */
-	begin(status: number, headers: readonly string[]): void {
-		if (!this.isOver) {
-			this.hasBegun = true;
+	begin(status: number, headers: readonly string[], isFramed = true): void {
+		if (this.isOver) {
+			return;
+		}
+
+		this.hasBegun = true;
+		if (isFramed) {
 			this.res.writeHead(status, [...headers]);
+		} else {
+			this.res.useChunkedEncodingByDefault = false;
+			this.res.writeHead(status, [...headers, 'connection', 'close']);
 		}
 	}
 
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -131,7 +131,7 @@
 		const answer = send?.wholeAnswer();
 		this.finish('passed_on', {status: answer?.status}, () => {
 			if (answer) {
-				this.options.sink.sendWhole(answer.status, answer.headers, answer.body);
+				this.options.sink.sendWhole(answer.status, answer.headers, answer.body, answer.isFramed);
 			}
 		});
 	}
--- a/src/forwarding/upstream-send.ts
+++ b/src/forwarding/upstream-send.ts
@@ -36,7 +36,7 @@
 };
 
 /** A whole answer that is not yet passed on. */
-export type WholeAnswer = {readonly status: number; readonly headers: readonly string[]; readonly body: Buffer};
+export type WholeAnswer = {readonly status: number; readonly headers: readonly string[]; readonly body: Buffer; readonly isFramed: boolean};
 
 /** One send. */
 export class UpstreamSend {
@@ -140,7 +140,7 @@
 		}
 
 		if (!sink.hasBegun) {
-			sink.begin(this.head!.status, this.head!.answer.passedOn);
+			sink.begin(this.head!.status, this.head!.answer.passedOn, this.head!.answer.isFramed);
 			this.begunVersion = this.head!.answer.version;
 		}
 
@@ -171,7 +171,9 @@
 			return;
 		}
 
-		this.whole = {status: head.status, headers: head.answer.passedOn, body: Buffer.concat(this.parts)};
+		this.whole = {
+			status: head.status, headers: head.answer.passedOn, body: Buffer.concat(this.parts), isFramed: head.answer.isFramed,
+		};
 		if (head.status >= firstServerError) {
 			use.recordOutcome(instance.id, false);
 			this.report({kind: 'upstream-error', status: head.status});
@@ -180,7 +182,7 @@
 
 		use.recordOutcome(instance.id, true);
 		this.close();
-		sink.sendWhole(this.whole.status, this.whole.headers, this.whole.body);
+		sink.sendWhole(this.whole.status, this.whole.headers, this.whole.body, this.whole.isFramed);
 		onServed();
 	}
 
@@ -195,7 +197,7 @@
 		use.recordOutcome(instance.id, true);
 		this.close();
 		if (!sink.hasBegun) {
-			sink.begin(this.head!.status, this.head!.answer.passedOn);
+			sink.begin(this.head!.status, this.head!.answer.passedOn, this.head!.answer.isFramed);
 		}
 
 		sink.end();
--- a/src/forwarding/wire-codec.ts
+++ b/src/forwarding/wire-codec.ts
@@ -41,6 +41,8 @@
 	readonly isSigned: boolean;
 	/** Whether the upstream says that it did not run the call. */
 	readonly isNotRun: boolean;
+	/** Whether the answer says where its body ends; otherwise its end is the connection's, which shows nothing of completeness. */
+	readonly isFramed: boolean;
 	/** Whether the body has an encoding, which is never the upstream's own. */
 	readonly isEncoded: boolean;
 	/** Calls that run and wait at the upstream. */
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -143,6 +143,14 @@
 	}
 });
 
+it('guards against an answer that looks more complete than the upstream made it: without a length there, it has none here', async () => {
+	const {gateway} = await start({kind: 'once'}, [req => {
+		req.socket.end('HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nResponse-Seal: s\r\nConnection: close\r\n\r\npart');
+	}]);
+	const {status, headers, body} = await callGateway(gateway.url);
+	expect([status, headers['content-length'], headers['transfer-encoding'], headers.connection, body]).to.deep.equal([200, undefined, undefined, 'close', 'part']);
+});
+
 it('guards against missing and doubled events: a resumable stream goes on at another upstream after its last whole event', async () => {
 	const breaks = stream(6, 3);
 	let first = true;
