--- a/src/rollout/chunk-fetcher.ts
+++ b/src/rollout/chunk-fetcher.ts
@@ -195,7 +195,10 @@
 	}
 
 	private noteRefusal(source: string, err: SourceBusyError): void {
-		const {random} = this.options.node;
+		const {random, log} = this.options.node;
+		log.info({
+			event: 'chunk_refused', source, code: err.code, retryAfterMs: err.retryAfterMs,
+		}, 'a source refused a chunk for now');
 		if (err.code === 'over_budget') {
 			this.options.neighbourhood.peers.markOverBudget(source);
 		} else if (source === originSource) {
--- a/src/rollout/version-transfer.ts
+++ b/src/rollout/version-transfer.ts
@@ -95,6 +95,11 @@
 		return this.content ? this.held.count : 0;
 	}
 
+	/** Where chunks are being read from now. */
+	get openSources(): readonly string[] {
+		return this.fetcher.open.map(({source}) => source);
+	}
+
 	/** Bytes that were read from the origin. */
 	get originBytes(): number {
 		return this.fetcher.originBytes;
--- a/src/staging/staging-manager.ts
+++ b/src/staging/staging-manager.ts
@@ -22,6 +22,9 @@
 /** A check of the staged chunks counts for this long, in milliseconds; they may go bad while they lie there. */
 const checkedMs = 1200;
 
+/** Time between two lines about a transfer that goes on, in milliseconds. */
+const progressLogMs = 2000;
+
 /** The version that engines hold when none was ever named. */
 const firstVersion = 1;
 
@@ -57,6 +60,7 @@
 	private stagedSinceMs: number | undefined;
 	private scannedRun: number | undefined;
 	private lastStep: StagingStep | undefined;
+	private loggedAtMs = 0;
 	private engineSilent = false;
 	private servedVersion: number | undefined;
 	private timer: NodeJS.Timeout | undefined;
@@ -316,11 +320,13 @@
 	}
 
 	private logStep(step: StagingStep, {model, version, manifest}: Target, {servedVersion, isBusy}: EngineReport): void {
-		if (step !== this.lastStep) {
+		const isDue = step === 'fetch' && performance.now() - this.loggedAtMs >= progressLogMs;
+		if (step !== this.lastStep || isDue) {
 			this.lastStep = step;
+			this.loggedAtMs = performance.now();
 			const held = manifest.chunks.filter(digest => this.options.chunks.has(createDigest(digest))).length;
 			this.options.log.info({
-				event: 'staging_step', step, model, version, servedVersion, isBusy, held, total: manifest.chunks.length, staged: this.staged.size,
+				event: 'staging_step', step, model, version, servedVersion, isBusy, held, total: manifest.chunks.length, staged: this.staged.size, open: this.options.node.versions.flatMap(item => item.transfer.openSources),
 			}, 'next step of staging');
 		}
 	}
--- a/test/staging.test.ts
+++ b/test/staging.test.ts
@@ -63,7 +63,7 @@
 		chunks.put(digestOf(bytes), bytes);
 	}
 
-	const node = {follow: () => undefined, stop: () => undefined} as unknown as TransferNode;
+	const node = {versions: [], follow: () => undefined, stop: () => undefined} as unknown as TransferNode;
 	const manager = new StagingManager({
 		vm: 'a', plan: () => ({engine: testEngine, origin: undefined}), directory, engine, chunks, node, fetchManifest: async () => manifest, group: () => ['a'], versionBoundMs: 8000, onServed: () => undefined, log,
 	});
