--- a/build/smoke.mjs
+++ b/build/smoke.mjs
@@ -20,7 +20,7 @@
 try {
 	expectText('--version', run('--version'), 'cactusreach/');
 	expectText('--help', run('--help'), 'agent');
-	const examples = ['entry.ini', 'agent-engine.ini', 'agent-plain.ini', 'configuration.json'];
+	const examples = ['entry.ini', 'agent-engine.ini', 'agent-plain.ini', 'gateway.ini', 'stager.ini', 'configuration.json'];
 	expectText('check', run('check', ...examples.map(name => path.join('examples', name))), ' 0 findings');
 	await callThroughBinary();
 } catch (err) {
--- a/src/checks/check-file.ts
+++ b/src/checks/check-file.ts
@@ -1,9 +1,10 @@
 /** Checks one file of settings (INI) or published documents (JSON) and collects every finding. */
 import {readFileSync} from 'node:fs';
-import type {ZodError} from 'zod';
+import type {ZodError, ZodType} from 'zod';
 import {documentSchemas} from '../configuration/documents.ts';
 import type {Finding} from '../runtime/finding.ts';
-import {listIniLines} from '../settings/ini-lines.ts';
+import {gatewaySettingsSchema, stagerSettingsSchema} from '../settings/direct-settings.ts';
+import {type IniLine, listIniLines} from '../settings/ini-lines.ts';
 import {parseSettings} from '../settings/parse-settings.ts';
 import {agentSettingsSchema, entrySettingsSchema} from '../settings/settings-schema.ts';
 import {checkReferences} from './check-references.ts';
@@ -33,12 +34,20 @@
  */
 export function checkSettings(text: string, file: string): readonly Finding[] {
 	const lines = listIniLines(text);
-	const hasUpstream = lines.some(({section}) => section === 'upstream');
-	const hasCallers = lines.some(({section, key}) => section === 'listen' && key === 'callers');
-	const parsed = parseSettings<unknown>(text, file, hasCallers && !hasUpstream ? entrySettingsSchema : agentSettingsSchema);
+	const parsed = parseSettings<unknown>(text, file, schemaOf(lines));
 	return parsed.ok ? [] : parsed.findings;
 }
 
+function schemaOf(lines: readonly IniLine[]): ZodType {
+	const has = (section: string) => lines.some(line => line.section === section);
+	const hasCallers = lines.some(({section, key}) => section === 'listen' && key === 'callers');
+	if (has('directory')) {
+		return hasCallers && !has('engine') ? gatewaySettingsSchema : stagerSettingsSchema;
+	}
+
+	return hasCallers && !has('upstream') ? entrySettingsSchema : agentSettingsSchema;
+}
+
 /**
  * Checks published documents, each one and their references to each other.
  *
--- a/src/runtime/log-sink.ts
+++ b/src/runtime/log-sink.ts
@@ -28,6 +28,7 @@
 	private readonly queue: Buffer[] = [];
 	private queuedBytes = 0;
 	private isWriting = false;
+	private wroteAtMs = Number.NEGATIVE_INFINITY;
 	private timer: NodeJS.Timeout | undefined;
 	private reportedDropped = 0;
 	private tokens = lineRate.burst;
@@ -81,13 +82,13 @@
 		return true;
 	}
 
-	/** Lines within a short time go out in one write. */
+	/** The first line after a pause goes out at once, later ones within a short time in one write. */
 	private flushSoon(): void {
 		if (this.timer === undefined && !this.isWriting) {
 			this.timer = setTimeout(() => {
 				this.timer = undefined;
 				this.flush();
-			}, gatherMs);
+			}, this.wroteAtMs + gatherMs > performance.now() ? gatherMs : 0);
 			this.timer.unref();
 		}
 	}
@@ -106,6 +107,7 @@
 
 		const batch = Buffer.concat(this.queue.splice(0));
 		this.isWriting = true;
+		this.wroteAtMs = performance.now();
 		this.writeBatch(batch);
 	}
 
--- a/test/chunk-server.test.ts
+++ b/test/chunk-server.test.ts
@@ -25,7 +25,9 @@
 	const {port} = server.address() as AddressInfo;
 	try {
 		for (let at = 0; at < 6; at++) {
-			const req = http.get({host: '127.0.0.1', port, path: `/chunks/${digest}?manifest=m`, agent: false});
+			const req = http.get({
+				host: '127.0.0.1', port, path: `/chunks/${digest}?manifest=m`, agent: false,
+			});
 			req.on('error', () => undefined);
 			await sleep(60);
 			req.destroy();
--- a/test/observability.test.ts
+++ b/test/observability.test.ts
@@ -39,6 +39,8 @@
 			expect(Number(line?.[1]), name).to.be.at.least(name === 'event_loop_delay_ms' ? 0 : 0.001);
 		}
 
+		// Lines are gathered before they are written.
+		await waitFor('the refusal is logged', () => entry.log.some(text => text.includes('"call_refused"')));
 		const lines = entry.log.filter(text => text.startsWith('{')).map(text => JSON.parse(text) as LogLine);
 		const ofCall = lines.filter(line => line.event === 'call_refused');
 		expect(ofCall.map(line => [line.request_id, line.workspace])).to.deep.equal([[refused.headers.get('x-request-id'), 'desk']]);
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -6,7 +6,7 @@
 import {parseJsonLines} from '../src/checks/parse-json-lines.ts';
 import type {Finding} from '../src/runtime/finding.ts';
 
-const examples = ['entry.ini', 'agent-engine.ini', 'agent-plain.ini', 'configuration.json'];
+const examples = ['entry.ini', 'agent-engine.ini', 'agent-plain.ini', 'gateway.ini', 'stager.ini', 'configuration.json'];
 const places = (findings: readonly Finding[]) => findings.map(({line, key, reason}) => `${line} ${key} ${reason}`);
 const iniParts = [
 	'[process]\n',
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -1,10 +1,10 @@
 /** Starts entries and agents as separate processes, with stand-ins in this process, on loopback. */
-import {type Buffer} from 'node:buffer';
 import {type ChildProcess, spawn} from 'node:child_process';
 import {mkdtempSync, writeFileSync} from 'node:fs';
 import net, {type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import {createInterface} from 'node:readline';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {stringify} from 'ini';
@@ -180,9 +180,9 @@
 		const command = this.executable === undefined ? [process.execPath, program] : [this.executable];
 		const child = spawn(command[0] ?? '', [...command.slice(1), role, '--settings', file], {stdio: ['ignore', 'pipe', 'pipe']});
 		const log: string[] = [];
-		for (const output of [child.stdout, child.stderr]) {
-			output.on('data', (part: Buffer) => {
-				log.push(...part.toString('utf8').split('\n'));
+		for (const input of [child.stdout, child.stderr]) {
+			createInterface({input}).on('line', line => {
+				log.push(line);
 			});
 		}
 
