Let refused calls return later, and late ones use all slots

A call that returns is late whenever it comes, so that a soon return only finds the same overload. Change: they return after 0.7 to 1.9 s, spread by 0.3 s; late calls may use all slots instead of 0.9 of them.

--- a/src/forwarding/place-call.ts
+++ b/src/forwarding/place-call.ts
@@ -41,8 +41,8 @@
 /** What a place with recent failures must be better by, in milliseconds. */
 const suspectPenaltyMs = 300;
 
-/** Share of the slots that late calls may use; the rest is kept for calls that can be on time. */
-const lateShare = 0.9;
+/** Share of the slots that late calls may use; waiting places are kept for calls that can be on time. */
+const lateShare = 1;
 
 /** Share of the aim within which a forecast counts as on time; the forecast does not see other entries' latest calls. */
 const onTimeShare = 0.92;
@@ -50,8 +50,21 @@
 /** When a call returns that found no upstream at all, in milliseconds. */
 const noUpstreamRetryMs = 1000;
 
-/** Shortest and longest time to return after a refusal for load, in milliseconds. */
-const overloadRetryMs = {min: 300, max: 1800};
+/**
+ * Shortest and longest time to return after a refusal for load, in milliseconds.
+ *
+ * A call that returns is late in any case, so that it returns when a place is likely rather than soon.
+ */
+const overloadRetryMs = {min: 700, max: 1600};
+
+/** The time to return as a multiple of the time in which the excess is worked off. */
+const retryPerExcess = 6;
+
+/** Times to return are spread by up to this much, in milliseconds, so that refused calls do not come back all at once. */
+const retrySpreadMs = 300;
+
+/** When a call to a plain service returns after a refusal, in milliseconds; its whole time is about a second. */
+const plainRetryMs = 250;
 
 /** Calls per slot at a plain service beyond which its queue would only grow. */
 const plainQueuePerSlot = 3;
@@ -83,7 +96,7 @@
 	const excess = Math.max(1, best.candidate.load.calls - best.candidate.slots + 1);
 	const freeMs = excess * slotTimeMs(timing) / timing.slots;
 	return {
-		kind: 'refuse', reason: 'overloaded', retryAfterMs: Math.min(overloadRetryMs.max, Math.max(overloadRetryMs.min, freeMs * 4)),
+		kind: 'refuse', reason: 'overloaded', retryAfterMs: Math.min(overloadRetryMs.max, Math.max(overloadRetryMs.min, freeMs * retryPerExcess)) + draw(retrySpreadMs),
 	};
 }
 
@@ -100,11 +113,11 @@
 	});
 	const best = drawLowest(ranked, draw);
 	if (!best) {
-		return {kind: 'refuse', reason: 'no_upstream', retryAfterMs: noUpstreamRetryMs / 4};
+		return {kind: 'refuse', reason: 'no_upstream', retryAfterMs: plainRetryMs};
 	}
 
 	if (best.candidate.load.calls >= best.candidate.slots * plainQueuePerSlot) {
-		return {kind: 'refuse', reason: 'overloaded', retryAfterMs: overloadRetryMs.min};
+		return {kind: 'refuse', reason: 'overloaded', retryAfterMs: plainRetryMs};
 	}
 
 	return {kind: 'place', id: best.candidate.id, predictedMs: 0};
