Ask an origin that was away again within half a second

The pause after failures doubles up to 10 s, made for rollouts of minutes. Change: the longest pause is an option, 0.5 s for the stager. Calls that find no engine return after 1.6 to 1.9 s instead of 1 s, since engines come back after seconds.

--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -26,6 +26,9 @@
 /** Limits of transfers of a few megabytes within seconds, in milliseconds and copies. */
 const transferLimits = {chunk_timeout_ms: 1500, step_in_ms: 900, upload_copies: 4};
 
+/** The longest pause after failures of a source, in milliseconds; the whole rollout has a few seconds. */
+const maxSourcePauseMs = 500;
+
 /** Notices between agents: the least time between two about common chunks, in milliseconds, and bytes per second. */
 const notices = {noticeIntervalMs: 250, noticeBytesPerSecond: 20_000};
 
@@ -155,6 +158,7 @@
 			random,
 			log,
 			limits: () => transferLimits,
+			maxPauseMs: maxSourcePauseMs,
 			memoryBytes: transfer.memory_bytes,
 			...notices,
 		};
--- a/src/forwarding/place-call.ts
+++ b/src/forwarding/place-call.ts
@@ -47,8 +47,8 @@
 /** Share of the aim within which a forecast counts as on time; the forecast does not see other entries' latest calls. */
 const onTimeShare = 0.92;
 
-/** When a call returns that found no upstream at all, in milliseconds. */
-const noUpstreamRetryMs = 1000;
+/** When a call returns that found no engine at all, in milliseconds; engines come back after seconds. */
+const noUpstreamRetryMs = 1600;
 
 /**
  * Shortest and longest time to return after a refusal for load, in milliseconds.
@@ -84,7 +84,7 @@
 	});
 	const best = drawLowest(forecasts, draw);
 	if (!best) {
-		return {kind: 'refuse', reason: 'no_upstream', retryAfterMs: noUpstreamRetryMs};
+		return {kind: 'refuse', reason: 'no_upstream', retryAfterMs: noUpstreamRetryMs + draw(retrySpreadMs)};
 	}
 
 	const isOnTime = best.predictedMs <= call.aimLeftMs * onTimeShare;
--- a/src/rollout/chunk-fetcher.ts
+++ b/src/rollout/chunk-fetcher.ts
@@ -10,8 +10,8 @@
 /** The first pause after a failure, as a share of the progress deadline. */
 const firstPauseShare = 0.1;
 
-/** The longest pause after failures in a row of the same source, in milliseconds. */
-const maxPauseMs = 10_000;
+/** The longest pause after failures in a row of the same source, in milliseconds, where the options set none. */
+const defaultMaxPauseMs = 10_000;
 
 /** Failures in a row after which the pause no longer doubles. */
 const maxDoublings = 6;
@@ -176,7 +176,7 @@
 		neighbourhood.noteContact(source, true);
 		const failures = source === originSource ? ++this.originFailures : neighbourhood.peers.fail(source);
 		const pauseMs = node.limits().chunk_timeout_ms * firstPauseShare * (2 ** Math.min(failures, maxDoublings));
-		const jitteredMs = node.random.jitter(Math.min(maxPauseMs, pauseMs));
+		const jitteredMs = node.random.jitter(Math.min(node.maxPauseMs ?? defaultMaxPauseMs, pauseMs));
 		if (source === originSource) {
 			this.resumeOriginAfter(jitteredMs);
 		} else {
--- a/src/rollout/transfer-options.ts
+++ b/src/rollout/transfer-options.ts
@@ -39,6 +39,8 @@
 	readonly random: RandomSource;
 	readonly log: Logger;
 	readonly limits: () => TransferLimits;
+	/** The longest pause after failures in a row of one source, in milliseconds. */
+	readonly maxPauseMs?: number;
 	/** Memory for weights, in bytes. */
 	readonly memoryBytes: number;
 	/** Control bytes per second for notices, both ways. */
