Tell other entries each change of calls at once, and keep late calls off busy engines

Cause: entries told each other their counts every 120 ms. Late calls were also taken up to all slots, which made calls late that could have been on time.

Ruled out: the forecast (920 first events against their forecasts agree within about 10 in 100).

Change: changes of counts go out within 2 ms (new calls) or 30 ms, all counts every 480 ms; the forecast is of the first event; late calls up to half of the slots; a bound on the wait that lets long prompts in; returns told by a much shorter deadline; one instance per address; an expiring version is placed by its forecast and taken back when it has not begun in time; an engine that loads is announced by its stager.

Conclusion: entries without a shared queue need each other's calls within milliseconds.

--- a/bench/routing.ts
+++ b/bench/routing.ts
@@ -3,7 +3,7 @@
  *
  * Run with `node build/bench.mjs routing` at the root, and with `--processes` to measure over real processes as well.
  */
-import {readFileSync, writeFileSync} from 'node:fs';
+import {writeFileSync} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
 import {prepareRendezvous} from '../src/runtime/rendezvous.ts';
@@ -12,6 +12,7 @@
 import {
 	plotLoads, policies, runScenario, scenarios, type Summary, workspaceScenario,
 } from './scenarios.ts';
+import {writeDocPart} from './support/doc-part.ts';
 import {drawPlots, type PlotLine} from './svg-plot.ts';
 
 const docs = path.resolve('docs');
@@ -68,24 +69,11 @@
 	]));
 }
 
-/** Replaces the text between the two marks of a part of docs/ROUTING.md. */
-function writePart(name: string, text: string): void {
-	const file = path.join(docs, 'ROUTING.md');
-	const page = readFileSync(file, 'utf8');
-	const [begin, end] = [`<!-- ${name}: begin -->`, `<!-- ${name}: end -->`];
-	const [before, rest] = page.split(begin);
-	if (rest === undefined) {
-		throw new Error(`docs/ROUTING.md has no mark ${begin}`);
-	}
-
-	writeFileSync(file, `${before}${begin}\n${text}\n${end}${rest.split(end)[1] ?? ''}`);
-}
-
 await prepareRendezvous();
-writePart('policies', compareScenarios());
-writePart('workspaces', compareWorkspaces());
-writePart('cost', measureCost());
+writeDocPart('docs/ROUTING.md', 'policies', compareScenarios());
+writeDocPart('docs/ROUTING.md', 'workspaces', compareWorkspaces());
+writeDocPart('docs/ROUTING.md', 'cost', measureCost());
 drawLoads();
 if (process.argv.includes('--processes')) {
-	writePart('processes', await runOverProcesses());
+	writeDocPart('docs/ROUTING.md', 'processes', await runOverProcesses());
 }
--- a/src/directory/instance-table.ts
+++ b/src/directory/instance-table.ts
@@ -30,10 +30,16 @@
 	/** @param log - receives each change */
 	constructor(private readonly log: Logger) {}
 
-	/** All instances that may be alive. */
+	/** All instances that may be alive; of several at one address only the one that started last can be. */
 	get all(): readonly Instance[] {
 		const nowMs = performance.now();
-		return [...this.known.values()].filter(known => isPresent(known, nowMs)).map(({instance}) => instance);
+		const present = [...this.known.values()].filter(known => isPresent(known, nowMs)).map(({instance}) => instance);
+		const lastStarts = new Map<string, number>();
+		for (const {address, startedAtMs} of present) {
+			lastStarts.set(address, Math.max(startedAtMs, lastStarts.get(address) ?? startedAtMs));
+		}
+
+		return present.filter(({address, startedAtMs}) => lastStarts.get(address) === startedAtMs);
 	}
 
 	/**
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -15,6 +15,7 @@
 } from './place-call.ts';
 import {type RetryBound, RetryWindow} from './retry-window.ts';
 import type {RouteTable} from './route-table.ts';
+import {UsualDeadlines} from './usual-deadlines.ts';
 import {VersionRule} from './version-rule.ts';
 import type {WireCodec} from './wire-codec.ts';
 
@@ -49,7 +50,7 @@
 export class CallForwarder {
 	private readonly open = new Set<ForwardedCall>();
 	private readonly budgets = new Map<string, RetryWindow>();
-	private readonly usualDeadlines = new Map<string, number>();
+	private readonly usualDeadlines = new UsualDeadlines();
 	private readonly versionRule: VersionRule;
 	private isLeaving = false;
 
@@ -101,7 +102,7 @@
 			route,
 			service,
 			holder: route.isPublic && !holder ? undefined : holder,
-			aimLeftMs: route.aimMs - this.elapsedMs(route, read.headers.deadlineMs),
+			aimLeftMs: route.aimMs - this.usualDeadlines.elapsedMs(route.prefix, read.headers.deadlineMs),
 			sink,
 			codec,
 			use,
@@ -147,13 +148,6 @@
 		onEnd(route, reason, performance.now() - read.receivedAtMs);
 	}
 
-	/** A caller that returns after a refusal names a shorter time than at first; what is missing has passed since then. */
-	private elapsedMs(route: Route, deadlineMs: number | undefined): number {
-		const usualMs = Math.max(this.usualDeadlines.get(route.prefix) ?? 0, deadlineMs ?? 0);
-		this.usualDeadlines.set(route.prefix, usualMs);
-		return usualMs - (deadlineMs ?? usualMs);
-	}
-
 	private budgetOf(service: string): RetryWindow {
 		let budget = this.budgets.get(service);
 		if (!budget) {
@@ -166,18 +160,18 @@
 
 	private place(request: PlaceRequest): FoundPlace | Exclude<Placement, {kind: 'place'}> {
 		const {directory, use, random, log} = this.options;
+		const {headers, aimLeftMs, deadlineLeftMs} = request;
 		const service = directory.table?.service(request.service);
 		const engine = service?.engine;
 		const instances = this.eligible(request, service);
-		const candidates = instances.map(instance => this.candidate(instance));
+		const candidates = instances.map(instance => this.candidate(instance, headers.model));
 		const draw = (bound: number) => random.below(bound);
-		const {headers, aimLeftMs, deadlineLeftMs} = request;
 		const placement = engine
 			? placeAtEngine(engine, candidates, {promptTokens: headers.promptTokens || engine.usualPromptTokens, aimLeftMs, deadlineLeftMs}, draw)
 			: placeAtService(candidates, draw);
 		if (placement.kind === 'refuse') {
 			log.info({
-				event: 'no_place', id: headers.attemptId, reason: placement.reason, candidates: candidates.length, aimLeftMs: Math.round(aimLeftMs),
+				event: 'no_place', id: headers.attemptId, reason: placement.reason, candidates: candidates.length, aimLeftMs: Math.round(aimLeftMs), deadlineMs: headers.deadlineMs,
 				leastCalls: Math.min(...candidates.map(({load}) => load.calls)), instancesRevision: directory.instancesRevision,
 			}, 'no place for a call');
 			return placement;
@@ -185,9 +179,12 @@
 
 		const instance = instances.find(({id}) => id === placement.id)!;
 		log.debug({
-			event: 'call_placed', id: headers.attemptId, instance: instance.id, predictedMs: Math.round(placement.predictedMs), load: use.loadOf(instance.id), aimLeftMs: Math.round(aimLeftMs),
+			event: 'call_placed', id: headers.attemptId, instance: instance.id, predictedMs: Math.round(placement.predictedMs), load: use.loadOf(instance.id), aimLeftMs: Math.round(aimLeftMs), deadlineMs: headers.deadlineMs,
 		}, 'call placed');
-		return {instance, predictedMs: placement.predictedMs, version: heldOf(instance, headers.model)?.version};
+		const {beginWithinMs} = candidates.find(({id}) => id === placement.id)!;
+		return {
+			instance, predictedMs: placement.predictedMs, version: heldOf(instance, headers.model)?.version, beginWithinMs,
+		};
 	}
 
 	/** Instances that hold what the call needs and may get it; untried ones, as long as there are any. */
@@ -207,10 +204,16 @@
 		});
 	}
 
-	private candidate(instance: Instance): Candidate {
+	private candidate(instance: Instance, model: string | undefined): Candidate {
 		const {use, zone} = this.options;
+		const held = heldOf(instance, model);
 		return {
-			id: instance.id, isLocal: instance.zone === zone, load: use.loadOf(instance.id), slots: instance.slots, isSuspect: use.isSuspect(instance.id),
+			id: instance.id,
+			isLocal: instance.zone === zone,
+			load: use.loadOf(instance.id),
+			slots: instance.slots,
+			isSuspect: use.isSuspect(instance.id),
+			beginWithinMs: held ? this.versionRule.timeLeftMs(held) : Number.POSITIVE_INFINITY,
 		};
 	}
 }
--- a/src/forwarding/engine-forecast.ts
+++ b/src/forwarding/engine-forecast.ts
@@ -1,16 +1,15 @@
 /**
- * Predicts when an engine that batches continuously gives a call's first token, from its published timing.
+ * Predicts when an engine that batches continuously gives the first event of a call's answer, from its published timing.
  *
  * The forecast answers the load of many streams on few engines, where a place with the least calls is not the one with the least waiting.
  */
 import type {EngineTiming} from '../directory/directory-types.ts';
 
-/** What is known of the work at one engine. */
-export type EngineLoad = {
-	/** Calls in flight, from all entries. */
-	readonly calls: number;
-	/** Prompt tokens of calls that have no first token yet. */
-	readonly unreadTokens: number;
+/** Calls at one instance and their prompt tokens that are not read yet. */
+export type UseCount = {readonly calls: number; readonly unreadTokens: number};
+
+/** What is known of the work at one engine, from all entries. */
+export type EngineLoad = UseCount & {
 	/** How much slower than published the engine is; 1 is as published. */
 	readonly slowness: number;
 };
@@ -39,17 +38,19 @@
 }
 
 /**
- * Predicts the time to the first token, in milliseconds.
+ * Predicts the time to the first event of the answer, in milliseconds.
  *
  * @param timing - the published timing
  * @param load - the work at the engine
  * @param promptTokens - the prompt of the call to place
  */
-export function firstTokenMs(timing: EngineTiming, load: EngineLoad, promptTokens: number): number {
+export function firstEventMs(timing: EngineTiming, load: EngineLoad, promptTokens: number): number {
 	const writers = Math.min(load.calls, timing.slots);
 	const readingMs = (load.unreadTokens + promptTokens) / timing.readTokensPerMs;
 	const restOfPassMs = writers > 0 ? timing.stepsPerPass * stepMs(timing, writers) / 2 : 0;
 	const queuedBefore = load.calls - timing.slots + 1;
 	const queueMs = queuedBefore > 0 ? queuedBefore * slotTimeMs(timing) / timing.slots : 0;
-	return load.slowness * (readingMs + restOfPassMs + queueMs + stepMs(timing, writers + 1));
+	// An event goes out at the end of the pass after the one that read the prompt.
+	const writingMs = (timing.stepsPerPass + 1) * stepMs(timing, writers + 1);
+	return load.slowness * (readingMs + restOfPassMs + queueMs + writingMs);
 }
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -34,7 +34,13 @@
 };
 
 /** A place with what the send needs to know. */
-export type FoundPlace = {readonly instance: Instance; readonly predictedMs: number; readonly version: number | undefined};
+export type FoundPlace = {
+	readonly instance: Instance;
+	readonly predictedMs: number;
+	readonly version: number | undefined;
+	/** How long the version may still begin work, in milliseconds. */
+	readonly beginWithinMs: number;
+};
 
 /** What a call needs from its forwarder. */
 export type ForwardedCallOptions = {
@@ -198,7 +204,7 @@
 		return Math.min(this.deadlineAtMs, this.timeoutAtMs);
 	}
 
-	private sendTo({instance, predictedMs, version}: FoundPlace): void {
+	private sendTo({instance, predictedMs, version, beginWithinMs}: FoundPlace): void {
 		const {call, route, holder, sink, codec, use} = this.options;
 		this.tried.add(instance.id);
 		this.runs++;
@@ -207,6 +213,7 @@
 			instance,
 			isStream: route.kind === 'stream',
 			predictedMs,
+			beginWithinMs,
 			instructions: {
 				deadlineMs: Math.max(1, Math.floor(this.endAtMs - performance.now())),
 				instance: instance.id,
--- a/src/forwarding/instance-use.ts
+++ b/src/forwarding/instance-use.ts
@@ -2,12 +2,10 @@
 import type {Instance} from '../directory/directory-types.ts';
 import type {Logger} from '../runtime/logger.ts';
 import {parseAddress} from '../links/http-listener.ts';
-import type {EngineLoad} from './engine-forecast.ts';
+import {CallCounts} from './call-counts.ts';
+import type {EngineLoad, UseCount} from './engine-forecast.ts';
 import {acceptsConnections} from './upstream-exchange.ts';
 
-/** Counts of another entry are used for this long, in milliseconds. */
-const peerCountMs = 1000;
-
 /** A load that an answer reported is used for this long when no other entry tells its counts, in milliseconds. */
 const reportedLoadMs = 600;
 
@@ -20,7 +18,7 @@
 /** The share of failures halves in this time without calls, in milliseconds. */
 const failureHalfLifeMs = 3000;
 
-/** Weight of the newest first token in the slowness, and its bounds. */
+/** Weight of the newest first event in the slowness, and its bounds. */
 const slownessWeight = 0.15;
 const slownessBounds = {min: 0.8, max: 6};
 
@@ -30,14 +28,11 @@
 /** Time between two looks whether a lost instance accepts connections again, in milliseconds. */
 const probeIntervalMs = 500;
 
-/** How long an instance that refused a call as busy gets no other one, in milliseconds. */
-const busyMs = 120;
-
-/** A call of this process at an instance. */
-export type OpenUse = {readonly instance: string; readonly promptTokens: number; hasStarted: boolean};
+/** How long an instance that refused a call gets no other one, in milliseconds: one that was full, and one that is not what its entry says. */
+const refusedMs = {busy: 120, misdirected: 800};
 
-/** Calls and unread prompt tokens of one entry at one instance. */
-export type UseCount = {readonly calls: number; readonly unreadTokens: number};
+/** How long an engine that loads gets no call unless it is told to be ready before, in milliseconds. */
+const changingMs = 4000;
 
 type Health = {
 	failureShare: number;
@@ -50,63 +45,21 @@
 
 /** Tracks use and health by instance id. */
 export class InstanceUse {
-	private readonly open = new Map<string, Set<OpenUse>>();
+	/** The calls at each instance. */
+	readonly calls = new CallCounts();
 	private readonly health = new Map<string, Health>();
-	private readonly peerCounts = new Map<string, {readonly counts: ReadonlyMap<string, UseCount>; readonly atMs: number}>();
 
 	/** @param log - receives changes of belief */
 	constructor(private readonly log: Logger) {}
 
-	/** Calls and unread tokens of this process by instance. */
-	get counts(): Map<string, UseCount> {
-		return new Map([...this.open].filter(([, uses]) => uses.size > 0).map(([id, uses]) => [id, countOf(uses)]));
-	}
-
-	/**
-	 * Notes a call that is about to be sent.
-	 *
-	 * @param instance - where it goes
-	 * @param promptTokens - its prompt
-	 */
-	begin(instance: string, promptTokens: number): OpenUse {
-		const use: OpenUse = {instance, promptTokens, hasStarted: false};
-		const uses = this.open.get(instance) ?? new Set();
-		uses.add(use);
-		this.open.set(instance, uses);
-		return use;
-	}
-
-	/**
-	 * Notes that a call is no longer at its instance.
-	 *
-	 * @param use - the call
-	 */
-	end(use: OpenUse): void {
-		const uses = this.open.get(use.instance);
-		uses?.delete(use);
-		if (uses?.size === 0) {
-			this.open.delete(use.instance);
-		}
-	}
-
-	/**
-	 * Takes the counts of another entry over.
-	 *
-	 * @param entry - its VM
-	 * @param counts - its calls by instance
-	 */
-	setPeerCounts(entry: string, counts: ReadonlyMap<string, UseCount>): void {
-		this.peerCounts.set(entry, {counts, atMs: performance.now()});
-	}
-
 	/**
 	 * Returns the work at an instance as far as it is known.
 	 *
 	 * @param id - the instance
 	 */
 	loadOf(id: string): EngineLoad {
-		const own = countOf(this.open.get(id) ?? new Set());
-		const others = this.othersAt(id);
+		const own = this.calls.ownAt(id);
+		const others = this.calls.othersAt(id) ?? this.reportedAt(id);
 		return {
 			calls: own.calls + others.calls, unreadTokens: own.unreadTokens + others.unreadTokens, slowness: this.health.get(id)?.slowness ?? 1,
 		};
@@ -149,26 +102,50 @@
 	}
 
 	/**
-	 * Notes how a first token came against its forecast.
+	 * Notes how a first event came against its forecast.
 	 *
 	 * @param id - the instance
-	 * @param seenMs - time to the first token, in milliseconds
+	 * @param seenMs - time to the first event, in milliseconds
 	 * @param predictedMs - the forecast, in milliseconds
 	 */
-	recordFirstToken(id: string, seenMs: number, predictedMs: number): void {
+	recordFirstEvent(id: string, seenMs: number, predictedMs: number): void {
 		const health = this.healthOf(id);
 		const ratio = Math.max(seenMs, leastForecastMs) / Math.max(predictedMs, leastForecastMs);
 		const corrected = health.slowness * (1 + (slownessWeight * (ratio - 1)));
 		health.slowness = Math.min(slownessBounds.max, Math.max(slownessBounds.min, corrected));
+		this.log.debug({
+			event: 'stream_begun', instance: id, seenMs: Math.round(seenMs), predictedMs: Math.round(predictedMs), slowness: health.slowness.toFixed(2),
+		}, 'first event of a stream');
 	}
 
 	/**
 	 * Notes that an instance refused a call.
 	 *
 	 * @param id - the instance
+	 * @param isMisdirected - whether it is another instance, or holds other weights, than its entry says
+	 */
+	recordBusy(id: string, isMisdirected: boolean): void {
+		const health = this.healthOf(id);
+		health.busyUntilMs = Math.max(health.busyUntilMs, performance.now() + (isMisdirected ? refusedMs.misdirected : refusedMs.busy));
+	}
+
+	/**
+	 * Notes that an engine loads something and accepts no calls meanwhile.
+	 *
+	 * @param id - the instance
 	 */
-	recordBusy(id: string): void {
-		this.healthOf(id).busyUntilMs = performance.now() + busyMs;
+	recordChanging(id: string): void {
+		this.log.info({event: 'instance_changing', instance: id}, 'an engine loads, and gets no calls meanwhile');
+		this.healthOf(id).busyUntilMs = performance.now() + changingMs;
+	}
+
+	/**
+	 * Notes that an engine has loaded.
+	 *
+	 * @param id - the instance
+	 */
+	recordReady(id: string): void {
+		this.healthOf(id).busyUntilMs = 0;
 	}
 
 	/**
@@ -178,8 +155,7 @@
 	 * @param calls - calls that run and wait there
 	 */
 	recordLoad(id: string, calls: number): void {
-		const own = this.open.get(id)?.size ?? 0;
-		this.healthOf(id).reported = {others: Math.max(0, calls - own), atMs: performance.now()};
+		this.healthOf(id).reported = {others: Math.max(0, calls - this.calls.ownAt(id).calls), atMs: performance.now()};
 	}
 
 	/**
@@ -232,25 +208,11 @@
 		}, probeIntervalMs).unref();
 	}
 
-	private othersAt(id: string): UseCount {
-		const nowMs = performance.now();
-		let isTold = false;
-		let calls = 0;
-		let unreadTokens = 0;
-		for (const {counts, atMs} of this.peerCounts.values()) {
-			if (nowMs - atMs < peerCountMs) {
-				isTold = true;
-				calls += counts.get(id)?.calls ?? 0;
-				unreadTokens += counts.get(id)?.unreadTokens ?? 0;
-			}
-		}
-
+	/** The work of others that the last answer reported. */
+	private reportedAt(id: string): UseCount {
 		const reported = this.health.get(id)?.reported;
-		if (!isTold && reported && nowMs - reported.atMs < reportedLoadMs) {
-			return {calls: reported.others, unreadTokens: 0};
-		}
-
-		return {calls, unreadTokens};
+		const isFresh = reported && performance.now() - reported.atMs < reportedLoadMs;
+		return {calls: isFresh ? reported.others : 0, unreadTokens: 0};
 	}
 
 	private healthOf(id: string): Health {
@@ -266,15 +228,6 @@
 	}
 }
 
-function countOf(uses: ReadonlySet<OpenUse>): UseCount {
-	let unreadTokens = 0;
-	for (const use of uses) {
-		unreadTokens += use.hasStarted ? 0 : use.promptTokens;
-	}
-
-	return {calls: uses.size, unreadTokens};
-}
-
 function decayedShare({failureShare, failureAtMs}: Health): number {
 	return failureShare * (0.5 ** ((performance.now() - failureAtMs) / failureHalfLifeMs));
 }
--- a/src/forwarding/place-call.ts
+++ b/src/forwarding/place-call.ts
@@ -5,7 +5,7 @@
  * and calls to plain services, where any place that works will do.
  */
 import type {EngineTiming} from '../directory/directory-types.ts';
-import {type EngineLoad, firstTokenMs, slotTimeMs} from './engine-forecast.ts';
+import {type EngineLoad, firstEventMs, slotTimeMs} from './engine-forecast.ts';
 
 /** An instance that may take the call. */
 export type Candidate = {
@@ -16,6 +16,8 @@
 	readonly slots: number;
 	/** Whether recent calls there failed. */
 	readonly isSuspect: boolean;
+	/** How long the instance's weights may still begin work, in milliseconds; without end unless a newer version is named. */
+	readonly beginWithinMs: number;
 };
 
 /** The call to place. */
@@ -41,11 +43,15 @@
 /** What a place with recent failures must be better by, in milliseconds. */
 const suspectPenaltyMs = 300;
 
-/** Share of the slots that late calls may use; waiting places are kept for calls that can be on time. */
-const lateShare = 1;
+/** Share of the slots that late calls may use; a late answer is worth little and must not make others late. */
+const lateShare = 0.5;
 
-/** Share of the aim within which a forecast counts as on time; the forecast does not see other entries' latest calls. */
-const onTimeShare = 0.92;
+/**
+ * Shares of the time left within which a forecast counts as on time.
+ *
+ * `usual` keeps short waits for all. `wait` lets a call with a long prompt wait as well, which would never fit otherwise, up to `most`.
+ */
+const onTimeShares = {usual: 0.65, wait: 0.3, most: 0.92};
 
 /** When a call returns that found no engine at all, in milliseconds; engines come back after seconds. */
 const noUpstreamRetryMs = 1600;
@@ -79,15 +85,15 @@
  */
 export function placeAtEngine(timing: EngineTiming, candidates: readonly Candidate[], call: PlacedCall, draw: (bound: number) => number): Placement {
 	const forecasts = candidates.map(candidate => {
-		const predictedMs = firstTokenMs(timing, candidate.load, call.promptTokens);
+		const predictedMs = firstEventMs(timing, candidate.load, call.promptTokens);
 		return {candidate, predictedMs, costMs: predictedMs + penaltyMs(candidate)};
-	});
+	}).filter(({candidate, predictedMs}) => predictedMs <= candidate.beginWithinMs);
 	const best = drawLowest(forecasts, draw);
 	if (!best) {
 		return {kind: 'refuse', reason: 'no_upstream', retryAfterMs: noUpstreamRetryMs + draw(retrySpreadMs)};
 	}
 
-	const isOnTime = best.predictedMs <= call.aimLeftMs * onTimeShare;
+	const isOnTime = best.predictedMs <= onTimeLimitMs(timing, call);
 	const hasRoomForLate = best.candidate.load.calls < best.candidate.slots * lateShare;
 	if (best.predictedMs < call.deadlineLeftMs && (isOnTime || hasRoomForLate)) {
 		return {kind: 'place', id: best.candidate.id, predictedMs: best.predictedMs};
@@ -100,6 +106,12 @@
 	};
 }
 
+/** Returns the longest forecast that counts as on time, in milliseconds. */
+function onTimeLimitMs(timing: EngineTiming, {promptTokens, aimLeftMs}: PlacedCall): number {
+	const aloneMs = firstEventMs(timing, {calls: 0, unreadTokens: 0, slowness: 1}, promptTokens);
+	return Math.min(onTimeShares.most * aimLeftMs, Math.max(onTimeShares.usual * aimLeftMs, aloneMs + (onTimeShares.wait * aimLeftMs)));
+}
+
 /**
  * Places a call at a plain service: the fewest calls per slot, in the own zone first.
  *
--- a/src/forwarding/upstream-send.ts
+++ b/src/forwarding/upstream-send.ts
@@ -6,13 +6,17 @@
 import type {SendOutcome} from './decide-next.ts';
 import {EventSplitter, type StreamEvent} from './event-splitter.ts';
 import type {ReadCall} from './forwarded-call.ts';
-import type {InstanceUse, OpenUse} from './instance-use.ts';
+import type {OpenUse} from './call-counts.ts';
+import type {InstanceUse} from './instance-use.ts';
 import {UpstreamExchange} from './upstream-exchange.ts';
 import type {AnswerHeaders, SendInstructions, WireCodec} from './wire-codec.ts';
 
 /** Statuses that promise that a call did not run; without the upstream's word they are passed on to nobody. */
 const promisingStatuses = new Set([408, 421, 429, 503]);
 
+/** The status of an instance that is not the one that was expected, or lacks the weights that were. */
+const misdirectedStatus = 421;
+
 const firstServerError = 500;
 
 /** What one send needs. */
@@ -21,6 +25,8 @@
 	readonly instance: Instance;
 	readonly isStream: boolean;
 	readonly predictedMs: number;
+	/** How long the version that is asked for may still begin work, in milliseconds; without end in most cases. */
+	readonly beginWithinMs: number;
 	readonly instructions: SendInstructions;
 	/** The send whose stream this one goes on with. */
 	readonly before: UpstreamSend | undefined;
@@ -52,6 +58,7 @@
 	private head: {readonly status: number; readonly answer: AnswerHeaders} | undefined;
 	private whole: WholeAnswer | undefined;
 	private silenceTimer: NodeJS.Timeout | undefined;
+	private beginTimer: NodeJS.Timeout | undefined;
 	private isOver = false;
 
 	/** @param options - the call and its place */
@@ -59,8 +66,9 @@
 		const {call, instance, codec, instructions, use, before} = options;
 		this.lastEventId = before?.lastEventId;
 		this.begunVersion = before?.begunVersion;
-		this.use = use.begin(instance.id, call.headers.promptTokens);
+		this.use = use.calls.begin(instance.id, call.headers.promptTokens);
 		this.watchSilence(options.silenceMs.first + options.predictedMs);
+		this.watchBegin(options.beginWithinMs);
 		this.exchange = new UpstreamExchange({
 			...parseAddress(instance.address),
 			method: call.method,
@@ -131,8 +139,8 @@
 	private passEvent({bytes, id}: StreamEvent): void {
 		const {sink, use, instance, predictedMs} = this.options;
 		if (!this.use.hasStarted) {
-			this.use.hasStarted = true;
-			use.recordFirstToken(instance.id, performance.now() - this.startedAtMs, predictedMs);
+			use.calls.start(this.use);
+			use.recordFirstEvent(instance.id, performance.now() - this.startedAtMs, predictedMs);
 		}
 
 		if (id !== undefined && this.lastEventId !== undefined && Number(id) <= Number(this.lastEventId)) {
@@ -156,7 +164,7 @@
 		}
 
 		if (head.answer.isNotRun) {
-			use.recordBusy(instance.id);
+			use.recordBusy(instance.id, head.status === misdirectedStatus);
 			this.report({kind: 'not-run', reason: `status_${head.status}`});
 			return;
 		}
@@ -240,9 +248,21 @@
 		}, limitMs);
 	}
 
+	/** Takes the call back from an instance that may not begin it any more. */
+	private watchBegin(withinMs: number): void {
+		if (Number.isFinite(withinMs)) {
+			this.beginTimer = setTimeout(() => {
+				if (!this.isOver && !this.use.hasStarted) {
+					this.report({kind: 'failed', reason: 'version_expired'});
+				}
+			}, Math.max(0, withinMs));
+		}
+	}
+
 	private close(): void {
 		this.isOver = true;
 		clearTimeout(this.silenceTimer);
-		this.options.use.end(this.use);
+		clearTimeout(this.beginTimer);
+		this.options.use.calls.end(this.use);
 	}
 }
--- a/src/forwarding/version-rule.ts
+++ b/src/forwarding/version-rule.ts
@@ -2,8 +2,8 @@
 import type {Directory} from '../directory/directory.ts';
 import type {HeldModel} from '../directory/directory-types.ts';
 
-/** Time before the bound at which older versions stop, in milliseconds; covers the way of a call and the wait at its upstream. */
-const marginMs = 700;
+/** Time before the bound at which older versions stop, in milliseconds; covers the way of a call and an error of its forecast. */
+const marginMs = 250;
 
 /** Decides by the age of every newer version. */
 export class VersionRule {
@@ -18,9 +18,19 @@
 	 *
 	 * @param held - what an instance holds
 	 */
-	mayBegin({model, version}: HeldModel): boolean {
+	mayBegin(held: HeldModel): boolean {
+		return this.timeLeftMs(held) > 0;
+	}
+
+	/**
+	 * Returns how long held weights may still begin work, in milliseconds; without end while no newer version is named.
+	 *
+	 * @param held - what an instance holds
+	 */
+	timeLeftMs({model, version}: HeldModel): number {
 		const nowMs = performance.now();
 		// A still newer version does not extend the time of those before it.
-		return this.directory.versionsOf(model).every(named => version >= named.version || nowMs - named.sinceMs < this.boundMs - marginMs);
+		const newer = this.directory.versionsOf(model).filter(named => named.version > version);
+		return Math.min(...newer.map(({sinceMs}) => this.boundMs - marginMs - (nowMs - sinceMs)));
 	}
 }
--- a/src/peers/held-sender.ts
+++ b/src/peers/held-sender.ts
@@ -1,8 +1,8 @@
-/** Tells entries by datagram what the engine beside this process holds. */
+/** Tells entries by datagram what the engine beside this process holds, and when it changes. */
 import {Buffer} from 'node:buffer';
 import dgram from 'node:dgram';
 import {parseAddress} from '../links/http-listener.ts';
-import type {HeldDatagram} from '../messages/held-datagram.ts';
+import type {EngineDatagram} from '../messages/held-datagram.ts';
 import type {PeerInfo} from '../messages/peers-exchange.ts';
 import type {Logger} from '../runtime/logger.ts';
 
@@ -29,9 +29,9 @@
 	/**
 	 * Tells all entries.
 	 *
-	 * @param news - what the engine holds
+	 * @param news - what the engine holds, or that it changes
 	 */
-	tell(news: HeldDatagram): void {
+	tell(news: EngineDatagram): void {
 		const datagram = Buffer.from(JSON.stringify(news));
 		for (let at = 0; at < repeats; at++) {
 			setTimeout(() => {
--- a/src/peers/load-datagrams.ts
+++ b/src/peers/load-datagrams.ts
@@ -2,26 +2,36 @@
 import {Buffer} from 'node:buffer';
 import dgram from 'node:dgram';
 import {z} from 'zod';
-import type {InstanceUse, UseCount} from '../forwarding/instance-use.ts';
-import type {ListenAddress} from '../links/http-listener.ts';
+import type {UseCount} from '../forwarding/engine-forecast.ts';
+import type {InstanceUse} from '../forwarding/instance-use.ts';
+import {type ListenAddress, parseAddress} from '../links/http-listener.ts';
 import type {Directory} from '../directory/directory.ts';
-import {heldDatagramSchema} from '../messages/held-datagram.ts';
+import {changingDatagramSchema, type EngineDatagram, heldDatagramSchema} from '../messages/held-datagram.ts';
 import type {PeerInfo} from '../messages/peers-exchange.ts';
 import type {Logger} from '../runtime/logger.ts';
 
-/** Time between two datagrams while counts change, in milliseconds. */
-const sendIntervalMs = 120;
+/** Time between two tellings of all counts, in milliseconds; they replace what lost datagrams told. */
+const tellAllMs = 480;
 
-/** Without changes, every so many intervals are told, so that the counts stay fresh. */
-const repeatEvery = 4;
+/**
+ * How long a change waits for others, in milliseconds.
+ *
+ * Another entry that does not know of a new call sends its next one to the same instance; that a place became free may wait.
+ */
+const gatherMs = {more: 2, less: 30};
 
-/** The largest datagram, in bytes; larger ones may be split on the way. */
-const maxBytes = 1400;
+/** Counts in one datagram, about 30 bytes each; a datagram above 1400 bytes may be split on the way, and lost with any part. */
+const countsPerDatagram = 40;
 
-/** VM, sequence number, then calls and unread tokens by instance. */
-const loadSchema = z.tuple([z.literal('load'), z.string(), z.number(), z.record(z.string(), z.tuple([z.number(), z.number()]))]);
+/** Calls and unread tokens by instance. */
+const countsSchema = z.record(z.string(), z.tuple([z.number(), z.number()]));
 
-const datagramSchema = z.union([loadSchema, heldDatagramSchema]);
+/** What it is, VM, sequence number, then all counts, or those that changed. */
+const loadSchema = z.tuple([z.enum(['load', 'change']), z.string(), z.number(), countsSchema]);
+
+const datagramSchema = z.union([loadSchema, heldDatagramSchema, changingDatagramSchema]);
+
+type Counts = z.infer<typeof countsSchema>;
 
 /** What the exchange works with. */
 export type LoadDatagramsOptions = {
@@ -39,10 +49,11 @@
 export class LoadDatagrams {
 	private readonly socket = dgram.createSocket('udp4');
 	private readonly lastSequence = new Map<string, number>();
-	private timer: NodeJS.Timeout | undefined;
+	private readonly changed = new Set<string>();
+	private allTimer: NodeJS.Timeout | undefined;
+	private changeTimer: NodeJS.Timeout | undefined;
+	private changeDueMs = 0;
 	private sequence = Date.now();
-	private lastText = '';
-	private quietRounds = 0;
 
 	/** @param options - what the exchange works with */
 	constructor(private readonly options: LoadDatagramsOptions) {
@@ -63,35 +74,60 @@
 		await new Promise<void>(resolve => {
 			this.socket.bind(address.port, address.host, resolve);
 		});
-		this.timer = setInterval(() => {
-			this.send();
-		}, sendIntervalMs);
-		this.timer.unref();
+		this.options.use.calls.listen((instance, isMore) => {
+			this.noteChange(instance, isMore ? gatherMs.more : gatherMs.less);
+		});
+		this.allTimer = setInterval(() => {
+			this.tell('load', Object.fromEntries([...this.options.use.calls.own].map(([id, {calls, unreadTokens}]) => [id, [calls, unreadTokens]])));
+		}, tellAllMs);
+		this.allTimer.unref();
 	}
 
 	/** Stops the exchange. */
 	stop(): void {
-		clearInterval(this.timer);
+		clearInterval(this.allTimer);
+		clearTimeout(this.changeTimer);
+		this.options.use.calls.listen(undefined);
 		this.socket.close();
 	}
 
-	private send(): void {
-		const {vm, use, entries, port} = this.options;
-		const counts = Object.fromEntries([...use.counts].map(([id, {calls, unreadTokens}]) => [id, [calls, unreadTokens]]));
-		const text = JSON.stringify(counts);
-		this.quietRounds = text === this.lastText ? this.quietRounds + 1 : 0;
-		this.lastText = text;
-		if (this.quietRounds % repeatEvery !== 0) {
-			return;
+	private noteChange(instance: string, waitMs: number): void {
+		const dueMs = performance.now() + waitMs;
+		const isSooner = this.changed.size === 0 || dueMs < this.changeDueMs;
+		this.changed.add(instance);
+		if (isSooner) {
+			clearTimeout(this.changeTimer);
+			this.changeDueMs = dueMs;
+			this.changeTimer = setTimeout(() => {
+				this.tellChanges();
+			}, waitMs);
+			this.changeTimer.unref();
 		}
+	}
 
-		const datagram = Buffer.from(JSON.stringify(['load', vm, ++this.sequence, counts]));
-		if (datagram.length > maxBytes) {
-			return;
+	private tellChanges(): void {
+		const {use} = this.options;
+		const counts: Counts = {};
+		for (const id of this.changed) {
+			const {calls, unreadTokens} = use.calls.ownAt(id);
+			counts[id] = [calls, unreadTokens];
 		}
 
-		for (const {address} of entries()) {
-			this.socket.send(datagram, port, address.slice(0, address.lastIndexOf(':')));
+		this.changed.clear();
+		this.tell('change', counts);
+	}
+
+	/** The first datagram of all counts replaces what was told before; further ones add to it. */
+	private tell(kind: 'load' | 'change', counts: Counts): void {
+		const {vm, entries, port} = this.options;
+		const hosts = entries().map(({address}) => parseAddress(address).host);
+		const all = Object.entries(counts);
+		for (let from = 0; from === 0 || from < all.length; from += countsPerDatagram) {
+			const part = Object.fromEntries(all.slice(from, from + countsPerDatagram));
+			const datagram = Buffer.from(JSON.stringify([from === 0 ? kind : 'change', vm, ++this.sequence, part]));
+			for (const host of hosts) {
+				this.socket.send(datagram, port, host);
+			}
 		}
 	}
 
@@ -104,18 +140,37 @@
 			return;
 		}
 
-		if (datagram[0] === 'held') {
-			const [, address, startedAtMs, held] = datagram;
-			this.options.directory.noteHeld(address, startedAtMs, held);
+		if (datagram[0] === 'held' || datagram[0] === 'changing') {
+			this.takeEngine(datagram);
 			return;
 		}
 
-		const [, vm, sequence, counts] = datagram;
+		const [kind, vm, sequence, counts] = datagram;
 		if (sequence <= (this.lastSequence.get(vm) ?? 0)) {
 			return;
 		}
 
 		this.lastSequence.set(vm, sequence);
-		this.options.use.setPeerCounts(vm, new Map(Object.entries(counts).map(([id, [calls, unreadTokens]]): [string, UseCount] => [id, {calls, unreadTokens}])));
+		const taken = new Map(Object.entries(counts).map(([id, [calls, unreadTokens]]): [string, UseCount] => [id, {calls, unreadTokens}]));
+		const {use} = this.options;
+		if (kind === 'load') {
+			use.calls.setPeer(vm, taken);
+		} else {
+			use.calls.updatePeer(vm, taken);
+		}
+	}
+
+	private takeEngine(datagram: EngineDatagram): void {
+		const {directory, use} = this.options;
+		const [kind, address, startedAtMs] = datagram;
+		const instance = directory.instances.find(item => item.address === address && item.startedAtMs === startedAtMs);
+		if (kind === 'held') {
+			directory.noteHeld(address, startedAtMs, datagram[3]);
+			if (instance) {
+				use.recordReady(instance.id);
+			}
+		} else if (instance) {
+			use.recordChanging(instance.id);
+		}
 	}
 }
--- a/test/forwarding-decisions.test.ts
+++ b/test/forwarding-decisions.test.ts
@@ -6,10 +6,11 @@
 import {Directory} from '../src/directory/directory.ts';
 import {decideNext, type NextInput} from '../src/forwarding/decide-next.ts';
 import {EventSplitter} from '../src/forwarding/event-splitter.ts';
-import {firstTokenMs} from '../src/forwarding/engine-forecast.ts';
+import {firstEventMs} from '../src/forwarding/engine-forecast.ts';
 import {type Candidate, placeAtEngine} from '../src/forwarding/place-call.ts';
 import {RetryWindow} from '../src/forwarding/retry-window.ts';
 import {RouteTable} from '../src/forwarding/route-table.ts';
+import {UsualDeadlines} from '../src/forwarding/usual-deadlines.ts';
 import {VersionRule} from '../src/forwarding/version-rule.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {
@@ -161,7 +162,7 @@
 });
 
 const candidate = (id: string, calls: number, extra: Partial<Candidate> = {}): Candidate => ({
-	id, isLocal: true, slots: 16, isSuspect: false, load: {calls, unreadTokens: 0, slowness: 1}, ...extra,
+	id, isLocal: true, slots: 16, isSuspect: false, beginWithinMs: Number.POSITIVE_INFINITY, load: {calls, unreadTokens: 0, slowness: 1}, ...extra,
 });
 
 it('guards against late answers under load: a stream goes where its first token is soonest, and is refused when no place can be on time', () => {
@@ -174,12 +175,26 @@
 	expect(placeAtEngine(testEngine, [], call, () => 0)).to.include({kind: 'refuse', reason: 'no_upstream'});
 });
 
+it('guards against taking new calls for late ones: deadlines that differ from caller to caller are first ones, much shorter ones are returns', () => {
+	const deadlines = new UsualDeadlines();
+	expect([6033, 5130, 5600].map(deadlineMs => deadlines.elapsedMs('/a/', deadlineMs))).to.deep.equal([0, 0, 0]);
+	expect(deadlines.elapsedMs('/a/', 4300)).to.be.greaterThan(500);
+	expect([deadlines.elapsedMs('/b/', 1000), deadlines.elapsedMs('/a/', undefined)]).to.deep.equal([0, 0]);
+});
+
+it('guards against old weights that begin late: an instance whose weights expire before the forecast gets no call, however idle it is', () => {
+	const call = {promptTokens: 900, aimLeftMs: 400, deadlineLeftMs: 6000};
+	const expiring = candidate('expiring', 0, {beginWithinMs: 60});
+	expect(placeAtEngine(testEngine, [expiring, candidate('new', 4)], call, () => 0)).to.include({kind: 'place', id: 'new'});
+	expect(placeAtEngine(testEngine, [expiring], call, () => 0)).to.include({kind: 'refuse', reason: 'no_upstream'});
+});
+
 it('guards against a forecast that rewards load: more calls, more unread tokens or a slower engine never mean an earlier first token', () => {
 	fc.assert(fc.property(fc.nat(60), fc.nat(20_000), fc.nat(20_000), fc.double({min: 0.8, max: 6, noNaN: true}), (calls, unreadTokens, prompt, slowness) => {
-		const at = firstTokenMs(testEngine, {calls, unreadTokens, slowness}, prompt);
-		expect(firstTokenMs(testEngine, {calls: calls + 1, unreadTokens, slowness}, prompt)).to.be.at.least(at);
-		expect(firstTokenMs(testEngine, {calls, unreadTokens: unreadTokens + 100, slowness}, prompt)).to.be.greaterThan(at);
-		expect(firstTokenMs(testEngine, {calls, unreadTokens, slowness: slowness + 0.5}, prompt)).to.be.greaterThan(at);
+		const at = firstEventMs(testEngine, {calls, unreadTokens, slowness}, prompt);
+		expect(firstEventMs(testEngine, {calls: calls + 1, unreadTokens, slowness}, prompt)).to.be.at.least(at);
+		expect(firstEventMs(testEngine, {calls, unreadTokens: unreadTokens + 100, slowness}, prompt)).to.be.greaterThan(at);
+		expect(firstEventMs(testEngine, {calls, unreadTokens, slowness: slowness + 0.5}, prompt)).to.be.greaterThan(at);
 	}), {seed: 9, numRuns: 300});
 });
 
@@ -198,6 +213,15 @@
 	expect(directory.instance('i-1')).to.equal(undefined);
 });
 
+it('guards against calls to an instance that another one replaced at its address: only the one that started last counts', () => {
+	const directory = new Directory(createSilentLogger());
+	const entries = [testInstance({id: 'new', address: '127.0.0.1:5', startedAtMs: 9}), testInstance({id: 'old', address: '127.0.0.1:5', startedAtMs: 3}), testInstance({id: 'other', address: '127.0.0.1:6'})];
+	for (const list of [entries, entries.toReversed()]) {
+		directory.replaceInstances({revision: 4, changes: list.map(instance => ({revision: 4, change: {kind: 'instance', instance}}))});
+		expect(directory.instances.map(({id}) => id).toSorted((a, b) => a.localeCompare(b))).to.deep.equal(['new', 'other']);
+	}
+});
+
 it('guards against losing every upstream in an outage: entries that lapsed meanwhile count until they had time to return, and no longer', () => {
 	const clock = install();
 	try {
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -236,3 +236,24 @@
 
 	expect(gateway.use.isUsable('i-0')).to.equal(false);
 });
+
+it('guards against old weights at a slow engine: a stream that has not begun when its version expires is taken back', async () => {
+	let leftAtMs = Number.POSITIVE_INFINITY;
+	const {gateway, upstreams} = await start({kind: 'stream', isResumable: true, aimMs: 800}, [req => {
+		req.socket.on('close', () => {
+			leftAtMs = performance.now();
+		});
+	}]);
+	// Version 1 may begin for another 400 ms.
+	gateway.directory.adopt({
+		versions: [{
+			model: 'm', version: 2, ageMs: 7350, isAssumed: false,
+		}], instancesRevision: 0,
+	});
+	const calledAtMs = performance.now();
+	const answer = await callGateway(gateway.url, streamCall);
+	expect(answer.status).to.equal(502);
+	expect(upstreams[0]!.seen.length).to.equal(1);
+	await sleep(30);
+	expect(leftAtMs - calledAtMs).to.be.lessThan(650);
+});
