Stage chunks as they arrive, act on a named version at once, and ask a returned origin sooner

Change: three stagers read the manifest and the others ask them; a named version is looked at without waiting; chunks are written beside the engine as they arrive, and the order follows the check; a survey waits 250 ms at most, and the longest pause before an origin is asked again is 200 ms; a starting stager reads the services itself after 60 ms. What lies beside an engine moved into a class of its own (staged-chunks.ts), and the manifest's digest is kept.

The two new tests of test/staging.test.ts fail on the code before.

--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -1,4 +1,5 @@
 /** The stager role: brings named versions of weights into the engine on the same VM. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {Directory} from '../directory/directory.ts';
 import type {EngineTiming, OriginInfo} from '../directory/directory-types.ts';
 import {createServiceId} from '../ids/service-id.ts';
@@ -27,7 +28,7 @@
 const transferLimits = {chunk_timeout_ms: 1500, step_in_ms: 900, upload_copies: 4};
 
 /** The longest pause after failures of a source, in milliseconds; the whole rollout has a few seconds. */
-const maxSourcePauseMs = 500;
+const maxSourcePauseMs = 200;
 
 /** Notices between agents: the least time between two about common chunks, in milliseconds, and bytes per second. */
 const notices = {noticeIntervalMs: 250, noticeBytesPerSecond: 20_000};
@@ -38,15 +39,21 @@
 /** How long a manifest may take from a peer, in milliseconds. */
 const manifestTimeoutMs = 700;
 
-/** Agents that ask the origin for a manifest at once, a few kilobytes each; in larger groups the others ask peers first. */
-const firstReaders = 24;
+/** Agents that ask the origin for a manifest at once; its link is the bottleneck of a rollout, and the others ask them. */
+const firstReaders = 3;
 
 /** How long after the first look an agent that is no first reader asks the origin, in milliseconds. */
-const patienceMs = 600;
+const patienceMs = 500;
+
+/** How long a first reader that has no manifest yet keeps an asking agent waiting, and how often it looks, in milliseconds. */
+const manifestWait = {mostMs: 300, stepMs: 15};
 
 /** Time between two readings of the published services from the source while no gateway tells them, in milliseconds. */
 const ownReadingMs = 2500;
 
+/** How long a starting process may be told the published services before it reads them itself, in milliseconds. */
+const firstReadingMs = 60;
+
 /** What the platform's adapter supplies. */
 export type StagerAdapter = {
 	readonly createSource: CreateSource;
@@ -100,6 +107,9 @@
 			fetchManifest: async (model, version) => this.fetchManifest(model, version),
 			group: () => [settings.process.vm, ...this.neighbours().map(({vm}) => vm)],
 			versionBoundMs: settings.limits.version_bound_ms,
+			onChanging(startedAtMs) {
+				sender.tell(['changing', formatAddress(settings.engine.address), startedAtMs]);
+			},
 			onServed({model, version, layers, startedAtMs}) {
 				sender.tell(['held', formatAddress(settings.engine.address), startedAtMs, {
 					model, version, fromLayer: 0, toLayer: layers,
@@ -115,14 +125,13 @@
 		await control.start(base.settings.listen.control);
 		base.start();
 		staging.start();
-		this.readingTimer = setInterval(() => {
-			void this.readServices();
-		}, ownReadingMs);
+		// After a loss of power no gateway may be there to tell them yet.
+		this.scheduleReading(firstReadingMs);
 		base.log.info({event: 'stager_started', control: formatAddress(base.settings.listen.control)}, 'stager started');
 	}
 
 	async drain(): Promise<void> {
-		clearInterval(this.readingTimer);
+		clearTimeout(this.readingTimer);
 		this.staging.stop();
 		this.control.destroy();
 		await this.base.stop();
@@ -131,7 +140,7 @@
 	private createRoutes() {
 		const {rpc, metrics} = this.base;
 		rpc.method(rolloutHaveMethod, rolloutHaveParamsSchema, params => this.node.have(params));
-		rpc.method(manifestGetMethod, manifestGetParamsSchema, ({model, version}) => this.staging.manifestOf(model, version) ?? null);
+		rpc.method(manifestGetMethod, manifestGetParamsSchema, async ({model, version}) => this.awaitManifest(model, version));
 		metrics.gauge('cactusreach_chunk_bytes', 'Weights held in memory.', () => this.chunks.bytes);
 		return {
 			...createControlRoutes({
@@ -188,8 +197,11 @@
 		const sinceMs = this.manifestSince.get(key) ?? performance.now();
 		this.manifestSince.set(key, sinceMs);
 		const neighbours = this.neighbours();
-		const rank = rankMembers(key, [settings.process.vm, ...neighbours.map(({vm}) => vm)]).indexOf(settings.process.vm);
-		for (const {address} of random.sample(neighbours, rank < firstReaders && performance.now() - sinceMs < patienceMs ? 0 : 1)) {
+		const ranked = rankMembers(key, [settings.process.vm, ...neighbours.map(({vm}) => vm)]);
+		const rank = ranked.indexOf(settings.process.vm);
+		const isPatient = performance.now() - sinceMs < patienceMs;
+		const asked = neighbours.filter(({vm}) => !isPatient || ranked.indexOf(vm) < firstReaders);
+		for (const {address} of random.sample(asked, rank < firstReaders && isPatient ? 0 : 1)) {
 			const manifest = await this.manifestFromPeer(address, model, version);
 			if (manifest) {
 				return manifest;
@@ -197,7 +209,7 @@
 		}
 
 		const origin = planOf(directory, settings.engine.service)?.origin;
-		const isTurn = rank < firstReaders || performance.now() - sinceMs > patienceMs;
+		const isTurn = rank < firstReaders || performance.now() - sinceMs >= patienceMs;
 		if (!origin || !isTurn) {
 			return undefined;
 		}
@@ -206,6 +218,18 @@
 		return manifest.version === String(version) ? manifest : undefined;
 	}
 
+	/** Answers a peer; a first reader is asked while it still reads the manifest itself. */
+	private async awaitManifest(model: string, version: number): Promise<Manifest | null> {
+		const untilMs = performance.now() + manifestWait.mostMs;
+		let manifest = this.staging.manifestOf(model, version);
+		while (!manifest && performance.now() < untilMs) {
+			await sleep(manifestWait.stepMs);
+			manifest = this.staging.manifestOf(model, version);
+		}
+
+		return manifest ?? null;
+	}
+
 	private async manifestFromPeer(address: string, model: string, version: number): Promise<Manifest | undefined> {
 		const {links, log} = this.base;
 		try {
@@ -217,6 +241,12 @@
 		}
 	}
 
+	private scheduleReading(waitMs: number): void {
+		this.readingTimer = setTimeout(() => {
+			void this.readServices();
+		}, waitMs);
+	}
+
 	/** Reads what is published itself when no gateway tells it. */
 	private async readServices(): Promise<void> {
 		const {directory, source, log} = this.base;
@@ -224,6 +254,7 @@
 			return;
 		}
 
+		this.scheduleReading(ownReadingMs);
 		try {
 			directory.apply(await source.read('published', AbortSignal.timeout(ownReadingMs)));
 		} catch (err) {
--- a/src/rollout/neighbourhood.ts
+++ b/src/rollout/neighbourhood.ts
@@ -1,4 +1,5 @@
 /** The peers that one version's transfer exchanges notices with. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {Digest} from '../ids/digest.ts';
 import {
 	decodeNotice, rolloutHaveMethod, rolloutHaveResultSchema, type TransferNotice,
@@ -21,6 +22,9 @@
 /** How long an exchange of notices may take, in milliseconds. */
 const exchangeTimeoutMs = 1000;
 
+/** How long a survey waits for answers at most, in milliseconds; who is silent for longer does not hold up the others. */
+const surveyMs = 250;
+
 /** Neighbours in all: the chosen ones and those that chose this agent. */
 const maxNeighbours = 24;
 
@@ -146,7 +150,8 @@
 	/** Asks all chosen neighbours what they hold. */
 	async survey(): Promise<void> {
 		this.surveyed = false;
-		await Promise.all([...this.chosen].map(async vm => this.exchange(vm)));
+		const asked = Promise.all([...this.chosen].map(async vm => this.exchange(vm)));
+		await Promise.race([asked, sleep(surveyMs, undefined, {ref: false})]);
 		this.surveyed = true;
 	}
 
--- a/src/staging/staging-manager.ts
+++ b/src/staging/staging-manager.ts
@@ -11,16 +11,13 @@
 import {
 	type EngineReport, nextStagingStep, type StagingStep, turnAfterMs,
 } from './next-staging-step.ts';
+import {StagedChunks} from './staged-chunks.ts';
 import type {StagedEngine} from './staged-engine.ts';
 
-/** Time between two looks, in milliseconds: while something is to be done, and while the engine serves what is named. */
-const stepIntervalMs = {working: 100, idle: 400};
-
-/** Chunks that are written or read back at once. */
-const chunksAtOnce = 4;
-
-/** A check of the staged chunks counts for this long, in milliseconds; they may go bad while they lie there. */
-const checkedMs = 1200;
+/** Time between a step and the next look, in milliseconds; a newly named version is looked at without waiting. */
+const pauseAfterMs: Readonly<Record<StagingStep, number>> = {
+	'ask-engine': 400, idle: 400, fetch: 100, stage: 0, wait: 100, start: 100,
+};
 
 /** Time between two lines about a transfer that goes on, in milliseconds. */
 const progressLogMs = 2000;
@@ -42,6 +39,8 @@
 	/** VMs of the agents beside engines of the same service, the own one included. */
 	readonly group: () => readonly string[];
 	readonly versionBoundMs: number;
+	/** Is called when the engine took an order, and accepts no calls until it serves the new version. */
+	readonly onChanging: (startedAtMs: number) => void;
 	/** Is called when the engine serves another version than at the last look. */
 	readonly onServed: (served: {readonly model: string; readonly version: number; readonly layers: number; readonly startedAtMs: number}) => void;
 	readonly log: Logger;
@@ -52,22 +51,22 @@
 
 /** Runs the steps. */
 export class StagingManager {
-	private readonly manifests = new Map<string, Manifest>();
+	private readonly manifests = new Map<string, {readonly manifest: Manifest; readonly digest: Digest}>();
 	private readonly actions: Readonly<Record<StagingStep, (target: Target, report: EngineReport) => Promise<void>>>;
-	/** Digests that lie beside the engine, by position, as far as this process wrote or checked them. */
-	private staged = new Map<number, Digest>();
-	private checkedAtMs = Number.NEGATIVE_INFINITY;
-	private stagedSinceMs: number | undefined;
-	private scannedRun: number | undefined;
+	private readonly staged: StagedChunks;
 	private lastStep: StagingStep | undefined;
 	private loggedAtMs = 0;
 	private engineSilent = false;
 	private servedVersion: number | undefined;
 	private timer: NodeJS.Timeout | undefined;
 	private stopped = false;
+	/** The version that the last look was about. */
+	private lookedFor: string | undefined;
+	private isRunning = false;
 
 	/** @param options - what the manager works with */
 	constructor(private readonly options: StagingManagerOptions) {
+		this.staged = new StagedChunks(options.engine, options.chunks, options.log);
 		const nothing = async () => {
 			// Something else has to happen first; the next look decides again.
 		};
@@ -76,8 +75,8 @@
 			'ask-engine': nothing,
 			idle: nothing,
 			wait: nothing,
-			fetch: nothing,
-			stage: async target => this.stage(target),
+			fetch: async ({manifest}) => this.staged.write(manifest),
+			stage: async ({manifest}) => this.staged.write(manifest),
 			start: async (target, report) => this.startEngine(target, report),
 		};
 	}
@@ -89,6 +88,11 @@
 
 	/** Starts to follow the named versions. */
 	start(): void {
+		this.options.directory.onChange(() => {
+			if (this.wanted() !== this.lookedFor && !this.isRunning) {
+				this.schedule(0);
+			}
+		});
 		this.schedule(0);
 	}
 
@@ -106,15 +110,26 @@
 	 * @param version - the version
 	 */
 	manifestOf(model: string, version: number): Manifest | undefined {
-		return this.manifests.get(keyOf(model, version));
+		return this.manifests.get(keyOf(model, version))?.manifest;
 	}
 
 	/** Returns the state for dumps. */
 	dump(): Record<string, unknown> {
-		return {step: this.lastStep, staged: this.staged.size, manifests: [...this.manifests.keys()]};
+		return {step: this.lastStep, staged: this.staged.count, manifests: [...this.manifests.keys()]};
+	}
+
+	/** The model and version that the engine should serve, once the service is known. */
+	private wanted(): string | undefined {
+		const model = this.options.plan()?.engine.models[0];
+		return model === undefined ? undefined : keyOf(model, this.wantedVersion(model));
+	}
+
+	private wantedVersion(model: string): number {
+		return this.options.directory.versions.get(model)?.version ?? firstVersion;
 	}
 
 	private schedule(waitMs: number): void {
+		clearTimeout(this.timer);
 		if (!this.stopped) {
 			this.timer = setTimeout(() => {
 				void this.run();
@@ -124,13 +139,16 @@
 
 	private async run(): Promise<void> {
 		let step: StagingStep = 'ask-engine';
+		this.isRunning = true;
+		this.lookedFor = this.wanted();
 		try {
 			step = await this.step();
 		} catch (err) {
 			this.options.log.warn({event: 'staging_failed', err, step: this.lastStep}, 'a step of staging failed; it is repeated');
 		}
 
-		this.schedule(step === 'idle' || step === 'ask-engine' ? stepIntervalMs.idle : stepIntervalMs.working);
+		this.isRunning = false;
+		this.schedule(this.wanted() === this.lookedFor ? pauseAfterMs[step] : 0);
 	}
 
 	private async step(): Promise<StagingStep> {
@@ -140,10 +158,10 @@
 			return 'ask-engine';
 		}
 
-		const version = this.options.directory.versions.get(model)?.version ?? firstVersion;
+		const version = this.wantedVersion(model);
 		const report = await this.askEngine(model, plan.engine.layers);
-		const manifest = await this.manifest(model, version);
-		if (!manifest) {
+		const known = await this.manifest(model, version);
+		if (!known) {
 			return 'fetch';
 		}
 
@@ -152,12 +170,12 @@
 		}
 
 		const target = {
-			model, version, layers: plan.engine.layers, manifest, digest: digestOf(encode(manifest)),
+			model, version, layers: plan.engine.layers, ...known,
 		};
-		await this.scan(target, report);
+		await this.staged.scan(known.manifest, report.startedAtMs);
 		this.follow(target);
 		const step = nextStagingStep({
-			wantedVersion: version, report, isHeld: this.isHeld(target), isStaged: this.isStaged(target), isTurn: this.isTurn(target),
+			wantedVersion: version, report, isHeld: this.isHeld(target), isStaged: this.staged.holdAll(target.manifest), isTurn: this.isTurn(target),
 		});
 		this.logStep(step, target, report);
 		await this.actions[step](target, report);
@@ -191,7 +209,7 @@
 		}
 	}
 
-	private async manifest(model: string, version: number): Promise<Manifest | undefined> {
+	private async manifest(model: string, version: number): Promise<Pick<Target, 'manifest' | 'digest'> | undefined> {
 		const key = keyOf(model, version);
 		const known = this.manifests.get(key);
 		if (known) {
@@ -199,40 +217,18 @@
 		}
 
 		const manifest = await this.options.fetchManifest(model, version);
-		if (manifest) {
-			this.manifests.set(key, manifest);
-			const bytes = encode(manifest);
-			this.options.chunks.put(digestOf(bytes), bytes);
-			this.options.log.info({
-				event: 'manifest_taken', model, version, chunks: manifest.chunks.length,
-			}, 'manifest taken');
-		}
-
-		return manifest;
-	}
-
-	/** Reads what lies beside an engine of which this process has seen no start: it survives a crash, and peers may need it. */
-	private async scan({model, manifest}: Target, {startedAtMs}: EngineReport): Promise<void> {
-		if (this.scannedRun === startedAtMs) {
-			return;
+		if (!manifest) {
+			return undefined;
 		}
 
-		this.staged = new Map();
-		this.stagedSinceMs = undefined;
-		const listed = await this.options.engine.listChunks(model);
-		const present = listed && new Set(listed);
-		await this.forChunks(manifest, async (digest, number) => {
-			const bytes = present?.has(number) === false ? undefined : await this.options.engine.getChunk(model, number);
-			if (bytes && digestOf(bytes) === digest) {
-				this.staged.set(number, digest);
-				this.options.chunks.put(digest, bytes);
-			}
-		});
-		this.scannedRun = startedAtMs;
-		this.checkedAtMs = performance.now();
+		const bytes = Buffer.from(JSON.stringify(manifest));
+		const digest = digestOf(bytes);
+		this.manifests.set(key, {manifest, digest});
+		this.options.chunks.put(digest, bytes);
 		this.options.log.info({
-			event: 'staged_scanned', model, intact: this.staged.size, startedAtMs,
-		}, 'staged chunks read back');
+			event: 'manifest_taken', model, version, chunks: manifest.chunks.length,
+		}, 'manifest taken');
+		return {manifest, digest};
 	}
 
 	private follow({model, version, digest}: Target): void {
@@ -246,77 +242,41 @@
 		return manifest.chunks.every(digest => this.options.chunks.has(createDigest(digest)));
 	}
 
-	private isStaged({manifest}: Target): boolean {
-		return manifest.chunks.every((digest, number) => this.staged.get(number) === digest);
-	}
-
 	private isTurn({model, version}: Target): boolean {
 		const {directory, group, vm, versionBoundMs} = this.options;
 		const named = directory.versions.get(model);
-		if (!named || this.stagedSinceMs === undefined) {
+		const {writtenAtMs} = this.staged;
+		if (!named || writtenAtMs === undefined) {
 			return true;
 		}
 
 		const ranked = rankMembers(`${model}/${version}`, group());
 		const afterMs = turnAfterMs({
-			rank: ranked.indexOf(vm), count: ranked.length, boundMs: versionBoundMs, stagedAfterMs: this.stagedSinceMs - named.sinceMs,
+			rank: ranked.indexOf(vm), count: ranked.length, boundMs: versionBoundMs, stagedAfterMs: writtenAtMs - named.sinceMs,
 		});
 		return performance.now() - named.sinceMs >= afterMs;
 	}
 
-	private async stage({model, manifest}: Target): Promise<void> {
-		const {engine, chunks} = this.options;
-		await this.forChunks(manifest, async (digest, number) => {
-			if (this.staged.get(number) !== digest) {
-				await engine.putChunk(model, number, chunks.get(digest)!);
-				this.staged.set(number, digest);
-			}
-		});
-		this.stagedSinceMs = performance.now();
-		this.checkedAtMs = Number.NEGATIVE_INFINITY;
-	}
-
-	/** Forgets staged chunks that went bad, so that they are written again. */
-	private async check({model, manifest}: Target): Promise<void> {
-		const {engine, log} = this.options;
-		await this.forChunks(manifest, async (digest, number) => {
-			const bytes = await engine.getChunk(model, number);
-			if (!bytes || digestOf(bytes) !== digest) {
-				this.staged.delete(number);
-				log.warn({
-					event: 'staged_chunk_bad', model, number, isMissing: bytes === undefined,
-				}, 'a staged chunk went bad');
-			}
-		});
-		this.checkedAtMs = performance.now();
-	}
-
 	private async startEngine(target: Target, report: EngineReport): Promise<void> {
 		const {engine, log} = this.options;
-		const {model, version} = target;
-		if (performance.now() - this.checkedAtMs > checkedMs) {
-			await this.check(target);
-			return;
+		const {model, version, manifest} = target;
+		if (!this.staged.isChecked) {
+			await this.staged.check(manifest);
+			if (!this.staged.holdAll(manifest)) {
+				return;
+			}
 		}
 
 		const answer = await engine.start(model, version, report.orderCount);
 		log.info({
 			event: 'engine_ordered', model, version, before: report.servedVersion, orders: report.orderCount, answer,
 		}, 'engine ordered to load');
-		// The next order, if one is needed, starts from chunks that were checked again.
-		this.checkedAtMs = Number.NEGATIVE_INFINITY;
-	}
-
-	private async forChunks(manifest: Manifest, act: (digest: Digest, number: number) => Promise<void>): Promise<void> {
-		let next = 0;
-		const work = async (): Promise<void> => {
-			while (next < manifest.chunks.length) {
-				const number = next++;
-				await act(createDigest(manifest.chunks[number]!), number);
-			}
-		};
+		if (answer === 'begun') {
+			this.options.onChanging(report.startedAtMs);
+		}
 
-		await Promise.all(Array.from({length: chunksAtOnce}, async () => work()));
+		// The next order, if one is needed, starts from chunks that were checked again.
+		this.staged.expireCheck();
 	}
 
 	private logStep(step: StagingStep, {model, version, manifest}: Target, {servedVersion, isBusy}: EngineReport): void {
@@ -326,7 +286,7 @@
 			this.loggedAtMs = performance.now();
 			const held = manifest.chunks.filter(digest => this.options.chunks.has(createDigest(digest))).length;
 			this.options.log.info({
-				event: 'staging_step', step, model, version, servedVersion, isBusy, held, total: manifest.chunks.length, staged: this.staged.size, open: this.options.node.versions.flatMap(item => item.transfer.openSources),
+				event: 'staging_step', step, model, version, servedVersion, isBusy, held, total: manifest.chunks.length, staged: this.staged.count, open: this.options.node.versions.flatMap(item => item.transfer.openSources),
 			}, 'next step of staging');
 		}
 	}
@@ -335,7 +295,3 @@
 function keyOf(model: string, version: number): string {
 	return `${model}/${version}`;
 }
-
-function encode(manifest: Manifest): Buffer {
-	return Buffer.from(JSON.stringify(manifest));
-}
--- a/test/staging.test.ts
+++ b/test/staging.test.ts
@@ -1,6 +1,7 @@
 /** Staging beside an engine: what is written, checked and ordered, and when. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
+import {install} from '@sinonjs/fake-timers';
 import fc from 'fast-check';
 import {Directory} from '../src/directory/directory.ts';
 import {digestOf} from '../src/ids/digest.ts';
@@ -25,12 +26,14 @@
 	loaded: Array<Uint8Array | undefined> = [];
 	orders = 0;
 	startedAtMs = 1;
+	/** What it serves until an order. */
+	servedVersion: number | undefined;
 	/** Is called after each write. */
 	onPut: (number: number) => void = () => undefined;
 
 	async report() {
 		return {
-			startedAtMs: this.startedAtMs, isBusy: false, orderCount: this.orders, servedVersion: this.loaded.length > 0 ? 2 : undefined,
+			startedAtMs: this.startedAtMs, isBusy: false, orderCount: this.orders, servedVersion: this.orders > 0 && this.loaded.length > 0 ? 2 : this.servedVersion,
 		};
 	}
 
@@ -54,19 +57,28 @@
 	}
 }
 
-async function runStaging(engine: FakeEngine, until: () => boolean): Promise<void> {
-	const log = createSilentLogger();
-	const directory = new Directory(log);
+function nameVersion(directory: Directory): void {
 	directory.apply({revision: 1, changes: [{revision: 1, change: {kind: 'version', model: 'm', version: 2}}]});
+}
+
+function createManager(engine: FakeEngine, directory: Directory, held: readonly Uint8Array[]): {readonly manager: StagingManager; readonly chunks: ChunkStore} {
+	const log = createSilentLogger();
 	const chunks = new ChunkStore();
-	for (const bytes of contents) {
+	for (const bytes of held) {
 		chunks.put(digestOf(bytes), bytes);
 	}
 
 	const node = {versions: [], follow: () => undefined, stop: () => undefined} as unknown as TransferNode;
 	const manager = new StagingManager({
-		vm: 'a', plan: () => ({engine: testEngine, origin: undefined}), directory, engine, chunks, node, fetchManifest: async () => manifest, group: () => ['a'], versionBoundMs: 8000, onServed: () => undefined, log,
+		vm: 'a', plan: () => ({engine: testEngine, origin: undefined}), directory, engine, chunks, node, fetchManifest: async () => manifest, group: () => ['a'], versionBoundMs: 8000, onChanging: () => undefined, onServed: () => undefined, log,
 	});
+	return {manager, chunks};
+}
+
+async function runStaging(engine: FakeEngine, until: () => boolean): Promise<void> {
+	const directory = new Directory(createSilentLogger());
+	nameVersion(directory);
+	const {manager} = createManager(engine, directory, contents);
 	manager.start();
 	try {
 		for (let at = 0; at < 200 && !until(); at++) {
@@ -92,6 +104,46 @@
 	expect([text(engine.loaded), engine.orders]).to.deep.equal(['one two three four', 1]);
 });
 
+it('guards against a rollout that waits for the next look: a version that is named is staged, checked and ordered without a pause', async () => {
+	const clock = install();
+	const engine = new FakeEngine();
+	engine.loaded = contents;
+	engine.servedVersion = 1;
+	const directory = new Directory(createSilentLogger());
+	const {manager} = createManager(engine, directory, contents);
+	try {
+		manager.start();
+		await clock.tickAsync(1050);
+		expect(engine.orders).to.equal(0);
+		engine.servedVersion = undefined;
+		nameVersion(directory);
+		await clock.tickAsync(30);
+		expect(engine.orders).to.equal(1);
+	} finally {
+		manager.stop();
+		clock.uninstall();
+	}
+});
+
+it('guards against work left for the last chunk: chunks are staged as they arrive, and the engine is ordered soon after the last one', async () => {
+	const clock = install();
+	const engine = new FakeEngine();
+	const directory = new Directory(createSilentLogger());
+	nameVersion(directory);
+	const {manager, chunks} = createManager(engine, directory, contents.slice(0, 3));
+	try {
+		manager.start();
+		await clock.tickAsync(500);
+		expect([engine.staged.size, engine.orders]).to.deep.equal([3, 0]);
+		chunks.put(digestOf(contents[3]!), contents[3]!);
+		await clock.tickAsync(130);
+		expect([text(engine.loaded), engine.orders]).to.deep.equal(['one two three four', 1]);
+	} finally {
+		manager.stop();
+		clock.uninstall();
+	}
+});
+
 it('guards against trusting what another run left: spoilt and missing chunks beside a restarted engine are replaced, intact ones stay', async () => {
 	const engine = new FakeEngine();
 	engine.staged.set(0, contents[0]!);
