--- /dev/null
+++ b/src/cli/explain-command.ts
@@ -0,0 +1,42 @@
+/** `cactusreach explain`: prints what the logs say of one request. */
+import {createReadStream} from 'node:fs';
+import readline from 'node:readline';
+import {formatLogLine, parseLogLine, RequestExplainer} from '../reports/explain-request.ts';
+import {exitCodes} from './exit-codes.ts';
+
+/**
+ * Prints the lines of a request over all given logs in order of time, after the beliefs that its processes acted on.
+ *
+ * @param id - the id of the caller's attempt
+ * @param files - logs of any number of processes
+ * @returns the exit code: 1 when no log names the request
+ */
+export async function explainCommand(id: string, files: readonly string[]): Promise<number> {
+	const explainer = new RequestExplainer(id);
+	for (const file of files) {
+		for await (const text of readline.createInterface({input: createReadStream(file), crlfDelay: Number.POSITIVE_INFINITY})) {
+			const line = parseLogLine(text);
+			if (line) {
+				explainer.take(line);
+			}
+		}
+	}
+
+	const {request, beliefs} = explainer.explain();
+	if (request.length === 0) {
+		console.log(`no line of request ${id} in ${files.length} files; it did not reach these processes, or its lines were dropped (see lines_dropped)`);
+		return exitCodes.findings;
+	}
+
+	console.log('what its processes believed:');
+	for (const line of beliefs) {
+		console.log(`  ${formatLogLine(line)}`);
+	}
+
+	console.log('the request:');
+	for (const line of request) {
+		console.log(`  ${formatLogLine(line)}`);
+	}
+
+	return exitCodes.fine;
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -57,6 +57,12 @@
 		return dumpCommand(address, options);
 	});
 
+cli.command('explain <id> <...files>', 'Print what the logs of any number of processes say of one request')
+	.action(async (id: string, files: string[]) => {
+		const {explainCommand} = await import('./explain-command.ts');
+		return explainCommand(id, files);
+	});
+
 cli.command('demo', 'Run a rollout with live calls on loopback and check every answer')
 	.action(async () => {
 		const {demoCommand} = await import('./demo-command.ts');
--- /dev/null
+++ b/test/explain.test.ts
@@ -0,0 +1,38 @@
+/** From a request's id to its cause, by logs alone. */
+import {expect} from 'chai';
+import {type LogLine, parseLogLine, RequestExplainer} from '../src/reports/explain-request.ts';
+
+const lineAt = (second: number, vm: string, event: string, fields: Record<string, unknown> = {}): LogLine => ({
+	time: `2026-12-04T10:00:${String(second).padStart(2, '0')}.000Z`, vm, event, ...fields,
+});
+
+it('guards against a cause that stays hidden: the lines of a request come in order of time over all processes, with the last belief about each instance it tried', () => {
+	const lines = [
+		lineAt(9, 'g1', 'call_ended', {id: 'r', outcome: 'failed', tried: ['i-1', 'i-2']}),
+		lineAt(6, 'g1', 'send_ended', {id: 'r', instance: 'i-1', reason: 'silent'}),
+		lineAt(1, 'g1', 'instance_seen', {instance: 'i-1', isDraining: false}),
+		lineAt(4, 'g1', 'instance_suspect', {instance: 'i-1'}),
+		lineAt(3, 'g2', 'instance_lost', {instance: 'i-1'}),
+		lineAt(7, 'g1', 'source_lost', {part: 'instances'}),
+		lineAt(2, 'g1', 'instance_seen', {instance: 'i-9'}),
+		lineAt(5, 'g1', 'call_ended', {id: 'other', outcome: 'served'}),
+		lineAt(12, 'g1', 'instance_gone', {instance: 'i-1'}),
+	];
+	for (const order of [lines, lines.toReversed()]) {
+		const explainer = new RequestExplainer('r');
+		for (const line of order) {
+			explainer.take(line);
+		}
+
+		const {request, beliefs} = explainer.explain();
+		expect(request.map(({event}) => event)).to.deep.equal(['send_ended', 'call_ended']);
+		expect(beliefs.map(({event}) => event)).to.deep.equal(['instance_suspect', 'source_lost']);
+	}
+});
+
+it('guards against logs that cannot be read: other text and a line cut in its middle are passed over', () => {
+	const whole = '  12.3 front-1 {"time":"t","vm":"front-1","event":"call_ended","id":"r"}';
+	expect(parseLogLine(whole)?.id).to.equal('r');
+	expect([parseLogLine('no json'), parseLogLine(whole.slice(0, -5)), parseLogLine('{"a":1}')]).to.deep.equal([undefined, undefined, undefined]);
+	expect(new RequestExplainer('r').explain()).to.deep.equal({request: [], beliefs: []});
+});
