Keep weights from delaying live answers, and bring them to half of the engines first

Change: pieces of at least 4 KB, a burst of 12 ms for uploads, notices every 100 ms; agents whose engines change in the first half, and importers, keep 6 downloads open, the others 2.

The test of pieces fails on the code before.

--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -31,7 +31,13 @@
 const maxSourcePauseMs = 200;
 
 /** Notices between agents: the least time between two about common chunks, in milliseconds, and bytes per second. */
-const notices = {noticeIntervalMs: 250, noticeBytesPerSecond: 20_000};
+const notices = {noticeIntervalMs: 100, noticeBytesPerSecond: 40_000};
+
+/** Unused upload rate that may be caught up on, in milliseconds; a longer burst delays live answers. */
+const uploadBurstMs = 12;
+
+/** Downloads that are open at once: at importers and agents whose engines change to the new version in the first half, and at the others. */
+const openDownloads = {early: 6, late: 2};
 
 /** Share of the link that transfers may use while no answers need it; headers take the rest. */
 const wholeLink = 0.97;
@@ -160,13 +166,14 @@
 			peers: () => this.neighbours(),
 			links,
 			chunks: this.chunks,
-			upPacer: new TransferPacer(rate),
+			upPacer: new TransferPacer(rate, uploadBurstMs),
 			downPacer: new TransferPacer(rate),
 			originUrl: '',
 			originChunkUrl: chunk => this.originChunkUrl(chunk),
 			random,
 			log,
 			limits: () => transferLimits,
+			maxOpenDownloads: isImporter => (isImporter || this.staging.isEarly ? openDownloads.early : openDownloads.late),
 			maxPauseMs: maxSourcePauseMs,
 			memoryBytes: transfer.memory_bytes,
 			...notices,
--- a/src/rollout/chunk-server.ts
+++ b/src/rollout/chunk-server.ts
@@ -12,8 +12,8 @@
 /** Time that one piece takes on the link, in milliseconds; short enough that two uploads share the link evenly. */
 const pieceMs = 10;
 
-/** Smallest and largest piece, in bytes. */
-const pieceBytes = {min: 16 * 1024, max: 256 * 1024};
+/** Smallest and largest piece, in bytes; live answers on a narrow link wait for a piece. */
+const pieceBytes = {min: 4 * 1024, max: 256 * 1024};
 
 /** What the server works with. */
 export type ChunkServerOptions = {
--- a/src/rollout/transfer-options.ts
+++ b/src/rollout/transfer-options.ts
@@ -39,6 +39,8 @@
 	readonly random: RandomSource;
 	readonly log: Logger;
 	readonly limits: () => TransferLimits;
+	/** Downloads that may be open at once, where it differs from the usual number; others wait for what importers bring in. */
+	readonly maxOpenDownloads?: (isImporter: boolean) => number;
 	/** The longest pause after failures in a row of one source, in milliseconds. */
 	readonly maxPauseMs?: number;
 	/** Memory for weights, in bytes. */
--- a/src/rollout/version-transfer.ts
+++ b/src/rollout/version-transfer.ts
@@ -245,7 +245,7 @@
 			progressAtMs: this.progressAtMs,
 			originNotBeforeMs: fetcher.originNotBeforeMs,
 			surveyed: neighbourhood.surveyed,
-			maxOpen: maxOpenDownloads,
+			maxOpen: node.maxOpenDownloads?.(neighbourhood.isImporter) ?? maxOpenDownloads,
 			maxOriginReads,
 			shuffle: chunk => this.order[chunk] ?? chunk,
 		});
--- a/src/staging/staging-manager.ts
+++ b/src/staging/staging-manager.ts
@@ -86,6 +86,16 @@
 		return this.servedVersion !== undefined;
 	}
 
+	/**
+	 * Whether the engine changes to the wanted version in the first half of its group, or serves none.
+	 *
+	 * Agents of the first half are served first, so that their engines serve the new version before the others stop serving the old one.
+	 */
+	get isEarly(): boolean {
+		const {rank, count} = this.turn();
+		return !this.isServing || rank < count / 2;
+	}
+
 	/** Starts to follow the named versions. */
 	start(): void {
 		this.options.directory.onChange(() => {
@@ -242,17 +252,24 @@
 		return manifest.chunks.every(digest => this.options.chunks.has(createDigest(digest)));
 	}
 
-	private isTurn({model, version}: Target): boolean {
-		const {directory, group, vm, versionBoundMs} = this.options;
+	/** The place of the engine in the order in which its group changes to the wanted version. */
+	private turn(): {readonly rank: number; readonly count: number} {
+		const {group, vm} = this.options;
+		const ranked = rankMembers(this.wanted() ?? '', group());
+		return {rank: ranked.indexOf(vm), count: ranked.length};
+	}
+
+	private isTurn({model}: Target): boolean {
+		const {directory, versionBoundMs} = this.options;
 		const named = directory.versions.get(model);
 		const {writtenAtMs} = this.staged;
 		if (!named || writtenAtMs === undefined) {
 			return true;
 		}
 
-		const ranked = rankMembers(`${model}/${version}`, group());
+		const {rank, count} = this.turn();
 		const afterMs = turnAfterMs({
-			rank: ranked.indexOf(vm), count: ranked.length, boundMs: versionBoundMs, stagedAfterMs: writtenAtMs - named.sinceMs,
+			rank, count, boundMs: versionBoundMs, stagedAfterMs: writtenAtMs - named.sinceMs,
 		});
 		return performance.now() - named.sinceMs >= afterMs;
 	}
--- a/test/chunk-server.test.ts
+++ b/test/chunk-server.test.ts
@@ -40,3 +40,25 @@
 		server.closeAllConnections();
 	}
 });
+
+it('guards against live answers that wait behind weights: on a narrow link no piece of a chunk takes longer than 10 ms', async () => {
+	const bytesPerSecond = 600_000;
+	const longestPieceMs = 10;
+	const bytes = new Uint8Array(24_576);
+	const digest = digestOf(bytes);
+	const chunks = new ChunkStore();
+	chunks.put(digest, bytes);
+	const chunkServer = new ChunkServer({
+		chunks, pacer: new TransferPacer(() => bytesPerSecond, 0), budgetBytes: () => Number.POSITIVE_INFINITY, exchange: () => undefined, stallMs: () => 200,
+	});
+	const written: number[] = [];
+	const res = {
+		destroyed: false, setHeader: () => undefined, writeHead: () => undefined, end: () => undefined, write(piece: Uint8Array) {
+			written.push(piece.length);
+			return true;
+		},
+	} as unknown as http.ServerResponse;
+	await chunkServer.handle({url: `/chunks/${digest}?manifest=m`, socket: {}} as unknown as http.IncomingMessage, res, [digest]);
+	expect(written.reduce((sum, size) => sum + size, 0)).to.equal(bytes.length);
+	expect(Math.max(...written) / bytesPerSecond * 1000).to.be.at.most(longestPieceMs);
+});
--- a/test/staging.test.ts
+++ b/test/staging.test.ts
@@ -11,7 +11,7 @@
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {nextStagingStep, type StagingInput, turnAfterMs} from '../src/staging/next-staging-step.ts';
 import type {StagedEngine} from '../src/staging/staged-engine.ts';
-import {StagingManager} from '../src/staging/staging-manager.ts';
+import {StagingManager, type StagingManagerOptions} from '../src/staging/staging-manager.ts';
 import {testEngine} from './support/direct-fixtures.ts';
 
 const contents = ['one', 'two', 'three', 'four'].map(text => new TextEncoder().encode(text));
@@ -61,7 +61,7 @@
 	directory.apply({revision: 1, changes: [{revision: 1, change: {kind: 'version', model: 'm', version: 2}}]});
 }
 
-function createManager(engine: FakeEngine, directory: Directory, held: readonly Uint8Array[]): {readonly manager: StagingManager; readonly chunks: ChunkStore} {
+function createManager(engine: FakeEngine, directory: Directory, held: readonly Uint8Array[], placed: Partial<StagingManagerOptions> = {}): {readonly manager: StagingManager; readonly chunks: ChunkStore} {
 	const log = createSilentLogger();
 	const chunks = new ChunkStore();
 	for (const bytes of held) {
@@ -70,7 +70,19 @@
 
 	const node = {versions: [], follow: () => undefined, stop: () => undefined} as unknown as TransferNode;
 	const manager = new StagingManager({
-		vm: 'a', plan: () => ({engine: testEngine, origin: undefined}), directory, engine, chunks, node, fetchManifest: async () => manifest, group: () => ['a'], versionBoundMs: 8000, onChanging: () => undefined, onServed: () => undefined, log,
+		vm: 'a',
+		plan: () => ({engine: testEngine, origin: undefined}),
+		directory,
+		engine,
+		chunks,
+		node,
+		fetchManifest: async () => manifest,
+		group: () => ['a'],
+		versionBoundMs: 8000,
+		onChanging: () => undefined,
+		onServed: () => undefined,
+		log,
+		...placed,
 	});
 	return {manager, chunks};
 }
@@ -174,6 +186,28 @@
 	expect(text(engine.loaded)).to.equal('one two three four');
 });
 
+it('guards against a group that changes all at once: half of the agents with serving engines are early, and every one whose engine serves nothing', async () => {
+	const group = ['a', 'b', 'c', 'd', 'e', 'f'];
+	for (const [servedVersion, expected] of [[1, 3], [undefined, 6]] as const) {
+		const managers: StagingManager[] = [];
+		for (const vm of group) {
+			const engine = new FakeEngine();
+			engine.servedVersion = servedVersion;
+			const directory = new Directory(createSilentLogger());
+			nameVersion(directory);
+			const {manager} = createManager(engine, directory, contents.slice(0, 1), {vm, group: () => group});
+			managers.push(manager);
+			manager.start();
+		}
+
+		await sleep(40);
+		expect(managers.filter(({isEarly}) => isEarly).length, `served ${servedVersion}`).to.equal(expected);
+		for (const manager of managers) {
+			manager.stop();
+		}
+	}
+});
+
 it('guards against orders that must not be given: only held, staged and idle engines that lack the version are ordered to start', () => {
 	const inputs: fc.Arbitrary<StagingInput> = fc.record({
 		wantedVersion: fc.integer({min: 1, max: 3}),
