--- a/src/cli/base-process.ts
+++ b/src/cli/base-process.ts
@@ -2,16 +2,10 @@
 import {ConfigurationManager} from '../configuration/configuration-manager.ts';
 import {ConfigurationStore} from '../configuration/configuration-store.ts';
 import {formatAddress, type ListenAddress} from '../links/http-listener.ts';
-import {PeerClient} from '../links/peer-client.ts';
-import {RpcDispatcher} from '../links/rpc-dispatcher.ts';
 import {MembershipManager} from '../membership/membership-manager.ts';
-import {Metrics} from '../reports/metrics.ts';
 import {ProcessMetrics} from '../reports/process-metrics.ts';
-import {createLogger, type Logger} from '../runtime/logger.ts';
-import {createIdentity} from '../runtime/process-identity.ts';
-import {RandomSource, randomSeed} from '../runtime/random-source.ts';
-import {WakeDetector} from '../runtime/wake-detector.ts';
 import type {ProcessSettings} from '../settings/settings-schema.ts';
+import {ProcessCore} from './process-core.ts';
 
 /** A running system process. */
 export type RunningProcess = {
@@ -20,23 +14,15 @@
 };
 
 /** The parts that both roles are built on. */
-export class BaseProcess {
-	readonly identity = createIdentity();
-	readonly links = new PeerClient();
-	readonly rpc = new RpcDispatcher();
-	readonly metrics = new Metrics();
-	readonly wake = new WakeDetector();
+export class BaseProcess extends ProcessCore {
 	readonly store = new ConfigurationStore();
-	readonly log: Logger;
-	readonly random: RandomSource;
 	readonly configuration: ConfigurationManager;
 	readonly membership: MembershipManager;
 	private readonly processMetrics: ProcessMetrics;
 
 	/** @param settings - the settings that both roles share */
 	constructor(private readonly settings: ProcessSettings & {readonly listen: {readonly control: ListenAddress}}) {
-		this.log = createLogger(settings.process.vm, settings.process.log_level);
-		this.random = new RandomSource(settings.process.random_seed ?? randomSeed());
+		super(settings.process);
 		const {links, random, log, store} = this;
 		const {vm, zone} = settings.process;
 		const address = formatAddress(settings.listen.control);
--- a/src/cli/direct-base.ts
+++ b/src/cli/direct-base.ts
@@ -5,17 +5,13 @@
 import type {DirectoryPart, DirectorySource} from '../directory/directory-types.ts';
 import {DirectoryWatcher} from '../directory/directory-watcher.ts';
 import {formatAddress, type ListenAddress} from '../links/http-listener.ts';
-import {PeerClient} from '../links/peer-client.ts';
-import {RpcDispatcher} from '../links/rpc-dispatcher.ts';
+import type {PeerClient} from '../links/peer-client.ts';
 import {type PeerInfo, peersExchangeMethod, peersExchangeSchema} from '../messages/peers-exchange.ts';
 import {PeerGroup} from '../peers/peer-group.ts';
-import {Metrics} from '../reports/metrics.ts';
-import {createLogger, logSink, type Logger} from '../runtime/logger.ts';
-import {createIdentity} from '../runtime/process-identity.ts';
-import {RandomSource, randomSeed} from '../runtime/random-source.ts';
-import {WakeDetector} from '../runtime/wake-detector.ts';
+import {logSink} from '../runtime/logger.ts';
 import type {GatewaySettings, StagerSettings} from '../settings/direct-settings.ts';
 import {InvalidSettingsError} from '../settings/parse-settings.ts';
+import {ProcessCore} from './process-core.ts';
 
 /** How often the settings file is looked at, in milliseconds; it may change without a signal. */
 const settingsCheckMs = 2000;
@@ -40,14 +36,7 @@
 export type SettingsSource<Settings> = {readonly file: string; readonly read: () => Settings};
 
 /** The parts that both roles are built on. */
-export class DirectBase<Settings extends DirectSettings> {
-	readonly identity = createIdentity();
-	readonly links = new PeerClient();
-	readonly rpc = new RpcDispatcher();
-	readonly metrics = new Metrics();
-	readonly wake = new WakeDetector();
-	readonly log: Logger;
-	readonly random: RandomSource;
+export class DirectBase<Settings extends DirectSettings> extends ProcessCore {
 	readonly directory: Directory;
 	readonly source: DirectorySource;
 	readonly watchers: readonly DirectoryWatcher[];
@@ -60,10 +49,10 @@
 	 * @param createSource - creates the adapter of the directory's source
 	 */
 	constructor(private readonly settingsSource: SettingsSource<Settings>, role: (settings: Settings) => DirectRole, createSource: CreateSource) {
-		this.settings = settingsSource.read();
-		const {process: own} = this.settings;
-		this.log = createLogger(own.vm, own.log_level);
-		this.random = new RandomSource(own.random_seed ?? randomSeed());
+		const settings = settingsSource.read();
+		const {process: own} = settings;
+		super(own);
+		this.settings = settings;
 		this.directory = new Directory(this.log);
 		const {links, directory, random, log} = this;
 		this.source = createSource(links, () => formatAddress(this.settings.directory.address));
--- a/test/forwarding-decisions.test.ts
+++ b/test/forwarding-decisions.test.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {install} from '@sinonjs/fake-timers';
+import {type Clock, install} from '@sinonjs/fake-timers';
 import {Directory} from '../src/directory/directory.ts';
 import {decideNext, type NextInput} from '../src/forwarding/decide-next.ts';
 import {EventSplitter} from '../src/forwarding/event-splitter.ts';
@@ -17,6 +17,17 @@
 	testConfiguration, testEngine, testInstance, testRoute,
 } from './support/direct-fixtures.ts';
 
+/** Runs a test of a rule over a directory of its own while time stands still. */
+function withVersionRule(test: (rule: VersionRule, directory: Directory, clock: Clock) => void): void {
+	const clock = install();
+	try {
+		const directory = new Directory(createSilentLogger());
+		test(new VersionRule(directory, 8000), directory, clock);
+	} finally {
+		clock.uninstall();
+	}
+}
+
 const nextInputs = fc.record({
 	outcome: fc.constantFrom<NextInput['outcome']>({kind: 'not-run', reason: 'r'}, {kind: 'failed', reason: 'r'}, {kind: 'upstream-error', status: 500}),
 	kind: fc.constantFrom<NextInput['kind']>('idempotent', 'once', 'stream'),
@@ -101,10 +112,7 @@
 });
 
 it('guards against old weights: an older version may begin only until the bound after a newer one was named', () => {
-	const clock = install();
-	try {
-		const directory = new Directory(createSilentLogger());
-		const rule = new VersionRule(directory, 8000);
+	withVersionRule((rule, directory, clock) => {
 		const held = {
 			model: 'm', version: 1, fromLayer: 0, toLayer: 16,
 		};
@@ -114,16 +122,11 @@
 		clock.tick(7900);
 		expect(rule.mayBegin(held)).to.equal(false);
 		expect(rule.mayBegin({...held, version: 2})).to.equal(true);
-	} finally {
-		clock.uninstall();
-	}
+	});
 });
 
 it('guards against old weights when versions follow each other: a third one does not give the first more time', () => {
-	const clock = install();
-	try {
-		const directory = new Directory(createSilentLogger());
-		const rule = new VersionRule(directory, 8000);
+	withVersionRule((rule, directory, clock) => {
 		const name = (version: number) => {
 			directory.apply({revision: version, changes: [{revision: version, change: {kind: 'version', model: 'm', version}}]});
 		};
@@ -134,16 +137,11 @@
 		clock.tick(4900);
 		const held = {model: 'm', fromLayer: 0, toLayer: 16};
 		expect([1, 2, 3].map(version => rule.mayBegin({...held, version}))).to.deep.equal([false, true, true]);
-	} finally {
-		clock.uninstall();
-	}
+	});
 });
 
 it('guards against old weights after a restart: a version that was named before counts as named a while ago, unless a peer saw when', () => {
-	const clock = install();
-	try {
-		const directory = new Directory(createSilentLogger());
-		const rule = new VersionRule(directory, 8000);
+	withVersionRule((rule, directory, clock) => {
 		const held = {
 			model: 'm', version: 1, fromLayer: 0, toLayer: 16,
 		};
@@ -156,9 +154,7 @@
 			}], instancesRevision: 0,
 		});
 		expect(rule.mayBegin(held)).to.equal(true);
-	} finally {
-		clock.uninstall();
-	}
+	});
 });
 
 const candidate = (id: string, calls: number, extra: Partial<Candidate> = {}): Candidate => ({
