Place a stream that has begun wherever it can go on, and look beyond the nearest place

Ruled out: missing weights (11 candidates) and the repeat budget (not asked).

Change: a begun stream goes on at any place that is in time; of the others, the lowest cost among places on time, then among places with room for late calls.

Both new tests fail on the code before.

--- a/bench/placing-model.ts
+++ b/bench/placing-model.ts
@@ -304,7 +304,9 @@
 
 /** The present choice. */
 export const presentPolicy: PlacePolicy = ({timing, candidates, promptTokens, aimLeftMs, deadlineLeftMs, draw}) =>
-	placeAtEngine(timing, candidates, {promptTokens, aimLeftMs, deadlineLeftMs}, draw);
+	placeAtEngine(timing, candidates, {
+		promptTokens, aimLeftMs, deadlineLeftMs, hasBegun: false,
+	}, draw);
 
 /** A random engine, whatever its load. */
 export const randomPolicy: PlacePolicy = ({candidates, draw}) => ({kind: 'place', id: candidates[draw(candidates.length)]!.id, predictedMs: 0});
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -167,7 +167,9 @@
 		const candidates = instances.map(instance => this.candidate(instance, headers.model));
 		const draw = (bound: number) => random.below(bound);
 		const placement = engine
-			? placeAtEngine(engine, candidates, {promptTokens: headers.promptTokens || engine.usualPromptTokens, aimLeftMs, deadlineLeftMs}, draw)
+			? placeAtEngine(engine, candidates, {
+				promptTokens: headers.promptTokens || engine.usualPromptTokens, aimLeftMs, deadlineLeftMs, hasBegun: request.version !== undefined,
+			}, draw)
 			: placeAtService(candidates, draw);
 		if (placement.kind === 'refuse') {
 			log.info({
--- a/src/forwarding/place-call.ts
+++ b/src/forwarding/place-call.ts
@@ -27,6 +27,8 @@
 	readonly aimLeftMs: number;
 	/** Time left until the caller leaves, in milliseconds. */
 	readonly deadlineLeftMs: number;
+	/** Whether the caller has a part of the answer already, which is worth nothing without the rest. */
+	readonly hasBegun: boolean;
 };
 
 /** What was decided. */
@@ -88,22 +90,25 @@
 		const predictedMs = firstEventMs(timing, candidate.load, call.promptTokens);
 		return {candidate, predictedMs, costMs: predictedMs + penaltyMs(candidate)};
 	}).filter(({candidate, predictedMs}) => predictedMs <= candidate.beginWithinMs);
-	const best = drawLowest(forecasts, draw);
-	if (!best) {
+	if (forecasts.length === 0) {
 		return {kind: 'refuse', reason: 'no_upstream', retryAfterMs: noUpstreamRetryMs + draw(retrySpreadMs)};
 	}
 
-	const isOnTime = best.predictedMs <= onTimeLimitMs(timing, call);
-	const hasRoomForLate = best.candidate.load.calls < best.candidate.slots * lateShare;
-	if (best.predictedMs < call.deadlineLeftMs && (isOnTime || hasRoomForLate)) {
-		return {kind: 'place', id: best.candidate.id, predictedMs: best.predictedMs};
-	}
+	const limitMs = onTimeLimitMs(timing, call);
+	const inTime = forecasts.filter(({predictedMs}) => predictedMs < call.deadlineLeftMs);
+	const onTime = inTime.filter(({predictedMs}) => call.hasBegun || predictedMs <= limitMs);
+	const withRoom = inTime.filter(({candidate}) => candidate.load.calls < candidate.slots * lateShare);
+	const best = drawLowest(onTime, draw) ?? drawLowest(withRoom, draw);
+	return best
+		? {kind: 'place', id: best.candidate.id, predictedMs: best.predictedMs}
+		: {kind: 'refuse', reason: 'overloaded', retryAfterMs: overloadRetryAfterMs(timing, candidates, draw)};
+}
 
-	const excess = Math.max(1, best.candidate.load.calls - best.candidate.slots + 1);
+/** Returns when a call that was refused for load may find a place, in milliseconds. */
+function overloadRetryAfterMs(timing: EngineTiming, candidates: readonly Candidate[], draw: (bound: number) => number): number {
+	const excess = Math.max(1, Math.min(...candidates.map(({load, slots}) => load.calls - slots + 1)));
 	const freeMs = excess * slotTimeMs(timing) / timing.slots;
-	return {
-		kind: 'refuse', reason: 'overloaded', retryAfterMs: Math.min(overloadRetryMs.max, Math.max(overloadRetryMs.min, freeMs * retryPerExcess)) + draw(retrySpreadMs),
-	};
+	return Math.min(overloadRetryMs.max, Math.max(overloadRetryMs.min, freeMs * retryPerExcess)) + draw(retrySpreadMs);
 }
 
 /** Returns the longest forecast that counts as on time, in milliseconds. */
--- a/test/forwarding-decisions.test.ts
+++ b/test/forwarding-decisions.test.ts
@@ -162,7 +162,9 @@
 });
 
 it('guards against late answers under load: a stream goes where its first token is soonest, and is refused when no place can be on time', () => {
-	const call = {promptTokens: 900, aimLeftMs: 400, deadlineLeftMs: 6000};
+	const call = {
+		promptTokens: 900, aimLeftMs: 400, deadlineLeftMs: 6000, hasBegun: false,
+	};
 	const slow = candidate('slow', 3, {load: {calls: 3, unreadTokens: 0, slowness: 5}});
 	expect(placeAtEngine(testEngine, [candidate('full', 20), candidate('free', 5), slow], call, () => 0)).to.include({kind: 'place', id: 'free'});
 	const refused = placeAtEngine(testEngine, [candidate('a', 40), candidate('b', 60)], call, () => 0);
@@ -171,6 +173,23 @@
 	expect(placeAtEngine(testEngine, [], call, () => 0)).to.include({kind: 'refuse', reason: 'no_upstream'});
 });
 
+it('guards against answers that are cut although others could go on with them: a stream that has begun gets any place in time, also when it is late', () => {
+	const call = {promptTokens: 900, aimLeftMs: -500, deadlineLeftMs: 3000};
+	const candidates = [candidate('a', 14, {load: {calls: 14, unreadTokens: 4000, slowness: 1}}), candidate('b', 12)];
+	expect(placeAtEngine(testEngine, candidates, {...call, hasBegun: true}, () => 0)).to.include({kind: 'place', id: 'b'});
+	expect(placeAtEngine(testEngine, candidates, {...call, hasBegun: false}, () => 0)).to.include({kind: 'refuse', reason: 'overloaded'});
+	expect(placeAtEngine(testEngine, candidates, {...call, hasBegun: true, deadlineLeftMs: 50}, () => 0).kind).to.equal('refuse');
+});
+
+it('guards against a refusal while another place would do: nearer places that are too slow do not hide farther ones that are on time or have room', () => {
+	const near = candidate('near', 13, {load: {calls: 13, unreadTokens: 2500, slowness: 1}});
+	const far = candidate('far', 13, {isLocal: false, load: {calls: 13, unreadTokens: 1900, slowness: 1}});
+	const idle = candidate('idle', 3, {isLocal: false, load: {calls: 3, unreadTokens: 3000, slowness: 1}});
+	const call = {promptTokens: 900, deadlineLeftMs: 6000, hasBegun: false};
+	expect(placeAtEngine(testEngine, [near, far], {...call, aimLeftMs: 370}, () => 0)).to.include({kind: 'place', id: 'far'});
+	expect(placeAtEngine(testEngine, [near, idle], {...call, aimLeftMs: -200}, () => 0)).to.include({kind: 'place', id: 'idle'});
+});
+
 it('guards against taking new calls for late ones: deadlines that differ from caller to caller are first ones, much shorter ones are returns', () => {
 	const deadlines = new UsualDeadlines();
 	expect([6033, 5130, 5600].map(deadlineMs => deadlines.elapsedMs('/a/', deadlineMs))).to.deep.equal([0, 0, 0]);
@@ -179,7 +198,9 @@
 });
 
 it('guards against old weights that begin late: an instance whose weights expire before the forecast gets no call, however idle it is', () => {
-	const call = {promptTokens: 900, aimLeftMs: 400, deadlineLeftMs: 6000};
+	const call = {
+		promptTokens: 900, aimLeftMs: 400, deadlineLeftMs: 6000, hasBegun: false,
+	};
 	const expiring = candidate('expiring', 0, {beginWithinMs: 60});
 	expect(placeAtEngine(testEngine, [expiring, candidate('new', 4)], call, () => 0)).to.include({kind: 'place', id: 'new'});
 	expect(placeAtEngine(testEngine, [expiring], call, () => 0)).to.include({kind: 'refuse', reason: 'no_upstream'});
