Judge a caller's return by the usual deadline of its route, not by the longest one

Cause: read in review; one caller that allows 60 s on a route made every other call look like a return for the life of the process, so that under load all of them were refused or placed as late ones.

Change: the usual deadline is the one that a tenth of the last 64 of the route exceed.

--- a/src/forwarding/usual-deadlines.ts
+++ b/src/forwarding/usual-deadlines.ts
@@ -1,11 +1,17 @@
 /** Estimates how long a caller has tried already, from the time that it still allows. */
 
-/** Share by which first deadlines of one route differ from caller to caller. */
+/** Deadlines of a route that are remembered. */
+const remembered = 64;
+
+/** The usual deadline is exceeded by this share of the remembered ones, so that a few callers with other habits do not set it. */
+const longerShare = 0.1;
+
+/** Share by which first deadlines of one route are shorter than the usual one. */
 const deadlineSpread = 0.16;
 
-/** Remembers the longest deadline of each route. */
+/** Remembers the last deadlines of each route. */
 export class UsualDeadlines {
-	private readonly longest = new Map<string, number>();
+	private readonly last = new Map<string, number[]>();
 
 	/**
 	 * Returns how long ago a call was first sent, as far as its deadline tells; 0 for a deadline as first ones are.
@@ -18,8 +24,9 @@
 			return 0;
 		}
 
-		const longestMs = Math.max(this.longest.get(route) ?? 0, deadlineMs);
-		this.longest.set(route, longestMs);
-		return Math.max(0, (longestMs * (1 - deadlineSpread)) - deadlineMs);
+		const deadlines = [...this.last.get(route) ?? [], deadlineMs].slice(-remembered);
+		this.last.set(route, deadlines);
+		const usualMs = deadlines.toSorted((a, b) => b - a)[Math.floor(deadlines.length * longerShare)]!;
+		return Math.max(0, (usualMs * (1 - deadlineSpread)) - deadlineMs);
 	}
 }
--- a/test/forwarding-decisions.test.ts
+++ b/test/forwarding-decisions.test.ts
@@ -197,6 +197,18 @@
 	expect([deadlines.elapsedMs('/b/', 1000), deadlines.elapsedMs('/a/', undefined)]).to.deep.equal([0, 0]);
 });
 
+it('guards against one patient caller that makes all others look late: deadlines far above the usual ones of a route count for nothing', () => {
+	const deadlines = new UsualDeadlines();
+	const usual = Array.from({length: 40}, (item, index) => 5100 + ((index * 37) % 930));
+	for (const deadlineMs of usual) {
+		deadlines.elapsedMs('/a/', deadlineMs);
+	}
+
+	expect(deadlines.elapsedMs('/a/', 60_000)).to.equal(0);
+	expect(usual.map(deadlineMs => deadlines.elapsedMs('/a/', deadlineMs)).every(ms => ms === 0)).to.equal(true);
+	expect(deadlines.elapsedMs('/a/', 4000)).to.be.greaterThan(500);
+});
+
 it('guards against old weights that begin late: an instance whose weights expire before the forecast gets no call, however idle it is', () => {
 	const call = {
 		promptTokens: 900, aimLeftMs: 400, deadlineLeftMs: 6000, hasBegun: false,
