Tell a begun stream by what went out to the caller, not by its version

Cause: read in review; an upstream that tells no version left a begun stream to be placed as a late call, so that it could be cut although others had room.

Change: the placing asks the caller's side whether a part of the answer went out.

Figures: the new test fails on the code before.

--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -168,7 +168,7 @@
 		const draw = (bound: number) => random.below(bound);
 		const placement = engine
 			? placeAtEngine(engine, candidates, {
-				promptTokens: headers.promptTokens || engine.usualPromptTokens, aimLeftMs, deadlineLeftMs, hasBegun: request.version !== undefined,
+				promptTokens: headers.promptTokens || engine.usualPromptTokens, aimLeftMs, deadlineLeftMs, hasBegun: request.hasBegun,
 			}, draw)
 			: placeAtService(candidates, draw);
 		if (placement.kind === 'refuse') {
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -29,7 +29,9 @@
 	readonly deadlineLeftMs: number;
 	/** Instances that had the call already. */
 	readonly tried: ReadonlySet<string>;
-	/** The version that a begun answer has. */
+	/** Whether a part of the answer went out to the caller. */
+	readonly hasBegun: boolean;
+	/** The version that a begun answer has, where its upstream told it. */
 	readonly version: number | undefined;
 };
 
@@ -177,6 +179,7 @@
 			aimLeftMs: options.aimLeftMs - (nowMs - call.receivedAtMs),
 			deadlineLeftMs: this.endAtMs - nowMs,
 			tried: this.tried,
+			hasBegun: options.sink.hasBegun,
 			version: this.send?.begunVersion,
 		});
 		if ('instance' in place) {
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -257,3 +257,21 @@
 	await sleep(30);
 	expect(leftAtMs - calledAtMs).to.be.lessThan(650);
 });
+
+it('guards against a begun stream that counts as a late call: it goes on elsewhere also when its upstream told no version and its aim is over', async () => {
+	const breaking: UpstreamAnswer = (req, res) => {
+		res.writeHead(200, {'attempt-id': req.headers['attempt-id'] as string, 'response-seal': 's', 'content-type': 'text/event-stream'});
+		res.write(event(1));
+		setTimeout(() => res.destroy(), 60);
+	};
+
+	// The first instance is the only idle one; the other has more calls than late ones may join.
+	const {gateway, upstreams} = await start({kind: 'stream', isResumable: true, aimMs: 150, timeoutMs: 2000}, [breaking, stream(3)]);
+	for (let call = 0; call < 4; call++) {
+		gateway.use.calls.begin('i-1', 300);
+	}
+
+	const answer = await callGateway(gateway.url, {...streamCall, headers: {...streamCall.headers, 'deadline-ms': '1900'}});
+	expect([answer.complete, answer.body]).to.deep.equal([true, [1, 2, 3].map(id => event(id)).join('')]);
+	expect(upstreams.map(({seen}) => seen.length)).to.deep.equal([1, 1]);
+});
