--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -266,7 +266,9 @@
 	};
 
 	// The first instance is the only idle one; the other has more calls than late ones may join.
-	const {gateway, upstreams} = await start({kind: 'stream', isResumable: true, aimMs: 150, timeoutMs: 2000}, [breaking, stream(3)]);
+	const {gateway, upstreams} = await start({
+		kind: 'stream', isResumable: true, aimMs: 150, timeoutMs: 2000,
+	}, [breaking, stream(3)]);
 	for (let call = 0; call < 4; call++) {
 		gateway.use.calls.begin('i-1', 300);
 	}
