Look a chosen place up once, and drop a time that nothing reads

Cause: read in review; placing a call searched instances and candidates for the chosen id apart and computed its load again for a log line that is off by default; DirectoryWatcher kept the time of its last answer for nobody; a comment promised that instances are tried twice when none is left, which the code never did.

Change: one search, the candidate's load, no such field, a true comment. No change of behaviour.

--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -32,8 +32,6 @@
 
 /** Watches one part of the directory. */
 export class DirectoryWatcher {
-	/** Monotonic time of the last answer, in milliseconds. */
-	contactAtMs = Number.NEGATIVE_INFINITY;
 	private revision: number | undefined;
 	private hasRead = false;
 	private failures = 0;
@@ -117,9 +115,8 @@
 	private noteContact(): boolean {
 		const {log, part} = this.options;
 		let wasOut = false;
-		this.contactAtMs = performance.now();
 		if (this.failingSinceMs !== undefined) {
-			const outMs = Math.round(this.contactAtMs - this.failingSinceMs);
+			const outMs = Math.round(performance.now() - this.failingSinceMs);
 			log.info({
 				event: 'source_regained', part, outMs, failures: this.failures,
 			}, 'directory source answers again');
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -159,7 +159,7 @@
 	}
 
 	private place(request: PlaceRequest): FoundPlace | Exclude<Placement, {kind: 'place'}> {
-		const {directory, use, random, log} = this.options;
+		const {directory, random, log} = this.options;
 		const {headers, aimLeftMs, deadlineLeftMs} = request;
 		const service = directory.table?.service(request.service);
 		const engine = service?.engine;
@@ -179,17 +179,18 @@
 			return placement;
 		}
 
-		const instance = instances.find(({id}) => id === placement.id)!;
+		const at = candidates.findIndex(({id}) => id === placement.id);
+		const instance = instances[at]!;
+		const {load, beginWithinMs} = candidates[at]!;
 		log.debug({
-			event: 'call_placed', id: headers.attemptId, instance: instance.id, predictedMs: Math.round(placement.predictedMs), load: use.loadOf(instance.id), aimLeftMs: Math.round(aimLeftMs), deadlineMs: headers.deadlineMs,
+			event: 'call_placed', id: headers.attemptId, instance: instance.id, predictedMs: Math.round(placement.predictedMs), load, aimLeftMs: Math.round(aimLeftMs), deadlineMs: headers.deadlineMs,
 		}, 'call placed');
-		const {beginWithinMs} = candidates.find(({id}) => id === placement.id)!;
 		return {
 			instance, predictedMs: placement.predictedMs, version: heldOf(instance, headers.model)?.version, beginWithinMs,
 		};
 	}
 
-	/** Instances that hold what the call needs and may get it; untried ones, as long as there are any. */
+	/** Instances that hold what the call needs, may get it and have not had it yet. */
 	private eligible({service, headers, tried, version}: PlaceRequest, info: ServiceInfo | undefined): Instance[] {
 		const {directory, use} = this.options;
 		const taking = directory.takingCalls(service as Instance['service'])
