--- a/src/settings/direct-settings.ts
+++ b/src/settings/direct-settings.ts
@@ -1,13 +1,24 @@
 /** Settings of the roles `gateway` and `stager`, for deployments in which the gateways call upstreams directly instead of through agents. */
 import {z} from 'zod';
 import {
-	address, idText, positiveNumber, processSection, wholeNumber,
+	address, idText, positiveNumber, processSection,
 } from './settings-schema.ts';
 
 /** A comma-separated list of addresses; may be empty. */
 const addressList = z.string().default('').transform(text => text.split(',').map(part => part.trim()).filter(part => part !== ''));
 
-const decimalNumber = z.string().regex(/^\d+(?:\.\d+)?$/, 'must be a number').transform(Number);
+/** A number with or without a fraction or an exponent. */
+const decimalNumber = z.string().regex(/^\d+(?:\.\d+)?(?:e[+-]?\d{1,2})?$/i, 'must be a number of at least 0, such as 8 or 0.25').transform(Number);
+
+/** A number of at least 0 that defaults to a value if it is absent or empty. */
+function amount(defaultValue: number) {
+	return z.preprocess(text => (text === '' ? undefined : text), decimalNumber.default(defaultValue));
+}
+
+/** A number of more than 0 that defaults to a value if it is absent or empty. */
+function positiveAmount(defaultValue: number) {
+	return amount(defaultValue).refine(number => number > 0, 'must be more than 0');
+}
 
 const peersSection = z.strictObject({
 	/** Addresses of the control listeners of a few gateways, `ip:port`, through which the other gateways are discovered. */
@@ -21,7 +32,7 @@
 
 const versionLimits = {
 	/** How long calls may still start on an older version of a model after a newer one was announced, in milliseconds. */
-	version_bound_ms: positiveNumber.default(8000),
+	version_bound_ms: positiveAmount(8000),
 };
 
 /** Settings of a gateway process. */
@@ -41,14 +52,14 @@
 	limits: z.strictObject({
 		...versionLimits,
 		/** Retries allowed per call, over all gateways. */
-		retry_ratio: decimalNumber.default(0.1),
+		retry_ratio: amount(0.1),
 		/** Additional retries allowed per window, over all gateways. */
-		retry_slack: wholeNumber.default(50),
-		retry_window_s: positiveNumber.default(10),
+		retry_slack: amount(50),
+		retry_window_s: positiveAmount(10),
 		/** How long new calls are still accepted after SIGTERM, so that load balancers can notice the shutdown, in milliseconds. */
-		drain_notice_ms: wholeNumber.default(2500),
+		drain_notice_ms: amount(2500),
 		/** Time from SIGTERM until the process is killed, in seconds. */
-		grace_s: positiveNumber.default(8),
+		grace_s: positiveAmount(8),
 	}).prefault({}),
 });
 
@@ -69,9 +80,9 @@
 	}),
 	transfer: z.strictObject({
 		/** Bandwidth of the VM's network link, in megabits per second in each direction. */
-		link_mbps: decimalNumber.default(100),
+		link_mbps: positiveAmount(100),
 		/** Share of the bandwidth that transfers may use; the rest is reserved for responses to calls. */
-		link_share: decimalNumber.default(0.9),
+		link_share: positiveAmount(0.9),
 		/** Memory limit for model weights, in bytes. */
 		memory_bytes: positiveNumber.default(64 * 1024 * 1024),
 	}).prefault({}),
