--- a/bench/placing-model.ts
+++ b/bench/placing-model.ts
@@ -1,67 +1,15 @@
 /**
  * Seeded discrete-event simulation of callers, entries (gateways) and batching engines. Runs the real selection code on a virtual clock.
  *
- * An entry knows its own calls in flight immediately and those of other entries after a delay. A caller retries once after a refusal.
+ * An entry knows its own calls in flight immediately. It knows those of other entries after a delay, or asks the counters beside a few
+ * engines before each call. A caller retries once after a refusal.
  */
 import {BatchingEngine} from '../standins/batching-engine.ts';
-import type {EngineTiming} from '../src/directory/directory-types.ts';
 import type {EngineLoad} from '../src/forwarding/engine-forecast.ts';
-import {type Candidate, type Placement, selectEngineInstance} from '../src/forwarding/select-instance.ts';
+import type {Candidate} from '../src/forwarding/select-instance.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
 import {EventQueue} from './event-queue.ts';
-
-export type CallKind = {
-	readonly name: string;
-	/** Relative share of the calls; the shares need not add up to 1. */
-	readonly share: number;
-	/** Mean length of the prompt and of the response, in tokens. */
-	readonly promptTokens: number;
-	readonly answerTokens: number;
-	/** Target time to first byte, in milliseconds. */
-	readonly aimMs: number;
-	/** Value of a call of average size if its response is on time, and if it is late. */
-	readonly onTimeValue: number;
-	readonly lateValue: number;
-};
-
-/** Selects an engine for a call, or refuses the call. */
-export type PlacementPolicy = (input: {
-	readonly timing: EngineTiming;
-	readonly candidates: readonly Candidate[];
-	readonly promptTokens: number;
-	readonly answerTokens: number;
-	readonly aimLeftMs: number;
-	readonly deadlineLeftMs: number;
-	readonly randomBelow: (bound: number) => number;
-}) => Placement;
-
-/** The parameters of a simulation run. */
-export type PlacingScenario = {
-	readonly seed: number;
-	readonly policy: PlacementPolicy;
-	readonly timing: EngineTiming;
-	readonly kinds: readonly CallKind[];
-	/** Calls per second that arrive at all entries together. */
-	readonly callsPerSecond: number;
-	readonly entries: number;
-	readonly engines: number;
-	/** Number of engines that are slower than their published timing, and the factor by which they are slower. */
-	readonly slowEngines: number;
-	readonly slowness: number;
-	readonly seconds: number;
-	/** Interval at which each entry sends all its load counts to the other entries, in milliseconds. */
-	readonly broadcastIntervalMs: number;
-	/** Whether an entry also sends each change of a count immediately. */
-	readonly broadcastsChanges: boolean;
-	/** Network delay of the load counts between entries, in milliseconds. */
-	readonly broadcastDelayMs: number;
-	readonly deadlineMs: number;
-	/** Longest pause between two events of a stream that still counts as on time, in milliseconds. */
-	readonly maxPauseMs: number;
-};
-
-/** The result of a call, including its retry. `maxValue` is the value of an on-time response, `answerMs` the time to first byte (0 if refused). */
-export type CallResult = {readonly kind: string; readonly value: number; readonly maxValue: number; readonly outcome: 'on time' | 'late' | 'refused' | 'refused again'; readonly answerMs: number};
+import type {CallKind, CallResult, PlacingScenario} from './placing-types.ts';
 
 /** The load that one entry causes at each engine, and the last counts received from the other entries. */
 type Entry = {readonly ownLoads: Load[]; remoteLoads: Load[][]};
@@ -103,6 +51,8 @@
 	private readonly random: RandomSource;
 	private readonly engines: BatchingEngine[];
 	private readonly entries: Entry[];
+	/** The calls that the counter beside each engine has been told of. */
+	private readonly counterLoads: Load[];
 	private readonly results: CallResult[] = [];
 
 	constructor(private readonly scenario: PlacingScenario) {
@@ -114,12 +64,16 @@
 			},
 		}));
 		this.entries = Array.from({length: scenario.entries}, () => ({ownLoads: this.createLoads(), remoteLoads: []}));
+		this.counterLoads = this.createLoads();
 	}
 
 	/** Runs the simulation to its end and returns the results of the calls that arrived after the warm-up. */
 	run(): readonly CallResult[] {
 		this.scheduleArrival();
-		this.scheduleBroadcast();
+		if (this.scenario.askedEngines === 0) {
+			this.scheduleBroadcast();
+		}
+
 		for (let event = this.events.pop(); event; event = this.events.pop()) {
 			this.nowMs = event.atMs;
 			event.run();
@@ -163,12 +117,20 @@
 		});
 	}
 
-	/** Sends the changed load at one engine to the other entries. */
-	private broadcastChange(entry: Entry, index: number): void {
-		if (!this.scenario.broadcastsChanges) {
-			return;
+	/** Changes the load that an entry causes at one engine, and tells the counter of the engine or the other entries. */
+	private changeLoad(entry: Entry, index: number, calls: number, unreadTokens: number): void {
+		addLoad(entry.ownLoads[index]!, calls, unreadTokens);
+		if (this.scenario.askedEngines > 0) {
+			this.scheduleAfter(this.scenario.broadcastDelayMs, () => {
+				addLoad(this.counterLoads[index]!, calls, unreadTokens);
+			});
+		} else if (this.scenario.broadcastsChanges) {
+			this.broadcastChange(entry, index);
 		}
+	}
 
+	/** Sends the changed load at one engine to the other entries. */
+	private broadcastChange(entry: Entry, index: number): void {
 		const loadSnapshot = {...entry.ownLoads[index]!};
 		const entryIndex = this.entries.indexOf(entry);
 		this.scheduleAfter(this.scenario.broadcastDelayMs, () => {
@@ -203,15 +165,39 @@
 	private sendToRandomEntry(call: Call): void {
 		const entry = this.entries[this.random.nextInt(this.entries.length)]!;
 		this.scheduleAfter(callerLatencyMs, () => {
-			this.place(call, entry);
+			if (this.scenario.askedEngines > 0) {
+				this.askCounters(call, entry);
+			} else {
+				this.place(call, entry, this.engines.map((item, index) => this.createCandidate(entry, index)));
+			}
 		});
 	}
 
-	private place(call: Call, entry: Entry): void {
+	/** Asks the counters of random engines, and places the call once they have answered; asks others before a refusal. */
+	private askCounters(call: Call, entry: Entry, askedBefore: readonly number[] = [], round = 1): void {
+		const {askedEngines, broadcastDelayMs, rounds} = this.scenario;
+		const asked = this.random.sample([...this.engines.keys()].filter(index => !askedBefore.includes(index)), askedEngines);
+		this.scheduleAfter(broadcastDelayMs, () => {
+			const answers = asked.map(index => ({index, load: {...this.counterLoads[index]!}}));
+			this.scheduleAfter(broadcastDelayMs, () => {
+				const allAsked = [...askedBefore, ...asked];
+				const mayAskMore = round < rounds && allAsked.length < this.engines.length;
+				const candidates = answers.map(({index, load}) => this.createCandidateOf(index, load));
+				this.place(call, entry, candidates, mayAskMore
+					? () => {
+						this.askCounters(call, entry, allAsked, round + 1);
+					}
+					: undefined);
+			});
+		});
+	}
+
+	/** @param askMore - called instead of a refusal, if given */
+	private place(call: Call, entry: Entry, candidates: readonly Candidate[], askMore?: () => void): void {
 		const {policy, timing} = this.scenario;
 		const placement = policy({
 			timing,
-			candidates: this.engines.map((item, index) => this.createCandidate(entry, index)),
+			candidates,
 			promptTokens: call.promptTokens,
 			answerTokens: call.answerTokens,
 			aimLeftMs: call.arrivedAtMs + call.kind.aimMs - this.nowMs,
@@ -219,7 +205,12 @@
 			randomBelow: bound => this.random.nextInt(bound),
 		});
 		if (placement.kind === 'refuse') {
-			this.handleRefusal(call, placement.retryAfterMs);
+			if (askMore) {
+				askMore();
+			} else {
+				this.handleRefusal(call, placement.retryAfterMs);
+			}
+
 			return;
 		}
 
@@ -227,47 +218,44 @@
 	}
 
 	private createCandidate(entry: Entry, index: number): Candidate {
-		const load: EngineLoad = {
+		return this.createCandidateOf(index, {
 			calls: entry.ownLoads[index]!.calls + entry.remoteLoads.reduce((sum, loads) => sum + loads[index]!.calls, 0),
 			unreadTokens: entry.ownLoads[index]!.unreadTokens + entry.remoteLoads.reduce((sum, loads) => sum + loads[index]!.unreadTokens, 0),
-			slowness: index < this.scenario.slowEngines ? this.scenario.slowness : 1,
-		};
+		});
+	}
+
+	private createCandidateOf(index: number, counts: Load): Candidate {
+		const load: EngineLoad = {...counts, slowness: index < this.scenario.slowEngines ? this.scenario.slowness : 1};
 		return {
 			id: String(index), isLocal: true, load, slots: this.scenario.timing.slots, isSuspect: false, startWindowMs: Number.POSITIVE_INFINITY,
 		};
 	}
 
 	private send(call: Call, entry: Entry, index: number): void {
-		const load = entry.ownLoads[index]!;
 		const {promptTokens, answerTokens} = call;
 		let lastTokenAtMs = 0;
 		let longestPauseMs = 0;
 		let firstTokenAtMs = 0;
-		load.calls++;
-		load.unreadTokens += promptTokens;
-		this.broadcastChange(entry, index);
+		this.changeLoad(entry, index, 1, promptTokens);
 		this.scheduleAfter(engineLatencyMs, () => {
 			const cancel = this.engines[index]!.submit({
 				promptTokens, answerTokens, onTokens: written => {
 					if (firstTokenAtMs === 0) {
 						firstTokenAtMs = this.nowMs;
-						load.unreadTokens -= promptTokens;
-						this.broadcastChange(entry, index);
+						this.changeLoad(entry, index, 0, -promptTokens);
 					} else {
 						longestPauseMs = Math.max(longestPauseMs, this.nowMs - lastTokenAtMs);
 					}
 
 					lastTokenAtMs = this.nowMs;
 					if (written >= answerTokens) {
-						load.calls--;
-						this.broadcastChange(entry, index);
+						this.changeLoad(entry, index, -1, 0);
 						this.recordServed(call, firstTokenAtMs, longestPauseMs);
 					}
 				},
 			});
 			if (!cancel) {
-				load.calls--;
-				load.unreadTokens -= promptTokens;
+				this.changeLoad(entry, index, -1, -promptTokens);
 				this.handleRefusal(call, msPerSecond);
 			}
 		});
@@ -306,45 +294,7 @@
 	}
 }
 
-/** The selection that the gateway uses. */
-export const currentPolicy: PlacementPolicy = ({timing, candidates, promptTokens, aimLeftMs, deadlineLeftMs, randomBelow}) =>
-	selectEngineInstance(timing, candidates, {
-		promptTokens, aimLeftMs, deadlineLeftMs, isResponseStarted: false,
-	}, randomBelow);
-
-/** Selects a random engine regardless of load; never refuses. */
-export const randomPolicy: PlacementPolicy = ({candidates, randomBelow}) => ({kind: 'place', id: candidates[randomBelow(candidates.length)]!.id, predictedMs: 0});
-
-/** Selects the engine with the fewest calls in flight regardless of their size; never refuses. */
-export const fewestCallsPolicy: PlacementPolicy = ({candidates, randomBelow}) => {
-	const fewest = Math.min(...candidates.map(({load}) => load.calls));
-	const tied = candidates.filter(({load}) => load.calls === fewest);
-	return {kind: 'place', id: tied[randomBelow(tied.length)]!.id, predictedMs: 0};
-};
-
-/** The call kinds of a deployment with three kinds of streams. */
-export const defaultCallKinds: readonly CallKind[] = [
-	{
-		name: 'long', share: 55.2, promptTokens: 1330, answerTokens: 105, aimMs: 503, onTimeValue: 2.4, lateValue: 0.6,
-	},
-	{
-		name: 'middle', share: 42.1, promptTokens: 827, answerTokens: 105, aimMs: 402, onTimeValue: 2, lateValue: 0.49,
-	},
-	{
-		name: 'short', share: 39.7, promptTokens: 647, answerTokens: 70, aimMs: 402, onTimeValue: 1.5, lateValue: 0.37,
-	},
-];
-
-/** The published engine timing of that deployment. */
-export const defaultTiming: EngineTiming = {
-	slots: 16, stepMs: 8.87, perCallMs: 0.0388, contextMsPerKilotoken: 0.0227, readTokensPerMs: 19.1, stepsPerPass: 5,
-	usualPromptTokens: 977, usualAnswerTokens: 94, layers: 16, chunkCount: 96, chunkBytes: 24_576, models: ['m'],
-};
-
-/** Creates a scenario of that deployment, with overrides. */
-export function createScenario(overrides: Partial<PlacingScenario> = {}): PlacingScenario {
-	return {
-		seed: 1, policy: currentPolicy, timing: defaultTiming, kinds: defaultCallKinds, callsPerSecond: 137, entries: 6, engines: 11, slowEngines: 0, slowness: 1,
-		seconds: 20, broadcastIntervalMs: 480, broadcastsChanges: true, broadcastDelayMs: 4, deadlineMs: 6033, maxPauseMs: 400, ...overrides,
-	};
+function addLoad(load: Load, calls: number, unreadTokens: number): void {
+	load.calls += calls;
+	load.unreadTokens += unreadTokens;
 }
--- /dev/null
+++ b/bench/placing-types.ts
@@ -0,0 +1,61 @@
+/** Types of the simulation in `placing-model.ts`. */
+import type {EngineTiming} from '../src/directory/directory-types.ts';
+import type {Candidate, Placement} from '../src/forwarding/select-instance.ts';
+
+/** A kind of call. */
+export type CallKind = {
+	readonly name: string;
+	/** Relative share of the calls; the shares need not add up to 1. */
+	readonly share: number;
+	/** Mean length of the prompt and of the response, in tokens. */
+	readonly promptTokens: number;
+	readonly answerTokens: number;
+	/** Target time to first byte, in milliseconds. */
+	readonly aimMs: number;
+	/** Value of a call of average size if its response is on time, and if it is late. */
+	readonly onTimeValue: number;
+	readonly lateValue: number;
+};
+
+/** Selects an engine for a call, or refuses the call. */
+export type PlacementPolicy = (input: {
+	readonly timing: EngineTiming;
+	readonly candidates: readonly Candidate[];
+	readonly promptTokens: number;
+	readonly answerTokens: number;
+	readonly aimLeftMs: number;
+	readonly deadlineLeftMs: number;
+	readonly randomBelow: (bound: number) => number;
+}) => Placement;
+
+/** The parameters of a simulation run. */
+export type PlacingScenario = {
+	readonly seed: number;
+	readonly policy: PlacementPolicy;
+	readonly timing: EngineTiming;
+	readonly kinds: readonly CallKind[];
+	/** Calls per second that arrive at all entries together. */
+	readonly callsPerSecond: number;
+	readonly entries: number;
+	readonly engines: number;
+	/** Number of engines that are slower than their published timing, and the factor by which they are slower. */
+	readonly slowEngines: number;
+	readonly slowness: number;
+	readonly seconds: number;
+	/** Interval at which each entry sends all its load counts to the other entries, in milliseconds. */
+	readonly broadcastIntervalMs: number;
+	/** Whether an entry also sends each change of a count immediately. */
+	readonly broadcastsChanges: boolean;
+	/** Network delay of the load counts, one way, in milliseconds. */
+	readonly broadcastDelayMs: number;
+	/** Number of engines whose counters an entry asks before each call, instead of the exchange of counts between entries; 0 for the exchange. */
+	readonly askedEngines: number;
+	/** Number of times that an entry asks further engines before it refuses a call. */
+	readonly rounds: number;
+	readonly deadlineMs: number;
+	/** Longest pause between two events of a stream that still counts as on time, in milliseconds. */
+	readonly maxPauseMs: number;
+};
+
+/** The result of a call, including its retry. `maxValue` is the value of an on-time response, `answerMs` the time to first byte (0 if refused). */
+export type CallResult = {readonly kind: string; readonly value: number; readonly maxValue: number; readonly outcome: 'on time' | 'late' | 'refused' | 'refused again'; readonly answerMs: number};
--- a/bench/placing.ts
+++ b/bench/placing.ts
@@ -2,9 +2,11 @@
 import {writeFileSync} from 'node:fs';
 import path from 'node:path';
 import {meanSlotTimeMs} from '../src/forwarding/engine-forecast.ts';
+import {PlacingModel} from './placing-model.ts';
 import {
-	fewestCallsPolicy, type CallResult, PlacingModel, type PlacementPolicy, type PlacingScenario, currentPolicy, randomPolicy, createScenario, defaultTiming,
-} from './placing-model.ts';
+	createScenario, currentPolicy, defaultTiming, fewestCallsPolicy, randomPolicy,
+} from './placing-scenarios.ts';
+import type {CallResult, PlacementPolicy, PlacingScenario} from './placing-types.ts';
 import {writeDocPart} from './support/doc-part.ts';
 import {drawPlots} from './svg-plot.ts';
 
--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -1,14 +1,16 @@
 /** The gateway role: the HTTP front end for callers, which forwards calls directly to upstreams. */
 import {Drain} from '../calls/drain.ts';
+import type {Directory} from '../directory/directory.ts';
 import {CallForwarder} from '../forwarding/call-forwarder.ts';
 import {CallerListener} from '../forwarding/caller-listener.ts';
 import {InstanceTracker} from '../forwarding/instance-tracker.ts';
 import type {WireCodec} from '../forwarding/wire-codec.ts';
 import {logSink} from '../runtime/logger.ts';
 import {formatAddress, HttpListener, sendJson} from '../links/http-listener.ts';
+import type {EngineDatagram} from '../messages/engine-datagram.ts';
 import {directoryGetMethod} from '../messages/peers-exchange.ts';
 import {directoryGetParamsSchema} from '../peers/directory-snapshot-schema.ts';
-import {LoadDatagrams} from '../peers/load-datagrams.ts';
+import {LoadQueries} from '../peers/load-queries.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {ForwardingMetrics} from '../reports/forwarding-metrics.ts';
 import type {GatewaySettings} from '../settings/direct-settings.ts';
@@ -34,11 +36,22 @@
 	}), adapter.createSource);
 	const {directory, log, random, group, metrics, rpc, settings} = base;
 	const tracker = new InstanceTracker(log);
+	const loads = new LoadQueries({
+		vm: settings.process.vm,
+		inFlight: tracker.inFlight,
+		directory,
+		port: settings.listen.datagrams.port,
+		log,
+		onEngineState(state) {
+			applyEngineState(state, directory, tracker);
+		},
+	});
 	const forwardingMetrics = new ForwardingMetrics(metrics);
 	const forwarder = new CallForwarder({
 		directory,
 		codec: adapter.codec,
 		tracker,
+		loads,
 		random,
 		log,
 		zone: settings.process.zone,
@@ -54,10 +67,9 @@
 	});
 	directory.onChange(() => {
 		callers.applyLimits();
-		tracker.retainOnly(new Set(directory.instances.map(({id}) => id)));
-	});
-	const datagrams = new LoadDatagrams({
-		vm: settings.process.vm, tracker, directory, port: settings.listen.datagrams.port, log, gateways: () => group.others.filter(({role}) => role === 'gateway'),
+		const present = new Set(directory.instances.map(({id}) => id));
+		tracker.retainOnly(present);
+		loads.retainOnly(present);
 	});
 	const isReady = () => !drain.isDraining && directory.configurationVersion > 0 && directory.instancesRevision > 0;
 	const drain = new Drain({
@@ -69,7 +81,7 @@
 		},
 		closeListeners: async () => callers.drain(),
 		async stopParts() {
-			datagrams.stop();
+			loads.stop();
 			control.destroy();
 			readiness.destroy();
 			await base.stop();
@@ -89,7 +101,7 @@
 
 	await control.start(settings.listen.control);
 	await readiness.start(settings.listen.readiness);
-	await datagrams.start(settings.listen.datagrams);
+	await loads.start(settings.listen.datagrams);
 	base.start();
 	await callers.start(settings.listen.callers);
 	log.info({event: 'gateway_started', callers: formatAddress(settings.listen.callers)}, 'gateway started');
@@ -107,6 +119,20 @@
 	};
 }
 
+/** Applies what a stager tells of its engine ahead of the platform's list of instances. */
+function applyEngineState(state: EngineDatagram, directory: Directory, tracker: InstanceTracker): void {
+	const [kind, address, startedAtMs] = state;
+	const instance = directory.instances.find(item => item.address === address && item.startedAtMs === startedAtMs);
+	if (kind === 'held') {
+		directory.recordHeldModel(address, startedAtMs, state[3]);
+		if (instance) {
+			tracker.recordLoaded(instance.id);
+		}
+	} else if (instance) {
+		tracker.recordLoading(instance.id);
+	}
+}
+
 async function waitUntilLate(ms: number): Promise<'late'> {
 	return new Promise(resolve => {
 		setTimeout(() => {
--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -7,6 +7,7 @@
 import type {PeerClient} from '../links/peer-client.ts';
 import {manifestGetMethod, manifestGetParamsSchema} from '../messages/peers-exchange.ts';
 import {rolloutHaveMethod, rolloutHaveParamsSchema} from '../messages/rollout-have.ts';
+import {CallCounterListener} from '../peers/call-counter-listener.ts';
 import {EngineStateSender} from '../peers/engine-state-sender.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {ChunkStore} from '../rollout/chunk-store.ts';
@@ -86,6 +87,7 @@
 	private readonly node: TransferNode;
 	private readonly staging: StagingManager;
 	private readonly control: HttpListener;
+	private readonly callCounter: CallCounterListener;
 	private readonly firstFetchAtMs = new Map<string, number>();
 	private serviceReadTimer: NodeJS.Timeout | undefined;
 
@@ -123,22 +125,26 @@
 			log,
 		});
 		this.control = new HttpListener(this.createRoutes(), log);
+		this.callCounter = new CallCounterListener(log);
 	}
 
 	async start(): Promise<void> {
 		const {base, control, staging} = this;
-		await control.start(base.settings.listen.control);
+		const {listen, peers} = base.settings;
+		await control.start(listen.control);
+		await this.callCounter.start({host: listen.control.host, port: peers.datagram_port});
 		base.start();
 		staging.start();
 		// After a power failure, there may be no gateway yet that could send the published services.
 		this.scheduleServiceRead(firstServiceReadDelayMs);
-		base.log.info({event: 'stager_started', control: formatAddress(base.settings.listen.control)}, 'stager started');
+		base.log.info({event: 'stager_started', control: formatAddress(listen.control)}, 'stager started');
 	}
 
 	async drain(): Promise<void> {
 		clearTimeout(this.serviceReadTimer);
 		this.staging.stop();
 		this.control.destroy();
+		this.callCounter.stop();
 		await this.base.stop();
 	}
 
--- /dev/null
+++ b/src/directory/available-instances.ts
@@ -0,0 +1,35 @@
+/** Lists of the instances that accept new calls, by service and zone, so that a call looks at a few of them only. */
+import type {ServiceId} from '../ids/service-id.ts';
+import type {Instance} from './directory-types.ts';
+
+/** The instances of one service that accept new calls. */
+export type AvailableInstances = {
+	/** Those in the zone. */
+	readonly local: readonly Instance[];
+	/** Those in all other zones. */
+	readonly remote: readonly Instance[];
+};
+
+const noInstances: AvailableInstances = {local: [], remote: []};
+
+/** Groups instances for the gateways of one zone. */
+export class AvailableInstancesIndex {
+	private readonly byService = new Map<ServiceId, {readonly local: Instance[]; readonly remote: Instance[]}>();
+
+	/**
+	 * @param instances - all instances that may still run
+	 * @param zone - the zone whose instances are local
+	 */
+	constructor(instances: readonly Instance[], zone: string) {
+		for (const instance of instances.filter(({isDraining}) => !isDraining)) {
+			const group = this.byService.get(instance.service) ?? {local: [], remote: []};
+			this.byService.set(instance.service, group);
+			group[instance.zone === zone ? 'local' : 'remote'].push(instance);
+		}
+	}
+
+	/** Returns the instances of a service that accept new calls. */
+	of(service: ServiceId): AvailableInstances {
+		return this.byService.get(service) ?? noInstances;
+	}
+}
--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -5,6 +5,7 @@
 import type {
 	DirectoryChange, DirectoryChanges, HeldModel, Instance, PublishedConfiguration,
 } from './directory-types.ts';
+import {type AvailableInstances, AvailableInstancesIndex} from './available-instances.ts';
 import {InstanceTable} from './instance-table.ts';
 import {type KnownVersion, NamedVersions, type NamedVersion} from './named-versions.ts';
 
@@ -35,6 +36,8 @@
 	private readonly namedVersions: NamedVersions;
 	private readonly instanceTable: InstanceTable;
 	private readonly listeners = new Set<() => void>();
+	/** The index of the last list of instances. */
+	private available: {readonly instances: readonly Instance[]; readonly zone: string; readonly index: AvailableInstancesIndex} | undefined;
 
 	constructor(private readonly log: Logger) {
 		this.namedVersions = new NamedVersions(log);
@@ -81,9 +84,18 @@
 		return this.instanceTable.get(id);
 	}
 
-	/** Returns the instances of a service that accept new calls: those that are not draining. */
-	availableInstances(service: ServiceId): Instance[] {
-		return this.instances.filter(instance => instance.service === service && !instance.isDraining);
+	/**
+	 * Returns the instances of a service that accept new calls: those that are not draining.
+	 *
+	 * @param zone - the zone whose instances are listed as local ones
+	 */
+	availableInstances(service: ServiceId, zone: string): AvailableInstances {
+		const {instances} = this;
+		if (this.available?.instances !== instances || this.available.zone !== zone) {
+			this.available = {instances, zone, index: new AvailableInstancesIndex(instances, zone)};
+		}
+
+		return this.available.index.of(service);
 	}
 
 	/**
--- a/src/directory/instance-table.ts
+++ b/src/directory/instance-table.ts
@@ -26,19 +26,19 @@
 	private readonly reportedByAddress = new Map<string, ReportedModel>();
 	/** Changes up to this revision are ignored, since the table already contains them. */
 	private revisionFloor = 0;
+	/** The list of running instances, until an entry changes or an unconfirmed one times out. */
+	private running: {readonly untilMs: number; readonly list: readonly Instance[]} | undefined;
 
 	constructor(private readonly log: Logger) {}
 
-	/** All instances that may still run. Of several with the same address, only the one that started last can. */
+	/** All instances that may still run; the same array until one changes. Of several with the same address, only the one that started last can run. */
 	get instances(): readonly Instance[] {
 		const nowMs = performance.now();
-		const candidates = [...this.known.values()].filter(known => mayBeAlive(known, nowMs)).map(({instance}) => instance);
-		const latestStarts = new Map<string, number>();
-		for (const {address, startedAtMs} of candidates) {
-			latestStarts.set(address, Math.max(startedAtMs, latestStarts.get(address) ?? startedAtMs));
+		if (!this.running || nowMs >= this.running.untilMs) {
+			this.running = {untilMs: this.nextTimeoutMs(nowMs), list: this.listRunning(nowMs)};
 		}
 
-		return candidates.filter(({address, startedAtMs}) => latestStarts.get(address) === startedAtMs);
+		return this.running.list;
 	}
 
 	/** Returns the instance with this id if it may still run. */
@@ -96,6 +96,7 @@
 		const ids = new Set(instances.map(({id}) => id));
 		for (const id of [...this.known.keys()].filter(known => !ids.has(known))) {
 			this.known.delete(id);
+			this.running = undefined;
 			this.log.info({
 				event: 'instance_gone', instance: id, revision, from: 'peer',
 			}, 'instance removed');
@@ -124,6 +125,22 @@
 		}
 	}
 
+	/** Returns when the next unconfirmed instance times out, in milliseconds of the monotonic clock; infinite if there is none. */
+	private nextTimeoutMs(nowMs: number): number {
+		const timeouts = [...this.known.values()].flatMap(({missingSinceMs}) => (missingSinceMs === undefined ? [] : [missingSinceMs + confirmationTimeoutMs]));
+		return Math.min(...timeouts.filter(atMs => atMs > nowMs));
+	}
+
+	private listRunning(nowMs: number): readonly Instance[] {
+		const candidates = [...this.known.values()].filter(known => mayBeAlive(known, nowMs)).map(({instance}) => instance);
+		const latestStarts = new Map<string, number>();
+		for (const {address, startedAtMs} of candidates) {
+			latestStarts.set(address, Math.max(startedAtMs, latestStarts.get(address) ?? startedAtMs));
+		}
+
+		return candidates.filter(({address, startedAtMs}) => latestStarts.get(address) === startedAtMs);
+	}
+
 	/** Returns whether a change is newer than the last one of the instance, and stores its revision if so. */
 	private acceptRevision(id: string, revision: number): boolean {
 		if (revision <= Math.max(this.revisionFloor, this.revisions.get(id) ?? 0)) {
@@ -143,6 +160,7 @@
 		const instance = withReportedModel(published, this.reportedByAddress.get(published.address));
 		const before = this.known.get(instance.id)?.instance;
 		this.known.set(instance.id, {instance, revision});
+		this.running = undefined;
 		if (before?.isDraining !== instance.isDraining || before.startedAtMs !== instance.startedAtMs || JSON.stringify(before.held) !== JSON.stringify(instance.held)) {
 			const {id, service, address, zone, isDraining, held} = instance;
 			this.log.info({
@@ -157,6 +175,7 @@
 			return;
 		}
 
+		this.running = undefined;
 		if (isAfterOutage && !known.instance.isDraining) {
 			known.missingSinceMs ??= performance.now();
 			this.log.info({event: 'instance_unconfirmed', instance: id, revision}, 'instance not listed after an outage; keeping it until confirmed or timed out');
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -1,18 +1,15 @@
 /** Accepts calls from callers, resolves their route and API key, and starts forwarding them to upstreams. */
 import type {Directory} from '../directory/directory.ts';
-import type {
-	HeldModel, Instance, KeyHolder, Route, ServiceInfo,
-} from '../directory/directory-types.ts';
+import type {KeyHolder, Route} from '../directory/directory-types.ts';
+import type {ServiceId} from '../ids/service-id.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import type {ResponseWriter} from './response-writer.ts';
-import {
-	ForwardedCall, type InstanceQuery, type ReceivedCall, type SelectedInstance,
-} from './forwarded-call.ts';
+import {ForwardedCall} from './forwarded-call.ts';
+import {InstanceSelector} from './instance-selector.ts';
 import type {InstanceTracker} from './instance-tracker.ts';
-import {
-	type Candidate, type Placement, selectEngineInstance, selectPlainInstance,
-} from './select-instance.ts';
+import type {LoadSource} from './load-source.ts';
+import type {ReceivedCall} from './received-call.ts';
 import {type RetryBudgetOptions, WindowedRetryBudget} from './windowed-retry-budget.ts';
 import type {RouteTable} from './route-table.ts';
 import {DeadlineHistory} from './deadline-history.ts';
@@ -27,6 +24,8 @@
 	readonly directory: Directory;
 	readonly codec: WireCodec;
 	readonly tracker: InstanceTracker;
+	/** Tells the calls that other gateways have in flight. */
+	readonly loads: LoadSource;
 	readonly random: RandomSource;
 	readonly log: Logger;
 	readonly zone: string;
@@ -51,12 +50,15 @@
 	private readonly inFlight = new Set<ForwardedCall>();
 	private readonly retryBudgets = new Map<string, WindowedRetryBudget>();
 	private readonly deadlineHistory = new DeadlineHistory();
-	private readonly versionExpiry: VersionExpiry;
+	private readonly selector: InstanceSelector;
 	private isShuttingDown = false;
 
 	/** @param options - dependencies and settings */
 	constructor(private readonly options: CallForwarderOptions) {
-		this.versionExpiry = new VersionExpiry(options.directory, options.versionBoundMs);
+		const {directory, tracker, loads, random, zone, log} = options;
+		this.selector = new InstanceSelector({
+			directory, tracker, loads, random, zone, log, versionExpiry: new VersionExpiry(directory, options.versionBoundMs),
+		});
 	}
 
 	/** Refuses all further calls, because the process is shutting down. */
@@ -107,7 +109,7 @@
 			codec,
 			tracker,
 			log,
-			selectInstance: query => this.selectInstance(query),
+			selectInstance: async query => this.selector.select(query),
 			tryTakeRetry: () => budget.tryTake(),
 			onEnd: (outcome, ms) => {
 				this.inFlight.delete(call);
@@ -157,75 +159,9 @@
 
 		return budget;
 	}
-
-	private selectInstance(query: InstanceQuery): SelectedInstance | Exclude<Placement, {kind: 'place'}> {
-		const {directory, random, log} = this.options;
-		const {headers, aimLeftMs, deadlineLeftMs} = query;
-		const service = directory.table?.findService(query.service);
-		const engine = service?.engine;
-		const instances = this.eligibleInstances(query, service);
-		const candidates = instances.map(instance => this.createCandidate(instance, headers.model));
-		const randomBelow = (bound: number) => random.nextInt(bound);
-		const placement = engine
-			? selectEngineInstance(engine, candidates, {
-				promptTokens: headers.promptTokens || engine.usualPromptTokens, aimLeftMs, deadlineLeftMs, isResponseStarted: query.isResponseStarted,
-			}, randomBelow)
-			: selectPlainInstance(candidates, randomBelow);
-		if (placement.kind === 'refuse') {
-			log.info({
-				event: 'no_place', id: headers.attemptId, reason: placement.reason, candidates: candidates.length, aimLeftMs: Math.round(aimLeftMs), deadlineMs: headers.deadlineMs,
-				leastCalls: Math.min(...candidates.map(({load}) => load.calls)), instancesRevision: directory.instancesRevision,
-			}, 'no instance available for a call');
-			return placement;
-		}
-
-		const index = candidates.findIndex(({id}) => id === placement.id);
-		const instance = instances[index]!;
-		const {load, startWindowMs} = candidates[index]!;
-		log.debug({
-			event: 'call_placed', id: headers.attemptId, instance: instance.id, predictedMs: Math.round(placement.predictedMs), load, aimLeftMs: Math.round(aimLeftMs), deadlineMs: headers.deadlineMs,
-		}, 'instance selected for a call');
-		return {
-			instance, predictedMs: placement.predictedMs, version: findHeldModel(instance, headers.model)?.version, startWindowMs,
-		};
-	}
-
-	/** Returns the usable instances that hold the required model and version and have not been tried for this call. */
-	private eligibleInstances({service, headers, tried, requiredVersion}: InstanceQuery, info: ServiceInfo | undefined): Instance[] {
-		const {directory, tracker} = this.options;
-		const available = directory.availableInstances(service as Instance['service'])
-			.filter(instance => tracker.isUsable(instance.id) && !tried.has(instance.id));
-		const {engine} = info ?? {};
-		if (!engine) {
-			return available;
-		}
-
-		return available.filter(instance => {
-			const held = findHeldModel(instance, headers.model);
-			return held?.fromLayer === 0 && held.toLayer >= engine.layers
-				&& this.versionExpiry.mayStart(held) && (requiredVersion === undefined || held.version === requiredVersion);
-		});
-	}
-
-	private createCandidate(instance: Instance, model: string | undefined): Candidate {
-		const {tracker, zone} = this.options;
-		const held = findHeldModel(instance, model);
-		return {
-			id: instance.id,
-			isLocal: instance.zone === zone,
-			load: tracker.getLoad(instance.id),
-			slots: instance.slots,
-			isSuspect: tracker.isSuspect(instance.id),
-			startWindowMs: held ? this.versionExpiry.timeLeftMs(held) : Number.POSITIVE_INFINITY,
-		};
-	}
-}
-
-function findHeldModel(instance: Instance, model: string | undefined): HeldModel | undefined {
-	return instance.held.find(held => held.model === model);
 }
 
-function chooseTargetService(route: Route, random: RandomSource): string {
+function chooseTargetService(route: Route, random: RandomSource): ServiceId {
 	const total = route.targets.reduce((sum, {weight}) => sum + weight, 0);
 	let remainder = random.nextInt(Math.max(1, Math.round(total)));
 	for (const {service, weight} of route.targets) {
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -1,29 +1,19 @@
 /** Forwards one call: sends it to an upstream, retries it where that is safe, and gives the caller at most one response. */
-import type {Buffer} from 'node:buffer';
 import type {Instance, KeyHolder, Route} from '../directory/directory-types.ts';
+import type {ServiceId} from '../ids/service-id.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {ResponseWriter} from './response-writer.ts';
 import {type AttemptOutcome, decideNextStep, type NextStep} from './decide-next-step.ts';
+import type {ReceivedCall} from './received-call.ts';
 import type {Placement} from './select-instance.ts';
 import type {CallHeaders, WireCodec} from './wire-codec.ts';
 import {UpstreamAttempt} from './upstream-attempt.ts';
 import type {InstanceTracker} from './instance-tracker.ts';
 
-/** A call as received from the caller, with its complete body. */
-export type ReceivedCall = {
-	readonly method: string;
-	readonly target: string;
-	readonly rawHeaders: readonly string[];
-	readonly headers: CallHeaders;
-	readonly body: Buffer;
-	/** When the headers were read, in milliseconds of the monotonic clock. */
-	readonly receivedAtMs: number;
-};
-
 /** What an instance must satisfy to receive a call. */
 export type InstanceQuery = {
 	readonly route: Route;
-	readonly service: string;
+	readonly service: ServiceId;
 	readonly headers: CallHeaders;
 	/** Time left to meet the target time to first byte of the route, in milliseconds; negative if the call is late. */
 	readonly aimLeftMs: number;
@@ -52,7 +42,7 @@
 export type ForwardedCallOptions = {
 	readonly call: ReceivedCall;
 	readonly route: Route;
-	readonly service: string;
+	readonly service: ServiceId;
 	readonly holder: KeyHolder | undefined;
 	/** As in {@link InstanceQuery}, at the time when the call was received. */
 	readonly aimLeftMs: number;
@@ -60,7 +50,7 @@
 	readonly codec: WireCodec;
 	readonly tracker: InstanceTracker;
 	readonly log: Logger;
-	readonly selectInstance: (query: InstanceQuery) => SelectedInstance | Exclude<Placement, {kind: 'place'}>;
+	readonly selectInstance: (query: InstanceQuery) => Promise<SelectedInstance | Exclude<Placement, {kind: 'place'}>>;
 	/** Takes one retry from the budget; returns false if it is exhausted. */
 	readonly tryTakeRetry: () => boolean;
 	/** Called once when the call has ended. */
@@ -118,7 +108,7 @@
 	/** Starts the timeout and the first attempt. */
 	start(): void {
 		this.startTimeoutTimer(this.timeoutAtMs);
-		this.tryNextInstance();
+		void this.tryNextInstance();
 	}
 
 	/** Ends the call and aborts the attempt because the caller disconnected. */
@@ -176,11 +166,11 @@
 		onEnd(outcome, ms);
 	}
 
-	private tryNextInstance(): void {
+	private async tryNextInstance(): Promise<void> {
 		const {options} = this;
 		const {call, route, service} = options;
 		const nowMs = performance.now();
-		const selection = options.selectInstance({
+		const selection = await options.selectInstance({
 			route,
 			service,
 			headers: call.headers,
@@ -190,6 +180,10 @@
 			isResponseStarted: options.writer.hasStarted,
 			requiredVersion: this.attempt?.responseVersion,
 		});
+		if (this.isFinished) {
+			return;
+		}
+
 		if ('instance' in selection) {
 			this.startAttempt(selection);
 			return;
@@ -294,7 +288,7 @@
 			event: 'send_ended', id: call.headers.attemptId, instance: this.attempt?.instanceId, outcome: outcome.kind, reason: describe(outcome), step, runs: this.possibleRuns,
 		}, 'attempt ended without a complete response');
 		if (step === 'repeat') {
-			this.tryNextInstance();
+			void this.tryNextInstance();
 		} else {
 			stepHandlers[step](this, outcome);
 		}
--- a/src/forwarding/in-flight-calls.ts
+++ b/src/forwarding/in-flight-calls.ts
@@ -1,26 +1,22 @@
-/** Counts the calls in flight at each instance: those of this gateway exactly, those of other gateways as last reported. */
+/** Counts this gateway's calls in flight at each instance. */
 import type {InFlightCounts} from './engine-forecast.ts';
 
-/** How long the counts reported by another gateway stay valid, in milliseconds. */
-const peerCountTtlMs = 1000;
-
 /** A call that this gateway has in flight at an instance. */
-export type InFlightCall = {readonly instance: string; readonly promptTokens: number; hasStarted: boolean};
+export type InFlightCall = {readonly instance: string; readonly promptTokens: number; hasStarted: boolean; hasEnded: boolean};
 
-/** Called when the counts of this gateway at an instance change; `isMore` is true for a new call and false for progress on one. */
+/** Called when the counts at an instance change; `isMore` is true for a new call and false for progress on one. */
 export type InFlightListener = (instance: string, isMore: boolean) => void;
 
-type PeerCounts = {readonly counts: Map<string, InFlightCounts>; atMs: number};
+const noCalls: InFlightCounts = {calls: 0, unreadTokens: 0};
 
 /** Counts in-flight calls and their unprocessed prompt tokens by instance ID. */
 export class InFlightCalls {
-	private readonly callsByInstance = new Map<string, Set<InFlightCall>>();
-	private readonly peers = new Map<string, PeerCounts>();
+	private readonly counts = new Map<string, InFlightCounts>();
 	private listener: InFlightListener | undefined;
 
-	/** The counts of this gateway by instance. */
-	get ownCounts(): Map<string, InFlightCounts> {
-		return new Map([...this.callsByInstance].map(([id, calls]) => [id, countCalls(calls)]));
+	/** IDs of the instances at which this gateway has calls in flight. */
+	get instances(): Iterable<string> {
+		return this.counts.keys();
 	}
 
 	/**
@@ -30,12 +26,10 @@
 	 * @param promptTokens - number of tokens in the prompt
 	 */
 	add(instance: string, promptTokens: number): InFlightCall {
-		const call: InFlightCall = {instance, promptTokens, hasStarted: false};
-		const calls = this.callsByInstance.get(instance) ?? new Set();
-		calls.add(call);
-		this.callsByInstance.set(instance, calls);
-		this.listener?.(instance, true);
-		return call;
+		this.change(instance, 1, promptTokens);
+		return {
+			instance, promptTokens, hasStarted: false, hasEnded: false,
+		};
 	}
 
 	/**
@@ -44,8 +38,10 @@
 	 * @param call - the call, as returned by {@link add}
 	 */
 	markStarted(call: InFlightCall): void {
-		call.hasStarted = true;
-		this.listener?.(call.instance, false);
+		if (!call.hasStarted && !call.hasEnded) {
+			call.hasStarted = true;
+			this.change(call.instance, 0, -call.promptTokens);
+		}
 	}
 
 	/**
@@ -54,20 +50,14 @@
 	 * @param call - the call, as returned by {@link add}
 	 */
 	remove(call: InFlightCall): void {
-		const calls = this.callsByInstance.get(call.instance);
-		if (!calls?.delete(call)) {
-			return;
-		}
-
-		if (calls.size === 0) {
-			this.callsByInstance.delete(call.instance);
+		if (!call.hasEnded) {
+			call.hasEnded = true;
+			this.change(call.instance, -1, call.hasStarted ? 0 : -call.promptTokens);
 		}
-
-		this.listener?.(call.instance, false);
 	}
 
 	/**
-	 * Sets the listener for changes of this gateway's counts.
+	 * Sets the listener for changes of the counts.
 	 *
 	 * @param listener - called after each change; undefined removes the listener
 	 */
@@ -76,68 +66,23 @@
 	}
 
 	/**
-	 * Returns the counts of this gateway at one instance.
+	 * Returns the counts at one instance.
 	 *
 	 * @param instance - the instance ID
 	 */
-	ownCountsAt(instance: string): InFlightCounts {
-		return countCalls(this.callsByInstance.get(instance) ?? new Set());
-	}
-
-	/**
-	 * Replaces all counts of another gateway.
-	 *
-	 * @param gateway - VM of the gateway
-	 * @param counts - its counts by instance
-	 */
-	replacePeerCounts(gateway: string, counts: ReadonlyMap<string, InFlightCounts>): void {
-		this.peers.set(gateway, {counts: new Map(counts), atMs: performance.now()});
+	countsAt(instance: string): InFlightCounts {
+		return this.counts.get(instance) ?? noCalls;
 	}
 
-	/**
-	 * Updates the counts of another gateway at the instances where they changed.
-	 *
-	 * @param gateway - VM of the gateway
-	 * @param changed - its changed counts by instance
-	 */
-	updatePeerCounts(gateway: string, changed: ReadonlyMap<string, InFlightCounts>): void {
-		const peer = this.peers.get(gateway) ?? {counts: new Map<string, InFlightCounts>(), atMs: 0};
-		for (const [instance, count] of changed) {
-			peer.counts.set(instance, count);
+	private change(instance: string, calls: number, unreadTokens: number): void {
+		const before = this.countsAt(instance);
+		const after = {calls: before.calls + calls, unreadTokens: before.unreadTokens + unreadTokens};
+		if (after.calls === 0) {
+			this.counts.delete(instance);
+		} else {
+			this.counts.set(instance, after);
 		}
 
-		peer.atMs = performance.now();
-		this.peers.set(gateway, peer);
+		this.listener?.(instance, calls > 0);
 	}
-
-	/**
-	 * Returns the summed counts of the other gateways at one instance; undefined if no gateway has reported recently.
-	 *
-	 * @param instance - the instance ID
-	 */
-	peerCountsAt(instance: string): InFlightCounts | undefined {
-		const nowMs = performance.now();
-		const fresh = [...this.peers.values()].filter(({atMs}) => nowMs - atMs < peerCountTtlMs);
-		if (fresh.length === 0) {
-			return undefined;
-		}
-
-		let calls = 0;
-		let unreadTokens = 0;
-		for (const {counts} of fresh) {
-			calls += counts.get(instance)?.calls ?? 0;
-			unreadTokens += counts.get(instance)?.unreadTokens ?? 0;
-		}
-
-		return {calls, unreadTokens};
-	}
-}
-
-function countCalls(inFlight: ReadonlySet<InFlightCall>): InFlightCounts {
-	let unreadTokens = 0;
-	for (const call of inFlight) {
-		unreadTokens += call.hasStarted ? 0 : call.promptTokens;
-	}
-
-	return {calls: inFlight.size, unreadTokens};
 }
--- a/src/forwarding/instance-tracker.ts
+++ b/src/forwarding/instance-tracker.ts
@@ -1,4 +1,4 @@
-/** Tracks the load and health of each instance from this gateway's own calls, the counts of other gateways, and responses and failures. */
+/** Tracks the load and health of each instance from this gateway's own calls, responses and failures. */
 import type {Instance} from '../directory/directory-types.ts';
 import type {Logger} from '../runtime/logger.ts';
 import {parseAddress} from '../links/http-listener.ts';
@@ -6,7 +6,7 @@
 import type {EngineLoad, InFlightCounts} from './engine-forecast.ts';
 import {acceptsConnections} from './upstream-exchange.ts';
 
-/** How long the load reported in a response is used if no other gateway reports its counts, in milliseconds. */
+/** How long the load reported in a response is used, in milliseconds. */
 const reportedLoadTtlMs = 600;
 
 /** Weight of the latest outcome in the moving average of failures. */
@@ -57,10 +57,10 @@
 	 * Returns the known load of an instance, including the calls of other gateways.
 	 *
 	 * @param id - the instance ID
+	 * @param others - the calls of other gateways, if they are known; otherwise those in the latest response are used
 	 */
-	getLoad(id: string): EngineLoad {
-		const own = this.inFlight.ownCountsAt(id);
-		const others = this.inFlight.peerCountsAt(id) ?? this.reportedLoadAt(id);
+	getLoad(id: string, others: InFlightCounts = this.reportedLoadAt(id)): EngineLoad {
+		const own = this.inFlight.countsAt(id);
 		return {
 			calls: own.calls + others.calls, unreadTokens: own.unreadTokens + others.unreadTokens, slowness: this.health.get(id)?.slowness ?? 1,
 		};
@@ -156,7 +156,7 @@
 	 * @param calls - number of running and waiting calls
 	 */
 	recordReportedLoad(id: string, calls: number): void {
-		this.getOrCreateHealth(id).reported = {others: Math.max(0, calls - this.inFlight.ownCountsAt(id).calls), atMs: performance.now()};
+		this.getOrCreateHealth(id).reported = {others: Math.max(0, calls - this.inFlight.countsAt(id).calls), atMs: performance.now()};
 	}
 
 	/**
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -5,9 +5,9 @@
 import type {ResponseWriter} from './response-writer.ts';
 import type {AttemptOutcome} from './decide-next-step.ts';
 import {EventSplitter, type StreamEvent} from './event-splitter.ts';
-import type {ReceivedCall} from './forwarded-call.ts';
 import type {InFlightCall} from './in-flight-calls.ts';
 import type {InstanceTracker} from './instance-tracker.ts';
+import type {ReceivedCall} from './received-call.ts';
 import {UpstreamExchange} from './upstream-exchange.ts';
 import type {AttemptInstructions, ResponseHeaders, WireCodec} from './wire-codec.ts';
 
--- a/src/settings/direct-settings.ts
+++ b/src/settings/direct-settings.ts
@@ -44,7 +44,7 @@
 		/** Address and path of the readiness check of load balancers. */
 		readiness: address,
 		readiness_path: z.string().startsWith('/', 'must begin with a slash').default('/readyz'),
-		/** UDP address on which the gateway receives the load of other gateways and the state of engines. */
+		/** UDP address on which the gateway receives the load and the state of engines from their stagers. */
 		datagrams: address,
 	}),
 	peers: peersSection,
@@ -69,7 +69,7 @@
 	listen: z.strictObject({control: address}),
 	peers: z.strictObject({
 		seeds: addressList,
-		/** UDP port on which all gateways receive datagrams. */
+		/** UDP port on which gateways and stagers receive datagrams. */
 		datagram_port: positiveNumber,
 	}),
 	directory: directorySection,
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -229,7 +229,8 @@
 		sendSignedResponse(req, res, 200, 'ok');
 	}]);
 	upstreams[0]!.close();
-	for (let at = 0; at < 4; at++) {
+	// Enough calls that the dead upstream is the first choice of one, whatever the random choices are.
+	for (let at = 0; at < 20; at++) {
 		const response = await callGateway(gateway.url);
 		expect(response.status).to.equal(200);
 	}
--- /dev/null
+++ b/test/load-queries.test.ts
@@ -0,0 +1,156 @@
+/** How gateways learn each other's calls: reports to the counter beside each engine, and questions to it, over datagrams on loopback. */
+import {install} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {Directory} from '../src/directory/directory.ts';
+import type {Instance} from '../src/directory/directory-types.ts';
+import type {InFlightCounts} from '../src/forwarding/engine-forecast.ts';
+import {InFlightCalls} from '../src/forwarding/in-flight-calls.ts';
+import {createServiceId} from '../src/ids/service-id.ts';
+import {CallCounter, reportTtlMs} from '../src/peers/call-counter.ts';
+import {CallCounterListener} from '../src/peers/call-counter-listener.ts';
+import {LoadQueries} from '../src/peers/load-queries.ts';
+import {createSilentLogger} from '../src/runtime/logger.ts';
+import {testConfiguration, testInstance} from './support/direct-fixtures.ts';
+
+const port = 17_931;
+const log = createSilentLogger();
+
+function engineAt(index: number): Instance {
+	return testInstance({id: `i-${index}`, service: createServiceId('models'), address: `127.0.1.${index}:80`});
+}
+
+/** Starts counters beside engines 1 to `counters`, and two gateways that list `engines` engines. */
+async function startFleet(engines: number, counters: number) {
+	const instances = Array.from({length: engines}, (item, index) => engineAt(index + 1));
+	const listeners = instances.slice(0, counters).map(() => new CallCounterListener(log));
+	for (const [index, listener] of listeners.entries()) {
+		await listener.start({host: `127.0.1.${index + 1}`, port});
+	}
+
+	const gateways = ['127.0.0.11', '127.0.0.12'].map(host => {
+		const directory = new Directory(log);
+		directory.apply({revision: 1, changes: [{revision: 1, change: {kind: 'configuration', configuration: testConfiguration(1)}}]});
+		directory.replaceInstances({revision: 2, changes: instances.map(instance => ({revision: 2, change: {kind: 'instance', instance}}))});
+		const inFlight = new InFlightCalls();
+		const queries = new LoadQueries({
+			vm: host, inFlight, directory, port, log, onEngineState: () => undefined,
+		});
+		return {host, inFlight, queries};
+	});
+	for (const {host, queries} of gateways) {
+		await queries.start({host, port});
+	}
+
+	return {
+		instances, first: gateways[0]!, second: gateways[1]!, stop() {
+			for (const part of [...listeners, ...gateways.map(({queries}) => queries)]) {
+				part.stop();
+			}
+		},
+	};
+}
+
+async function sleep(ms: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, ms);
+	});
+}
+
+async function waitUntil(condition: () => Promise<boolean>): Promise<void> {
+	for (let round = 0; round < 200; round++) {
+		if (await condition()) {
+			return;
+		}
+
+		await sleep(10);
+	}
+
+	expect.fail('the condition was not met in 2 s');
+}
+
+it('guards against two gateways that both find an engine idle: a new call, its progress and its end reach the other gateway before the next refresh', async () => {
+	const fleet = await startFleet(1, 1);
+	const {instances, first, second} = fleet;
+	const countsSeenBy = async ({queries}: typeof second) => {
+		const answers = await queries.ask(instances);
+		return answers.get('i-1');
+	};
+
+	const waitForCount = async (isExpected: (counts: InFlightCounts | undefined) => boolean) => waitUntil(async () => isExpected(await countsSeenBy(second)));
+	try {
+		const startMs = performance.now();
+		const call = first.inFlight.add('i-1', 1000);
+		await waitForCount(counts => counts?.calls === 1);
+		expect(performance.now() - startMs).to.be.lessThan(400);
+		expect(await countsSeenBy(second)).to.deep.equal({calls: 1, unreadTokens: 1000});
+		expect(await countsSeenBy(first), 'own calls are not counted twice').to.deep.equal({calls: 0, unreadTokens: 0});
+		first.inFlight.markStarted(call);
+		await waitForCount(counts => counts?.unreadTokens === 0);
+		first.inFlight.remove(call);
+		await waitForCount(counts => counts?.calls === 0);
+	} finally {
+		fleet.stop();
+	}
+});
+
+it('guards against counts that expire or are lost while nothing changes: calls at 130 engines are all known, and still after 1.3 s', async () => {
+	const fleet = await startFleet(130, 130);
+	const {instances, first, second} = fleet;
+	const knowsAll = async () => {
+		const answers = await second.queries.ask(instances);
+		return instances.every(({id}) => answers.get(id)?.calls === 1);
+	};
+
+	try {
+		for (const {id} of instances) {
+			first.inFlight.add(id, 5);
+		}
+
+		await waitUntil(knowsAll);
+		await sleep(1300);
+		await waitUntil(knowsAll);
+	} finally {
+		fleet.stop();
+	}
+});
+
+it('guards against calls that wait for a stager that is gone: its engine is left out after one timeout, and not waited for after two', async () => {
+	const fleet = await startFleet(2, 1);
+	const {instances, first} = fleet;
+	try {
+		for (let round = 0; round < 2; round++) {
+			const answers = await first.queries.ask(instances);
+			expect([...answers.keys()]).to.deep.equal(['i-1']);
+		}
+
+		const startMs = performance.now();
+		for (let round = 0; round < 20; round++) {
+			const answers = await first.queries.ask(instances);
+			expect([...answers.keys()]).to.deep.equal(['i-1']);
+		}
+
+		// 20 questions that each waited for the missing answer would take 20 timeouts of 20 ms.
+		expect(performance.now() - startMs).to.be.lessThan(300);
+	} finally {
+		fleet.stop();
+	}
+});
+
+it('guards against calls of a killed gateway that block an engine, and against reports that arrive out of order', () => {
+	const clock = install();
+	try {
+		const counter = new CallCounter();
+		counter.report('g-1', 5, {calls: 3, unreadTokens: 100});
+		counter.report('g-1', 4, {calls: 9, unreadTokens: 900});
+		counter.report('g-2', 1, {calls: 2, unreadTokens: 0});
+		expect(counter.othersThan('g-2')).to.deep.equal({calls: 3, unreadTokens: 100});
+		clock.tick(reportTtlMs / 2);
+		counter.report('g-2', 2, {calls: 4, unreadTokens: 7});
+		clock.tick(reportTtlMs / 2);
+		expect(counter.othersThan('g-3'), 'g-1 has not reported for as long as a report is valid').to.deep.equal({calls: 4, unreadTokens: 7});
+		counter.report('g-1', 1, {calls: 1, unreadTokens: 0});
+		expect(counter.othersThan('g-3'), 'a gateway that started anew after its clock was set back').to.deep.equal({calls: 5, unreadTokens: 7});
+	} finally {
+		clock.uninstall();
+	}
+});
--- a/test/placing-load.test.ts
+++ b/test/placing-load.test.ts
@@ -1,8 +1,8 @@
 /** Simulates many streams on few engines with the real selection code and checks what callers get. */
 import {expect} from 'chai';
-import {
-	PlacingModel, type CallResult, type PlacingScenario, createScenario, defaultTiming,
-} from '../bench/placing-model.ts';
+import {PlacingModel} from '../bench/placing-model.ts';
+import {createScenario, defaultTiming} from '../bench/placing-scenarios.ts';
+import type {CallResult, PlacingScenario} from '../bench/placing-types.ts';
 import {meanSlotTimeMs} from '../src/forwarding/engine-forecast.ts';
 
 const seeds = [1, 2, 3];
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -96,7 +96,7 @@
 	directory.replaceInstances({revision: 2, changes: instances.map(instance => ({revision: 2, change: {kind: 'instance', instance}}))});
 	const tracker = new InstanceTracker(log);
 	const forwarder = new CallForwarder({
-		directory, codec: platformCodec, tracker, random: new RandomSource(7), log, zone: 'z',
+		directory, codec: platformCodec, tracker, loads: {ask: async () => new Map()}, random: new RandomSource(7), log, zone: 'z',
 		retryBudget: {ratio: 0.2, slack: 100, windowMs: 10_000}, versionBoundMs: 8000, gatewayCount: () => 1, onEnd: () => undefined,
 	});
 	const port = 20_000 + new RandomSource(Date.now() % 2_147_483_647).nextInt(12_000);
