Bound every response in bytes and time, whatever a server in trouble sends

Cause: nothing limited a response. A plain answer was kept until its end, an unfinished event too; the store's, an engine's, the origin's and a peer's answers were read whole, some without any time limit; events were written to slow callers without waiting. And an answer without a length that was cut ended with a FIN, so that it looked complete to the caller.

Reading from an upstream waits for a caller that reads slowly. A cut answer without a length ends with a reset.

--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -10,6 +10,7 @@
 import type {InstanceTracker} from './instance-tracker.ts';
 import type {LoadSource} from './load-source.ts';
 import type {ReceivedCall} from './received-call.ts';
+import {ResponseBuffers} from './response-buffers.ts';
 import {type RetryBudgetOptions, WindowedRetryBudget} from './windowed-retry-budget.ts';
 import type {RouteTable} from './route-table.ts';
 import {DeadlineHistory} from './deadline-history.ts';
@@ -51,6 +52,7 @@
 	private readonly retryBudgets = new Map<string, WindowedRetryBudget>();
 	private readonly deadlineHistory = new DeadlineHistory();
 	private readonly selector: InstanceSelector;
+	private readonly buffers = new ResponseBuffers();
 	private isShuttingDown = false;
 
 	/** @param options - dependencies and settings */
@@ -108,6 +110,7 @@
 			writer,
 			codec,
 			tracker,
+			buffers: this.buffers,
 			log,
 			selectInstance: async query => this.selector.select(query),
 			tryTakeRetry: () => budget.tryTake(),
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -2,6 +2,7 @@
 import type {Instance, KeyHolder, Route} from '../directory/directory-types.ts';
 import type {ServiceId} from '../ids/service-id.ts';
 import type {Logger} from '../runtime/logger.ts';
+import type {ResponseBuffers} from './response-buffers.ts';
 import type {ResponseWriter} from './response-writer.ts';
 import {type AttemptOutcome, decideNextStep, type NextStep} from './decide-next-step.ts';
 import type {ReceivedCall} from './received-call.ts';
@@ -49,6 +50,7 @@
 	readonly writer: ResponseWriter;
 	readonly codec: WireCodec;
 	readonly tracker: InstanceTracker;
+	readonly buffers: ResponseBuffers;
 	readonly log: Logger;
 	readonly selectInstance: (query: InstanceQuery) => Promise<SelectedInstance | Exclude<Placement, {kind: 'place'}>>;
 	/** Takes one retry from the budget; returns false if it is exhausted. */
@@ -211,7 +213,7 @@
 	}
 
 	private startAttempt({instance, predictedMs, version, startWindowMs}: SelectedInstance): void {
-		const {call, route, holder, writer, codec, tracker} = this.options;
+		const {call, route, holder, writer, codec, tracker, buffers} = this.options;
 		this.tried.add(instance.id);
 		this.possibleRuns++;
 		this.attempt = new UpstreamAttempt({
@@ -234,6 +236,7 @@
 			writer,
 			codec,
 			tracker,
+			buffers,
 			stallTimeoutsMs: this.stallTimeouts(),
 			canRetryElsewhere: () => this.canRetryElsewhere(),
 			onServed: () => {
--- a/src/forwarding/response-writer.ts
+++ b/src/forwarding/response-writer.ts
@@ -7,6 +7,7 @@
 	/** Whether the response headers have been written. */
 	hasStarted = false;
 	private isFinished = false;
+	private isFramed = true;
 
 	/**
 	 * @param res - the response, with no headers sent yet
@@ -81,6 +82,7 @@
 		}
 
 		this.hasStarted = true;
+		this.isFramed = isFramed;
 		if (isFramed) {
 			this.res.writeHead(status, [...headers]);
 		} else {
@@ -100,6 +102,16 @@
 		}
 	}
 
+	/** Whether the caller reads more slowly than the response is written. */
+	get isBackedUp(): boolean {
+		return !this.isFinished && this.res.writableNeedDrain;
+	}
+
+	/** Calls a listener once when the caller has read what was written. */
+	onceDrained(listener: () => void): void {
+		this.res.once('drain', listener);
+	}
+
 	/** Ends a response whose body has been written completely. */
 	end(): void {
 		if (!this.isFinished) {
@@ -110,9 +122,16 @@
 
 	/** Closes the connection without ending the response, so that a truncated response does not look complete. */
 	abort(): void {
-		if (!this.isFinished) {
-			this.isFinished = true;
-			this.res.destroy();
+		if (this.isFinished) {
+			return;
+		}
+
+		this.isFinished = true;
+		if (!this.isFramed) {
+			// The end of the connection marks the end of the body, so that only a reset shows that it is truncated.
+			this.res.socket?.resetAndDestroy();
 		}
+
+		this.res.destroy();
 	}
 }
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -8,6 +8,7 @@
 import type {InFlightCall} from './in-flight-calls.ts';
 import type {InstanceTracker} from './instance-tracker.ts';
 import type {ReceivedCall} from './received-call.ts';
+import {type BufferOwner, maxEventBytes, type ResponseBuffers} from './response-buffers.ts';
 import {UpstreamExchange} from './upstream-exchange.ts';
 import type {AttemptInstructions, ResponseHeaders, WireCodec} from './wire-codec.ts';
 
@@ -33,6 +34,8 @@
 	readonly writer: ResponseWriter;
 	readonly codec: WireCodec;
 	readonly tracker: InstanceTracker;
+	/** Limits the memory of responses. */
+	readonly buffers: ResponseBuffers;
 	/** Stall timeouts before the first byte and between further bytes, in milliseconds. */
 	readonly stallTimeoutsMs: {readonly first: number; readonly next: number};
 	/** Returns whether the call may be sent to another instance now. */
@@ -47,7 +50,7 @@
 export type BufferedResponse = {readonly status: number; readonly headers: readonly string[]; readonly body: Buffer; readonly isFramed: boolean};
 
 /** Sends a call to one instance and handles the response. */
-export class UpstreamAttempt {
+export class UpstreamAttempt implements BufferOwner {
 	/** ID of the last event sent to the caller. */
 	lastEventId: string | undefined;
 	/** Version of the model that produced the events sent to the caller, if its upstream reported one. */
@@ -56,7 +59,7 @@
 	private readonly inFlightCall: InFlightCall;
 	private readonly startedAtMs = performance.now();
 	private readonly splitter = new EventSplitter();
-	private readonly bodyChunks: Buffer[] = [];
+	private bodyChunks: Buffer[] = [];
 	private head: {readonly status: number; readonly headers: ResponseHeaders} | undefined;
 	private buffered: BufferedResponse | undefined;
 	private stallTimer: NodeJS.Timeout | undefined;
@@ -109,6 +112,11 @@
 		this.exchange.abort();
 	}
 
+	/** Fails the attempt because its response takes too much memory. */
+	discardResponse(): void {
+		this.fail('answer_too_large');
+	}
+
 	private handleHeaders(status: number, rawHeaders: readonly string[]): void {
 		const {codec, call, tracker, instance} = this.options;
 		const headers = codec.readResponseHeaders(status, rawHeaders);
@@ -124,16 +132,43 @@
 	}
 
 	private handleData(chunk: Buffer): void {
+		if (this.isFinished) {
+			return;
+		}
+
 		this.restartStallTimer(this.options.stallTimeoutsMs.next);
-		if (!this.isFinished && this.isEventStream()) {
-			for (const event of this.splitter.push(chunk)) {
-				this.forwardEvent(event);
-			}
-		} else if (!this.isFinished) {
+		if (this.isEventStream()) {
+			this.forwardEvents(this.splitter.push(chunk));
+		} else {
 			this.bodyChunks.push(chunk);
+			this.options.buffers.add(this, chunk.length);
 		}
 	}
 
+	private forwardEvents(events: readonly StreamEvent[]): void {
+		for (const event of events) {
+			this.forwardEvent(event);
+		}
+
+		if (this.splitter.pendingBytes > maxEventBytes) {
+			this.fail('event_too_large');
+		} else if (this.options.writer.isBackedUp) {
+			this.waitForCaller();
+		}
+	}
+
+	/** Stops reading from the upstream until the caller has read what was written. */
+	private waitForCaller(): void {
+		clearTimeout(this.stallTimer);
+		this.exchange.pause();
+		this.options.writer.onceDrained(() => {
+			if (!this.isFinished) {
+				this.restartStallTimer(this.options.stallTimeoutsMs.next);
+				this.exchange.resume();
+			}
+		});
+	}
+
 	private isEventStream(): boolean {
 		return this.options.isStream && this.head?.status === 200;
 	}
@@ -228,6 +263,10 @@
 	}
 
 	private fail(reason: string): void {
+		if (this.isFinished) {
+			return;
+		}
+
 		this.options.tracker.recordOutcome(this.options.instance.id, false);
 		this.report({kind: 'failed', reason});
 	}
@@ -266,5 +305,7 @@
 		clearTimeout(this.stallTimer);
 		clearTimeout(this.versionTimer);
 		this.options.tracker.inFlight.remove(this.inFlightCall);
+		this.options.buffers.release(this);
+		this.bodyChunks = [];
 	}
 }
--- a/src/forwarding/upstream-exchange.ts
+++ b/src/forwarding/upstream-exchange.ts
@@ -38,6 +38,7 @@
 export class UpstreamExchange {
 	private readonly req: http.ClientRequest;
 	private readonly connectTimer: NodeJS.Timeout;
+	private res: http.IncomingMessage | undefined;
 	private isConnected = false;
 	private isFinished = false;
 	/** Whether the upstream closed the connection with a FIN rather than a reset. */
@@ -72,6 +73,16 @@
 		this.finish();
 	}
 
+	/** Stops reading the response body until {@link resume}. */
+	pause(): void {
+		this.res?.pause();
+	}
+
+	/** Continues to read the response body. */
+	resume(): void {
+		this.res?.resume();
+	}
+
 	private watchSocket(socket: net.Socket): void {
 		socket.once('connect', () => {
 			this.isConnected = true;
@@ -87,6 +98,7 @@
 			return;
 		}
 
+		this.res = res;
 		this.events.onHeaders(res.statusCode ?? 0, res.rawHeaders);
 		res.on('data', (chunk: Buffer) => {
 			if (!this.isFinished) {
--- a/src/links/peer-client.ts
+++ b/src/links/peer-client.ts
@@ -25,10 +25,15 @@
 /** How long the unread rest of a response body may take to drain before its connection is closed, in milliseconds. */
 const maxBodyDrainMs = 1000;
 
+/** Size limit of a response body, in bytes: several of the largest documents that the platform publishes. */
+const defaultMaxBodyBytes = 8_388_608;
+
 /** Time limits and other options of a request. */
 export type PeerRequestOptions = {
-	/** Time limit for the response, in milliseconds. Covers the body in `rpc` and `json`, only the headers in `send`. */
+	/** Time limit for the response, in milliseconds. Covers the body in `rpc`, `json` and `bytes`, only the headers in `send`. */
 	readonly timeoutMs: number;
+	/** Size limit of the body in `rpc`, `json` and `bytes`, in bytes; {@link defaultMaxBodyBytes} if absent. */
+	readonly maxBytes?: number;
 	/** Maximum time between two chunks of the response body, in milliseconds; unlimited if absent. */
 	readonly bodyIdleTimeoutMs?: number;
 	/** Called right before the first byte is written. If it throws, nothing is sent. */
@@ -92,12 +97,11 @@
 	 * @throws PeerRequestError when no valid JSON response arrives in time or the status is not 2xx
 	 */
 	async json(url: string, req: {method: Dispatcher.HttpMethod; body?: string}, options: PeerRequestOptions): Promise<unknown> {
-		const signal = createDeadlineSignal(options);
-		const res = await this.send(url, req, {...options, signal});
+		const {status, bytes} = await this.bytes(url, req, options);
+		const text = bytes.toString('utf8');
 		try {
-			const text = await readText(res.body);
-			if (res.status < 200 || res.status > 299) {
-				throw new VError('status %d: %s', res.status, text.slice(0, 200));
+			if (status < 200 || status > 299) {
+				throw new VError('status %d: %s', status, text.slice(0, 200));
 			}
 
 			return text === '' ? null : JSON.parse(text);
@@ -106,6 +110,22 @@
 		}
 	}
 
+	/**
+	 * Sends a request and reads the whole response.
+	 *
+	 * @param url - the absolute URL
+	 * @param req - method and body
+	 * @throws PeerRequestError when the response does not arrive completely in time or is too large
+	 */
+	async bytes(url: string, req: {method: Dispatcher.HttpMethod; body?: string | Buffer}, options: PeerRequestOptions): Promise<{status: number; bytes: Buffer}> {
+		const res = await this.send(url, req, {...options, signal: createDeadlineSignal(options)});
+		try {
+			return {status: res.status, bytes: await readBytes(res.body, options.maxBytes)};
+		} catch (err) {
+			throw new PeerRequestError(err as Error, true, `${req.method} ${url}`);
+		}
+	}
+
 	/**
 	 * Sends a request and returns when the response headers arrive. The body must be read or destroyed.
 	 *
@@ -195,16 +215,30 @@
 	}
 }
 
-/** Reads a body as UTF-8 text. */
-export async function readText(body: Readable): Promise<string> {
-	const bytes = await readBytes(body);
+/** Thrown when a response body exceeds its size limit. */
+export class BodyTooLargeError extends VError {}
+
+/** Reads a body as UTF-8 text; see {@link readBytes}. */
+export async function readText(body: Readable, maxBytes?: number): Promise<string> {
+	const bytes = await readBytes(body, maxBytes);
 	return bytes.toString('utf8');
 }
 
-/** Reads a body as bytes. */
-export async function readBytes(body: Readable): Promise<Buffer> {
+/**
+ * Reads a body as bytes.
+ *
+ * @param maxBytes - the size limit; the body of a server in trouble may have no end
+ * @throws BodyTooLargeError when the body exceeds the limit; its connection is closed
+ */
+export async function readBytes(body: Readable, maxBytes = defaultMaxBodyBytes): Promise<Buffer> {
 	const parts: Buffer[] = [];
+	let bytes = 0;
 	for await (const part of body) {
+		bytes += (part as Buffer).length;
+		if (bytes > maxBytes) {
+			throw new BodyTooLargeError('response body is larger than %d bytes', maxBytes);
+		}
+
 		parts.push(part as Buffer);
 	}
 
--- a/src/rollout/chunk-download.ts
+++ b/src/rollout/chunk-download.ts
@@ -3,6 +3,7 @@
 import {VError} from 'verror';
 import {type PeerClient, readText} from '../links/peer-client.ts';
 import {noticeHeader} from '../messages/rollout-have.ts';
+import {CorruptChunkError} from './chunk-store.ts';
 import type {TransferPacer} from './transfer-pacer.ts';
 
 /** Thrown when the source temporarily refuses the request. */
@@ -25,6 +26,12 @@
 /** The delay before a retry when the refusal does not specify one, in milliseconds. */
 const defaultRetryMs = 1000;
 
+/** The minimum number of bytes that a source has to send within each stall timeout on average; a trickle would hold the download for hours. */
+const minBytesPerStall = 4096;
+
+/** The size limit of a refusal or error, in bytes. */
+const maxRefusalBytes = 65_536;
+
 /** The parameters of one download. */
 export type ChunkDownload = {
 	readonly links: PeerClient;
@@ -32,6 +39,8 @@
 	readonly pacer: TransferPacer;
 	/** The maximum time without received data, in milliseconds. */
 	readonly stallMs: number;
+	/** The maximum size of the chunk, in bytes. */
+	readonly chunkBytes: number;
 	/** Whether to open a new connection, because an existing one may be dead. */
 	readonly freshConnection: boolean;
 	readonly controller: AbortController;
@@ -45,7 +54,8 @@
  * Downloads one chunk without verifying its content.
  *
  * @throws SourceBusyError when the source temporarily refuses
- * @throws StalledTransferError when no data arrives for `stallMs`
+ * @throws StalledTransferError when no data arrives for `stallMs`, or too little over the whole download
+ * @throws CorruptChunkError when the source sends more than `chunkBytes`
  */
 export async function downloadChunk(download: ChunkDownload): Promise<Uint8Array> {
 	const {links, url, stallMs, freshConnection, controller, onNotice} = download;
@@ -58,11 +68,11 @@
 		}
 
 		if (refusalStatuses.has(res.status)) {
-			throw parseRefusal(await readText(res.body), res.headers['retry-after']);
+			throw parseRefusal(await readText(res.body, maxRefusalBytes), res.headers['retry-after']);
 		}
 
 		if (res.status !== 200) {
-			await readText(res.body);
+			await readText(res.body, maxRefusalBytes);
 			throw new VError('unexpected status %d from %s', res.status, url);
 		}
 
@@ -74,15 +84,28 @@
 	}
 }
 
-async function readBody(body: AsyncIterable<unknown>, {pacer, onBytes}: ChunkDownload, watchdog: Watchdog): Promise<Uint8Array> {
+async function readBody(body: AsyncIterable<unknown>, {pacer, onBytes, chunkBytes, stallMs}: ChunkDownload, watchdog: Watchdog): Promise<Uint8Array> {
 	const parts: Buffer[] = [];
+	let received = 0;
+	let waitedMs = 0;
 	for await (const part of body) {
 		// Time spent waiting for the local rate limit must not count as a stall of the source.
+		const pausedAtMs = performance.now();
 		watchdog.clear();
 		const bytes = part as Buffer;
+		received += bytes.length;
+		if (received > chunkBytes) {
+			throw new CorruptChunkError(`chunk is larger than ${chunkBytes} bytes`);
+		}
+
 		parts.push(bytes);
 		onBytes(bytes.length);
 		await pacer.take(bytes.length);
+		waitedMs += performance.now() - pausedAtMs;
+		if (watchdog.elapsedMs - waitedMs > stallMs * (1 + Math.ceil(chunkBytes / minBytesPerStall))) {
+			throw new StalledTransferError('only %d bytes in %d ms', received, Math.round(watchdog.elapsedMs - waitedMs));
+		}
+
 		watchdog.restart();
 	}
 
@@ -103,6 +126,7 @@
 /** Aborts a download unless it is restarted within the limit. */
 class Watchdog {
 	fired = false;
+	private readonly startedAtMs = performance.now();
 	private timer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly limitMs: number, private readonly controller: AbortController) {
@@ -118,6 +142,11 @@
 		this.timer.unref();
 	}
 
+	/** Time since the start of the download, in milliseconds. */
+	get elapsedMs(): number {
+		return performance.now() - this.startedAtMs;
+	}
+
 	clear(): void {
 		clearTimeout(this.timer);
 	}
--- a/src/rollout/chunk-fetcher.ts
+++ b/src/rollout/chunk-fetcher.ts
@@ -23,6 +23,8 @@
 	readonly neighbourhood: Neighbourhood;
 	/** Returns the digest of a chunk. */
 	readonly digestAt: (chunk: number) => Digest;
+	/** Returns the size limit of the chunks, in bytes. */
+	readonly chunkBytes: () => number;
 	/** Returns this agent's notice, which is sent with each request to a peer. */
 	readonly notice: () => TransferNotice;
 	/** Called after a chunk was verified and stored. */
@@ -93,6 +95,7 @@
 				url,
 				pacer: agentOptions.downPacer,
 				stallMs: agentOptions.limits().chunk_timeout_ms,
+				chunkBytes: this.options.chunkBytes(),
 				freshConnection: neighbourhood.lastContactFailed(source),
 				controller,
 				onBytes: count => {
--- a/src/rollout/version-transfer.ts
+++ b/src/rollout/version-transfer.ts
@@ -11,6 +11,9 @@
 import type {TransferOptions} from './transfer-options.ts';
 import {UnavailabilityTracker} from './unavailability-tracker.ts';
 
+/** The size limit of a manifest, in bytes. */
+const maxManifestBytes = 8_388_608;
+
 /** The default number of concurrent downloads. */
 const maxOpenDownloads = 4;
 
@@ -69,6 +72,7 @@
 			manifest,
 			neighbourhood: this.neighbourhood,
 			digestAt: chunk => this.digestAt(chunk),
+			chunkBytes: () => this.content?.chunk_bytes ?? maxManifestBytes,
 			notice: () => this.notice(),
 			onChunk: (digest, chunk) => {
 				this.acceptChunk(digest, chunk);
--- a/test/origin-return.test.ts
+++ b/test/origin-return.test.ts
@@ -46,7 +46,7 @@
 		survey: async () => undefined,
 	} as unknown as Neighbourhood;
 	const fetcher = new ChunkFetcher({
-		agentOptions, manifest: digest, neighbourhood, digestAt: () => digest, notice: () => ({
+		agentOptions, manifest: digest, neighbourhood, chunkBytes: () => 1_000_000, digestAt: () => digest, notice: () => ({
 			vm: 'a', bitmap: '', reading: '', imported: 0, uploaded: 0,
 		}), onChunk: noop, onEnd: noop,
 	});
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -115,26 +115,39 @@
 export type TestResponse = {readonly status: number; readonly headers: http.IncomingHttpHeaders; readonly body: string; readonly complete: boolean};
 
 /** Sends a call to a gateway. */
-export async function callGateway(url: string, options: {path?: string; method?: string; headers?: Record<string, string>; body?: string; disconnectAfterMs?: number} = {}): Promise<TestResponse> {
-	const {path = '/p/x', method = 'POST', headers = {}, body = 'b', disconnectAfterMs} = options;
+export async function callGateway(url: string, options: {path?: string; method?: string; headers?: Record<string, string>; body?: string; disconnectAfterMs?: number; readsNothing?: boolean} = {}): Promise<TestResponse> {
+	const {path = '/p/x', method = 'POST', headers = {}, body = 'b', disconnectAfterMs, readsNothing = false} = options;
 	return new Promise((resolve, reject) => {
+		let hasResponse = false;
+		let wasReset = false;
 		const req = http.request(`${url}${path}`, {
 			method, agent: false, headers: {
 				host: 'a.example', 'attempt-id': 'id-1', 'api-key': 'k1', 'deadline-ms': '900', ...headers,
 			},
 		}, res => {
 			let text = '';
+			hasResponse = true;
+			if (readsNothing) {
+				return;
+			}
+
 			res.setEncoding('utf8').on('data', (part: string) => {
 				text += part;
 			});
 			res.on('error', () => undefined);
 			res.on('close', () => {
 				resolve({
-					status: res.statusCode ?? 0, headers: res.headers, body: text, complete: res.complete,
+					status: res.statusCode ?? 0, headers: res.headers, body: text, complete: res.complete && !wasReset,
 				});
 			});
 		});
-		req.on('error', reject);
+		req.on('error', err => {
+			// The parser reports a response without a length as complete even if a reset cut it off.
+			wasReset = true;
+			if (!hasResponse || readsNothing) {
+				reject(err);
+			}
+		});
 		req.end(body);
 		if (disconnectAfterMs !== undefined) {
 			setTimeout(() => {
