--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -7,7 +7,7 @@
 import type {WireCodec} from '../forwarding/wire-codec.ts';
 import {logSink} from '../runtime/logger.ts';
 import {formatAddress, HttpListener, sendJson} from '../links/http-listener.ts';
-import type {EngineDatagram} from '../messages/engine-datagram.ts';
+import {changingDatagramSchema, type EngineDatagram, heldModelDatagramSchema} from '../messages/engine-datagram.ts';
 import {directoryGetMethod} from '../messages/peers-exchange.ts';
 import {directoryGetParamsSchema} from '../peers/directory-snapshot-schema.ts';
 import {LoadQueries} from '../peers/load-queries.ts';
@@ -32,7 +32,7 @@
  */
 export async function startGateway(settingsSource: SettingsSource<GatewaySettings>, adapter: GatewayAdapter): Promise<RunningProcess> {
 	const base = new GatewayStagerBase(settingsSource, ({listen}) => ({
-		role: 'gateway', control: listen.control, parts: ['published', 'instances'], pulledParts: 'directory',
+		role: 'gateway', control: listen.control, datagrams: listen.datagrams, parts: ['published', 'instances'], pulledParts: 'directory',
 	}), adapter.createSource);
 	const {directory, log, random, group, metrics, rpc, settings} = base;
 	const tracker = new InstanceTracker(log);
@@ -40,11 +40,15 @@
 		vm: settings.process.vm,
 		inFlight: tracker.inFlight,
 		directory,
+		datagrams: base.datagrams,
 		port: settings.listen.datagrams.port,
 		log,
-		onEngineState(state) {
-			applyEngineState(state, directory, tracker);
-		},
+	});
+	base.datagrams.on('held', heldModelDatagramSchema, state => {
+		applyEngineState(state, directory, tracker);
+	});
+	base.datagrams.on('changing', changingDatagramSchema, state => {
+		applyEngineState(state, directory, tracker);
 	});
 	const forwardingMetrics = new ForwardingMetrics(metrics);
 	const forwarder = new CallForwarder({
@@ -101,8 +105,8 @@
 
 	await control.start(settings.listen.control);
 	await readiness.start(settings.listen.readiness);
-	await loads.start(settings.listen.datagrams);
-	base.start();
+	await base.start();
+	loads.start();
 	await callers.start(settings.listen.callers);
 	log.info({event: 'gateway_started', callers: formatAddress(settings.listen.callers)}, 'gateway started');
 
--- a/src/cli/gateway-stager-base.ts
+++ b/src/cli/gateway-stager-base.ts
@@ -7,7 +7,12 @@
 import {formatAddress, type ListenAddress} from '../links/http-listener.ts';
 import type {PeerClient} from '../links/peer-client.ts';
 import {type PeerInfo, peersExchangeMethod, peersExchangeSchema} from '../messages/peers-exchange.ts';
+import {DatagramPort} from '../links/datagram-port.ts';
+import {DirectoryPuller} from '../peers/directory-puller.ts';
+import {NewsSpreader} from '../peers/news-spreader.ts';
 import {PeerGroup} from '../peers/peer-group.ts';
+import {WatchCoverage} from '../peers/watch-duty.ts';
+import {WatchManager} from '../peers/watch-manager.ts';
 import {logSink} from '../runtime/logger.ts';
 import type {GatewaySettings, StagerSettings} from '../settings/direct-settings.ts';
 import {InvalidSettingsError} from '../settings/parse-settings.ts';
@@ -23,8 +28,10 @@
 export type GatewayStagerRole = {
 	readonly role: PeerInfo['role'];
 	readonly control: ListenAddress;
+	/** The address at which the process receives datagrams; all processes use the same port number. */
+	readonly datagrams: ListenAddress;
 	readonly service?: string;
-	/** The parts of the directory that the role watches at the source. */
+	/** The parts of the directory that the role watches at the source, if it is its duty. */
 	readonly parts: readonly DirectoryPart[];
 	/** What the role accepts from gateways: the whole directory, or only the services. */
 	readonly pulledParts: 'directory' | 'services';
@@ -40,9 +47,12 @@
 export class GatewayStagerBase<Settings extends GatewayStagerSettings> extends ProcessBase {
 	readonly directory: Directory;
 	readonly source: DirectorySource;
-	readonly watchers: readonly DirectoryWatcher[];
 	readonly group: PeerGroup;
+	readonly datagrams: DatagramPort;
 	settings: Settings;
+	private readonly watchManager: WatchManager;
+	private readonly news: NewsSpreader;
+	private readonly datagramAddress: ListenAddress;
 
 	/**
 	 * @param role - describes the role, given its settings
@@ -55,38 +65,59 @@
 		this.directory = new Directory(this.log);
 		const {links, directory, random, log} = this;
 		this.source = createSource(links, () => formatAddress(this.settings.directory.address));
-		const {role: name, control, service, parts, pulledParts} = role(this.settings);
-		this.watchers = parts.map(part => new DirectoryWatcher({
+		const {role: name, control, datagrams: datagramAddress, service, parts, pulledParts} = role(this.settings);
+		this.datagramAddress = datagramAddress;
+		const self: PeerInfo = {
+			vm: own.vm, startedAtMs: this.identity.startedAtMs, role: name, zone: own.zone, region: own.region, address: formatAddress(control), ...(service === undefined ? {} : {service}),
+		};
+		const others = () => this.group.others;
+		const coverage = new WatchCoverage();
+		const watchers = parts.map(part => new DirectoryWatcher({
 			part, source: this.source, directory, random, log,
 		}));
+		const puller = new DirectoryPuller({
+			links, directory, pulledParts, log,
+		});
+		this.datagrams = new DatagramPort(log);
+		this.watchManager = new WatchManager({
+			self, others, coverage, watchers, log,
+		});
+		this.news = new NewsSpreader({
+			self, others, directory, puller, random, datagrams: this.datagrams, port: datagramAddress.port,
+		});
 		this.group = new PeerGroup({
-			self: {
-				vm: own.vm, startedAtMs: this.identity.startedAtMs, role: name, zone: own.zone, region: own.region, address: formatAddress(control), ...(service === undefined ? {} : {service}),
-			},
+			self,
 			seeds: () => this.settings.peers.seeds,
 			links,
 			directory,
 			random,
 			log,
-			pulledParts,
-			isSourceFailing: () => this.watchers.some(watcher => watcher.isFailing),
+			puller,
+			coverage,
+			isSourceFailing: () => this.watchManager.isFailing,
+			onMessage: () => {
+				this.watchManager.recordOwnCoverage();
+			},
 		});
 		this.rpc.method(peersExchangeMethod, peersExchangeSchema, params => this.group.handleExchange(params));
 		this.addMetrics();
 	}
 
-	/** Starts watching the directory source, exchanging state with peers, and reloading changed settings. */
-	start(): void {
+	/** Whether this process reads and watches the source of the directory. */
+	get isWatching(): boolean {
+		return this.watchManager.isWatching;
+	}
+
+	/** Starts receiving datagrams, watching the directory source, exchanging state with peers, and reloading changed settings. */
+	async start(): Promise<void> {
+		await this.datagrams.start(this.datagramAddress);
 		this.pauseDetector.onResume(gapMs => {
 			this.log.warn({event: 'process_paused', gapMs: Math.round(gapMs)}, 'the process was paused');
-			for (const watcher of this.watchers) {
-				watcher.restart();
-			}
+			this.watchManager.restart();
+			this.group.hurry();
 		});
-		for (const watcher of this.watchers) {
-			watcher.start();
-		}
-
+		this.watchManager.start();
+		this.news.start();
 		this.group.start();
 		process.on('SIGHUP', this.reload);
 		watchFile(this.settingsSource.file, {interval: settingsCheckIntervalMs, persistent: false}, this.reload);
@@ -98,9 +129,9 @@
 		unwatchFile(this.settingsSource.file);
 		this.group.stop();
 		this.pauseDetector.stop();
-		for (const watcher of this.watchers) {
-			watcher.stop();
-		}
+		this.watchManager.stop();
+		this.news.stop();
+		this.datagrams.close();
 
 		await this.links.close();
 		this.log.info({event: 'process_stopped'}, 'process stopped');
@@ -118,6 +149,7 @@
 			versions: Object.fromEntries(directory.versions),
 			instances: directory.instances,
 			peers: group.others,
+			isWatching: this.isWatching,
 		};
 	}
 
@@ -136,6 +168,7 @@
 		const {metrics, directory, group} = this;
 		metrics.gauge('cactusreach_configuration_version', 'Version of the configuration in force.', () => directory.configurationVersion);
 		metrics.gauge('cactusreach_instances', 'Instances that may be alive.', () => directory.instances.length);
+		metrics.gauge('cactusreach_watches_source', '1 while this process watches the directory source.', () => Number(this.isWatching));
 		metrics.gauge('cactusreach_peers', 'Other processes that are known.', () => group.others.length);
 		metrics.gauge('cactusreach_log_lines_dropped_total', 'Log lines that were dropped.', () => logSink.dropped);
 	}
--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -7,7 +7,7 @@
 import type {PeerClient} from '../links/peer-client.ts';
 import {manifestGetMethod, manifestGetParamsSchema} from '../messages/peers-exchange.ts';
 import {rolloutHaveMethod, rolloutHaveParamsSchema} from '../messages/rollout-have.ts';
-import {CallCounterListener} from '../peers/call-counter-listener.ts';
+import {serveCallCounter} from '../peers/call-counter-listener.ts';
 import {EngineStateSender} from '../peers/engine-state-sender.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {ChunkStore} from '../rollout/chunk-store.ts';
@@ -87,20 +87,19 @@
 	private readonly node: TransferNode;
 	private readonly staging: StagingManager;
 	private readonly control: HttpListener;
-	private readonly callCounter: CallCounterListener;
 	private readonly firstFetchAtMs = new Map<string, number>();
 	private serviceReadTimer: NodeJS.Timeout | undefined;
 
 	constructor(settingsSource: SettingsSource<StagerSettings>, adapter: StagerAdapter) {
-		this.base = new GatewayStagerBase(settingsSource, ({listen, engine}) => ({
-			role: 'stager', control: listen.control, service: engine.service, parts: ['versions'], pulledParts: 'services',
+		this.base = new GatewayStagerBase(settingsSource, ({listen, engine, peers}) => ({
+			role: 'stager', control: listen.control, datagrams: {host: listen.control.host, port: peers.datagram_port}, service: engine.service, parts: ['versions'], pulledParts: 'services',
 		}), adapter.createSource);
 		const {links, log, directory, settings, pauseDetector, group} = this.base;
 		this.origin = adapter.createOrigin(links);
 		this.node = new TransferNode(this.transferOptions(), held => {
 			log.info({event: 'version_held', model: held.model, version: held.version}, 'all chunks of a version are held');
 		});
-		const sender = new EngineStateSender(() => group.others.filter(({role}) => role === 'gateway'), settings.peers.datagram_port, log);
+		const sender = new EngineStateSender(this.base.datagrams, () => group.others.filter(({role}) => role === 'gateway'), settings.peers.datagram_port);
 		pauseDetector.onResume(() => {
 			this.node.wake();
 		});
@@ -125,26 +124,23 @@
 			log,
 		});
 		this.control = new HttpListener(this.createRoutes(), log);
-		this.callCounter = new CallCounterListener(log);
+		serveCallCounter(this.base.datagrams);
 	}
 
 	async start(): Promise<void> {
 		const {base, control, staging} = this;
-		const {listen, peers} = base.settings;
-		await control.start(listen.control);
-		await this.callCounter.start({host: listen.control.host, port: peers.datagram_port});
-		base.start();
+		await control.start(base.settings.listen.control);
+		await base.start();
 		staging.start();
 		// After a power failure, there may be no gateway yet that could send the published services.
 		this.scheduleServiceRead(firstServiceReadDelayMs);
-		base.log.info({event: 'stager_started', control: formatAddress(listen.control)}, 'stager started');
+		base.log.info({event: 'stager_started', control: formatAddress(base.settings.listen.control)}, 'stager started');
 	}
 
 	async drain(): Promise<void> {
 		clearTimeout(this.serviceReadTimer);
 		this.staging.stop();
 		this.control.destroy();
-		this.callCounter.stop();
 		await this.base.stop();
 	}
 
--- a/src/directory/directory-types.ts
+++ b/src/directory/directory-types.ts
@@ -107,6 +107,21 @@
 	readonly held: readonly HeldModel[];
 };
 
+/** An instance, and the revision of the source at which its entry was written. */
+export type RevisedInstance = Instance & {readonly revision: number};
+
+/** What changed in the list of instances. */
+export type InstanceChanges = {
+	/** The revision after which the changes were made; undefined if `instances` is the whole list. */
+	readonly since: number | undefined;
+	/** The revision up to which the changes are complete. */
+	readonly revision: number;
+	readonly instances: readonly RevisedInstance[];
+	readonly gone: ReadonlyArray<{readonly id: string; readonly revision: number}>;
+	/** Instances that a read after an outage lacked, its revision and how long ago it was, in milliseconds; they are kept for a short time only. */
+	readonly unconfirmed: ReadonlyArray<{readonly id: string; readonly revision: number; readonly ageMs: number}>;
+};
+
 /** One change of the directory. */
 export type DirectoryChange =
 	| {readonly kind: 'configuration'; readonly configuration: PublishedConfiguration}
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -7,7 +7,7 @@
 } from './directory-types.ts';
 
 /** How long a watch waits for changes, in milliseconds. Each watch is a billed call, which favours a long wait; a longer one delays the detection of a dead connection. */
-const watchWaitMs = 10_000;
+const watchWaitMs = 5000;
 
 /** Timeout of a read, and of a watch beyond its wait, in milliseconds. */
 const responseTimeoutMs = 1500;
@@ -15,8 +15,11 @@
 /** Retry delay per consecutive failure and its maximum, in milliseconds. */
 const retryDelayMs = {step: 150, max: 1200};
 
-/** Minimum interval between two calls to a source that responds, in milliseconds; limits the call rate when changes are frequent. */
-const minCallIntervalMs = 150;
+/**
+ * Mean interval between two calls to a source that responds, in milliseconds. Changes that follow each other are read together, since each
+ * call is billed; as the intervals of several watchers differ, one of them reads the next change soon.
+ */
+const callIntervalMs = 500;
 
 /** Failures of the source that last longer than this count as an outage, in milliseconds. */
 const minOutageMs = 800;
@@ -36,7 +39,10 @@
 	private hasReadOnce = false;
 	private failures = 0;
 	private failingSinceMs: number | undefined;
-	private stopped = false;
+	private respondedAtMs = Number.NEGATIVE_INFINITY;
+	/** Increases with each start and stop, and ends the loop of an earlier start. */
+	private run = 0;
+	private stopped = true;
 	private abortController = new AbortController();
 	private cancelSleep: (() => void) | undefined;
 
@@ -47,9 +53,19 @@
 		return this.failures > 0 || this.revision === undefined;
 	}
 
-	/** Starts to read and watch. */
+	/** How long ago the source last responded, in milliseconds. */
+	get responseAgeMs(): number {
+		return performance.now() - this.respondedAtMs;
+	}
+
+	/** Starts to read and watch, with a full read first. */
 	start(): void {
-		void this.run();
+		this.stopped = false;
+		this.revision = undefined;
+		this.hasReadOnce = false;
+		this.failures = 0;
+		this.failingSinceMs = undefined;
+		void this.watchUntilStopped(++this.run);
 	}
 
 	/** Aborts the current call and starts over with a full read, for use after a peer had newer data or the process was paused. */
@@ -59,42 +75,52 @@
 		this.cancelSleep?.();
 	}
 
-	/** Stops. */
+	/** Stops; the watcher can be started again. */
 	stop(): void {
 		this.stopped = true;
+		this.run++;
 		this.abortController.abort();
 		this.cancelSleep?.();
 	}
 
-	private async run(): Promise<void> {
-		while (!this.stopped) {
+	private async watchUntilStopped(run: number): Promise<void> {
+		while (run === this.run) {
 			const startedMs = performance.now();
 			this.abortController = new AbortController();
 			try {
-				await this.readOrWatch();
-				await this.sleep(minCallIntervalMs - (performance.now() - startedMs));
+				await this.readOrWatch(run);
+				await this.sleep(this.options.random.jitter(callIntervalMs) - (performance.now() - startedMs));
 			} catch (err) {
-				await this.handleFailure(err as Error);
+				if (run === this.run) {
+					await this.handleFailure(err as Error);
+				}
 			}
 		}
 	}
 
-	private async readOrWatch(): Promise<void> {
+	private async readOrWatch(run: number): Promise<void> {
 		const {part, source} = this.options;
 		const limitMs = (this.revision === undefined ? 0 : watchWaitMs) + responseTimeoutMs;
 		const signal = AbortSignal.any([this.abortController.signal, AbortSignal.timeout(limitMs)]);
 		if (this.revision === undefined) {
 			const snapshot = await source.read(part, signal);
-			this.applyChanges(snapshot, true, this.recordSuccess());
+			this.applyResponse(run, snapshot, true);
 		} else {
 			const changes = await source.watch(part, this.revision, watchWaitMs, signal);
-			this.applyChanges(changes, false, this.recordSuccess());
+			this.applyResponse(run, changes, false);
+		}
+	}
+
+	private applyResponse(run: number, changes: DirectoryChanges, isFullRead: boolean): void {
+		if (run === this.run) {
+			this.applyChanges(changes, isFullRead, this.recordSuccess());
 		}
 	}
 
 	private applyChanges(changes: DirectoryChanges, isFullRead: boolean, isAfterOutage: boolean): void {
 		const {part, directory} = this.options;
-		const context = {isInitialRead: !this.hasReadOnce, isAfterOutage};
+		// Before the first read, other processes may have had an outage of the source that this one did not notice.
+		const context = {isInitialRead: !this.hasReadOnce, isAfterOutage: isAfterOutage || !this.hasReadOnce};
 		if (isFullRead && part === 'instances') {
 			directory.replaceInstances(changes, context);
 		} else {
@@ -124,15 +150,12 @@
 
 		this.failures = 0;
 		this.failingSinceMs = undefined;
+		this.respondedAtMs = performance.now();
 		return wasOutage;
 	}
 
 	private async handleFailure(err: Error): Promise<void> {
 		const {log, part, random} = this.options;
-		if (this.stopped) {
-			return;
-		}
-
 		if (err instanceof HistoryLostError) {
 			log.info({event: 'history_lost', part, revision: this.revision}, 'the directory source no longer has the requested history; reading the part in full');
 			this.revision = undefined;
--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -2,8 +2,9 @@
 import {RouteTable} from '../forwarding/route-table.ts';
 import type {ServiceId} from '../ids/service-id.ts';
 import type {Logger} from '../runtime/logger.ts';
+import {applyDelta, type ConfigurationDelta, createDelta} from './configuration-delta.ts';
 import type {
-	DirectoryChange, DirectoryChanges, HeldModel, Instance, PublishedConfiguration,
+	DirectoryChange, DirectoryChanges, HeldModel, Instance, InstanceChanges, PublishedConfiguration,
 } from './directory-types.ts';
 import {type AvailableInstances, AvailableInstancesIndex} from './available-instances.ts';
 import {InstanceTable} from './instance-table.ts';
@@ -24,18 +25,26 @@
 
 /** The parts of the directory that one process sends to another. */
 export type DirectorySnapshot = {
+	/** The whole configuration, if the requesting process does not have a recent one. */
 	readonly configuration?: PublishedConfiguration;
+	/** Otherwise what changed since the one that it has. */
+	readonly configurationDelta?: ConfigurationDelta;
 	readonly versions: readonly NamedVersion[];
-	readonly instances?: readonly Instance[];
-	readonly instancesRevision: number;
+	readonly instances?: InstanceChanges;
 };
 
+/** Number of earlier configurations that are kept, to send the difference to processes that have one of them. */
+const maxRecentConfigurations = 6;
+
 /** Holds the newest known state. No part of it ever reverts to an older version or revision. */
 export class Directory {
 	private routeTable: RouteTable | undefined;
 	private readonly namedVersions: NamedVersions;
 	private readonly instanceTable: InstanceTable;
 	private readonly listeners = new Set<() => void>();
+	private readonly recentConfigurations: PublishedConfiguration[] = [];
+	/** The state that the listeners were last called for. */
+	private notifiedState: readonly unknown[] = [];
 	/** The index of the last list of instances. */
 	private available: {readonly instances: readonly Instance[]; readonly zone: string; readonly index: AvailableInstancesIndex} | undefined;
 
@@ -59,6 +68,21 @@
 		return this.instanceTable.revision;
 	}
 
+	/** The revision of the last change of the instances. */
+	get lastInstanceChange(): number {
+		return this.instanceTable.lastChange;
+	}
+
+	/** Increases whenever a version of weights is named. */
+	get versionChanges(): number {
+		return this.namedVersions.changes;
+	}
+
+	/** All named versions in the form that is sent to other processes. */
+	get shareableVersions(): NamedVersion[] {
+		return this.namedVersions.shareable;
+	}
+
 	/** The newest named version of weights by model. */
 	get versions(): ReadonlyMap<string, KnownVersion> {
 		return this.namedVersions.newest;
@@ -160,10 +184,9 @@
 	 */
 	snapshot(configurationVersion: number, instancesRevision: number): DirectorySnapshot {
 		return {
-			...(this.configurationVersion > configurationVersion ? {configuration: this.routeTable?.configuration} : {}),
+			...this.configurationSince(configurationVersion),
 			versions: this.namedVersions.shareable,
-			...(this.instancesRevision > instancesRevision ? {instances: this.instances} : {}),
-			instancesRevision: this.instancesRevision,
+			...(this.instancesRevision > instancesRevision ? {instances: this.instanceTable.changesSince(instancesRevision)} : {}),
 		};
 	}
 
@@ -173,14 +196,15 @@
 	 * @param configurationVersion - the configuration version of the requesting process
 	 */
 	servicesSnapshot(configurationVersion: number): DirectorySnapshot {
-		const {configuration, ...rest} = this.snapshot(configurationVersion, Number.POSITIVE_INFINITY);
-		if (!configuration) {
-			return rest;
+		const versions = this.namedVersions.shareable;
+		const configuration = this.routeTable?.configuration;
+		if (!configuration || configuration.version <= configurationVersion) {
+			return {versions};
 		}
 
 		const {version, limits, services} = configuration;
 		return {
-			...rest, configuration: {
+			versions, configuration: {
 				version, limits, services, routes: [],
 			},
 		};
@@ -188,16 +212,19 @@
 
 	/** Merges the parts of another process's directory that are newer than the own ones. */
 	mergeFromPeer(snapshot: DirectorySnapshot): void {
-		if (snapshot.configuration) {
-			this.setConfiguration(snapshot.configuration, 'peer');
+		const {configuration, configurationDelta} = snapshot;
+		if (configuration) {
+			this.setConfiguration(configuration, 'peer');
+		} else if (configurationDelta?.base === this.configurationVersion) {
+			this.setConfiguration(applyDelta(this.routeTable!.configuration, configurationDelta), 'peer');
 		}
 
 		for (const {model, version, ageMs, isAssumed} of snapshot.versions) {
 			this.namedVersions.record(model, {version, sinceMs: performance.now() - ageMs, isAssumed});
 		}
 
-		if (snapshot.instances && snapshot.instancesRevision > this.instancesRevision) {
-			this.instanceTable.replaceAll(snapshot.instances, snapshot.instancesRevision);
+		if (snapshot.instances) {
+			this.instanceTable.applyChanges(snapshot.instances);
 		}
 
 		this.notifyListeners();
@@ -237,6 +264,11 @@
 	private setConfiguration(configuration: PublishedConfiguration, from: string): void {
 		const before = this.configurationVersion;
 		if (configuration.version > before) {
+			if (this.routeTable) {
+				this.recentConfigurations.push(this.routeTable.configuration);
+				this.recentConfigurations.splice(0, this.recentConfigurations.length - maxRecentConfigurations);
+			}
+
 			this.routeTable = new RouteTable(configuration);
 			this.log.info({
 				event: 'configuration_taken', version: configuration.version, before, from, routes: configuration.routes.length,
@@ -248,7 +280,26 @@
 		}
 	}
 
+	/** Returns the configuration if it is newer than a version: what changed since, or the whole. */
+	private configurationSince(version: number): Pick<DirectorySnapshot, 'configuration' | 'configurationDelta'> {
+		const current = this.routeTable?.configuration;
+		if (!current || current.version <= version) {
+			return {};
+		}
+
+		const base = this.recentConfigurations.find(item => item.version === version);
+		const delta = base && createDelta(base, current);
+		return delta ? {configurationDelta: delta} : {configuration: current};
+	}
+
+	/** Calls the listeners if anything has changed since the last time. */
 	private notifyListeners(): void {
+		const state = [this.routeTable, this.instances, this.namedVersions.changes] as const;
+		if (state.every((part, index) => part === this.notifiedState[index])) {
+			return;
+		}
+
+		this.notifiedState = state;
 		for (const listener of this.listeners) {
 			listener();
 		}
--- a/src/directory/instance-table.ts
+++ b/src/directory/instance-table.ts
@@ -1,6 +1,7 @@
 /** The table of instances that may still run, fed by the directory source, by peers and by the stagers of engines. */
 import type {Logger} from '../runtime/logger.ts';
-import type {HeldModel, Instance} from './directory-types.ts';
+import type {HeldModel, Instance, InstanceChanges} from './directory-types.ts';
+import {RemovalLog} from './removal-log.ts';
 
 /**
  * How long an instance is kept after its entry was missing at the end of an outage of the source, in milliseconds.
@@ -14,12 +15,20 @@
 
 type ReportedModel = {readonly startedAtMs: number; readonly held: HeldModel};
 
-type KnownInstance = {readonly instance: Instance; readonly revision: number; missingSinceMs?: number};
+type KnownInstance = {
+	readonly instance: Instance;
+	readonly revision: number;
+	/** When a read after an outage first lacked the entry, and the revision of the read. */
+	missing?: {readonly sinceMs: number; readonly revision: number};
+};
 
 /** Holds each instance at its newest revision and ignores changes with an older one. */
 export class InstanceTable {
 	/** The revision up to which the instances are known. */
 	revision = 0;
+	/** The revision of the last change. */
+	lastChange = 0;
+	private readonly removals = new RemovalLog();
 	private readonly known = new Map<string, KnownInstance>();
 	private readonly revisions = new Map<string, number>();
 	/** Loaded models that stagers reported, by address of the engine. */
@@ -51,10 +60,13 @@
 	 * Adds or updates an instance, unless a newer revision is known.
 	 *
 	 * @param revision - the revision at which the entry was written
+	 * @param from - who told of the entry, for the log
 	 */
-	put(instance: Instance, revision: number): void {
+	put(instance: Instance, revision: number, from = 'source'): void {
 		if (this.acceptRevision(instance.id, revision)) {
-			this.store(instance, revision, 'source');
+			this.lastChange = Math.max(this.lastChange, revision);
+			this.removals.forget(instance.id);
+			this.store(instance, revision, from);
 		}
 	}
 
@@ -64,10 +76,11 @@
 	 * @param id - the id of the instance
 	 * @param revision - the revision at which the entry was removed
 	 * @param isAfterOutage - whether the entry may have expired although the instance still runs
+	 * @param from - who told of the removal, for the log
 	 */
-	remove(id: string, revision: number, isAfterOutage: boolean): void {
+	remove(id: string, revision: number, isAfterOutage: boolean, from = 'source'): void {
 		if (this.acceptRevision(id, revision)) {
-			this.drop(id, revision, isAfterOutage);
+			this.drop(id, revision, isAfterOutage, from);
 		}
 	}
 
@@ -79,6 +92,7 @@
 	 * @param isAfterOutage - whether entries may have expired although their instances still run
 	 */
 	removeMissing(presentIds: ReadonlySet<string>, revision: number, isAfterOutage: boolean): void {
+		this.removals.startAt(revision);
 		for (const [id, known] of this.known) {
 			if (!presentIds.has(id) && known.revision <= revision) {
 				this.drop(id, revision, isAfterOutage);
@@ -87,27 +101,49 @@
 	}
 
 	/**
-	 * Replaces the table with that of a peer that knows a newer revision.
+	 * Returns what changed after a revision; the whole list if that is not known any more.
 	 *
-	 * @param instances - the peer's instances
-	 * @param revision - the revision up to which the peer knows them
+	 * @param since - the revision up to which the requesting process knows the instances; 0 if it knows none
 	 */
-	replaceAll(instances: readonly Instance[], revision: number): void {
-		const ids = new Set(instances.map(({id}) => id));
-		for (const id of [...this.known.keys()].filter(known => !ids.has(known))) {
-			this.known.delete(id);
-			this.running = undefined;
-			this.log.info({
-				event: 'instance_gone', instance: id, revision, from: 'peer',
-			}, 'instance removed');
+	changesSince(since: number): InstanceChanges {
+		const removed = since === 0 ? undefined : this.removals.since(since);
+		const after = removed ? since : 0;
+		const nowMs = performance.now();
+		const known = [...this.known.values()];
+		const alive = known.filter(item => mayBeAlive(item, nowMs));
+		const timedOut = known.filter(item => !mayBeAlive(item, nowMs) && item.missing!.revision > after);
+		return {
+			since: removed ? since : undefined,
+			revision: this.revision,
+			instances: alive.filter(({revision}) => revision > after).map(({instance, revision}) => ({...instance, revision})),
+			gone: [...removed ?? [], ...timedOut.map(({instance, missing}) => ({id: instance.id, revision: missing!.revision}))],
+			unconfirmed: alive.flatMap(({instance, missing}) => (missing && missing.revision > after ? [{id: instance.id, revision: missing.revision, ageMs: nowMs - missing.sinceMs}] : [])),
+		};
+	}
+
+	/** Applies the changes that a peer knows, unless they leave a gap to what this process knows. */
+	applyChanges(changes: InstanceChanges): void {
+		if (changes.revision <= this.revision || (changes.since ?? 0) > this.revision) {
+			return;
 		}
 
-		for (const instance of instances) {
-			this.store(instance, revision, 'peer');
+		if (changes.since === undefined) {
+			this.removeUnlisted(changes);
 		}
 
-		this.revisionFloor = Math.max(this.revisionFloor, revision);
-		this.revision = revision;
+		for (const {revision, ...instance} of changes.instances) {
+			this.put(instance, revision, 'peer');
+		}
+
+		for (const {id, revision} of changes.gone) {
+			this.remove(id, revision, false, 'peer');
+		}
+
+		for (const {id, revision, ageMs} of changes.unconfirmed) {
+			this.markMissing(id, revision, ageMs);
+		}
+
+		this.revision = changes.revision;
 	}
 
 	/**
@@ -127,7 +163,7 @@
 
 	/** Returns when the next unconfirmed instance times out, in milliseconds of the monotonic clock; infinite if there is none. */
 	private nextTimeoutMs(nowMs: number): number {
-		const timeouts = [...this.known.values()].flatMap(({missingSinceMs}) => (missingSinceMs === undefined ? [] : [missingSinceMs + confirmationTimeoutMs]));
+		const timeouts = [...this.known.values()].flatMap(({missing}) => (missing ? [missing.sinceMs + confirmationTimeoutMs] : []));
 		return Math.min(...timeouts.filter(atMs => atMs > nowMs));
 	}
 
@@ -169,23 +205,47 @@
 		}
 	}
 
-	private drop(id: string, revision: number, isAfterOutage: boolean): void {
+	private drop(id: string, revision: number, isAfterOutage: boolean, from = 'source'): void {
 		const known = this.known.get(id);
-		if (!known) {
+		this.lastChange = Math.max(this.lastChange, revision);
+		if (isAfterOutage && known && !known.instance.isDraining) {
+			this.markMissing(id, revision, 0);
 			return;
 		}
 
-		this.running = undefined;
-		if (isAfterOutage && !known.instance.isDraining) {
-			known.missingSinceMs ??= performance.now();
-			this.log.info({event: 'instance_unconfirmed', instance: id, revision}, 'instance not listed after an outage; keeping it until confirmed or timed out');
+		this.removals.add(id, revision);
+		this.delete(id, revision, from);
+	}
+
+	private markMissing(id: string, revision: number, ageMs: number): void {
+		const known = this.known.get(id);
+		if (known === undefined || known.missing !== undefined || known.revision >= revision) {
 			return;
 		}
 
-		this.known.delete(id);
-		this.log.info({
-			event: 'instance_gone', instance: id, revision, from: 'source',
-		}, 'instance removed');
+		known.missing = {sinceMs: performance.now() - ageMs, revision};
+		this.lastChange = Math.max(this.lastChange, revision);
+		this.running = undefined;
+		this.log.info({event: 'instance_unconfirmed', instance: id, revision}, 'instance not listed after an outage; keeping it until confirmed or timed out');
+	}
+
+	/** Removes the instances that the whole list of a peer lacks. */
+	private removeUnlisted({instances, revision}: InstanceChanges): void {
+		const listed = new Set(instances.map(({id}) => id));
+		for (const id of [...this.known.keys()].filter(known => !listed.has(known))) {
+			this.delete(id, revision, 'peer');
+		}
+
+		this.removals.restart(revision);
+	}
+
+	private delete(id: string, revision: number, from: string): void {
+		if (this.known.delete(id)) {
+			this.running = undefined;
+			this.log.info({
+				event: 'instance_gone', instance: id, revision, from,
+			}, 'instance removed');
+		}
 	}
 }
 
@@ -198,6 +258,6 @@
 		: instance;
 }
 
-function mayBeAlive({missingSinceMs}: KnownInstance, nowMs: number): boolean {
-	return missingSinceMs === undefined || nowMs - missingSinceMs < confirmationTimeoutMs;
+function mayBeAlive({missing}: KnownInstance, nowMs: number): boolean {
+	return missing === undefined || nowMs - missing.sinceMs < confirmationTimeoutMs;
 }
--- a/src/directory/named-versions.ts
+++ b/src/directory/named-versions.ts
@@ -15,6 +15,8 @@
 
 /** Keeps the latest named versions of each model. */
 export class NamedVersions {
+	/** Increases with each recorded change. */
+	changes = 0;
 	private readonly versionsByModel = new Map<string, readonly KnownVersion[]>();
 
 	constructor(private readonly log: Logger) {}
@@ -53,6 +55,7 @@
 
 		const others = versions.filter(({version}) => version !== candidate.version);
 		this.versionsByModel.set(model, [...others, candidate].toSorted((a, b) => a.version - b.version).slice(-maxVersionsPerModel));
+		this.changes++;
 		this.log.info({
 			event: 'version_named', model, version: candidate.version, newestBefore: versions.at(-1)?.version, ageMs: Math.round(performance.now() - candidate.sinceMs), isAssumed: candidate.isAssumed,
 		}, 'a version of weights was named');
--- a/src/messages/load-datagram.ts
+++ b/src/messages/load-datagram.ts
@@ -7,17 +7,11 @@
 /** `['count', gateway, sequence, counts]`: the gateway has these calls in flight at the engine. */
 export const countDatagramSchema = z.tuple([z.literal('count'), z.string(), z.number(), countsSchema]);
 
-/** `['ask', gateway, query]`: asks for the calls that other gateways have in flight at the engine. */
-export const askDatagramSchema = z.tuple([z.literal('ask'), z.string(), z.number()]);
+/** `['ask', gateway, instance]`: asks for the calls that other gateways have in flight at the engine, which the gateway knows as this instance. */
+export const askDatagramSchema = z.tuple([z.literal('ask'), z.string(), z.string()]);
 
-/** `['load', query, counts]`: the answer to an `ask`. */
-export const loadDatagramSchema = z.tuple([z.literal('load'), z.number(), countsSchema]);
-
-/** A datagram to the stager beside an engine. */
-export const counterDatagramSchema = z.union([countDatagramSchema, askDatagramSchema]);
-
-/** A datagram to the stager beside an engine. */
-export type CounterDatagram = z.infer<typeof counterDatagramSchema>;
+/** `['load', instance, counts]`: the answer to an `ask`. */
+export const loadDatagramSchema = z.tuple([z.literal('load'), z.string(), countsSchema]);
 
 /** An answer to a gateway. */
 export type LoadDatagram = z.infer<typeof loadDatagramSchema>;
--- a/src/messages/peers-exchange.ts
+++ b/src/messages/peers-exchange.ts
@@ -21,9 +21,12 @@
 	service: z.string().optional(),
 });
 
-/** The revisions of a process's directory. */
+/** What a process knows, as the start of the differences that it requests. */
 export const directoryRevisionsSchema = z.object({configurationVersion: z.number(), instancesRevision: z.number()});
 
+/** The state of a process's directory: another process that knows the instances up to `lastInstanceChange` lacks none of its changes. */
+export const directoryStateSchema = z.object({configurationVersion: z.number(), lastInstanceChange: z.number()});
+
 /**
  * A version of model weights and the time since it was announced. `isAssumed` is set if the version was already announced when it was
  * first read, so that the time is an assumption.
@@ -37,10 +40,12 @@
 	self: peerInfoSchema,
 	/** Digest of the list of known processes. If both sides have the same one, the list need not be sent. */
 	groupDigest: z.string(),
-	/** The known processes, if the digests differ. */
+	/** If the digests differ: the processes learned of lately, or all known ones. */
 	group: z.array(peerInfoSchema).optional(),
-	directory: directoryRevisionsSchema,
+	directory: directoryStateSchema,
 	versions: z.array(announcedVersionSchema),
+	/** The processes of the sender's zone that watch the source of the directory, and how long ago it last responded to each, in milliseconds. */
+	watchers: z.array(z.tuple([z.string(), z.number()])),
 });
 
 /** JSON-RPC method that returns the manifest of a version from a stager. */
@@ -52,5 +57,8 @@
 /** A process of the deployment. */
 export type PeerInfo = z.infer<typeof peerInfoSchema>;
 
+/** The state of a process's directory. */
+export type DirectoryState = z.infer<typeof directoryStateSchema>;
+
 /** The known processes and the directory revisions of one side. */
 export type PeersExchange = z.infer<typeof peersExchangeSchema>;
--- a/src/peers/directory-snapshot-schema.ts
+++ b/src/peers/directory-snapshot-schema.ts
@@ -51,8 +51,15 @@
 	keys: z.record(z.string(), z.object({workspace: z.string(), priority: z.number().optional()})).optional(),
 });
 
+const configurationDeltaSchema = configurationSchema.omit({routes: true}).extend({
+	base: z.number(),
+	changedRoutes: z.array(routeSchema),
+	removedRoutes: z.array(z.string()),
+});
+
 const instanceSchema = z.object({
 	id: z.string(),
+	revision: z.number(),
 	service: z.string(),
 	address: z.string(),
 	zone: z.string(),
@@ -69,6 +76,12 @@
 export const directorySnapshotSchema = z.object({
 	configuration: configurationSchema.optional(),
 	versions: z.array(announcedVersionSchema),
-	instances: z.array(instanceSchema).optional(),
-	instancesRevision: z.number(),
+	configurationDelta: configurationDeltaSchema.optional(),
+	instances: z.object({
+		since: z.number().optional(),
+		revision: z.number(),
+		instances: z.array(instanceSchema),
+		gone: z.array(z.object({id: z.string(), revision: z.number()})),
+		unconfirmed: z.array(z.object({id: z.string(), revision: z.number(), ageMs: z.number()})),
+	}).optional(),
 });
--- a/src/peers/load-queries.ts
+++ b/src/peers/load-queries.ts
@@ -7,9 +7,8 @@
 import type {InFlightCounts} from '../forwarding/engine-forecast.ts';
 import type {InFlightCalls} from '../forwarding/in-flight-calls.ts';
 import type {LoadSource} from '../forwarding/load-source.ts';
-import {DatagramSocket} from '../links/datagram-socket.ts';
+import type {DatagramPort} from '../links/datagram-port.ts';
 import {type ListenAddress, parseAddress} from '../links/http-listener.ts';
-import {changingDatagramSchema, type EngineDatagram, heldModelDatagramSchema} from '../messages/engine-datagram.ts';
 import {loadDatagramSchema, type LoadDatagram} from '../messages/load-datagram.ts';
 import type {Logger} from '../runtime/logger.ts';
 
@@ -22,37 +21,43 @@
 /** How long a call waits for answers, in milliseconds. */
 const answerTimeoutMs = 20;
 
-/** Unanswered questions in a row after which a stager is not waited for, and for how long, in milliseconds. */
-const silence = {misses: 2, pauseMs: 1000};
+/** How long counts are used if no newer ones arrive in time, in milliseconds; the link of an engine's VM delays answers while it carries weights. */
+const countsTtlMs = 600;
 
-type Query = {
-	/** The counts by instance ID. */
-	readonly answers: Map<string, InFlightCounts>;
-	waitingFor: number;
-	readonly finish: () => void;
-};
+/** How long a stager may leave all questions unanswered before calls no longer wait for it, in milliseconds. */
+const silenceMs = 400;
+
+/** Minimum interval between two questions to a stager that is not waited for, in milliseconds. */
+const silentAskIntervalMs = 250;
 
-type Question = {readonly instance: string; readonly query: Query};
+/** What is known of the stager beside one instance. */
+type Counter = {
+	counts: InFlightCounts;
+	countedAtMs: number;
+	lastAskedMs: number;
+	/** When the first question after the last answer was sent; undefined if none was. */
+	unansweredSinceMs: number | undefined;
+	/** The queries that wait for the answer. */
+	readonly waiting: Set<Query>;
+};
 
-type Silence = {misses: number; pausedUntilMs: number};
+/** A call's question to several stagers. */
+type Query = {unanswered: number; readonly finish: () => void};
 
 /** Dependencies of {@link LoadQueries}. */
 export type LoadQueriesOptions = {
 	readonly vm: string;
 	readonly inFlight: InFlightCalls;
 	readonly directory: Directory;
-	/** Receives the engine states that stagers send. */
-	readonly onEngineState: (state: EngineDatagram) => void;
-	/** The port on which the stagers receive datagrams. */
+	readonly datagrams: DatagramPort;
+	/** The number of the port on which the stagers receive datagrams. */
 	readonly port: number;
 	readonly log: Logger;
 };
 
 /** Reports and asks by datagram. */
 export class LoadQueries implements LoadSource {
-	private readonly socket: DatagramSocket<LoadDatagram | EngineDatagram>;
-	private readonly questions = new Map<number, Question>();
-	private readonly silences = new Map<string, Silence>();
+	private readonly counters = new Map<string, Counter>();
 	private readonly progressed = new Set<string>();
 	private refreshTimer: NodeJS.Timeout | undefined;
 	private progressTimer: NodeJS.Timeout | undefined;
@@ -60,22 +65,13 @@
 	private sequence = Date.now();
 
 	constructor(private readonly options: LoadQueriesOptions) {
-		this.socket = new DatagramSocket<LoadDatagram | EngineDatagram>(loadDatagramSchema.or(heldModelDatagramSchema).or(changingDatagramSchema), message => {
-			if (message[0] === 'load') {
-				this.handleAnswer(message);
-			} else {
-				options.onEngineState(message);
-			}
-		}, options.log);
+		options.datagrams.on('load', loadDatagramSchema, answer => {
+			this.handleAnswer(answer);
+		});
 	}
 
-	/**
-	 * Binds the socket and starts to report.
-	 *
-	 * @param address - the address to receive datagrams at
-	 */
-	async start(address: ListenAddress): Promise<void> {
-		await this.socket.start(address);
+	/** Starts to report. */
+	start(): void {
 		const {inFlight} = this.options;
 		inFlight.setListener((instance, isMore) => {
 			if (isMore) {
@@ -97,38 +93,20 @@
 		clearInterval(this.refreshTimer);
 		clearTimeout(this.progressTimer);
 		this.options.inFlight.setListener(undefined);
-		this.socket.close();
 	}
 
 	async ask(instances: readonly Instance[]): Promise<ReadonlyMap<string, InFlightCounts>> {
-		const asked = instances.filter(({id}) => !this.isSilent(id));
-		const answers = new Map<string, InFlightCounts>();
-		if (asked.length === 0) {
-			return answers;
+		const nowMs = performance.now();
+		const responsive = instances.filter(instance => this.sendQuestion(instance, nowMs));
+		if (responsive.length > 0) {
+			await this.waitForAnswers(responsive);
 		}
 
-		const numbers = asked.map(() => ++this.sequence);
-		await new Promise<void>(resolve => {
-			const timer = setTimeout(() => {
-				// After a pause of this process, answers that have arrived are read before the immediate runs.
-				setImmediate(resolve);
-			}, answerTimeoutMs);
-			const query: Query = {
-				answers, waitingFor: asked.length, finish() {
-					clearTimeout(timer);
-					resolve();
-				},
-			};
-			for (const [index, {id, address}] of asked.entries()) {
-				this.questions.set(numbers[index]!, {instance: id, query});
-				this.socket.send(['ask', this.options.vm, numbers[index]], this.counterAddress(address));
-			}
-		});
-		for (const number of numbers) {
-			this.closeQuestion(number);
-		}
-
-		return answers;
+		const oldestMs = performance.now() - countsTtlMs;
+		return new Map(instances.flatMap(({id}) => {
+			const counter = this.counters.get(id);
+			return counter && counter.countedAtMs >= oldestMs ? [[id, counter.counts] as const] : [];
+		}));
 	}
 
 	/**
@@ -137,58 +115,81 @@
 	 * @param present - IDs of the instances to keep
 	 */
 	retainOnly(present: ReadonlySet<string>): void {
-		for (const id of this.silences.keys()) {
+		for (const id of this.counters.keys()) {
 			if (!present.has(id)) {
-				this.silences.delete(id);
+				this.counters.delete(id);
 			}
 		}
 	}
 
-	/** The stager on the engine's VM; all stagers use the same port. */
-	private counterAddress(engineAddress: string): ListenAddress {
-		return {host: parseAddress(engineAddress).host, port: this.options.port};
-	}
-
-	private handleAnswer([, number, [calls, unreadTokens]]: LoadDatagram): void {
-		const question = this.questions.get(number);
-		if (!question) {
-			return;
+	/** Asks the stager beside an instance; returns whether an answer can be expected soon. */
+	private sendQuestion({id, address}: Instance, nowMs: number): boolean {
+		const counter = this.counters.get(id) ?? {
+			counts: {calls: 0, unreadTokens: 0}, countedAtMs: Number.NEGATIVE_INFINITY, lastAskedMs: Number.NEGATIVE_INFINITY, unansweredSinceMs: undefined, waiting: new Set<Query>(),
+		};
+		this.counters.set(id, counter);
+		const isSilent = counter.unansweredSinceMs !== undefined && nowMs - counter.unansweredSinceMs >= silenceMs;
+		if (isSilent && nowMs - counter.lastAskedMs < silentAskIntervalMs) {
+			return false;
 		}
 
-		this.questions.delete(number);
-		const {instance, query} = question;
-		if (this.silences.delete(instance)) {
-			this.options.log.debug({event: 'counter_back', instance}, 'the stager of an engine answers again');
+		if (isSilent) {
+			this.options.log.info({event: 'counter_silent', instance: id, forMs: Math.round(nowMs - counter.unansweredSinceMs!)}, 'the stager of an engine does not answer; using the load that the engine reports');
 		}
 
-		query.answers.set(instance, {calls, unreadTokens});
-		query.waitingFor--;
-		if (query.waitingFor === 0) {
-			query.finish();
+		counter.lastAskedMs = nowMs;
+		counter.unansweredSinceMs ??= nowMs;
+		this.options.datagrams.send(['ask', this.options.vm, id], this.counterAddress(address));
+		return !isSilent;
+	}
+
+	/** Waits until all stagers have answered, or for a bounded time. */
+	private async waitForAnswers(instances: readonly Instance[]): Promise<void> {
+		const waitedFor = instances.map(({id}) => this.counters.get(id)!);
+		let query: Query | undefined;
+		await new Promise<void>(resolve => {
+			const timer = setTimeout(() => {
+				// After a pause of this process, answers that have arrived are read before the immediate runs.
+				setImmediate(resolve);
+			}, answerTimeoutMs);
+			query = {
+				unanswered: waitedFor.length, finish() {
+					clearTimeout(timer);
+					resolve();
+				},
+			};
+			for (const {waiting} of waitedFor) {
+				waiting.add(query);
+			}
+		});
+		for (const {waiting} of waitedFor) {
+			waiting.delete(query!);
 		}
 	}
 
-	/** Counts a question as unanswered if it is still open. */
-	private closeQuestion(number: number): void {
-		const question = this.questions.get(number);
-		if (!question) {
+	/** Takes an answer, also one that arrives too late for the call that asked: it helps the next one. */
+	private handleAnswer([, instance, [calls, unreadTokens]]: LoadDatagram): void {
+		const counter = this.counters.get(instance);
+		if (!counter) {
 			return;
 		}
 
-		this.questions.delete(number);
-		const {instance} = question;
-		const before = this.silences.get(instance) ?? {misses: 0, pausedUntilMs: 0};
-		const misses = before.misses + 1;
-		const isPaused = misses >= silence.misses;
-		if (misses === silence.misses) {
-			this.options.log.info({event: 'counter_silent', instance, misses}, 'the stager of an engine does not answer; using the load that the engine reports');
+		counter.counts = {calls, unreadTokens};
+		counter.countedAtMs = performance.now();
+		counter.unansweredSinceMs = undefined;
+		for (const query of counter.waiting) {
+			query.unanswered--;
+			if (query.unanswered === 0) {
+				query.finish();
+			}
 		}
 
-		this.silences.set(instance, {misses, pausedUntilMs: isPaused ? performance.now() + silence.pauseMs : 0});
+		counter.waiting.clear();
 	}
 
-	private isSilent(instance: string): boolean {
-		return (this.silences.get(instance)?.pausedUntilMs ?? 0) > performance.now();
+	/** The stager on the engine's VM; all stagers use the same port. */
+	private counterAddress(engineAddress: string): ListenAddress {
+		return {host: parseAddress(engineAddress).host, port: this.options.port};
 	}
 
 	private scheduleReport(instance: string): void {
@@ -204,11 +205,11 @@
 	}
 
 	private report(id: string): void {
-		const {directory, inFlight, vm} = this.options;
+		const {datagrams, directory, inFlight, vm} = this.options;
 		const instance = directory.instance(id);
 		if (instance && directory.table?.findService(instance.service)?.engine) {
 			const {calls, unreadTokens} = inFlight.countsAt(id);
-			this.socket.send(['count', vm, ++this.sequence, [calls, unreadTokens]], this.counterAddress(instance.address));
+			datagrams.send(['count', vm, ++this.sequence, [calls, unreadTokens]], this.counterAddress(instance.address));
 		}
 	}
 }
--- a/src/peers/peer-group.ts
+++ b/src/peers/peer-group.ts
@@ -1,13 +1,14 @@
 /** Gossip-based membership: discovers the processes of the deployment from a few seed addresses, by exchanges with random peers. */
-import type {Directory, DirectorySnapshot} from '../directory/directory.ts';
+import type {Directory} from '../directory/directory.ts';
 import {digestOf} from '../ids/digest.ts';
 import type {PeerClient} from '../links/peer-client.ts';
 import {
-	directoryGetMethod, type PeerInfo, peersExchangeMethod, type PeersExchange, peersExchangeSchema,
+	type PeerInfo, peersExchangeMethod, type PeersExchange, peersExchangeSchema,
 } from '../messages/peers-exchange.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
-import {directorySnapshotSchema} from './directory-snapshot-schema.ts';
+import type {DirectoryPuller} from './directory-puller.ts';
+import type {WatchCoverage} from './watch-duty.ts';
 
 /** Mean interval between the exchanges that a process starts, in milliseconds: during discovery, and afterwards. */
 const exchangeIntervalMs = {discovery: 250, steady: 1000};
@@ -30,7 +31,13 @@
 /** One in this many exchanges goes to a seed, so that a partitioned group merges again. */
 const seedPeriod = 5;
 
-type KnownPeer = {readonly info: PeerInfo; failures: number};
+/** How long a process that was learned of is passed on with each exchange, in milliseconds. */
+const rumorMs = 10_000;
+
+/** Minimum interval between two messages with all known processes, in milliseconds; at hundreds of processes the list fills narrow links. */
+const fullListIntervalMs = 5000;
+
+type KnownPeer = {readonly info: PeerInfo; readonly learnedAtMs: number; failures: number};
 
 /** Dependencies of {@link PeerGroup}. */
 export type PeerGroupOptions = {
@@ -40,10 +47,13 @@
 	readonly directory: Directory;
 	readonly random: RandomSource;
 	readonly log: Logger;
-	/** What this process pulls from gateways: the whole directory, or only the services. */
-	readonly pulledParts: 'directory' | 'services';
+	readonly puller: DirectoryPuller;
+	/** The working watchers of this process's zone. */
+	readonly coverage: WatchCoverage;
 	/** Whether this process's source of the directory is failing, so that it queries peers more often. */
 	readonly isSourceFailing: () => boolean;
+	/** Called before a message is created, to update the coverage by this process. */
+	readonly onMessage: () => void;
 };
 
 /** Keeps the list of the other processes, and pulls newer parts of the directory from them. */
@@ -52,11 +62,13 @@
 	readonly knownGateways = new Set<string>();
 	private readonly peers = new Map<string, KnownPeer>();
 	private readonly removedPeers = new Map<string, {readonly startedAtMs: number; readonly untilMs: number}>();
-	private readonly startedMs = performance.now();
+	private discoveryUntilMs = performance.now() + discoveryMs;
+	private fullListSentMs = Number.NEGATIVE_INFINITY;
+	private groupDigest: string | undefined;
+	private othersList: readonly PeerInfo[] | undefined;
 	private round = 0;
 	private timer: NodeJS.Timeout | undefined;
 	private stopped = false;
-	private isPulling = false;
 
 	constructor(private readonly options: PeerGroupOptions) {
 		this.recordGateway(options.self);
@@ -64,7 +76,8 @@
 
 	/** The other processes. */
 	get others(): readonly PeerInfo[] {
-		return [...this.peers.values()].map(({info}) => info);
+		this.othersList ??= [...this.peers.values()].map(({info}) => info);
+		return this.othersList;
 	}
 
 	/** Starts to exchange with peers periodically. */
@@ -72,6 +85,13 @@
 		this.schedule(0);
 	}
 
+	/** Exchanges more often for a while, since this process was paused and may have missed changes. */
+	hurry(): void {
+		this.discoveryUntilMs = performance.now() + discoveryMs;
+		clearTimeout(this.timer);
+		this.schedule(0);
+	}
+
 	/** Stops exchanging. */
 	stop(): void {
 		this.stopped = true;
@@ -97,9 +117,18 @@
 			}, 'peer found');
 		}
 
-		this.peers.set(info.vm, {info, failures: 0});
+		const isChanged = known?.info.startedAtMs !== info.startedAtMs;
+		this.peers.set(info.vm, {info, learnedAtMs: isChanged ? performance.now() : known.learnedAtMs, failures: 0});
 		this.removedPeers.delete(info.vm);
 		this.recordGateway(info);
+		if (isChanged) {
+			this.forgetLists();
+		}
+	}
+
+	private forgetLists(): void {
+		this.groupDigest = undefined;
+		this.othersList = undefined;
 	}
 
 	private recordGateway({vm, role}: PeerInfo): void {
@@ -119,7 +148,7 @@
 
 	private async runRound(): Promise<void> {
 		const {random, isSourceFailing} = this.options;
-		const isDiscovering = performance.now() - this.startedMs < discoveryMs || this.peers.size === 0 || isSourceFailing();
+		const isDiscovering = performance.now() < this.discoveryUntilMs || this.peers.size === 0 || isSourceFailing();
 		const address = this.choosePeer();
 		if (address !== undefined) {
 			await this.exchange(address);
@@ -144,7 +173,7 @@
 	}
 
 	private async exchange(address: string): Promise<void> {
-		const {links, log} = this.options;
+		const {links, log, puller} = this.options;
 		const peer = this.others.find(other => other.address === address);
 		try {
 			const theirs = await links.rpc(address, {method: peersExchangeMethod, params: this.createMessage(undefined)}, peersExchangeSchema, {timeoutMs: exchangeTimeoutMs});
@@ -153,7 +182,9 @@
 				await links.rpc(address, {method: peersExchangeMethod, params: this.createMessage('')}, peersExchangeSchema, {timeoutMs: exchangeTimeoutMs});
 			}
 
-			await this.pull(address, theirs);
+			if (theirs.self.role === 'gateway') {
+				await puller.pull(address, theirs.directory);
+			}
 		} catch (err) {
 			// The next exchange uses a new connection, since this one may no longer respond.
 			links.replaceConnections(address);
@@ -169,32 +200,14 @@
 		const known = this.peers.get(vm);
 		if (known && ++known.failures >= maxFailures) {
 			this.peers.delete(vm);
+			this.forgetLists();
+			this.options.coverage.remove(vm);
 			this.removedPeers.set(vm, {startedAtMs: known.info.startedAtMs, untilMs: performance.now() + readmissionDelayMs});
 			this.options.log.warn({event: 'peer_lost', peer: vm, reason: err.message}, 'peer removed after failed exchanges');
 		}
 	}
 
-	/** Pulls newer parts of the directory from a gateway that has them. */
-	private async pull(address: string, {self, directory: theirs}: PeersExchange): Promise<void> {
-		const {directory, links} = this.options;
-		const {configurationVersion, instancesRevision} = directory;
-		const servicesOnly = this.options.pulledParts === 'services';
-		const isNewer = theirs.configurationVersion > configurationVersion || (!servicesOnly && theirs.instancesRevision > instancesRevision);
-		if (self.role !== 'gateway' || !isNewer || this.isPulling) {
-			return;
-		}
-
-		this.isPulling = true;
-		try {
-			const params = {configurationVersion, instancesRevision, servicesOnly};
-			const snapshot = await links.rpc(address, {method: directoryGetMethod, params}, directorySnapshotSchema, {timeoutMs: exchangeTimeoutMs});
-			directory.mergeFromPeer(snapshot as DirectorySnapshot);
-		} finally {
-			this.isPulling = false;
-		}
-	}
-
-	private applyMessage({self, group, versions}: PeersExchange): void {
+	private applyMessage({self, group, versions, watchers}: PeersExchange): void {
 		this.recordAlive(self);
 		for (const info of group ?? []) {
 			const removed = this.removedPeers.get(info.vm);
@@ -205,25 +218,54 @@
 		}
 
 		if (versions.length > 0) {
-			this.options.directory.mergeFromPeer({versions, instancesRevision: 0});
+			this.options.directory.mergeFromPeer({versions});
+		}
+
+		if (self.zone === this.options.self.zone) {
+			this.recordWatchers(watchers);
+		}
+	}
+
+	private recordWatchers(watchers: PeersExchange['watchers']): void {
+		for (const [vm, ageMs] of watchers) {
+			if (vm !== this.options.self.vm) {
+				this.options.coverage.record(vm, ageMs);
+			}
 		}
 	}
 
 	private createMessage(theirDigest: string | undefined): PeersExchange {
-		const {self, directory} = this.options;
+		const {self, directory, coverage, onMessage} = this.options;
+		onMessage();
 		const digest = this.computeGroupDigest();
-		const {configurationVersion, instancesRevision} = directory;
+		const {configurationVersion, lastInstanceChange, shareableVersions} = directory;
 		return {
 			self,
 			groupDigest: digest,
-			...(theirDigest === undefined || theirDigest === digest ? {} : {group: [...this.others]}),
-			directory: {configurationVersion, instancesRevision},
-			versions: [...directory.snapshot(Number.POSITIVE_INFINITY, Number.POSITIVE_INFINITY).versions],
+			...(theirDigest === undefined || theirDigest === digest ? {} : {group: this.selectMembers()}),
+			directory: {configurationVersion, lastInstanceChange},
+			versions: shareableVersions,
+			watchers: [...coverage.ages].map(([vm, ageMs]) => [vm, Math.round(ageMs)]),
 		};
 	}
 
+	/** Returns the members for a message: from time to time all of them, otherwise those that were learned of lately. */
+	private selectMembers(): PeerInfo[] {
+		const nowMs = performance.now();
+		if (nowMs < this.discoveryUntilMs || nowMs - this.fullListSentMs >= fullListIntervalMs) {
+			this.fullListSentMs = nowMs;
+			return [...this.others];
+		}
+
+		return [...this.peers.values()].filter(({learnedAtMs}) => nowMs - learnedAtMs < rumorMs).map(({info}) => info);
+	}
+
 	private computeGroupDigest(): string {
-		const members = [this.options.self, ...this.others].map(({vm, startedAtMs}) => `${vm}@${startedAtMs}`);
-		return digestOf(members.toSorted((a, b) => (a < b ? -1 : 1)).join(' ')).slice(0, 16);
+		if (this.groupDigest === undefined) {
+			const members = [this.options.self, ...this.others].map(({vm, startedAtMs}) => `${vm}@${startedAtMs}`);
+			this.groupDigest = digestOf(members.toSorted((a, b) => (a < b ? -1 : 1)).join(' ')).slice(0, 16);
+		}
+
+		return this.groupDigest;
 	}
 }
--- /dev/null
+++ b/test/directory-spread.test.ts
@@ -0,0 +1,165 @@
+/** How the directory reaches every process: few read the source, the others are told by them. */
+import process from 'node:process';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {applyDelta, createDelta} from '../src/directory/configuration-delta.ts';
+import {Directory} from '../src/directory/directory.ts';
+import type {PublishedConfiguration} from '../src/directory/directory-types.ts';
+import {rankForWatch, shouldWatch, watchersPerZone as watchersPerZoneOf} from '../src/peers/watch-duty.ts';
+import {createSilentLogger} from '../src/runtime/logger.ts';
+import {testConfiguration, testInstance, testRoute} from './support/direct-fixtures.ts';
+import {type DirectoryGateway, FakeSource, startDirectoryGateway} from './support/directory-fleet.ts';
+
+const zones = ['z-a', 'z-b', 'z-c'];
+const watchersPerZone = watchersPerZoneOf(zones.length);
+
+async function sleep(ms: number): Promise<void> {
+	await new Promise(resolve => {
+		setTimeout(resolve, ms);
+	});
+}
+
+async function waitUntil(what: string, limitMs: number, condition: () => boolean): Promise<void> {
+	const untilMs = performance.now() + limitMs;
+	while (!condition() && performance.now() < untilMs) {
+		await sleep(10);
+	}
+
+	expect(condition(), what).to.equal(true);
+}
+
+/** Runs an action with a fleet of gateways in three zones. */
+async function withFleet(size: number, action: (source: FakeSource, gateways: readonly DirectoryGateway[]) => Promise<void>): Promise<void> {
+	process.setMaxListeners(size + 20);
+	const source = new FakeSource();
+	source.publish('published', 'op/config', {kind: 'configuration', configuration: testConfiguration(1)});
+	source.publish('instances', 'i-1', {kind: 'instance', instance: testInstance({id: 'i-1'})});
+	const gateways: DirectoryGateway[] = [];
+	try {
+		for (let index = 1; index <= size; index++) {
+			gateways.push(await startDirectoryGateway(source, index, zones[index % zones.length]!));
+		}
+
+		await waitUntil('all gateways have the directory', 8000, () => gateways.every(({base: {directory}}) => directory.configurationVersion === 1 && directory.instance('i-1') !== undefined));
+		await action(source, gateways);
+	} finally {
+		await Promise.all(gateways.map(async ({stop}) => stop()));
+	}
+}
+
+async function countCalls(source: FakeSource, forMs: number): Promise<{total: number; processes: number}> {
+	const before = new Map(source.calls);
+	await sleep(forMs);
+	const increases = [...source.calls].map(([vm, count]) => count - (before.get(vm) ?? 0)).filter(count => count > 0);
+	return {total: increases.reduce((sum, count) => sum + count, 0), processes: increases.length};
+}
+
+it('guards against calls to the source that grow with the fleet: with 36 gateways in 3 zones, two of each zone watch, and changes still reach all within a second', async () => {
+	await withFleet(36, async (source, gateways) => {
+		await waitUntil('few watch', 15_000, () => gateways.filter(({base}) => base.isWatching).length <= zones.length * watchersPerZone);
+		for (let version = 2; version <= 6; version++) {
+			source.publish('published', 'op/config', {kind: 'configuration', configuration: testConfiguration(version)});
+			source.publish('instances', `i-${version}`, {kind: 'instance', instance: testInstance({id: `i-${version}`, address: `127.0.0.1:${version}`})});
+			await waitUntil(`version ${version} everywhere`, 1000, () => gateways.every(({base: {directory}}) => directory.configurationVersion === version && directory.instance(`i-${version}`) !== undefined));
+		}
+
+		const {total, processes} = await countCalls(source, 5000);
+		expect(processes).to.be.at.most(zones.length * watchersPerZone);
+		// Two parts, each with a call in 5 s.
+		expect(total).to.be.at.most(zones.length * watchersPerZone * 2 * 2);
+	});
+}).timeout(60_000);
+
+it('guards against a zone that stays behind when its watchers are turned away: others take over, and removals reach all in the meantime', async () => {
+	await withFleet(24, async (source, gateways) => {
+		await waitUntil('few watch', 15_000, () => gateways.filter(({base}) => base.isWatching).length <= zones.length * watchersPerZone);
+		const inZone = gateways.filter(({zone}) => zone === 'z-a');
+		const watching = inZone.filter(({base}) => base.isWatching);
+		for (const {vm} of watching) {
+			source.refused.add(vm);
+		}
+
+		source.publish('instances', 'i-1', {kind: 'instance-gone', id: 'i-1'});
+		source.publish('published', 'op/config', {kind: 'configuration', configuration: testConfiguration(2)});
+		await waitUntil('changes reach all', 2000, () => gateways.every(({base: {directory}}) => directory.configurationVersion === 2 && directory.instance('i-1') === undefined));
+		await waitUntil('others take over', 15_000, () => inZone.filter(({base, vm}) => base.isWatching && !source.refused.has(vm)).length >= watchersPerZone);
+	});
+}).timeout(60_000);
+
+it('guards against a fleet with one watcher, whatever its zones: at least four watch in all, and one in each zone', () => {
+	for (const zoneCount of [1, 2, 3, 4, 5, 7]) {
+		expect(watchersPerZoneOf(zoneCount)).to.be.at.least(1);
+		expect(zoneCount * watchersPerZoneOf(zoneCount)).to.be.at.least(4);
+	}
+});
+
+it('guards against a zone without a watcher, and against all processes of a zone watching: the duty by rank', () => {
+	const processes = Array.from({length: 20}, (item, index) => ({
+		vm: `vm-${index}`, startedAtMs: 1, role: index < 8 ? 'gateway' as const : 'stager' as const, zone: index % 2 === 0 ? 'z-a' : 'z-b', region: 'r', address: '127.0.0.1:1',
+	}));
+	const ranking = rankForWatch('z-a', processes);
+	expect(ranking.slice(0, 4).toSorted()).to.deep.equal(['vm-0', 'vm-2', 'vm-4', 'vm-6']);
+	expect(ranking).to.have.length(10);
+	fc.assert(fc.property(fc.subarray(ranking), fc.nat({max: 20_000}), (working, shortForMs) => {
+		const duties = ranking.map((vm, position) => shouldWatch({
+			wanted: watchersPerZone, position, workingAbove: ranking.slice(0, position).filter(other => working.includes(other)).length, isWatching: working.includes(vm), shortForMs,
+		}));
+		const watching = duties.filter(Boolean).length;
+		expect(watching).to.be.at.least(watchersPerZone);
+		const enoughAt = ranking.findIndex((vm, position) => ranking.slice(0, position).filter(other => working.includes(other)).length >= watchersPerZone);
+		expect(duties.slice(enoughAt === -1 ? ranking.length : enoughAt).some(Boolean)).to.equal(false);
+	}), {seed: 51, numRuns: 300});
+});
+
+it('guards against routes that a difference loses or keeps: applying it gives the newer configuration, and unchanged routes stay the same objects', () => {
+	const pool = Array.from({length: 12}, (item, index) => [1, 2].map(timeoutMs => testRoute({name: `r-${index}`, timeoutMs})));
+	const configuration = (version: number, choices: readonly number[]): PublishedConfiguration => ({
+		...testConfiguration(version), routes: pool.flatMap((variants, index) => (choices[index] === 0 ? [] : [variants[choices[index]! - 1]!])),
+	});
+	const choices = fc.array(fc.nat({max: 2}), {minLength: pool.length, maxLength: pool.length});
+	const byName = ({routes}: PublishedConfiguration) => routes.toSorted((a, b) => (a.name < b.name ? -1 : 1));
+	fc.assert(fc.property(choices, choices, (before, after) => {
+		const from = configuration(1, before);
+		const to = configuration(2, after);
+		const result = applyDelta(from, createDelta(from, to)!);
+		expect(result.version).to.equal(2);
+		expect(result.keys).to.deep.equal(to.keys);
+		const routes = byName(result);
+		expect(routes).to.have.length(to.routes.length);
+		for (const [index, route] of byName(to).entries()) {
+			expect(routes[index]).to.equal(route);
+		}
+	}), {seed: 52, numRuns: 300});
+	expect(createDelta({...testConfiguration(1), routes: [testRoute(), testRoute()]}, testConfiguration(2))).to.equal(undefined);
+});
+
+it('guards against a directory that differs from the source after any mix of full lists and differences between peers', () => {
+	const ids = ['a', 'b', 'c', 'd'];
+	const step = fc.record({id: fc.constantFrom(...ids), kind: fc.constantFrom('put', 'drain', 'gone'), pulls: fc.boolean()});
+	fc.assert(fc.property(fc.array(step, {maxLength: 40}), steps => {
+		const log = createSilentLogger();
+		const [source, peer, third] = [new Directory(log), new Directory(log), new Directory(log)];
+		const sync = (from: Directory, to: Directory) => {
+			to.mergeFromPeer(structuredClone(from.snapshot(to.configurationVersion, to.instancesRevision)));
+		};
+
+		let revision = 1;
+		source.replaceInstances({revision, changes: []});
+		for (const {id, kind, pulls} of steps) {
+			revision++;
+			const change = kind === 'gone' ? {kind: 'instance-gone' as const, id} : {kind: 'instance' as const, instance: testInstance({id, address: `127.0.0.1:${ids.indexOf(id) + 1}`, isDraining: kind === 'drain'})};
+			source.apply({revision, changes: [{revision, change}]});
+			source.advanceInstancesRevision(revision);
+			if (pulls) {
+				sync(source, peer);
+				sync(peer, third);
+			}
+		}
+
+		sync(source, peer);
+		sync(peer, third);
+		const listOf = (directory: Directory) => directory.instances.map(({id, isDraining}) => `${id} ${isDraining}`).toSorted();
+		expect(listOf(peer)).to.deep.equal(listOf(source));
+		expect(listOf(third)).to.deep.equal(listOf(source));
+	}), {seed: 53, numRuns: 500});
+});
--- /dev/null
+++ b/test/support/directory-fleet.ts
@@ -0,0 +1,110 @@
+/** Gateways in one process that get their directory from one fake source and from each other, over loopback. */
+import {HttpListener} from '../../src/links/http-listener.ts';
+import {GatewayStagerBase, type GatewayStagerSettings} from '../../src/cli/gateway-stager-base.ts';
+import type {
+	DirectoryChange, DirectoryPart, DirectorySource, RevisedChange,
+} from '../../src/directory/directory-types.ts';
+import {createRegionId} from '../../src/ids/region-id.ts';
+import {createVmId} from '../../src/ids/vm-id.ts';
+import {createZoneId} from '../../src/ids/zone-id.ts';
+import {directoryGetMethod} from '../../src/messages/peers-exchange.ts';
+import {directoryGetParamsSchema} from '../../src/peers/directory-snapshot-schema.ts';
+import {createControlRoutes} from '../../src/reports/control-routes.ts';
+
+const controlPort = 17_941;
+const datagramPort = 17_942;
+
+/** A source that counts the calls to it, and may turn some processes away. */
+export class FakeSource {
+	/** Reads and watches by VM. */
+	readonly calls = new Map<string, number>();
+	/** VMs whose calls fail. */
+	readonly refused = new Set<string>();
+	private revision = 1;
+	private readonly items = new Map<string, {part: DirectoryPart; revised: RevisedChange}>();
+	private readonly waiting = new Set<() => void>();
+
+	/** Number of calls so far. */
+	get total(): number {
+		return [...this.calls.values()].reduce((sum, count) => sum + count, 0);
+	}
+
+	/** Publishes a change. */
+	publish(part: DirectoryPart, key: string, change: DirectoryChange): void {
+		this.revision++;
+		this.items.set(key, {part, revised: {revision: this.revision, change}});
+		for (const wake of this.waiting) {
+			wake();
+		}
+
+		this.waiting.clear();
+	}
+
+	/** The source as one process sees it. */
+	of(vm: string): DirectorySource {
+		const enter = () => {
+			this.calls.set(vm, (this.calls.get(vm) ?? 0) + 1);
+			if (this.refused.has(vm)) {
+				throw new Error('refused');
+			}
+		};
+
+		const changesAfter = (part: DirectoryPart, after: number) => [...this.items.values()].filter(item => item.part === part && item.revised.revision > after).map(({revised}) => revised);
+		return {
+			read: async part => {
+				enter();
+				return {revision: this.revision, changes: changesAfter(part, 0).filter(({change}) => change.kind !== 'instance-gone')};
+			},
+			watch: async (part, after, waitMs, signal) => {
+				enter();
+				const untilMs = performance.now() + waitMs;
+				while (changesAfter(part, after).length === 0 && performance.now() < untilMs && !signal.aborted) {
+					await new Promise<void>(resolve => {
+						this.waiting.add(resolve);
+						setTimeout(resolve, 50);
+					});
+				}
+
+				signal.throwIfAborted();
+				return {revision: this.revision, changes: changesAfter(part, after)};
+			},
+		};
+	}
+}
+
+type Base = GatewayStagerBase<GatewayStagerSettings>;
+
+/** A gateway without callers. */
+export type DirectoryGateway = {readonly vm: string; readonly zone: string; readonly base: Base; readonly stop: () => Promise<void>};
+
+/**
+ * Starts a gateway.
+ *
+ * @param index - from 1; gives the address
+ */
+export async function startDirectoryGateway(source: FakeSource, index: number, zone: string): Promise<DirectoryGateway> {
+	const vm = `g-${index}`;
+	const host = `127.0.${2 + Math.floor(index / 200)}.${1 + (index % 200)}`;
+	const settings: GatewayStagerSettings = {
+		process: {
+			vm: createVmId(vm), zone: createZoneId(zone), region: createRegionId(zone), log_level: 'fatal', random_seed: index,
+		},
+		peers: {seeds: [`127.0.2.2:${controlPort}`, `127.0.2.3:${controlPort}`]},
+		directory: {address: {host: '127.0.0.1', port: 1}},
+	};
+	const base: Base = new GatewayStagerBase({file: '/dev/null', read: () => settings}, () => ({
+		role: 'gateway', control: {host, port: controlPort}, datagrams: {host, port: datagramPort}, parts: ['published', 'instances'], pulledParts: 'directory',
+	}), () => source.of(vm));
+	base.rpc.method(directoryGetMethod, directoryGetParamsSchema, ({configurationVersion, instancesRevision}) => base.directory.snapshot(configurationVersion, instancesRevision));
+	const control = new HttpListener(createControlRoutes({
+		rpc: base.rpc, metrics: base.metrics, isReady: () => true, dump: () => ({}),
+	}), base.log);
+	await control.start({host, port: controlPort});
+	await base.start();
+	return {
+		vm, zone, base, async stop() {
+			control.destroy();
+			await base.stop();
+		},
+	};
+}
