--- a/src/directory/directory-types.ts
+++ b/src/directory/directory-types.ts
@@ -100,8 +100,6 @@
 	readonly zone: string;
 	readonly isDraining: boolean;
 	readonly slots: number;
-	/** Remaining warm-up time, in which the instance is slower, in milliseconds. */
-	readonly coldLeftMs: number;
 	/** Wall-clock start, in milliseconds since 1970; distinguishes runs under the same id. */
 	readonly startedAtMs: number;
 	readonly held: readonly HeldModel[];
--- a/src/forwarding/instance-selector.ts
+++ b/src/forwarding/instance-selector.ts
@@ -28,7 +28,7 @@
 };
 
 /** Number of samples that are drawn before an attempt is refused. */
-const maxRounds = 2;
+export const maxRounds = 2;
 
 const noCounts: ReadonlyMap<string, InFlightCounts> = new Map();
 
--- a/src/forwarding/wire-codec.ts
+++ b/src/forwarding/wire-codec.ts
@@ -14,8 +14,6 @@
 	readonly model: string | undefined;
 	/** Number of prompt tokens; 0 if unknown. */
 	readonly promptTokens: number;
-	/** Expected number of tokens in the response; 0 if unknown. */
-	readonly answerTokens: number;
 };
 
 /** Values that the gateway sets in the headers of a call to an upstream. */
--- a/src/peers/directory-snapshot-schema.ts
+++ b/src/peers/directory-snapshot-schema.ts
@@ -65,7 +65,6 @@
 	zone: z.string(),
 	isDraining: z.boolean(),
 	slots: z.number(),
-	coldLeftMs: z.number(),
 	startedAtMs: z.number(),
 	held: z.array(z.object({
 		model: z.string(), version: z.number(), fromLayer: z.number(), toLayer: z.number(),
--- a/src/peers/watch-manager.ts
+++ b/src/peers/watch-manager.ts
@@ -85,13 +85,11 @@
 		const {ages} = coverage;
 		const workingAbove = ranking.slice(0, position).filter(vm => ages.has(vm)).length;
 		const wanted = watchersPerZone(new Set(processes.map(({zone}) => zone)).size);
-		const input = {
-			wanted, position, workingAbove, isWatching: this.isWatching,
-		};
 		const nowMs = performance.now();
-		const isShort = shouldWatch({...input, isWatching: true, shortForMs: 0});
-		this.shortSinceMs = isShort ? this.shortSinceMs ?? nowMs : undefined;
-		this.setWatching(shouldWatch({...input, shortForMs: nowMs - (this.shortSinceMs ?? nowMs)}), {wanted, position, workingAbove});
+		this.shortSinceMs = workingAbove < wanted ? this.shortSinceMs ?? nowMs : undefined;
+		const shortForMs = nowMs - (this.shortSinceMs ?? nowMs);
+		const inputs = {wanted, position, workingAbove};
+		this.setWatching(shouldWatch({...inputs, isWatching: this.isWatching, shortForMs}), inputs);
 	}
 
 	private setWatching(isWatching: boolean, inputs: Record<string, number>): void {
