--- a/bench/placing-scenarios.ts
+++ b/bench/placing-scenarios.ts
@@ -1,5 +1,7 @@
 /** Selection policies and scenarios of the simulation in `placing-model.ts`. */
 import type {EngineTiming} from '../src/directory/directory-types.ts';
+import {maxRounds} from '../src/forwarding/instance-selector.ts';
+import {sampleSizes} from '../src/forwarding/sample-instances.ts';
 import {selectEngineInstance} from '../src/forwarding/select-instance.ts';
 import type {CallKind, PlacementPolicy, PlacingScenario} from './placing-types.ts';
 
@@ -38,7 +40,33 @@
 	usualPromptTokens: 977, usualAnswerTokens: 94, layers: 16, chunkCount: 96, chunkBytes: 24_576, models: ['m'],
 };
 
-/** Creates a scenario of that deployment, with overrides. */
+/** The published engine timing of a deployment of hundreds of VMs with smaller and slower engines. */
+export const largeFleetTiming: EngineTiming = {
+	...defaultTiming, slots: 8, stepMs: 13.3, perCallMs: 0.0582, contextMsPerKilotoken: 0.0341, readTokensPerMs: 12.7, usualPromptTokens: 1003, usualAnswerTokens: 72,
+};
+
+/** The call kinds of that deployment. */
+const largeFleetCallKinds: readonly CallKind[] = [
+	{
+		name: 'long', share: 341, promptTokens: 1330, answerTokens: 75, aimMs: 803, onTimeValue: 2.2, lateValue: 0.56,
+	},
+	{
+		name: 'middle', share: 250, promptTokens: 827, answerTokens: 75, aimMs: 602, onTimeValue: 1.9, lateValue: 0.47,
+	},
+	{
+		name: 'short', share: 189, promptTokens: 647, answerTokens: 70, aimMs: 502, onTimeValue: 1.7, lateValue: 0.43,
+	},
+];
+
+/** What a gateway asks before each call. */
+export const asksCounters: Partial<PlacingScenario> = {askedEngines: sampleSizes.local + sampleSizes.remote, rounds: maxRounds, broadcastDelayMs: 3};
+
+/** A fleet of hundreds of VMs. */
+export const largeFleet: Partial<PlacingScenario> = {
+	entries: 99, engines: 109, timing: largeFleetTiming, kinds: largeFleetCallKinds, maxPauseMs: 600, seconds: 10,
+};
+
+/** Creates a scenario of the first deployment, with overrides. */
 export function createScenario(overrides: Partial<PlacingScenario> = {}): PlacingScenario {
 	return {
 		seed: 1, policy: currentPolicy, timing: defaultTiming, kinds: defaultCallKinds, callsPerSecond: 137, entries: 6, engines: 11, slowEngines: 0, slowness: 1,
--- a/bench/placing.ts
+++ b/bench/placing.ts
@@ -4,7 +4,7 @@
 import {meanSlotTimeMs} from '../src/forwarding/engine-forecast.ts';
 import {PlacingModel} from './placing-model.ts';
 import {
-	createScenario, currentPolicy, defaultTiming, fewestCallsPolicy, randomPolicy,
+	asksCounters, createScenario, currentPolicy, defaultTiming, fewestCallsPolicy, largeFleet, randomPolicy,
 } from './placing-scenarios.ts';
 import type {CallResult, PlacementPolicy, PlacingScenario} from './placing-types.ts';
 import {writeDocPart} from './support/doc-part.ts';
@@ -27,7 +27,10 @@
 		name: 'counts late', color: '#2c7fb8', policy: currentPolicy, scenario: {broadcastsChanges: false, broadcastIntervalMs: 120},
 	},
 	{
-		name: 'present', color: '#1b7837', policy: currentPolicy, scenario: {},
+		name: 'told at once', color: '#7b6b1e', policy: currentPolicy, scenario: {},
+	},
+	{
+		name: 'present', color: '#1b7837', policy: currentPolicy, scenario: asksCounters,
 	},
 ];
 
@@ -79,6 +82,8 @@
 	...[18, 14, 11, 8].map(engines => [`${engines} engines, load ${offeredLoad(engines).toFixed(2)}`, {engines}] as const),
 	['14 engines, 3 of them 2 × slower', {engines: 14, slowEngines: 3, slowness: 2}],
 	['40 engines, 36 entries, load 0.85', {engines: 40, entries: 36, callsPerSecond: 312}],
+	['109 smaller engines, 99 entries, 500 calls/s', {...largeFleet, callsPerSecond: 500}],
+	['109 smaller engines, 99 entries, 780 calls/s', {...largeFleet, callsPerSecond: 780}],
 ];
 
 const tableHeader = '| scenario | way | worth | on time | late | refused twice | largest tenth served |\n| --- | --- | ---: | ---: | ---: | ---: | ---: |';
--- a/test/placing-load.test.ts
+++ b/test/placing-load.test.ts
@@ -1,7 +1,9 @@
 /** Simulates many streams on few engines with the real selection code and checks what callers get. */
 import {expect} from 'chai';
 import {PlacingModel} from '../bench/placing-model.ts';
-import {createScenario, defaultTiming} from '../bench/placing-scenarios.ts';
+import {
+	asksCounters, createScenario, largeFleet,
+} from '../bench/placing-scenarios.ts';
 import type {CallResult, PlacingScenario} from '../bench/placing-types.ts';
 import {meanSlotTimeMs} from '../src/forwarding/engine-forecast.ts';
 
@@ -9,7 +11,7 @@
 const msPerSecond = 1000;
 
 function runModel(scenario: Partial<PlacingScenario>): readonly CallResult[] {
-	return seeds.flatMap(seed => [...new PlacingModel(createScenario({...scenario, seed})).run()]);
+	return seeds.flatMap(seed => [...new PlacingModel(createScenario({...asksCounters, ...scenario, seed})).run()]);
 }
 
 function shareOf(ends: readonly CallResult[], outcomes: ReadonlyArray<CallResult['outcome']>): number {
@@ -17,8 +19,8 @@
 }
 
 /** Returns the capacity of the engines as a share of the offered load. */
-function capacityShare({engines, callsPerSecond}: PlacingScenario): number {
-	return engines * defaultTiming.slots * msPerSecond / meanSlotTimeMs(defaultTiming) / callsPerSecond;
+function capacityShare({engines, callsPerSecond, timing}: PlacingScenario): number {
+	return engines * timing.slots * msPerSecond / meanSlotTimeMs(timing) / callsPerSecond;
 }
 
 it('guards against gateways that choose the same engine at the same time: if the engines can carry the load, 95 % of the responses are on time', () => {
@@ -41,3 +43,18 @@
 		expect(shareOf(largest, ['on time', 'late']), kind).to.be.at.least(0.5 * shareOf(ofKind, ['on time', 'late']));
 	}
 });
+
+it('guards against placement that gets worse with the fleet: 99 gateways that choose at once keep as much on time as 6 do at the same load', () => {
+	const small = createScenario({engines: 18});
+	const large = createScenario({...largeFleet});
+	const callsPerSecond = large.callsPerSecond * capacityShare(large) / capacityShare(small);
+	expect(capacityShare(createScenario({...largeFleet, callsPerSecond}))).to.be.closeTo(capacityShare(small), 0.01);
+	const sharesOnTime = [runModel({engines: 18}), runModel({...largeFleet, callsPerSecond})].map(results => shareOf(results, ['on time']));
+	expect(sharesOnTime[1]!).to.be.at.least(sharesOnTime[0]! - 0.03);
+});
+
+it('guards against late responses that fill the engines of a large fleet: above their capacity, on-time responses stay within a tenth of it', () => {
+	const scenario = createScenario({...largeFleet, callsPerSecond: 780});
+	expect(capacityShare(scenario)).to.be.lessThan(1);
+	expect(shareOf(runModel({...largeFleet, callsPerSecond: 780}), ['on time'])).to.be.at.least(0.9 * capacityShare(scenario));
+});
