Close connections to peers that were not asked for a while

Cause: the HTTP client kept a pool for each process that it ever exchanged with, and their connections for the 75 s that the peers allow, so that memory grew with the fleet: stagers 61 MB at the peak with 286 processes, 52 MB with 26.

What it saves at size is not measured yet.

--- a/src/links/peer-client.ts
+++ b/src/links/peer-client.ts
@@ -19,6 +19,9 @@
 /** Maximum number of pooled connections to one origin. */
 const maxConnectionsPerOrigin = 64;
 
+/** How long connections to an origin are kept after the last request to it, and the interval of the checks, in milliseconds. A process exchanges with each of hundreds of peers now and then. */
+const unusedPool = {maxAgeMs: 15_000, checkIntervalMs: 5000};
+
 /** Added to the header timeout, in milliseconds: undici's timers have a resolution of about half a second and may fire one step early. */
 const timerSlackMs = 1000;
 
@@ -69,6 +72,12 @@
 export class PeerClient {
 	private readonly pools = new Map<string, TrackedPool>();
 	private readonly retiredPools = new Set<Agent>();
+	private lastCheckMs = performance.now();
+
+	/** Number of origins to which connections may be open. */
+	get poolCount(): number {
+		return this.pools.size;
+	}
 
 	/**
 	 * Calls a JSON-RPC method of a peer.
@@ -205,14 +214,31 @@
 
 	private getPool(url: string): TrackedPool {
 		const {origin} = new URL(url);
+		this.retireUnusedPools();
 		let entry = this.pools.get(origin);
 		if (!entry) {
 			entry = createPool();
 			this.pools.set(origin, entry);
 		}
 
+		entry.lastUsedMs = performance.now();
 		return entry;
 	}
+
+	private retireUnusedPools(): void {
+		const nowMs = performance.now();
+		if (nowMs - this.lastCheckMs < unusedPool.checkIntervalMs) {
+			return;
+		}
+
+		this.lastCheckMs = nowMs;
+		for (const [origin, {pool, lastUsedMs}] of this.pools) {
+			if (nowMs - lastUsedMs >= unusedPool.maxAgeMs) {
+				this.pools.delete(origin);
+				void this.retire(pool);
+			}
+		}
+	}
 }
 
 /** Thrown when a response body exceeds its size limit. */
@@ -288,14 +314,14 @@
 }
 
 /** A connection pool, and a dispatcher on it that calls `onStart` of each request. */
-type TrackedPool = {readonly pool: Agent; readonly trackedDispatcher: Dispatcher};
+type TrackedPool = {readonly pool: Agent; readonly trackedDispatcher: Dispatcher; lastUsedMs: number};
 
 function createPool(): TrackedPool {
 	const pool = new Agent({
 		connections: maxConnectionsPerOrigin, pipelining: 1, connect: {timeout: connectTimeoutMs}, keepAliveTimeout: 30_000,
 	});
 	const trackedDispatcher = pool.compose(dispatch => (options, handler) => dispatch(options, new StartHandler(handler, (options as unknown as StartCallbackOptions).onStart)));
-	return {pool, trackedDispatcher};
+	return {pool, trackedDispatcher, lastUsedMs: performance.now()};
 }
 
 function createDeadlineSignal(options: PeerRequestOptions): AbortSignal {
