Let stagers wait for the services, and decide earlier on the watch once others are known

Cause: 60 ms after its start, each stager read the whole published configuration from the store, although a gateway sends it the services within a second; when all start at once, with 1,400 routes, that fills the links between regions. And gateways waited 600 ms for their first decision even when they knew the others.

Change: stagers wait for 0.6 to 1.8 s before they read themselves; a process that knows others decides 250 ms after its start. Not measured on its own; test/directory-spread.test.ts green.

--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -58,8 +58,8 @@
 /** The interval between two reads of the published services from the source while no gateway has sent them, in milliseconds. */
 const serviceReadIntervalMs = 2500;
 
-/** The time after the start for which a process waits for a gateway to send the published services before it reads them from the source, in milliseconds. */
-const firstServiceReadDelayMs = 60;
+/** The mean time after the start for which a stager waits for a gateway to send the published services before it reads them from the source, in milliseconds; after a power failure, all stagers start at once. */
+const firstServiceReadDelayMs = 1200;
 
 /** The functions of the platform adapter that a stager needs. */
 export type StagerAdapter = {
@@ -133,7 +133,7 @@
 		await base.start();
 		staging.start();
 		// After a power failure, there may be no gateway yet that could send the published services.
-		this.scheduleServiceRead(firstServiceReadDelayMs);
+		this.scheduleServiceRead(base.random.jitter(firstServiceReadDelayMs));
 		base.log.info({event: 'stager_started', control: formatAddress(base.settings.listen.control)}, 'stager started');
 	}
 
--- a/src/peers/watch-manager.ts
+++ b/src/peers/watch-manager.ts
@@ -6,8 +6,8 @@
 	rankForWatch, shouldWatch, type WatchCoverage, watchersPerZone,
 } from './watch-duty.ts';
 
-/** How long a process waits after its start until it knows other processes, in milliseconds. */
-const startHoldMs = 600;
+/** When a process decides first after its start, and how long it waits while it knows no other process, in milliseconds. */
+const startHoldMs = {min: 250, max: 600};
 
 /** Interval between two decisions, in milliseconds. */
 const decisionIntervalMs = 500;
@@ -26,6 +26,7 @@
 export class WatchManager {
 	/** Whether this process reads and watches the source. */
 	isWatching = false;
+	private startedAtMs = 0;
 	private shortSinceMs: number | undefined;
 	private timer: NodeJS.Timeout | undefined;
 
@@ -38,8 +39,9 @@
 
 	/** Starts to decide. */
 	start(): void {
-		this.shortSinceMs = performance.now();
-		this.schedule(startHoldMs);
+		this.startedAtMs = performance.now();
+		this.shortSinceMs = this.startedAtMs;
+		this.schedule(startHoldMs.min);
 	}
 
 	/** Stops the watchers. */
@@ -70,6 +72,12 @@
 
 	private schedule(waitMs: number): void {
 		this.timer = setTimeout(() => {
+			const isAlone = this.options.others().length === 0;
+			if (isAlone && performance.now() - this.startedAtMs < startHoldMs.max) {
+				this.schedule(startHoldMs.min);
+				return;
+			}
+
 			this.decide();
 			this.schedule(decisionIntervalMs);
 		}, waitMs);
