Rank the switchover once per group, and let engines that wait for their turn be polled like idle ones

Each plan of a transfer ranked all stagers of the service (187) by hashing, built the map of their regions and compared the whole group as text; a stager whose engine waited for its turn, for up to 12 s, asked the engine 10 times a second.

Change: the group, the regions and the rank are kept until the group changes; while an engine waits for its turn, the next poll is when the turn comes or after 0.4 s. Polls during the transfer and the load stay at 0.1 s.

Staging, rollout, origin and chunk server tests green (28).

--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -5,7 +5,7 @@
 import {createServiceId} from '../ids/service-id.ts';
 import {formatAddress, HttpListener} from '../links/http-listener.ts';
 import type {PeerClient} from '../links/peer-client.ts';
-import {manifestGetMethod, manifestGetParamsSchema} from '../messages/peers-exchange.ts';
+import {manifestGetMethod, manifestGetParamsSchema, type PeerInfo} from '../messages/peers-exchange.ts';
 import {rolloutHaveMethod, rolloutHaveParamsSchema} from '../messages/rollout-have.ts';
 import {serveCallCounter} from '../peers/call-counter-listener.ts';
 import {EngineStateSender} from '../peers/engine-state-sender.ts';
@@ -79,6 +79,15 @@
 	return stager;
 }
 
+/** The stagers of one service among the known processes. */
+type StagerGroup = {
+	/** The list of all other processes that the group was taken from. */
+	readonly processes: readonly PeerInfo[];
+	readonly others: readonly PeerInfo[];
+	/** The VMs of all stagers of the service, including this one. */
+	readonly vms: readonly string[];
+};
+
 /** Creates, connects, starts and stops the components of a stager. */
 class StagerProcess implements RunningProcess {
 	private readonly base: GatewayStagerBase<StagerSettings>;
@@ -88,6 +97,7 @@
 	private readonly staging: StagingManager;
 	private readonly control: HttpListener;
 	private readonly firstFetchAtMs = new Map<string, number>();
+	private stagerGroup: StagerGroup | undefined;
 	private serviceReadTimer: NodeJS.Timeout | undefined;
 
 	constructor(settingsSource: SettingsSource<StagerSettings>, adapter: StagerAdapter) {
@@ -111,7 +121,7 @@
 			chunks: this.chunks,
 			node: this.node,
 			fetchManifest: async (model, version) => this.fetchManifest(model, version),
-			groupVms: () => [settings.process.vm, ...this.otherStagers().map(({vm}) => vm)],
+			groupVms: () => this.stagers().vms,
 			versionBoundMs: settings.limits.version_bound_ms,
 			onLoadStarted(startedAtMs) {
 				sender.send(['changing', formatAddress(settings.engine.address), startedAtMs]);
@@ -164,7 +174,7 @@
 		const rate = () => transfer.link_mbps * bytesPerMegabit * (this.staging.isServing ? transfer.link_share : idleLinkShare);
 		return {
 			self: {vm: process.vm, region: process.region},
-			peers: () => this.otherStagers(),
+			peers: () => this.stagers().others,
 			links,
 			chunks: this.chunks,
 			upPacer: new TransferPacer(rate, uploadBurstMs),
@@ -181,10 +191,15 @@
 		};
 	}
 
-	/** Returns the other stagers of the same service. */
-	private otherStagers() {
+	/** Returns the stagers of the same service; the same object until the group changes. */
+	private stagers(): StagerGroup {
 		const {group, settings} = this.base;
-		return group.others.filter(({role, service}) => role === 'stager' && service === settings.engine.service);
+		if (this.stagerGroup?.processes !== group.others) {
+			const others = group.others.filter(({role, service}) => role === 'stager' && service === settings.engine.service);
+			this.stagerGroup = {processes: group.others, others, vms: [settings.process.vm, ...others.map(({vm}) => vm)]};
+		}
+
+		return this.stagerGroup;
 	}
 
 	private originChunkUrl({manifest, position}: OriginChunk): string | undefined {
@@ -204,8 +219,8 @@
 		const key = `${model}/${version}`;
 		const firstAttemptAtMs = this.firstFetchAtMs.get(key) ?? performance.now();
 		this.firstFetchAtMs.set(key, firstAttemptAtMs);
-		const otherStagers = this.otherStagers();
-		const ranked = rankMembers(key, [settings.process.vm, ...otherStagers.map(({vm}) => vm)]);
+		const {others: otherStagers, vms} = this.stagers();
+		const ranked = rankMembers(key, vms);
 		const rank = ranked.indexOf(settings.process.vm);
 		const isBeforeFallback = performance.now() - firstAttemptAtMs < originFallbackDelayMs;
 		const candidates = otherStagers.filter(({vm}) => !isBeforeFallback || ranked.indexOf(vm) < originReaderCount);
--- a/src/rollout/neighbourhood.ts
+++ b/src/rollout/neighbourhood.ts
@@ -54,10 +54,12 @@
 	surveyed = false;
 	private readonly noticeSender: NoticeSender;
 	private readonly failedContacts = new Set<string>();
+	private group: readonly TransferPeer[] | undefined;
 	private groupKey: string | undefined;
 	private rankedOwners!: ChunkOwners;
 	private ownNeighbours: ReadonlySet<string> = new Set();
 	private groupByVm: ReadonlyMap<string, TransferPeer> = new Map();
+	private regionByVm: ReadonlyMap<string, string> = new Map();
 	private nextPollAtMs = 0;
 
 	constructor(private readonly options: NeighbourhoodOptions) {
@@ -79,7 +81,7 @@
 
 	/** The region of each VM of the group. */
 	get regions(): ReadonlyMap<string, string> {
-		return new Map([...this.groupByVm.values()].map(({vm, region}) => [vm, region]));
+		return this.regionByVm;
 	}
 
 	/** Returns a peer of the group, or undefined when the VM does not belong to it. */
@@ -91,10 +93,16 @@
 	refreshGroup(): void {
 		const {self, peers} = this.options.agentOptions;
 		const group = peers();
+		if (group === this.group) {
+			return;
+		}
+
+		this.group = group;
 		const key = group.map(({vm, address}) => `${vm}@${address}`).join(' ');
 		if (key !== this.groupKey) {
 			this.groupKey = key;
 			this.groupByVm = new Map(group.map(peer => [peer.vm, peer]));
+			this.regionByVm = new Map(group.map(({vm, region}) => [vm, region]));
 			this.rankedOwners = rankOwners(this.options.manifest, self, group);
 			this.ownNeighbours = chooseNeighbours(self, group, this.rankedOwners.importers);
 		}
--- a/src/staging/staging-manager.ts
+++ b/src/staging/staging-manager.ts
@@ -36,7 +36,7 @@
 	readonly node: TransferNode;
 	/** Fetches the manifest of a version from a peer or the origin; undefined when neither has it yet. */
 	readonly fetchManifest: (model: string, version: number) => Promise<Manifest | undefined>;
-	/** Returns the VMs of all engines of the same service, including this one. */
+	/** Returns the VMs of all engines of the same service, including this one; the same array until they change. */
 	readonly groupVms: () => readonly string[];
 	/** How long older versions may still start calls after a newer one is published, in milliseconds. */
 	readonly versionBoundMs: number;
@@ -64,6 +64,8 @@
 	/** The model and version that the last reconciliation was about. */
 	private reconciledKey: string | undefined;
 	private isReconciling = false;
+	/** The last computed rank, and what it was computed for. */
+	private switchover: {readonly key: string; readonly vms: readonly string[]; readonly rank: number; readonly count: number} | undefined;
 
 	constructor(private readonly options: StagingManagerOptions) {
 		this.stagedChunks = new StagedChunks(options.engine, options.chunks, options.log);
@@ -143,35 +145,36 @@
 	}
 
 	private async reconcile(): Promise<void> {
-		let step: StagingStep = 'ask-engine';
+		let delayMs = pollDelayMs['ask-engine'];
 		this.isReconciling = true;
 		this.reconciledKey = this.wantedKey();
 		try {
-			step = await this.runStep();
+			delayMs = await this.runStep();
 		} catch (err) {
 			this.options.log.warn({event: 'staging_failed', err, step: this.lastStep}, 'staging step failed; it will be retried');
 		}
 
 		this.isReconciling = false;
-		this.schedule(this.wantedKey() === this.reconciledKey ? pollDelayMs[step] : 0);
+		this.schedule(this.wantedKey() === this.reconciledKey ? delayMs : 0);
 	}
 
-	private async runStep(): Promise<StagingStep> {
+	/** Runs the next step; returns the delay until the next poll, in milliseconds. */
+	private async runStep(): Promise<number> {
 		const service = this.options.publishedService();
 		const model = service?.engine.models[0];
 		if (!service || model === undefined) {
-			return 'ask-engine';
+			return pollDelayMs['ask-engine'];
 		}
 
 		const version = this.wantedVersion(model);
 		const report = await this.pollEngine(model, service.engine.layers);
 		const known = await this.loadManifest(model, version);
 		if (!known) {
-			return 'fetch';
+			return pollDelayMs.fetch;
 		}
 
 		if (!report) {
-			return 'ask-engine';
+			return pollDelayMs['ask-engine'];
 		}
 
 		const target = {
@@ -179,12 +182,14 @@
 		};
 		await this.stagedChunks.readBack(known.manifest, report.startedAtMs);
 		this.startTransfer(target);
+		const switchoverInMs = this.switchoverInMs(target);
 		const step = nextStagingStep({
-			wantedVersion: version, report, isHeld: this.isHeld(target), isStaged: this.stagedChunks.isComplete(target.manifest), isSwitchoverDue: this.isSwitchoverDue(target),
+			wantedVersion: version, report, isHeld: this.isHeld(target), isStaged: this.stagedChunks.isComplete(target.manifest), isSwitchoverDue: switchoverInMs <= 0,
 		});
 		this.logStep(step, target, report);
 		await this.stepActions[step](target, report);
-		return step;
+		// While the engine only waits for its turn, its state is polled no more often than when it is idle.
+		return step === 'wait' && !report.isBusy ? Math.min(pollDelayMs.idle, Math.max(1, switchoverInMs)) : pollDelayMs[step];
 	}
 
 	private async pollEngine(model: string, layers: number): Promise<EngineReport | undefined> {
@@ -250,23 +255,32 @@
 	/** The engine's rank in the switchover order of its group for the wanted version. */
 	private switchoverRank(): {readonly rank: number; readonly count: number} {
 		const {groupVms, vm} = this.options;
-		const ranked = rankMembers(this.wantedKey() ?? '', groupVms());
-		return {rank: ranked.indexOf(vm), count: ranked.length};
+		const key = this.wantedKey() ?? '';
+		const vms = groupVms();
+		// The transfer asks for it with each plan, and ranking takes as long as the group is large.
+		if (this.switchover?.key !== key || this.switchover.vms !== vms) {
+			this.switchover = {
+				key, vms, rank: rankMembers(key, vms).indexOf(vm), count: vms.length,
+			};
+		}
+
+		return this.switchover;
 	}
 
-	private isSwitchoverDue({model}: Target): boolean {
+	/** Time until the engine's switchover to the wanted version is due, in milliseconds; 0 or less once it is. */
+	private switchoverInMs({model}: Target): number {
 		const {directory, versionBoundMs} = this.options;
 		const published = directory.versions.get(model);
 		const {lastWriteAtMs} = this.stagedChunks;
 		if (!published || lastWriteAtMs === undefined) {
-			return true;
+			return 0;
 		}
 
 		const {rank, count} = this.switchoverRank();
 		const afterMs = switchoverOffsetMs({
 			rank, groupSize: count, versionBoundMs, stagedAtOffsetMs: lastWriteAtMs - published.sinceMs,
 		});
-		return performance.now() - published.sinceMs >= afterMs;
+		return published.sinceMs + afterMs - performance.now();
 	}
 
 	private async orderLoad(target: Target, report: EngineReport): Promise<void> {
