Read a chunk from the origin when its only holder elsewhere has failed

All stagers held 63 of 64 chunks from 32 s on. The last chunk had been read by side-gwent-a-5, whose VM left at 28.35 s. An importer of another region preferred a holder to the origin even after failed downloads, asked the one that was gone every 0.2 s, and announced each try as an import in progress, which made all other importers wait for it.

Change: failing holders do not count while the origin may be read; if it may not, they are still tried. test/rollout-plan.test.ts, red before.

--- a/src/rollout/plan-transfers.ts
+++ b/src/rollout/plan-transfers.ts
@@ -170,17 +170,20 @@
 
 function chooseImportSource({input, remote, sourceLoad}: PlanState, chunk: number, isStolen: boolean): string | undefined {
 	const holders = remote.filter(peer => isUsable(input, peer, chunk));
+	const workingHolders = holders.filter(({failing}) => !failing);
 	const originReady = input.nowMs >= input.originNotBeforeMs;
-	if (holders.length > 0 && (input.objective === 'origin-bytes' || !originReady)) {
-		return leastLoaded(holders, sourceLoad);
+	if (workingHolders.length > 0 && (input.objective === 'origin-bytes' || !originReady)) {
+		return leastLoaded(workingHolders, sourceLoad);
 	}
 
 	const importedElsewhere = remote.some(peer => isProvider(input, peer, chunk));
-	if (input.objective === 'origin-bytes' && (importedElsewhere || !(isStolen || isDue(input, input.higherRankedGlobally(chunk), chunk)))) {
-		return undefined;
+	const mayReadOrigin = input.objective === 'time' || (!importedElsewhere && (isStolen || isDue(input, input.higherRankedGlobally(chunk), chunk)));
+	if (originReady && mayReadOrigin) {
+		return originSource;
 	}
 
-	return originReady ? originSource : undefined;
+	// A holder that has failed may work again; the only one may also have left for good, so that it never keeps the origin from being read.
+	return holders.length > 0 ? leastLoaded(holders, sourceLoad) : undefined;
 }
 
 /** Returns whether a peer holds or imports a chunk, so that it need not be imported again. A holder that does not answer and an importer without progress do not count. */
--- a/test/rollout-plan.test.ts
+++ b/test/rollout-plan.test.ts
@@ -4,6 +4,7 @@
 import {createDigest, digestOf, type Digest} from '../src/ids/digest.ts';
 import {ChunkBitmap} from '../src/rollout/chunk-bitmap.ts';
 import {planEviction} from '../src/rollout/evict-versions.ts';
+import {originSource, type PlanInput, planTransfers} from '../src/rollout/plan-transfers.ts';
 import {minShare, nextShare, slowdownRatio} from '../src/rollout/transfer-throttle.ts';
 import {simulate} from './support/transfer-simulation.ts';
 
@@ -80,3 +81,19 @@
 		}
 	}), {seed: 6, numRuns: 100});
 });
+
+it('guards against a version that no VM gets whole because the only holder of a chunk left: an importer reads it from the origin once the holder fails', () => {
+	const holds = new ChunkBitmap(1);
+	holds.add(0);
+	const holder = {
+		vm: 'gone', local: false, holds, reading: new ChunkBitmap(1), progressAtMs: 0, contactAtMs: 0, notBeforeMs: 0, banned: false, overBudget: false, uploaded: 0, failing: false,
+	};
+	const input: PlanInput = {
+		nowMs: 10_000, held: new ChunkBitmap(1), open: [], peers: [holder], unavailableSinceMs: () => 0, higherRankedInRegion: () => [], higherRankedGlobally: () => ['gone'],
+		objective: 'origin-bytes', isImporter: true, startedAtMs: 0, progressAtMs: 0, originNotBeforeMs: 0, surveyed: true, stepInMs: 900, maxOpen: 4, maxOriginReads: 4, randomRank: chunk => chunk,
+	};
+	const sourceOf = (changed: Partial<PlanInput>) => planTransfers({...input, ...changed})[0]?.source;
+	expect(sourceOf({})).to.equal('gone');
+	expect(sourceOf({peers: [{...holder, failing: true}]})).to.equal(originSource);
+	expect(sourceOf({peers: [{...holder, failing: true}], originNotBeforeMs: 11_000}), 'while the origin is away, the holder is tried again').to.equal('gone');
+});
