Keep one series of peer exchanges after a pause, and one condition for a changed peer

Cause: found on reading the whole change again, not by a test. `PeerGroup.hurry` cleared the timer of the next round, which does nothing while a round is under way; that round then scheduled its own successor, so that each such pause left one more series of exchanges for good. And `recordAlive` asked twice whether a peer is new, once with and once without its address: one that changed only its address was logged and stored, but the kept list of peers went on naming the old address.

Change: `schedule` replaces the next round; one condition serves the log line, the lists and the time of learning.

Type check, lint of src/peers and test/directory-spread.test.ts (6) green.

--- a/src/peers/peer-group.ts
+++ b/src/peers/peer-group.ts
@@ -88,7 +88,6 @@
 	/** Exchanges more often for a while, since this process was paused and may have missed changes. */
 	hurry(): void {
 		this.discoveryUntilMs = performance.now() + discoveryMs;
-		clearTimeout(this.timer);
 		this.schedule(0);
 	}
 
@@ -111,19 +110,17 @@
 			return;
 		}
 
-		if (known?.info.startedAtMs !== info.startedAtMs || known.info.address !== info.address) {
+		const isChanged = known?.info.startedAtMs !== info.startedAtMs || known.info.address !== info.address;
+		if (isChanged) {
+			this.forgetLists();
 			this.options.log.info({
 				event: 'peer_found', peer: info.vm, role: info.role, address: info.address,
 			}, 'peer found');
 		}
 
-		const isChanged = known?.info.startedAtMs !== info.startedAtMs;
 		this.peers.set(info.vm, {info, learnedAtMs: isChanged ? performance.now() : known.learnedAtMs, failures: 0});
 		this.removedPeers.delete(info.vm);
 		this.recordGateway(info);
-		if (isChanged) {
-			this.forgetLists();
-		}
 	}
 
 	private forgetLists(): void {
@@ -137,7 +134,9 @@
 		}
 	}
 
+	/** Replaces the next round, so that a round in progress when another one is scheduled does not leave two series of rounds. */
 	private schedule(waitMs: number): void {
+		clearTimeout(this.timer);
 		if (!this.stopped) {
 			this.timer = setTimeout(() => {
 				void this.runRound();
