--- a/src/rollout/chunk-fetcher.ts
+++ b/src/rollout/chunk-fetcher.ts
@@ -182,11 +182,14 @@
 		}
 	}
 
-	/** Surveys the neighbours before the origin is asked again: after a network partition heals, the region gets the chunks from peers instead of the origin. */
+	/**
+	 * Surveys the neighbours before the origin is asked again: after a network partition heals, the region gets the chunks from peers instead
+	 * of the origin. Until another region has responded, it is not known what the peers there hold.
+	 */
 	private resumeOriginAfter(pauseMs: number): void {
 		this.originNotBeforeMs = Number.POSITIVE_INFINITY;
 		setTimeout(async () => {
-			await this.options.neighbourhood.survey();
+			await this.options.neighbourhood.survey(true);
 			this.originNotBeforeMs = 0;
 			this.options.onEnd();
 		}, pauseMs).unref();
--- a/src/rollout/neighbourhood.ts
+++ b/src/rollout/neighbourhood.ts
@@ -64,7 +64,10 @@
 
 	constructor(private readonly options: NeighbourhoodOptions) {
 		this.noticeSender = new NoticeSender({
-			bytesPerSecond: options.agentOptions.noticeBytesPerSecond, exchange: async vm => this.exchange(vm),
+			bytesPerSecond: options.agentOptions.noticeBytesPerSecond,
+			exchange: async vm => {
+				await this.exchange(vm);
+			},
 		});
 		this.refreshGroup();
 	}
@@ -150,11 +153,18 @@
 		this.noticeSender.notify(lacking, rare ? 0 : this.options.agentOptions.noticeIntervalMs);
 	}
 
-	/** Exchanges notices with all neighbours that this agent chose, to learn which chunks they hold. */
-	async survey(): Promise<void> {
+	/**
+	 * Exchanges notices with all neighbours that this agent chose, to learn which chunks they hold.
+	 *
+	 * @param awaitOtherRegion - whether to wait longer, until a neighbour in another region has responded or all requests have ended
+	 */
+	async survey(awaitOtherRegion = false): Promise<void> {
 		this.surveyed = false;
-		const asked = Promise.all([...this.ownNeighbours].map(async vm => this.exchange(vm)));
-		await Promise.race([asked, sleep(surveyTimeoutMs, undefined, {ref: false})]);
+		const exchanges = [...this.ownNeighbours].map(vm => ({vm, response: this.exchange(vm)}));
+		const isAwaited = (vm: string) => awaitOtherRegion && this.regionByVm.get(vm) !== this.options.agentOptions.self.region;
+		const ended = Promise.all(exchanges.map(async ({response}) => response));
+		const awaited = waitForAny(exchanges.filter(({vm}) => isAwaited(vm)).map(async ({response}) => response));
+		await Promise.race([ended, Promise.all([sleep(surveyTimeoutMs, undefined, {ref: false}), awaited])]);
 		this.surveyed = true;
 	}
 
@@ -210,11 +220,11 @@
 		return [...new Set([...this.ownNeighbours, ...this.peers.vms])].slice(0, maxNeighbours);
 	}
 
-	/** Exchanges notices with one peer. A failure is only recorded: without a notice, the peer counts as making no progress. */
-	private async exchange(vm: string): Promise<void> {
+	/** Exchanges notices with one peer and returns whether it responded. A failure is only recorded: without a notice, the peer counts as making no progress. */
+	private async exchange(vm: string): Promise<boolean> {
 		const peer = this.groupByVm.get(vm);
 		if (!peer) {
-			return;
+			return false;
 		}
 
 		const {agentOptions, manifest, notice} = this.options;
@@ -223,8 +233,27 @@
 			const answer = await agentOptions.links.rpc(peer.address, call, rolloutHaveResultSchema, {timeoutMs: exchangeTimeoutMs, freshConnection: this.lastContactFailed(vm)});
 			this.recordContact(vm, false);
 			this.recordNotice(answer);
+			return true;
 		} catch {
 			this.recordContact(vm, true);
+			return false;
+		}
+	}
+}
+
+/** Waits until one of the results is true, or all are false. */
+async function waitForAny(results: ReadonlyArray<Promise<boolean>>): Promise<void> {
+	const pending = new Map(results.map((result, at) => [at, awaitWithIndex(result, at)]));
+	while (pending.size > 0) {
+		const {value, at} = await Promise.race(pending.values());
+		if (value) {
+			return;
 		}
+
+		pending.delete(at);
 	}
 }
+
+async function awaitWithIndex(result: Promise<boolean>, at: number) {
+	return {value: await result, at};
+}
