--- a/src/peers/call-counter.ts
+++ b/src/peers/call-counter.ts
@@ -2,7 +2,7 @@
 import type {InFlightCounts} from '../forwarding/engine-forecast.ts';
 
 /** How long the counts of a gateway stay valid after it last reported them, in milliseconds; it may have been killed or cut off. */
-export const reportTtlMs = 2500;
+export const reportTtlMs = 1500;
 
 type GatewayReport = {readonly sequence: number; readonly counts: InFlightCounts; readonly atMs: number};
 
--- a/src/peers/load-queries.ts
+++ b/src/peers/load-queries.ts
@@ -13,7 +13,7 @@
 import type {Logger} from '../runtime/logger.ts';
 
 /** Interval at which the counts of all calls in flight are reported again, in milliseconds; corrects counts after lost datagrams and keeps them from expiring. Most calls end earlier, which is reported anyway. */
-const refreshIntervalMs = 1000;
+const refreshIntervalMs = 700;
 
 /** How long the report of a call that made progress or ended is held back to be sent with others, in milliseconds. New calls are reported at once. */
 const progressDelayMs = 30;
