Tell no process of an entry that was written anew with the same instance

Cause: read from the code while looking for what a gateway of a large fleet does between calls. An instance's entry is written again by its check-ins when any field changes, also one that is not used here (how much longer the instance is slow after its start). `InstanceTable.put` took each such write for a change: a new list of instances and index, listeners called, news to four processes, and a difference fetched by each of them over a connection.

Change: an entry with an equal instance only takes the new revision. One that was unconfirmed after an outage is still a change.

test/directory-spread.test.ts: red before (change, notification), green after; forwarding-decisions and forwarding tests green (43).

--- a/src/directory/instance-table.ts
+++ b/src/directory/instance-table.ts
@@ -1,4 +1,5 @@
 /** The table of instances that may still run, fed by the directory source, by peers and by the stagers of engines. */
+import {isDeepStrictEqual} from 'node:util';
 import type {Logger} from '../runtime/logger.ts';
 import type {HeldModel, Instance, InstanceChanges} from './directory-types.ts';
 import {RemovalLog} from './removal-log.ts';
@@ -63,11 +64,21 @@
 	 * @param from - who told of the entry, for the log
 	 */
 	put(instance: Instance, revision: number, from = 'source'): void {
-		if (this.acceptRevision(instance.id, revision)) {
-			this.lastChange = Math.max(this.lastChange, revision);
-			this.removals.forget(instance.id);
-			this.store(instance, revision, from);
+		if (!this.acceptRevision(instance.id, revision)) {
+			return;
+		}
+
+		this.removals.forget(instance.id);
+		const known = this.known.get(instance.id);
+		const merged = withReportedModel(instance, this.reportedByAddress.get(instance.address));
+		if (known && !known.missing && isDeepStrictEqual(known.instance, merged)) {
+			// An entry whose other fields were written anew is no change that the other processes have to be told.
+			this.known.set(instance.id, {instance: known.instance, revision});
+			return;
 		}
+
+		this.lastChange = Math.max(this.lastChange, revision);
+		this.store(merged, revision, from);
 	}
 
 	/**
@@ -157,7 +168,7 @@
 		this.reportedByAddress.set(address, {startedAtMs, held});
 		const known = [...this.known.values()].find(({instance}) => instance.address === address);
 		if (known) {
-			this.store(known.instance, known.revision, 'stager');
+			this.store(withReportedModel(known.instance, this.reportedByAddress.get(address)), known.revision, 'stager');
 		}
 	}
 
@@ -192,8 +203,7 @@
 		return true;
 	}
 
-	private store(published: Instance, revision: number, from: string): void {
-		const instance = withReportedModel(published, this.reportedByAddress.get(published.address));
+	private store(instance: Instance, revision: number, from: string): void {
 		const before = this.known.get(instance.id)?.instance;
 		this.known.set(instance.id, {instance, revision});
 		this.running = undefined;
--- a/test/directory-spread.test.ts
+++ b/test/directory-spread.test.ts
@@ -163,3 +163,33 @@
 		expect(listOf(third)).to.deep.equal(listOf(source));
 	}), {seed: 53, numRuns: 500});
 });
+
+it('guards against differences that are fetched for nothing: an entry written anew with the same instance is no change, and one that was unconfirmed is', () => {
+	const directory = new Directory(createSilentLogger());
+	const put = (revision: number) => {
+		directory.apply({revision, changes: [{revision, change: {kind: 'instance', instance: testInstance({id: 'i-1'})}}]});
+		directory.advanceInstancesRevision(revision);
+	};
+
+	directory.replaceInstances({revision: 1, changes: []});
+	put(2);
+	let calls = 0;
+	directory.onChange(() => {
+		calls++;
+	});
+	const {instances} = directory;
+	put(3);
+	expect([directory.lastInstanceChange, directory.instancesRevision, calls]).to.deep.equal([2, 3, 0]);
+	expect(directory.instances).to.equal(instances);
+
+	directory.replaceInstances({revision: 4, changes: []}, {isInitialRead: false, isAfterOutage: true});
+	put(5);
+	expect(directory.lastInstanceChange).to.equal(5);
+
+	const peer = new Directory(createSilentLogger());
+	peer.mergeFromPeer(structuredClone(directory.snapshot(0, 0)));
+	directory.apply({revision: 6, changes: [{revision: 6, change: {kind: 'instance-gone', id: 'i-1'}}]});
+	directory.advanceInstancesRevision(6);
+	peer.mergeFromPeer(structuredClone(directory.snapshot(0, peer.instancesRevision)));
+	expect(peer.instances).to.have.length(0);
+});
