--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -34,7 +34,7 @@
 	const base = new GatewayStagerBase(settingsSource, ({listen}) => ({
 		role: 'gateway', control: listen.control, datagrams: listen.datagrams, parts: ['published', 'instances'], pulledParts: 'directory',
 	}), adapter.createSource);
-	const {directory, log, random, group, metrics, rpc, settings} = base;
+	const {directory, log, random, peers, metrics, rpc, settings} = base;
 	const tracker = new InstanceTracker(log);
 	const loads = new LoadQueries({
 		vm: settings.process.vm,
@@ -61,7 +61,7 @@
 		zone: settings.process.zone,
 		retryBudget: {ratio: settings.limits.retry_ratio, slack: settings.limits.retry_slack, windowMs: settings.limits.retry_window_s * msPerSecond},
 		versionBoundMs: settings.limits.version_bound_ms,
-		gatewayCount: () => group.knownGateways.size,
+		gatewayCount: () => peers.knownGateways.size,
 		onEnd(route, outcome, ms) {
 			forwardingMetrics.recordOutcome(route?.kind, outcome, ms);
 		},
--- a/src/cli/gateway-stager-base.ts
+++ b/src/cli/gateway-stager-base.ts
@@ -11,6 +11,7 @@
 import {DirectoryPuller} from '../peers/directory-puller.ts';
 import {NewsSpreader} from '../peers/news-spreader.ts';
 import {PeerGroup} from '../peers/peer-group.ts';
+import {PeerList} from '../peers/peer-list.ts';
 import {WatchCoverage} from '../peers/watch-duty.ts';
 import {WatchManager} from '../peers/watch-manager.ts';
 import {logSink} from '../runtime/logger.ts';
@@ -47,11 +48,13 @@
 export class GatewayStagerBase<Settings extends GatewayStagerSettings> extends ProcessBase {
 	readonly directory: Directory;
 	readonly source: DirectorySource;
-	readonly group: PeerGroup;
+	/** The other processes. */
+	readonly peers: PeerList;
 	readonly datagrams: DatagramPort;
 	settings: Settings;
 	private readonly watchManager: WatchManager;
 	private readonly news: NewsSpreader;
+	private readonly group: PeerGroup;
 	private readonly datagramAddress: ListenAddress;
 
 	/**
@@ -70,7 +73,8 @@
 		const self: PeerInfo = {
 			vm: own.vm, startedAtMs: this.identity.startedAtMs, role: name, zone: own.zone, region: own.region, address: formatAddress(control), ...(service === undefined ? {} : {service}),
 		};
-		const others = () => this.group.others;
+		this.peers = new PeerList(self, log);
+		const others = () => this.peers.others;
 		const coverage = new WatchCoverage();
 		const watchers = parts.map(part => new DirectoryWatcher({
 			part, source: this.source, directory, random, log,
@@ -87,6 +91,7 @@
 		});
 		this.group = new PeerGroup({
 			self,
+			list: this.peers,
 			seeds: () => this.settings.peers.seeds,
 			links,
 			datagrams: this.datagrams,
@@ -142,7 +147,7 @@
 
 	/** Returns the part of the state dump that both roles share. */
 	dump(): Record<string, unknown> {
-		const {directory, group, settings} = this;
+		const {directory, peers, settings} = this;
 		return {
 			vm: settings.process.vm,
 			incarnation: this.identity.incarnation,
@@ -150,7 +155,7 @@
 			instancesRevision: directory.instancesRevision,
 			versions: Object.fromEntries(directory.versions),
 			instances: directory.instances,
-			peers: group.others,
+			peers: peers.others,
 			isWatching: this.isWatching,
 		};
 	}
@@ -167,11 +172,11 @@
 	};
 
 	private addMetrics(): void {
-		const {metrics, directory, group} = this;
+		const {metrics, directory, peers} = this;
 		metrics.gauge('cactusreach_configuration_version', 'Version of the configuration in force.', () => directory.configurationVersion);
 		metrics.gauge('cactusreach_instances', 'Instances that may be alive.', () => directory.instances.length);
 		metrics.gauge('cactusreach_watches_source', '1 while this process watches the directory source.', () => Number(this.isWatching));
-		metrics.gauge('cactusreach_peers', 'Other processes that are known.', () => group.others.length);
+		metrics.gauge('cactusreach_peers', 'Other processes that are known.', () => peers.others.length);
 		metrics.gauge('cactusreach_log_lines_dropped_total', 'Log lines that were dropped.', () => logSink.dropped);
 	}
 }
--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -106,13 +106,13 @@
 		this.base = new GatewayStagerBase(settingsSource, ({listen, engine, peers}) => ({
 			role: 'stager', control: listen.control, datagrams: {host: listen.control.host, port: peers.datagram_port}, service: engine.service, parts: ['versions'], pulledParts: 'services',
 		}), adapter.createSource);
-		const {links, log, directory, settings, pauseDetector, group} = this.base;
+		const {links, log, directory, settings, pauseDetector, peers} = this.base;
 		this.origin = adapter.createOrigin(links);
 		this.node = new TransferNode(this.transferOptions(), held => {
 			log.info({event: 'version_held', model: held.model, version: held.version}, 'all chunks of a version are held');
 		});
 		this.notices = new NoticeDatagrams(this.base.datagrams, settings.peers.datagram_port, params => this.node.handleNotice(params));
-		const sender = new EngineStateSender(this.base.datagrams, () => group.others.filter(({role}) => role === 'gateway'), settings.peers.datagram_port);
+		const sender = new EngineStateSender(this.base.datagrams, () => peers.others.filter(({role}) => role === 'gateway'), settings.peers.datagram_port);
 		pauseDetector.onResume(() => {
 			this.node.wake();
 		});
@@ -197,10 +197,10 @@
 
 	/** Returns the stagers of the same service; the same object until the group changes. */
 	private stagers(): StagerGroup {
-		const {group, settings} = this.base;
-		if (this.stagerGroup?.processes !== group.others) {
-			const others = group.others.filter(({role, service}) => role === 'stager' && service === settings.engine.service);
-			this.stagerGroup = {processes: group.others, others, vms: [settings.process.vm, ...others.map(({vm}) => vm)]};
+		const {peers, settings} = this.base;
+		if (this.stagerGroup?.processes !== peers.others) {
+			const others = peers.others.filter(({role, service}) => role === 'stager' && service === settings.engine.service);
+			this.stagerGroup = {processes: peers.others, others, vms: [settings.process.vm, ...others.map(({vm}) => vm)]};
 		}
 
 		return this.stagerGroup;
--- a/src/peers/peer-group.ts
+++ b/src/peers/peer-group.ts
@@ -1,6 +1,5 @@
 /** Gossip-based membership: discovers the processes of the deployment from a few seed addresses, by exchanges with random peers. */
 import type {Directory} from '../directory/directory.ts';
-import {digestOf} from '../ids/digest.ts';
 import type {DatagramPort} from '../links/datagram-port.ts';
 import {parseAddress} from '../links/http-listener.ts';
 import type {PeerClient} from '../links/peer-client.ts';
@@ -11,6 +10,7 @@
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import type {DirectoryPuller} from './directory-puller.ts';
+import type {PeerList} from './peer-list.ts';
 import type {WatchCoverage} from './watch-duty.ts';
 
 /** Mean interval between the exchanges that a process starts, in milliseconds: during discovery, and afterwards. */
@@ -25,29 +25,16 @@
 /** How long a process waits for the response to a datagram before it exchanges over a connection, in milliseconds. */
 const datagramTimeoutMs = 300;
 
-/** Consecutive failed exchanges after which a peer is removed. */
-const maxFailures = 3;
-
-/** How long a removed peer is not added again because other peers still list it, in milliseconds. */
-const readmissionDelayMs = 8000;
-
 /** One in this many exchanges goes to another region while the source works; few do, since the links between regions have little bandwidth. */
 const remoteRegionPeriod = 4;
 
 /** One in this many exchanges goes to a seed, so that a partitioned group merges again. */
 const seedPeriod = 5;
 
-/** How long a process that was learned of is passed on with each exchange, in milliseconds. */
-const rumorMs = 10_000;
-
-/** Minimum interval between two messages with all known processes, in milliseconds; at hundreds of processes the list fills narrow links. */
-const fullListIntervalMs = 5000;
-
-type KnownPeer = {readonly info: PeerInfo; readonly learnedAtMs: number; failures: number};
-
 /** Dependencies of {@link PeerGroup}. */
 export type PeerGroupOptions = {
 	readonly self: PeerInfo;
+	readonly list: PeerList;
 	readonly seeds: () => readonly string[];
 	readonly links: PeerClient;
 	readonly datagrams: DatagramPort;
@@ -65,31 +52,16 @@
 	readonly onMessage: () => void;
 };
 
-/** Keeps the list of the other processes, and pulls newer parts of the directory from them. */
+/** Exchanges messages with the other processes, keeps their list up to date, and pulls newer parts of the directory from them. */
 export class PeerGroup {
-	/** VMs of all gateways ever known, including this process if it is one. */
-	readonly knownGateways = new Set<string>();
-	private readonly peers = new Map<string, KnownPeer>();
-	private readonly removedPeers = new Map<string, {readonly startedAtMs: number; readonly untilMs: number}>();
 	private discoveryUntilMs = performance.now() + discoveryMs;
-	private fullListSentMs = Number.NEGATIVE_INFINITY;
-	private groupDigest: string | undefined;
-	private othersList: readonly PeerInfo[] | undefined;
 	private round = 0;
 	/** The peer whose response to a datagram is awaited. */
 	private awaited: {readonly vm: string; readonly resolve: (theirs: PeersExchange) => void} | undefined;
 	private timer: NodeJS.Timeout | undefined;
 	private stopped = false;
 
-	constructor(private readonly options: PeerGroupOptions) {
-		this.recordGateway(options.self);
-	}
-
-	/** The other processes. */
-	get others(): readonly PeerInfo[] {
-		this.othersList ??= [...this.peers.values()].map(({info}) => info);
-		return this.othersList;
-	}
+	constructor(private readonly options: PeerGroupOptions) {}
 
 	/** Starts to exchange with peers periodically. */
 	start(): void {
@@ -125,37 +97,6 @@
 		return this.createMessage(theirs.groupDigest);
 	}
 
-	/** Adds a process, or resets its failures; an older run of a known process is ignored. */
-	recordAlive(info: PeerInfo): void {
-		const known = this.peers.get(info.vm);
-		if (info.vm === this.options.self.vm || (known && known.info.startedAtMs > info.startedAtMs)) {
-			return;
-		}
-
-		const isChanged = known?.info.startedAtMs !== info.startedAtMs || known.info.address !== info.address;
-		if (isChanged) {
-			this.forgetLists();
-			this.options.log.info({
-				event: 'peer_found', peer: info.vm, role: info.role, address: info.address,
-			}, 'peer found');
-		}
-
-		this.peers.set(info.vm, {info, learnedAtMs: isChanged ? performance.now() : known.learnedAtMs, failures: 0});
-		this.removedPeers.delete(info.vm);
-		this.recordGateway(info);
-	}
-
-	private forgetLists(): void {
-		this.groupDigest = undefined;
-		this.othersList = undefined;
-	}
-
-	private recordGateway({vm, role}: PeerInfo): void {
-		if (role === 'gateway') {
-			this.knownGateways.add(vm);
-		}
-	}
-
 	/** Replaces the next round, so that a round in progress when another one is scheduled does not leave two series of rounds. */
 	private schedule(waitMs: number): void {
 		clearTimeout(this.timer);
@@ -168,8 +109,8 @@
 	}
 
 	private async runRound(): Promise<void> {
-		const {random, isSourceFailing} = this.options;
-		const isDiscovering = performance.now() < this.discoveryUntilMs || this.peers.size === 0 || isSourceFailing();
+		const {random, list, isSourceFailing} = this.options;
+		const isDiscovering = performance.now() < this.discoveryUntilMs || list.others.length === 0 || isSourceFailing();
 		const address = this.choosePeer();
 		if (address !== undefined) {
 			await this.exchange(address);
@@ -179,14 +120,14 @@
 	}
 
 	private choosePeer(): string | undefined {
-		const {random, self, seeds, isSourceFailing} = this.options;
+		const {random, self, list, seeds, isSourceFailing} = this.options;
 		this.round++;
 		const seedAddresses = seeds().filter(address => address !== self.address);
-		if (seedAddresses.length > 0 && (this.peers.size === 0 || this.round % seedPeriod === 0)) {
+		if (seedAddresses.length > 0 && (list.others.length === 0 || this.round % seedPeriod === 0)) {
 			return random.sample(seedAddresses, 1)[0];
 		}
 
-		const others = isSourceFailing() ? this.others.filter(({role}) => role === 'gateway') : this.others;
+		const others = isSourceFailing() ? list.others.filter(({role}) => role === 'gateway') : list.others;
 		const sameRegion = others.filter(({region}) => region === self.region);
 		const otherRegions = others.filter(({region}) => region !== self.region);
 		const pool = sameRegion.length === 0 || (otherRegions.length > 0 && (this.round % remoteRegionPeriod === 0 || isSourceFailing())) ? otherRegions : sameRegion;
@@ -195,9 +136,9 @@
 
 	/** Exchanges by datagram, and over a connection if there are lists to send or no datagram is answered. */
 	private async exchange(address: string): Promise<void> {
-		const peer = this.others.find(other => other.address === address);
+		const peer = this.options.list.others.find(other => other.address === address);
 		const theirs = peer && performance.now() >= this.discoveryUntilMs ? await this.exchangeDatagrams(peer) : undefined;
-		if (theirs?.groupDigest !== this.computeGroupDigest()) {
+		if (theirs?.groupDigest !== this.options.list.digest) {
 			await this.exchangeOverConnection(address, peer);
 		} else if (theirs.self.role === 'gateway') {
 			await this.options.puller.pull(address, theirs.directory);
@@ -226,11 +167,13 @@
 	}
 
 	private async exchangeOverConnection(address: string, peer: PeerInfo | undefined): Promise<void> {
-		const {links, log, puller} = this.options;
+		const {
+			links, list, log, puller, coverage,
+		} = this.options;
 		try {
 			const theirs = await links.rpc(address, {method: peersExchangeMethod, params: this.createMessage(undefined)}, peersExchangeSchema, {timeoutMs: exchangeTimeoutMs});
 			this.applyMessage(theirs);
-			if (theirs.group === undefined && theirs.groupDigest !== this.computeGroupDigest()) {
+			if (theirs.group === undefined && theirs.groupDigest !== this.options.list.digest) {
 				await links.rpc(address, {method: peersExchangeMethod, params: this.createMessage('')}, peersExchangeSchema, {timeoutMs: exchangeTimeoutMs});
 			}
 
@@ -240,37 +183,23 @@
 		} catch (err) {
 			// The next exchange uses a new connection, since this one may no longer respond.
 			links.replaceConnections(address);
-			if (peer) {
-				this.recordFailure(peer.vm, err as Error);
-			} else {
+			if (!peer) {
 				log.debug({event: 'seed_silent', address, err}, 'exchange with a seed failed');
+			} else if (list.recordFailure(peer.vm, err as Error)) {
+				coverage.remove(peer.vm);
 			}
 		}
 	}
 
-	private recordFailure(vm: string, err: Error): void {
-		const known = this.peers.get(vm);
-		if (known && ++known.failures >= maxFailures) {
-			this.peers.delete(vm);
-			this.forgetLists();
-			this.options.coverage.remove(vm);
-			this.removedPeers.set(vm, {startedAtMs: known.info.startedAtMs, untilMs: performance.now() + readmissionDelayMs});
-			this.options.log.warn({event: 'peer_lost', peer: vm, reason: err.message}, 'peer removed after failed exchanges');
-		}
-	}
-
 	private applyMessage({self, group, versions, watchers}: PeersExchange): void {
-		this.recordAlive(self);
+		const {list, directory} = this.options;
+		list.recordAlive(self);
 		for (const info of group ?? []) {
-			const removed = this.removedPeers.get(info.vm);
-			const isBlocked = removed && info.startedAtMs <= removed.startedAtMs && performance.now() < removed.untilMs;
-			if (!this.peers.has(info.vm) && !isBlocked) {
-				this.recordAlive(info);
-			}
+			list.recordListed(info);
 		}
 
 		if (versions.length > 0) {
-			this.options.directory.mergeFromPeer({versions});
+			directory.mergeFromPeer({versions});
 		}
 
 		if (self.zone === this.options.self.zone) {
@@ -287,37 +216,17 @@
 	}
 
 	private createMessage(theirDigest: string | undefined): PeersExchange {
-		const {self, directory, coverage, onMessage} = this.options;
+		const {self, list, directory, coverage, onMessage} = this.options;
 		onMessage();
-		const digest = this.computeGroupDigest();
+		const {digest} = list;
 		const {configurationVersion, lastInstanceChange, shareableVersions} = directory;
 		return {
 			self,
 			groupDigest: digest,
-			...(theirDigest === undefined || theirDigest === digest ? {} : {group: this.selectMembers()}),
+			...(theirDigest === undefined || theirDigest === digest ? {} : {group: list.selectForMessage(performance.now() < this.discoveryUntilMs)}),
 			directory: {configurationVersion, lastInstanceChange},
 			versions: shareableVersions,
 			watchers: [...coverage.ages].map(([vm, ageMs]) => [vm, Math.round(ageMs)]),
 		};
 	}
-
-	/** Returns the members for a message: from time to time all of them, otherwise those that were learned of lately. */
-	private selectMembers(): PeerInfo[] {
-		const nowMs = performance.now();
-		if (nowMs < this.discoveryUntilMs || nowMs - this.fullListSentMs >= fullListIntervalMs) {
-			this.fullListSentMs = nowMs;
-			return [...this.others];
-		}
-
-		return [...this.peers.values()].filter(({learnedAtMs}) => nowMs - learnedAtMs < rumorMs).map(({info}) => info);
-	}
-
-	private computeGroupDigest(): string {
-		if (this.groupDigest === undefined) {
-			const members = [this.options.self, ...this.others].map(({vm, startedAtMs}) => `${vm}@${startedAtMs}`);
-			this.groupDigest = digestOf(members.toSorted((a, b) => (a < b ? -1 : 1)).join(' ')).slice(0, 16);
-		}
-
-		return this.groupDigest;
-	}
 }
--- a/test/peer-group.test.ts
+++ b/test/peer-group.test.ts
@@ -7,6 +7,7 @@
 import type {PeerInfo, PeersExchange} from '../src/messages/peers-exchange.ts';
 import type {DirectoryPuller} from '../src/peers/directory-puller.ts';
 import {PeerGroup} from '../src/peers/peer-group.ts';
+import {PeerList} from '../src/peers/peer-list.ts';
 import {WatchCoverage} from '../src/peers/watch-duty.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
@@ -16,6 +17,7 @@
 /** Processes that reach each other in memory. */
 class FakeNetwork {
 	readonly groups: PeerGroup[] = [];
+	readonly lists: PeerList[] = [];
 	/** Requests over connections so far. */
 	requests = 0;
 	losesDatagrams = false;
@@ -52,8 +54,11 @@
 			},
 			replaceConnections: () => undefined,
 		};
+		const list = new PeerList(self, createSilentLogger());
+		this.lists.push(list);
 		this.groups.push(new PeerGroup({
 			self,
+			list,
 			seeds: () => ['10.0.0.1:80'],
 			links: links as unknown as PeerClient,
 			datagrams: datagrams as unknown as DatagramPort,
@@ -83,7 +88,7 @@
 		}
 
 		await clock.tickAsync(10_000);
-		expect(network.groups.map(({others}) => others.length)).to.deep.equal(network.groups.map(() => size - 1));
+		expect(network.lists.map(({others}) => others.length)).to.deep.equal(network.lists.map(() => size - 1));
 		await action(network, async ms => {
 			await clock.tickAsync(ms);
 		});
@@ -107,11 +112,11 @@
 it('guards against a change that is not found: with other lists on both sides, the lists are exchanged over a connection', async () => {
 	await withGroup(6, async (network, tick) => {
 		await network.add(7);
-		network.groups[0]!.recordAlive({
+		network.lists[0]!.recordAlive({
 			vm: 'vm-7', startedAtMs: 1, role: 'gateway', zone: 'z', region: 'r', address: '10.0.0.7:80',
 		});
 		await tick(5000);
-		expect(network.groups.slice(0, 6).every(({others}) => others.some(({vm}) => vm === 'vm-7'))).to.equal(true);
+		expect(network.lists.slice(0, 6).every(({others}) => others.some(({vm}) => vm === 'vm-7'))).to.equal(true);
 	});
 });
 
@@ -121,7 +126,7 @@
 		const before = network.requests;
 		await tick(20_000);
 		expect(network.requests).to.be.greaterThan(before + 30);
-		expect(network.groups.every(({others}) => others.length === 5)).to.equal(true);
+		expect(network.lists.every(({others}) => others.length === 5)).to.equal(true);
 	});
 });
 
@@ -130,6 +135,6 @@
 		network.groups[5]!.stop();
 		network.silent.add('10.0.0.6');
 		await tick(60_000);
-		expect(network.groups.slice(0, 5).every(({others}) => others.every(({vm}) => vm !== 'vm-6'))).to.equal(true);
+		expect(network.lists.slice(0, 5).every(({others}) => others.every(({vm}) => vm !== 'vm-6'))).to.equal(true);
 	});
 });
