Refuse after two samples when they show that the service is full

Cause: above the capacity, a third sample of 7 engines finds the last free slots, but as many gateways find them at the same time: calls wait there and make others late.

Change: `shouldAskMore`: no third sample once at least 7 sampled engines use 95 % of their slots.

--- a/bench/placing-types.ts
+++ b/bench/placing-types.ts
@@ -49,7 +49,7 @@
 	/** Network delay of the load counts, one way, in milliseconds. */
 	readonly broadcastDelayMs: number;
 	/**
-	 * Numbers of engines whose counters an entry asks for a call, one after the other until the selected engine has a free slot, instead
+	 * Numbers of engines whose counters an entry asks for a call, one after the other as long as that is worth it, instead
 	 * of the exchange of counts between entries; empty for the exchange.
 	 */
 	readonly askedEngines: readonly number[];
--- a/src/forwarding/instance-selector.ts
+++ b/src/forwarding/instance-selector.ts
@@ -9,7 +9,7 @@
 import type {LoadSource} from './load-source.ts';
 import {sampleInstances, type SampleSizes} from './sample-instances.ts';
 import {
-	type Candidate, hasFreeSlot, type Placement, selectEngineInstance, selectPlainInstance,
+	type Candidate, type Placement, selectEngineInstance, selectPlainInstance, shouldAskMore,
 } from './select-instance.ts';
 import type {VersionExpiry} from './version-expiry.ts';
 
@@ -28,10 +28,8 @@
 };
 
 /**
- * Samples of engines that are drawn one after the other, until the engine selected among all of them has a free slot.
- *
- * Each engine costs a question to the stager beside it. A free slot is found among few engines as long as there are many; a call is
- * refused only after all samples.
+ * Samples of engines that are drawn one after the other, as long as {@link shouldAskMore} says so. Each engine costs a question to the
+ * stager beside it, and a free slot is found among few engines as long as there are many.
  */
 export const engineSamples: readonly SampleSizes[] = [{local: 2, remote: 1}, {local: 2, remote: 2}, {local: 4, remote: 3}];
 
@@ -65,7 +63,7 @@
 			}
 
 			choice = this.choose(query, service, sample);
-			if (choice.placement.kind === 'place' && hasFreeSlot(choice.candidates, choice.placement.id)) {
+			if (!shouldAskMore(choice.placement, choice.candidates)) {
 				break;
 			}
 		}
--- a/src/forwarding/select-instance.ts
+++ b/src/forwarding/select-instance.ts
@@ -57,6 +57,9 @@
  */
 const onTimeBudgetShares = {base: 0.65, extraWait: 0.3, max: 0.92};
 
+/** A service counts as full if at least this many sampled instances use at least this share of their slots. */
+const fullService = {minCandidates: 7, usedShare: 0.95};
+
 /** Retry delay if there is no eligible engine, in milliseconds; engines take seconds to come back. */
 const noUpstreamRetryAfterMs = 1600;
 
@@ -107,13 +110,28 @@
 }
 
 /**
- * Returns whether an instance runs fewer calls than it has slots, so that a call starts there without waiting for another one to end.
+ * Returns whether further instances are worth asking before the placement is used.
+ *
+ * Not if the selected instance has a free slot, so that the call starts there without waiting for another one to end. Nor if the
+ * candidates are enough to show that the service is full: the last free slots are then found by so many gateways at once that calls wait
+ * there, and make others late.
  *
- * @param id - the instance, one of the candidates
+ * @param candidates - the instances that the placement was selected from
  */
-export function hasFreeSlot(candidates: readonly Candidate[], id: string): boolean {
-	const selected = candidates.find(candidate => candidate.id === id);
-	return selected !== undefined && selected.load.calls < selected.slots;
+export function shouldAskMore(placement: Placement, candidates: readonly Candidate[]): boolean {
+	const selected = placement.kind === 'place' ? candidates.find(({id}) => id === placement.id) : undefined;
+	if (selected && selected.load.calls < selected.slots) {
+		return false;
+	}
+
+	let calls = 0;
+	let slots = 0;
+	for (const candidate of candidates) {
+		calls += candidate.load.calls;
+		slots += candidate.slots;
+	}
+
+	return candidates.length < fullService.minCandidates || calls < fullService.usedShare * slots;
 }
 
 /** Returns the retry delay after a refusal for overload, in milliseconds. */
