Choose only from instances that are still listed and not draining once their load is known

Change: the sample keeps ids, and the choice reads the entries anew. Forwarding, decisions, load-queries and placing tests green (48).

--- a/src/forwarding/instance-selector.ts
+++ b/src/forwarding/instance-selector.ts
@@ -36,8 +36,8 @@
 /** The sample of instances of a plain service, whose load is known without a question. */
 const plainSamples: readonly SampleSizes[] = [{local: 4, remote: 3}];
 
-/** The instances sampled for a call so far, and the calls of other gateways there, where they are known. */
-type Sample = {readonly instances: Set<Instance>; readonly counts: Map<string, InFlightCounts>};
+/** The IDs of the instances sampled for a call so far, and the calls of other gateways there, where they are known. */
+type Sample = {readonly ids: Set<string>; readonly counts: Map<string, InFlightCounts>};
 
 /** A placement, and what it was chosen from. */
 type Choice = {readonly placement: Placement; readonly instances: readonly Instance[]; readonly candidates: readonly Candidate[]};
@@ -53,7 +53,7 @@
 	 * @param query - what the instance must satisfy
 	 */
 	async select(query: InstanceQuery): Promise<SelectedInstance | Refusal> {
-		const sample: Sample = {instances: new Set(), counts: new Map()};
+		const sample: Sample = {ids: new Set(), counts: new Map()};
 		const service = this.options.directory.table?.findService(query.service);
 		let choice = this.choose(query, service, sample);
 		for (const sizes of service?.engine ? engineSamples : plainSamples) {
@@ -74,12 +74,12 @@
 	}
 
 	/** Draws further eligible instances and asks for their load; returns whether there were any. */
-	private async extendSample(query: InstanceQuery, service: ServiceInfo | undefined, {instances, counts}: Sample, sizes: SampleSizes): Promise<boolean> {
+	private async extendSample(query: InstanceQuery, service: ServiceInfo | undefined, {ids, counts}: Sample, sizes: SampleSizes): Promise<boolean> {
 		const {directory, random, loads, zone} = this.options;
-		const isNew = (instance: Instance) => !instances.has(instance) && this.isEligible(instance, query, service);
+		const isNew = (instance: Instance) => !ids.has(instance.id) && this.isEligible(instance, query, service);
 		const sampled = sampleInstances(directory.availableInstances(query.service, zone), sizes, isNew, bound => random.nextInt(bound));
-		for (const instance of sampled) {
-			instances.add(instance);
+		for (const {id} of sampled) {
+			ids.add(id);
 		}
 
 		if (service?.engine && sampled.length > 0) {
@@ -92,9 +92,10 @@
 	}
 
 	private choose(query: InstanceQuery, service: ServiceInfo | undefined, sample: Sample): Choice {
-		const randomBelow = (bound: number) => this.options.random.nextInt(bound);
-		// The state of an instance may have changed while its load was asked for.
-		const instances = [...sample.instances].filter(instance => this.isEligible(instance, query, service));
+		const {directory, random} = this.options;
+		const randomBelow = (bound: number) => random.nextInt(bound);
+		// An instance may have changed or left while its load was asked for.
+		const instances = [...sample.ids].flatMap(id => directory.instance(id) ?? []).filter(instance => !instance.isDraining && this.isEligible(instance, query, service));
 		const candidates = instances.map(instance => this.createCandidate(instance, query.headers.model, sample.counts.get(instance.id)));
 		const placement = service?.engine
 			? selectEngineInstance(service.engine, candidates, {
--- a/src/peers/load-queries.ts
+++ b/src/peers/load-queries.ts
@@ -12,7 +12,7 @@
 import {loadDatagramSchema, type LoadDatagram} from '../messages/load-datagram.ts';
 import type {Logger} from '../runtime/logger.ts';
 
-/** Interval at which the counts of all calls in flight are reported again, in milliseconds; corrects counts after lost datagrams and keeps them from expiring. Most calls end earlier, which is reported anyway. */
+/** Interval at which the counts of all calls in flight are reported again, in milliseconds; corrects counts after lost datagrams and keeps them from expiring. */
 const refreshIntervalMs = 700;
 
 /** How long the report of a call that made progress or ended is held back to be sent with others, in milliseconds. New calls are reported at once. */
