--- a/src/directory/instance-table.ts
+++ b/src/directory/instance-table.ts
@@ -72,7 +72,7 @@
 		const known = this.known.get(instance.id);
 		const merged = withReportedModel(instance, this.reportedByAddress.get(instance.address));
 		if (known && !known.missing && isDeepStrictEqual(known.instance, merged)) {
-			// An entry whose other fields were written anew is no change that the other processes have to be told.
+			// Only fields of the entry that are not used here have changed, so that other processes need not fetch it again.
 			this.known.set(instance.id, {instance: known.instance, revision});
 			return;
 		}
--- a/src/peers/watch-manager.ts
+++ b/src/peers/watch-manager.ts
@@ -62,7 +62,7 @@
 		this.setWatching(false, {});
 	}
 
-	/** Reads the source anew, since this process was paused. */
+	/** Reads the source again in full, since this process was paused. */
 	restart(): void {
 		if (this.isWatching) {
 			for (const watcher of this.options.watchers) {
