Log crashes of upstreams with the prompt parts of the calls that they broke off

Cause: the logs could not tell the three hypotheses of the incident apart: a crash looked like any reset connection, and nothing said what the calls at the engine had in common. `cactusreach_upstream_crashes_total` counts them by service. No decision depends on it yet. Ruled out: `instance_lost` alone, which also follows a refused connection of a planned stop.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -3,6 +3,7 @@
 import type {Directory} from '../directory/directory.ts';
 import {CallForwarder} from '../forwarding/call-forwarder.ts';
 import {CallerListener} from '../forwarding/caller-listener.ts';
+import {acceptsConnections} from '../forwarding/upstream-exchange.ts';
 import {InstanceTracker} from '../forwarding/instance-tracker.ts';
 import type {WireCodec} from '../forwarding/wire-codec.ts';
 import {logSink} from '../runtime/logger.ts';
@@ -10,6 +11,7 @@
 import {changingDatagramSchema, type EngineDatagram, heldModelDatagramSchema} from '../messages/engine-datagram.ts';
 import {directoryGetMethod} from '../messages/peers-exchange.ts';
 import {directoryGetParamsSchema} from '../peers/directory-snapshot-schema.ts';
+import {CrashDetector} from '../quarantine/crash-detector.ts';
 import {LoadQueries} from '../peers/load-queries.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {ForwardingMetrics} from '../reports/forwarding-metrics.ts';
@@ -51,10 +53,18 @@
 		applyEngineState(state, directory, tracker);
 	});
 	const forwardingMetrics = new ForwardingMetrics(metrics);
+	const crashes = new CrashDetector({
+		acceptsConnections: async ({address}) => acceptsConnections(address),
+		onCrash(_, {service}) {
+			forwardingMetrics.recordCrash(service);
+		},
+		log,
+	});
 	const forwarder = new CallForwarder({
 		directory,
 		codec: adapter.codec,
 		tracker,
+		crashes,
 		loads,
 		random,
 		log,
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -2,6 +2,7 @@
 import type {Directory} from '../directory/directory.ts';
 import type {KeyHolder, Route} from '../directory/directory-types.ts';
 import type {ServiceId} from '../ids/service-id.ts';
+import type {CrashDetector} from '../quarantine/crash-detector.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import type {ResponseWriter} from './response-writer.ts';
@@ -25,6 +26,8 @@
 	readonly directory: Directory;
 	readonly codec: WireCodec;
 	readonly tracker: InstanceTracker;
+	/** Tells crashes of upstreams from broken connections. */
+	readonly crashes: CrashDetector;
 	/** Tells the calls that other gateways have in flight. */
 	readonly loads: LoadSource;
 	readonly random: RandomSource;
@@ -111,6 +114,7 @@
 			codec,
 			tracker,
 			buffers: this.buffers,
+			crashes: this.options.crashes,
 			log,
 			selectInstance: async query => this.selector.select(query),
 			tryTakeRetry: () => budget.tryTake(),
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -2,6 +2,7 @@
 import type {Instance, KeyHolder, Route} from '../directory/directory-types.ts';
 import type {ServiceId} from '../ids/service-id.ts';
 import type {Logger} from '../runtime/logger.ts';
+import type {CrashDetector} from '../quarantine/crash-detector.ts';
 import type {ResponseBuffers} from './response-buffers.ts';
 import type {ResponseWriter} from './response-writer.ts';
 import {type AttemptOutcome, decideNextStep, type NextStep} from './decide-next-step.ts';
@@ -51,6 +52,7 @@
 	readonly codec: WireCodec;
 	readonly tracker: InstanceTracker;
 	readonly buffers: ResponseBuffers;
+	readonly crashes: CrashDetector;
 	readonly log: Logger;
 	readonly selectInstance: (query: InstanceQuery) => Promise<SelectedInstance | Exclude<Placement, {kind: 'place'}>>;
 	/** Takes one retry from the budget; returns false if it is exhausted. */
@@ -239,6 +241,9 @@
 			buffers,
 			stallTimeoutsMs: this.stallTimeouts(),
 			canRetryElsewhere: () => this.canRetryElsewhere(),
+			onBroken: () => {
+				this.options.crashes.recordBroken(instance, call.headers.promptParts);
+			},
 			onServed: () => {
 				this.finish('served', {instance: instance.id}, () => undefined);
 			},
--- a/src/forwarding/instance-tracker.ts
+++ b/src/forwarding/instance-tracker.ts
@@ -1,7 +1,6 @@
 /** Tracks the load and health of each instance from this gateway's own calls, responses and failures. */
 import type {Instance} from '../directory/directory-types.ts';
 import type {Logger} from '../runtime/logger.ts';
-import {parseAddress} from '../links/http-listener.ts';
 import {InFlightCalls} from './in-flight-calls.ts';
 import type {EngineLoad, InFlightCounts} from './engine-forecast.ts';
 import {acceptsConnections} from './upstream-exchange.ts';
@@ -191,8 +190,7 @@
 
 	/** Probes an instance until it accepts connections or is discarded; the timer does not keep the process alive. */
 	private async probe(instance: Instance): Promise<void> {
-		const {host, port} = parseAddress(instance.address);
-		const accepts = await acceptsConnections(host, port);
+		const accepts = await acceptsConnections(instance.address);
 		const health = this.health.get(instance.id);
 		if (!health) {
 			return;
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -40,6 +40,8 @@
 	readonly stallTimeoutsMs: {readonly first: number; readonly next: number};
 	/** Returns whether the call may be sent to another instance now. */
 	readonly canRetryElsewhere: () => boolean;
+	/** Called when the connection broke after the call was sent, before its outcome is reported. */
+	readonly onBroken: () => void;
 	/** Called when the response has been passed on completely. */
 	readonly onServed: () => void;
 	/** Called when the attempt has ended in any other way. */
@@ -235,6 +237,7 @@
 	private endStream(): void {
 		const {writer, tracker, instance, onServed} = this.options;
 		if (this.splitter.pendingBytes > 0) {
+			this.options.onBroken();
 			this.fail('event_cut');
 			return;
 		}
@@ -255,6 +258,7 @@
 		}
 
 		if (wasConnected) {
+			this.options.onBroken();
 			this.fail(reason);
 		} else {
 			this.options.tracker.markUnreachable(this.options.instance, reason);
--- a/src/forwarding/upstream-exchange.ts
+++ b/src/forwarding/upstream-exchange.ts
@@ -7,6 +7,7 @@
 import type {Buffer} from 'node:buffer';
 import http from 'node:http';
 import net from 'node:net';
+import {parseAddress} from '../links/http-listener.ts';
 
 /** Timeout for establishing a connection, in milliseconds. */
 const connectTimeoutMs = 300;
@@ -146,10 +147,10 @@
 /**
  * Returns whether an upstream accepts TCP connections.
  *
- * @param host - IP address of the upstream
- * @param port - TCP port of the upstream
+ * @param address - IP address and TCP port of the upstream
  */
-export async function acceptsConnections(host: string, port: number): Promise<boolean> {
+export async function acceptsConnections(address: string): Promise<boolean> {
+	const {host, port} = parseAddress(address);
 	return new Promise(resolve => {
 		const socket = net.connect({host, port});
 		const finish = (accepts: boolean) => {
--- a/src/forwarding/wire-codec.ts
+++ b/src/forwarding/wire-codec.ts
@@ -1,4 +1,5 @@
 /** Interface to the platform's HTTP headers; the platform adapter implements it. */
+import type {PromptPartId} from '../ids/prompt-part-id.ts';
 import type {WorkspaceId} from '../ids/workspace-id.ts';
 
 /** The parsed headers of a caller's request. */
@@ -14,6 +15,8 @@
 	readonly model: string | undefined;
 	/** Number of prompt tokens; 0 if unknown. */
 	readonly promptTokens: number;
+	/** The parts of the prompt that other calls may share, in order; empty if unknown. */
+	readonly promptParts: readonly PromptPartId[];
 };
 
 /** Values that the gateway sets in the headers of a call to an upstream. */
