Refuse calls with a prompt part that crashes one engine after the other

Cause: calls are resumed and repeated as if failures had nothing to do with what a call holds, so that calls which share a prompt part took down each engine that they were sent to. Class of fault: a query of death (a cause that travels with the request). Evidence: instance_crashed lines, two parts in each of 26 crashes. Ruled out: a limit for a call or a caller (the calls are different ones), and blaming a part by its share of failures (a part that all calls have fails as often while engines are down). Change: gateways exchange crashes by datagram, a fixed number for each fact, and each blames the part that explains three crashes in a row without a call that its engine survived (six, if one is known to have been survived). Crashes at the same moment count once, and crashes that a blamed part explains are not held against others. Parts that always come together are refused only together. One gateway tries one call after 10, 40, 160 s and so on; a survived call releases the part everywhere. State is bounded: 64 crashes, 64 held parts, 2,048 survivals. InstanceQuery and SelectedInstance move out of forwarded-call.ts.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -3,7 +3,6 @@
 import type {Directory} from '../directory/directory.ts';
 import {CallForwarder} from '../forwarding/call-forwarder.ts';
 import {CallerListener} from '../forwarding/caller-listener.ts';
-import {acceptsConnections} from '../forwarding/upstream-exchange.ts';
 import {InstanceTracker} from '../forwarding/instance-tracker.ts';
 import type {WireCodec} from '../forwarding/wire-codec.ts';
 import {logSink} from '../runtime/logger.ts';
@@ -11,11 +10,11 @@
 import {changingDatagramSchema, type EngineDatagram, heldModelDatagramSchema} from '../messages/engine-datagram.ts';
 import {directoryGetMethod} from '../messages/peers-exchange.ts';
 import {directoryGetParamsSchema} from '../peers/directory-snapshot-schema.ts';
-import {CrashDetector} from '../quarantine/crash-detector.ts';
 import {LoadQueries} from '../peers/load-queries.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {ForwardingMetrics} from '../reports/forwarding-metrics.ts';
 import type {GatewaySettings} from '../settings/direct-settings.ts';
+import {createCrashProtection} from './crash-protection.ts';
 import type {RunningProcess} from './entry-agent-base.ts';
 import {type CreateSource, GatewayStagerBase, type SettingsSource} from './gateway-stager-base.ts';
 
@@ -53,18 +52,15 @@
 		applyEngineState(state, directory, tracker);
 	});
 	const forwardingMetrics = new ForwardingMetrics(metrics);
-	const crashes = new CrashDetector({
-		acceptsConnections: async ({address}) => acceptsConnections(address),
-		onCrash(_, {service}) {
-			forwardingMetrics.recordCrash(service);
-		},
-		log,
+	const {crashes, quarantine, gossip} = createCrashProtection({
+		...settings.process, peers, datagrams: base.datagrams, port: settings.listen.datagrams.port, random, log, metrics, forwardingMetrics,
 	});
 	const forwarder = new CallForwarder({
 		directory,
 		codec: adapter.codec,
 		tracker,
 		crashes,
+		quarantine,
 		loads,
 		random,
 		log,
@@ -96,6 +92,7 @@
 		closeListeners: async () => callers.drain(),
 		async stopParts() {
 			loads.stop();
+			gossip.stop();
 			control.destroy();
 			readiness.destroy();
 			await base.stop();
@@ -104,7 +101,9 @@
 	rpc.method(directoryGetMethod, directoryGetParamsSchema, ({configurationVersion, instancesRevision, servicesOnly}) =>
 		(servicesOnly ? directory.servicesSnapshot(configurationVersion) : directory.snapshot(configurationVersion, instancesRevision)));
 	const control = new HttpListener(createControlRoutes({
-		rpc, metrics, isReady, dump: () => ({role: 'gateway', ...base.dump(), openCalls: forwarder.openCalls}),
+		rpc, metrics, isReady, dump: () => ({
+			role: 'gateway', ...base.dump(), openCalls: forwarder.openCalls, heldParts: quarantine.holds,
+		}),
 	}), log);
 	const readiness = new HttpListener({
 		[`GET ${settings.listen.readiness_path}`](req, res) {
@@ -117,6 +116,7 @@
 	await readiness.start(settings.listen.readiness);
 	await base.start();
 	loads.start();
+	gossip.start();
 	await callers.start(settings.listen.callers);
 	log.info({event: 'gateway_started', callers: formatAddress(settings.listen.callers)}, 'gateway started');
 
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -3,6 +3,7 @@
 import type {KeyHolder, Route} from '../directory/directory-types.ts';
 import type {ServiceId} from '../ids/service-id.ts';
 import type {CrashDetector} from '../quarantine/crash-detector.ts';
+import type {PromptQuarantine} from '../quarantine/prompt-quarantine.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import type {ResponseWriter} from './response-writer.ts';
@@ -28,6 +29,8 @@
 	readonly tracker: InstanceTracker;
 	/** Tells crashes of upstreams from broken connections. */
 	readonly crashes: CrashDetector;
+	/** Refuses calls that crash upstreams. */
+	readonly quarantine: PromptQuarantine;
 	/** Tells the calls that other gateways have in flight. */
 	readonly loads: LoadSource;
 	readonly random: RandomSource;
@@ -115,6 +118,7 @@
 			tracker,
 			buffers: this.buffers,
 			crashes: this.options.crashes,
+			quarantine: this.options.quarantine,
 			log,
 			selectInstance: async query => this.selector.select(query),
 			tryTakeRetry: () => budget.tryTake(),
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -1,45 +1,19 @@
 /** Forwards one call: sends it to an upstream, retries it where that is safe, and gives the caller at most one response. */
-import type {Instance, KeyHolder, Route} from '../directory/directory-types.ts';
+import type {KeyHolder, Route} from '../directory/directory-types.ts';
 import type {ServiceId} from '../ids/service-id.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {CrashDetector} from '../quarantine/crash-detector.ts';
+import type {Admission, PromptQuarantine} from '../quarantine/prompt-quarantine.ts';
 import type {ResponseBuffers} from './response-buffers.ts';
 import type {ResponseWriter} from './response-writer.ts';
 import {type AttemptOutcome, decideNextStep, type NextStep} from './decide-next-step.ts';
+import type {InstanceQuery, SelectedInstance} from './instance-query.ts';
 import type {ReceivedCall} from './received-call.ts';
 import type {Placement} from './select-instance.ts';
-import type {CallHeaders, WireCodec} from './wire-codec.ts';
+import type {WireCodec} from './wire-codec.ts';
 import {UpstreamAttempt} from './upstream-attempt.ts';
 import type {InstanceTracker} from './instance-tracker.ts';
 
-/** What an instance must satisfy to receive a call. */
-export type InstanceQuery = {
-	readonly route: Route;
-	readonly service: ServiceId;
-	readonly headers: CallHeaders;
-	/** Time left to meet the target time to first byte of the route, in milliseconds; negative if the call is late. */
-	readonly aimLeftMs: number;
-	/** Time left until the call expires, in milliseconds. */
-	readonly deadlineLeftMs: number;
-	/** IDs of the instances that the call has been sent to. */
-	readonly tried: ReadonlySet<string>;
-	/** Whether a part of the response has been sent to the caller. */
-	readonly isResponseStarted: boolean;
-	/** Version of the model that produced the part already sent, if its upstream reported one; the rest must come from the same. */
-	readonly requiredVersion: number | undefined;
-};
-
-/** The instance selected for an attempt. */
-export type SelectedInstance = {
-	readonly instance: Instance;
-	/** Predicted time to the first event, in milliseconds. */
-	readonly predictedMs: number;
-	/** Version of the model that the instance holds. */
-	readonly version: number | undefined;
-	/** How long calls may still start on this version, in milliseconds; see `version-expiry.ts`. */
-	readonly startWindowMs: number;
-};
-
 /** The call, its route and the functions supplied by the forwarder. */
 export type ForwardedCallOptions = {
 	readonly call: ReceivedCall;
@@ -53,6 +27,7 @@
 	readonly tracker: InstanceTracker;
 	readonly buffers: ResponseBuffers;
 	readonly crashes: CrashDetector;
+	readonly quarantine: PromptQuarantine;
 	readonly log: Logger;
 	readonly selectInstance: (query: InstanceQuery) => Promise<SelectedInstance | Exclude<Placement, {kind: 'place'}>>;
 	/** Takes one retry from the budget; returns false if it is exhausted. */
@@ -173,6 +148,11 @@
 	private async tryNextInstance(): Promise<void> {
 		const {options} = this;
 		const {call, route, service} = options;
+		const admission = this.admit();
+		if (admission === 'refuse') {
+			return;
+		}
+
 		const nowMs = performance.now();
 		const selection = await options.selectInstance({
 			route,
@@ -188,12 +168,27 @@
 			return;
 		}
 
-		if ('instance' in selection) {
+		if (!('instance' in selection)) {
+			this.endWithoutInstance(selection.reason, selection.retryAfterMs);
+		} else if (admission === 'trial' || this.admit() !== 'refuse') {
+			// A part may have been held while the selection waited.
 			this.startAttempt(selection);
-			return;
+		}
+	}
+
+	/** Returns whether the call may be sent now, and ends it if one of its prompt parts is held. */
+	private admit(): Admission['kind'] {
+		const {quarantine, call, log} = this.options;
+		const admission = quarantine.admit(call.headers.promptParts);
+		if (admission.kind !== 'pass') {
+			log.info({event: 'prompt_part_met', id: call.headers.attemptId, ...admission}, 'a call has a held prompt part');
+		}
+
+		if (admission.kind === 'refuse') {
+			this.endWithoutInstance('prompt_part_held', admission.retryAfterMs);
 		}
 
-		this.endWithoutInstance(selection.reason, selection.retryAfterMs);
+		return admission.kind;
 	}
 
 	/** Ends the call when no instance can take it; the earlier attempts decide whether it may have run. */
@@ -244,6 +239,9 @@
 			onBroken: () => {
 				this.options.crashes.recordBroken(instance, call.headers.promptParts);
 			},
+			onSurvived: () => {
+				this.options.quarantine.recordSurvival(instance, call.headers.promptParts);
+			},
 			onServed: () => {
 				this.finish('served', {instance: instance.id}, () => undefined);
 			},
--- /dev/null
+++ b/src/forwarding/instance-query.ts
@@ -0,0 +1,32 @@
+/** What an attempt needs of an instance, and the instance selected for it. */
+import type {Instance, Route} from '../directory/directory-types.ts';
+import type {ServiceId} from '../ids/service-id.ts';
+import type {CallHeaders} from './wire-codec.ts';
+
+/** What an instance must satisfy to receive a call. */
+export type InstanceQuery = {
+	readonly route: Route;
+	readonly service: ServiceId;
+	readonly headers: CallHeaders;
+	/** Time left to meet the target time to first byte of the route, in milliseconds; negative if the call is late. */
+	readonly aimLeftMs: number;
+	/** Time left until the call expires, in milliseconds. */
+	readonly deadlineLeftMs: number;
+	/** IDs of the instances that the call has been sent to. */
+	readonly tried: ReadonlySet<string>;
+	/** Whether a part of the response has been sent to the caller. */
+	readonly isResponseStarted: boolean;
+	/** Version of the model that produced the part already sent, if its upstream reported one; the rest must come from the same. */
+	readonly requiredVersion: number | undefined;
+};
+
+/** The instance selected for an attempt. */
+export type SelectedInstance = {
+	readonly instance: Instance;
+	/** Predicted time to the first event, in milliseconds. */
+	readonly predictedMs: number;
+	/** Version of the model that the instance holds. */
+	readonly version: number | undefined;
+	/** How long calls may still start on this version, in milliseconds; see `version-expiry.ts`. */
+	readonly startWindowMs: number;
+};
--- a/src/forwarding/instance-selector.ts
+++ b/src/forwarding/instance-selector.ts
@@ -4,7 +4,7 @@
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import type {InFlightCounts} from './engine-forecast.ts';
-import type {InstanceQuery, SelectedInstance} from './forwarded-call.ts';
+import type {InstanceQuery, SelectedInstance} from './instance-query.ts';
 import type {InstanceTracker} from './instance-tracker.ts';
 import type {LoadSource} from './load-source.ts';
 import {sampleInstances, type SampleSizes} from './sample-instances.ts';
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -20,6 +20,9 @@
 
 const firstServerError = 500;
 
+/** How long after its first event a stream shows that it does not crash its upstream, in milliseconds. */
+const survivedAfterMs = 1000;
+
 /** The call, the selected instance and the dependencies of an attempt. */
 export type UpstreamAttemptOptions = {
 	readonly call: ReceivedCall;
@@ -42,6 +45,8 @@
 	readonly canRetryElsewhere: () => boolean;
 	/** Called when the connection broke after the call was sent, before its outcome is reported. */
 	readonly onBroken: () => void;
+	/** Called once when the upstream has responded completely, or for long enough to show that the call does not crash it. */
+	readonly onSurvived: () => void;
 	/** Called when the response has been passed on completely. */
 	readonly onServed: () => void;
 	/** Called when the attempt has ended in any other way. */
@@ -66,6 +71,8 @@
 	private buffered: BufferedResponse | undefined;
 	private stallTimer: NodeJS.Timeout | undefined;
 	private versionTimer: NodeJS.Timeout | undefined;
+	private firstEventAtMs = Number.POSITIVE_INFINITY;
+	private hasSurvived = false;
 	private isFinished = false;
 
 	/** @param options - the call, the selected instance and dependencies */
@@ -177,9 +184,13 @@
 
 	private forwardEvent({bytes, id}: StreamEvent): void {
 		const {writer, tracker, instance, predictedMs} = this.options;
+		const nowMs = performance.now();
 		if (!this.inFlightCall.hasStarted) {
+			this.firstEventAtMs = nowMs;
 			tracker.inFlight.markStarted(this.inFlightCall);
-			tracker.recordFirstEvent(instance.id, performance.now() - this.startedAtMs, predictedMs);
+			tracker.recordFirstEvent(instance.id, nowMs - this.startedAtMs, predictedMs);
+		} else if (nowMs - this.firstEventAtMs >= survivedAfterMs) {
+			this.recordSurvival();
 		}
 
 		if (id !== undefined && this.lastEventId !== undefined && Number(id) <= Number(this.lastEventId)) {
@@ -228,6 +239,7 @@
 		}
 
 		tracker.recordOutcome(instance.id, true);
+		this.recordSurvival();
 		this.close();
 		writer.send(this.buffered.status, this.buffered.headers, this.buffered.body, this.buffered.isFramed);
 		onServed();
@@ -243,6 +255,7 @@
 		}
 
 		tracker.recordOutcome(instance.id, true);
+		this.recordSurvival();
 		this.close();
 		if (!writer.hasStarted) {
 			writer.start(this.head!.status, this.head!.headers.forwardedHeaders, this.head!.headers.isFramed);
@@ -252,6 +265,13 @@
 		onServed();
 	}
 
+	private recordSurvival(): void {
+		if (!this.hasSurvived) {
+			this.hasSurvived = true;
+			this.options.onSurvived();
+		}
+	}
+
 	private handleError(reason: string, wasConnected: boolean): void {
 		if (this.isFinished) {
 			return;
--- /dev/null
+++ b/src/messages/crash-datagram.ts
@@ -0,0 +1,23 @@
+/** Datagram by which gateways tell each other of crashes of upstreams and of the prompt parts that may cause them. */
+import {z} from 'zod';
+import {isPromptPartId, type PromptPartId} from '../ids/prompt-part-id.ts';
+
+const partSchema = z.custom<PromptPartId>(value => isPromptPartId(value));
+
+/** How long ago something happened, in milliseconds. */
+const ageSchema = z.number().min(0).max(86_400_000);
+
+/** `[crash, age, calls]`: the ID of a crash, and the shared prompt parts of each call that it broke off. */
+const crashSchema = z.tuple([z.string().max(200), ageSchema, z.array(z.array(partSchema).max(16)).max(32)]);
+
+/** `[part, age]`: an upstream survived a call with the part. */
+const survivalSchema = z.tuple([partSchema, ageSchema]);
+
+/** `[part, rivals, age of its last crash, trials, time to the next trial]`: calls with the part are refused. The time is negative if the trial is due. */
+const holdSchema = z.tuple([partSchema, z.array(partSchema).max(16), ageSchema, z.number().int().min(0).max(1000), z.number().min(-86_400_000).max(86_400_000)]);
+
+/** `['crash', crashes, survivals, holds]`. */
+export const crashDatagramSchema = z.tuple([z.literal('crash'), z.array(crashSchema).max(64), z.array(survivalSchema).max(64), z.array(holdSchema).max(64)]);
+
+/** What a gateway tells another one. */
+export type CrashDatagram = z.infer<typeof crashDatagramSchema>;
--- a/src/quarantine/crash-detector.ts
+++ b/src/quarantine/crash-detector.ts
@@ -13,17 +13,17 @@
 /** How long further broken connections count as the same crash, in milliseconds; less than the restart of an upstream takes. */
 const sameCrashMs = 1000;
 
-/** Maximum number of prompt parts reported for a crash, which bounds the memory for what callers send. */
-const maxPartsPerCrash = 64;
+/** Maximum number of calls reported for a crash, which bounds the memory for what callers send. */
+const maxCallsPerCrash = 32;
 
 /** A crash of one run of an upstream, as one gateway saw it. */
 export type Crash = {
 	/** The same at all gateways. */
 	readonly id: string;
-	/** When the crash was found, in milliseconds of this process's monotonic clock. */
+	/** When the first of these calls was broken off, in milliseconds of this process's monotonic clock. */
 	readonly atMs: number;
-	/** The shared prompt parts of the calls that the crash broke off. */
-	readonly parts: readonly PromptPartId[];
+	/** The shared prompt parts of each call that the crash broke off; calls with the same parts count once. */
+	readonly calls: ReadonlyArray<readonly PromptPartId[]>;
 };
 
 /** Dependencies of a {@link CrashDetector}. */
@@ -37,9 +37,11 @@
 
 type Break = {
 	readonly instance: Instance;
-	readonly parts: Set<PromptPartId>;
-	calls: number;
-	crashedAtMs: number | undefined;
+	/** The broken calls, by their parts. */
+	readonly calls: Map<string, readonly PromptPartId[]>;
+	count: number;
+	readonly brokenAtMs: number;
+	hasCrashed: boolean;
 	isScheduled: boolean;
 };
 
@@ -57,14 +59,12 @@
 	 */
 	recordBroken(instance: Instance, parts: readonly PromptPartId[]): void {
 		const entry: Break = this.breaks.get(instance.id) ?? {
-			instance, parts: new Set(), calls: 0, crashedAtMs: undefined, isScheduled: false,
+			instance, calls: new Map(), count: 0, brokenAtMs: performance.now(), hasCrashed: false, isScheduled: false,
 		};
 		this.breaks.set(instance.id, entry);
-		entry.calls++;
-		for (const part of parts) {
-			if (entry.parts.size < maxPartsPerCrash) {
-				entry.parts.add(part);
-			}
+		entry.count++;
+		if (entry.calls.size < maxCallsPerCrash) {
+			entry.calls.set(parts.join(' '), parts);
 		}
 
 		if (!entry.isScheduled) {
@@ -77,26 +77,27 @@
 
 	/** Probes the upstream unless it is known to have crashed, and reports the crash with the calls gathered so far. */
 	private async examine(entry: Break): Promise<void> {
-		if (entry.crashedAtMs === undefined && await this.options.acceptsConnections(entry.instance)) {
+		if (!entry.hasCrashed && await this.options.acceptsConnections(entry.instance)) {
 			this.breaks.delete(entry.instance.id);
 			return;
 		}
 
 		entry.isScheduled = false;
-		if (entry.crashedAtMs === undefined) {
-			entry.crashedAtMs = performance.now();
+		if (!entry.hasCrashed) {
+			entry.hasCrashed = true;
 			setTimeout(() => {
 				this.breaks.delete(entry.instance.id);
 			}, sameCrashMs).unref();
 		}
 
-		this.report(entry, entry.crashedAtMs);
+		this.report(entry);
 	}
 
-	private report({instance, parts, calls}: Break, atMs: number): void {
+	private report({instance, calls, count, brokenAtMs}: Break): void {
+		const partsOfCalls = [...calls.values()];
 		this.options.log.warn({
-			event: 'instance_crashed', instance: instance.id, address: instance.address, startedAtMs: instance.startedAtMs, calls, parts: [...parts],
+			event: 'instance_crashed', instance: instance.id, address: instance.address, startedAtMs: instance.startedAtMs, calls: count, parts: [...new Set(partsOfCalls.flat())],
 		}, 'an upstream broke off its calls and accepts no connections');
-		this.options.onCrash({id: `${instance.id}@${instance.startedAtMs}`, atMs, parts: [...parts]}, instance);
+		this.options.onCrash({id: `${instance.id}@${instance.startedAtMs}`, atMs: brokenAtMs, calls: partsOfCalls}, instance);
 	}
 }
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -38,7 +38,7 @@
 	await sleep(30);
 	detector.recordBroken(testInstance({id: 'i-dead'}), [part('late')]);
 	await sleep(30);
-	expect(crashes.map(({id, parts}) => ({id, parts}))).to.deep.equal([
+	expect(crashes.map(({id, calls}) => ({id, parts: calls.flat()}))).to.deep.equal([
 		{id: 'i-dead@1', parts: ['b', 'c']}, {id: 'i-dead@1', parts: ['b', 'c', 'late']},
 	]);
 });
@@ -101,9 +101,11 @@
 }
 
 async function callModel(gateway: TestGateway, id: string, prefix: string): Promise<TestResponse> {
-	return callGateway(gateway.url, {headers: {
-		model: 'm', 'attempt-id': id, 'token-usage': '100,50', 'prompt-prefix': prefix,
-	}});
+	return callGateway(gateway.url, {
+		headers: {
+			model: 'm', 'attempt-id': id, 'token-usage': '100,50', 'prompt-prefix': prefix,
+		},
+	});
 }
 
 it('guards against a prompt part that crashes one engine after the other: after the fifth crash at most three calls with it reach an engine, and sound calls are answered', async () => {
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -11,6 +11,7 @@
 import {CallerListener} from '../../src/forwarding/caller-listener.ts';
 import {acceptsConnections} from '../../src/forwarding/upstream-exchange.ts';
 import {InstanceTracker} from '../../src/forwarding/instance-tracker.ts';
+import {PromptQuarantine} from '../../src/quarantine/prompt-quarantine.ts';
 import {CrashDetector} from '../../src/quarantine/crash-detector.ts';
 import {createServiceId} from '../../src/ids/service-id.ts';
 import {createWorkspaceId} from '../../src/ids/workspace-id.ts';
@@ -97,11 +98,14 @@
 	directory.apply({revision: 1, changes: configuration ? [{revision: 1, change: {kind: 'configuration', configuration}}] : []});
 	directory.replaceInstances({revision: 2, changes: instances.map(instance => ({revision: 2, change: {kind: 'instance', instance}}))});
 	const tracker = new InstanceTracker(log);
+	const quarantine = new PromptQuarantine({log, hasTurn: () => true, tell: () => undefined});
 	const crashes = new CrashDetector({
-		acceptsConnections: async ({address}) => acceptsConnections(address), onCrash: () => undefined, log,
+		acceptsConnections: async ({address}) => acceptsConnections(address), onCrash(crash, instance) {
+			quarantine.recordCrash(crash, instance);
+		}, log,
 	});
 	const forwarder = new CallForwarder({
-		directory, codec: platformCodec, tracker, crashes, loads: {ask: async () => new Map()}, random: new RandomSource(7), log, zone: 'z',
+		directory, codec: platformCodec, tracker, crashes, quarantine, loads: {ask: async () => new Map()}, random: new RandomSource(7), log, zone: 'z',
 		retryBudget: {ratio: 0.2, slack: 100, windowMs: 10_000}, versionBoundMs: 8000, gatewayCount: () => 1, onEnd: () => undefined,
 	});
 	const port = 20_000 + new RandomSource(Date.now() % 2_147_483_647).nextInt(12_000);
