Send facts about crashes together in few datagrams

Cause: each fact was a datagram of its own to seven gateways. Change: facts are gathered for 5 ms and packed into datagrams of one packet, to three gateways in the zone and two elsewhere.

--- a/src/messages/crash-datagram.ts
+++ b/src/messages/crash-datagram.ts
@@ -17,7 +17,7 @@
 const holdSchema = z.tuple([partSchema, z.array(partSchema).max(16), ageSchema, z.number().int().min(0).max(1000), z.number().min(-86_400_000).max(86_400_000)]);
 
 /** `['crash', crashes, survivals, holds]`. */
-export const crashDatagramSchema = z.tuple([z.literal('crash'), z.array(crashSchema).max(64), z.array(survivalSchema).max(64), z.array(holdSchema).max(64)]);
+export const crashDatagramSchema = z.tuple([z.literal('crash'), z.array(crashSchema).max(128), z.array(survivalSchema).max(128), z.array(holdSchema).max(128)]);
 
 /** What a gateway tells another one. */
 export type CrashDatagram = z.infer<typeof crashDatagramSchema>;
--- a/src/peers/crash-gossip.ts
+++ b/src/peers/crash-gossip.ts
@@ -10,16 +10,19 @@
 import type {RandomSource} from '../runtime/random-source.ts';
 
 /** Number of gateways that a fact is passed on to, in the own zone and in other zones. */
-const fanout = {local: 4, remote: 3};
+const fanout = {local: 3, remote: 2};
 
-/** How long facts are gathered before they are sent, in milliseconds. */
-const batchDelayMs = 2;
+/** How long facts are gathered before they are sent together, in milliseconds. */
+const batchDelayMs = 5;
 
 /** Interval at which held parts are repeated, in milliseconds. */
 const repeatIntervalMs = 1000;
 
-/** Maximum number of calls, survivals or holds in a datagram, so that it fits into one packet. */
-const itemsPerDatagram = {calls: 8, survivals: 24, holds: 12};
+/** Approximate limit of a datagram, in characters, so that it fits into one packet. */
+const maxDatagramLength = 1200;
+
+/** Maximum number of calls of a crash that are told as one fact, and of held parts that are repeated at a time. */
+const maxItems = {calls: 8, holds: 12};
 
 /** Dependencies of a {@link CrashGossip}. */
 export type CrashGossipOptions = {
@@ -27,7 +30,7 @@
 	readonly zone: string;
 	/** Returns the other processes. */
 	readonly others: () => readonly PeerInfo[];
-	readonly datagrams: DatagramPort;
+	readonly datagrams: Pick<DatagramPort, 'on' | 'send'>;
 	/** The number of the port on which all processes receive datagrams. */
 	readonly port: number;
 	readonly random: RandomSource;
@@ -38,7 +41,7 @@
 
 /** Sends and receives news of crashes. */
 export class CrashGossip {
-	private queued: CrashDatagram[] = [];
+	private queued: Fact[] = [];
 	private sendTimer: NodeJS.Timeout | undefined;
 	private repeatTimer: NodeJS.Timeout | undefined;
 
@@ -52,7 +55,7 @@
 			mergeNews(decodeNews(datagram));
 		});
 		this.repeatTimer = setInterval(() => {
-			this.tell({holds: random.sample(holds(), itemsPerDatagram.holds)});
+			this.tell({holds: random.sample(holds(), maxItems.holds)});
 		}, repeatIntervalMs);
 		this.repeatTimer.unref();
 	}
@@ -65,9 +68,8 @@
 
 	/** Tells a few other gateways. */
 	tell(news: Partial<CrashNews>): void {
-		const datagrams = encodeNews(news);
-		if (datagrams.length > 0) {
-			this.queued.push(...datagrams);
+		this.queued.push(...listFacts(news));
+		if (this.queued.length > 0) {
 			this.sendTimer ??= setTimeout(() => {
 				this.sendTimer = undefined;
 				this.send();
@@ -80,28 +82,47 @@
 		const gateways = others().filter(({role}) => role === 'gateway');
 		const local = random.sample(gateways.filter(({zone}) => zone === ownZone), fanout.local);
 		const remote = random.sample(gateways.filter(({zone}) => zone !== ownZone), fanout.remote);
+		const messages = packFacts(this.queued);
+		this.queued = [];
 		for (const {address} of [...local, ...remote]) {
-			for (const datagram of this.queued) {
-				datagrams.send(datagram, {host: parseAddress(address).host, port});
+			for (const message of messages) {
+				datagrams.send(message, {host: parseAddress(address).host, port});
 			}
 		}
-
-		this.queued = [];
 	}
 }
 
-/** Returns the news as datagrams that each fit into one packet. */
-function encodeNews({crashes = [], survivals = [], holds = []}: Partial<CrashNews>): CrashDatagram[] {
+/** One fact as an entry of the list at `at` in a {@link CrashDatagram}. */
+type Fact = {readonly at: 1 | 2 | 3; readonly entry: readonly unknown[]; readonly length: number};
+
+function listFacts({crashes = [], survivals = [], holds = []}: Partial<CrashNews>): Fact[] {
 	const nowMs = performance.now();
 	const age = (atMs: number) => Math.max(0, Math.round(nowMs - atMs));
+	const fact = (at: Fact['at'], entry: readonly unknown[]): Fact => ({at, entry, length: JSON.stringify(entry).length});
 	return [
-		...crashes.flatMap(({id, atMs, calls}) => slice(calls, itemsPerDatagram.calls).map((items): CrashDatagram => ['crash', [[id, age(atMs), items.map(parts => [...parts])]], [], []])),
-		...slice(survivals, itemsPerDatagram.survivals).map((items): CrashDatagram => ['crash', [], items.map(({part, atMs}) => [part, age(atMs)]), []]),
-		...slice(holds, itemsPerDatagram.holds).map((items): CrashDatagram => ['crash', [], [], items.map(({part, rivals, lastCrashMs, trials, nextTrialMs}) =>
-			[part, [...rivals], age(lastCrashMs), trials, Math.round(nextTrialMs - nowMs)])]),
+		...crashes.flatMap(({id, atMs, calls}) => slice(calls, maxItems.calls).map(part => fact(1, [id, age(atMs), part]))),
+		...survivals.map(({part, atMs}) => fact(2, [part, age(atMs)])),
+		...holds.map(({part, rivals, lastCrashMs, trials, nextTrialMs}) => fact(3, [part, rivals, age(lastCrashMs), trials, Math.round(nextTrialMs - nowMs)])),
 	];
 }
 
+/** Returns datagrams with all facts, each of which fits into one packet. */
+function packFacts(facts: readonly Fact[]): CrashDatagram[] {
+	const datagrams: Array<[string, unknown[], unknown[], unknown[]]> = [];
+	let freeLength = 0;
+	for (const {at, entry, length} of facts) {
+		if (length > freeLength) {
+			datagrams.push(['crash', [], [], []]);
+			freeLength = maxDatagramLength;
+		}
+
+		datagrams.at(-1)![at].push(entry);
+		freeLength -= length;
+	}
+
+	return datagrams as CrashDatagram[];
+}
+
 function decodeNews([, crashes, survivals, holds]: CrashDatagram): CrashNews {
 	const nowMs = performance.now();
 	return {
