Gather the reports of a crash before a part is blamed, and blame the part of fewer calls

Cause: each gateway judged after each report, so that for some milliseconds a part which sound calls share had three crashes while the report with the crashing part was still on its way; and of two parts with equal counts the first by name was blamed, which explained the crashes of the other one. Ruled out: missing survivals (the parts were rightly unproven), the parts that always come together (they are refused only together). Change: reports are gathered for 30 ms; of two equals, the part that fewer broken calls have is blamed; a stream counts as survived 0.5 s after its first event instead of 1 s, and 0.2 s after its end. Tests: the emulator with the real detectors, quarantines and gossip for 3, 7 and 99 gateways, with crashes of other causes; pure tests.

--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -21,7 +21,7 @@
 const firstServerError = 500;
 
 /** How long after its first event a stream shows that it does not crash its upstream, in milliseconds. */
-const survivedAfterMs = 1000;
+const survivedAfterMs = 500;
 
 /** The call, the selected instance and the dependencies of an attempt. */
 export type UpstreamAttemptOptions = {
--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -15,7 +15,7 @@
 const maxSurvivals = 2048;
 
 /** How long after its end a call proves that its upstream survived it, in milliseconds: the crash of an upstream may follow the last byte. */
-export const survivalDelayMs = 300;
+export const survivalDelayMs = 200;
 
 /** Number of ended calls that wait for {@link survivalDelayMs}. */
 const maxPendingSurvivals = 512;
--- a/src/quarantine/find-crashing-parts.ts
+++ b/src/quarantine/find-crashing-parts.ts
@@ -31,7 +31,7 @@
 };
 
 type Incident = {readonly atMs: number; readonly crashes: KnownCrash[]};
-type Suspect = {readonly part: PromptPartId; readonly excess: number};
+type Suspect = {readonly part: PromptPartId; readonly calls: number; readonly excess: number};
 
 /** Returns the parts to blame, in addition to those that are blamed already. */
 export function findCrashingParts({crashes, lastSurvivalMs, blamed}: CrashFacts): Blame[] {
@@ -100,19 +100,25 @@
 	return crashes.some(({parts}) => parts.has(part));
 }
 
-/** Returns the parts with enough crashes since their last survival, the most likely cause first. */
+/** Returns the parts with enough crashes since their last survival, the most likely cause first: of two equals the one that fewer calls have. */
 function findSuspects(incidents: readonly Incident[], lastSurvivalMs: CrashFacts['lastSurvivalMs']): Suspect[] {
-	const counts = new Map<PromptPartId, number>();
+	const counts = new Map<PromptPartId, {incidents: number; calls: number}>();
 	for (const {atMs, crashes} of incidents) {
-		for (const part of new Set(crashes.flatMap(({parts}) => [...parts]))) {
+		const calls = [...new Map(crashes.flatMap(crash => [...crash.calls])).values()];
+		for (const part of new Set(calls.flat())) {
 			if (atMs > (lastSurvivalMs(part) ?? Number.NEGATIVE_INFINITY)) {
-				counts.set(part, (counts.get(part) ?? 0) + 1);
+				const count = counts.get(part) ?? {incidents: 0, calls: 0};
+				count.incidents++;
+				count.calls += calls.filter(parts => parts.includes(part)).length;
+				counts.set(part, count);
 			}
 		}
 	}
 
 	return [...counts]
-		.map(([part, count]) => ({part, excess: count - (lastSurvivalMs(part) === undefined ? crashesToBlame.unproven : crashesToBlame.proven)}))
+		.map(([part, count]) => ({
+			part, calls: count.calls, excess: count.incidents - (lastSurvivalMs(part) === undefined ? crashesToBlame.unproven : crashesToBlame.proven),
+		}))
 		.filter(({excess}) => excess >= 0)
-		.toSorted((a, b) => b.excess - a.excess || (a.part < b.part ? -1 : 1));
+		.toSorted((a, b) => b.excess - a.excess || a.calls - b.calls || (a.part < b.part ? -1 : 1));
 }
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -29,6 +29,9 @@
 /** How long a part is held after its last crash, in milliseconds. */
 const holdTtlMs = 7_200_000;
 
+/** How long reports of crashes are gathered before a part is blamed, in milliseconds: those of one crash come from several gateways. */
+const judgeDelayMs = 30;
+
 /** Number of crashes of a part since its last survival known to others, from which other gateways are told of a later one. */
 const crashesToReportSurvival = 2;
 
@@ -72,10 +75,21 @@
 	private readonly holdsByPart = new Map<PromptPartId, Hold>();
 	/** The latest survivals that other gateways know of. */
 	private readonly sharedSurvivals = new Map<PromptPartId, number>();
+	private readonly holdListeners: Array<() => void> = [];
+	private judgeTimer: NodeJS.Timeout | undefined;
 
 	/** @param options - dependencies */
 	constructor(private readonly options: PromptQuarantineOptions) {}
 
+	/**
+	 * Adds a listener.
+	 *
+	 * @param listener - called after a further part was held
+	 */
+	onHeld(listener: () => void): void {
+		this.holdListeners.push(listener);
+	}
+
 	/** The held parts. */
 	get holds(): readonly Hold[] {
 		return [...this.holdsByPart.values()];
@@ -108,9 +122,10 @@
 		return {kind: 'trial'};
 	}
 
-	/** Returns whether calls with these parts are refused. */
-	isHeld(parts: readonly PromptPartId[]): boolean {
-		return this.findHold(parts) !== undefined;
+	/** Returns the time until the next trial, in milliseconds, if calls with these parts are refused; undefined if they are not. */
+	heldForMs(parts: readonly PromptPartId[]): number | undefined {
+		const hold = this.findHold(parts);
+		return hold && Math.max(0, hold.nextTrialMs - performance.now());
 	}
 
 	/**
@@ -120,7 +135,7 @@
 	 */
 	recordSurvival({id}: Instance, parts: readonly PromptPartId[]): void {
 		this.evidence.addEndedCall(id, parts);
-		if (this.isHeld(parts)) {
+		if (this.findHold(parts)) {
 			setTimeout(() => {
 				this.releaseSurvivors();
 			}, survivalDelayMs + 1).unref();
@@ -157,7 +172,7 @@
 			this.extendHolds(crash);
 		}
 
-		this.judge();
+		this.scheduleJudgement();
 	}
 
 	/** Returns survivals that clear parts which other gateways may soon blame. */
@@ -201,6 +216,13 @@
 		}
 	}
 
+	private scheduleJudgement(): void {
+		this.judgeTimer ??= setTimeout(() => {
+			this.judgeTimer = undefined;
+			this.judge();
+		}, judgeDelayMs).unref();
+	}
+
 	private judge(): void {
 		const {crashes} = this.evidence;
 		const found = findCrashingParts({crashes, lastSurvivalMs: part => this.evidence.lastSurvivalMs(part), blamed: new Set(this.holdsByPart.keys())});
@@ -245,6 +267,7 @@
 	}
 
 	private updateHold(hold: Hold, reason: 'crashes' | 'trial' | 'peer'): void {
+		const isNew = !this.holdsByPart.has(hold.part);
 		this.holdsByPart.set(hold.part, hold);
 		if (this.holdsByPart.size > maxHolds) {
 			const [oldest] = this.holds.toSorted((a, b) => a.lastCrashMs - b.lastCrashMs);
@@ -263,6 +286,11 @@
 			nextTrialInMs: Math.round(hold.nextTrialMs - nowMs),
 		}, 'refusing calls with a prompt part that crashes upstreams');
 		this.options.tell({holds: [hold]});
+		if (isNew) {
+			for (const listener of this.holdListeners) {
+				listener();
+			}
+		}
 	}
 
 	private releaseSurvivors(): void {
@@ -274,7 +302,7 @@
 				this.recordShared(part, atMs);
 				this.options.tell({survivals: [{part, atMs}]});
 				// The crashes that the part explained are held against the others now.
-				this.judge();
+				this.scheduleJudgement();
 			}
 		}
 	}
