End calls under way when their prompt part is held

Cause: a hold only stopped calls that had not been sent. Change: calls with the part that wait for their first event end as possibly run (502, never 'not run'), and their connections close. Test: seen to fail without the change (504 at the deadline instead of 502, the connection stays open).

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -72,6 +72,9 @@
 			forwardingMetrics.recordOutcome(route?.kind, outcome, ms);
 		},
 	});
+	quarantine.onHeld(() => {
+		forwarder.endHeldCalls();
+	});
 	const callers = new CallerListener({
 		forwarder, codec: adapter.codec, log, limits: () => directory.table?.configuration.limits,
 	});
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -74,6 +74,13 @@
 		this.isShuttingDown = true;
 	}
 
+	/** Ends the calls with prompt parts that have just been held, before they crash further upstreams. */
+	endHeldCalls(): void {
+		for (const call of this.inFlight) {
+			call.handleHold();
+		}
+	}
+
 	/** Number of calls whose response is not complete. */
 	get openCalls(): number {
 		return this.inFlight.size;
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -74,6 +74,8 @@
 	private refusals = 0;
 	private timeoutTimer: NodeJS.Timeout | undefined;
 	private isFinished = false;
+	/** Whether the call shows if its held prompt part still crashes upstreams. */
+	private isTrial = false;
 	private readonly deadlineAtMs: number;
 	private readonly timeoutAtMs: number;
 
@@ -97,6 +99,16 @@
 		});
 	}
 
+	/** Ends the call if its prompt part was held after it was sent and no upstream has begun to answer it. */
+	handleHold(): void {
+		const {quarantine, call, writer} = this.options;
+		const heldForMs = quarantine.heldForMs(call.headers.promptParts);
+		if (heldForMs !== undefined && this.attempt && !this.isTrial && !writer.hasStarted) {
+			this.attempt.abort();
+			this.endWithoutInstance('prompt_part_held', heldForMs);
+		}
+	}
+
 	/**
 	 * Refuses the call with 503. Only allowed if no upstream can have run it.
 	 *
@@ -148,8 +160,7 @@
 	private async tryNextInstance(): Promise<void> {
 		const {options} = this;
 		const {call, route, service} = options;
-		const admission = this.admit();
-		if (admission === 'refuse') {
+		if (this.admit() === 'refuse') {
 			return;
 		}
 
@@ -170,7 +181,7 @@
 
 		if (!('instance' in selection)) {
 			this.endWithoutInstance(selection.reason, selection.retryAfterMs);
-		} else if (admission === 'trial' || this.admit() !== 'refuse') {
+		} else if (this.isTrial || this.admit() !== 'refuse') {
 			// A part may have been held while the selection waited.
 			this.startAttempt(selection);
 		}
@@ -184,6 +195,7 @@
 			log.info({event: 'prompt_part_met', id: call.headers.attemptId, ...admission}, 'a call has a held prompt part');
 		}
 
+		this.isTrial = admission.kind === 'trial';
 		if (admission.kind === 'refuse') {
 			this.endWithoutInstance('prompt_part_held', admission.retryAfterMs);
 		}
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -1,10 +1,15 @@
 /** Prompt parts that crash upstreams: how a crash is told from a broken connection, and which calls are refused. */
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {type Clock, install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
+import fc from 'fast-check';
 import {createServiceId} from '../src/ids/service-id.ts';
 import {createPromptPartId, type PromptPartId} from '../src/ids/prompt-part-id.ts';
 import {type Crash, CrashDetector} from '../src/quarantine/crash-detector.ts';
+import type {KnownCrash} from '../src/quarantine/crash-evidence.ts';
+import {findCrashingParts} from '../src/quarantine/find-crashing-parts.ts';
+import {type CrashNews, type Hold, PromptQuarantine} from '../src/quarantine/prompt-quarantine.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {
 	callGateway, startTestGateway, testConfiguration, type TestGateway, testInstance, type TestResponse,
@@ -51,6 +56,11 @@
 	const server = http.createServer((req, res) => {
 		const isBad = String(req.headers['prompt-prefix']).includes('bad:');
 		log.push(isBad ? 'bad' : 'sound');
+		if (String(req.headers['prompt-prefix']).includes('slow:')) {
+			req.once('close', () => log.push('closed'));
+			return;
+		}
+
 		res.writeHead(200, {
 			'attempt-id': req.headers['attempt-id'] as string, 'response-seal': 's', 'content-type': 'text/event-stream', 'weight-versions': '1',
 		});
@@ -123,3 +133,152 @@
 	const answers = await Promise.all(Array.from({length: 20}, async (_, at) => callModel(gateway, `after-${at}`, `shared:40,after${at}:9`)));
 	expect(answers.filter(({status, complete}) => status === 200 && complete)).to.have.length(20);
 });
+
+it('guards against calls under way that crash further engines: when their part is held, they end as possibly run and their connections close', async () => {
+	const log: string[] = [];
+	const gateway = await startModels(log);
+	await callModel(gateway, 'before', 'shared:40,own0:9');
+	await sleep(300);
+	const slow = callModel(gateway, 'slow', 'shared:40,bad:20,slow:9,own:9');
+	for (let at = 0; at < 3; at++) {
+		await callModel(gateway, `bad-${at}`, `shared:40,bad:20,own${at}:9`);
+		await sleep(60);
+	}
+
+	const {status, headers} = await slow;
+	expect([status, headers['response-seal'], log.includes('closed')]).to.deep.equal([502, undefined, true]);
+});
+
+/** Returns crashes one second apart, each given by its broken calls, such as `'x bad, y'`. */
+function crashesOf(texts: readonly string[], gapMs = 1000): KnownCrash[] {
+	return texts.map((text, at) => {
+		const calls = text.split(', ').map(call => call.split(' ').map(name => part(name)));
+		return {atMs: at * gapMs, calls: new Map(calls.map(parts => [parts.join(' '), parts])), parts: new Set(calls.flat())};
+	});
+}
+
+function blame(crashes: readonly KnownCrash[], survivals: Record<string, number> = {}) {
+	return findCrashingParts({crashes, lastSurvivalMs: name => survivals[name], blamed: new Set()}).map(({part: name, rivals}) => [name, ...rivals].join(' | '));
+}
+
+it('guards against sound calls that are blamed for the company they keep: the part of every crash explains them, and its neighbours go free', () => {
+	expect(blame(crashesOf(['x bad, rare', 'x bad, rare', 'x bad, rare, y', 'x bad, y', 'x bad, y']), {x: 3500})).to.deep.equal(['bad']);
+	expect(blame(crashesOf(['x bad, y', 'x bad, y']))).to.deep.equal([]);
+});
+
+it('guards against a failed rack that is taken for a crashing part: crashes at the same moment count once', () => {
+	expect(blame(crashesOf(['a', 'a', 'a', 'a', 'a', 'a', 'a'], 5))).to.deep.equal([]);
+});
+
+it('guards against refusing what engines answer: a part with a known survival needs six crashes since the last one', () => {
+	expect(blame(crashesOf(['a', 'a', 'a', 'a', 'a']), {a: -1})).to.deep.equal([]);
+	expect(blame(crashesOf(['a', 'a', 'a', 'a', 'a', 'a']), {a: -1})).to.deep.equal(['a']);
+});
+
+it('guards against blaming the wrong one of two parts that always come together: only calls with both are refused, and of two others the one of fewer calls', () => {
+	expect(blame(crashesOf(['x bad', 'x bad', 'x bad']))).to.deep.equal(['bad | x']);
+	expect(blame(crashesOf(['x bad, x', 'x bad', 'x bad']))).to.deep.equal(['bad | x']);
+	expect(blame(crashesOf(['aa zz, aa', 'aa zz', 'aa zz, aa q']))).to.deep.equal(['zz | aa']);
+});
+
+it('guards against blame without a reason: no part is blamed that was in fewer than three crashes since its last survival', () => {
+	const name = fc.constantFrom('a', 'b', 'c', 'd', 'e');
+	const crash = fc.array(fc.array(name, {minLength: 1, maxLength: 3}), {minLength: 1, maxLength: 4}).map(calls => calls.map(parts => parts.join(' ')).join(', '));
+	fc.assert(fc.property(fc.array(crash, {maxLength: 12}), fc.dictionary(name, fc.integer({min: -1, max: 12_000})), (texts, survivals) => {
+		const crashes = crashesOf(texts);
+		for (const {part: blamed} of findCrashingParts({crashes, lastSurvivalMs: id => survivals[id], blamed: new Set()})) {
+			const since = crashes.filter(({atMs, parts}) => parts.has(blamed) && atMs > (survivals[blamed] ?? -1));
+			expect(since.length).to.be.at.least(blamed in survivals ? 6 : 3);
+		}
+	}), {seed: 24, numRuns: 500});
+});
+
+/** Runs an action with a faked clock. */
+async function withClock(action: (clock: Clock) => Promise<void>): Promise<void> {
+	const clock = install({toFake: ['setTimeout', 'clearTimeout', 'performance']});
+	try {
+		await action(clock);
+	} finally {
+		clock.uninstall();
+	}
+}
+
+const engine = testInstance({id: 'i-1'});
+
+/** Creates a quarantine; it collects what it tells in `told`. */
+function createQuarantine(hasTurn = true): {quarantine: PromptQuarantine; told: Array<Partial<CrashNews>>} {
+	const told: Array<Partial<CrashNews>> = [];
+	const quarantine = new PromptQuarantine({log: createSilentLogger(), hasTurn: () => hasTurn, tell: news => told.push(news)});
+	return {quarantine, told};
+}
+
+/** Records crashes of calls with one part, a second apart. */
+async function crashTimes(quarantine: PromptQuarantine, clock: Clock, count: number, name = 'bad'): Promise<void> {
+	for (let at = 0; at < count; at++) {
+		quarantine.recordCrash({id: `crash-${name}-${performance.now()}`, atMs: performance.now(), calls: [[part(name)]]}, engine);
+		await clock.tickAsync(1000);
+	}
+}
+
+it('guards against trials that crash engines again and again: one gateway tries one call, after 10 s, then after four times as long', async () => {
+	await withClock(async clock => {
+		const {quarantine} = createQuarantine();
+		const {quarantine: other} = createQuarantine(false);
+		for (const each of [quarantine, other]) {
+			await crashTimes(each, clock, 3);
+			expect(each.admit([part('bad')])).to.deep.include({kind: 'refuse', part: 'bad'});
+			await clock.tickAsync(10_000);
+		}
+
+		expect(other.admit([part('bad')]).kind).to.equal('refuse');
+		expect([quarantine.admit([part('bad')]).kind, quarantine.admit([part('bad')]).kind]).to.deep.equal(['trial', 'refuse']);
+		await crashTimes(quarantine, clock, 1);
+		await clock.tickAsync(35_000);
+		expect(quarantine.admit([part('bad')]).kind).to.equal('refuse');
+		await clock.tickAsync(10_000);
+		expect(quarantine.admit([part('bad')]).kind).to.equal('trial');
+	});
+});
+
+it('guards against refusing sound calls for long: a call that was under way and is survived releases the part here and at other gateways', async () => {
+	await withClock(async clock => {
+		const {quarantine, told} = createQuarantine();
+		const {quarantine: other} = createQuarantine();
+		await crashTimes(quarantine, clock, 3);
+		other.mergeNews({crashes: [], survivals: [], holds: quarantine.holds});
+		expect(other.admit([part('bad')]).kind).to.equal('refuse');
+		quarantine.recordSurvival(engine, [part('bad')]);
+		await clock.tickAsync(500);
+		other.mergeNews({crashes: [], holds: [], survivals: told.flatMap(({survivals}) => survivals ?? [])});
+		expect([quarantine.admit([part('bad')]).kind, other.admit([part('bad')]).kind]).to.deep.equal(['pass', 'pass']);
+	});
+});
+
+it('guards against a hold that its own cause ends: a call that ends just before its engine crashes is no survival', async () => {
+	await withClock(async clock => {
+		const {quarantine} = createQuarantine();
+		await crashTimes(quarantine, clock, 3);
+		quarantine.recordSurvival(engine, [part('bad')]);
+		await clock.tickAsync(50);
+		quarantine.recordCrash({id: 'last', atMs: performance.now(), calls: []}, engine);
+		await clock.tickAsync(1000);
+		expect(quarantine.admit([part('bad')]).kind).to.equal('refuse');
+	});
+});
+
+it('guards against state that grows with what callers send: after 20,000 parts and 2,000 crashes little is held and told, and the latest part is still found', async () => {
+	await withClock(async clock => {
+		const {quarantine, told} = createQuarantine();
+		for (let at = 0; at < 2000; at++) {
+			quarantine.recordSurvival(engine, [part(`ok-${at}`)]);
+			quarantine.recordCrash({id: `c-${at}`, atMs: performance.now(), calls: Array.from({length: 10}, (_, call) => [part(`p-${at % 100}-${call}`)])}, testInstance({id: `i-${at}`}));
+			await clock.tickAsync(60);
+		}
+
+		await crashTimes(quarantine, clock, 3);
+		const heldParts: readonly Hold[] = quarantine.holds;
+		expect(heldParts.length).to.be.at.most(64);
+		expect(quarantine.admit([part('bad')]).kind).to.equal('refuse');
+		expect(Math.max(...told.map(({survivals = [], crashes = []}) => survivals.length + crashes.length))).to.be.at.most(64);
+	});
+});
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -108,6 +108,9 @@
 		directory, codec: platformCodec, tracker, crashes, quarantine, loads: {ask: async () => new Map()}, random: new RandomSource(7), log, zone: 'z',
 		retryBudget: {ratio: 0.2, slack: 100, windowMs: 10_000}, versionBoundMs: 8000, gatewayCount: () => 1, onEnd: () => undefined,
 	});
+	quarantine.onHeld(() => {
+		forwarder.endHeldCalls();
+	});
 	const port = 20_000 + new RandomSource(Date.now() % 2_147_483_647).nextInt(12_000);
 	const listener = new CallerListener({
 		forwarder, codec: platformCodec, log, limits: () => directory.table?.configuration.limits,
