Tell no other gateway of crashes that broke off no call with a shared prompt part

Cause: plain services have no prompt parts, but their crashes were spread like those of engines, without use. Change: such a crash is logged and counted here only.

--- a/bench/quarantine-model.ts
+++ b/bench/quarantine-model.ts
@@ -165,7 +165,7 @@
 					};
 				},
 				send: (message, {host}) => {
-					const [, , high, low] = host.split('.').map(Number);
+					const [high, low] = host.split('.').slice(2).map(Number);
 					this.deliver(message, (high! * 250) + low!);
 				},
 			},
--- a/src/quarantine/crash-detector.ts
+++ b/src/quarantine/crash-detector.ts
@@ -22,7 +22,7 @@
 	readonly id: string;
 	/** When the first of these calls was broken off, in milliseconds of this process's monotonic clock. */
 	readonly atMs: number;
-	/** The shared prompt parts of each call that the crash broke off; calls with the same parts count once. */
+	/** The shared prompt parts of each call that the crash broke off; calls with the same parts count once, calls without any not at all. */
 	readonly calls: ReadonlyArray<readonly PromptPartId[]>;
 };
 
@@ -63,7 +63,7 @@
 		};
 		this.breaks.set(instance.id, entry);
 		entry.count++;
-		if (entry.calls.size < maxCallsPerCrash) {
+		if (parts.length > 0 && entry.calls.size < maxCallsPerCrash) {
 			entry.calls.set(parts.join(' '), parts);
 		}
 
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -160,7 +160,7 @@
 
 	private addCrashes(crashes: readonly Crash[]): void {
 		const news = crashes.flatMap(crash => {
-			const calls = this.evidence.addCrash(crash);
+			const calls = crash.calls.length > 0 ? this.evidence.addCrash(crash) : undefined;
 			return calls ? [{...crash, calls}] : [];
 		});
 		if (news.length === 0) {
