Count a call that fell silent at an engine which refuses connections, and no engine that does not react

Cause: a lossy link loses the reset of a crash, so that the call only falls silent and the crash is not seen by its gateway; and an engine that is cut off does not react to a probe, which counted as a crash of each engine beyond the cut, and could hold sound parts. Change: the probe tells refusal from silence, a crash needs a refusal, and calls that fall silent are examined like broken ones. Tests: a call that falls silent at a closed engine (seen red without the change: no crash recorded); a silent probe is no crash.

--- a/bench/quarantine-model.ts
+++ b/bench/quarantine-model.ts
@@ -171,7 +171,7 @@
 			},
 		});
 		const crashes = new CrashDetector({
-			acceptsConnections: async ({id}) => this.engines.some(({instance, isUp}) => instance.id === id && isUp),
+			probe: async ({id}) => (this.engines.some(({instance, isUp}) => instance.id === id && isUp) ? 'accepts' : 'refuses'),
 			onCrash(crash, instance) {
 				quarantine.recordCrash(crash, instance);
 			},
--- a/src/cli/crash-protection.ts
+++ b/src/cli/crash-protection.ts
@@ -1,5 +1,5 @@
 /** Connects the parts of a gateway that keep calls from crashing one upstream after the other. */
-import {acceptsConnections} from '../forwarding/upstream-exchange.ts';
+import {probeConnection} from '../forwarding/upstream-exchange.ts';
 import type {DatagramPort} from '../links/datagram-port.ts';
 import {CrashGossip} from '../peers/crash-gossip.ts';
 import type {PeerList} from '../peers/peer-list.ts';
@@ -47,7 +47,7 @@
 		holds: () => quarantine.holds,
 	});
 	const crashes = new CrashDetector({
-		acceptsConnections: async ({address}) => acceptsConnections(address),
+		probe: async ({address}) => probeConnection(address),
 		onCrash(crash, instance) {
 			forwardingMetrics.recordCrash(instance.service);
 			quarantine.recordCrash(crash, instance);
--- a/src/forwarding/instance-tracker.ts
+++ b/src/forwarding/instance-tracker.ts
@@ -3,7 +3,7 @@
 import type {Logger} from '../runtime/logger.ts';
 import {InFlightCalls} from './in-flight-calls.ts';
 import type {EngineLoad, InFlightCounts} from './engine-forecast.ts';
-import {acceptsConnections} from './upstream-exchange.ts';
+import {probeConnection} from './upstream-exchange.ts';
 
 /** How long the load reported in a response is used, in milliseconds. */
 const reportedLoadTtlMs = 600;
@@ -190,13 +190,13 @@
 
 	/** Probes an instance until it accepts connections or is discarded; the timer does not keep the process alive. */
 	private async probe(instance: Instance): Promise<void> {
-		const accepts = await acceptsConnections(instance.address);
+		const probe = await probeConnection(instance.address);
 		const health = this.health.get(instance.id);
 		if (!health) {
 			return;
 		}
 
-		if (accepts) {
+		if (probe === 'accepts') {
 			health.isUnreachable = false;
 			this.log.info({event: 'instance_back', instance: instance.id}, 'instance accepts connections again');
 			return;
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -43,7 +43,7 @@
 	readonly stallTimeoutsMs: {readonly first: number; readonly next: number};
 	/** Returns whether the call may be sent to another instance now. */
 	readonly canRetryElsewhere: () => boolean;
-	/** Called when the connection broke after the call was sent, before its outcome is reported. */
+	/** Called when the connection broke or fell silent after the call was sent, before its outcome is reported. */
 	readonly onBroken: () => void;
 	/** Called once when the upstream has responded completely, or for long enough to show that the call does not crash it. */
 	readonly onSurvived: () => void;
@@ -305,9 +305,10 @@
 	private restartStallTimer(limitMs: number): void {
 		clearTimeout(this.stallTimer);
 		this.stallTimer = setTimeout(() => {
-			const {canRetryElsewhere, tracker, instance} = this.options;
+			const {canRetryElsewhere, onBroken, tracker, instance} = this.options;
 			if (!this.isFinished && canRetryElsewhere()) {
 				tracker.markUnreachable(instance, 'silent');
+				onBroken();
 				this.fail('silent');
 			}
 		}, limitMs);
--- a/src/forwarding/upstream-exchange.ts
+++ b/src/forwarding/upstream-exchange.ts
@@ -144,28 +144,31 @@
 	}
 }
 
+/** What an upstream does with a new TCP connection; `silent` if it does not react in time. */
+export type ConnectionProbe = 'accepts' | 'refuses' | 'silent';
+
 /**
- * Returns whether an upstream accepts TCP connections.
+ * Opens a TCP connection to an upstream and closes it.
  *
  * @param address - IP address and TCP port of the upstream
  */
-export async function acceptsConnections(address: string): Promise<boolean> {
+export async function probeConnection(address: string): Promise<ConnectionProbe> {
 	const {host, port} = parseAddress(address);
 	return new Promise(resolve => {
 		const socket = net.connect({host, port});
-		const finish = (accepts: boolean) => {
+		const finish = (probe: ConnectionProbe) => {
 			socket.destroy();
-			resolve(accepts);
+			resolve(probe);
 		};
 
 		socket.setTimeout(connectTimeoutMs, () => {
-			finish(false);
+			finish('silent');
 		});
 		socket.once('connect', () => {
-			finish(true);
+			finish('accepts');
 		});
-		socket.once('error', () => {
-			finish(false);
+		socket.once('error', (err: NodeJS.ErrnoException) => {
+			finish(err.code === 'ECONNREFUSED' ? 'refuses' : 'silent');
 		});
 	});
 }
--- a/src/quarantine/crash-detector.ts
+++ b/src/quarantine/crash-detector.ts
@@ -1,9 +1,11 @@
 /**
- * Tells crashes of upstreams from broken connections: an upstream that broke connections off and does not accept new ones has crashed.
+ * Tells crashes of upstreams from broken connections: an upstream that broke off or left calls and refuses new connections has crashed.
+ * One that does not react at all may only be cut off.
  *
  * The calls that a crash breaks off at this gateway are reported together, since any of them may have caused it.
  */
 import type {Instance} from '../directory/directory-types.ts';
+import type {ConnectionProbe} from '../forwarding/upstream-exchange.ts';
 import type {PromptPartId} from '../ids/prompt-part-id.ts';
 import type {Logger} from '../runtime/logger.ts';
 
@@ -28,8 +30,8 @@
 
 /** Dependencies of a {@link CrashDetector}. */
 export type CrashDetectorOptions = {
-	/** Returns whether an upstream accepts connections. */
-	readonly acceptsConnections: (instance: Instance) => Promise<boolean>;
+	/** Returns what an upstream does with a new connection. */
+	readonly probe: (instance: Instance) => Promise<ConnectionProbe>;
 	/** Called for a crash, and once more when further calls turn out to have been broken off by it. */
 	readonly onCrash: (crash: Crash, instance: Instance) => void;
 	readonly log: Logger;
@@ -53,7 +55,7 @@
 	constructor(private readonly options: CrashDetectorOptions) {}
 
 	/**
-	 * Records that an upstream broke off the connection of a call that was sent to it.
+	 * Records that an upstream broke off the connection of a call that was sent to it, or sent nothing for too long.
 	 *
 	 * @param parts - the shared prompt parts of the call
 	 */
@@ -77,7 +79,7 @@
 
 	/** Probes the upstream unless it is known to have crashed, and reports the crash with the calls gathered so far. */
 	private async examine(entry: Break): Promise<void> {
-		if (!entry.hasCrashed && await this.options.acceptsConnections(entry.instance)) {
+		if (!entry.hasCrashed && await this.options.probe(entry.instance) !== 'refuses') {
 			this.breaks.delete(entry.instance.id);
 			return;
 		}
@@ -97,7 +99,7 @@
 		const partsOfCalls = [...calls.values()];
 		this.options.log.warn({
 			event: 'instance_crashed', instance: instance.id, address: instance.address, startedAtMs: instance.startedAtMs, calls: count, parts: [...new Set(partsOfCalls.flat())],
-		}, 'an upstream broke off its calls and accepts no connections');
+		}, 'an upstream broke off its calls and refuses connections');
 		this.options.onCrash({id: `${instance.id}@${instance.startedAtMs}`, atMs: brokenAtMs, calls: partsOfCalls}, instance);
 	}
 }
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -31,12 +31,12 @@
 	});
 }
 
-it('guards against taking a reset connection for a crash: an upstream that still accepts connections has not crashed, one that refuses them has, with the parts of all its calls', async () => {
+it('guards against taking a reset connection for a crash: an upstream that accepts connections or does not react has not crashed, one that refuses them has, with the parts of all its calls', async () => {
 	const crashes: Crash[] = [];
 	const detector = new CrashDetector({
-		acceptsConnections: async ({id}) => id === 'i-alive', onCrash: crash => crashes.push(crash), log: createSilentLogger(),
+		probe: async ({id}) => (id === 'i-alive' ? 'accepts' : (id === 'i-cut-off' ? 'silent' : 'refuses')), onCrash: crash => crashes.push(crash), log: createSilentLogger(),
 	});
-	for (const [id, name] of [['i-alive', 'a'], ['i-dead', 'b'], ['i-dead', 'c']] as const) {
+	for (const [id, name] of [['i-alive', 'a'], ['i-cut-off', 'a'], ['i-dead', 'b'], ['i-dead', 'c']] as const) {
 		detector.recordBroken(testInstance({id}), [part(name)]);
 	}
 
@@ -282,3 +282,33 @@
 		expect(Math.max(...told.map(({survivals = [], crashes = []}) => survivals.length + crashes.length))).to.be.at.most(64);
 	});
 });
+
+it('guards against a crash whose reset is lost: a call that falls silent at an engine which refuses connections counts as broken off by a crash', async () => {
+	const silent = http.createServer(() => {
+		silent.close();
+	});
+	await new Promise<void>(resolve => {
+		silent.listen(0, '127.0.0.1', resolve);
+	});
+	const service = createServiceId('models');
+	const configuration = testConfiguration(1, {
+		kind: 'stream', isResumable: true, timeoutMs: 5000, targets: [{service, weight: 1}],
+	});
+	const gateway = await startTestGateway(configuration, [testInstance({
+		id: 'i-silent', service, slots: 16, address: `127.0.0.1:${(silent.address() as AddressInfo).port}`, held: [{
+			model: 'm', version: 1, fromLayer: 0, toLayer: 16,
+		}],
+	})]);
+	open.push(gateway, {
+		close() {
+			silent.closeAllConnections();
+		},
+	});
+	await callGateway(gateway.url, {
+		headers: {
+			model: 'm', 'token-usage': '100,50', 'prompt-prefix': 'shared:40,own:9', 'deadline-ms': '5000',
+		},
+	});
+	await sleep(100);
+	expect(gateway.crashes).to.have.length(1);
+});
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -9,10 +9,10 @@
 } from '../../src/directory/directory-types.ts';
 import {CallForwarder} from '../../src/forwarding/call-forwarder.ts';
 import {CallerListener} from '../../src/forwarding/caller-listener.ts';
-import {acceptsConnections} from '../../src/forwarding/upstream-exchange.ts';
+import {probeConnection} from '../../src/forwarding/upstream-exchange.ts';
 import {InstanceTracker} from '../../src/forwarding/instance-tracker.ts';
 import {PromptQuarantine} from '../../src/quarantine/prompt-quarantine.ts';
-import {CrashDetector} from '../../src/quarantine/crash-detector.ts';
+import {type Crash, CrashDetector} from '../../src/quarantine/crash-detector.ts';
 import {createServiceId} from '../../src/ids/service-id.ts';
 import {createWorkspaceId} from '../../src/ids/workspace-id.ts';
 import {createSilentLogger} from '../../src/runtime/logger.ts';
@@ -89,7 +89,7 @@
 }
 
 /** A gateway in the test process, without its control listeners. */
-export type TestGateway = {readonly directory: Directory; readonly tracker: InstanceTracker; readonly url: string; readonly close: () => void};
+export type TestGateway = {readonly directory: Directory; readonly tracker: InstanceTracker; readonly crashes: readonly Crash[]; readonly url: string; readonly close: () => void};
 
 /** Starts the caller listener of a gateway with the given configuration and instances. */
 export async function startTestGateway(configuration: PublishedConfiguration | undefined, instances: readonly Instance[]): Promise<TestGateway> {
@@ -98,9 +98,11 @@
 	directory.apply({revision: 1, changes: configuration ? [{revision: 1, change: {kind: 'configuration', configuration}}] : []});
 	directory.replaceInstances({revision: 2, changes: instances.map(instance => ({revision: 2, change: {kind: 'instance', instance}}))});
 	const tracker = new InstanceTracker(log);
+	const crashList: Crash[] = [];
 	const quarantine = new PromptQuarantine({log, hasTurn: () => true, tell: () => undefined});
 	const crashes = new CrashDetector({
-		acceptsConnections: async ({address}) => acceptsConnections(address), onCrash(crash, instance) {
+		probe: async ({address}) => probeConnection(address), onCrash(crash, instance) {
+			crashList.push(crash);
 			quarantine.recordCrash(crash, instance);
 		}, log,
 	});
@@ -117,7 +119,7 @@
 	});
 	await listener.start({host: '127.0.0.1', port});
 	return {
-		directory, tracker, url: `http://127.0.0.1:${port}`, close() {
+		directory, tracker, crashes: crashList, url: `http://127.0.0.1:${port}`, close() {
 			listener.destroy();
 		},
 	};
