--- a/bench/quarantine.ts
+++ b/bench/quarantine.ts
@@ -1,10 +1,13 @@
-/** Plays calls that crash engines with few and many gateways, with and without crashes of other causes: `node build/bench.mjs quarantine [SEEDS]`. */
+/** Plays calls that crash engines with few and many gateways, with and without crashes of other causes: `node build/bench.mjs quarantine [SEEDS [GATEWAYS]]`. */
 import process from 'node:process';
 import {initRendezvousHash} from '../src/runtime/rendezvous.ts';
 import {playQuarantine, type QuarantineResult, type QuarantineScenario} from './quarantine-model.ts';
 
 const seeds = Number(process.argv[2] ?? 5);
 
+/** Larger fleets are left out. */
+const mostGateways = Number(process.argv[3] ?? Number.POSITIVE_INFINITY);
+
 const sizes = [
 	{gateways: 3, engines: 10, callsPerSecond: 60},
 	{gateways: 7, engines: 10, callsPerSecond: 120},
@@ -26,7 +29,7 @@
 await initRendezvousHash();
 console.log('| gateways | load | crashes before the hold | crashes by calls | late calls | sound calls refused | of | datagrams a gateway |');
 console.log('| --- | --- | --- | --- | --- | --- | --- | --- |');
-for (const size of sizes) {
+for (const size of sizes.filter(({gateways}) => gateways <= mostGateways)) {
 	for (const {name, ...variant} of variants) {
 		const results: QuarantineResult[] = [];
 		for (let seed = 1; seed <= seeds; seed++) {
