Tell a reset from the end of an answer without a length also while data is read

Callers saw, or could see: the beginning of an answer or stream without a length as a complete one, when its upstream crashed while bytes were on their way. Cause: libuv reports an end of the connection instead of its error if the hang-up comes just after a partial read, and the gateway took each end for the FIN of a complete answer. Change: at the end of the connection, the socket has a peer after a FIN and none after a reset. The client of the tests does the same, so that its check is as strict as before and right.

--- a/src/forwarding/upstream-exchange.ts
+++ b/src/forwarding/upstream-exchange.ts
@@ -89,8 +89,9 @@
 			this.isConnected = true;
 			clearTimeout(this.connectTimer);
 		});
-		socket.once('end', () => {
-			this.hasReceivedFin = true;
+		socket.prependOnceListener('end', () => {
+			// The event loop also reports a reset as an end if data was read just before. The socket has no peer then.
+			this.hasReceivedFin = socket.remoteAddress !== undefined;
 		});
 	}
 
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -1,4 +1,5 @@
 /** Tests forwarding over loopback: what callers and upstreams receive when responses are lost, altered, refused or late. */
+import net, {type AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {createServiceId} from '../src/ids/service-id.ts';
@@ -143,6 +144,32 @@
 	}
 });
 
+it('guards against an unframed response that a reset cuts off while its data is read: it is never passed on as complete', async () => {
+	const upstream = net.createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.once('data', () => {
+			socket.write('HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nResponse-Seal: s.1\r\n\r\n');
+			const block = 'x'.repeat(2000);
+			const timer = setInterval(() => {
+				socket.write(block);
+			}, 1);
+			setTimeout(() => {
+				clearInterval(timer);
+				socket.write(block);
+				socket.resetAndDestroy();
+			}, 20);
+		});
+	});
+	await new Promise<void>(resolve => {
+		upstream.listen(0, '127.0.0.1', resolve);
+	});
+	const gateway = await startTestGateway(testConfiguration(1), [testInstance({id: 'i-0', address: `127.0.0.1:${(upstream.address() as AddressInfo).port}`, slots: 1000})]);
+	open.push(gateway, upstream);
+	for (let at = 0; at < 60; at++) {
+		expect((await callGateway(gateway.url)).status).to.equal(502);
+	}
+});
+
 it('guards against a response that looks more complete than the upstream made it: an unframed response stays unframed', async () => {
 	const {gateway} = await start({kind: 'once'}, [req => {
 		req.socket.end('HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nResponse-Seal: s\r\nConnection: close\r\n\r\npart');
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -155,6 +155,12 @@
 				});
 			});
 		});
+		req.on('socket', socket => {
+			socket.prependOnceListener('end', () => {
+				// Node.js may report a reset as an end; the socket has no peer then.
+				wasReset ||= socket.remoteAddress === undefined;
+			});
+		});
 		req.on('error', err => {
 			// The parser reports a response without a length as complete even if a reset cut it off.
 			wasReset = true;
