--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -166,7 +166,8 @@
 	const gateway = await startTestGateway(testConfiguration(1), [testInstance({id: 'i-0', address: `127.0.0.1:${(upstream.address() as AddressInfo).port}`, slots: 1000})]);
 	open.push(gateway, upstream);
 	for (let at = 0; at < 60; at++) {
-		expect((await callGateway(gateway.url)).status).to.equal(502);
+		const response = await callGateway(gateway.url);
+		expect(response.status).to.equal(502);
 	}
 });
 
