--- a/src/peers/crash-gossip.ts
+++ b/src/peers/crash-gossip.ts
@@ -4,7 +4,7 @@
  */
 import type {DatagramPort} from '../links/datagram-port.ts';
 import {parseAddress} from '../links/http-listener.ts';
-import {type CrashDatagram, crashDatagramSchema} from '../messages/crash-datagram.ts';
+import {type CrashDatagram, crashDatagramSchema, maxDistanceMs} from '../messages/crash-datagram.ts';
 import type {PeerInfo} from '../messages/peers-exchange.ts';
 import type {Hold} from '../quarantine/hold.ts';
 import type {CrashNews} from '../quarantine/prompt-quarantine.ts';
@@ -98,12 +98,12 @@
 
 function listFacts({crashes = [], survivals = [], holds = []}: Partial<CrashNews>): Fact[] {
 	const nowMs = performance.now();
-	const age = (atMs: number) => Math.max(0, Math.round(nowMs - atMs));
+	const age = (atMs: number) => Math.min(maxDistanceMs, Math.max(0, Math.round(nowMs - atMs)));
 	const fact = (at: Fact['at'], entry: readonly unknown[]): Fact => ({at, entry, length: JSON.stringify(entry).length});
 	return [
 		...crashes.flatMap(({id, atMs, calls}) => slice(calls, maxItems.calls).map(part => fact(1, [id, age(atMs), part]))),
 		...survivals.map(({part, atMs}) => fact(2, [part, age(atMs)])),
-		...holds.map(({part, rivals, lastCrashMs, trials, nextTrialMs}) => fact(3, [part, rivals, age(lastCrashMs), trials, Math.round(nextTrialMs - nowMs)])),
+		...holds.map(({part, rivals, lastCrashMs, trials, nextTrialMs}) => fact(3, [part, rivals, age(lastCrashMs), trials, Math.max(-maxDistanceMs, Math.round(nextTrialMs - nowMs))])),
 	];
 }
 
--- a/src/quarantine/hold.ts
+++ b/src/quarantine/hold.ts
@@ -41,9 +41,14 @@
 	};
 }
 
+/** Returns whether a hold is still in force. */
+export function isInForce({lastCrashMs}: Hold, nowMs: number): boolean {
+	return lastCrashMs >= nowMs - holdTtlMs;
+}
+
 /** Returns whether a hold applies to a call with these parts, one of which is the held one. */
-export function appliesTo({rivals, lastCrashMs}: Hold, parts: readonly PromptPartId[], nowMs: number): boolean {
-	return lastCrashMs >= nowMs - holdTtlMs && (rivals.length === 0 || rivals.some(rival => parts.includes(rival)));
+export function appliesTo(hold: Hold, parts: readonly PromptPartId[], nowMs: number): boolean {
+	return isInForce(hold, nowMs) && (hold.rivals.length === 0 || hold.rivals.some(rival => parts.includes(rival)));
 }
 
 /**
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -11,7 +11,7 @@
 import {CrashEvidence, survivalDelayMs} from './crash-evidence.ts';
 import {countCrashesAfter, findCrashingParts} from './find-crashing-parts.ts';
 import {
-	type Admission, appliesTo, clockToleranceMs, createHold, decideAdmission, type Hold, withCrash, withPeerHold, withTrial,
+	type Admission, appliesTo, clockToleranceMs, createHold, decideAdmission, type Hold, isInForce, withCrash, withPeerHold, withTrial,
 } from './hold.ts';
 import {RecentTimes} from './recent-times.ts';
 
@@ -63,9 +63,10 @@
 		this.holdListeners.push(listener);
 	}
 
-	/** The held parts. */
+	/** The parts that are held now. */
 	get holds(): readonly Hold[] {
-		return [...this.holdsByPart.values()];
+		const nowMs = performance.now();
+		return [...this.holdsByPart.values()].filter(hold => isInForce(hold, nowMs));
 	}
 
 	/**
@@ -183,7 +184,7 @@
 
 	private judge(): void {
 		const {crashes} = this.evidence;
-		const found = findCrashingParts({crashes, lastSurvivalMs: part => this.evidence.lastSurvivalMs(part), blamed: new Set(this.holdsByPart.keys())});
+		const found = findCrashingParts({crashes, lastSurvivalMs: part => this.evidence.lastSurvivalMs(part), blamed: new Set(this.holds.map(({part}) => part))});
 		for (const {part, rivals} of found) {
 			this.updateHold(createHold(part, rivals, Math.max(...this.evidence.crashTimes(part))), 'crashes');
 		}
@@ -219,7 +220,7 @@
 		const isNew = !this.holdsByPart.has(hold.part);
 		this.holdsByPart.set(hold.part, hold);
 		if (this.holdsByPart.size > maxHolds) {
-			const [oldest] = this.holds.toSorted((a, b) => a.lastCrashMs - b.lastCrashMs);
+			const [oldest] = [...this.holdsByPart.values()].toSorted((a, b) => a.lastCrashMs - b.lastCrashMs);
 			this.holdsByPart.delete(oldest!.part);
 		}
 
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -5,6 +5,9 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {createServiceId} from '../src/ids/service-id.ts';
+import {crashDatagramSchema} from '../src/messages/crash-datagram.ts';
+import {CrashGossip} from '../src/peers/crash-gossip.ts';
+import {RandomSource} from '../src/runtime/random-source.ts';
 import {createPromptPartId, type PromptPartId} from '../src/ids/prompt-part-id.ts';
 import {type Crash, CrashDetector} from '../src/quarantine/crash-detector.ts';
 import type {KnownCrash} from '../src/quarantine/crash-evidence.ts';
@@ -313,3 +316,27 @@
 	await sleep(100);
 	expect(gateway.crashes).to.have.length(1);
 });
+
+it('guards against old facts that no gateway can read: after days, an expired hold is told no more, and long ages are shortened', async () => {
+	await withClock(async clock => {
+		const sent: unknown[] = [];
+		const {quarantine} = createQuarantine();
+		await crashTimes(quarantine, clock, 3);
+		const [hold] = quarantine.holds;
+		await clock.tickAsync(3 * 86_400_000);
+		expect([quarantine.holds.length, quarantine.admit([part('bad')]).kind]).to.deep.equal([0, 'pass']);
+		const gossip = new CrashGossip({
+			zone: 'z', port: 1, random: new RandomSource(1), holds: () => quarantine.holds, mergeNews: () => undefined,
+			others: () => [{
+				vm: 'g', startedAtMs: 1, role: 'gateway', zone: 'z', region: 'r', address: '127.0.0.1:1',
+			}],
+			datagrams: {on: () => undefined, send: message => sent.push(message)},
+		});
+		gossip.tell({crashes: [{id: 'c', atMs: 0, calls: [[part('a')]]}], survivals: [{part: part('a'), atMs: 0}], holds: [hold!]});
+		await clock.tickAsync(10);
+		expect(sent).to.have.length(1);
+		expect(() => crashDatagramSchema.parse(sent[0])).not.to.throw();
+		await crashTimes(quarantine, clock, 3);
+		expect(quarantine.admit([part('bad')]).kind).to.equal('refuse');
+	});
+});
