Log how long attempts waited, by how much a naming time was corrected, and how late the event loop ran

Cause: no line said how long a call waited beside what its version allowed, by how much a belief about a version was corrected, or that a process acted late, so that a wrong belief and a late process read alike. Change: call_ended and send_ended carry version, waitedMs, predictedMs, startWindowMs and overrunMs; version_named carries correctedByMs; event_loop_delayed is logged when the check of 250 ms runs more than 200 ms late, at most once per check. Ruled out: a line for each placement, which would double the lines of a busy gateway. Conclusion: no change of a decision; typecheck, linter and the tests of orders pass.

--- a/src/cli/gateway-stager-base.ts
+++ b/src/cli/gateway-stager-base.ts
@@ -123,6 +123,9 @@
 			this.watchManager.restart();
 			this.group.hurry();
 		});
+		this.pauseDetector.onDelay(delayMs => {
+			this.log.warn({event: 'event_loop_delayed', delayMs: Math.round(delayMs)}, 'the event loop ran late, and so did timers and messages');
+		});
 		this.watchManager.start();
 		this.news.start();
 		this.group.start();
--- a/src/directory/named-versions.ts
+++ b/src/directory/named-versions.ts
@@ -57,7 +57,7 @@
 		this.versionsByModel.set(model, [...others, candidate].toSorted((a, b) => a.version - b.version).slice(-maxVersionsPerModel));
 		this.changes++;
 		this.log.info({
-			event: 'version_named', model, version: candidate.version, newestBefore: versions.at(-1)?.version, ageMs: Math.round(performance.now() - candidate.sinceMs), isAssumed: candidate.isAssumed,
+			event: 'version_named', model, version: candidate.version, newestBefore: versions.at(-1)?.version, ageMs: Math.round(performance.now() - candidate.sinceMs), isAssumed: candidate.isAssumed, ...(known ? {correctedByMs: Math.round(candidate.sinceMs - known.sinceMs)} : {}),
 		}, 'a version of weights was named');
 	}
 }
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -69,6 +69,8 @@
 export class ForwardedCall {
 	private readonly tried = new Set<string>();
 	private attempt: UpstreamAttempt | undefined;
+	/** Version of the model that the instance of the last attempt held, for the log. */
+	private version: number | undefined;
 	/** Attempts that may have run the call. */
 	private possibleRuns = 0;
 	/** Attempts that certainly did not run the call. */
@@ -153,7 +155,7 @@
 		const ms = performance.now() - call.receivedAtMs;
 		const level = outcome === 'served' || outcome === 'left' ? 'info' : 'warn';
 		log[level]({
-			event: 'call_ended', id: call.headers.attemptId, route: route.name, service, outcome, ms: Math.round(ms), tried: [...this.tried], ...fields,
+			event: 'call_ended', id: call.headers.attemptId, route: route.name, service, outcome, ms: Math.round(ms), tried: [...this.tried], version: this.version, ...this.attempt?.timing, ...fields,
 		}, 'call ended');
 		onEnd(outcome, ms);
 	}
@@ -225,6 +227,7 @@
 	private startAttempt({instance, predictedMs, version, startWindowMs}: SelectedInstance): void {
 		const {call, route, holder, writer, codec, tracker, buffers} = this.options;
 		this.tried.add(instance.id);
+		this.version = version;
 		this.possibleRuns++;
 		this.attempt = new UpstreamAttempt({
 			call,
@@ -304,7 +307,7 @@
 			tryTakeRetry: this.options.tryTakeRetry,
 		});
 		log.info({
-			event: 'send_ended', id: call.headers.attemptId, instance: this.attempt?.instanceId, outcome: outcome.kind, reason: describe(outcome), step, runs: this.possibleRuns,
+			event: 'send_ended', id: call.headers.attemptId, instance: this.attempt?.instanceId, outcome: outcome.kind, reason: describe(outcome), step, runs: this.possibleRuns, version: this.version, ...this.attempt?.timing,
 		}, 'attempt ended without a complete response');
 		if (step === 'repeat') {
 			void this.tryNextInstance();
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import type {Instance} from '../directory/directory-types.ts';
 import {parseAddress} from '../links/http-listener.ts';
+import {type AttemptTiming, describeAttemptTiming} from './attempt-timing.ts';
 import type {ResponseWriter} from './response-writer.ts';
 import type {AttemptOutcome} from './decide-next-step.ts';
 import {EventSplitter, type StreamEvent} from './event-splitter.ts';
@@ -110,6 +111,12 @@
 		return this.options.instance.id;
 	}
 
+	/** How long the attempt took to begin, beside what was predicted and allowed. */
+	get timing(): AttemptTiming {
+		const waitedMs = Math.min(this.firstEventAtMs, performance.now()) - this.startedAtMs;
+		return describeAttemptTiming(waitedMs, this.options.predictedMs, this.options.startWindowMs);
+	}
+
 	/** Returns the complete response; undefined if there is none or it was streamed. */
 	bufferedResponse(): BufferedResponse | undefined {
 		return this.buffered;
--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -6,14 +6,19 @@
 /** The minimum time between two checks that counts as a pause, in milliseconds. */
 export const pauseThresholdMs = 2000;
 
+/** The minimum delay of a check that {@link PauseDetector.onDelay} reports, in milliseconds; shorter ones are common on a busy VM. */
+const reportedDelayMs = 200;
+
 /** Calls its listeners after the event loop did not run for at least {@link pauseThresholdMs}. */
 export class PauseDetector {
 	private lastCheckAtMs = performance.now();
 	private readonly listeners = new Set<(gapMs: number) => void>();
+	private readonly delayListeners = new Set<(delayMs: number) => void>();
 	private readonly timer: NodeJS.Timeout;
 
 	constructor() {
 		this.timer = setInterval(() => {
+			this.reportDelay(performance.now() - this.lastCheckAtMs - pauseCheckIntervalMs);
 			this.check();
 		}, pauseCheckIntervalMs);
 		this.timer.unref();
@@ -50,8 +55,27 @@
 		this.listeners.add(listener);
 	}
 
+	/**
+	 * Adds a listener that is called when the event loop ran a check late, which is how late it acts on timers and messages then.
+	 *
+	 * @param listener - receives the delay, in milliseconds
+	 */
+	onDelay(listener: (delayMs: number) => void): void {
+		this.delayListeners.add(listener);
+	}
+
 	/** Stops the timer. */
 	stop(): void {
 		clearInterval(this.timer);
 	}
+
+	private reportDelay(delayMs: number): void {
+		if (delayMs < reportedDelayMs) {
+			return;
+		}
+
+		for (const listener of this.delayListeners) {
+			listener(delayMs);
+		}
+	}
 }
