Let no call begin on older weights while it is unknown when a newer version was named

Cause: a version that the first read of a process found counted as named 5 s before. A stager that asked the source for the services itself recorded the versions it read as named at that moment, as if observed. Change: a process keeps bounds of the time of naming, the earliest and the latest possible one. The first read gives an upper bound only; older weights count as expired until a process that observed the naming tells a lower bound. Bounds of several sources are intersected, so the order of messages does not matter; bounds that exclude each other come from a delay, and the earlier pair is kept. Messages carry minAgeMs and maxAgeMs (absent if unknown) in place of ageMs and isAssumed. version_named has ageMs (of the earliest time, absent if unknown), minAgeMs, isAssumed (earliest time unknown) and correctedByMs; changes below 100 ms neither are logged nor spread. A version too old to be kept was recorded, dropped and spread anew with each message of a peer that still kept it; it is ignored now. What it costs: a process that restarts in the middle of a rollout refuses older weights until its first exchange with a seed, which starts together with the first read. If every gateway and stager restarts between naming and expiry, nobody knows, and engines with older weights get no calls until they have loaded. Ruled out for that case: a limit that begins at the first read, which lets calls begin up to the whole limit too late, since a power failure may last longer than it; and storing the time on disk, for a case in which engines restart too and have to load anyway. Stagers exchange bounds as gateways do, so one process of either kind that ran on is enough. Staging: while the time is unknown, engines load within 1.2 s after their chunks are staged, in the order of their rank. Tests: 'guards against old weights after a restart' encoded the assumption (it let 3 s pass before it expected a refusal); its replacement expects the refusal at once, that a peer without knowledge changes nothing, and the exact time left once a peer knows. Other tests change in the form of messages only.

--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -120,7 +120,7 @@
 	private applyChanges(changes: DirectoryChanges, isFullRead: boolean, isAfterOutage: boolean): void {
 		const {part, directory} = this.options;
 		// Before the first read, other processes may have had an outage of the source that this one did not notice.
-		const context = {isInitialRead: !this.hasReadOnce, isAfterOutage: isAfterOutage || !this.hasReadOnce};
+		const context = {isAfterOutage: isAfterOutage || !this.hasReadOnce, ...(this.hasReadOnce ? {} : {namedAfterMs: Number.NEGATIVE_INFINITY})};
 		if (isFullRead && part === 'instances') {
 			directory.replaceInstances(changes, context);
 		} else {
--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -12,16 +12,16 @@
 
 /** The circumstances in which changes were received. */
 export type ChangeContext = {
-	/** Whether this is the first read after the start, so versions may have been named long before. */
-	readonly isInitialRead: boolean;
+	/**
+	 * The earliest monotonic time at which the versions in the changes may have been named: `-Infinity` for a first read. By default
+	 * they count as named just now.
+	 */
+	readonly namedAfterMs?: number;
 	/** Whether these are the first changes after an outage of the source, during which entries may have expired although their instances still run. */
 	readonly isAfterOutage: boolean;
 };
 
-const watchContext: ChangeContext = {isInitialRead: false, isAfterOutage: false};
-
-/** Assumed age of versions that the first read finds, in milliseconds; large enough that older versions expire soon. */
-const assumedAgeMs = 5000;
+const watchContext: ChangeContext = {isAfterOutage: false};
 
 /** The parts of the directory that one process sends to another. */
 export type DirectorySnapshot = {
@@ -219,8 +219,9 @@
 			this.setConfiguration(applyDelta(this.routeTable!.configuration, configurationDelta), 'peer');
 		}
 
-		for (const {model, version, ageMs, isAssumed} of snapshot.versions) {
-			this.namedVersions.record(model, {version, sinceMs: performance.now() - ageMs, isAssumed});
+		const nowMs = performance.now();
+		for (const {model, version, minAgeMs, maxAgeMs = Number.POSITIVE_INFINITY} of snapshot.versions) {
+			this.namedVersions.record(model, {version, earliestMs: nowMs - maxAgeMs, latestMs: nowMs - minAgeMs});
 		}
 
 		if (snapshot.instances) {
@@ -238,8 +239,8 @@
 			}
 
 			case 'version': {
-				const ageMs = context.isInitialRead ? assumedAgeMs : 0;
-				this.namedVersions.record(change.model, {version: change.version, sinceMs: performance.now() - ageMs, isAssumed: context.isInitialRead});
+				const nowMs = performance.now();
+				this.namedVersions.record(change.model, {version: change.version, earliestMs: context.namedAfterMs ?? nowMs, latestMs: nowMs});
 				return;
 			}
 
--- a/src/directory/named-versions.ts
+++ b/src/directory/named-versions.ts
@@ -1,23 +1,29 @@
 /** The versions of weights that were named, and when. Naming a version means publishing it as the one that engines should serve. */
 import type {Logger} from '../runtime/logger.ts';
 
-/** A named version and the monotonic time at which it was named; `isAssumed` when the time is an assumption, since the version was named before this process started. */
-export type KnownVersion = {readonly version: number; readonly sinceMs: number; readonly isAssumed: boolean};
+/**
+ * A named version and the bounds of the monotonic time at which it was named. Older versions expire as if it had been named at the
+ * earliest possible time, which is `-Infinity` while no known process has observed the naming.
+ */
+export type KnownVersion = {readonly version: number; readonly earliestMs: number; readonly latestMs: number};
 
-/** Times of naming that differ by less count as equal, in milliseconds, since messages between processes take time. */
+/** Changes of a bound that are smaller count as none, in milliseconds, since messages between processes take time. */
 const timeToleranceMs = 100;
 
 /** Number of versions that are kept per model. */
 const maxVersionsPerModel = 4;
 
-/** A named version in the form that processes send to each other, with its age instead of a monotonic time. */
-export type NamedVersion = {readonly model: string; readonly version: number; readonly ageMs: number; readonly isAssumed: boolean};
+/** A named version in the form that processes send to each other, with bounds of its age instead of monotonic times; no greatest age means that it is unknown. */
+export type NamedVersion = {readonly model: string; readonly version: number; readonly minAgeMs: number; readonly maxAgeMs?: number | undefined};
+
+/** A known version, and the bound that was last reported as a change. */
+type Entry = KnownVersion & {readonly reportedMs: number};
 
 /** Keeps the latest named versions of each model. */
 export class NamedVersions {
-	/** Increases with each recorded change. */
+	/** Increases with each reported change. */
 	changes = 0;
-	private readonly versionsByModel = new Map<string, readonly KnownVersion[]>();
+	private readonly versionsByModel = new Map<string, readonly Entry[]>();
 
 	constructor(private readonly log: Logger) {}
 
@@ -29,8 +35,8 @@
 	/** All named versions in the form that is sent to other processes. */
 	get shareable(): NamedVersion[] {
 		const nowMs = performance.now();
-		return [...this.versionsByModel].flatMap(([model, versions]) => versions.map(({version, sinceMs, isAssumed}) => ({
-			model, version, ageMs: nowMs - sinceMs, isAssumed,
+		return [...this.versionsByModel].flatMap(([model, versions]) => versions.map(({version, earliestMs, latestMs}) => ({
+			model, version, minAgeMs: nowMs - latestMs, ...(Number.isFinite(earliestMs) ? {maxAgeMs: nowMs - earliestMs} : {}),
 		})));
 	}
 
@@ -39,25 +45,50 @@
 		return this.versionsByModel.get(model) ?? [];
 	}
 
-	/**
-	 * Records that a version was named.
-	 *
-	 * For a known version, an observed time replaces an assumed one, never the reverse. Of two times of the same kind the
-	 * earlier one is kept, since the time limit for older versions starts then.
-	 */
+	/** Records that a version was named, or merges the bounds of the time with the known ones. */
 	record(model: string, candidate: KnownVersion): void {
-		const versions = this.versionsOf(model);
+		const versions = this.versionsOf(model) as readonly Entry[];
 		const known = versions.find(({version}) => version === candidate.version);
-		const replacesKnown = !known || (known.isAssumed && !candidate.isAssumed) || (known.isAssumed === candidate.isAssumed && candidate.sinceMs < known.sinceMs - timeToleranceMs);
-		if (!replacesKnown) {
+		const {version, earliestMs, latestMs} = known ? mergeBounds(known, candidate) : candidate;
+		const isChange = !known || Math.abs(earliestMs - known.reportedMs) > timeToleranceMs;
+		const entry = {
+			version, earliestMs, latestMs, reportedMs: isChange ? earliestMs : known.reportedMs,
+		};
+		const kept = [...versions.filter(other => other.version !== version), entry].toSorted((a, b) => a.version - b.version).slice(-maxVersionsPerModel);
+		if (!kept.includes(entry)) {
 			return;
 		}
 
-		const others = versions.filter(({version}) => version !== candidate.version);
-		this.versionsByModel.set(model, [...others, candidate].toSorted((a, b) => a.version - b.version).slice(-maxVersionsPerModel));
-		this.changes++;
-		this.log.info({
-			event: 'version_named', model, version: candidate.version, newestBefore: versions.at(-1)?.version, ageMs: Math.round(performance.now() - candidate.sinceMs), isAssumed: candidate.isAssumed, ...(known ? {correctedByMs: Math.round(candidate.sinceMs - known.sinceMs)} : {}),
-		}, 'a version of weights was named');
+		this.versionsByModel.set(model, kept);
+		if (isChange) {
+			this.changes++;
+			this.log.info({
+				event: 'version_named', model, newestBefore: versions.at(-1)?.version, ...describeBounds(entry, known?.reportedMs),
+			}, 'a version of weights was named, or the bounds of the time when it was named changed');
+		}
+	}
+}
+
+/**
+ * Merges two pairs of bounds of the same time. Bounds that exclude each other come from a clock or a message that was delayed for longer
+ * than assumed; the earlier pair is kept then, since a delay only makes a version look younger.
+ */
+function mergeBounds(known: KnownVersion, candidate: KnownVersion): KnownVersion {
+	const earliestMs = Math.max(known.earliestMs, candidate.earliestMs);
+	const latestMs = Math.min(known.latestMs, candidate.latestMs);
+	if (earliestMs <= latestMs) {
+		return {version: known.version, earliestMs, latestMs};
 	}
+
+	return known.latestMs <= candidate.latestMs ? known : candidate;
+}
+
+/** Describes bounds in a log line; `isAssumed` is set while the earliest time is unknown. */
+function describeBounds({version, earliestMs, latestMs}: KnownVersion, reportedMs: number | undefined): Record<string, unknown> {
+	const correctedByMs = earliestMs - (reportedMs ?? Number.NaN);
+	return {
+		version, isAssumed: !Number.isFinite(earliestMs), minAgeMs: Math.round(performance.now() - latestMs),
+		...(Number.isFinite(earliestMs) ? {ageMs: Math.round(performance.now() - earliestMs)} : {}),
+		...(Number.isFinite(correctedByMs) ? {correctedByMs: Math.round(correctedByMs)} : {}),
+	};
 }
--- a/src/forwarding/version-expiry.ts
+++ b/src/forwarding/version-expiry.ts
@@ -23,7 +23,8 @@
 	}
 
 	/**
-	 * Returns how long calls may still start on a version, in milliseconds; infinite if no newer version was announced.
+	 * Returns how long calls may still start on a version, in milliseconds: infinite if no newer version was announced, and minus infinity
+	 * if it is unknown when, since the version may have expired.
 	 *
 	 * @param held - the model and version that an instance holds
 	 */
@@ -31,6 +32,6 @@
 		const nowMs = performance.now();
 		// The earliest announced newer version counts; later ones do not extend the time.
 		const newer = this.directory.versionsOf(model).filter(named => named.version > version);
-		return Math.min(...newer.map(({sinceMs}) => this.versionBoundMs - safetyMarginMs - (nowMs - sinceMs)));
+		return Math.min(...newer.map(({earliestMs}) => this.versionBoundMs - safetyMarginMs - (nowMs - earliestMs)));
 	}
 }
--- a/src/messages/peers-exchange.ts
+++ b/src/messages/peers-exchange.ts
@@ -28,11 +28,11 @@
 export const directoryStateSchema = z.object({configurationVersion: z.number(), lastInstanceChange: z.number()});
 
 /**
- * A version of model weights and the time since it was announced. `isAssumed` is set if the version was already announced when it was
- * first read, so that the time is an assumption.
+ * A version of model weights and bounds of the time since it was announced. The upper bound is absent if the version was already
+ * announced when it was first read.
  */
 export const announcedVersionSchema = z.object({
-	model: z.string(), version: z.number(), ageMs: z.number(), isAssumed: z.boolean(),
+	model: z.string(), version: z.number(), minAgeMs: z.number(), maxAgeMs: z.number().optional(),
 });
 
 /** The known processes and the directory revisions of one side. */
--- a/src/staging/next-staging-step.ts
+++ b/src/staging/next-staging-step.ts
@@ -54,27 +54,30 @@
 	return input.isSwitchoverDue || report.servedVersion === undefined ? 'start' : 'wait';
 }
 
-/** Input of {@link switchoverOffsetMs}. Offsets count from the time at which the new version was published. */
+/** Input of {@link switchoverAtMs}. */
 export type SwitchoverInput = {
 	/** The engine's rank among the engines of its service, from 0. */
 	readonly rank: number;
 	readonly groupSize: number;
 	/** How long older versions may still start calls after a newer one is published, in milliseconds. */
 	readonly versionBoundMs: number;
-	/** When the chunks were staged, in milliseconds after the publication. */
-	readonly stagedAtOffsetMs: number;
+	/** The earliest monotonic time at which the new version may have been published; `-Infinity` while it is unknown. */
+	readonly publishedAtMs: number;
+	/** The monotonic time at which the last chunk was staged. */
+	readonly stagedAtMs: number;
 };
 
 /** How long a switchover takes an engine out of service, in milliseconds: running calls finish, then the layers load. */
 const switchoverMs = 1200;
 
 /**
- * Staggers the switchovers of all engines over the remaining time, so that they do not all lose capacity at once.
+ * Staggers the switchovers of all engines over the remaining time, so that they do not all lose capacity at once. While it is unknown
+ * when the version was published, the time of one switchover counts as remaining: gateways may know that the old version has expired, and
+ * those that do not know place no calls on it.
  *
- * @returns the start of the engine's switchover, in milliseconds after the publication of the version
+ * @returns the monotonic time at which the engine's switchover starts
  */
-export function switchoverOffsetMs({rank, groupSize, versionBoundMs, stagedAtOffsetMs}: SwitchoverInput): number {
-	const lastMs = Math.max(stagedAtOffsetMs, versionBoundMs - switchoverMs);
-	const firstMs = Math.min(stagedAtOffsetMs, lastMs);
-	return firstMs + ((lastMs - firstMs) * rank / Math.max(1, groupSize));
+export function switchoverAtMs({rank, groupSize, versionBoundMs, publishedAtMs, stagedAtMs}: SwitchoverInput): number {
+	const remainingMs = Number.isFinite(publishedAtMs) ? Math.max(0, publishedAtMs + versionBoundMs - switchoverMs - stagedAtMs) : switchoverMs;
+	return stagedAtMs + (remainingMs * rank / Math.max(1, groupSize));
 }
--- a/src/staging/staging-manager.ts
+++ b/src/staging/staging-manager.ts
@@ -9,7 +9,7 @@
 import {rankMembers} from '../runtime/rendezvous.ts';
 import type {Logger} from '../runtime/logger.ts';
 import {
-	type EngineReport, nextStagingStep, type StagingStep, switchoverOffsetMs,
+	type EngineReport, nextStagingStep, type StagingStep, switchoverAtMs,
 } from './next-staging-step.ts';
 import {StagedChunks} from './staged-chunks.ts';
 import type {LocalEngine} from './local-engine.ts';
@@ -277,10 +277,9 @@
 		}
 
 		const {rank, count} = this.switchoverRank();
-		const afterMs = switchoverOffsetMs({
-			rank, groupSize: count, versionBoundMs, stagedAtOffsetMs: lastWriteAtMs - published.sinceMs,
-		});
-		return published.sinceMs + afterMs - performance.now();
+		return switchoverAtMs({
+			rank, groupSize: count, versionBoundMs, publishedAtMs: published.earliestMs, stagedAtMs: lastWriteAtMs,
+		}) - performance.now();
 	}
 
 	private async orderLoad(target: Target, report: EngineReport): Promise<void> {
--- a/test/forwarding-decisions.test.ts
+++ b/test/forwarding-decisions.test.ts
@@ -140,20 +140,24 @@
 	});
 });
 
-it('guards against old weights after a restart: a version announced before the start counts as announced some time ago, unless a peer knows when', () => {
+it('guards against old weights after a restart: once the first read finds a newer version, none begins on an older one until a peer tells that it has not expired', () => {
 	withVersionExpiry((expiry, directory, clock) => {
 		const held = {
 			model: 'm', version: 1, fromLayer: 0, toLayer: 16,
 		};
-		directory.apply({revision: 5, changes: [{revision: 5, change: {kind: 'version', model: 'm', version: 2}}]}, {isInitialRead: true, isAfterOutage: false});
+		directory.apply({revision: 5, changes: [{revision: 5, change: {kind: 'version', model: 'm', version: 2}}]}, {namedAfterMs: Number.NEGATIVE_INFINITY, isAfterOutage: false});
+		expect(expiry.mayStart(held)).to.equal(false);
 		clock.tick(3000);
+		directory.mergeFromPeer({versions: [{model: 'm', version: 2, minAgeMs: 3000}]});
 		expect(expiry.mayStart(held)).to.equal(false);
 		directory.mergeFromPeer({
 			versions: [{
-				model: 'm', version: 2, ageMs: 3500, isAssumed: false,
+				model: 'm', version: 2, minAgeMs: 3500, maxAgeMs: 3500,
 			}],
 		});
-		expect(expiry.mayStart(held)).to.equal(true);
+		expect(expiry.timeLeftMs(held)).to.equal(8000 - 250 - 3500);
+		clock.tick(8000 - 250 - 3500);
+		expect(expiry.mayStart(held)).to.equal(false);
 	});
 });
 
@@ -257,7 +261,7 @@
 		const directory = new Directory(createSilentLogger());
 		const listed = (id: string, revision: number) => ({revision, change: {kind: 'instance' as const, instance: testInstance({id})}});
 		directory.replaceInstances({revision: 5, changes: [listed('i-1', 3), listed('i-2', 4)]});
-		directory.replaceInstances({revision: 9, changes: [listed('i-2', 4)]}, {isInitialRead: false, isAfterOutage: true});
+		directory.replaceInstances({revision: 9, changes: [listed('i-2', 4)]}, {isAfterOutage: true});
 		expect(directory.instances.map(({id}) => id)).to.deep.equal(['i-1', 'i-2']);
 		clock.tick(1700);
 		expect(directory.instances.map(({id}) => id)).to.deep.equal(['i-2']);
@@ -274,7 +278,7 @@
 		const directory = new Directory(createSilentLogger());
 		const gone = (id: string, revision: number) => ({revision, changes: [{revision, change: {kind: 'instance-gone' as const, id}}]});
 		directory.replaceInstances({revision: 5, changes: ['i-1', 'i-2'].map(id => ({revision: 3, change: {kind: 'instance' as const, instance: testInstance({id})}}))});
-		directory.apply(gone('i-1', 7), {isInitialRead: false, isAfterOutage: true});
+		directory.apply(gone('i-1', 7), {isAfterOutage: true});
 		directory.apply(gone('i-2', 8));
 		expect(directory.instances.map(({id}) => id)).to.deep.equal(['i-1']);
 		clock.tick(1900);
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -276,7 +276,7 @@
 	// Calls may start on version 1 for another 400 ms.
 	gateway.directory.mergeFromPeer({
 		versions: [{
-			model: 'm', version: 2, ageMs: 7350, isAssumed: false,
+			model: 'm', version: 2, minAgeMs: 7350, maxAgeMs: 7350,
 		}],
 	});
 	const calledAtMs = performance.now();
--- a/test/staging.test.ts
+++ b/test/staging.test.ts
@@ -9,7 +9,7 @@
 import type {Manifest} from '../src/rollout/manifest.ts';
 import type {TransferNode} from '../src/rollout/transfer-node.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
-import {nextStagingStep, type StagingInput, switchoverOffsetMs} from '../src/staging/next-staging-step.ts';
+import {nextStagingStep, type StagingInput, switchoverAtMs} from '../src/staging/next-staging-step.ts';
 import type {LocalEngine} from '../src/staging/local-engine.ts';
 import {StagingManager, type StagingManagerOptions} from '../src/staging/staging-manager.ts';
 import {testEngineTiming} from './support/direct-fixtures.ts';
@@ -232,13 +232,22 @@
 });
 
 it('guards against a drop in capacity: switchovers of a group are spread over the remaining time and end before the version bound', () => {
-	const offsets = Array.from({length: 10}, (_, rank) => switchoverOffsetMs({
-		rank, groupSize: 10, versionBoundMs: 8000, stagedAtOffsetMs: 4000,
+	const offsets = Array.from({length: 10}, (_, rank) => switchoverAtMs({
+		rank, groupSize: 10, versionBoundMs: 8000, publishedAtMs: 0, stagedAtMs: 4000,
 	}));
 	expect(offsets[0]).to.equal(4000);
 	expect(offsets.every((offset, at) => at === 0 || offset > offsets[at - 1]!)).to.equal(true);
 	expect(offsets.at(-1)).to.be.lessThan(7000);
-	expect(switchoverOffsetMs({
-		rank: 9, groupSize: 10, versionBoundMs: 8000, stagedAtOffsetMs: 9000,
+	expect(switchoverAtMs({
+		rank: 9, groupSize: 10, versionBoundMs: 8000, publishedAtMs: 0, stagedAtMs: 9000,
 	})).to.equal(9000);
 });
+
+it('guards against a group that loads at the same moment, or late, when it is unknown when the version was published: switchovers follow staging within 1.2 s, one after the other', () => {
+	const times = Array.from({length: 10}, (_, rank) => switchoverAtMs({
+		rank, groupSize: 10, versionBoundMs: 8000, publishedAtMs: Number.NEGATIVE_INFINITY, stagedAtMs: 4000,
+	}));
+	expect(times[0]).to.equal(4000);
+	expect(times.every((time, at) => at === 0 || time > times[at - 1]!)).to.equal(true);
+	expect(times.at(-1)).to.be.lessThan(5200);
+});
