Count the ages in a message from the earliest time at which it may have been created

Cause: the age of a version in a message was taken as of the moment of reading. A message that waited made the version look younger by the wait, until a prompt one corrected it. Change: ages in an answer (exchange over a connection, 'synced', pulled directory) count from when the request was sent; 'sync' and 'synced' carry a number, so that the answer to an earlier datagram isn't taken for that to the last one. A datagram that answers nothing counts from the check interval of the event loop (250 ms) before it is read, plus the delay of the loop just seen; a request over a connection from its sender's timeout (900 ms) before that. Intersection with the known bounds keeps such loose bounds from widening tighter ones. Ruled out: not trusting news at all; each process that hears of a version by news would refuse older weights until its next exchange, up to a second in the middle of normal work. A finer measure of the event loop; the native one costs wake-ups and is not seen by a faked clock. Tests: with the change undone in Directory, the property test fails (named at 60000, believed 60001), and so do both tests of the peer group (named at 10000, believed 10001 with datagrams of 200 ms and 10800 with answers of 800 ms). Conclusion: a datagram that is under way for longer than 250 ms on the network itself can still make a version look younger, until an exchange with a process that has tighter bounds; those exclude the late ones, and the earlier pair is kept.

--- a/src/cli/gateway-stager-base.ts
+++ b/src/cli/gateway-stager-base.ts
@@ -14,6 +14,7 @@
 import {PeerList} from '../peers/peer-list.ts';
 import {WatchCoverage} from '../peers/watch-duty.ts';
 import {WatchManager} from '../peers/watch-manager.ts';
+import {ElapsedClock} from '../runtime/elapsed-clock.ts';
 import {logSink} from '../runtime/logger.ts';
 import type {GatewaySettings, StagerSettings} from '../settings/direct-settings.ts';
 import {InvalidSettingsError} from '../settings/parse-settings.ts';
@@ -65,7 +66,7 @@
 		const {process: own} = settings;
 		super(own);
 		this.settings = settings;
-		this.directory = new Directory(this.log);
+		this.directory = new Directory(this.log, new ElapsedClock(() => this.pauseDetector.maxMessageDelayMs));
 		const {links, directory, random, log} = this;
 		this.source = createSource(links, () => formatAddress(this.settings.directory.address));
 		const {role: name, control, datagrams: datagramAddress, service, parts, pulledParts} = role(this.settings);
--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -1,6 +1,7 @@
 /** This process's copy of the directory: the published configuration, the versions of weights and the instances. */
 import {RouteTable} from '../forwarding/route-table.ts';
 import type {ServiceId} from '../ids/service-id.ts';
+import {ElapsedClock} from '../runtime/elapsed-clock.ts';
 import type {Logger} from '../runtime/logger.ts';
 import {applyDelta, type ConfigurationDelta, createDelta} from './configuration-delta.ts';
 import type {
@@ -48,7 +49,11 @@
 	/** The index of the last list of instances. */
 	private available: {readonly instances: readonly Instance[]; readonly zone: string; readonly index: AvailableInstancesIndex} | undefined;
 
-	constructor(private readonly log: Logger) {
+	/**
+	 * @param log - logs changes
+	 * @param clock - bounds the time at which versions were named
+	 */
+	constructor(private readonly log: Logger, readonly clock = new ElapsedClock()) {
 		this.namedVersions = new NamedVersions(log);
 		this.instanceTable = new InstanceTable(log);
 	}
@@ -210,8 +215,13 @@
 		};
 	}
 
-	/** Merges the parts of another process's directory that are newer than the own ones. */
-	mergeFromPeer(snapshot: DirectorySnapshot): void {
+	/**
+	 * Merges the parts of another process's directory that are newer than the own ones.
+	 *
+	 * @param createdAfterMs - the earliest time of {@link clock} at which the other process may have created the message, since ages in it
+	 * count from then
+	 */
+	mergeFromPeer(snapshot: DirectorySnapshot, createdAfterMs: number): void {
 		const {configuration, configurationDelta} = snapshot;
 		if (configuration) {
 			this.setConfiguration(configuration, 'peer');
@@ -221,7 +231,7 @@
 
 		const nowMs = performance.now();
 		for (const {model, version, minAgeMs, maxAgeMs = Number.POSITIVE_INFINITY} of snapshot.versions) {
-			this.namedVersions.record(model, {version, earliestMs: nowMs - maxAgeMs, latestMs: nowMs - minAgeMs});
+			this.namedVersions.record(model, {version, earliestMs: createdAfterMs - maxAgeMs, latestMs: nowMs - minAgeMs});
 		}
 
 		if (snapshot.instances) {
--- a/src/messages/sync-datagram.ts
+++ b/src/messages/sync-datagram.ts
@@ -2,11 +2,11 @@
 import {z} from 'zod';
 import {peersExchangeSchema} from './peers-exchange.ts';
 
-/** `['sync', message]`: asks for the other process's message. */
-export const syncDatagramSchema = z.tuple([z.literal('sync'), peersExchangeSchema]);
+/** `['sync', message, number]`: asks for the other process's message. */
+export const syncDatagramSchema = z.tuple([z.literal('sync'), peersExchangeSchema, z.number()]);
 
-/** `['synced', message]`: the answer. */
-export const syncedDatagramSchema = z.tuple([z.literal('synced'), peersExchangeSchema]);
+/** `['synced', message, number]`: the answer, with the number of the datagram that it answers. */
+export const syncedDatagramSchema = z.tuple([z.literal('synced'), peersExchangeSchema, z.number()]);
 
 /** Either of them. */
 export type SyncDatagram = z.infer<typeof syncDatagramSchema> | z.infer<typeof syncedDatagramSchema>;
--- a/src/peers/directory-puller.ts
+++ b/src/peers/directory-puller.ts
@@ -66,7 +66,8 @@
 		const {directory, links, pulledParts} = this.options;
 		const {configurationVersion, instancesRevision} = directory;
 		const params = {configurationVersion, instancesRevision, servicesOnly: pulledParts === 'services'};
+		const requestedAtMs = directory.clock.nowMs;
 		const snapshot = await links.rpc(address, {method: directoryGetMethod, params}, directorySnapshotSchema, {timeoutMs: pullTimeoutMs});
-		directory.mergeFromPeer(snapshot as DirectorySnapshot);
+		directory.mergeFromPeer(snapshot as DirectorySnapshot, requestedAtMs);
 	}
 }
--- a/src/peers/news-spreader.ts
+++ b/src/peers/news-spreader.ts
@@ -48,7 +48,7 @@
 	start(): void {
 		const {datagrams, directory, puller} = this.options;
 		datagrams.on('news', newsDatagramSchema, ([, address, state, versions]) => {
-			directory.mergeFromPeer({versions});
+			directory.mergeFromPeer({versions}, directory.clock.sentAfterMs);
 			if (this.options.self.role === 'gateway') {
 				void puller.pull(address, state);
 			}
--- a/src/peers/peer-group.ts
+++ b/src/peers/peer-group.ts
@@ -56,8 +56,9 @@
 export class PeerGroup {
 	private discoveryUntilMs = performance.now() + discoveryMs;
 	private round = 0;
+	private sentDatagrams = 0;
 	/** The peer whose response to a datagram is awaited. */
-	private awaited: {readonly vm: string; readonly resolve: (theirs: PeersExchange) => void} | undefined;
+	private awaited: {readonly vm: string; readonly number: number; readonly sentAtMs: number; readonly resolve: (theirs: PeersExchange) => void} | undefined;
 	private timer: NodeJS.Timeout | undefined;
 	private stopped = false;
 
@@ -65,15 +66,17 @@
 
 	/** Starts to exchange with peers periodically. */
 	start(): void {
-		const {datagrams} = this.options;
-		datagrams.on('sync', syncDatagramSchema, ([, theirs]) => {
-			this.applyMessage(theirs);
-			this.sendDatagram(['synced', this.createMessage(undefined)], theirs.self.address);
+		const {datagrams, directory} = this.options;
+		datagrams.on('sync', syncDatagramSchema, ([, theirs, number]) => {
+			this.applyMessage(theirs, directory.clock.sentAfterMs);
+			this.sendDatagram(['synced', this.createMessage(undefined), number], theirs.self.address);
 		});
-		datagrams.on('synced', syncedDatagramSchema, ([, theirs]) => {
-			this.applyMessage(theirs);
-			if (this.awaited?.vm === theirs.self.vm) {
+		datagrams.on('synced', syncedDatagramSchema, ([, theirs, number]) => {
+			if (this.awaited?.vm === theirs.self.vm && this.awaited.number === number) {
+				this.applyMessage(theirs, this.awaited.sentAtMs);
 				this.awaited.resolve(theirs);
+			} else {
+				this.applyMessage(theirs, directory.clock.sentAfterMs);
 			}
 		});
 		this.schedule(0);
@@ -93,7 +96,8 @@
 
 	/** Handles an exchange that another process started, and returns the response. */
 	handleExchange(theirs: PeersExchange): PeersExchange {
-		this.applyMessage(theirs);
+		// A request that its sender has given up may still be delivered.
+		this.applyMessage(theirs, this.options.directory.clock.sentAfterMs - exchangeTimeoutMs);
 		return this.createMessage(theirs.groupDigest);
 	}
 
@@ -151,13 +155,14 @@
 			const timer = setTimeout(() => {
 				resolve(undefined);
 			}, datagramTimeoutMs);
+			const number = ++this.sentDatagrams;
 			this.awaited = {
-				vm, resolve(theirs) {
+				vm, number, sentAtMs: this.options.directory.clock.nowMs, resolve(theirs) {
 					clearTimeout(timer);
 					resolve(theirs);
 				},
 			};
-			this.sendDatagram(['sync', this.createMessage(undefined)], address);
+			this.sendDatagram(['sync', this.createMessage(undefined), number], address);
 		});
 	}
 
@@ -168,11 +173,12 @@
 
 	private async exchangeOverConnection(address: string, peer: PeerInfo | undefined): Promise<void> {
 		const {
-			links, list, log, puller, coverage,
+			links, list, log, puller, coverage, directory,
 		} = this.options;
 		try {
+			const requestedAtMs = directory.clock.nowMs;
 			const theirs = await links.rpc(address, {method: peersExchangeMethod, params: this.createMessage(undefined)}, peersExchangeSchema, {timeoutMs: exchangeTimeoutMs});
-			this.applyMessage(theirs);
+			this.applyMessage(theirs, requestedAtMs);
 			if (theirs.group === undefined && theirs.groupDigest !== this.options.list.digest) {
 				await links.rpc(address, {method: peersExchangeMethod, params: this.createMessage('')}, peersExchangeSchema, {timeoutMs: exchangeTimeoutMs});
 			}
@@ -191,7 +197,7 @@
 		}
 	}
 
-	private applyMessage({self, group, versions, watchers}: PeersExchange): void {
+	private applyMessage({self, group, versions, watchers}: PeersExchange, createdAfterMs: number): void {
 		const {list, directory} = this.options;
 		list.recordAlive(self);
 		for (const info of group ?? []) {
@@ -199,7 +205,7 @@
 		}
 
 		if (versions.length > 0) {
-			directory.mergeFromPeer({versions});
+			directory.mergeFromPeer({versions}, createdAfterMs);
 		}
 
 		if (self.zone === this.options.self.zone) {
--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -12,6 +12,9 @@
 /** Calls its listeners after the event loop did not run for at least {@link pauseThresholdMs}. */
 export class PauseDetector {
 	private lastCheckAtMs = performance.now();
+	private lastTickAtMs = performance.now();
+	/** The delay of the last tick, or half of that of an earlier one for each tick since, while messages from before it may still wait. */
+	private recentDelayMs = 0;
 	private readonly listeners = new Set<(gapMs: number) => void>();
 	private readonly delayListeners = new Set<(delayMs: number) => void>();
 	private readonly timer: NodeJS.Timeout;
@@ -19,11 +22,22 @@
 	constructor() {
 		this.timer = setInterval(() => {
 			this.reportDelay(performance.now() - this.lastCheckAtMs - pauseCheckIntervalMs);
+			this.recentDelayMs = Math.max(this.tickDelayMs, this.recentDelayMs / 2);
+			this.lastTickAtMs = performance.now();
 			this.check();
 		}, pauseCheckIntervalMs);
 		this.timer.unref();
 	}
 
+	/** How long a message that is read now may have waited in its socket, in milliseconds; a wait between two ticks is not noticed. */
+	get maxMessageDelayMs(): number {
+		return pauseCheckIntervalMs + this.recentDelayMs + this.tickDelayMs;
+	}
+
+	private get tickDelayMs(): number {
+		return Math.max(0, performance.now() - this.lastTickAtMs - pauseCheckIntervalMs);
+	}
+
 	/**
 	 * Checks for a pause now, and calls the listeners if there was one.
 	 *
--- a/test/directory-spread.test.ts
+++ b/test/directory-spread.test.ts
@@ -140,7 +140,7 @@
 		const log = createSilentLogger();
 		const [source, peer, third] = [new Directory(log), new Directory(log), new Directory(log)];
 		const sync = (from: Directory, to: Directory) => {
-			to.mergeFromPeer(structuredClone(from.snapshot(to.configurationVersion, to.instancesRevision)));
+			to.mergeFromPeer(structuredClone(from.snapshot(to.configurationVersion, to.instancesRevision)), performance.now());
 		};
 
 		let revision = 1;
@@ -187,9 +187,9 @@
 	expect(directory.lastInstanceChange).to.equal(5);
 
 	const peer = new Directory(createSilentLogger());
-	peer.mergeFromPeer(structuredClone(directory.snapshot(0, 0)));
+	peer.mergeFromPeer(structuredClone(directory.snapshot(0, 0)), performance.now());
 	directory.apply({revision: 6, changes: [{revision: 6, change: {kind: 'instance-gone', id: 'i-1'}}]});
 	directory.advanceInstancesRevision(6);
-	peer.mergeFromPeer(structuredClone(directory.snapshot(0, peer.instancesRevision)));
+	peer.mergeFromPeer(structuredClone(directory.snapshot(0, peer.instancesRevision)), performance.now());
 	expect(peer.instances).to.have.length(0);
 });
--- a/test/forwarding-decisions.test.ts
+++ b/test/forwarding-decisions.test.ts
@@ -148,13 +148,13 @@
 		directory.apply({revision: 5, changes: [{revision: 5, change: {kind: 'version', model: 'm', version: 2}}]}, {namedAfterMs: Number.NEGATIVE_INFINITY, isAfterOutage: false});
 		expect(expiry.mayStart(held)).to.equal(false);
 		clock.tick(3000);
-		directory.mergeFromPeer({versions: [{model: 'm', version: 2, minAgeMs: 3000}]});
+		directory.mergeFromPeer({versions: [{model: 'm', version: 2, minAgeMs: 3000}]}, performance.now());
 		expect(expiry.mayStart(held)).to.equal(false);
 		directory.mergeFromPeer({
 			versions: [{
 				model: 'm', version: 2, minAgeMs: 3500, maxAgeMs: 3500,
 			}],
-		});
+		}, performance.now());
 		expect(expiry.timeLeftMs(held)).to.equal(8000 - 250 - 3500);
 		clock.tick(8000 - 250 - 3500);
 		expect(expiry.mayStart(held)).to.equal(false);
@@ -234,7 +234,7 @@
 it('guards against reverting to old state: neither the source nor a peer can put an older configuration or an older instance entry in force', () => {
 	const directory = new Directory(createSilentLogger());
 	directory.apply({revision: 9, changes: [{revision: 9, change: {kind: 'configuration', configuration: testConfiguration(7)}}]});
-	directory.mergeFromPeer({configuration: testConfiguration(6), versions: []});
+	directory.mergeFromPeer({configuration: testConfiguration(6), versions: []}, performance.now());
 	directory.apply({revision: 10, changes: [{revision: 10, change: {kind: 'configuration', configuration: testConfiguration(5)}}]});
 	expect(directory.configurationVersion).to.equal(7);
 	const draining = testInstance({id: 'i-1', isDraining: true});
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -278,7 +278,7 @@
 		versions: [{
 			model: 'm', version: 2, minAgeMs: 7350, maxAgeMs: 7350,
 		}],
-	});
+	}, performance.now());
 	const calledAtMs = performance.now();
 	const response = await callGateway(gateway.url, streamCall);
 	expect(response.status).to.equal(502);
--- a/test/naming-times.test.ts
+++ b/test/naming-times.test.ts
@@ -2,10 +2,13 @@
 import {Buffer} from 'node:buffer';
 import {install, type Clock} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
+import fc from 'fast-check';
 import {StoreSource} from '../platform/store-source.ts';
 import {Directory} from '../src/directory/directory.ts';
 import type {NamedVersion} from '../src/directory/named-versions.ts';
 import type {PeerClient} from '../src/links/peer-client.ts';
+import {ElapsedClock} from '../src/runtime/elapsed-clock.ts';
+import {PauseDetector} from '../src/runtime/pause-detector.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 
 const unknownContext = {isAfterOutage: false, namedAfterMs: Number.NEGATIVE_INFINITY};
@@ -22,6 +25,9 @@
 	}
 }
 
+/** How long messages without a request may be under way, in milliseconds. */
+const maxDelayMs = 700;
+
 /** The earliest time at which a process believes that version 2 was named. */
 const earliestOf = (directory: Directory) => directory.versionsOf('m').find(({version}) => version === 2)?.earliestMs;
 
@@ -42,7 +48,7 @@
 		const directory = new Directory(createSilentLogger());
 		directory.apply(namedVersion2, unknownContext);
 		const merge = (version: NamedVersion) => {
-			directory.mergeFromPeer({versions: [version]});
+			directory.mergeFromPeer({versions: [version]}, performance.now());
 			return earliestOf(directory)!;
 		};
 
@@ -64,7 +70,7 @@
 				versions: [{
 					model: 'm', version, minAgeMs: ageMs - 300, maxAgeMs: ageMs,
 				}],
-			});
+			}, performance.now());
 			return directory.versionChanges;
 		};
 
@@ -73,3 +79,90 @@
 		expect(merge(2, 1000)).to.equal(6);
 	});
 });
+
+const processCount = 4;
+const stepSchema = fc.record({
+	kind: fc.constantFrom('answer', 'news', 'read', 'restart'), from: fc.nat(processCount - 1), to: fc.nat(processCount - 1),
+	requestMs: fc.nat(2000), answerMs: fc.nat(2000), newsMs: fc.nat(maxDelayMs), pauseMs: fc.nat(3000),
+});
+
+it('guards against old weights whatever happens to messages: with delays, any order and restarts, no process believes in a later naming than the true one, and all agree once they can', async () => {
+	await fc.assert(fc.asyncProperty(fc.array(stepSchema, {maxLength: 60}), async steps => withClock(async clock => {
+		const createDirectory = () => new Directory(createSilentLogger(), new ElapsedClock(() => maxDelayMs));
+		const directories = Array.from({length: processCount}, createDirectory);
+		const namedAtMs = performance.now();
+		clock.tick(100);
+		// The first process observes the naming and is not restarted.
+		directories[0]!.apply(namedVersion2, {isAfterOutage: false, namedAfterMs: namedAtMs - 50});
+		const check = () => {
+			for (const directory of directories) {
+				expect(earliestOf(directory) ?? Number.NEGATIVE_INFINITY).to.be.at.most(namedAtMs);
+			}
+		};
+
+		const take = (to: Directory, versions: readonly NamedVersion[], createdAfterMs: number) => {
+			to.mergeFromPeer(structuredClone({versions}), createdAfterMs);
+			check();
+		};
+
+		const actions: Record<typeof steps[number]['kind'], (step: typeof steps[number]) => void> = {
+			answer({from, to, requestMs, answerMs}) {
+				const [target, startedAtMs] = [directories[to]!, performance.now()];
+				setTimeout(() => {
+					const versions = directories[from]!.shareableVersions;
+					setTimeout(() => {
+						take(target, versions, startedAtMs);
+					}, answerMs);
+				}, requestMs);
+			},
+			news({from, to, newsMs}) {
+				const [target, versions] = [directories[to]!, directories[from]!.shareableVersions];
+				setTimeout(() => {
+					take(target, versions, target.clock.sentAfterMs);
+				}, newsMs);
+			},
+			read({to}) {
+				directories[to]!.apply(namedVersion2, unknownContext);
+			},
+			restart({to}) {
+				directories[to === 0 ? 1 : to] = createDirectory();
+			},
+		};
+		for (const step of steps) {
+			actions[step.kind](step);
+			await clock.tickAsync(step.pauseMs);
+			check();
+		}
+
+		await clock.tickAsync(5000);
+		for (let round = 0; round < 2; round++) {
+			for (const directory of directories) {
+				for (const other of directories) {
+					take(directory, other.shareableVersions, performance.now());
+				}
+			}
+		}
+
+		const beliefs = directories.map(directory => earliestOf(directory)!);
+		expect(Math.max(...beliefs) - Math.min(...beliefs)).to.be.at.most(0.01);
+		expect(Math.min(...beliefs)).to.be.at.least(namedAtMs - 50.01);
+	})), {seed: 27, numRuns: 300});
+});
+
+it('guards against a wait in the socket of a busy process that goes unnoticed: the bound covers a late tick, before and after it ran, and falls back soon', async () => {
+	await withClock(clock => {
+		const detector = new PauseDetector();
+		const delays: number[] = [];
+		const interval = setInterval(() => delays.push(Math.round(detector.maxMessageDelayMs)), 250);
+		clock.tick(1000);
+		// The event loop stands still for 3 s: the timer runs once, late.
+		clock.jump(3000);
+		delays.push(Math.round(detector.maxMessageDelayMs));
+		clock.tick(2500);
+		clearInterval(interval);
+		detector.stop();
+		expect(delays.slice(0, 4)).to.deep.equal([250, 250, 250, 250]);
+		expect(delays[5]).to.be.at.least(3000);
+		expect(delays.at(-1)).to.be.at.most(300);
+	});
+});
--- a/test/peer-group.test.ts
+++ b/test/peer-group.test.ts
@@ -9,11 +9,18 @@
 import {PeerGroup} from '../src/peers/peer-group.ts';
 import {PeerList} from '../src/peers/peer-list.ts';
 import {WatchCoverage} from '../src/peers/watch-duty.ts';
+import {ElapsedClock} from '../src/runtime/elapsed-clock.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
 
 const port = 7000;
 
+async function sleep(ms: number): Promise<void> {
+	return new Promise(resolve => {
+		setTimeout(resolve, ms);
+	});
+}
+
 /** Processes that reach each other in memory. */
 class FakeNetwork {
 	readonly groups: PeerGroup[] = [];
@@ -21,6 +28,9 @@
 	/** Requests over connections so far. */
 	requests = 0;
 	losesDatagrams = false;
+	readonly directories: Directory[] = [];
+	/** How long datagrams, and answers over connections, are under way, in milliseconds. */
+	delaysMs = {datagram: 1, answer: 0};
 	/** Hosts that answer nothing. */
 	readonly silent = new Set<string>();
 	private readonly receivers = new Map<string, Map<string, (message: unknown) => void>>();
@@ -38,7 +48,7 @@
 			},
 			send: (message: readonly unknown[], to: {host: string}) => {
 				if (!this.losesDatagrams && !this.silent.has(to.host)) {
-					setTimeout(() => this.receivers.get(to.host)?.get(message[0] as string)?.(message), 1);
+					setTimeout(() => this.receivers.get(to.host)?.get(message[0] as string)?.(message), this.delaysMs.datagram);
 				}
 			},
 		};
@@ -50,10 +60,14 @@
 					throw new Error('no response');
 				}
 
-				return this.groups[at]!.handleExchange(params);
+				const answer = this.groups[at]!.handleExchange(params);
+				await sleep(this.delaysMs.answer);
+				return answer;
 			},
 			replaceConnections: () => undefined,
 		};
+		const directory = new Directory(createSilentLogger(), new ElapsedClock(() => 250));
+		this.directories.push(directory);
 		const list = new PeerList(self, createSilentLogger());
 		this.lists.push(list);
 		this.groups.push(new PeerGroup({
@@ -63,7 +77,7 @@
 			links: links as unknown as PeerClient,
 			datagrams: datagrams as unknown as DatagramPort,
 			port,
-			directory: new Directory(createSilentLogger()),
+			directory,
 			random: new RandomSource(index),
 			log: createSilentLogger(),
 			puller: {pull: async () => undefined} as unknown as DirectoryPuller,
@@ -138,3 +152,23 @@
 		expect(network.lists.slice(0, 5).every(({others}) => others.every(({vm}) => vm !== 'vm-6'))).to.equal(true);
 	});
 });
+
+for (const [kind, losesDatagrams, delaysMs] of [['datagrams', false, {datagram: 200, answer: 0}], ['answers over connections', true, {datagram: 1, answer: 800}]] as const) {
+	it(`guards against old weights when messages are late: ${kind} that took long make no version look younger to others`, async () => {
+		await withGroup(6, async (network, tick) => {
+			network.losesDatagrams = losesDatagrams;
+			network.delaysMs = delaysMs;
+			const namedAtMs = performance.now();
+			network.directories[0]!.apply({revision: 5, changes: [{revision: 5, change: {kind: 'version', model: 'm', version: 2}}]});
+			let beliefs: number[] = [];
+			for (let at = 0; at < 200; at++) {
+				await tick(50);
+				beliefs = network.directories.flatMap(directory => directory.versionsOf('m').map(({earliestMs}) => earliestMs));
+				expect(Math.max(...beliefs)).to.be.at.most(namedAtMs);
+			}
+
+			expect(beliefs).to.have.length(6);
+			expect(Math.min(...beliefs)).to.be.greaterThan(namedAtMs - 1500);
+		});
+	});
+}
