Count a version that is found after a gap as named right after the last complete response

Cause: each response of the source but the first counted its versions as named at the moment of reading, as if observed, also after the source had failed, its history was lost (410), the process was frozen, or the response waited in the socket. And a process that stopped to watch and started again forgot up to when it had known all. Change: a watcher keeps the time up to which it has known all changes, across restarts. A version in a full read, or in a watch that is answered at once, was named after that time. A watch that waited is answered as soon as there is a change, so its versions were named after the earliest time at which the response may have been sent (check interval and delay of the event loop). Watching again after another process did gave an unknown time; now the time at which it stopped. What it costs: a version that an uninterrupted watch tells counts as named at most a quarter of a second early; a test guards that. One named in the pause of about half a second between two watches counts as named before that pause, unless another process tells a tighter bound. Conclusion: a response that was held on the network itself for longer than 250 ms is still taken as prompt; other watchers' bounds correct it.

--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -21,6 +21,9 @@
  */
 const callIntervalMs = 500;
 
+/** How long a request may be under way to a source that works, in milliseconds. A watch that is answered sooner may tell changes from before it. */
+const maxRequestMs = 250;
+
 /** Failures of the source that last longer than this count as an outage, in milliseconds. */
 const minOutageMs = 800;
 
@@ -33,10 +36,21 @@
 	readonly log: Logger;
 };
 
+/** The circumstances of a response. Times are those of the directory's clock. */
+type ResponseInfo = {
+	readonly isFullRead: boolean;
+	/** The earliest time at which the changes in the response may have been made. */
+	readonly namedAfterMs: number;
+	/** The time up to which the response is complete. */
+	readonly completeUntilMs: number;
+};
+
 /** Reads and watches one part of the directory, and applies the changes. */
 export class DirectoryWatcher {
 	private revision: number | undefined;
 	private hasReadOnce = false;
+	/** The latest time up to which this process has learned of all changes, also from before a restart; versions that it learns of next were named later. */
+	private completeUntilMs = Number.NEGATIVE_INFINITY;
 	private failures = 0;
 	private failingSinceMs: number | undefined;
 	private respondedAtMs = Number.NEGATIVE_INFINITY;
@@ -99,28 +113,33 @@
 	}
 
 	private async readOrWatch(run: number): Promise<void> {
-		const {part, source} = this.options;
+		const {part, source, directory: {clock}} = this.options;
+		const requestedAtMs = clock.nowMs;
 		const limitMs = (this.revision === undefined ? 0 : watchWaitMs) + responseTimeoutMs;
 		const signal = AbortSignal.any([this.abortController.signal, AbortSignal.timeout(limitMs)]);
 		if (this.revision === undefined) {
 			const snapshot = await source.read(part, signal);
-			this.applyResponse(run, snapshot, true);
+			this.applyResponse(run, snapshot, {isFullRead: true, namedAfterMs: this.completeUntilMs, completeUntilMs: requestedAtMs});
 		} else {
 			const changes = await source.watch(part, this.revision, watchWaitMs, signal);
-			this.applyResponse(run, changes, false);
+			const {sentAfterMs} = clock;
+			// The source answers a watch as soon as there is a change, so one that is answered late tells what has just changed.
+			const namedAfterMs = sentAfterMs > requestedAtMs + maxRequestMs ? sentAfterMs : this.completeUntilMs;
+			this.applyResponse(run, changes, {isFullRead: false, namedAfterMs, completeUntilMs: Math.max(requestedAtMs, sentAfterMs)});
 		}
 	}
 
-	private applyResponse(run: number, changes: DirectoryChanges, isFullRead: boolean): void {
+	private applyResponse(run: number, changes: DirectoryChanges, response: ResponseInfo): void {
 		if (run === this.run) {
-			this.applyChanges(changes, isFullRead, this.recordSuccess());
+			this.applyChanges(changes, response, this.recordSuccess());
+			this.completeUntilMs = Math.max(this.completeUntilMs, response.completeUntilMs);
 		}
 	}
 
-	private applyChanges(changes: DirectoryChanges, isFullRead: boolean, isAfterOutage: boolean): void {
+	private applyChanges(changes: DirectoryChanges, {isFullRead, namedAfterMs}: ResponseInfo, isAfterOutage: boolean): void {
 		const {part, directory} = this.options;
 		// Before the first read, other processes may have had an outage of the source that this one did not notice.
-		const context = {isAfterOutage: isAfterOutage || !this.hasReadOnce, ...(this.hasReadOnce ? {} : {namedAfterMs: Number.NEGATIVE_INFINITY})};
+		const context = {isAfterOutage: isAfterOutage || !this.hasReadOnce, namedAfterMs};
 		if (isFullRead && part === 'instances') {
 			directory.replaceInstances(changes, context);
 		} else {
--- a/test/naming-times.test.ts
+++ b/test/naming-times.test.ts
@@ -5,10 +5,13 @@
 import fc from 'fast-check';
 import {StoreSource} from '../platform/store-source.ts';
 import {Directory} from '../src/directory/directory.ts';
+import {type DirectoryChanges, type DirectorySource, HistoryLostError} from '../src/directory/directory-types.ts';
+import {DirectoryWatcher} from '../src/directory/directory-watcher.ts';
 import type {NamedVersion} from '../src/directory/named-versions.ts';
 import type {PeerClient} from '../src/links/peer-client.ts';
 import {ElapsedClock} from '../src/runtime/elapsed-clock.ts';
 import {PauseDetector} from '../src/runtime/pause-detector.ts';
+import {RandomSource} from '../src/runtime/random-source.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 
 const unknownContext = {isAfterOutage: false, namedAfterMs: Number.NEGATIVE_INFINITY};
@@ -166,3 +169,135 @@
 		expect(delays.at(-1)).to.be.at.most(300);
 	});
 });
+
+/** A source with one version, named at a time, that can fail and lose its history. */
+class VersionSource implements DirectorySource {
+	isFailing = false;
+	losesHistory = false;
+	private revision = 1;
+	private changes: DirectoryChanges['changes'] = [];
+	private wake: (() => void) | undefined;
+
+	nameVersion(): number {
+		this.revision = 5;
+		this.changes = namedVersion2.changes;
+		this.wake?.();
+		return performance.now();
+	}
+
+	async read(): Promise<DirectoryChanges> {
+		return this.respond(0);
+	}
+
+	async watch(part: unknown, after: number, waitMs: number, signal: AbortSignal): Promise<DirectoryChanges> {
+		if (after >= this.revision) {
+			await new Promise<void>(resolve => {
+				this.wake = resolve;
+				signal.addEventListener('abort', () => {
+					resolve();
+				});
+				setTimeout(resolve, waitMs);
+			});
+		}
+
+		signal.throwIfAborted();
+		if (this.losesHistory) {
+			throw new HistoryLostError('lost');
+		}
+
+		return this.respond(after);
+	}
+
+	private respond(after: number): DirectoryChanges {
+		if (this.isFailing) {
+			throw new Error('failing');
+		}
+
+		return {revision: this.revision, changes: this.changes.filter(({revision}) => revision > after)};
+	}
+}
+
+type GapInput = {readonly source: VersionSource; readonly watcher: DirectoryWatcher; readonly clock: Clock};
+
+/** Each names the version and returns when it did; the next response is the first one that tells it. */
+const gaps: Readonly<Record<string, (input: GapInput) => Promise<number>>> = {
+	async 'the source failed meanwhile'({source, clock}) {
+		source.isFailing = true;
+		await clock.tickAsync(6000);
+		const namedAtMs = source.nameVersion();
+		await clock.tickAsync(3000);
+		source.isFailing = false;
+		return namedAtMs;
+	},
+	async 'the history was lost'({source, clock}) {
+		source.isFailing = true;
+		await clock.tickAsync(6000);
+		const namedAtMs = source.nameVersion();
+		await clock.tickAsync(1000);
+		source.losesHistory = true;
+		source.isFailing = false;
+		return namedAtMs;
+	},
+	async 'the process was frozen and reads again'({source, watcher, clock}) {
+		const namedAtMs = performance.now();
+		clock.jump(4000);
+		watcher.restart();
+		source.nameVersion();
+		return namedAtMs;
+	},
+	async 'the response waited while the process was frozen'({source, clock}) {
+		await clock.tickAsync(1000);
+		const namedAtMs = performance.now();
+		clock.jump(4000);
+		source.nameVersion();
+		return namedAtMs;
+	},
+	async 'another process watched meanwhile'({source, watcher, clock}) {
+		watcher.stop();
+		await clock.tickAsync(2000);
+		const namedAtMs = source.nameVersion();
+		await clock.tickAsync(2000);
+		watcher.start();
+		return namedAtMs;
+	},
+};
+
+async function withWatcher(test: (input: GapInput & {readonly directory: Directory}) => Promise<void>): Promise<void> {
+	await withClock(async clock => {
+		const log = createSilentLogger();
+		const detector = new PauseDetector();
+		const directory = new Directory(log, new ElapsedClock(() => detector.maxMessageDelayMs));
+		const source = new VersionSource();
+		const watcher = new DirectoryWatcher({
+			part: 'versions', source, directory, random: new RandomSource(1), log,
+		});
+		watcher.start();
+		await clock.tickAsync(2000);
+		await test({
+			source, watcher, clock, directory,
+		});
+		watcher.stop();
+		detector.stop();
+	});
+}
+
+for (const [gap, run] of Object.entries(gaps)) {
+	it(`guards against old weights after a gap: a version counts as named before the response that tells it if ${gap}`, async () => {
+		await withWatcher(async ({directory, ...input}) => {
+			const startMs = performance.now();
+			const namedAtMs = await run(input);
+			await input.clock.tickAsync(3000);
+			expect(earliestOf(directory)).to.be.at.most(namedAtMs);
+			expect(earliestOf(directory)).to.be.greaterThan(startMs - 5000);
+		});
+	});
+}
+
+it('guards against weights that are given up too soon: a version that an uninterrupted watch tells counts as named a quarter of a second before at most', async () => {
+	await withWatcher(async ({source, clock, directory}) => {
+		await clock.tickAsync(1500);
+		const namedAtMs = source.nameVersion();
+		await clock.tickAsync(10);
+		expect(earliestOf(directory)).to.be.within(namedAtMs - 251, namedAtMs);
+	});
+});
