Notice that a VM was suspended by the jump of its wall clock

Cause: the monotonic clock stands still while a VM is suspended. All ages were too small by that time afterwards, nothing noticed it (the check for pauses uses the monotonic clock too), and the process told others the small ages. Change: bounds of the time of naming use a clock that also counts each jump of the wall clock forwards against the monotonic clock, of 100 ms or more, found before bounds are used and every 250 ms. After a jump the earliest times lie that much earlier, in the directory as well as for answers and responses under way; the latest times stay. The process logs clock_jumped, reads again and exchanges often for a while, as after a pause. Where the clock was only set forwards, older weights expire too soon by the step until the first exchange with a process that has tight bounds. A step backwards changes nothing. Ruled out: taking the belief of others as unknown after a jump, which refuses older weights for a step of a second as for an hour. Tests: both seen to fail without jumps (6750 ms left for older weights instead of 1750 after 5 s of suspension). Conclusion: a suspension during which the wall clock stands still too, or is set back by as much, is noticed only when the clock is corrected. Not tried with a suspended VM.

--- a/src/cli/gateway-stager-base.ts
+++ b/src/cli/gateway-stager-base.ts
@@ -16,6 +16,7 @@
 import {WatchManager} from '../peers/watch-manager.ts';
 import {ElapsedClock} from '../runtime/elapsed-clock.ts';
 import {logSink} from '../runtime/logger.ts';
+import {pauseCheckIntervalMs} from '../runtime/pause-detector.ts';
 import type {GatewaySettings, StagerSettings} from '../settings/direct-settings.ts';
 import {InvalidSettingsError} from '../settings/parse-settings.ts';
 import {ProcessBase} from './process-base.ts';
@@ -57,6 +58,7 @@
 	private readonly news: NewsSpreader;
 	private readonly group: PeerGroup;
 	private readonly datagramAddress: ListenAddress;
+	private clockTimer: NodeJS.Timeout | undefined;
 
 	/**
 	 * @param role - describes the role, given its settings
@@ -124,6 +126,14 @@
 			this.watchManager.restart();
 			this.group.hurry();
 		});
+		this.directory.clock.onJump(jumpMs => {
+			this.log.warn({event: 'clock_jumped', jumpMs: Math.round(jumpMs)}, 'the wall clock jumped against the monotonic clock: it was set, or the VM was suspended');
+			this.watchManager.restart();
+			this.group.hurry();
+		});
+		this.clockTimer = setInterval(() => {
+			this.directory.clock.check();
+		}, pauseCheckIntervalMs).unref();
 		this.pauseDetector.onDelay(delayMs => {
 			this.log.warn({event: 'event_loop_delayed', delayMs: Math.round(delayMs)}, 'the event loop ran late, and so did timers and messages');
 		});
@@ -140,6 +150,7 @@
 		unwatchFile(this.settingsSource.file);
 		this.group.stop();
 		this.pauseDetector.stop();
+		clearInterval(this.clockTimer);
 		this.watchManager.stop();
 		this.news.stop();
 		this.datagrams.close();
--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -14,7 +14,7 @@
 /** The circumstances in which changes were received. */
 export type ChangeContext = {
 	/**
-	 * The earliest monotonic time at which the versions in the changes may have been named: `-Infinity` for a first read. By default
+	 * The earliest time of the directory's clock at which the versions in the changes may have been named: `-Infinity` for a first read. By default
 	 * they count as named just now.
 	 */
 	readonly namedAfterMs?: number;
@@ -55,6 +55,9 @@
 	 */
 	constructor(private readonly log: Logger, readonly clock = new ElapsedClock()) {
 		this.namedVersions = new NamedVersions(log);
+		clock.onJump(jumpMs => {
+			this.namedVersions.moveBack(jumpMs);
+		});
 		this.instanceTable = new InstanceTable(log);
 	}
 
@@ -85,11 +88,13 @@
 
 	/** All named versions in the form that is sent to other processes. */
 	get shareableVersions(): NamedVersion[] {
+		this.clock.check();
 		return this.namedVersions.shareable;
 	}
 
 	/** The newest named version of weights by model. */
 	get versions(): ReadonlyMap<string, KnownVersion> {
+		this.clock.check();
 		return this.namedVersions.newest;
 	}
 
@@ -100,6 +105,7 @@
 
 	/** Returns the named versions of a model, oldest first. */
 	versionsOf(model: string): readonly KnownVersion[] {
+		this.clock.check();
 		return this.namedVersions.versionsOf(model);
 	}
 
@@ -190,7 +196,7 @@
 	snapshot(configurationVersion: number, instancesRevision: number): DirectorySnapshot {
 		return {
 			...this.configurationSince(configurationVersion),
-			versions: this.namedVersions.shareable,
+			versions: this.shareableVersions,
 			...(this.instancesRevision > instancesRevision ? {instances: this.instanceTable.changesSince(instancesRevision)} : {}),
 		};
 	}
@@ -201,7 +207,7 @@
 	 * @param configurationVersion - the configuration version of the requesting process
 	 */
 	servicesSnapshot(configurationVersion: number): DirectorySnapshot {
-		const versions = this.namedVersions.shareable;
+		const versions = this.shareableVersions;
 		const configuration = this.routeTable?.configuration;
 		if (!configuration || configuration.version <= configurationVersion) {
 			return {versions};
@@ -229,9 +235,11 @@
 			this.setConfiguration(applyDelta(this.routeTable!.configuration, configurationDelta), 'peer');
 		}
 
+		this.clock.check();
 		const nowMs = performance.now();
+		const createdMs = this.clock.toMonotonicMs(createdAfterMs);
 		for (const {model, version, minAgeMs, maxAgeMs = Number.POSITIVE_INFINITY} of snapshot.versions) {
-			this.namedVersions.record(model, {version, earliestMs: createdAfterMs - maxAgeMs, latestMs: nowMs - minAgeMs});
+			this.namedVersions.record(model, {version, earliestMs: createdMs - maxAgeMs, latestMs: nowMs - minAgeMs});
 		}
 
 		if (snapshot.instances) {
@@ -249,8 +257,8 @@
 			}
 
 			case 'version': {
-				const nowMs = performance.now();
-				this.namedVersions.record(change.model, {version: change.version, earliestMs: context.namedAfterMs ?? nowMs, latestMs: nowMs});
+				const earliestMs = this.clock.toMonotonicMs(context.namedAfterMs ?? this.clock.nowMs);
+				this.namedVersions.record(change.model, {version: change.version, earliestMs, latestMs: performance.now()});
 				return;
 			}
 
--- a/src/directory/named-versions.ts
+++ b/src/directory/named-versions.ts
@@ -45,6 +45,19 @@
 		return this.versionsByModel.get(model) ?? [];
 	}
 
+	/** Moves the earliest times back, since the monotonic clock may have stood still for some time. */
+	moveBack(ms: number): void {
+		for (const [model, versions] of this.versionsByModel) {
+			const moved = versions.map(entry => ({...entry, earliestMs: entry.earliestMs - ms, reportedMs: entry.reportedMs - ms}));
+			this.versionsByModel.set(model, moved);
+			for (const entry of moved) {
+				this.log.info({
+					event: 'version_named', model, newestBefore: versions.at(-1)?.version, ...describeBounds(entry, entry.reportedMs + ms),
+				}, 'the clock jumped, so a version may have been named earlier');
+			}
+		}
+	}
+
 	/** Records that a version was named, or merges the bounds of the time with the known ones. */
 	record(model: string, candidate: KnownVersion): void {
 		const versions = this.versionsOf(model) as readonly Entry[];
--- a/src/runtime/elapsed-clock.ts
+++ b/src/runtime/elapsed-clock.ts
@@ -1,17 +1,65 @@
-/** A clock for lower bounds of the time at which something happened elsewhere. */
+/**
+ * A clock for lower bounds of the time at which something happened elsewhere.
+ *
+ * The monotonic clock stands still while a VM is suspended, and the wall clock does not. This clock advances with the monotonic clock, and
+ * by each forward jump of the wall clock against it. If the wall clock was only set, the bounds are too early until tighter ones arrive.
+ */
+
+/** The minimum jump that counts as one, in milliseconds; smaller ones between two checks come from the adjustment of the wall clock. */
+const minJumpMs = 100;
 
 /** Tells the time, and when a message that is read now may have been sent. */
 export class ElapsedClock {
+	/** The sum of the jumps so far, in milliseconds. */
+	private jumpedMs = 0;
+	private lastJump = {atMs: Number.NEGATIVE_INFINITY, jumpMs: 0};
+	private offsetMs = readOffsetMs();
+	private readonly listeners = new Set<(jumpMs: number) => void>();
+
 	/** @param maxDelayMs - returns how long a message that is read now may have been under way or waited in a socket, in milliseconds */
 	constructor(private readonly maxDelayMs: () => number = () => 0) {}
 
 	/** The time, in milliseconds. */
 	get nowMs(): number {
-		return performance.now();
+		this.check();
+		return performance.now() + this.jumpedMs;
 	}
 
 	/** The earliest time at which a message that is read now was sent, if its sender does not answer a request whose time is known. */
 	get sentAfterMs(): number {
-		return this.nowMs - this.maxDelayMs();
+		const {nowMs} = this;
+		const maxDelayMs = this.maxDelayMs();
+		const {atMs, jumpMs} = this.lastJump;
+		return nowMs - maxDelayMs - (performance.now() - atMs <= maxDelayMs ? jumpMs : 0);
+	}
+
+	/** Adds a listener that is called with the length of each jump, in milliseconds. */
+	onJump(listener: (jumpMs: number) => void): void {
+		this.listeners.add(listener);
 	}
+
+	/** Looks for a jump since the last check; code that is about to act on bounds calls this. */
+	check(): void {
+		const offsetMs = readOffsetMs();
+		const jumpMs = offsetMs - this.offsetMs;
+		this.offsetMs = offsetMs;
+		if (jumpMs < minJumpMs) {
+			return;
+		}
+
+		this.jumpedMs += jumpMs;
+		this.lastJump = {atMs: performance.now(), jumpMs};
+		for (const listener of this.listeners) {
+			listener(jumpMs);
+		}
+	}
+
+	/** Converts a time of this clock to the monotonic time that it stands for as far as is known now. */
+	toMonotonicMs(timeMs: number): number {
+		return timeMs - this.jumpedMs;
+	}
+}
+
+function readOffsetMs(): number {
+	return Date.now() - performance.now();
 }
--- a/test/naming-times.test.ts
+++ b/test/naming-times.test.ts
@@ -8,6 +8,7 @@
 import {type DirectoryChanges, type DirectorySource, HistoryLostError} from '../src/directory/directory-types.ts';
 import {DirectoryWatcher} from '../src/directory/directory-watcher.ts';
 import type {NamedVersion} from '../src/directory/named-versions.ts';
+import {VersionExpiry} from '../src/forwarding/version-expiry.ts';
 import type {PeerClient} from '../src/links/peer-client.ts';
 import {ElapsedClock} from '../src/runtime/elapsed-clock.ts';
 import {PauseDetector} from '../src/runtime/pause-detector.ts';
@@ -28,6 +29,10 @@
 	}
 }
 
+const held = {
+	model: 'm', version: 1, fromLayer: 0, toLayer: 16,
+};
+
 /** How long messages without a request may be under way, in milliseconds. */
 const maxDelayMs = 700;
 
@@ -301,3 +306,44 @@
 		expect(earliestOf(directory)).to.be.within(namedAtMs - 251, namedAtMs);
 	});
 });
+
+it('guards against old weights after a VM was suspended: the wall clock shows it, messages from before it count as older, and a peer tells the tight bounds', async () => {
+	await withClock(clock => {
+		const directory = new Directory(createSilentLogger());
+		const expiry = new VersionExpiry(directory, 8000);
+		directory.apply(namedVersion2);
+		const requestedAtMs = directory.clock.nowMs;
+		clock.tick(1000);
+		expect(expiry.timeLeftMs(held)).to.equal(6750);
+		// The monotonic clock stands still for 5 s.
+		clock.setSystemTime(Date.now() + 5000);
+		expect(expiry.timeLeftMs(held)).to.equal(1750);
+		expect(directory.shareableVersions).to.deep.equal([{
+			model: 'm', version: 2, minAgeMs: 1000, maxAgeMs: 6000,
+		}]);
+		const peerVersion = {model: 'm', version: 2, minAgeMs: 100};
+		directory.mergeFromPeer({versions: [{...peerVersion, maxAgeMs: 200}]}, requestedAtMs);
+		expect(earliestOf(directory)).to.be.at.most(61_000 - 6000);
+		directory.mergeFromPeer({versions: [{...peerVersion, minAgeMs: 5900, maxAgeMs: 5950}]}, directory.clock.nowMs);
+		expect(expiry.timeLeftMs(held)).to.equal(8000 - 250 - 5950);
+	});
+});
+
+it('guards against old weights, and against refusals for long, when the wall clock is set: no step extends their time, and after one forwards a peer restores it', async () => {
+	await withClock(clock => {
+		for (const stepMs of [-7000, 3000, 60, -60]) {
+			const directory = new Directory(createSilentLogger());
+			const expiry = new VersionExpiry(directory, 8000);
+			directory.apply(namedVersion2);
+			clock.tick(1000);
+			clock.setSystemTime(Date.now() + stepMs);
+			expect(expiry.timeLeftMs(held)).to.equal(stepMs === 3000 ? 3750 : 6750);
+			directory.mergeFromPeer({
+				versions: [{
+					model: 'm', version: 2, minAgeMs: 1000, maxAgeMs: 1000,
+				}],
+			}, directory.clock.nowMs);
+			expect(expiry.timeLeftMs(held)).to.equal(6750);
+		}
+	});
+});
