--- a/src/reports/explain-request.ts
+++ b/src/reports/explain-request.ts
@@ -23,7 +23,7 @@
 	instance_seen: 'instance', instance_gone: 'instance', instance_unconfirmed: 'instance', instance_lost: 'instance', instance_back: 'instance',
 	instance_suspect: 'instance', instance_trusted: 'instance', instance_changing: 'instance',
 	configuration_taken: 'vm', configuration_refused: 'vm', version_named: 'model', source_lost: 'part', source_regained: 'part', history_lost: 'part',
-	gateway_started: 'vm', settings_reloaded: 'vm', settings_refused: 'vm', drain_started: 'vm', process_paused: 'vm',
+	gateway_started: 'vm', settings_reloaded: 'vm', settings_refused: 'vm', drain_started: 'vm', process_paused: 'vm', clock_jumped: 'vm',
 };
 
 /** Fields that {@link formatLogLine} prints in front or leaves out. */
