Send no call whose version has expired while it was connecting

The time left on a version was checked when an instance was selected. The request went out whenever the connection was established, and the abort timer was armed with a duration, so that an event loop that was late in between moved both by its delay.

Now the end of the start window is a point in time from the selection on. It is checked again when the connection is established, before anything is written, together with the predicted time to the first event. A call that is withheld there, or whose window ends while it connects, counts as not run: it is retried, or refused with 503. It was a 502 before, although nothing had been written.

Ruled out: passing the end of the window to the engine as its deadline. Engines stop work at the deadline, so that streams that began in time would be cut at the expiry.

--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -224,7 +224,7 @@
 		return Math.min(this.deadlineAtMs, this.timeoutAtMs);
 	}
 
-	private startAttempt({instance, predictedMs, version, startWindowMs}: SelectedInstance): void {
+	private startAttempt({instance, predictedMs, version, startBeforeMs}: SelectedInstance): void {
 		const {call, route, holder, writer, codec, tracker, buffers} = this.options;
 		this.tried.add(instance.id);
 		this.version = version;
@@ -234,7 +234,7 @@
 			instance,
 			isStream: route.kind === 'stream',
 			predictedMs,
-			startWindowMs,
+			startBeforeMs,
 			instructions: {
 				deadlineMs: Math.max(1, Math.floor(this.expiresAtMs - performance.now())),
 				instance: instance.id,
--- a/src/forwarding/instance-selector.ts
+++ b/src/forwarding/instance-selector.ts
@@ -158,7 +158,7 @@
 	const index = candidates.findIndex(candidate => candidate.id === id);
 	const instance = instances[index]!;
 	return {
-		instance, predictedMs, version: findHeldModel(instance, model)?.version, startWindowMs: candidates[index]!.startWindowMs,
+		instance, predictedMs, version: findHeldModel(instance, model)?.version, startBeforeMs: performance.now() + candidates[index]!.startWindowMs,
 	};
 }
 
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -30,8 +30,8 @@
 	readonly instance: Instance;
 	readonly isStream: boolean;
 	readonly predictedMs: number;
-	/** How long the call may still start on the selected version, in milliseconds; infinite unless a newer version was announced. */
-	readonly startWindowMs: number;
+	/** Until when the call may start on the selected version, on the clock of `performance.now()`; infinite unless a newer version was announced. */
+	readonly startBeforeMs: number;
 	readonly instructions: AttemptInstructions;
 	/** The attempt before this one, whose stream this one resumes. */
 	readonly previous: UpstreamAttempt | undefined;
@@ -83,7 +83,7 @@
 		this.responseVersion = previous?.responseVersion;
 		this.inFlightCall = tracker.inFlight.add(instance.id, call.headers.promptTokens);
 		this.restartStallTimer(options.stallTimeoutsMs.first + options.predictedMs);
-		this.startVersionTimer(options.startWindowMs);
+		this.startVersionTimer();
 		this.exchange = new UpstreamExchange({
 			...parseAddress(instance.address),
 			method: call.method,
@@ -91,6 +91,10 @@
 			headers: codec.writeCallHeaders(call.rawHeaders, instructions),
 			body: instructions.hasBody ? call.body : undefined,
 		}, {
+			mayWrite: () => performance.now() + options.predictedMs <= options.startBeforeMs,
+			onWithheld: () => {
+				this.report({kind: 'not-run', reason: 'version_expired'});
+			},
 			onHeaders: (status, rawHeaders) => {
 				this.handleHeaders(status, rawHeaders);
 			},
@@ -114,7 +118,7 @@
 	/** How long the attempt took to begin, beside what was predicted and allowed. */
 	get timing(): AttemptTiming {
 		const waitedMs = Math.min(this.firstEventAtMs, performance.now()) - this.startedAtMs;
-		return describeAttemptTiming(waitedMs, this.options.predictedMs, this.options.startWindowMs);
+		return describeAttemptTiming(waitedMs, this.options.predictedMs, this.options.startBeforeMs - this.startedAtMs);
 	}
 
 	/** Returns the complete response; undefined if there is none or it was streamed. */
@@ -322,13 +326,14 @@
 	}
 
 	/** Fails the attempt if it has not started when its version expires. */
-	private startVersionTimer(withinMs: number): void {
-		if (Number.isFinite(withinMs)) {
+	private startVersionTimer(): void {
+		const {startBeforeMs} = this.options;
+		if (Number.isFinite(startBeforeMs)) {
 			this.versionTimer = setTimeout(() => {
 				if (!this.isFinished && !this.inFlightCall.hasStarted) {
-					this.report({kind: 'failed', reason: 'version_expired'});
+					this.report({kind: this.exchange.isWritten ? 'failed' : 'not-run', reason: 'version_expired'});
 				}
-			}, Math.max(0, withinMs));
+			}, Math.max(0, startBeforeMs - performance.now()));
 		}
 	}
 
--- a/src/forwarding/upstream-exchange.ts
+++ b/src/forwarding/upstream-exchange.ts
@@ -23,8 +23,12 @@
 	readonly body: Buffer | undefined;
 };
 
-/** Callbacks for the response; exactly one of `onEnd` and `onError` is called, unless the exchange is aborted. */
+/** Callbacks for the request and the response; exactly one of `onWithheld`, `onEnd` and `onError` is called, unless the exchange is aborted. */
 export type ExchangeEvents = {
+	/** Returns whether the request may still be sent; called when the connection is established, before anything is written. */
+	readonly mayWrite: () => boolean;
+	/** Called if the request may not be sent any more, so that the upstream certainly did not get the call. */
+	readonly onWithheld: () => void;
 	readonly onHeaders: (status: number, rawHeaders: readonly string[]) => void;
 	readonly onData: (chunk: Buffer) => void;
 	/** Called when the body is complete. */
@@ -41,6 +45,7 @@
 	private readonly connectTimer: NodeJS.Timeout;
 	private res: http.IncomingMessage | undefined;
 	private isConnected = false;
+	private hasWritten = false;
 	private isFinished = false;
 	/** Whether the upstream closed the connection with a FIN rather than a reset. */
 	private hasReceivedFin = false;
@@ -58,7 +63,7 @@
 			this.fail('connect_timeout');
 		}, connectTimeoutMs);
 		this.req.on('socket', socket => {
-			this.watchSocket(socket);
+			this.watchSocket(socket, body);
 		});
 		this.req.on('response', res => {
 			this.handleResponse(res);
@@ -66,7 +71,11 @@
 		this.req.on('error', (err: NodeJS.ErrnoException) => {
 			this.fail(err.code ?? err.message);
 		});
-		this.req.end(body);
+	}
+
+	/** Whether any part of the request was written; if not, the upstream certainly did not get the call. */
+	get isWritten(): boolean {
+		return this.hasWritten;
 	}
 
 	/** Aborts the exchange; no callback is called afterwards. */
@@ -84,10 +93,11 @@
 		this.res?.resume();
 	}
 
-	private watchSocket(socket: net.Socket): void {
+	private watchSocket(socket: net.Socket, body: Buffer | undefined): void {
 		socket.once('connect', () => {
 			this.isConnected = true;
 			clearTimeout(this.connectTimer);
+			this.write(body);
 		});
 		socket.prependOnceListener('end', () => {
 			// The event loop also reports a reset as an end if data was read just before. The socket has no peer then.
@@ -95,6 +105,21 @@
 		});
 	}
 
+	private write(body: Buffer | undefined): void {
+		if (this.isFinished) {
+			return;
+		}
+
+		if (!this.events.mayWrite()) {
+			this.finish();
+			this.events.onWithheld();
+			return;
+		}
+
+		this.hasWritten = true;
+		this.req.end(body);
+	}
+
 	private handleResponse(res: http.IncomingMessage): void {
 		if (this.isFinished) {
 			return;
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -2,6 +2,7 @@
 import net, {type AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
+import {UpstreamExchange} from '../src/forwarding/upstream-exchange.ts';
 import {createServiceId} from '../src/ids/service-id.ts';
 import {
 	callGateway, sendSignedResponse, startTestGateway, startUpstream, testConfiguration, type TestGateway, testInstance, type TestUpstream, type UpstreamHandler,
@@ -287,6 +288,66 @@
 	expect(closedAtMs - calledAtMs).to.be.lessThan(650);
 });
 
+it('guards against old weights through a late gateway: a call whose version expires between its placement and its connection is not sent, and may be told so', async () => {
+	const {gateway, upstreams} = await start({kind: 'stream', isResumable: true, aimMs: 800}, [stream(3), stream(3)]);
+	// Calls may start on version 1 for another 400 ms.
+	gateway.directory.mergeFromPeer({
+		versions: [{
+			model: 'm', version: 2, ageMs: 7350, isAssumed: false,
+		}],
+	});
+	const {inFlight} = gateway.tracker;
+	const add = inFlight.add.bind(inFlight);
+	inFlight.add = (...params) => {
+		for (const untilMs = performance.now() + 600; performance.now() < untilMs;) {
+			// Blocks the event loop, as applying a large configuration does.
+		}
+
+		return add(...params);
+	};
+
+	const response = await callGateway(gateway.url, streamCall);
+	expect(response.status).to.equal(503);
+	expect(upstreams.map(({requests}) => requests.length)).to.deep.equal([0, 0]);
+});
+
+it('guards against a false "may have run": a call that is taken back before its connection is established counts as not run', async () => {
+	const closed: boolean[] = [];
+	const server = net.createServer(socket => {
+		socket.on('data', () => {
+			closed.push(false);
+		});
+		socket.on('close', () => {
+			closed.push(true);
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	open.push(server);
+	const outcome = await new Promise(resolve => {
+		const exchange = new UpstreamExchange({
+			host: '127.0.0.1', port: (server.address() as AddressInfo).port, method: 'POST', target: '/', headers: ['host', 'a'], body: undefined,
+		}, {
+			mayWrite: () => false,
+			onWithheld() {
+				resolve({kind: 'withheld', isWritten: exchange.isWritten});
+			},
+			onHeaders: () => undefined,
+			onData: () => undefined,
+			onEnd() {
+				resolve({kind: 'end'});
+			},
+			onError(reason) {
+				resolve({kind: 'error', reason});
+			},
+		});
+	});
+	expect(outcome).to.deep.equal({kind: 'withheld', isWritten: false});
+	await sleep(30);
+	expect(closed).to.deep.equal([true]);
+});
+
 it('guards against a started stream that is treated as a late call: it resumes at another upstream even if the first one reported no version and the target time has passed', async () => {
 	const breakingHandler: UpstreamHandler = (req, res) => {
 		res.writeHead(200, {'attempt-id': req.headers['attempt-id'] as string, 'response-seal': 's', 'content-type': 'text/event-stream'});
