Let versions expire earlier in a gateway whose event loop runs late

A call that has not begun when its version expires is aborted by a timer, which runs as late as the event loop does. The margin before the expiry was 250 ms whatever the delay, and delays were checked every 250 ms, so that most blocks of the event loop up to that length went unnoticed.

Now the margin grows by the largest recent delay of the event loop, at most by 1 s. A delay counts by half after 2 s, and is checked every 100 ms. Cost: callers get no service on the old version for up to 1 s more per rollout, only at gateways that have just been late.

Both tests were seen to fail before.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -67,6 +67,7 @@
 		zone: settings.process.zone,
 		retryBudget: {ratio: settings.limits.retry_ratio, slack: settings.limits.retry_slack, windowMs: settings.limits.retry_window_s * msPerSecond},
 		versionBoundMs: settings.limits.version_bound_ms,
+		eventLoopDelayMs: () => base.pauseDetector.recentDelayMs,
 		gatewayCount: () => peers.knownGateways.size,
 		onEnd(route, outcome, ms) {
 			forwardingMetrics.recordOutcome(route?.kind, outcome, ms);
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -39,6 +39,8 @@
 	readonly retryBudget: RetryBudgetOptions;
 	/** How long calls may still start on an older version of a model after a newer one was announced, in milliseconds. */
 	readonly versionBoundMs: number;
+	/** Returns how late a timer of this process may run now, in milliseconds. */
+	readonly eventLoopDelayMs: () => number;
 	/** Returns the number of gateways that share the retry budget. */
 	readonly gatewayCount: () => number;
 	/** Called when a call has ended. */
@@ -65,7 +67,7 @@
 	constructor(private readonly options: CallForwarderOptions) {
 		const {directory, tracker, loads, random, zone, log} = options;
 		this.selector = new InstanceSelector({
-			directory, tracker, loads, random, zone, log, versionExpiry: new VersionExpiry(directory, options.versionBoundMs),
+			directory, tracker, loads, random, zone, log, versionExpiry: new VersionExpiry(directory, options.versionBoundMs, options.eventLoopDelayMs),
 		});
 	}
 
--- a/src/forwarding/version-expiry.ts
+++ b/src/forwarding/version-expiry.ts
@@ -5,13 +5,17 @@
 /** How much earlier than allowed an older version expires, in milliseconds; covers the network latency of a call and the error of its predicted start. */
 const safetyMarginMs = 250;
 
+/** Upper bound of what recent delays of the event loop add to the margin, in milliseconds, because callers get no service for its length. */
+const maxDelayMarginMs = 1000;
+
 /** Computes expiry times from when newer versions were announced. */
 export class VersionExpiry {
 	/**
 	 * @param directory - provides the announced versions
 	 * @param versionBoundMs - how long calls may start on an older version after a newer one was announced, in milliseconds
+	 * @param eventLoopDelayMs - returns how late a timer may run now, in milliseconds; calls that have not started are aborted as late
 	 */
-	constructor(private readonly directory: Directory, private readonly versionBoundMs: number) {}
+	constructor(private readonly directory: Directory, private readonly versionBoundMs: number, private readonly eventLoopDelayMs: () => number) {}
 
 	/**
 	 * Returns whether calls may start on a version now.
@@ -29,8 +33,9 @@
 	 */
 	timeLeftMs({model, version}: HeldModel): number {
 		const nowMs = performance.now();
+		const marginMs = safetyMarginMs + Math.min(maxDelayMarginMs, this.eventLoopDelayMs());
 		// The earliest announced newer version counts; later ones do not extend the time.
 		const newer = this.directory.versionsOf(model).filter(named => named.version > version);
-		return Math.min(...newer.map(({sinceMs}) => this.versionBoundMs - safetyMarginMs - (nowMs - sinceMs)));
+		return Math.min(...newer.map(({sinceMs}) => this.versionBoundMs - marginMs - (nowMs - sinceMs)));
 	}
 }
--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -1,7 +1,7 @@
 /** Detects that the process was paused, for example by a frozen VM. After a pause, all state received from other processes may be outdated. */
 
 /** The interval of the timer that checks for pauses, in milliseconds. */
-export const pauseCheckIntervalMs = 250;
+export const pauseCheckIntervalMs = 100;
 
 /** The minimum time between two checks that counts as a pause, in milliseconds. */
 export const pauseThresholdMs = 2000;
@@ -9,21 +9,30 @@
 /** The minimum delay of a check that {@link PauseDetector.onDelay} reports, in milliseconds; shorter ones are common on a busy VM. */
 const reportedDelayMs = 200;
 
+/** The time after which {@link PauseDetector.recentDelayMs} counts a delay by half, in milliseconds. */
+const delayHalfLifeMs = 2000;
+
 /** Calls its listeners after the event loop did not run for at least {@link pauseThresholdMs}. */
 export class PauseDetector {
 	private lastCheckAtMs = performance.now();
+	private largestDelay = {ms: 0, atMs: performance.now()};
 	private readonly listeners = new Set<(gapMs: number) => void>();
 	private readonly delayListeners = new Set<(delayMs: number) => void>();
 	private readonly timer: NodeJS.Timeout;
 
 	constructor() {
 		this.timer = setInterval(() => {
-			this.reportDelay(performance.now() - this.lastCheckAtMs - pauseCheckIntervalMs);
+			this.recordDelay(performance.now() - this.lastCheckAtMs - pauseCheckIntervalMs);
 			this.check();
 		}, pauseCheckIntervalMs);
 		this.timer.unref();
 	}
 
+	/** The largest recent delay of the event loop, less the older it is, in milliseconds: how late a timer may run now. */
+	get recentDelayMs(): number {
+		return this.largestDelay.ms * (0.5 ** ((performance.now() - this.largestDelay.atMs) / delayHalfLifeMs));
+	}
+
 	/**
 	 * Checks for a pause now, and calls the listeners if there was one.
 	 *
@@ -69,7 +78,11 @@
 		clearInterval(this.timer);
 	}
 
-	private reportDelay(delayMs: number): void {
+	private recordDelay(delayMs: number): void {
+		if (delayMs > this.recentDelayMs) {
+			this.largestDelay = {ms: delayMs, atMs: performance.now()};
+		}
+
 		if (delayMs < reportedDelayMs) {
 			return;
 		}
--- a/test/forwarding-decisions.test.ts
+++ b/test/forwarding-decisions.test.ts
@@ -12,6 +12,7 @@
 import {RouteTable} from '../src/forwarding/route-table.ts';
 import {DeadlineHistory} from '../src/forwarding/deadline-history.ts';
 import {VersionExpiry} from '../src/forwarding/version-expiry.ts';
+import {PauseDetector} from '../src/runtime/pause-detector.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {
 	testConfiguration, testEngineTiming, testInstance, testRoute,
@@ -22,7 +23,7 @@
 	const clock = install();
 	try {
 		const directory = new Directory(createSilentLogger());
-		test(new VersionExpiry(directory, 8000), directory, clock);
+		test(new VersionExpiry(directory, 8000, () => 0), directory, clock);
 	} finally {
 		clock.uninstall();
 	}
@@ -157,6 +158,52 @@
 	});
 });
 
+it('guards against begins on old weights through a gateway that aborts too late: the larger its recent delay, the earlier a version expires, within a bound', () => {
+	const clock = install();
+	try {
+		let delayMs = 0;
+		const directory = new Directory(createSilentLogger());
+		const expiry = new VersionExpiry(directory, 8000, () => delayMs);
+		const held = {
+			model: 'm', version: 1, fromLayer: 0, toLayer: 16,
+		};
+		directory.apply({revision: 5, changes: [{revision: 5, change: {kind: 'version', model: 'm', version: 2}}]});
+		const timeLeftMs = (ms: number) => {
+			delayMs = ms;
+			return expiry.timeLeftMs(held);
+		};
+
+		const usualMs = timeLeftMs(0);
+		expect(timeLeftMs(400)).to.equal(usualMs - 400);
+		expect(timeLeftMs(10_000)).to.equal(usualMs - 1000);
+		expect(timeLeftMs(0)).to.equal(usualMs);
+		expect(timeLeftMs(400)).to.be.lessThan(usualMs);
+		expect(expiry.timeLeftMs({...held, version: 2})).to.equal(Number.POSITIVE_INFINITY);
+	} finally {
+		clock.uninstall();
+	}
+});
+
+it('guards against a late event loop that goes unnoticed: delays well below a pause are known at once, a smaller one does not hide a larger one, and they fade', () => {
+	const clock = install();
+	const detector = new PauseDetector();
+	try {
+		expect(detector.recentDelayMs).to.equal(0);
+		clock.tick(1000);
+		clock.jump(600);
+		const largestMs = detector.recentDelayMs;
+		expect(largestMs).to.be.within(450, 600);
+		clock.tick(100);
+		clock.jump(150);
+		expect(detector.recentDelayMs).to.be.within(largestMs * 0.8, largestMs);
+		clock.tick(20_000);
+		expect(detector.recentDelayMs).to.be.lessThan(10);
+	} finally {
+		detector.stop();
+		clock.uninstall();
+	}
+});
+
 const candidate = (id: string, calls: number, extra: Partial<Candidate> = {}): Candidate => ({
 	id, isLocal: true, slots: 16, isSuspect: false, startWindowMs: Number.POSITIVE_INFINITY, load: {calls, unreadTokens: 0, slowness: 1}, ...extra,
 });
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -108,7 +108,7 @@
 	});
 	const forwarder = new CallForwarder({
 		directory, codec: platformCodec, tracker, crashes, quarantine, loads: {ask: async () => new Map()}, random: new RandomSource(7), log, zone: 'z',
-		retryBudget: {ratio: 0.2, slack: 100, windowMs: 10_000}, versionBoundMs: 8000, gatewayCount: () => 1, onEnd: () => undefined,
+		retryBudget: {ratio: 0.2, slack: 100, windowMs: 10_000}, versionBoundMs: 8000, eventLoopDelayMs: () => 0, gatewayCount: () => 1, onEnd: () => undefined,
 	});
 	quarantine.onHeld(() => {
 		forwarder.endHeldCalls();
