Take waiting calls back when it turns out that their version has expired

Now an attempt asks for the time left when it is placed, when its connection is established, when its timer runs, and whenever the directory changes. A call that has begun runs on. The work per change grows with the open calls of this gateway only.

The test over loopback was seen to fail before: the call waited until its deadline (504 in place of 502). The test of the new module was seen to fail with a check that does nothing after the first one, and with a check that goes on after the call has started.

--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -69,6 +69,11 @@
 		this.selector = new InstanceSelector({
 			directory, tracker, loads, random, zone, log, versionExpiry: new VersionExpiry(directory, options.versionBoundMs, options.eventLoopDelayMs),
 		});
+		directory.onChange(() => {
+			for (const call of this.inFlight) {
+				call.attempt?.startDeadline.check();
+			}
+		});
 	}
 
 	/** Refuses all further calls, because the process is shutting down. */
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -67,8 +67,9 @@
 
 /** Runs the attempts of one call until one is served or no further attempt is allowed. */
 export class ForwardedCall {
+	/** The latest attempt. */
+	attempt: UpstreamAttempt | undefined;
 	private readonly tried = new Set<string>();
-	private attempt: UpstreamAttempt | undefined;
 	/** Version of the model that the instance of the last attempt held, for the log. */
 	private version: number | undefined;
 	/** Attempts that may have run the call. */
@@ -224,7 +225,7 @@
 		return Math.min(this.deadlineAtMs, this.timeoutAtMs);
 	}
 
-	private startAttempt({instance, predictedMs, version, startBeforeMs}: SelectedInstance): void {
+	private startAttempt({instance, predictedMs, version, startTimeLeftMs}: SelectedInstance): void {
 		const {call, route, holder, writer, codec, tracker, buffers} = this.options;
 		this.tried.add(instance.id);
 		this.version = version;
@@ -234,7 +235,7 @@
 			instance,
 			isStream: route.kind === 'stream',
 			predictedMs,
-			startBeforeMs,
+			startTimeLeftMs,
 			instructions: {
 				deadlineMs: Math.max(1, Math.floor(this.expiresAtMs - performance.now())),
 				instance: instance.id,
--- a/src/forwarding/instance-query.ts
+++ b/src/forwarding/instance-query.ts
@@ -27,6 +27,6 @@
 	readonly predictedMs: number;
 	/** Version of the model that the instance holds. */
 	readonly version: number | undefined;
-	/** Until when calls may start on this version, on the clock of `performance.now()`; infinite unless a newer version was announced. */
-	readonly startBeforeMs: number;
+	/** Returns how long calls may still start on this version, in milliseconds; infinite unless a newer version was announced. */
+	readonly startTimeLeftMs: () => number;
 };
--- a/src/forwarding/instance-selector.ts
+++ b/src/forwarding/instance-selector.ts
@@ -70,7 +70,7 @@
 
 		const {placement, instances, candidates} = choice;
 		this.logPlacement(placement, query, candidates, sample.counts.size);
-		return placement.kind === 'refuse' ? placement : createSelection(placement, instances, candidates, query.headers.model);
+		return placement.kind === 'refuse' ? placement : this.createSelection(placement, instances, query.headers.model);
 	}
 
 	/** Draws further eligible instances and asks for their load; returns whether there were any. */
@@ -136,6 +136,15 @@
 		};
 	}
 
+	private createSelection({id, predictedMs}: Extract<Placement, {kind: 'place'}>, instances: readonly Instance[], model: string | undefined): SelectedInstance {
+		const {versionExpiry} = this.options;
+		const instance = instances.find(item => item.id === id)!;
+		const held = findHeldModel(instance, model);
+		return {
+			instance, predictedMs, version: held?.version, startTimeLeftMs: () => (held ? versionExpiry.timeLeftMs(held) : Number.POSITIVE_INFINITY),
+		};
+	}
+
 	private logPlacement(placement: Placement, {headers, aimLeftMs}: InstanceQuery, candidates: readonly Candidate[], answers: number): void {
 		const {log, directory} = this.options;
 		const common = {
@@ -154,14 +163,6 @@
 	}
 }
 
-function createSelection({id, predictedMs}: Extract<Placement, {kind: 'place'}>, instances: readonly Instance[], candidates: readonly Candidate[], model: string | undefined): SelectedInstance {
-	const index = candidates.findIndex(candidate => candidate.id === id);
-	const instance = instances[index]!;
-	return {
-		instance, predictedMs, version: findHeldModel(instance, model)?.version, startBeforeMs: performance.now() + candidates[index]!.startWindowMs,
-	};
-}
-
 function findHeldModel(instance: Instance, model: string | undefined): HeldModel | undefined {
 	return instance.held.find(held => held.model === model);
 }
--- /dev/null
+++ b/src/forwarding/start-deadline.ts
@@ -0,0 +1,45 @@
+/** Ends the wait of a call that has not started when the version of weights it was sent to expires, also if that time changes meanwhile. */
+
+/** The time until which one call may start; it depends on the announced versions and on how late this process runs. */
+export class StartDeadline {
+	private timer: NodeJS.Timeout | undefined;
+	private isStopped = false;
+
+	/**
+	 * @param timeLeftMs - returns how long calls may still start on the version, in milliseconds; infinite unless a newer version was announced
+	 * @param onPassed - called once when no time is left, never before the constructor has returned
+	 */
+	constructor(private readonly timeLeftMs: () => number, private readonly onPassed: () => void) {
+		this.check();
+	}
+
+	/**
+	 * Returns whether a call that starts after the given time would start early enough.
+	 *
+	 * @param ms - the predicted time to the start of the call, in milliseconds
+	 */
+	allowsStartIn(ms: number): boolean {
+		return ms <= this.timeLeftMs();
+	}
+
+	/** Applies a change of the announced versions; does nothing after {@link stop}. */
+	check(): void {
+		clearTimeout(this.timer);
+		const leftMs = this.timeLeftMs();
+		if (!this.isStopped && Number.isFinite(leftMs)) {
+			this.timer = setTimeout(() => {
+				if (this.timeLeftMs() > 0) {
+					this.check();
+				} else {
+					this.onPassed();
+				}
+			}, Math.max(0, leftMs));
+		}
+	}
+
+	/** Ends the check, because the call has started or ended. */
+	stop(): void {
+		this.isStopped = true;
+		clearTimeout(this.timer);
+	}
+}
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -11,6 +11,7 @@
 import type {ReceivedCall} from './received-call.ts';
 import {type BufferOwner, maxEventBytes, type ResponseBuffers} from './response-buffers.ts';
 import {UpstreamExchange} from './upstream-exchange.ts';
+import {StartDeadline} from './start-deadline.ts';
 import type {AttemptInstructions, ResponseHeaders, WireCodec} from './wire-codec.ts';
 
 /** Statuses that mean "not run" to a caller. If the upstream does not state so itself, the response is not passed on and the attempt fails. */
@@ -30,8 +31,8 @@
 	readonly instance: Instance;
 	readonly isStream: boolean;
 	readonly predictedMs: number;
-	/** Until when the call may start on the selected version, on the clock of `performance.now()`; infinite unless a newer version was announced. */
-	readonly startBeforeMs: number;
+	/** Returns how long the call may still start on the selected version, in milliseconds; infinite unless a newer version was announced. */
+	readonly startTimeLeftMs: () => number;
 	readonly instructions: AttemptInstructions;
 	/** The attempt before this one, whose stream this one resumes. */
 	readonly previous: UpstreamAttempt | undefined;
@@ -63,15 +64,17 @@
 	lastEventId: string | undefined;
 	/** Version of the model that produced the events sent to the caller, if its upstream reported one. */
 	responseVersion: number | undefined;
+	/** Until when the call may start. */
+	readonly startDeadline: StartDeadline;
 	private readonly exchange: UpstreamExchange;
 	private readonly inFlightCall: InFlightCall;
 	private readonly startedAtMs = performance.now();
+	private readonly startWindowMs: number;
 	private readonly splitter = new EventSplitter();
 	private bodyChunks: Buffer[] = [];
 	private head: {readonly status: number; readonly headers: ResponseHeaders} | undefined;
 	private buffered: BufferedResponse | undefined;
 	private stallTimer: NodeJS.Timeout | undefined;
-	private versionTimer: NodeJS.Timeout | undefined;
 	private firstEventAtMs = Number.POSITIVE_INFINITY;
 	private hasSurvived = false;
 	private isFinished = false;
@@ -83,7 +86,10 @@
 		this.responseVersion = previous?.responseVersion;
 		this.inFlightCall = tracker.inFlight.add(instance.id, call.headers.promptTokens);
 		this.restartStallTimer(options.stallTimeoutsMs.first + options.predictedMs);
-		this.startVersionTimer();
+		this.startWindowMs = options.startTimeLeftMs();
+		this.startDeadline = new StartDeadline(options.startTimeLeftMs, () => {
+			this.report({kind: this.exchange.isWritten ? 'failed' : 'not-run', reason: 'version_expired'});
+		});
 		this.exchange = new UpstreamExchange({
 			...parseAddress(instance.address),
 			method: call.method,
@@ -91,7 +97,7 @@
 			headers: codec.writeCallHeaders(call.rawHeaders, instructions),
 			body: instructions.hasBody ? call.body : undefined,
 		}, {
-			mayWrite: () => performance.now() + options.predictedMs <= options.startBeforeMs,
+			mayWrite: () => this.startDeadline.allowsStartIn(options.predictedMs),
 			onWithheld: () => {
 				this.report({kind: 'not-run', reason: 'version_expired'});
 			},
@@ -118,7 +124,7 @@
 	/** How long the attempt took to begin, beside what was predicted and allowed. */
 	get timing(): AttemptTiming {
 		const waitedMs = Math.min(this.firstEventAtMs, performance.now()) - this.startedAtMs;
-		return describeAttemptTiming(waitedMs, this.options.predictedMs, this.options.startBeforeMs - this.startedAtMs);
+		return describeAttemptTiming(waitedMs, this.options.predictedMs, this.startWindowMs);
 	}
 
 	/** Returns the complete response; undefined if there is none or it was streamed. */
@@ -198,6 +204,7 @@
 		const nowMs = performance.now();
 		if (!this.inFlightCall.hasStarted) {
 			this.firstEventAtMs = nowMs;
+			this.startDeadline.stop();
 			tracker.inFlight.markStarted(this.inFlightCall);
 			tracker.recordFirstEvent(instance.id, nowMs - this.startedAtMs, predictedMs);
 		} else if (nowMs - this.firstEventAtMs >= survivedAfterMs) {
@@ -325,22 +332,10 @@
 		}, limitMs);
 	}
 
-	/** Fails the attempt if it has not started when its version expires. */
-	private startVersionTimer(): void {
-		const {startBeforeMs} = this.options;
-		if (Number.isFinite(startBeforeMs)) {
-			this.versionTimer = setTimeout(() => {
-				if (!this.isFinished && !this.inFlightCall.hasStarted) {
-					this.report({kind: this.exchange.isWritten ? 'failed' : 'not-run', reason: 'version_expired'});
-				}
-			}, Math.max(0, startBeforeMs - performance.now()));
-		}
-	}
-
 	private close(): void {
 		this.isFinished = true;
 		clearTimeout(this.stallTimer);
-		clearTimeout(this.versionTimer);
+		this.startDeadline.stop();
 		this.options.tracker.inFlight.remove(this.inFlightCall);
 		this.options.buffers.release(this);
 		this.bodyChunks = [];
--- a/test/forwarding-decisions.test.ts
+++ b/test/forwarding-decisions.test.ts
@@ -11,6 +11,7 @@
 import {WindowedRetryBudget} from '../src/forwarding/windowed-retry-budget.ts';
 import {RouteTable} from '../src/forwarding/route-table.ts';
 import {DeadlineHistory} from '../src/forwarding/deadline-history.ts';
+import {StartDeadline} from '../src/forwarding/start-deadline.ts';
 import {VersionExpiry} from '../src/forwarding/version-expiry.ts';
 import {PauseDetector} from '../src/runtime/pause-detector.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
@@ -184,6 +185,35 @@
 	}
 });
 
+it('guards against a wait that outlives its version: the time is up when the version expires, earlier or later if that changes, and never after the call has started', () => {
+	const clock = install();
+	try {
+		let expiresAtMs = 1000;
+		const passedAtMs: number[] = [];
+		const createDeadline = () => new StartDeadline(() => expiresAtMs - performance.now(), () => {
+			passedAtMs.push(performance.now());
+		});
+		const usual = createDeadline();
+		expect([999, 1001].map(ms => usual.allowsStartIn(ms))).to.deep.equal([true, false]);
+		createDeadline().stop();
+		clock.tick(900);
+		expiresAtMs = 1500;
+		clock.tick(400);
+		expect(passedAtMs).to.deep.equal([]);
+		expiresAtMs = 1200;
+		usual.check();
+		clock.tick(1);
+		expect(passedAtMs).to.have.lengthOf(1);
+		const started = createDeadline();
+		started.stop();
+		started.check();
+		clock.tick(5000);
+		expect(passedAtMs).to.have.lengthOf(1);
+	} finally {
+		clock.uninstall();
+	}
+});
+
 it('guards against a late event loop that goes unnoticed: delays well below a pause are known at once, a smaller one does not hide a larger one, and they fade', () => {
 	const clock = install();
 	const detector = new PauseDetector();
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -311,6 +311,43 @@
 	expect(upstreams.map(({requests}) => requests.length)).to.deep.equal([0, 0]);
 });
 
+it('guards against old weights after a wrong belief: a waiting call is taken back at once when it turns out that its version has expired, a started one runs on', async () => {
+	const arrived: string[] = [];
+	let namedAtMs = Number.POSITIVE_INFINITY;
+	const name = (ageMs: number, isAssumed: boolean) => {
+		gateway.directory.mergeFromPeer({
+			versions: [{
+				model: 'm', version: 2, ageMs, isAssumed,
+			}],
+		});
+	};
+
+	const {gateway} = await start({kind: 'stream', isResumable: true, aimMs: 800}, [(req, res) => {
+		const id = req.headers['attempt-id'] as string;
+		arrived.push(id);
+		if (id === 'id-started') {
+			res.writeHead(200, {
+				'attempt-id': id, 'response-seal': 's', 'content-type': 'text/event-stream', 'weight-versions': '1',
+			});
+			res.write(event(1));
+			setTimeout(() => res.end(event(2)), 350);
+		}
+
+		if (arrived.length === 2) {
+			setTimeout(() => {
+				namedAtMs = performance.now();
+				name(8000, false);
+			}, 100);
+		}
+	}]);
+	name(5000, true);
+	const started = callGateway(gateway.url, {headers: {...streamCall.headers, 'attempt-id': 'id-started'}});
+	const response = await callGateway(gateway.url, streamCall);
+	expect(response.status).to.equal(502);
+	expect(performance.now() - namedAtMs).to.be.within(0, 300);
+	expect(await started).to.deep.include({status: 200, body: event(1) + event(2), complete: true});
+});
+
 it('guards against a false "may have run": a call that is taken back before its connection is established counts as not run', async () => {
 	const closed: boolean[] = [];
 	const server = net.createServer(socket => {
