--- a/src/directory/named-versions.ts
+++ b/src/directory/named-versions.ts
@@ -10,7 +10,7 @@
 /** Changes of a bound that are smaller count as none, in milliseconds, since messages between processes take time. */
 const timeToleranceMs = 100;
 
-/** Number of versions that are kept per model. */
+/** Number of versions that are kept per model. The time limit for an older version starts with the first newer one, which must not be forgotten before it ends. */
 const maxVersionsPerModel = 4;
 
 /** A named version in the form that processes send to each other, with bounds of its age instead of monotonic times; no greatest age means that it is unknown. */
--- a/src/forwarding/instance-query.ts
+++ b/src/forwarding/instance-query.ts
@@ -27,6 +27,6 @@
 	readonly predictedMs: number;
 	/** Version of the model that the instance holds. */
 	readonly version: number | undefined;
-	/** How long calls may still start on this version, in milliseconds; see `version-expiry.ts`. */
-	readonly startWindowMs: number;
+	/** Returns how long calls may still start on this version, in milliseconds; infinite unless a newer version was announced. */
+	readonly startTimeLeftMs: () => number;
 };
--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -1,7 +1,7 @@
 /** Detects that the process was paused, for example by a frozen VM. After a pause, all state received from other processes may be outdated. */
 
 /** The interval of the timer that checks for pauses, in milliseconds. */
-export const pauseCheckIntervalMs = 250;
+export const pauseCheckIntervalMs = 100;
 
 /** The minimum time between two checks that counts as a pause, in milliseconds. */
 export const pauseThresholdMs = 2000;
@@ -9,31 +9,43 @@
 /** The minimum delay of a check that {@link PauseDetector.onDelay} reports, in milliseconds; shorter ones are common on a busy VM. */
 const reportedDelayMs = 200;
 
+/** How long a message may be under way, or wait in its socket without a delay of the event loop that is noticed, in milliseconds. */
+const unnoticedMessageDelayMs = 250;
+
+/** The time after which {@link PauseDetector.recentDelayMs} counts a delay by half, in milliseconds. */
+const delayHalfLifeMs = 2000;
+
 /** Calls its listeners after the event loop did not run for at least {@link pauseThresholdMs}. */
 export class PauseDetector {
 	private lastCheckAtMs = performance.now();
 	private lastTickAtMs = performance.now();
+	private largestDelay = {ms: 0, atMs: performance.now()};
 	/** The delay of the last tick, or half of that of an earlier one for each tick since, while messages from before it may still wait. */
-	private recentDelayMs = 0;
+	private messageWaitMs = 0;
 	private readonly listeners = new Set<(gapMs: number) => void>();
 	private readonly delayListeners = new Set<(delayMs: number) => void>();
 	private readonly timer: NodeJS.Timeout;
 
 	constructor() {
 		this.timer = setInterval(() => {
-			this.reportDelay(performance.now() - this.lastCheckAtMs - pauseCheckIntervalMs);
-			this.recentDelayMs = Math.max(this.tickDelayMs, this.recentDelayMs / 2);
-			this.lastTickAtMs = performance.now();
+			this.recordDelay();
 			this.check();
 		}, pauseCheckIntervalMs);
 		this.timer.unref();
 	}
 
-	/** How long a message that is read now may have waited in its socket, in milliseconds; a wait between two ticks is not noticed. */
+	/** The largest recent delay of the event loop, less the older it is, in milliseconds: how late a timer may run now. */
+	get recentDelayMs(): number {
+		const decayedMs = this.largestDelay.ms * (0.5 ** ((performance.now() - this.largestDelay.atMs) / delayHalfLifeMs));
+		return Math.max(decayedMs, this.tickDelayMs);
+	}
+
+	/** How long a message that is read now may have been under way or waited in its socket, in milliseconds. */
 	get maxMessageDelayMs(): number {
-		return pauseCheckIntervalMs + this.recentDelayMs + this.tickDelayMs;
+		return unnoticedMessageDelayMs + this.messageWaitMs + this.tickDelayMs;
 	}
 
+	/** How late the next tick is, in milliseconds. */
 	private get tickDelayMs(): number {
 		return Math.max(0, performance.now() - this.lastTickAtMs - pauseCheckIntervalMs);
 	}
@@ -83,7 +95,14 @@
 		clearInterval(this.timer);
 	}
 
-	private reportDelay(delayMs: number): void {
+	private recordDelay(): void {
+		const delayMs = this.tickDelayMs;
+		if (delayMs >= this.recentDelayMs) {
+			this.largestDelay = {ms: delayMs, atMs: performance.now()};
+		}
+
+		this.messageWaitMs = Math.max(delayMs, this.messageWaitMs / 2);
+		this.lastTickAtMs = performance.now();
 		if (delayMs < reportedDelayMs) {
 			return;
 		}
