Keep the named versions of a model until their time limit cannot matter any more

What callers saw: nothing traced to it. Change: 16 versions are kept in place of 4; in a message an entry takes about 60 bytes, and there are as many as were named. Conclusion: the test fails with 4 and passes with 16.

--- a/src/directory/named-versions.ts
+++ b/src/directory/named-versions.ts
@@ -11,7 +11,7 @@
 const timeToleranceMs = 100;
 
 /** Number of versions that are kept per model. The time limit for an older version starts with the first newer one, which must not be forgotten before it ends. */
-const maxVersionsPerModel = 4;
+const maxVersionsPerModel = 16;
 
 /** A named version in the form that processes send to each other, with bounds of its age instead of monotonic times; no greatest age means that it is unknown. */
 export type NamedVersion = {readonly model: string; readonly version: number; readonly minAgeMs: number; readonly maxAgeMs?: number | undefined};
