Take back waiting calls also when it is unknown when the newer version was named

No time left is minus infinity while the time of naming is unknown, and only finite times armed the timer, so that a call that waited on older weights stayed there. Change: all but an unlimited time arm it. The test of start deadlines was extended and seen to fail before (one call taken back, not two).

--- a/src/forwarding/start-deadline.ts
+++ b/src/forwarding/start-deadline.ts
@@ -26,7 +26,7 @@
 	check(): void {
 		clearTimeout(this.timer);
 		const leftMs = this.timeLeftMs();
-		if (!this.isStopped && Number.isFinite(leftMs)) {
+		if (!this.isStopped && leftMs < Number.POSITIVE_INFINITY) {
 			this.timer = setTimeout(() => {
 				if (this.timeLeftMs() > 0) {
 					this.check();
