--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -283,8 +283,7 @@
 
 		this.scheduleServiceRead(serviceReadIntervalMs);
 		try {
-			const snapshot = await source.read('published', AbortSignal.timeout(serviceReadIntervalMs));
-			directory.apply(snapshot, {isAfterOutage: false, namedAfterMs: Number.NEGATIVE_INFINITY});
+			directory.apply(await source.read('published', AbortSignal.timeout(serviceReadIntervalMs)));
 		} catch (err) {
 			log.warn({event: 'services_unknown', err}, 'the published services are unknown: no gateway sent them, and reading the source failed');
 		}
--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -13,16 +13,14 @@
 
 /** The circumstances in which changes were received. */
 export type ChangeContext = {
-	/**
-	 * The earliest time of the directory's clock at which the versions in the changes may have been named: `-Infinity` for a first read. By default
-	 * they count as named just now.
-	 */
-	readonly namedAfterMs?: number;
+	/** The earliest time of the directory's clock at which the versions in the changes may have been named; `-Infinity` if it is unknown, as after a first read. */
+	readonly namedAfterMs: number;
 	/** Whether these are the first changes after an outage of the source, during which entries may have expired although their instances still run. */
 	readonly isAfterOutage: boolean;
 };
 
-const watchContext: ChangeContext = {isAfterOutage: false};
+/** The circumstances of changes of which nothing else is known. */
+const unknownContext: ChangeContext = {namedAfterMs: Number.NEGATIVE_INFINITY, isAfterOutage: false};
 
 /** The parts of the directory that one process sends to another. */
 export type DirectorySnapshot = {
@@ -136,9 +134,9 @@
 	/**
 	 * Applies changes from the source.
 	 *
-	 * @param context - the circumstances; by default those of a regular watch
+	 * @param context - the circumstances; by default it is unknown when versions were named
 	 */
-	apply({changes}: DirectoryChanges, context: ChangeContext = watchContext): void {
+	apply({changes}: DirectoryChanges, context: ChangeContext = unknownContext): void {
 		for (const {revision, change} of changes) {
 			this.applyChange(revision, change, context);
 		}
@@ -150,9 +148,9 @@
 	 * Applies a full read of the instances. Instances that it lacks are removed, or become unconfirmed right after an outage.
 	 *
 	 * @param snapshot - all instances, and the revision of the read
-	 * @param context - the circumstances; by default those of a regular watch
+	 * @param context - the circumstances; by default it is unknown when versions were named
 	 */
-	replaceInstances(snapshot: DirectoryChanges, context: ChangeContext = watchContext): void {
+	replaceInstances(snapshot: DirectoryChanges, context: ChangeContext = unknownContext): void {
 		const presentIds = new Set<string>();
 		for (const {revision, change} of snapshot.changes) {
 			this.applyChange(revision, change, context);
@@ -257,7 +255,7 @@
 			}
 
 			case 'version': {
-				const earliestMs = this.clock.toMonotonicMs(context.namedAfterMs ?? this.clock.nowMs);
+				const earliestMs = this.clock.toMonotonicMs(context.namedAfterMs);
 				this.namedVersions.record(change.model, {version: change.version, earliestMs, latestMs: performance.now()});
 				return;
 			}
--- a/test/directory-spread.test.ts
+++ b/test/directory-spread.test.ts
@@ -182,7 +182,7 @@
 	expect([directory.lastInstanceChange, directory.instancesRevision, calls]).to.deep.equal([2, 3, 0]);
 	expect(directory.instances).to.equal(instances);
 
-	directory.replaceInstances({revision: 4, changes: []}, {isAfterOutage: true});
+	directory.replaceInstances({revision: 4, changes: []}, {namedAfterMs: Number.NEGATIVE_INFINITY, isAfterOutage: true});
 	put(5);
 	expect(directory.lastInstanceChange).to.equal(5);
 
--- a/test/forwarding-decisions.test.ts
+++ b/test/forwarding-decisions.test.ts
@@ -16,7 +16,7 @@
 import {PauseDetector} from '../src/runtime/pause-detector.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {
-	testConfiguration, testEngineTiming, testInstance, testRoute,
+	observedNow, testConfiguration, testEngineTiming, testInstance, testRoute,
 } from './support/direct-fixtures.ts';
 
 /** Runs a test of version expiry with its own directory and a fake clock. */
@@ -119,7 +119,7 @@
 			model: 'm', version: 1, fromLayer: 0, toLayer: 16,
 		};
 		expect(expiry.mayStart(held)).to.equal(true);
-		directory.apply({revision: 5, changes: [{revision: 5, change: {kind: 'version', model: 'm', version: 2}}]});
+		directory.apply({revision: 5, changes: [{revision: 5, change: {kind: 'version', model: 'm', version: 2}}]}, observedNow());
 		expect(expiry.mayStart(held)).to.equal(true);
 		clock.tick(7900);
 		expect(expiry.mayStart(held)).to.equal(false);
@@ -130,7 +130,7 @@
 it('guards against old weights when versions follow each other: a third version does not extend the time of the first', () => {
 	withVersionExpiry((expiry, directory, clock) => {
 		const announce = (version: number) => {
-			directory.apply({revision: version, changes: [{revision: version, change: {kind: 'version', model: 'm', version}}]});
+			directory.apply({revision: version, changes: [{revision: version, change: {kind: 'version', model: 'm', version}}]}, observedNow());
 		};
 
 		announce(2);
@@ -172,7 +172,7 @@
 		const held = {
 			model: 'm', version: 1, fromLayer: 0, toLayer: 16,
 		};
-		directory.apply({revision: 5, changes: [{revision: 5, change: {kind: 'version', model: 'm', version: 2}}]});
+		directory.apply({revision: 5, changes: [{revision: 5, change: {kind: 'version', model: 'm', version: 2}}]}, observedNow());
 		const timeLeftMs = (ms: number) => {
 			delayMs = ms;
 			return expiry.timeLeftMs(held);
@@ -342,7 +342,7 @@
 		const directory = new Directory(createSilentLogger());
 		const listed = (id: string, revision: number) => ({revision, change: {kind: 'instance' as const, instance: testInstance({id})}});
 		directory.replaceInstances({revision: 5, changes: [listed('i-1', 3), listed('i-2', 4)]});
-		directory.replaceInstances({revision: 9, changes: [listed('i-2', 4)]}, {isAfterOutage: true});
+		directory.replaceInstances({revision: 9, changes: [listed('i-2', 4)]}, {namedAfterMs: Number.NEGATIVE_INFINITY, isAfterOutage: true});
 		expect(directory.instances.map(({id}) => id)).to.deep.equal(['i-1', 'i-2']);
 		clock.tick(1700);
 		expect(directory.instances.map(({id}) => id)).to.deep.equal(['i-2']);
@@ -359,7 +359,7 @@
 		const directory = new Directory(createSilentLogger());
 		const gone = (id: string, revision: number) => ({revision, changes: [{revision, change: {kind: 'instance-gone' as const, id}}]});
 		directory.replaceInstances({revision: 5, changes: ['i-1', 'i-2'].map(id => ({revision: 3, change: {kind: 'instance' as const, instance: testInstance({id})}}))});
-		directory.apply(gone('i-1', 7), {isAfterOutage: true});
+		directory.apply(gone('i-1', 7), {namedAfterMs: Number.NEGATIVE_INFINITY, isAfterOutage: true});
 		directory.apply(gone('i-2', 8));
 		expect(directory.instances.map(({id}) => id)).to.deep.equal(['i-1']);
 		clock.tick(1900);
--- a/test/naming-times.test.ts
+++ b/test/naming-times.test.ts
@@ -14,6 +14,7 @@
 import {PauseDetector} from '../src/runtime/pause-detector.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
+import {observedNow} from './support/direct-fixtures.ts';
 
 const unknownContext = {isAfterOutage: false, namedAfterMs: Number.NEGATIVE_INFINITY};
 const namedVersion2 = {revision: 5, changes: [{revision: 5, change: {kind: 'version' as const, model: 'm', version: 2}}]};
@@ -175,12 +176,25 @@
 	});
 });
 
+it('guards against old weights when a restarted process tells what it read as observed: a read that says nothing of the time leaves it unknown, also to peers', async () => {
+	await withClock(() => {
+		const [restarted, peer] = [new Directory(createSilentLogger()), new Directory(createSilentLogger())];
+		restarted.apply(namedVersion2);
+		peer.mergeFromPeer(structuredClone(restarted.snapshot(0, 0)), performance.now());
+		for (const directory of [restarted, peer]) {
+			expect(new VersionExpiry(directory, 8000, () => 0).mayStart({
+				model: 'm', version: 1, fromLayer: 0, toLayer: 16,
+			})).to.equal(false);
+		}
+	});
+});
+
 it('guards against a forgotten version that gives older weights more time: many versions in quick succession keep the time of the first', async () => {
 	await withClock(clock => {
 		const directory = new Directory(createSilentLogger());
 		const expiry = new VersionExpiry(directory, 8000, () => 0);
 		for (let version = 2; version <= 10; version++) {
-			directory.apply({revision: version, changes: [{revision: version, change: {kind: 'version', model: 'm', version}}]}, {isAfterOutage: false, namedAfterMs: performance.now()});
+			directory.apply({revision: version, changes: [{revision: version, change: {kind: 'version', model: 'm', version}}]}, observedNow());
 			clock.tick(500);
 		}
 
@@ -326,7 +340,7 @@
 	await withClock(clock => {
 		const directory = new Directory(createSilentLogger());
 		const expiry = new VersionExpiry(directory, 8000, () => 0);
-		directory.apply(namedVersion2);
+		directory.apply(namedVersion2, observedNow());
 		const requestedAtMs = directory.clock.nowMs;
 		clock.tick(1000);
 		expect(expiry.timeLeftMs(held)).to.equal(6750);
@@ -349,7 +363,7 @@
 		for (const stepMs of [-7000, 3000, 60, -60]) {
 			const directory = new Directory(createSilentLogger());
 			const expiry = new VersionExpiry(directory, 8000, () => 0);
-			directory.apply(namedVersion2);
+			directory.apply(namedVersion2, observedNow());
 			clock.tick(1000);
 			clock.setSystemTime(Date.now() + stepMs);
 			expect(expiry.timeLeftMs(held)).to.equal(stepMs === 3000 ? 3750 : 6750);
--- a/test/peer-group.test.ts
+++ b/test/peer-group.test.ts
@@ -12,6 +12,7 @@
 import {ElapsedClock} from '../src/runtime/elapsed-clock.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
+import {observedNow} from './support/direct-fixtures.ts';
 
 const port = 7000;
 
@@ -159,7 +160,7 @@
 			network.losesDatagrams = losesDatagrams;
 			network.delaysMs = delaysMs;
 			const namedAtMs = performance.now();
-			network.directories[0]!.apply({revision: 5, changes: [{revision: 5, change: {kind: 'version', model: 'm', version: 2}}]});
+			network.directories[0]!.apply({revision: 5, changes: [{revision: 5, change: {kind: 'version', model: 'm', version: 2}}]}, observedNow());
 			let beliefs: number[] = [];
 			for (let at = 0; at < 200; at++) {
 				await tick(50);
--- a/test/staging.test.ts
+++ b/test/staging.test.ts
@@ -12,7 +12,7 @@
 import {nextStagingStep, type StagingInput, switchoverAtMs} from '../src/staging/next-staging-step.ts';
 import type {LocalEngine} from '../src/staging/local-engine.ts';
 import {StagingManager, type StagingManagerOptions} from '../src/staging/staging-manager.ts';
-import {testEngineTiming} from './support/direct-fixtures.ts';
+import {observedNow, testEngineTiming} from './support/direct-fixtures.ts';
 
 const contents = ['one', 'two', 'three', 'four'].map(text => new TextEncoder().encode(text));
 
@@ -58,7 +58,7 @@
 }
 
 function publishVersion(directory: Directory): void {
-	directory.apply({revision: 1, changes: [{revision: 1, change: {kind: 'version', model: 'm', version: 2}}]});
+	directory.apply({revision: 1, changes: [{revision: 1, change: {kind: 'version', model: 'm', version: 2}}]}, observedNow());
 }
 
 function createManager(
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -3,7 +3,7 @@
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {platformCodec} from '../../platform/call-headers.ts';
-import {Directory} from '../../src/directory/directory.ts';
+import {type ChangeContext, Directory} from '../../src/directory/directory.ts';
 import type {
 	EngineTiming, Instance, PublishedConfiguration, Route,
 } from '../../src/directory/directory-types.ts';
@@ -24,6 +24,11 @@
 	usualPromptTokens: 977, usualAnswerTokens: 94, layers: 16, chunkCount: 4, chunkBytes: 8, models: ['m'],
 };
 
+/** The circumstances of changes that a watch tells as soon as they are made. */
+export function observedNow(): ChangeContext {
+	return {namedAfterMs: performance.now(), isAfterOutage: false};
+}
+
 /** Returns a route with defaults for all properties. */
 export function testRoute(route: Partial<Route> = {}): Route {
 	return {
