Let one stager of each region read a manifest from the origin, and others take over by rank

A stager that had no manifest after 500 ms read the origin itself, every 400 ms, whatever the others did; when the origin returns, each of them gets a copy over the link that the chunks need. The origin of the grown site allows 48 connections, and 66 stagers asked.

The first stager of each region by rank reads the origin, every 300 ms while that fails, and the others ask it (their request waits there for up to 300 ms, so they have the manifest as soon as it has). A stager that does not respond is skipped at once; ranks below take over after 3 s each while the ones above respond without a manifest; every other question goes to the reader of another region, in case this region does not reach the origin.

The fetching moved from the stager process into a class of its own. With the former rules in that class, the test counted 531 reads of the origin in an outage of 6 s (66 stagers, 3 regions); now 54, six after its return, and the last stager has the manifest 140 ms after the return. A group of which half are dead reads it at most 20 times (22 before).

--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -1,5 +1,4 @@
 /** The stager role: downloads the published versions of the weights and loads them into the engine on the same VM. */
-import {setTimeout as sleep} from 'node:timers/promises';
 import type {Directory} from '../directory/directory.ts';
 import type {EngineTiming, OriginInfo} from '../directory/directory-types.ts';
 import {createServiceId} from '../ids/service-id.ts';
@@ -16,9 +15,9 @@
 import {TransferNode} from '../rollout/transfer-node.ts';
 import type {OriginChunk, TransferOptions} from '../rollout/transfer-options.ts';
 import {TransferPacer} from '../rollout/transfer-pacer.ts';
-import {rankMembers} from '../runtime/rendezvous.ts';
 import type {StagerSettings} from '../settings/direct-settings.ts';
 import type {LocalEngine, WeightOrigin} from '../staging/local-engine.ts';
+import {ManifestFetcher} from '../staging/manifest-fetcher.ts';
 import {StagingManager} from '../staging/staging-manager.ts';
 import type {RunningProcess} from './entry-agent-base.ts';
 import {type CreateSource, GatewayStagerBase, type SettingsSource} from './gateway-stager-base.ts';
@@ -47,15 +46,6 @@
 /** The timeout of a request for a manifest to a peer, in milliseconds. */
 const peerManifestTimeoutMs = 700;
 
-/** The number of stagers that read a manifest from the origin at once. The others ask these, because the link of the origin is the bottleneck of a rollout. */
-const originReaderCount = 3;
-
-/** The time after the first attempt to fetch a manifest at which a stager that is not an origin reader falls back to the origin, in milliseconds. */
-const originFallbackDelayMs = 500;
-
-/** The maximum time for which a request for a manifest waits until this stager has it, and the interval of the checks, in milliseconds. */
-const manifestPolling = {maxMs: 300, stepMs: 15};
-
 /** The interval between two reads of the published services from the source while no gateway has sent them, in milliseconds. */
 const serviceReadIntervalMs = 2500;
 
@@ -98,7 +88,7 @@
 	private readonly notices: NoticeDatagrams;
 	private readonly staging: StagingManager;
 	private readonly control: HttpListener;
-	private readonly firstFetchAtMs = new Map<string, number>();
+	private readonly manifests: ManifestFetcher<PeerInfo>;
 	private stagerGroup: StagerGroup | undefined;
 	private serviceReadTimer: NodeJS.Timeout | undefined;
 
@@ -106,7 +96,7 @@
 		this.base = new GatewayStagerBase(settingsSource, ({listen, engine, peers}) => ({
 			role: 'stager', control: listen.control, datagrams: {host: listen.control.host, port: peers.datagram_port}, service: engine.service, parts: ['versions'], pulledParts: 'services',
 		}), adapter.createSource);
-		const {links, log, directory, settings, pauseDetector, peers} = this.base;
+		const {links, log, random, directory, settings, pauseDetector, peers} = this.base;
 		this.origin = adapter.createOrigin(links);
 		this.node = new TransferNode(this.transferOptions(), held => {
 			log.info({event: 'version_held', model: held.model, version: held.version}, 'all chunks of a version are held');
@@ -123,7 +113,7 @@
 			engine: adapter.createEngine(links, formatAddress(settings.engine.address)),
 			chunks: this.chunks,
 			node: this.node,
-			fetchManifest: async (model, version) => this.fetchManifest(model, version),
+			fetchManifest: async (model, version) => this.manifests.fetch(model, version),
 			groupVms: () => this.stagers().vms,
 			versionBoundMs: settings.limits.version_bound_ms,
 			onLoadStarted(startedAtMs) {
@@ -136,6 +126,15 @@
 			},
 			log,
 		});
+		this.manifests = new ManifestFetcher({
+			self: {vm: settings.process.vm, region: settings.process.region},
+			others: () => this.stagers().others,
+			askPeer: async (peer, model, version) => this.askForManifest(peer, model, version),
+			readOrigin: async (model, version) => this.readManifest(model, version),
+			held: (model, version) => this.staging.manifestOf(model, version),
+			random,
+			log,
+		});
 		this.control = new HttpListener(this.createRoutes(), log);
 		serveCallCounter(this.base.datagrams);
 	}
@@ -160,7 +159,7 @@
 	private createRoutes() {
 		const {rpc, metrics} = this.base;
 		rpc.method(rolloutHaveMethod, rolloutHaveParamsSchema, params => this.node.handleNotice(params));
-		rpc.method(manifestGetMethod, manifestGetParamsSchema, async ({model, version}) => this.waitForManifest(model, version));
+		rpc.method(manifestGetMethod, manifestGetParamsSchema, async ({model, version}) => this.manifests.answer(model, version));
 		metrics.gauge('cactusreach_chunk_bytes', 'Weights held in memory.', () => this.chunks.bytes);
 		return {
 			...createControlRoutes({
@@ -217,54 +216,20 @@
 		return this.origin.chunkUrl(plan.origin.address, model, Number(version), position);
 	}
 
-	/** Fetches a manifest from a peer, or from the origin if this stager is an origin reader or the peers did not have the manifest for {@link originFallbackDelayMs}. */
-	private async fetchManifest(model: string, version: number): Promise<Manifest | undefined> {
-		const {random, settings, directory} = this.base;
-		const key = `${model}/${version}`;
-		const firstAttemptAtMs = this.firstFetchAtMs.get(key) ?? performance.now();
-		this.firstFetchAtMs.set(key, firstAttemptAtMs);
-		const {others: otherStagers, vms} = this.stagers();
-		const ranked = rankMembers(key, vms);
-		const rank = ranked.indexOf(settings.process.vm);
-		const isBeforeFallback = performance.now() - firstAttemptAtMs < originFallbackDelayMs;
-		const candidates = otherStagers.filter(({vm}) => !isBeforeFallback || ranked.indexOf(vm) < originReaderCount);
-		for (const {address} of random.sample(candidates, rank < originReaderCount && isBeforeFallback ? 0 : 1)) {
-			const manifest = await this.fetchManifestFromPeer(address, model, version);
-			if (manifest) {
-				return manifest;
-			}
-		}
-
-		const origin = findPlan(directory, settings.engine.service)?.origin;
-		const mayReadOrigin = rank < originReaderCount || performance.now() - firstAttemptAtMs >= originFallbackDelayMs;
-		if (!origin || !mayReadOrigin) {
-			return undefined;
-		}
-
-		const manifest = await this.origin.fetchManifest(origin.address, model, version);
-		return manifest.version === String(version) ? manifest : undefined;
-	}
-
-	/** Handles the request of a peer for a manifest. It waits for a short time, because an origin reader gets requests while it is still reading the manifest. */
-	private async waitForManifest(model: string, version: number): Promise<Manifest | null> {
-		const untilMs = performance.now() + manifestPolling.maxMs;
-		let manifest = this.staging.manifestOf(model, version);
-		while (!manifest && performance.now() < untilMs) {
-			await sleep(manifestPolling.stepMs);
-			manifest = this.staging.manifestOf(model, version);
-		}
-
-		return manifest ?? null;
+	private async readManifest(model: string, version: number): Promise<Manifest | undefined> {
+		const origin = findPlan(this.base.directory, this.base.settings.engine.service)?.origin;
+		const manifest = origin && await this.origin.fetchManifest(origin.address, model, version);
+		return manifest?.version === String(version) ? manifest : undefined;
 	}
 
-	private async fetchManifestFromPeer(address: string, model: string, version: number): Promise<Manifest | undefined> {
+	private async askForManifest({address}: PeerInfo, model: string, version: number): Promise<Manifest | null> {
 		const {links, log} = this.base;
 		try {
 			const call = {method: manifestGetMethod, params: {model, version}};
-			return await links.rpc(address, call, manifestSchema.nullable(), {timeoutMs: peerManifestTimeoutMs}) ?? undefined;
+			return await links.rpc(address, call, manifestSchema.nullable(), {timeoutMs: peerManifestTimeoutMs});
 		} catch (err) {
 			log.debug({event: 'manifest_not_told', address, err}, 'failed to fetch a manifest from a peer');
-			return undefined;
+			throw err;
 		}
 	}
 
