Give all stagers download priority once half of the version bound has passed

The versions before expire at 31.4 and 33.4, so the second half of the engines begins no call for two seconds while its links are half empty: it may open two downloads at once instead of six.

The order serves to have some engines on the new version while the others still serve the old one. Once half of version_bound_ms has passed, two halves one after the other don't fit any more, and all download alike.

--- a/src/staging/staging-manager.ts
+++ b/src/staging/staging-manager.ts
@@ -89,13 +89,15 @@
 	}
 
 	/**
-	 * Whether this agent may open more concurrent downloads: its engine switches over in the first half of its group, or serves nothing.
+	 * Whether this agent may open more concurrent downloads: its engine switches over in the first half of its group or serves nothing, or half
+	 * of the time for which older versions may still start calls has passed.
 	 *
-	 * The first half downloads first, so that its engines serve the new version before the others stop serving the old one.
+	 * The first half downloads first, so that its engines serve the new version before the others stop serving the old one. When the weights
+	 * come late, there is no time for one half after the other.
 	 */
 	get hasDownloadPriority(): boolean {
 		const {rank, count} = this.switchoverRank();
-		return !this.isServing || rank < count / 2;
+		return !this.isServing || rank < count / 2 || this.isHalfBoundOver();
 	}
 
 	/** Starts to reconcile, periodically and when another version is published. */
@@ -267,6 +269,12 @@
 		return this.switchover;
 	}
 
+	private isHalfBoundOver(): boolean {
+		const {publishedService, directory, versionBoundMs} = this.options;
+		const published = directory.versions.get(publishedService()?.engine.models[0] ?? '');
+		return published !== undefined && performance.now() - published.sinceMs >= versionBoundMs / 2;
+	}
+
 	/** Time until the engine's switchover to the wanted version is due, in milliseconds; 0 or less once it is. */
 	private switchoverInMs({model}: Target): number {
 		const {directory, versionBoundMs} = this.options;
--- a/test/staging.test.ts
+++ b/test/staging.test.ts
@@ -213,6 +213,35 @@
 	}
 });
 
+it('guards against engines without a permitted version that wait for the others: all have download priority once half of the version bound has passed', async () => {
+	const group = ['a', 'b', 'c', 'd', 'e', 'f'];
+	const clock = install();
+	const managers: StagingManager[] = [];
+	try {
+		const directory = new Directory(createSilentLogger());
+		publishVersion(directory);
+		for (const vm of group) {
+			const engine = new FakeEngine();
+			engine.servedVersion = 1;
+			const {manager} = createManager(engine, directory, contents.slice(0, 1), {vm, groupVms: () => group, versionBoundMs: 8000});
+			managers.push(manager);
+			manager.start();
+		}
+
+		const withPriority = () => managers.filter(({hasDownloadPriority}) => hasDownloadPriority).length;
+		await clock.tickAsync(3900);
+		expect(withPriority()).to.equal(3);
+		await clock.tickAsync(200);
+		expect(withPriority()).to.equal(6);
+	} finally {
+		for (const manager of managers) {
+			manager.stop();
+		}
+
+		clock.uninstall();
+	}
+});
+
 it('guards against wrong load orders: only idle engines that lack the version are ordered to load, once all chunks are held and staged', () => {
 	const inputs: fc.Arbitrary<StagingInput> = fc.record({
 		wantedVersion: fc.integer({min: 1, max: 3}),
