End the turns of the switchovers when the served version expires

Engines take turns to load a new version until 1.2 s before the version bound, counted from the naming of the newest version. The same expiry now decides when the second half gets download priority.

The turns now end 1.2 s before the version that the engine serves expires. The new test (versions named at 0 and 4 s, bound 8 s) failed before: three of six engines had no order 1.2 s before the expiry.

--- a/src/staging/staging-manager.ts
+++ b/src/staging/staging-manager.ts
@@ -90,7 +90,7 @@
 
 	/**
 	 * Whether this agent may open more concurrent downloads: its engine switches over in the first half of its group or serves nothing, or half
-	 * of the time for which older versions may still start calls has passed.
+	 * of the time for which the served version may still start calls has passed.
 	 *
 	 * The first half downloads first, so that its engines serve the new version before the others stop serving the old one. When the weights
 	 * come late, there is no time for one half after the other.
@@ -270,23 +270,30 @@
 	}
 
 	private isHalfBoundOver(): boolean {
-		const {publishedService, directory, versionBoundMs} = this.options;
-		const published = directory.versions.get(publishedService()?.engine.models[0] ?? '');
-		return published !== undefined && performance.now() - published.sinceMs >= versionBoundMs / 2;
+		const model = this.options.publishedService()?.engine.models[0];
+		const servedUntilMs = model === undefined ? undefined : this.servedUntilMs(model);
+		return servedUntilMs !== undefined && performance.now() >= servedUntilMs - (this.options.versionBoundMs / 2);
+	}
+
+	/** When the version that the engine serves may start no more calls, in milliseconds; undefined while it is the newest one. */
+	private servedUntilMs(model: string): number | undefined {
+		const {directory, versionBoundMs} = this.options;
+		const next = directory.versionsOf(model).find(({version}) => version > (this.servedVersion ?? defaultVersion));
+		return next && next.sinceMs + versionBoundMs;
 	}
 
 	/** Time until the engine's switchover to the wanted version is due, in milliseconds; 0 or less once it is. */
 	private switchoverInMs({model}: Target): number {
-		const {directory, versionBoundMs} = this.options;
-		const published = directory.versions.get(model);
+		const published = this.options.directory.versions.get(model);
+		const servedUntilMs = this.servedUntilMs(model);
 		const {lastWriteAtMs} = this.stagedChunks;
-		if (!published || lastWriteAtMs === undefined) {
+		if (!published || servedUntilMs === undefined || lastWriteAtMs === undefined) {
 			return 0;
 		}
 
 		const {rank, count} = this.switchoverRank();
 		const afterMs = switchoverOffsetMs({
-			rank, groupSize: count, versionBoundMs, stagedAtOffsetMs: lastWriteAtMs - published.sinceMs,
+			rank, groupSize: count, versionBoundMs: servedUntilMs - published.sinceMs, stagedAtOffsetMs: lastWriteAtMs - published.sinceMs,
 		});
 		return published.sinceMs + afterMs - performance.now();
 	}
--- a/test/staging.test.ts
+++ b/test/staging.test.ts
@@ -57,8 +57,8 @@
 	}
 }
 
-function publishVersion(directory: Directory): void {
-	directory.apply({revision: 1, changes: [{revision: 1, change: {kind: 'version', model: 'm', version: 2}}]});
+function publishVersion(directory: Directory, version = 2): void {
+	directory.apply({revision: version, changes: [{revision: version, change: {kind: 'version', model: 'm', version}}]});
 }
 
 function createManager(
@@ -260,6 +260,34 @@
 	}), {seed: 4, numRuns: 300});
 });
 
+it('guards against engines that wait for their turn with a version that has expired: the turns end when the served version expires', async () => {
+	const group = ['a', 'b', 'c', 'd', 'e', 'f'];
+	const clock = install();
+	const directory = new Directory(createSilentLogger());
+	const engines = group.map(() => new FakeEngine());
+	const managers = engines.map((engine, at) => {
+		engine.servedVersion = 1;
+		return createManager(engine, directory, contents, {vm: group[at]!, groupVms: () => group, versionBoundMs: 8000}).manager;
+	});
+	try {
+		publishVersion(directory, 2);
+		await clock.tickAsync(4000);
+		publishVersion(directory, 3);
+		for (const manager of managers) {
+			manager.start();
+		}
+
+		await clock.tickAsync(4000 - 1200);
+		expect(engines.filter(({orders}) => orders > 0).length).to.equal(group.length);
+	} finally {
+		for (const manager of managers) {
+			manager.stop();
+		}
+
+		clock.uninstall();
+	}
+});
+
 it('guards against a drop in capacity: switchovers of a group are spread over the remaining time and end before the version bound', () => {
 	const offsets = Array.from({length: 10}, (_, rank) => switchoverOffsetMs({
 		rank, groupSize: 10, versionBoundMs: 8000, stagedAtOffsetMs: 4000,
