Stop the transfer of an older version as soon as a newer one is published

The origin's link (4.38 Mbit/s) was full of chunks of the second version: the transfer of a version went on until the manifest of the next one was held, though nothing was to load it any more.

A stager now stops the transfer of the older version before it asks for the manifest of the newer one.

Beside it, every other question for a manifest goes to any stager, not only to readers, so that a manifest that somebody got before the origin went away spreads during the outage. The test of the first failed before (the older version was still wanted).

--- a/src/staging/manifest-fetcher.ts
+++ b/src/staging/manifest-fetcher.ts
@@ -83,7 +83,7 @@
 
 	/** Reads the origin if it is this stager's turn, and else asks another stager. */
 	private async tryFetch(key: string, attempts: Attempts, read: (peer: Peer | undefined) => Promise<Manifest | null | undefined>): Promise<Manifest | null | undefined> {
-		const {self, random, log} = this.options;
+		const {random, log} = this.options;
 		const nowMs = performance.now();
 		const readers = this.readers(key, attempts.silent);
 		const isTurn = readers.rank * takeOverMs <= nowMs - attempts.startedAtMs;
@@ -97,10 +97,9 @@
 			}
 		}
 
-		// Every other response comes from another region, since the reader of this one may not reach the origin.
-		const asksOwnRegion = attempts.responses % 2 === 0 && !isTurn;
-		const candidates = readers.peers.filter(({region}) => (region === self.region) === asksOwnRegion);
-		const [peer] = random.sample(candidates, 1);
+		// Every other response comes from any stager, since the reader of this region may not reach the origin.
+		const asksReader = attempts.responses % 2 === 0 && readers.peer !== undefined;
+		const [peer] = asksReader ? [readers.peer] : random.sample(readers.members, 1);
 		if (!peer) {
 			return undefined;
 		}
@@ -115,8 +114,8 @@
 		}
 	}
 
-	/** Returns the reader of each region for a manifest, without this stager, and the rank of this stager in its region; 0 is the reader. */
-	private readers(key: string, silent: Set<string>): {readonly peers: readonly Peer[]; readonly rank: number} {
+	/** Returns the stagers that respond, the one of them that reads a manifest for this region unless it is this stager, and the rank of this stager in its region; 0 is the reader. */
+	private readers(key: string, silent: Set<string>): {readonly members: readonly Peer[]; readonly peer: Peer | undefined; readonly rank: number} {
 		const {self, others} = this.options;
 		if (others().every(({vm}) => silent.has(vm))) {
 			// This stager was cut off itself.
@@ -124,8 +123,7 @@
 		}
 
 		const members = others().filter(({vm}) => !silent.has(vm));
-		const vmsIn = (region: string) => members.filter(member => member.region === region).map(({vm}) => vm);
-		const first = new Set([...new Set(members.map(({region}) => region))].map(region => rankMembers(key, vmsIn(region))[0]));
-		return {peers: members.filter(({vm}) => first.has(vm)), rank: rankMembers(key, [self.vm, ...vmsIn(self.region)]).indexOf(self.vm)};
+		const ranked = rankMembers(key, [self.vm, ...members.filter(({region}) => region === self.region).map(({vm}) => vm)]);
+		return {members, peer: members.find(({vm}) => vm === ranked[0]), rank: ranked.indexOf(self.vm)};
 	}
 }
--- a/src/staging/staging-manager.ts
+++ b/src/staging/staging-manager.ts
@@ -228,6 +228,8 @@
 			return known;
 		}
 
+		// Chunks of an older version would only delay the manifest and the chunks of this one.
+		this.options.node.setWantedVersions([], new Set());
 		const manifest = await this.options.fetchManifest(model, version);
 		if (!manifest) {
 			return undefined;
--- a/test/staging.test.ts
+++ b/test/staging.test.ts
@@ -242,6 +242,32 @@
 	}
 });
 
+it('guards against a manifest that waits behind chunks of an older version on the link of the origin: their transfer stops when a newer version is published', async () => {
+	const directory = new Directory(createSilentLogger());
+	publishVersion(directory, 2);
+	const wanted: string[][] = [];
+	const node = {
+		versions: [],
+		setWantedVersions(versions: ReadonlyArray<{readonly version: string}>) {
+			wanted.push(versions.map(({version}) => version));
+		},
+		stop: () => undefined,
+	} as unknown as TransferNode;
+	const {manager} = createManager(new FakeEngine(), directory, contents.slice(0, 1), {
+		node, fetchManifest: async (_model, version) => (version === 2 ? manifest : undefined),
+	});
+	manager.start();
+	try {
+		await sleep(100);
+		expect(wanted.at(-1)).to.deep.equal(['2']);
+		publishVersion(directory, 3);
+		await sleep(100);
+		expect(wanted.at(-1)).to.deep.equal([]);
+	} finally {
+		manager.stop();
+	}
+});
+
 it('guards against wrong load orders: only idle engines that lack the version are ordered to load, once all chunks are held and staged', () => {
 	const inputs: fc.Arbitrary<StagingInput> = fc.record({
 		wantedVersion: fc.integer({min: 1, max: 3}),
