--- a/src/rollout/version-transfer.ts
+++ b/src/rollout/version-transfer.ts
@@ -64,8 +64,8 @@
 			watchesAllRegions: objective === 'origin-bytes',
 			notice: () => this.notice(),
 			onNewChunks: () => {
-				// The end of a download plans the next one.
-				if (this.fetcher.open.length < this.maxOpen) {
+				// The end of a download plans the next one; imports do not wait for it.
+				if (this.fetcher.open.length < this.maxOpen || this.neighbourhood.isImporter) {
 					this.schedulePlan();
 				}
 			},
