Count all ranks while a VM has no contact to anyone

It now passes over silent ranks only while it is in contact with some peer. The extended test failed before (due after 1.8 s instead of 3.6 s).

--- a/src/rollout/plan-transfers.ts
+++ b/src/rollout/plan-transfers.ts
@@ -227,13 +227,15 @@
 	return input.nowMs - waitingSinceMs >= Math.max(1, waitedForRanks(input, higherRanked)) * input.stepInMs;
 }
 
-/** Returns how many of the higher ranks may still import a chunk. */
+/** Returns how many of the higher ranks may still import a chunk. Without recent contact to anyone, this VM is cut off or late itself, and all of them count. */
 function waitedForRanks({isImporter, startedAtMs, nowMs, stepInMs, peers}: PlanInput, higherRanked: readonly string[]): number {
-	if (!isImporter || nowMs - startedAtMs < silentStepIns * stepInMs) {
+	const silentMs = silentStepIns * stepInMs;
+	if (!isImporter || nowMs - startedAtMs < silentMs || !peers.some(peer => nowMs - peer.contactAtMs < stepInMs)) {
 		return higherRanked.length;
 	}
 
-	return peers.filter(peer => nowMs - peer.contactAtMs < silentStepIns * stepInMs && higherRanked.includes(peer.vm)).length;
+	const responding = new Set(peers.filter(peer => nowMs - peer.contactAtMs < silentMs).map(({vm}) => vm));
+	return higherRanked.filter(vm => responding.has(vm)).length;
 }
 
 /** Plans downloads from peers of the region, rarest chunk first. */
