Let importers ask an origin that is down seldom, and tell each other of its return

The backoff for the origin now grows to 1 s. An importer that hears in a notice that another one has received more from outside its region ends its pause, but not within 150 ms of its failure; importers tell each other of each chunk anyway. Peers keep the backoff of 200 ms.

The test of the bounded backoff is unchanged but for its set-up, which moved into a function.

--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -31,6 +31,9 @@
 /** The maximum backoff after failures of a source, in milliseconds. It is short because a whole rollout has only a few seconds. */
 const maxSourceBackoffMs = 200;
 
+/** The maximum backoff after failures of the origin, in milliseconds. With several importers in each region, one of them notices the return of the origin much sooner. */
+const maxOriginBackoffMs = 1000;
+
 /** Limits of the notices between stagers: the minimum interval between two notices about common chunks, in milliseconds, and the bandwidth budget. */
 const noticeLimits = {noticeIntervalMs: 100, noticeBytesPerSecond: 40_000};
 
@@ -189,6 +192,7 @@
 			limits: () => transferLimits,
 			maxOpenDownloads: isImporter => (isImporter || this.staging.hasDownloadPriority ? downloadLimits.early : downloadLimits.late),
 			maxBackoffMs: maxSourceBackoffMs,
+			maxOriginBackoffMs,
 			memoryBytes: transfer.memory_bytes,
 			...noticeLimits,
 		};
--- a/src/rollout/chunk-fetcher.ts
+++ b/src/rollout/chunk-fetcher.ts
@@ -13,6 +13,9 @@
 /** The maximum backoff after consecutive failures of one source, in milliseconds, unless the options set another. */
 const defaultMaxBackoffMs = 10_000;
 
+/** The minimum time between a failed read of the origin and the next one, in milliseconds. */
+const minOriginPauseMs = 150;
+
 /** The number of consecutive failures after which the backoff no longer doubles. */
 const maxBackoffDoublings = 6;
 
@@ -44,6 +47,8 @@
 	/** The earliest time of the next origin request, in milliseconds. */
 	originNotBeforeMs = 0;
 	private originFailures = 0;
+	/** The pause after a failed read of the origin; undefined when there is none. */
+	private originPause: {readonly timer: NodeJS.Timeout; readonly failedAtMs: number} | undefined;
 	private stopped = false;
 	private readonly downloads = new Map<number, OpenDownload>();
 
@@ -67,9 +72,20 @@
 		}
 	}
 
+	/** Ends the pause after a failed read of the origin, because another importer has just imported a chunk. */
+	resumeOrigin(): void {
+		if (this.originPause && performance.now() - this.originPause.failedAtMs >= minOriginPauseMs) {
+			clearTimeout(this.originPause.timer);
+			this.originPause = undefined;
+			this.originNotBeforeMs = 0;
+			this.options.onEnd();
+		}
+	}
+
 	/** Aborts all downloads. */
 	stop(): void {
 		this.stopped = true;
+		clearTimeout(this.originPause?.timer);
 		for (const {controller} of this.downloads.values()) {
 			controller.abort();
 		}
@@ -174,7 +190,8 @@
 		neighbourhood.recordContact(source, true);
 		const failures = source === originSource ? ++this.originFailures : neighbourhood.peers.recordFailure(source);
 		const backoffMs = agentOptions.limits().chunk_timeout_ms * backoffBaseRatio * (2 ** Math.min(failures, maxBackoffDoublings));
-		const jitteredMs = agentOptions.random.jitter(Math.min(agentOptions.maxBackoffMs ?? defaultMaxBackoffMs, backoffMs));
+		const {maxBackoffMs = defaultMaxBackoffMs, maxOriginBackoffMs = maxBackoffMs} = agentOptions;
+		const jitteredMs = agentOptions.random.jitter(Math.min(source === originSource ? maxOriginBackoffMs : maxBackoffMs, backoffMs));
 		if (source === originSource) {
 			this.resumeOriginAfter(jitteredMs);
 		} else {
@@ -188,11 +205,15 @@
 	 */
 	private resumeOriginAfter(pauseMs: number): void {
 		this.originNotBeforeMs = Number.POSITIVE_INFINITY;
-		setTimeout(async () => {
+		const timer = setTimeout(async () => {
+			this.originPause = undefined;
 			await this.options.neighbourhood.survey(true);
 			this.originNotBeforeMs = 0;
 			this.options.onEnd();
-		}, pauseMs).unref();
+		}, pauseMs);
+		timer.unref();
+		clearTimeout(this.originPause?.timer);
+		this.originPause = {timer, failedAtMs: performance.now()};
 	}
 
 	private handleRefusal(source: string, err: SourceBusyError): void {
--- a/src/rollout/neighbourhood.ts
+++ b/src/rollout/neighbourhood.ts
@@ -45,6 +45,8 @@
 	readonly notice: () => TransferNotice;
 	/** Called when a peer holds chunks that it did not hold before. */
 	readonly onNewChunks: () => void;
+	/** Called when a peer has received more from outside its region. */
+	readonly onImport: () => void;
 };
 
 /** Tracks the group of one version: the chunk owners, this agent's neighbours and their notices. */
@@ -117,6 +119,10 @@
 	recordNotice(notice: TransferNotice): void {
 		// Accepting only members of the group also bounds the size of the table.
 		this.noticeSender.recordContact(notice.vm);
+		if (this.peers.importedBytes(notice.vm) < notice.imported) {
+			this.options.onImport();
+		}
+
 		if (this.groupByVm.has(notice.vm) && this.peers.record(notice, performance.now())) {
 			this.options.onNewChunks();
 		}
--- a/src/rollout/transfer-options.ts
+++ b/src/rollout/transfer-options.ts
@@ -52,6 +52,8 @@
 	readonly maxOpenDownloads?: (isImporter: boolean) => number;
 	/** The maximum backoff after consecutive failures of one source, in milliseconds. */
 	readonly maxBackoffMs?: number;
+	/** The same for the origin, if it differs. It may be longer, since the importers tell each other when the origin responds again. */
+	readonly maxOriginBackoffMs?: number;
 	/** The memory limit for weights, in bytes. */
 	readonly memoryBytes: number;
 	/** The bandwidth budget for notices in bytes per second, both directions together. */
--- a/src/rollout/version-transfer.ts
+++ b/src/rollout/version-transfer.ts
@@ -63,6 +63,9 @@
 			manifest,
 			watchesAllRegions: objective === 'origin-bytes',
 			notice: () => this.notice(),
+			onImport: () => {
+				this.fetcher.resumeOrigin();
+			},
 			onNewChunks: () => {
 				// The end of a download plans the next one; imports do not wait for it.
 				if (this.fetcher.open.length < this.maxOpen || this.neighbourhood.isImporter) {
--- a/test/origin-return.test.ts
+++ b/test/origin-return.test.ts
@@ -16,12 +16,24 @@
 
 const outageMs = 6000;
 
-it('the backoff from an origin that is down is bounded by the options, so that a short rollout does not wait much longer than the outage', async () => {
+type OriginOutage = {
+	/** The times of the requests since the start, in milliseconds. */
+	readonly requests: number[];
+	readonly fetcher: ChunkFetcher;
+	/** Reads the chunk from the origin whenever that may be asked; returns after how many milliseconds it is held. */
+	readonly readUntil: (endMs: number) => Promise<number>;
+	readonly stop: () => Promise<void>;
+};
+
+/** Starts an origin that breaks off all requests for a time, and a fetcher that reads it. */
+async function startOutage(forMs: number, limits: Partial<TransferOptions>): Promise<OriginOutage> {
 	const bytes = new TextEncoder().encode('chunk');
 	const digest = digestOf(bytes);
 	const startedMs = performance.now();
+	const requests: number[] = [];
 	const server = http.createServer((req, res) => {
-		if (performance.now() - startedMs < outageMs) {
+		requests.push(performance.now() - startedMs);
+		if (performance.now() - startedMs < forMs) {
 			req.socket.destroy();
 		} else {
 			res.end(bytes);
@@ -33,7 +45,7 @@
 	const links = new PeerClient();
 	const chunks = new ChunkStore();
 	const agentOptions = {
-		self: {vm: 'a', region: 'r'}, links, chunks, downPacer: new TransferPacer(() => 1_000_000), originUrl: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, random: new RandomSource(2), log: createSilentLogger(), limits: () => ({chunk_timeout_ms: 1500, step_in_ms: 900, upload_copies: 4}), maxBackoffMs: 500,
+		self: {vm: 'a', region: 'r'}, links, chunks, downPacer: new TransferPacer(() => 1_000_000), originUrl: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, random: new RandomSource(2), log: createSilentLogger(), limits: () => ({chunk_timeout_ms: 1500, step_in_ms: 900, upload_copies: 4}), ...limits,
 	} as unknown as TransferOptions;
 	const noop = () => undefined;
 	const neighbourhood = {
@@ -50,21 +62,62 @@
 			vm: 'a', bitmap: '', reading: '', imported: 0, uploaded: 0,
 		}), onChunk: noop, onEnd: noop,
 	});
-	try {
-		while (!chunks.has(digest) && performance.now() - startedMs < outageMs * 2) {
-			if (fetcher.open.length === 0 && performance.now() >= fetcher.originNotBeforeMs) {
-				fetcher.fetch({chunk: 0, source: originSource, lastResort: false});
+	return {
+		requests,
+		fetcher,
+		async readUntil(endMs) {
+			while (!chunks.has(digest) && performance.now() - startedMs < endMs) {
+				if (fetcher.open.length === 0 && performance.now() >= fetcher.originNotBeforeMs) {
+					fetcher.fetch({chunk: 0, source: originSource, lastResort: false});
+				}
+
+				await sleep(10);
 			}
 
-			await sleep(10);
+			return chunks.has(digest) ? performance.now() - startedMs : Number.POSITIVE_INFINITY;
+		},
+		async stop() {
+			fetcher.stop();
+			await links.close();
+			server.close();
+			server.closeAllConnections();
+		},
+	};
+}
+
+it('the backoff from an origin that is down is bounded by the options, so that a short rollout does not wait much longer than the outage', async () => {
+	const outage = await startOutage(outageMs, {maxBackoffMs: 500});
+	try {
+		expect(await outage.readUntil(outageMs * 2)).to.be.lessThan(outageMs + 1500);
+	} finally {
+		await outage.stop();
+	}
+});
+
+it('guards against an origin that all importers ask several times a second while it is down: they ask it seldom, and at once when another one has read from it', async () => {
+	const outage = await startOutage(3000, {maxBackoffMs: 200, maxOriginBackoffMs: 2000});
+	try {
+		await outage.readUntil(3000);
+		expect(outage.requests.length).to.be.lessThan(6);
+		await outage.readUntil(3100);
+		outage.fetcher.resumeOrigin();
+		expect(await outage.readUntil(9000)).to.be.lessThan(3600);
+	} finally {
+		await outage.stop();
+	}
+});
+
+it('guards against an origin that is down and asked at each import of another region: a failure is followed by a pause', async () => {
+	const outage = await startOutage(10_000, {maxBackoffMs: 200, maxOriginBackoffMs: 2000});
+	try {
+		for (let atMs = 0; atMs < 1000; atMs += 10) {
+			await outage.readUntil(atMs);
+			outage.fetcher.resumeOrigin();
 		}
 
-		expect(performance.now() - startedMs).to.be.lessThan(outageMs + 1500);
+		expect(outage.requests.length).to.be.within(3, 11);
 	} finally {
-		fetcher.stop();
-		await links.close();
-		server.close();
-		server.closeAllConnections();
+		await outage.stop();
 	}
 });
 
@@ -93,6 +146,7 @@
 			vm: 'near-0', bitmap: '', reading: '', imported: 0, uploaded: 0,
 		}),
 		onNewChunks: () => undefined,
+		onImport: () => undefined,
 	});
 	await neighbourhood.survey(true);
 	neighbourhood.stop();
