--- a/src/rollout/plan-transfers.ts
+++ b/src/rollout/plan-transfers.ts
@@ -60,12 +60,16 @@
 	readonly surveyed: boolean;
 	/** How long a VM waits without progress of the higher ranks before it takes over their imports, in milliseconds. */
 	readonly stepInMs: number;
+	/** The number of open downloads from which on none is started from a peer of the region. */
 	readonly maxOpen: number;
 	readonly maxOriginReads: number;
 	/** Returns a chunk's position in a random order specific to this VM; breaks ties so that VMs request different chunks. */
 	readonly randomRank: (chunk: number) => number;
 };
 
+/** The number of open downloads from which on none is started from a peer of the region while the origin is read. The link of the VM is shared among them, and all VMs wait for what comes from the origin. */
+const maxOpenDuringOriginRead = 4;
+
 type PlanState = {
 	readonly input: PlanInput;
 	readonly local: readonly PlanPeer[];
@@ -78,9 +82,12 @@
 /** An owner with at least this many chunks left to import has some of them taken over by other importers. With fewer, both would read the same chunk. */
 const minStealableBacklog = 2;
 
+/** The number of downloads beyond `maxOpen` for imports. All VMs wait for the imported chunks, so that an importer busy with downloads from its region must not delay them. */
+const importSlots = 2;
+
 /** Plans the next downloads, most urgent first. */
 export function planTransfers(input: PlanInput): PlannedTransfer[] {
-	if (input.open.length >= input.maxOpen) {
+	if (input.open.length >= input.maxOpen + importSlots) {
 		return [];
 	}
 
@@ -129,28 +136,32 @@
 	const {input} = state;
 	const planned: PlannedTransfer[] = [];
 	const mayImport = input.isImporter || input.nowMs - Math.max(input.startedAtMs, input.progressAtMs) >= input.stepInMs;
-	if (!input.surveyed || !mayImport || state.originReads >= input.maxOriginReads) {
+	if (!input.surveyed || !mayImport) {
 		return planned;
 	}
 
 	const unavailable = missing.filter(chunk => !state.local.some(peer => isProvider(input, peer, chunk)));
 	const due = unavailable.filter(chunk => isDue(input, input.higherRankedInRegion(chunk), chunk));
-	// An owner imports its chunks in manifest order; other importers take chunks from the end of its backlog.
-	for (const chunk of due.length > 0 ? due : stealChunks(state, unavailable)) {
-		if (state.freeSlots <= 0 || state.originReads >= input.maxOriginReads) {
-			break;
-		}
-
-		const source = chooseImportSource(state, chunk, due.length === 0);
-		if (source !== undefined) {
+	const isStealing = due.length === 0 && state.originReads < input.maxOriginReads;
+	// An owner imports its chunks in manifest order; other importers take chunks from the end of its backlog, one at a time.
+	for (const chunk of isStealing ? stealChunks(state, unavailable) : due) {
+		const source = chooseImportSource(state, chunk, isStealing);
+		if (source !== undefined && mayOpenImport(state, source)) {
 			planned.push(assign(state, chunk, source, false));
-			state.originReads++;
+			if (isStealing) {
+				break;
+			}
 		}
 	}
 
 	return planned;
 }
 
+/** Returns whether a download slot is free for an import. Reads of the origin have one slot more than imports from other regions, which are many at times. */
+function mayOpenImport({input, freeSlots, originReads}: PlanState, source: string): boolean {
+	return source === originSource ? originReads < input.maxOriginReads && freeSlots > -importSlots : freeSlots > 1 - importSlots;
+}
+
 /** Work stealing: returns chunks of owners that fall behind, for an importer without due chunks. Only the importer ranked directly below the owner takes a chunk, so that no two importers take the same one. */
 function stealChunks({input}: PlanState, unavailable: readonly number[]): number[] {
 	const higherRanked = input.objective === 'time' ? input.higherRankedInRegion : input.higherRankedGlobally;
@@ -169,7 +180,8 @@
 }
 
 function chooseImportSource({input, remote, sourceLoad}: PlanState, chunk: number, isStolen: boolean): string | undefined {
-	const holders = remote.filter(peer => isUsable(input, peer, chunk));
+	// One import from each peer at a time: a corrupt chunk is known before the next request, and uploads are spread.
+	const holders = remote.filter(peer => isUsable(input, peer, chunk) && !sourceLoad.has(peer.vm));
 	const workingHolders = holders.filter(({failing}) => !failing);
 	const originReady = input.nowMs >= input.originNotBeforeMs;
 	if (workingHolders.length > 0 && (input.objective === 'origin-bytes' || !originReady)) {
@@ -199,7 +211,10 @@
 	return peer.reading.has(chunk) && input.nowMs - peer.progressAtMs < input.stepInMs;
 }
 
-/** Returns whether it is this VM's turn to import a chunk. The VM of rank k, with the owner at rank 0, waits k times `stepInMs` after the last progress of any higher rank. */
+/** Step-in times without contact after which an importer is passed over; importers poll each other several times in each. */
+const silentStepIns = 2;
+
+/** Returns whether it is this VM's turn to import a chunk. The VM of rank k, with the owner at rank 0, waits k times `stepInMs` after the last progress of any higher rank. Between importers, ranks without contact do not count. */
 function isDue(input: PlanInput, higherRanked: readonly string[], chunk: number): boolean {
 	if (higherRanked.length === 0) {
 		return true;
@@ -213,20 +228,32 @@
 		}
 	}
 
-	return input.nowMs - waitingSinceMs >= higherRanked.length * input.stepInMs;
+	return input.nowMs - waitingSinceMs >= Math.max(1, waitedForRanks(input, higherRanked)) * input.stepInMs;
+}
+
+/** Returns how many of the higher ranks may still import a chunk. Without recent contact to anyone, this VM is cut off or late itself, and all of them count. */
+function waitedForRanks({isImporter, startedAtMs, nowMs, stepInMs, peers}: PlanInput, higherRanked: readonly string[]): number {
+	const silentMs = silentStepIns * stepInMs;
+	if (!isImporter || nowMs - startedAtMs < silentMs || !peers.some(peer => nowMs - peer.contactAtMs < stepInMs)) {
+		return higherRanked.length;
+	}
+
+	const responding = new Set(peers.filter(peer => nowMs - peer.contactAtMs < silentMs).map(({vm}) => vm));
+	return higherRanked.filter(vm => responding.has(vm)).length;
 }
 
 /** Plans downloads from peers of the region, rarest chunk first. */
 function planFromRegion(state: PlanState, missing: readonly number[]): PlannedTransfer[] {
 	const {input, local, sourceLoad} = state;
 	const planned: PlannedTransfer[] = [];
+	const reservedSlots = state.originReads > 0 ? Math.max(0, input.maxOpen - maxOpenDuringOriginRead) : 0;
 	const taken = new Set(input.open.map(({chunk}) => chunk));
 	const candidates = missing
 		.map(chunk => ({chunk, copies: local.filter(peer => peer.holds.has(chunk)).length, order: input.randomRank(chunk)}))
 		.filter(({chunk, copies}) => copies > 0 && !taken.has(chunk))
 		.toSorted((a, b) => a.copies - b.copies || a.order - b.order);
 	for (const {chunk} of candidates) {
-		if (state.freeSlots <= 0) {
+		if (state.freeSlots <= reservedSlots) {
 			break;
 		}
 
@@ -262,6 +289,7 @@
 /** Reserves a download slot for a planned download. */
 function assign(state: PlanState, chunk: number, source: string, lastResort: boolean): PlannedTransfer {
 	state.freeSlots--;
+	state.originReads += source === originSource ? 1 : 0;
 	state.sourceLoad.set(source, (state.sourceLoad.get(source) ?? 0) + 1);
 	return {chunk, source, lastResort};
 }
--- a/src/staging/next-staging-step.ts
+++ b/src/staging/next-staging-step.ts
@@ -59,10 +59,8 @@
 	/** The engine's rank among the engines of its service, from 0. */
 	readonly rank: number;
 	readonly groupSize: number;
-	/** How long older versions may still start calls after a newer one is published, in milliseconds. */
-	readonly versionBoundMs: number;
-	/** The earliest monotonic time at which the new version may have been published; `-Infinity` while it is unknown. */
-	readonly publishedAtMs: number;
+	/** The monotonic time from which the served version may start no more calls; `-Infinity` while it is unknown. */
+	readonly expiresAtMs: number;
 	/** The monotonic time at which the last chunk was staged. */
 	readonly stagedAtMs: number;
 };
@@ -72,12 +70,12 @@
 
 /**
  * Staggers the switchovers of all engines over the remaining time, so that they do not all lose capacity at once. While it is unknown
- * when the version was published, the time of one switchover counts as remaining: gateways may know that the old version has expired, and
+ * when the served version expires, the time of one switchover counts as remaining: gateways may know that the old version has expired, and
  * those that do not know place no calls on it.
  *
  * @returns the monotonic time at which the engine's switchover starts
  */
-export function switchoverAtMs({rank, groupSize, versionBoundMs, publishedAtMs, stagedAtMs}: SwitchoverInput): number {
-	const remainingMs = Number.isFinite(publishedAtMs) ? Math.max(0, publishedAtMs + versionBoundMs - switchoverMs - stagedAtMs) : switchoverMs;
+export function switchoverAtMs({rank, groupSize, expiresAtMs, stagedAtMs}: SwitchoverInput): number {
+	const remainingMs = Number.isFinite(expiresAtMs) ? Math.max(0, expiresAtMs - switchoverMs - stagedAtMs) : switchoverMs;
 	return stagedAtMs + (remainingMs * rank / Math.max(1, groupSize));
 }
--- a/src/staging/staging-manager.ts
+++ b/src/staging/staging-manager.ts
@@ -89,13 +89,15 @@
 	}
 
 	/**
-	 * Whether this agent may open more concurrent downloads: its engine switches over in the first half of its group, or serves nothing.
+	 * Whether this agent may open more concurrent downloads: its engine switches over in the first half of its group or serves nothing, or half
+	 * of the time for which the served version may still start calls has passed.
 	 *
-	 * The first half downloads first, so that its engines serve the new version before the others stop serving the old one.
+	 * The first half downloads first, so that its engines serve the new version before the others stop serving the old one. When the weights
+	 * come late, there is no time for one half after the other.
 	 */
 	get hasDownloadPriority(): boolean {
 		const {rank, count} = this.switchoverRank();
-		return !this.isServing || rank < count / 2;
+		return !this.isServing || rank < count / 2 || this.isHalfBoundOver();
 	}
 
 	/** Starts to reconcile, periodically and when another version is published. */
@@ -226,6 +228,8 @@
 			return known;
 		}
 
+		// Chunks of an older version would only delay the manifest and the chunks of this one.
+		this.options.node.setWantedVersions([], new Set());
 		const manifest = await this.options.fetchManifest(model, version);
 		if (!manifest) {
 			return undefined;
@@ -267,18 +271,29 @@
 		return this.switchover;
 	}
 
+	private isHalfBoundOver(): boolean {
+		const model = this.options.publishedService()?.engine.models[0];
+		return model !== undefined && performance.now() >= this.servedUntilMs(model) - (this.options.versionBoundMs / 2);
+	}
+
+	/** When the version that the engine serves may start no more calls, in milliseconds: infinite while it is the newest one, `-Infinity` while it is unknown. */
+	private servedUntilMs(model: string): number {
+		const {directory, versionBoundMs} = this.options;
+		const newer = directory.versionsOf(model).filter(({version}) => version > (this.servedVersion ?? defaultVersion));
+		return versionBoundMs + Math.min(...newer.map(({earliestMs}) => earliestMs));
+	}
+
 	/** Time until the engine's switchover to the wanted version is due, in milliseconds; 0 or less once it is. */
 	private switchoverInMs({model}: Target): number {
-		const {directory, versionBoundMs} = this.options;
-		const published = directory.versions.get(model);
+		const servedUntilMs = this.servedUntilMs(model);
 		const {lastWriteAtMs} = this.stagedChunks;
-		if (!published || lastWriteAtMs === undefined) {
+		if (servedUntilMs === Number.POSITIVE_INFINITY || lastWriteAtMs === undefined) {
 			return 0;
 		}
 
 		const {rank, count} = this.switchoverRank();
 		return switchoverAtMs({
-			rank, groupSize: count, versionBoundMs, publishedAtMs: published.earliestMs, stagedAtMs: lastWriteAtMs,
+			rank, groupSize: count, expiresAtMs: servedUntilMs, stagedAtMs: lastWriteAtMs,
 		}) - performance.now();
 	}
 
--- a/test/rollout-plan.test.ts
+++ b/test/rollout-plan.test.ts
@@ -97,3 +97,93 @@
 	expect(sourceOf({peers: [{...holder, failing: true}]})).to.equal(originSource);
 	expect(sourceOf({peers: [{...holder, failing: true}], originNotBeforeMs: 11_000}), 'while the origin is away, the holder is tried again').to.equal('gone');
 });
+
+it('guards against an origin that is read with pauses because the importers are busy with chunks from peers: imports have download slots of their own', () => {
+	const size = 8;
+	const holds = new ChunkBitmap(size);
+	for (const chunk of [0, 1, 2, 3, 4]) {
+		holds.add(chunk);
+	}
+
+	const holder = (vm: string, local: boolean) => ({
+		vm, local, holds, reading: new ChunkBitmap(size), progressAtMs: 0, contactAtMs: 0, notBeforeMs: 0, banned: false, overBudget: false, uploaded: 0, failing: false,
+	});
+	const open = (chunk: number, source: string) => ({
+		chunk, source, startedAtMs: 0, receivedBytes: 0,
+	});
+	const plan = (changed: Partial<PlanInput>) => planTransfers({
+		nowMs: 0, held: new ChunkBitmap(size), open: [open(0, 'p0'), open(1, 'p1')], peers: ['p0', 'p1', 'p2'].map(vm => holder(vm, true)), unavailableSinceMs: () => 0,
+		higherRankedInRegion: () => [], higherRankedGlobally: () => [], objective: 'origin-bytes', isImporter: true, startedAtMs: 0, progressAtMs: 0, originNotBeforeMs: 0,
+		surveyed: true, stepInMs: 900, maxOpen: 2, maxOriginReads: 1, randomRank: chunk => chunk, ...changed,
+	});
+	expect(plan({})).to.deep.equal([{chunk: 5, source: originSource, lastResort: false}]);
+	expect(plan({open: [open(0, 'p0'), open(1, 'p1'), open(5, originSource)]}), 'one read of the origin at a time').to.deep.equal([]);
+	expect(plan({originNotBeforeMs: 1}), 'no further chunks from peers').to.deep.equal([]);
+});
+
+it('guards against a region that waits for chunks of another region until a read of the origin has ended: an importer does both at once', () => {
+	const size = 4;
+	const holds = new ChunkBitmap(size);
+	holds.add(1);
+	holds.add(2);
+	const remote = (vm: string) => ({
+		vm, local: false, holds, reading: new ChunkBitmap(size), progressAtMs: 0, contactAtMs: 0, notBeforeMs: 0, banned: false, overBudget: false, uploaded: 0, failing: false,
+	});
+	const open = (chunk: number, source: string) => ({
+		chunk, source, startedAtMs: 0, receivedBytes: 0,
+	});
+	const plan = (opened: PlanInput['open']) => planTransfers({
+		nowMs: 0, held: new ChunkBitmap(size), open: opened, peers: [remote('remote-0'), remote('remote-1')], unavailableSinceMs: () => 0, higherRankedInRegion: () => [], higherRankedGlobally: () => [],
+		objective: 'origin-bytes', isImporter: true, startedAtMs: 0, progressAtMs: 0, originNotBeforeMs: 0, surveyed: true, stepInMs: 900, maxOpen: 4, maxOriginReads: 1, randomRank: chunk => chunk,
+	}).map(({chunk, source}) => `${chunk} ${source}`);
+	expect(plan([open(0, originSource)])).to.deep.equal(['1 remote-0', '2 remote-1']);
+	expect(plan([open(1, 'remote-0')])).to.deep.equal(['0 origin', '2 remote-1']);
+	expect(plan([])).to.deep.equal(['0 origin', '1 remote-0', '2 remote-1']);
+	expect(plan([open(0, originSource), open(1, 'remote-1'), open(3, 'remote-0')]), 'one from each peer').to.deep.equal([]);
+});
+
+it('guards against a chunk that waits for importers that are cut off: ranks without contact are passed over, others are waited for', () => {
+	const peer = (vm: string, contactAtMs: number) => ({
+		vm, local: false, holds: new ChunkBitmap(1), reading: new ChunkBitmap(1), progressAtMs: 0, contactAtMs, notBeforeMs: 0, banned: false, overBudget: false, uploaded: 0, failing: false,
+	});
+	const higherRanked = ['a', 'b', 'c', 'd'];
+	const dueAtMs = (contactAtMs: (nowMs: number) => number, {isImporter = true, othersContactAtMs = (nowMs: number) => nowMs - 300} = {}) => {
+		for (let nowMs = 10_000; nowMs < 30_000; nowMs += 100) {
+			const planned = planTransfers({
+				nowMs, held: new ChunkBitmap(1), open: [], peers: [...higherRanked.map(vm => peer(vm, contactAtMs(nowMs))), peer('e', othersContactAtMs(nowMs))], unavailableSinceMs: () => 10_000,
+				higherRankedInRegion: () => higherRanked, higherRankedGlobally: () => higherRanked, objective: 'origin-bytes', isImporter, startedAtMs: 0, progressAtMs: 0,
+				originNotBeforeMs: 0, surveyed: true, stepInMs: 900, maxOpen: 4, maxOriginReads: 1, randomRank: chunk => chunk,
+			});
+			if (planned.length > 0) {
+				return nowMs - 10_000;
+			}
+		}
+
+		return Number.POSITIVE_INFINITY;
+	};
+
+	expect(dueAtMs(() => 10_000), 'cut off at 10 s').to.equal(1800);
+	expect(dueAtMs(nowMs => nowMs - 300), 'in contact').to.equal(3600);
+	expect(dueAtMs(() => 10_000, {isImporter: false}), 'not watched').to.equal(3600);
+	expect(dueAtMs(() => 10_000, {othersContactAtMs: () => 10_000}), 'cut off itself, or suspended').to.equal(3600);
+});
+
+it('guards against a last chunk that trickles in from the origin because the link of its importer is full: fewer chunks come from the region during a read of the origin', () => {
+	const size = 12;
+	const holds = new ChunkBitmap(size);
+	for (let chunk = 0; chunk < size - 1; chunk++) {
+		holds.add(chunk);
+	}
+
+	const peers = Array.from({length: 8}, (_, at) => ({
+		vm: `p${at}`, local: true, holds, reading: new ChunkBitmap(size), progressAtMs: 0, contactAtMs: 0, notBeforeMs: 0, banned: false, overBudget: false, uploaded: 0, failing: false,
+	}));
+	const downloadsBeside = (open: PlanInput['open']) => planTransfers({
+		nowMs: 0, held: new ChunkBitmap(size), open, peers, unavailableSinceMs: () => 0, higherRankedInRegion: () => ['owner'], higherRankedGlobally: () => ['owner'],
+		objective: 'origin-bytes', isImporter: true, startedAtMs: 0, progressAtMs: 0, originNotBeforeMs: 0, surveyed: true, stepInMs: 900, maxOpen: 6, maxOriginReads: 1, randomRank: chunk => chunk,
+	}).length;
+	expect(downloadsBeside([])).to.equal(6);
+	expect(downloadsBeside([{
+		chunk: size - 1, source: originSource, startedAtMs: 0, receivedBytes: 0,
+	}])).to.equal(3);
+});
--- a/test/staging.test.ts
+++ b/test/staging.test.ts
@@ -57,8 +57,8 @@
 	}
 }
 
-function publishVersion(directory: Directory): void {
-	directory.apply({revision: 1, changes: [{revision: 1, change: {kind: 'version', model: 'm', version: 2}}]}, observedNow());
+function publishVersion(directory: Directory, version = 2): void {
+	directory.apply({revision: version, changes: [{revision: version, change: {kind: 'version', model: 'm', version}}]}, observedNow());
 }
 
 function createManager(
@@ -213,6 +213,61 @@
 	}
 });
 
+it('guards against engines without a permitted version that wait for the others: all have download priority once half of the version bound has passed', async () => {
+	const group = ['a', 'b', 'c', 'd', 'e', 'f'];
+	const clock = install();
+	const managers: StagingManager[] = [];
+	try {
+		const directory = new Directory(createSilentLogger());
+		publishVersion(directory);
+		for (const vm of group) {
+			const engine = new FakeEngine();
+			engine.servedVersion = 1;
+			const {manager} = createManager(engine, directory, contents.slice(0, 1), {vm, groupVms: () => group, versionBoundMs: 8000});
+			managers.push(manager);
+			manager.start();
+		}
+
+		const withPriority = () => managers.filter(({hasDownloadPriority}) => hasDownloadPriority).length;
+		await clock.tickAsync(3900);
+		expect(withPriority()).to.equal(3);
+		await clock.tickAsync(200);
+		expect(withPriority()).to.equal(6);
+	} finally {
+		for (const manager of managers) {
+			manager.stop();
+		}
+
+		clock.uninstall();
+	}
+});
+
+it('guards against a manifest that waits behind chunks of an older version on the link of the origin: their transfer stops when a newer version is published', async () => {
+	const directory = new Directory(createSilentLogger());
+	publishVersion(directory, 2);
+	const wanted: string[][] = [];
+	const node = {
+		versions: [],
+		setWantedVersions(versions: ReadonlyArray<{readonly version: string}>) {
+			wanted.push(versions.map(({version}) => version));
+		},
+		stop: () => undefined,
+	} as unknown as TransferNode;
+	const {manager} = createManager(new FakeEngine(), directory, contents.slice(0, 1), {
+		node, fetchManifest: async (_model, version) => (version === 2 ? manifest : undefined),
+	});
+	manager.start();
+	try {
+		await sleep(100);
+		expect(wanted.at(-1)).to.deep.equal(['2']);
+		publishVersion(directory, 3);
+		await sleep(100);
+		expect(wanted.at(-1)).to.deep.equal([]);
+	} finally {
+		manager.stop();
+	}
+});
+
 it('guards against wrong load orders: only idle engines that lack the version are ordered to load, once all chunks are held and staged', () => {
 	const inputs: fc.Arbitrary<StagingInput> = fc.record({
 		wantedVersion: fc.integer({min: 1, max: 3}),
@@ -231,21 +286,49 @@
 	}), {seed: 4, numRuns: 300});
 });
 
+it('guards against engines that wait for their turn with a version that has expired: the turns end when the served version expires', async () => {
+	const group = ['a', 'b', 'c', 'd', 'e', 'f'];
+	const clock = install();
+	const directory = new Directory(createSilentLogger());
+	const engines = group.map(() => new FakeEngine());
+	const managers = engines.map((engine, at) => {
+		engine.servedVersion = 1;
+		return createManager(engine, directory, contents, {vm: group[at]!, groupVms: () => group, versionBoundMs: 8000}).manager;
+	});
+	try {
+		publishVersion(directory, 2);
+		await clock.tickAsync(4000);
+		publishVersion(directory, 3);
+		for (const manager of managers) {
+			manager.start();
+		}
+
+		await clock.tickAsync(4000 - 1200);
+		expect(engines.filter(({orders}) => orders > 0).length).to.equal(group.length);
+	} finally {
+		for (const manager of managers) {
+			manager.stop();
+		}
+
+		clock.uninstall();
+	}
+});
+
 it('guards against a drop in capacity: switchovers of a group are spread over the remaining time and end before the version bound', () => {
 	const offsets = Array.from({length: 10}, (_, rank) => switchoverAtMs({
-		rank, groupSize: 10, versionBoundMs: 8000, publishedAtMs: 0, stagedAtMs: 4000,
+		rank, groupSize: 10, expiresAtMs: 8000, stagedAtMs: 4000,
 	}));
 	expect(offsets[0]).to.equal(4000);
 	expect(offsets.every((offset, at) => at === 0 || offset > offsets[at - 1]!)).to.equal(true);
 	expect(offsets.at(-1)).to.be.lessThan(7000);
 	expect(switchoverAtMs({
-		rank: 9, groupSize: 10, versionBoundMs: 8000, publishedAtMs: 0, stagedAtMs: 9000,
+		rank: 9, groupSize: 10, expiresAtMs: 8000, stagedAtMs: 9000,
 	})).to.equal(9000);
 });
 
 it('guards against a group that loads at the same moment, or late, when it is unknown when the version was published: switchovers follow staging within 1.2 s, one after the other', () => {
 	const times = Array.from({length: 10}, (_, rank) => switchoverAtMs({
-		rank, groupSize: 10, versionBoundMs: 8000, publishedAtMs: Number.NEGATIVE_INFINITY, stagedAtMs: 4000,
+		rank, groupSize: 10, expiresAtMs: Number.NEGATIVE_INFINITY, stagedAtMs: 4000,
 	}));
 	expect(times[0]).to.equal(4000);
 	expect(times.every((time, at) => at === 0 || time > times[at - 1]!)).to.equal(true);
