Obey instances that say they are leaving or ask for quiet

Until now both headers were passed over: a leaving instance got calls until the directory listed it as draining, and a full one 120 ms after each refusal.

Change: the codec reads both headers as signals, whatever the status of the response. `InstanceSignals` keeps them by run (ID and start), in the states of charts/instance.json: a leaving run stays closed under any listing until another run is listed; a quiet run is closed for the time asked for (0.12 to 300 s) and a random part of 20 ms for each gateway, then gets one trial call, and the rest when that one is answered. Attempts without a connection move elsewhere when their instance closes; closed instances are not probed unless a call is under way there. A service whose instances are all closed refuses at once with the time at which the first one opens again. A 421 or a response that names another instance changes nothing. Values that cannot be read are logged once a minute and instance.

Besides: an outage belongs to one run, so that a reborn instance with the same ID is not barred by probes of the address of the run before.

test/forwarding.test.ts asked `isUsable`, which is gone; it now asks for the reason as well (`unreachable`).

--- a/src/cli/crash-protection.ts
+++ b/src/cli/crash-protection.ts
@@ -1,5 +1,5 @@
 /** Connects the parts of a gateway that keep calls from crashing one upstream after the other. */
-import {probeConnection} from '../forwarding/upstream-exchange.ts';
+import type {InstanceTracker} from '../forwarding/instance-tracker.ts';
 import type {DatagramPort} from '../links/datagram-port.ts';
 import {CrashGossip} from '../peers/crash-gossip.ts';
 import type {PeerList} from '../peers/peer-list.ts';
@@ -15,6 +15,7 @@
 export type CrashProtectionOptions = {
 	readonly vm: string;
 	readonly zone: string;
+	readonly tracker: InstanceTracker;
 	readonly peers: PeerList;
 	readonly datagrams: DatagramPort;
 	/** The number of the port on which all processes receive datagrams. */
@@ -29,7 +30,7 @@
 export type CrashProtection = {readonly crashes: CrashDetector; readonly quarantine: PromptQuarantine; readonly gossip: CrashGossip};
 
 /** Creates the parts; the gossip has to be started and stopped. */
-export function createCrashProtection({vm, peers, log, metrics, forwardingMetrics, ...links}: CrashProtectionOptions): CrashProtection {
+export function createCrashProtection({vm, tracker, peers, log, metrics, forwardingMetrics, ...links}: CrashProtectionOptions): CrashProtection {
 	const gatewayVms = () => [vm, ...peers.others.filter(({role}) => role === 'gateway').map(peer => peer.vm)];
 	const quarantine = new PromptQuarantine({
 		log,
@@ -47,7 +48,7 @@
 		holds: () => quarantine.holds,
 	});
 	const crashes = new CrashDetector({
-		probe: async ({address}) => probeConnection(address),
+		probe: async instance => tracker.probeConnection(instance),
 		onCrash(crash, instance) {
 			forwardingMetrics.recordCrash(instance.service);
 			quarantine.recordCrash(crash, instance);
--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -3,6 +3,7 @@
 import type {Directory} from '../directory/directory.ts';
 import {CallForwarder} from '../forwarding/call-forwarder.ts';
 import {CallerListener} from '../forwarding/caller-listener.ts';
+import {InstanceSignals} from '../forwarding/instance-signals.ts';
 import {InstanceTracker} from '../forwarding/instance-tracker.ts';
 import type {WireCodec} from '../forwarding/wire-codec.ts';
 import {logSink} from '../runtime/logger.ts';
@@ -36,7 +37,8 @@
 		role: 'gateway', control: listen.control, datagrams: listen.datagrams, parts: ['published', 'instances'], pulledParts: 'directory',
 	}), adapter.createSource);
 	const {directory, log, random, peers, metrics, rpc, settings} = base;
-	const tracker = new InstanceTracker(log);
+	const gatewayCount = () => peers.knownGateways.size;
+	const tracker = new InstanceTracker(log, new InstanceSignals({log, random, gatewayCount}));
 	const loads = new LoadQueries({
 		vm: settings.process.vm,
 		inFlight: tracker.inFlight,
@@ -53,7 +55,7 @@
 	});
 	const forwardingMetrics = new ForwardingMetrics(metrics);
 	const {crashes, quarantine, gossip} = createCrashProtection({
-		...settings.process, peers, datagrams: base.datagrams, port: settings.listen.datagrams.port, random, log, metrics, forwardingMetrics,
+		...settings.process, tracker, peers, datagrams: base.datagrams, port: settings.listen.datagrams.port, random, log, metrics, forwardingMetrics,
 	});
 	const forwarder = new CallForwarder({
 		directory,
@@ -67,7 +69,7 @@
 		zone: settings.process.zone,
 		retryBudget: {ratio: settings.limits.retry_ratio, slack: settings.limits.retry_slack, windowMs: settings.limits.retry_window_s * msPerSecond},
 		versionBoundMs: settings.limits.version_bound_ms,
-		gatewayCount: () => peers.knownGateways.size,
+		gatewayCount,
 		onEnd(route, outcome, ms) {
 			forwardingMetrics.recordOutcome(route?.kind, outcome, ms);
 		},
--- a/src/forwarding/instance-selector.ts
+++ b/src/forwarding/instance-selector.ts
@@ -4,6 +4,7 @@
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import type {InFlightCounts} from './engine-forecast.ts';
+import {type Barrier, barrierDescriptions, findReopeningMs} from './instance-availability.ts';
 import type {InstanceQuery, SelectedInstance} from './instance-query.ts';
 import type {InstanceTracker} from './instance-tracker.ts';
 import type {LoadSource} from './load-source.ts';
@@ -36,8 +37,20 @@
 /** The sample of instances of a plain service, whose load is known without a question. */
 const plainSamples: readonly SampleSizes[] = [{local: 4, remote: 3}];
 
-/** The IDs of the instances sampled for a call so far, and the calls of other gateways there, where they are known. */
-type Sample = {readonly ids: Set<string>; readonly counts: Map<string, InFlightCounts>};
+/** Upper bound of the random delay of callers that are told when an instance opens again, in milliseconds. */
+const reopeningJitterMs = 300;
+
+/** Maximum number of instances that are logged as passed over for a call. */
+const maxLoggedBarriers = 12;
+
+/** The instances sampled for a call so far. */
+type Sample = {
+	readonly ids: Set<string>;
+	/** The calls of other gateways at them, where they are known. */
+	readonly counts: Map<string, InFlightCounts>;
+	/** Instances that would suit the call, but may get none now. */
+	readonly barriers: Map<string, Barrier>;
+};
 
 /** A placement, and what it was chosen from. */
 type Choice = {readonly placement: Placement; readonly instances: readonly Instance[]; readonly candidates: readonly Candidate[]};
@@ -53,7 +66,7 @@
 	 * @param query - what the instance must satisfy
 	 */
 	async select(query: InstanceQuery): Promise<SelectedInstance | Refusal> {
-		const sample: Sample = {ids: new Set(), counts: new Map()};
+		const sample: Sample = {ids: new Set(), counts: new Map(), barriers: new Map()};
 		const service = this.options.directory.table?.findService(query.service);
 		let choice = this.choose(query, service, sample);
 		for (const sizes of service?.engine ? engineSamples : plainSamples) {
@@ -68,15 +81,33 @@
 			}
 		}
 
+		// Other calls may have been placed since the choice was made.
+		if (choice.placement.kind === 'place' && this.options.tracker.barrierAt(findChosen(choice)!)) {
+			choice = this.choose(query, service, sample);
+		}
+
+		return this.settle(choice, query, sample);
+	}
+
+	/** Reserves what the chosen instance needs, or tells the caller when an instance is expected to open again. */
+	private settle(choice: Choice, query: InstanceQuery, {counts, barriers}: Sample): SelectedInstance | Refusal {
+		const {tracker, random} = this.options;
 		const {placement, instances, candidates} = choice;
-		this.logPlacement(placement, query, candidates, sample.counts.size);
-		return placement.kind === 'refuse' ? placement : createSelection(placement, instances, candidates, query.headers.model);
+		this.logPlacement(choice, query, counts.size, barriers);
+		if (placement.kind === 'place') {
+			const selection = createSelection(placement, instances, candidates, query.headers.model);
+			tracker.signals.reserveTrial(selection.instance);
+			return selection;
+		}
+
+		const reopeningMs = candidates.length === 0 ? findReopeningMs([...barriers.values()], performance.now()) : undefined;
+		return reopeningMs === undefined ? placement : {...placement, retryAfterMs: reopeningMs + random.nextInt(reopeningJitterMs)};
 	}
 
 	/** Draws further eligible instances and asks for their load; returns whether there were any. */
-	private async extendSample(query: InstanceQuery, service: ServiceInfo | undefined, {ids, counts}: Sample, sizes: SampleSizes): Promise<boolean> {
+	private async extendSample(query: InstanceQuery, service: ServiceInfo | undefined, {ids, counts, barriers}: Sample, sizes: SampleSizes): Promise<boolean> {
 		const {directory, random, loads, zone} = this.options;
-		const isNew = (instance: Instance) => !ids.has(instance.id) && this.isEligible(instance, query, service);
+		const isNew = (instance: Instance) => !ids.has(instance.id) && this.isEligible(instance, query, service, barriers);
 		const sampled = sampleInstances(directory.availableInstances(query.service, zone), sizes, isNew, bound => random.nextInt(bound));
 		for (const {id} of sampled) {
 			ids.add(id);
@@ -95,7 +126,7 @@
 		const {directory, random} = this.options;
 		const randomBelow = (bound: number) => random.nextInt(bound);
 		// An instance may have changed or left while its load was asked for.
-		const instances = [...sample.ids].flatMap(id => directory.instance(id) ?? []).filter(instance => !instance.isDraining && this.isEligible(instance, query, service));
+		const instances = [...sample.ids].flatMap(id => directory.instance(id) ?? []).filter(instance => this.isEligible(instance, query, service, sample.barriers));
 		const candidates = instances.map(instance => this.createCandidate(instance, query.headers.model, sample.counts.get(instance.id)));
 		const placement = service?.engine
 			? selectEngineInstance(service.engine, candidates, {
@@ -108,12 +139,22 @@
 		return {placement, instances, candidates};
 	}
 
-	/** Whether an instance is usable, has not been tried for the call, and holds the required model and version. */
-	private isEligible(instance: Instance, {tried, headers, requiredVersion}: InstanceQuery, service: ServiceInfo | undefined): boolean {
-		if (!this.options.tracker.isUsable(instance.id) || tried.has(instance.id)) {
+	/** Whether an instance may take the call; if only a barrier speaks against it, that is added to `barriers`. */
+	private isEligible(instance: Instance, query: InstanceQuery, service: ServiceInfo | undefined, barriers: Map<string, Barrier>): boolean {
+		if (!this.holdsRequired(instance, query, service)) {
 			return false;
 		}
 
+		const barrier = this.options.tracker.barrierAt(instance);
+		if (barrier) {
+			barriers.set(instance.id, barrier);
+		}
+
+		return !barrier && !query.tried.has(instance.id);
+	}
+
+	/** Whether an instance holds the required model and version. */
+	private holdsRequired(instance: Instance, {headers, requiredVersion}: InstanceQuery, service: ServiceInfo | undefined): boolean {
 		if (!service?.engine) {
 			return true;
 		}
@@ -136,14 +177,19 @@
 		};
 	}
 
-	private logPlacement(placement: Placement, {headers, aimLeftMs}: InstanceQuery, candidates: readonly Candidate[], answers: number): void {
+	private logPlacement({placement, candidates}: Choice, {headers, aimLeftMs}: InstanceQuery, answers: number, barriers: ReadonlyMap<string, Barrier>): void {
 		const {log, directory} = this.options;
 		const common = {
 			id: headers.attemptId, aimLeftMs: Math.round(aimLeftMs), deadlineMs: headers.deadlineMs, candidates: candidates.length, answers,
 		};
 		if (placement.kind === 'refuse') {
 			log.info({
-				...common, event: 'no_place', reason: placement.reason, leastCalls: Math.min(...candidates.map(({load}) => load.calls)), instancesRevision: directory.instancesRevision,
+				...common,
+				event: 'no_place',
+				reason: placement.reason,
+				leastCalls: Math.min(...candidates.map(({load}) => load.calls)),
+				instancesRevision: directory.instancesRevision,
+				passedOver: describeBarriers(barriers),
 			}, 'no instance available for a call');
 			return;
 		}
@@ -154,6 +200,22 @@
 	}
 }
 
+function findChosen({placement, instances}: Choice): Instance | undefined {
+	return placement.kind === 'place' ? instances.find(({id}) => id === placement.id) : undefined;
+}
+
+/** Describes for the log why instances were passed over. */
+function describeBarriers(barriers: ReadonlyMap<string, Barrier>): object[] {
+	const nowMs = performance.now();
+	return [...barriers].slice(0, maxLoggedBarriers).map(([instance, {reason, sinceMs, untilMs}]) => ({
+		instance,
+		reason,
+		...barrierDescriptions[reason],
+		ageMs: sinceMs === undefined ? undefined : Math.round(nowMs - sinceMs),
+		leftMs: Number.isFinite(untilMs) ? Math.round(untilMs - nowMs) : undefined,
+	}));
+}
+
 function createSelection({id, predictedMs}: Extract<Placement, {kind: 'place'}>, instances: readonly Instance[], candidates: readonly Candidate[], model: string | undefined): SelectedInstance {
 	const index = candidates.findIndex(candidate => candidate.id === id);
 	const instance = instances[index]!;
--- a/src/forwarding/instance-tracker.ts
+++ b/src/forwarding/instance-tracker.ts
@@ -3,7 +3,10 @@
 import type {Logger} from '../runtime/logger.ts';
 import {InFlightCalls} from './in-flight-calls.ts';
 import type {EngineLoad, InFlightCounts} from './engine-forecast.ts';
-import {probeConnection} from './upstream-exchange.ts';
+import {type Barrier, findBarrier} from './instance-availability.ts';
+import type {InstanceSignals} from './instance-signals.ts';
+import {misdirectedStatus} from './response-status.ts';
+import {type ConnectionProbe, probeConnection} from './upstream-exchange.ts';
 
 /** How long the load reported in a response is used, in milliseconds. */
 const reportedLoadTtlMs = 600;
@@ -33,11 +36,15 @@
 /** How long an engine gets no calls after it started to load weights, in milliseconds, unless it reports earlier that it has loaded them. */
 const loadingPauseMs = 4000;
 
+/** Connections to one run of an instance that fail. */
+type Outage = {readonly startedAtMs: number; readonly sinceMs: number};
+
 type Health = {
 	failureShare: number;
 	failureShareAtMs: number;
 	slowness: number;
-	isUnreachable: boolean;
+	/** Undefined while the instance is reachable. */
+	outage: Outage | undefined;
 	pausedUntilMs: number;
 	/** Load from the latest response that reported one; `others` excludes the calls of this gateway. */
 	reported: {readonly others: number; readonly atMs: number} | undefined;
@@ -49,8 +56,11 @@
 	readonly inFlight = new InFlightCalls();
 	private readonly health = new Map<string, Health>();
 
-	/** @param log - receives changes in the assessed health of an instance */
-	constructor(private readonly log: Logger) {}
+	/**
+	 * @param log - receives changes in the assessed health of an instance
+	 * @param signals - what instances say of themselves
+	 */
+	constructor(private readonly log: Logger, readonly signals: InstanceSignals) {}
 
 	/**
 	 * Returns the known load of an instance, including the calls of other gateways.
@@ -66,13 +76,27 @@
 	}
 
 	/**
-	 * Returns whether an instance may receive calls now: it is reachable and not paused.
+	 * Returns why no call may start at an instance now; undefined if one may.
 	 *
-	 * @param id - the instance ID
+	 * @param instance - its entry in the directory
 	 */
-	isUsable(id: string): boolean {
-		const health = this.health.get(id);
-		return !health || (!health.isUnreachable && health.pausedUntilMs <= performance.now());
+	barrierAt(instance: Instance): Barrier | undefined {
+		const health = this.health.get(instance.id);
+		const outage = health?.outage?.startedAtMs === instance.startedAtMs ? health.outage : undefined;
+		return findBarrier(instance, {
+			signal: this.signals.beliefAbout(instance), unreachableSinceMs: outage?.sinceMs, pausedUntilMs: health?.pausedUntilMs ?? 0,
+		}, performance.now());
+	}
+
+	/**
+	 * Probes whether an instance accepts connections. One that closed itself and has no calls of this gateway is left alone and counts as silent.
+	 *
+	 * @param instance - the instance
+	 */
+	async probeConnection(instance: Instance): Promise<ConnectionProbe> {
+		const state = this.signals.beliefAbout(instance)?.state;
+		const isClosed = state === 'leaving' || state === 'quiet';
+		return isClosed && this.inFlight.countsAt(instance.id).calls === 0 ? 'silent' : probeConnection(instance.address);
 	}
 
 	/**
@@ -122,11 +146,11 @@
 	 * Pauses an instance that refused a call.
 	 *
 	 * @param id - the instance ID
-	 * @param isMisdirected - whether it refused because it is not the instance or version that the directory lists
+	 * @param status - the status of the refusal, which tells an instance that is busy from one that is not the listed instance or version
 	 */
-	recordRefusal(id: string, isMisdirected: boolean): void {
+	recordRefusal(id: string, status: number): void {
 		const health = this.getOrCreateHealth(id);
-		health.pausedUntilMs = Math.max(health.pausedUntilMs, performance.now() + (isMisdirected ? refusalPauseMs.misdirected : refusalPauseMs.busy));
+		health.pausedUntilMs = Math.max(health.pausedUntilMs, performance.now() + (status === misdirectedStatus ? refusalPauseMs.misdirected : refusalPauseMs.busy));
 	}
 
 	/**
@@ -166,12 +190,13 @@
 	 */
 	markUnreachable(instance: Instance, reason: string): void {
 		const health = this.getOrCreateHealth(instance.id);
-		if (!health.isUnreachable) {
-			health.isUnreachable = true;
+		if (health.outage?.startedAtMs !== instance.startedAtMs) {
+			const outage = {startedAtMs: instance.startedAtMs, sinceMs: performance.now()};
+			health.outage = outage;
 			this.log.warn({
 				event: 'instance_lost', instance: instance.id, address: instance.address, reason,
 			}, 'instance is unreachable');
-			void this.probe(instance);
+			void this.waitUntilReachable(instance, outage);
 		}
 	}
 
@@ -181,6 +206,7 @@
 	 * @param present - IDs of the instances to keep
 	 */
 	retainOnly(present: ReadonlySet<string>): void {
+		this.signals.retainOnly(present);
 		for (const id of this.health.keys()) {
 			if (!present.has(id)) {
 				this.health.delete(id);
@@ -188,22 +214,22 @@
 		}
 	}
 
-	/** Probes an instance until it accepts connections or is discarded; the timer does not keep the process alive. */
-	private async probe(instance: Instance): Promise<void> {
-		const probe = await probeConnection(instance.address);
+	/** Probes an instance until it accepts connections, is discarded or runs anew; the timer does not keep the process alive. */
+	private async waitUntilReachable(instance: Instance, outage: Outage): Promise<void> {
+		const probe = await this.probeConnection(instance);
 		const health = this.health.get(instance.id);
-		if (!health) {
+		if (health?.outage !== outage) {
 			return;
 		}
 
 		if (probe === 'accepts') {
-			health.isUnreachable = false;
+			health.outage = undefined;
 			this.log.info({event: 'instance_back', instance: instance.id}, 'instance accepts connections again');
 			return;
 		}
 
 		setTimeout(() => {
-			void this.probe(instance);
+			void this.waitUntilReachable(instance, outage);
 		}, probeIntervalMs).unref();
 	}
 
@@ -218,7 +244,7 @@
 		let health = this.health.get(id);
 		if (!health) {
 			health = {
-				failureShare: 0, failureShareAtMs: performance.now(), slowness: 1, isUnreachable: false, pausedUntilMs: 0, reported: undefined,
+				failureShare: 0, failureShareAtMs: performance.now(), slowness: 1, outage: undefined, pausedUntilMs: 0, reported: undefined,
 			};
 			this.health.set(id, health);
 		}
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -7,20 +7,14 @@
 import type {AttemptOutcome} from './decide-next-step.ts';
 import {EventSplitter, type StreamEvent} from './event-splitter.ts';
 import type {InFlightCall} from './in-flight-calls.ts';
+import type {AttemptSignals} from './instance-signals.ts';
 import type {InstanceTracker} from './instance-tracker.ts';
 import type {ReceivedCall} from './received-call.ts';
 import {type BufferOwner, maxEventBytes, type ResponseBuffers} from './response-buffers.ts';
+import {findHeadFault, firstServerError, notRunStatuses} from './response-status.ts';
 import {UpstreamExchange} from './upstream-exchange.ts';
 import type {AttemptInstructions, ResponseHeaders, WireCodec} from './wire-codec.ts';
 
-/** Statuses that mean "not run" to a caller. If the upstream does not state so itself, the response is not passed on and the attempt fails. */
-const notRunStatuses = new Set([408, 421, 429, 503]);
-
-/** Status of an instance that is not the expected one, or does not hold the expected version. */
-const misdirectedStatus = 421;
-
-const firstServerError = 500;
-
 /** How long after its first event a stream shows that it does not crash its upstream, in milliseconds. */
 const survivedAfterMs = 500;
 
@@ -65,6 +59,7 @@
 	responseVersion: number | undefined;
 	private readonly exchange: UpstreamExchange;
 	private readonly inFlightCall: InFlightCall;
+	private readonly signals: AttemptSignals;
 	private readonly startedAtMs = performance.now();
 	private readonly splitter = new EventSplitter();
 	private bodyChunks: Buffer[] = [];
@@ -82,6 +77,9 @@
 		this.lastEventId = previous?.lastEventId;
 		this.responseVersion = previous?.responseVersion;
 		this.inFlightCall = tracker.inFlight.add(instance.id, call.headers.promptTokens);
+		this.signals = tracker.signals.addAttempt(instance, () => {
+			this.handleInstanceClosed();
+		});
 		this.restartStallTimer(options.stallTimeoutsMs.first + options.predictedMs);
 		this.startVersionTimer(options.startWindowMs);
 		this.exchange = new UpstreamExchange({
@@ -137,13 +135,21 @@
 		const {codec, call, tracker, instance} = this.options;
 		const headers = codec.readResponseHeaders(status, rawHeaders);
 		this.head = {status, headers};
+		this.signals.recordHead(status, headers);
 		if (headers.load) {
 			tracker.recordReportedLoad(instance.id, headers.load.calls);
 		}
 
-		const isSuccess = status >= 200 && status < 300;
-		if (isSuccess && (!headers.isSigned || headers.isEncoded || headers.attemptId !== call.headers.attemptId)) {
-			this.fail(headers.attemptId === call.headers.attemptId ? 'answer_spoilt' : 'answer_of_another_call');
+		const fault = findHeadFault(status, headers, call.headers.attemptId);
+		if (fault) {
+			this.fail(fault);
+		}
+	}
+
+	/** Moves the call elsewhere if its instance wants no further calls and this one has not been sent. */
+	private handleInstanceClosed(): void {
+		if (!this.isFinished && !this.exchange.isConnected) {
+			this.report({kind: 'not-run', reason: 'instance_closed'});
 		}
 	}
 
@@ -221,7 +227,7 @@
 		}
 
 		if (head.headers.isNotRun) {
-			tracker.recordRefusal(instance.id, head.status === misdirectedStatus);
+			tracker.recordRefusal(instance.id, head.status);
 			this.report({kind: 'not-run', reason: `status_${head.status}`});
 			return;
 		}
@@ -337,6 +343,7 @@
 		clearTimeout(this.stallTimer);
 		clearTimeout(this.versionTimer);
 		this.options.tracker.inFlight.remove(this.inFlightCall);
+		this.signals.end();
 		this.options.buffers.release(this);
 		this.bodyChunks = [];
 	}
--- a/src/forwarding/upstream-exchange.ts
+++ b/src/forwarding/upstream-exchange.ts
@@ -37,10 +37,11 @@
 
 /** One request and its response. */
 export class UpstreamExchange {
+	/** Whether a connection has been established; nothing is sent before. */
+	isConnected = false;
 	private readonly req: http.ClientRequest;
 	private readonly connectTimer: NodeJS.Timeout;
 	private res: http.IncomingMessage | undefined;
-	private isConnected = false;
 	private isFinished = false;
 	/** Whether the upstream closed the connection with a FIN rather than a reset. */
 	private hasReceivedFin = false;
--- a/src/forwarding/wire-codec.ts
+++ b/src/forwarding/wire-codec.ts
@@ -1,6 +1,7 @@
 /** Interface to the platform's HTTP headers; the platform adapter implements it. */
 import type {PromptPartId} from '../ids/prompt-part-id.ts';
 import type {WorkspaceId} from '../ids/workspace-id.ts';
+import type {InstanceSignal} from './instance-signal.ts';
 
 /** The parsed headers of a caller's request. */
 export type CallHeaders = {
@@ -50,6 +51,12 @@
 	readonly load: {readonly calls: number; readonly slots: number} | undefined;
 	/** Version of the model that produced the response. */
 	readonly version: number | undefined;
+	/** ID of the instance that responded; undefined if it did not state it. */
+	readonly instance: string | undefined;
+	/** What the instance says of itself, whatever the outcome of the call. */
+	readonly signals: readonly InstanceSignal[];
+	/** Headers that carry a signal but have an unknown value, as `name: value`. */
+	readonly unreadableSignals: readonly string[];
 	/** Headers to pass on to the caller, as alternating names and values. */
 	readonly forwardedHeaders: readonly string[];
 };
--- a/src/runtime/state-chart.ts
+++ b/src/runtime/state-chart.ts
@@ -1,6 +1,6 @@
 /** Runs state charts from JSON files with XState. Actions and guards are functions in lookup tables by name. */
 import {
-	type AnyActor, type AnyStateMachine, createActor, createMachine,
+	type AnyActor, type AnyStateMachine, createActor, createMachine, transition,
 } from 'xstate';
 
 /** The functions that run the actions of a chart, by action name. */
@@ -40,6 +40,36 @@
 	}
 }
 
+/** The transitions of a chart without actions and guards, shared by all objects that keep only the name of their state. */
+export class ChartTransitions<State extends string, Event extends string> {
+	private readonly machine: AnyStateMachine;
+	private readonly nextStates = new Map<string, State>();
+
+	/** @param chart - the parsed content of a file in `charts/` */
+	constructor(chart: object) {
+		this.machine = createMachine(chart as Parameters<typeof createMachine>[0]);
+		assertHandlersExist(chart, {});
+	}
+
+	/**
+	 * Returns the state that follows an event; the same state if it does not handle the event.
+	 *
+	 * @param state - the state before the event
+	 * @param event - the name of the event
+	 */
+	next(state: State, event: Event): State {
+		const key = `${state} ${event}`;
+		let next = this.nextStates.get(key);
+		if (next === undefined) {
+			const [snapshot] = transition(this.machine, this.machine.resolveState({value: state, context: undefined}), {type: event});
+			next = (snapshot as {value: State}).value;
+			this.nextStates.set(key, next);
+		}
+
+		return next;
+	}
+}
+
 /** Throws if an action or guard has no handler. XState ignores an action without a handler, which would hide a misspelt name. */
 function assertHandlersExist(chart: object, handlers: Readonly<Record<string, unknown>>): void {
 	const text = JSON.stringify(chart);
--- /dev/null
+++ b/standins/signalling-upstream.ts
@@ -0,0 +1,99 @@
+/** Stand-in for an instance that says in its responses that it is leaving, or for how long it wants no calls. Answers every call it accepts at once. */
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+/** An HTTP server whose state the test changes between calls. */
+export class SignallingUpstream {
+	/** When each call arrived, in milliseconds of the monotonic clock. */
+	readonly arrivals: number[] = [];
+	/** Number of connections so far, also those without a call. */
+	connections = 0;
+	/** `ip:port`, set by {@link start}. */
+	address = '';
+	/** Whether every response states that the instance is leaving. */
+	isLeaving = false;
+	/** Whether calls are turned away with 503. */
+	refusesCalls = false;
+	/** If set, calls are turned away with 503 and this `Retry-After`. */
+	retryAfter: string | undefined;
+	/** Whether calls for another instance are turned away with 421. */
+	checksId = true;
+	/** Whether responses name the instance. */
+	namesItself = false;
+	/** Time before the head of each response, in milliseconds. */
+	responseDelayMs = 0;
+	/** Time before each event of a stream, in milliseconds. */
+	eventDelayMs = 0;
+	private readonly server = http.createServer((req, res) => {
+		this.arrivals.push(performance.now());
+		req.resume();
+		setTimeout(() => {
+			this.respond(req, res);
+		}, this.responseDelayMs);
+	});
+
+	/** @param id - the instance ID */
+	constructor(public id: string) {
+		this.server.on('connection', () => {
+			this.connections++;
+		});
+	}
+
+	/** Starts to listen on any free port of the loopback interface. */
+	async start(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.server.listen(0, '127.0.0.1', resolve);
+		});
+		this.address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+	}
+
+	/** Stops listening and closes all connections. */
+	close(): void {
+		this.server.close();
+		this.server.closeAllConnections();
+	}
+
+	private respond(req: http.IncomingMessage, res: http.ServerResponse): void {
+		const headers: Record<string, string> = {'attempt-id': String(req.headers['attempt-id'])};
+		if (this.isLeaving) {
+			headers['server-leaving'] = '1';
+		}
+
+		if (this.namesItself) {
+			headers['served-by'] = this.id;
+		}
+
+		if (this.checksId && req.headers['expect-instance'] !== this.id) {
+			res.writeHead(421, headers).end();
+			return;
+		}
+
+		if (this.refusesCalls || this.retryAfter !== undefined) {
+			const retry = this.retryAfter === undefined ? {} : {'retry-after': this.retryAfter};
+			res.writeHead(503, {...headers, ...retry, 'not-executed': '1'}).end();
+			return;
+		}
+
+		headers['response-seal'] = 's';
+		if (req.headers.model === undefined) {
+			res.writeHead(200, {...headers, 'content-length': '2'}).end('ok');
+		} else {
+			res.writeHead(200, {...headers, 'content-type': 'text/event-stream', 'weight-versions': '1'});
+			res.flushHeaders();
+			this.sendEvents(res, 1);
+		}
+	}
+
+	private sendEvents(res: http.ServerResponse, id: number): void {
+		const lastId = 4;
+		if (id > lastId) {
+			res.end();
+			return;
+		}
+
+		setTimeout(() => {
+			res.write(`id: ${id}\ndata: t${id}\n\n`);
+			this.sendEvents(res, id + 1);
+		}, this.eventDelayMs);
+	}
+}
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -263,7 +263,7 @@
 		expect(response.status).to.equal(200);
 	}
 
-	expect(gateway.tracker.isUsable('i-0')).to.equal(false);
+	expect(gateway.tracker.barrierAt(gateway.directory.instance('i-0')!)?.reason).to.equal('unreachable');
 });
 
 it('guards against old weights at a slow engine: a stream that has not started when its version expires is aborted', async () => {
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -9,7 +9,7 @@
 } from '../../src/directory/directory-types.ts';
 import {CallForwarder} from '../../src/forwarding/call-forwarder.ts';
 import {CallerListener} from '../../src/forwarding/caller-listener.ts';
-import {probeConnection} from '../../src/forwarding/upstream-exchange.ts';
+import {InstanceSignals} from '../../src/forwarding/instance-signals.ts';
 import {InstanceTracker} from '../../src/forwarding/instance-tracker.ts';
 import {PromptQuarantine} from '../../src/quarantine/prompt-quarantine.ts';
 import {type Crash, CrashDetector} from '../../src/quarantine/crash-detector.ts';
@@ -97,11 +97,11 @@
 	const directory = new Directory(log);
 	directory.apply({revision: 1, changes: configuration ? [{revision: 1, change: {kind: 'configuration', configuration}}] : []});
 	directory.replaceInstances({revision: 2, changes: instances.map(instance => ({revision: 2, change: {kind: 'instance', instance}}))});
-	const tracker = new InstanceTracker(log);
+	const tracker = new InstanceTracker(log, new InstanceSignals({log, random: new RandomSource(8), gatewayCount: () => 1}));
 	const crashList: Crash[] = [];
 	const quarantine = new PromptQuarantine({log, hasTurn: () => true, tell: () => undefined});
 	const crashes = new CrashDetector({
-		probe: async ({address}) => probeConnection(address), onCrash(crash, instance) {
+		probe: async instance => tracker.probeConnection(instance), onCrash(crash, instance) {
 			crashList.push(crash);
 			quarantine.recordCrash(crash, instance);
 		}, log,
