Spread the return of gateways after a quiet time by their number

The test bounds the arrivals of 99 gateways by the 16 slots of the instance; it fails with a spread of at most 20 ms (210 arrivals).

--- a/src/forwarding/instance-signals.ts
+++ b/src/forwarding/instance-signals.ts
@@ -18,7 +18,7 @@
 const quietLimitsMs = {min: 120, max: 300_000};
 
 /** Delay of the return after a quiet time for each gateway of the fleet, and its maximum, in milliseconds; a random part of it is added. */
-const returnSpreadMs = {perGateway: 20, max: 3000};
+const returnSpreadMs = {perGateway: 10, max: 3000};
 
 /** How long a trial call keeps others away without a response, in milliseconds. */
 const trialTimeoutMs = 1500;
--- a/test/instance-signals.test.ts
+++ b/test/instance-signals.test.ts
@@ -3,6 +3,7 @@
 import {type Clock, install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import fc from 'fast-check';
+import {playReturn} from '../bench/return-model.ts';
 import {platformCodec} from '../platform/call-headers.ts';
 import type {Instance} from '../src/directory/directory-types.ts';
 import {findBarrier, findReopeningMs} from '../src/forwarding/instance-availability.ts';
@@ -193,6 +194,16 @@
 	expect(await callAtOnce(gateway, 8)).to.deep.equal(Array.from({length: 8}, () => 200));
 });
 
+it('guards against all gateways returning in the same instant: in the first 100 ms after a quiet time, 99 of them send no more calls than the instance has slots', () => {
+	for (const seed of [1, 2, 3]) {
+		const {mostInQuiet, firstArrivals} = playReturn({
+			seed, gateways: 99, policy: 'trial with spread', callsPerSecond: 50, quietMs: 2000,
+		});
+		expect(mostInQuiet).to.be.at.most(2);
+		expect(firstArrivals).to.be.at.most(16);
+	}
+}).timeout(20_000);
+
 it('guards against a call that is lost at an instance that asks for quiet: it was turned away without being run and is placed elsewhere, once', async () => {
 	const {gateway, upstreams: [closed, other]} = await start({kind: 'once'}, 2);
 	closed!.retryAfter = '5';
