Explain a refusal by what each instance that was passed over had said

`explain` printed the changes of state of instances that a request was sent to; a request that was refused because all instances had closed themselves showed none. The instances in `passedOver` count now. The test was seen to fail before (no changes of state).

--- a/src/reports/explain-request.ts
+++ b/src/reports/explain-request.ts
@@ -8,6 +8,8 @@
 	readonly id?: string;
 	readonly instance?: string;
 	readonly tried?: readonly string[];
+	/** The instances that could not take the request, with the reasons. */
+	readonly passedOver?: ReadonlyArray<{readonly instance: string}>;
 };
 
 /** The lines that were found, each list in order of time. */
@@ -81,7 +83,7 @@
 		}
 
 		const processes = new Set(request.map(({vm}) => vm));
-		const instances = new Set(request.flatMap(line => [line.instance, ...(line.tried ?? [])]));
+		const instances = new Set(request.flatMap(line => [line.instance, ...(line.tried ?? []), ...(line.passedOver ?? []).map(({instance}) => instance)]));
 		const before = new Map<string, LogLine>();
 		const during: LogLine[] = [];
 		for (const line of this.stateChangeLines.toSorted(byTime)) {
--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -1,6 +1,8 @@
 /** Tests of `cactusreach explain`, which finds the cause of a request's outcome in the logs. */
 import {expect} from 'chai';
-import {type LogLine, parseLogLine, RequestExplainer} from '../src/reports/explain-request.ts';
+import {
+	formatLogLine, type LogLine, parseLogLine, RequestExplainer,
+} from '../src/reports/explain-request.ts';
 
 const lineAt = (second: number, vm: string, event: string, fields: Record<string, unknown> = {}): LogLine => ({
 	time: `2026-12-04T10:00:${String(second).padStart(2, '0')}.000Z`, vm, event, ...fields,
@@ -30,6 +32,17 @@
 	}
 });
 
+it('guards against a refusal whose cause is not shown: the reason for each instance that was passed over is printed, with what it had said before', () => {
+	const explainer = new RequestExplainer('r');
+	explainer.add(lineAt(1, 'g1', 'instance_leaving', {instance: 'i-1'}));
+	explainer.add(lineAt(2, 'g1', 'instance_quiet', {instance: 'i-2', closedMs: 900}));
+	explainer.add(lineAt(3, 'g1', 'instance_quiet', {instance: 'i-3', closedMs: 900}));
+	explainer.add(lineAt(4, 'g1', 'no_place', {id: 'r', passedOver: [{instance: 'i-1', reason: 'leaving'}, {instance: 'i-2', reason: 'quiet', leftMs: 400}]}));
+	const {request, stateChanges} = explainer.explain();
+	expect(stateChanges.map(({event, instance}) => `${event} ${instance}`)).to.deep.equal(['instance_leaving i-1', 'instance_quiet i-2']);
+	expect(formatLogLine(request[0]!)).to.include('{"instance":"i-2","reason":"quiet","leftMs":400}');
+});
+
 it('guards against logs that cannot be parsed: other text and truncated lines are ignored', () => {
 	const whole = '  12.3 front-1 {"time":"t","vm":"front-1","event":"call_ended","id":"r"}';
 	expect(parseLogLine(whole)?.id).to.equal('r');
