Credit a signal to a reborn instance whose new entry is not read yet

Trace: the instance was reborn under the same ID, said so while the gateway still listed the run before, and the next listing ended the belief as that of another run.

Change: a signal heard after the start of the newly listed run counts for it. A belief in leaving, which never ends, is carried over only if it was heard 5 s after that start or later, so that clocks that differ can't bar a run for good; within 5 s either way the run is kept quiet for 30 s and then tried with one call. Besides, a caller that meets a trial under way is told to return in 0.2 s, as trials are answered, not after the timeout of the trial.

--- a/src/forwarding/instance-availability.ts
+++ b/src/forwarding/instance-availability.ts
@@ -39,6 +39,9 @@
 	readonly untilMs: number;
 };
 
+/** Time within which a trial call is usually answered, in milliseconds. */
+const usualTrialMs = 200;
+
 /** Where a belief comes from and what ends it, for operators. */
 export const barrierDescriptions: Readonly<Record<BarrierReason, {readonly source: string; readonly endsBy: string}>> = {
 	leaving: {source: 'response of the instance', endsBy: 'another run'},
@@ -90,6 +93,6 @@
  */
 export function findReopeningMs(barriers: readonly Barrier[], nowMs: number): number | undefined {
 	const isTimed = barriers.some(({reason}) => reason === 'quiet' || reason === 'trial');
-	const untilMs = Math.min(...barriers.map(barrier => barrier.untilMs));
+	const untilMs = Math.min(...barriers.map(barrier => (barrier.reason === 'trial' ? nowMs + usualTrialMs : barrier.untilMs)));
 	return isTimed && Number.isFinite(untilMs) ? Math.max(0, untilMs - nowMs) : undefined;
 }
--- a/src/forwarding/instance-signals.ts
+++ b/src/forwarding/instance-signals.ts
@@ -26,6 +26,12 @@
 /** Minimum interval between log lines about unknown signals of one instance, in milliseconds. */
 const unreadableLogIntervalMs = 60_000;
 
+/** How far the clocks of two VMs may differ, in milliseconds. */
+const maxClockDifferenceMs = 5000;
+
+/** How long a run gets no calls of which it is unclear whether itself or the run before said that it is leaving, in milliseconds. */
+const unclearLeavingMs = 30_000;
+
 /** Maximum number of instances that are remembered; of further ones, those that are not listed and were heard of first are forgotten. */
 const maxRuns = 2048;
 
@@ -36,7 +42,10 @@
 /** What is remembered of one run of an instance. */
 type Run = {
 	readonly id: string;
-	readonly startedAtMs: number;
+	/** Wall-clock start of the latest run that the belief is about, in milliseconds since 1970. */
+	startedAtMs: number;
+	/** When the run last sent a signal, by the wall clock. */
+	saidAtMs: number;
 	state: SignalState;
 	sinceMs: number;
 	untilMs: number;
@@ -227,22 +236,42 @@
 		}
 	}
 
-	private runOf({id, startedAtMs}: Instance): Run | undefined {
-		const run = this.runs.get(id);
-		return run && startedAtMs <= run.startedAtMs ? run : undefined;
+	private runOf(instance: Instance): Run | undefined {
+		const run = this.runs.get(instance.id);
+		if (run === undefined || instance.startedAtMs <= latestStartMs(run)) {
+			return run;
+		}
+
+		return isUnclear(run, instance) ? this.replaceUnclear(instance) : undefined;
+	}
+
+	/** Keeps calls away from a run that may have said that it is leaving, until a trial call shows if it does. */
+	private replaceUnclear(instance: Instance): Run {
+		const run = this.createRun(instance);
+		this.change(run, 'QUIET', unclearLeavingMs);
+		this.options.log.info({event: 'instance_quiet', instance: run.id, closedMs: unclearLeavingMs}, 'a reborn instance may have said that it is leaving');
+		return run;
 	}
 
 	/** Returns undefined if a newer run is known. */
 	private getOrCreateRun(instance: Instance): Run | undefined {
-		const {id, startedAtMs} = instance;
+		const {startedAtMs} = instance;
 		const known = this.runOf(instance);
+		if (known && startedAtMs < known.startedAtMs) {
+			return undefined;
+		}
+
 		if (known) {
-			return known.startedAtMs === startedAtMs ? known : undefined;
+			return Object.assign(known, {startedAtMs, saidAtMs: Date.now()});
 		}
 
+		return this.createRun(instance);
+	}
+
+	private createRun({id, startedAtMs}: Instance): Run {
 		this.forget(id);
 		const run: Run = {
-			id, startedAtMs, state: 'open', sinceMs: performance.now(), untilMs: Number.POSITIVE_INFINITY, timer: undefined, trial: undefined,
+			id, startedAtMs, saidAtMs: Date.now(), state: 'open', sinceMs: performance.now(), untilMs: Number.POSITIVE_INFINITY, timer: undefined, trial: undefined,
 		};
 		this.runs.set(id, run);
 		return run;
@@ -262,6 +291,19 @@
 	}
 }
 
+/**
+ * Returns the latest start of a run that the belief is about. A reborn instance that sends a signal before it is listed is still known as
+ * the run before. That a run is leaving is believed of a later one only if the signal is clearly from that one, since the belief does not end.
+ */
+function latestStartMs({startedAtMs, saidAtMs, state}: Run): number {
+	return Math.max(startedAtMs, state === 'leaving' ? saidAtMs - maxClockDifferenceMs : saidAtMs);
+}
+
+/** Whether a run that was listed later may be the one that said that it is leaving. */
+function isUnclear({state, saidAtMs}: Run, {startedAtMs}: Instance): boolean {
+	return state === 'leaving' && startedAtMs < saidAtMs + maxClockDifferenceMs;
+}
+
 type SignalHandlers = {readonly [Kind in InstanceSignal['kind']]: (signals: InstanceSignals, run: Run, signal: Extract<InstanceSignal, {kind: Kind}>) => void};
 
 /** What each signal of an instance leads to. */
--- a/standins/signalling-upstream.ts
+++ b/standins/signalling-upstream.ts
@@ -2,6 +2,15 @@
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
 
+/** How long calls may still arrive after a response has said that the instance is leaving or wants quiet, in milliseconds. */
+const graceMs = {leaving: 500, quiet: 500};
+
+/** Calls that may arrive in a quiet time. */
+const maxQuietArrivals = 2;
+
+/** A quiet time that the instance has asked for, and the calls that arrived in it after the grace. */
+type QuietTime = {readonly fromMs: number; readonly untilMs: number; arrivals: number};
+
 /** An HTTP server whose state the test changes between calls. */
 export class SignallingUpstream {
 	/** When each call arrived, in milliseconds of the monotonic clock. */
@@ -24,8 +33,16 @@
 	responseDelayMs = 0;
 	/** Time before each event of a stream, in milliseconds. */
 	eventDelayMs = 0;
+	/** What arrived although the instance had asked for no calls. */
+	readonly violations: string[] = [];
+	private saidLeavingAtMs = Number.POSITIVE_INFINITY;
+	private quietTimes: QuietTime[] = [];
 	private readonly server = http.createServer((req, res) => {
 		this.arrivals.push(performance.now());
+		if (req.headers['expect-instance'] === this.id) {
+			this.checkArrival(performance.now());
+		}
+
 		req.resume();
 		setTimeout(() => {
 			this.respond(req, res);
@@ -47,12 +64,39 @@
 		this.address = `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
 	}
 
+	/** Breaks all connections and starts to listen again at the same address as another run, which has said nothing yet. */
+	async restart(id: string): Promise<void> {
+		const {port} = this.server.address() as AddressInfo;
+		this.close();
+		this.id = id;
+		this.isLeaving = false;
+		this.refusesCalls = false;
+		this.retryAfter = undefined;
+		this.saidLeavingAtMs = Number.POSITIVE_INFINITY;
+		this.quietTimes = [];
+		await new Promise<void>(resolve => {
+			this.server.listen(port, '127.0.0.1', resolve);
+		});
+	}
+
 	/** Stops listening and closes all connections. */
 	close(): void {
 		this.server.close();
 		this.server.closeAllConnections();
 	}
 
+	private checkArrival(nowMs: number): void {
+		if (nowMs > this.saidLeavingAtMs + graceMs.leaving) {
+			this.violations.push(`${this.id}: a call ${Math.round(nowMs - this.saidLeavingAtMs)} ms after the instance said that it is leaving`);
+		}
+
+		for (const quiet of this.quietTimes) {
+			if (nowMs > quiet.fromMs + graceMs.quiet && nowMs < quiet.untilMs && ++quiet.arrivals > maxQuietArrivals) {
+				this.violations.push(`${this.id}: call ${quiet.arrivals} in a quiet time`);
+			}
+		}
+	}
+
 	private respond(req: http.IncomingMessage, res: http.ServerResponse): void {
 		const headers: Record<string, string> = {'attempt-id': String(req.headers['attempt-id'])};
 		if (this.isLeaving) {
@@ -68,9 +112,15 @@
 			return;
 		}
 
+		if (this.isLeaving) {
+			this.saidLeavingAtMs = Math.min(this.saidLeavingAtMs, performance.now());
+		}
+
 		if (this.refusesCalls || this.retryAfter !== undefined) {
 			const retry = this.retryAfter === undefined ? {} : {'retry-after': this.retryAfter};
 			res.writeHead(503, {...headers, ...retry, 'not-executed': '1'}).end();
+			const nowMs = performance.now();
+			this.quietTimes.push({fromMs: nowMs, untilMs: nowMs + (Number(this.retryAfter ?? 0) * 1000), arrivals: 0});
 			return;
 		}
 
