--- a/src/reports/explain-request.ts
+++ b/src/reports/explain-request.ts
@@ -8,6 +8,8 @@
 	readonly id?: string;
 	readonly instance?: string;
 	readonly tried?: readonly string[];
+	/** The instances that could not take the request, with the reasons. */
+	readonly passedOver?: ReadonlyArray<{readonly instance: string}>;
 };
 
 /** The lines that were found, each list in order of time. */
@@ -21,6 +23,7 @@
 /** Events that log a state change of a process, each with the field that identifies what changed. */
 const stateChangeFields: Readonly<Record<string, string | undefined>> = {
 	instance_seen: 'instance', instance_gone: 'instance', instance_unconfirmed: 'instance', instance_lost: 'instance', instance_back: 'instance',
+	instance_leaving: 'instance', instance_quiet: 'instance', instance_tried: 'instance',
 	instance_suspect: 'instance', instance_trusted: 'instance', instance_changing: 'instance',
 	configuration_taken: 'vm', configuration_refused: 'vm', version_named: 'model', source_lost: 'part', source_regained: 'part', history_lost: 'part',
 	gateway_started: 'vm', settings_reloaded: 'vm', settings_refused: 'vm', drain_started: 'vm', process_paused: 'vm', clock_jumped: 'vm',
@@ -80,7 +83,7 @@
 		}
 
 		const processes = new Set(request.map(({vm}) => vm));
-		const instances = new Set(request.flatMap(line => [line.instance, ...(line.tried ?? [])]));
+		const instances = new Set(request.flatMap(line => [line.instance, ...(line.tried ?? []), ...(line.passedOver ?? []).map(({instance}) => instance)]));
 		const before = new Map<string, LogLine>();
 		const during: LogLine[] = [];
 		for (const line of this.stateChangeLines.toSorted(byTime)) {
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -264,7 +264,7 @@
 		expect(response.status).to.equal(200);
 	}
 
-	expect(gateway.tracker.isUsable('i-0')).to.equal(false);
+	expect(gateway.tracker.barrierAt(gateway.directory.instance('i-0')!)?.reason).to.equal('unreachable');
 });
 
 /** Tells a gateway that version 2 was named some time ago, in milliseconds. */
