Take waiting calls back in time when their time left shrinks without a change of the directory

Cause: the timer of a waiting call was armed for the whole time left, and armed anew only by a change of the directory. Two things shorten that time without one: a jump of the wall clock (the bounds move back, but no change is counted, and neither is the later exchange that confirms them), and a larger delay of the event loop, which widens the margin before the expiry for calls placed afterwards only. Change: the timer runs at least every 100 ms, the interval at which the delay of the event loop is measured. Ruled out: counting a jump as a change, which spreads it as news to processes whose clocks did not jump, and does not help for delays. What it costs: up to ten short timers a second per call that waits on older weights, during rollouts only; a call that waits at a gateway that becomes late is taken back up to 1 s earlier than before, as a new call would be refused. Tests, seen to fail before: with a limit of 8 s, a call was taken back 12750 ms after the naming when the VM had been suspended for 5 s, and the timer ran at 7750 ms, so up to 8350 ms with the 600 ms by which timers had begun to run late; both in time now.

--- a/src/forwarding/start-deadline.ts
+++ b/src/forwarding/start-deadline.ts
@@ -1,5 +1,8 @@
 /** Ends the wait of a call that has not started when the version of weights it was sent to expires, also if that time changes meanwhile. */
 
+/** The maximum time between two looks at the time left, in milliseconds, since a clock jump or a late event loop shortens it without a call of {@link StartDeadline.check}. */
+const maxCheckIntervalMs = 100;
+
 /** The time until which one call may start; it depends on the announced versions and on how late this process runs. */
 export class StartDeadline {
 	private timer: NodeJS.Timeout | undefined;
@@ -33,7 +36,7 @@
 				} else {
 					this.onPassed();
 				}
-			}, Math.max(0, leftMs));
+			}, Math.min(maxCheckIntervalMs, Math.max(0, leftMs)));
 		}
 	}
 
--- a/test/naming-times.test.ts
+++ b/test/naming-times.test.ts
@@ -8,6 +8,7 @@
 import {type DirectoryChanges, type DirectorySource, HistoryLostError} from '../src/directory/directory-types.ts';
 import {DirectoryWatcher} from '../src/directory/directory-watcher.ts';
 import type {NamedVersion} from '../src/directory/named-versions.ts';
+import {StartDeadline} from '../src/forwarding/start-deadline.ts';
 import {VersionExpiry} from '../src/forwarding/version-expiry.ts';
 import type {PeerClient} from '../src/links/peer-client.ts';
 import {ElapsedClock} from '../src/runtime/elapsed-clock.ts';
@@ -376,3 +377,28 @@
 		}
 	});
 });
+
+for (const [cause, {suspendedMs, delayMs}] of Object.entries({'the VM was suspended': {suspendedMs: 5000, delayMs: 0}, 'timers begin to run late': {suspendedMs: 0, delayMs: 600}})) {
+	it(`guards against begins on old weights by a call that waits: it is taken back earlier if its time left shrinks without a change of the directory because ${cause}`, async () => {
+		await withClock(clock => {
+			let eventLoopDelayMs = 0;
+			const directory = new Directory(createSilentLogger());
+			const expiry = new VersionExpiry(directory, 8000, () => eventLoopDelayMs);
+			const namedAtMs = performance.now();
+			directory.apply(namedVersion2);
+			clock.tick(1000);
+			const takenBackAtMs: number[] = [];
+			const deadline = new StartDeadline(() => expiry.timeLeftMs(held), () => {
+				takenBackAtMs.push(performance.now());
+			});
+			directory.onChange(() => {
+				deadline.check();
+			});
+			clock.setSystemTime(Date.now() + suspendedMs);
+			eventLoopDelayMs = delayMs;
+			clock.tick(10_000);
+			expect(takenBackAtMs).to.have.lengthOf(1);
+			expect(takenBackAtMs[0]! - namedAtMs + suspendedMs + delayMs).to.be.within(7000, 8000);
+		});
+	});
+}
