Count how long an instance was missing from the earliest time of the message that tells it

Cause: an instance that a read after an outage of the source lacks is kept for 1.6 s at most. A process that pulled the entry from another one counted its age from when it read the answer, which may be 900 ms late (timeout of a pull), and passed the younger age on. With each hop calls went to an instance that had left for longer than where it was missed, up to the limit for a leaving one (DRAIN). Test, seen to fail before: over two hops with answers of 700 ms, both other processes still listed the instance when the first one had dropped it; all drop it together now. What it costs: an instance that has not registered again is dropped up to the duration of the pull earlier.

--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -241,7 +241,7 @@
 		}
 
 		if (snapshot.instances) {
-			this.instanceTable.applyChanges(snapshot.instances);
+			this.instanceTable.applyChanges(snapshot.instances, createdMs);
 		}
 
 		this.notifyListeners();
--- a/src/directory/instance-table.ts
+++ b/src/directory/instance-table.ts
@@ -132,8 +132,12 @@
 		};
 	}
 
-	/** Applies the changes that a peer knows, unless they leave a gap to what this process knows. */
-	applyChanges(changes: InstanceChanges): void {
+	/**
+	 * Applies the changes that a peer knows, unless they leave a gap to what this process knows.
+	 *
+	 * @param createdAfterMs - the earliest monotonic time at which the peer may have created the message, since ages in it count from then
+	 */
+	applyChanges(changes: InstanceChanges, createdAfterMs: number): void {
 		if (changes.revision <= this.revision || (changes.since ?? 0) > this.revision) {
 			return;
 		}
@@ -151,7 +155,7 @@
 		}
 
 		for (const {id, revision, ageMs} of changes.unconfirmed) {
-			this.markMissing(id, revision, ageMs);
+			this.markMissing(id, revision, createdAfterMs - ageMs);
 		}
 
 		this.revision = changes.revision;
@@ -219,7 +223,7 @@
 		const known = this.known.get(id);
 		this.lastChange = Math.max(this.lastChange, revision);
 		if (isAfterOutage && known && !known.instance.isDraining) {
-			this.markMissing(id, revision, 0);
+			this.markMissing(id, revision, performance.now());
 			return;
 		}
 
@@ -227,13 +231,13 @@
 		this.delete(id, revision, from);
 	}
 
-	private markMissing(id: string, revision: number, ageMs: number): void {
+	private markMissing(id: string, revision: number, sinceMs: number): void {
 		const known = this.known.get(id);
 		if (known === undefined || known.missing !== undefined || known.revision >= revision) {
 			return;
 		}
 
-		known.missing = {sinceMs: performance.now() - ageMs, revision};
+		known.missing = {sinceMs, revision};
 		this.lastChange = Math.max(this.lastChange, revision);
 		this.running = undefined;
 		this.log.info({event: 'instance_unconfirmed', instance: id, revision}, 'instance not listed after an outage; keeping it until confirmed or timed out');
--- a/test/directory-spread.test.ts
+++ b/test/directory-spread.test.ts
@@ -1,10 +1,12 @@
 /** How the directory reaches every process: few read the source, the others are told by them. */
 import process from 'node:process';
+import {install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {applyDelta, createDelta} from '../src/directory/configuration-delta.ts';
 import {Directory} from '../src/directory/directory.ts';
 import type {PublishedConfiguration} from '../src/directory/directory-types.ts';
+import {confirmationTimeoutMs} from '../src/directory/instance-table.ts';
 import {rankForWatch, shouldWatch, watchersPerZone as watchersPerZoneOf} from '../src/peers/watch-duty.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {testConfiguration, testInstance, testRoute} from './support/direct-fixtures.ts';
@@ -193,3 +195,29 @@
 	peer.mergeFromPeer(structuredClone(directory.snapshot(0, peer.instancesRevision)), performance.now());
 	expect(peer.instances).to.have.length(0);
 });
+
+it('guards against calls to an instance that left during an outage: however late its entry is passed on, it is listed no longer than where it was missed', () => {
+	const clock = install();
+	try {
+		const directories = [1, 2, 3].map(() => new Directory(createSilentLogger()));
+		const instance = {revision: 3, change: {kind: 'instance' as const, instance: testInstance({id: 'i-1'})}};
+		for (const directory of directories) {
+			directory.replaceInstances({revision: 3, changes: [instance]});
+		}
+
+		const [first, second, third] = directories as [Directory, Directory, Directory];
+		first.replaceInstances({revision: 9, changes: []}, {isAfterOutage: true});
+		for (const [from, to] of [[first, second], [second, third]] as const) {
+			const requestedAtMs = to.clock.nowMs;
+			const answer = from.snapshot(0, 3);
+			clock.tick(700);
+			to.mergeFromPeer(answer, requestedAtMs);
+			expect(to.instances).to.have.lengthOf(1);
+		}
+
+		clock.tick(confirmationTimeoutMs - 1400);
+		expect(directories.map(({instances}) => instances.length)).to.deep.equal([0, 0, 0]);
+	} finally {
+		clock.uninstall();
+	}
+});
