Count the age of a pulled VM list from the question, so that an older list cannot replace a newer one

Cause: of two VM lists the one that was read from the platform later wins, compared by age. The age of a pulled list counted from when its answer was read, up to 3 s late (timeout of a pull). In that time an older list looked younger than one read from the platform meanwhile and replaced it; and each pull made the same list look younger to those that pulled it next. Change: the time since the question is added to the age. Conclusion: the age in an offer of a list with the same digest still counts from reading; it cannot bring back another list by itself.

--- a/src/membership/vm-list-exchange.ts
+++ b/src/membership/vm-list-exchange.ts
@@ -98,10 +98,12 @@
 		const {links} = this.options;
 		for (const have of [this.current.digest, '']) {
 			const base = this.current;
+			const askedAtMs = performance.now();
 			const result = await links.rpc(address, {method: membersGetMethod, params: {have}}, membersGetResultSchema, {timeoutMs: pullTimeoutMs});
 			const list = applyChanges(base, result);
 			if (list) {
-				this.adoptIfNewer(list, result.ageMs);
+				// The age was right at some time since the question, and a list must not look younger than it is.
+				this.adoptIfNewer(list, result.ageMs + performance.now() - askedAtMs);
 				return;
 			}
 		}
