--- a/test/directory-spread.test.ts
+++ b/test/directory-spread.test.ts
@@ -206,7 +206,7 @@
 		}
 
 		const [first, second, third] = directories as [Directory, Directory, Directory];
-		first.replaceInstances({revision: 9, changes: []}, {isAfterOutage: true});
+		first.replaceInstances({revision: 9, changes: []}, {namedAfterMs: Number.NEGATIVE_INFINITY, isAfterOutage: true});
 		for (const [from, to] of [[first, second], [second, third]] as const) {
 			const requestedAtMs = to.clock.nowMs;
 			const answer = from.snapshot(0, 3);
--- a/test/naming-times.test.ts
+++ b/test/naming-times.test.ts
@@ -385,7 +385,7 @@
 			const directory = new Directory(createSilentLogger());
 			const expiry = new VersionExpiry(directory, 8000, () => eventLoopDelayMs);
 			const namedAtMs = performance.now();
-			directory.apply(namedVersion2);
+			directory.apply(namedVersion2, observedNow());
 			clock.tick(1000);
 			const takenBackAtMs: number[] = [];
 			const deadline = new StartDeadline(() => expiry.timeLeftMs(held), () => {
