--- a/src/rollout/plan-transfers.ts
+++ b/src/rollout/plan-transfers.ts
@@ -67,9 +67,6 @@
 	readonly randomRank: (chunk: number) => number;
 };
 
-/** The number of open downloads from which on none is started from a peer of the region while the origin is read. The link of the VM is shared among them, and all VMs wait for what comes from the origin. */
-const maxOpenDuringOriginRead = 4;
-
 type PlanState = {
 	readonly input: PlanInput;
 	readonly local: readonly PlanPeer[];
@@ -246,14 +243,13 @@
 function planFromRegion(state: PlanState, missing: readonly number[]): PlannedTransfer[] {
 	const {input, local, sourceLoad} = state;
 	const planned: PlannedTransfer[] = [];
-	const reservedSlots = state.originReads > 0 ? Math.max(0, input.maxOpen - maxOpenDuringOriginRead) : 0;
 	const taken = new Set(input.open.map(({chunk}) => chunk));
 	const candidates = missing
 		.map(chunk => ({chunk, copies: local.filter(peer => peer.holds.has(chunk)).length, order: input.randomRank(chunk)}))
 		.filter(({chunk, copies}) => copies > 0 && !taken.has(chunk))
 		.toSorted((a, b) => a.copies - b.copies || a.order - b.order);
 	for (const {chunk} of candidates) {
-		if (state.freeSlots <= reservedSlots) {
+		if (state.freeSlots <= 0) {
 			break;
 		}
 
