--- a/src/rollout/plan-transfers.ts
+++ b/src/rollout/plan-transfers.ts
@@ -177,8 +177,7 @@
 }
 
 function chooseImportSource({input, remote, sourceLoad}: PlanState, chunk: number, isStolen: boolean): string | undefined {
-	// One import from each peer at a time: a corrupt chunk is known before the next request, and uploads are spread.
-	const holders = remote.filter(peer => isUsable(input, peer, chunk) && !sourceLoad.has(peer.vm));
+	const holders = remote.filter(peer => isUsable(input, peer, chunk));
 	const workingHolders = holders.filter(({failing}) => !failing);
 	const originReady = input.nowMs >= input.originNotBeforeMs;
 	if (workingHolders.length > 0 && (input.objective === 'origin-bytes' || !originReady)) {
