--- a/src/rollout/plan-transfers.ts
+++ b/src/rollout/plan-transfers.ts
@@ -227,15 +227,13 @@
 	return input.nowMs - waitingSinceMs >= Math.max(1, waitedForRanks(input, higherRanked)) * input.stepInMs;
 }
 
-/** Returns how many of the higher ranks may still import a chunk. Without recent contact to anyone, this VM is cut off or late itself, and all of them count. */
+/** Returns how many of the higher ranks may still import a chunk. */
 function waitedForRanks({isImporter, startedAtMs, nowMs, stepInMs, peers}: PlanInput, higherRanked: readonly string[]): number {
-	const silentMs = silentStepIns * stepInMs;
-	if (!isImporter || nowMs - startedAtMs < silentMs || !peers.some(peer => nowMs - peer.contactAtMs < stepInMs)) {
+	if (!isImporter || nowMs - startedAtMs < silentStepIns * stepInMs) {
 		return higherRanked.length;
 	}
 
-	const responding = new Set(peers.filter(peer => nowMs - peer.contactAtMs < silentMs).map(({vm}) => vm));
-	return higherRanked.filter(vm => responding.has(vm)).length;
+	return peers.filter(peer => nowMs - peer.contactAtMs < silentStepIns * stepInMs && higherRanked.includes(peer.vm)).length;
 }
 
 /** Plans downloads from peers of the region, rarest chunk first. */
