--- a/src/rollout/plan-transfers.ts
+++ b/src/rollout/plan-transfers.ts
@@ -207,10 +207,7 @@
 	return peer.reading.has(chunk) && input.nowMs - peer.progressAtMs < input.stepInMs;
 }
 
-/** Step-in times without contact after which an importer is passed over; importers poll each other several times in each. */
-const silentStepIns = 2;
-
-/** Returns whether it is this VM's turn to import a chunk. The VM of rank k, with the owner at rank 0, waits k times `stepInMs` after the last progress of any higher rank. Between importers, ranks without contact do not count. */
+/** Returns whether it is this VM's turn to import a chunk. The VM of rank k, with the owner at rank 0, waits k times `stepInMs` after the last progress of any higher rank. */
 function isDue(input: PlanInput, higherRanked: readonly string[], chunk: number): boolean {
 	if (higherRanked.length === 0) {
 		return true;
@@ -224,16 +221,7 @@
 		}
 	}
 
-	return input.nowMs - waitingSinceMs >= Math.max(1, waitedForRanks(input, higherRanked)) * input.stepInMs;
-}
-
-/** Returns how many of the higher ranks may still import a chunk. */
-function waitedForRanks({isImporter, startedAtMs, nowMs, stepInMs, peers}: PlanInput, higherRanked: readonly string[]): number {
-	if (!isImporter || nowMs - startedAtMs < silentStepIns * stepInMs) {
-		return higherRanked.length;
-	}
-
-	return peers.filter(peer => nowMs - peer.contactAtMs < silentStepIns * stepInMs && higherRanked.includes(peer.vm)).length;
+	return input.nowMs - waitingSinceMs >= higherRanked.length * input.stepInMs;
 }
 
 /** Plans downloads from peers of the region, rarest chunk first. */
--- a/test/rollout-plan.test.ts
+++ b/test/rollout-plan.test.ts
@@ -140,28 +140,3 @@
 	expect(plan([open(1, 'remote')])).to.deep.equal(['0 origin', '2 remote']);
 	expect(plan([])).to.deep.equal(['0 origin', '1 remote', '2 remote']);
 });
-
-it('guards against a chunk that waits for importers that are cut off: ranks without contact are passed over, others are waited for', () => {
-	const peer = (vm: string, contactAtMs: number) => ({
-		vm, local: false, holds: new ChunkBitmap(1), reading: new ChunkBitmap(1), progressAtMs: 0, contactAtMs, notBeforeMs: 0, banned: false, overBudget: false, uploaded: 0, failing: false,
-	});
-	const higherRanked = ['a', 'b', 'c', 'd'];
-	const dueAtMs = (contactAtMs: (nowMs: number) => number, isImporter = true) => {
-		for (let nowMs = 10_000; nowMs < 30_000; nowMs += 100) {
-			const planned = planTransfers({
-				nowMs, held: new ChunkBitmap(1), open: [], peers: higherRanked.map(vm => peer(vm, contactAtMs(nowMs))), unavailableSinceMs: () => 10_000,
-				higherRankedInRegion: () => higherRanked, higherRankedGlobally: () => higherRanked, objective: 'origin-bytes', isImporter, startedAtMs: 0, progressAtMs: 0,
-				originNotBeforeMs: 0, surveyed: true, stepInMs: 900, maxOpen: 4, maxOriginReads: 1, randomRank: chunk => chunk,
-			});
-			if (planned.length > 0) {
-				return nowMs - 10_000;
-			}
-		}
-
-		return Number.POSITIVE_INFINITY;
-	};
-
-	expect(dueAtMs(() => 10_000), 'cut off at 10 s').to.equal(1800);
-	expect(dueAtMs(nowMs => nowMs - 300), 'in contact').to.equal(3600);
-	expect(dueAtMs(() => 10_000, false), 'not watched').to.equal(3600);
-});
