--- a/src/rollout/plan-transfers.ts
+++ b/src/rollout/plan-transfers.ts
@@ -133,32 +133,28 @@
 	const {input} = state;
 	const planned: PlannedTransfer[] = [];
 	const mayImport = input.isImporter || input.nowMs - Math.max(input.startedAtMs, input.progressAtMs) >= input.stepInMs;
-	if (!input.surveyed || !mayImport) {
+	if (!input.surveyed || !mayImport || state.originReads >= input.maxOriginReads) {
 		return planned;
 	}
 
 	const unavailable = missing.filter(chunk => !state.local.some(peer => isProvider(input, peer, chunk)));
 	const due = unavailable.filter(chunk => isDue(input, input.higherRankedInRegion(chunk), chunk));
-	const isStealing = due.length === 0 && state.originReads < input.maxOriginReads;
-	// An owner imports its chunks in manifest order; other importers take chunks from the end of its backlog, one at a time.
-	for (const chunk of isStealing ? stealChunks(state, unavailable) : due) {
-		const source = chooseImportSource(state, chunk, isStealing);
-		if (source !== undefined && mayOpenImport(state, source)) {
+	// An owner imports its chunks in manifest order; other importers take chunks from the end of its backlog.
+	for (const chunk of due.length > 0 ? due : stealChunks(state, unavailable)) {
+		if (state.freeSlots <= -importSlots || state.originReads >= input.maxOriginReads) {
+			break;
+		}
+
+		const source = chooseImportSource(state, chunk, due.length === 0);
+		if (source !== undefined) {
 			planned.push(assign(state, chunk, source, false));
-			if (isStealing) {
-				break;
-			}
+			state.originReads++;
 		}
 	}
 
 	return planned;
 }
 
-/** Returns whether a download slot is free for an import. Reads of the origin have one slot more than imports from other regions, which are many at times. */
-function mayOpenImport({input, freeSlots, originReads}: PlanState, source: string): boolean {
-	return source === originSource ? originReads < input.maxOriginReads && freeSlots > -importSlots : freeSlots > 1 - importSlots;
-}
-
 /** Work stealing: returns chunks of owners that fall behind, for an importer without due chunks. Only the importer ranked directly below the owner takes a chunk, so that no two importers take the same one. */
 function stealChunks({input}: PlanState, unavailable: readonly number[]): number[] {
 	const higherRanked = input.objective === 'time' ? input.higherRankedInRegion : input.higherRankedGlobally;
@@ -270,7 +266,6 @@
 /** Reserves a download slot for a planned download. */
 function assign(state: PlanState, chunk: number, source: string, lastResort: boolean): PlannedTransfer {
 	state.freeSlots--;
-	state.originReads += source === originSource ? 1 : 0;
 	state.sourceLoad.set(source, (state.sourceLoad.get(source) ?? 0) + 1);
 	return {chunk, source, lastResort};
 }
