Revert "Give imports download slots of their own"

What callers would see: a rollout that does not end in a region while another region has every chunk. Ruled out: load alone.

--- a/src/rollout/plan-transfers.ts
+++ b/src/rollout/plan-transfers.ts
@@ -60,7 +60,6 @@
 	readonly surveyed: boolean;
 	/** How long a VM waits without progress of the higher ranks before it takes over their imports, in milliseconds. */
 	readonly stepInMs: number;
-	/** The number of open downloads from which on none is started from a peer of the region. */
 	readonly maxOpen: number;
 	readonly maxOriginReads: number;
 	/** Returns a chunk's position in a random order specific to this VM; breaks ties so that VMs request different chunks. */
@@ -79,12 +78,9 @@
 /** An owner with at least this many chunks left to import has some of them taken over by other importers. With fewer, both would read the same chunk. */
 const minStealableBacklog = 2;
 
-/** The number of downloads beyond `maxOpen` for imports. All VMs wait for the imported chunks, so that an importer busy with downloads from its region must not delay them. */
-const importSlots = 2;
-
 /** Plans the next downloads, most urgent first. */
 export function planTransfers(input: PlanInput): PlannedTransfer[] {
-	if (input.open.length >= input.maxOpen + importSlots) {
+	if (input.open.length >= input.maxOpen) {
 		return [];
 	}
 
@@ -141,7 +137,7 @@
 	const due = unavailable.filter(chunk => isDue(input, input.higherRankedInRegion(chunk), chunk));
 	// An owner imports its chunks in manifest order; other importers take chunks from the end of its backlog.
 	for (const chunk of due.length > 0 ? due : stealChunks(state, unavailable)) {
-		if (state.freeSlots <= -importSlots || state.originReads >= input.maxOriginReads) {
+		if (state.freeSlots <= 0 || state.originReads >= input.maxOriginReads) {
 			break;
 		}
 
--- a/src/rollout/version-transfer.ts
+++ b/src/rollout/version-transfer.ts
@@ -67,8 +67,8 @@
 				this.fetcher.resumeOrigin();
 			},
 			onNewChunks: () => {
-				// The end of a download plans the next one; imports do not wait for it.
-				if (this.fetcher.open.length < this.maxOpen || this.neighbourhood.isImporter) {
+				// The end of a download plans the next one.
+				if (this.fetcher.open.length < this.maxOpen) {
 					this.schedulePlan();
 				}
 			},
