--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -79,7 +79,7 @@
 		return this.instanceTable.lastChange;
 	}
 
-	/** Increases whenever a version of weights is named. */
+	/** Increases whenever a version of weights is named, or the bounds of the time when it was named change. */
 	get versionChanges(): number {
 		return this.namedVersions.changes;
 	}
--- a/src/directory/named-versions.ts
+++ b/src/directory/named-versions.ts
@@ -45,7 +45,7 @@
 		return this.versionsByModel.get(model) ?? [];
 	}
 
-	/** Moves the earliest times back, since the monotonic clock may have stood still for some time. */
+	/** Moves the earliest times back, since the monotonic clock may have stood still for some time; the latest times hold all the same. */
 	moveBack(ms: number): void {
 		for (const [model, versions] of this.versionsByModel) {
 			const moved = versions.map(entry => ({...entry, earliestMs: entry.earliestMs - ms, reportedMs: entry.reportedMs - ms}));
@@ -69,6 +69,7 @@
 		};
 		const kept = [...versions.filter(other => other.version !== version), entry].toSorted((a, b) => a.version - b.version).slice(-maxVersionsPerModel);
 		if (!kept.includes(entry)) {
+			// Too old to be kept; a peer that still keeps it would otherwise tell it as news with each message.
 			return;
 		}
 
--- a/src/peers/peer-group.ts
+++ b/src/peers/peer-group.ts
@@ -96,7 +96,7 @@
 
 	/** Handles an exchange that another process started, and returns the response. */
 	handleExchange(theirs: PeersExchange): PeersExchange {
-		// A request that its sender has given up may still be delivered.
+		// A request that its sender has given up may still be delivered, so it may be older than its timeout.
 		this.applyMessage(theirs, this.options.directory.clock.sentAfterMs - exchangeTimeoutMs);
 		return this.createMessage(theirs.groupDigest);
 	}
