--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -14,8 +14,8 @@
 const requesters = 12;
 const playMs = 40_000;
 const poisonFromMs = 5000;
-/** Requests with the bad part: of 12 requesters' about 20 a second, one in 10. */
-const poisonEveryMs = 500;
+/** One request a second has the bad part, of about 20: a share of 0.05. */
+const poisonEveryMs = 1000;
 const downMs = 2500;
 const stableWindowMs = 3000;
 /** The rule excuses three requests. */
