--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -9,14 +9,16 @@
 
 const requestersPerGateway = 8;
 const playMs = 25_000;
+/** The times in which the worker spoils one answer in 50 (x = 0.02): `garble` for 5.5 s, three times. */
+const garbleAtMs = [1000, 9000, 17_000];
+const garbleForMs = 5500;
 const stableWindowMs = 3000;
 /** The rule excuses three requests. */
 const excused = 3;
 
 await runCase(import.meta.url, async deployment => {
 	const {store} = deployment;
-	// One answer in twenty of one worker, as `garble` at its largest dose (x = 0.05).
-	const faulty = {spoilsEvery: hasTrouble ? 20 : undefined};
+	const faulty = {spoilsEvery: hasTrouble ? 50 : undefined};
 	const workers = [1, 2, 3].map(number => new DeskWorker({id: `i-${number}`, workMs: 60, ...(number === 1 ? faulty : {})}));
 	for (const [at, worker] of workers.entries()) {
 		await worker.start(`127.0.0.${20 + at}`);
@@ -38,6 +40,10 @@
 	await sleep(stableWindowMs);
 
 	const startMs = performance.now();
+	const garbling = setInterval(() => {
+		const nowMs = performance.now() - startMs;
+		workers[0].isGarbling = garbleAtMs.some(atMs => nowMs >= atMs && nowMs < atMs + garbleForMs);
+	}, 50);
 	const sound = workers.slice(1);
 	const counts = {served: 0, lost: 0};
 	const runRequester = async number => {
@@ -68,6 +74,7 @@
 	};
 
 	await Promise.all(Array.from({length: requestersPerGateway * 2}, async (_, number) => runRequester(number)));
+	clearInterval(garbling);
 	for (const worker of workers) {
 		worker.close();
 	}
--- a/review/lib/desk-worker.mjs
+++ b/review/lib/desk-worker.mjs
@@ -7,6 +7,7 @@
 	ran = new Set();
 	requests = 0;
 	spoilt = 0;
+	isGarbling = false;
 
 	/**
 	 * @param options - the worker's id in the store, the time of a run, and which answers are spoilt: every `spoilsEvery`-th
@@ -49,7 +50,7 @@
 		const id = /^attempt-id: (.*)$/im.exec(head)?.[1];
 		this.ran.add(id);
 		this.requests++;
-		const isSpoilt = this.requests % this.spoilsEvery === 0;
+		const isSpoilt = this.isGarbling && this.requests % this.spoilsEvery === 0;
 		const body = `run of ${id}`.padEnd(800, '.');
 		const answer = [
 			'HTTP/1.1 200 OK', `Attempt-Id: ${id}`, `Response-Seal: 3e1b.07.${id}`, 'Instance-Load: 1,0,6', `Content-Length: ${body.length}`, 'Connection: close', '', body,
--- a/review/lib/stream-worker.mjs
+++ b/review/lib/stream-worker.mjs
@@ -1,14 +1,22 @@
-/** Stand-in for a model worker whose answers have neither a length nor chunks and end with their channel. */
+/** Stand-in for a model worker. Its answers have chunks, or neither a length nor chunks and end with their channel. */
 import net from 'node:net';
 
 /** Starts on a loopback address and writes the events of each stream at a fixed pace. */
 export class StreamWorker {
 	/** What each request got, by its id: events made, and whether the whole answer was sent in order. */
 	runs = new Map();
+	isGarbling = false;
 
-	/** @param options - the number of events of a stream, the pause before each, and the worker's id in the store */
-	constructor({id, events, pauseMs}) {
-		Object.assign(this, {id, events, pauseMs});
+	/**
+	 * @param options - the number of events of a stream, the pause before each, the worker's id in the store, and which answers have no chunks:
+	 * every `unframedEvery`-th while the worker is garbling, counted together with the workers that share `counter`
+	 */
+	constructor({
+		id, events, pauseMs, unframedEvery = Number.POSITIVE_INFINITY, counter = {answers: 0},
+	}) {
+		Object.assign(this, {
+			id, events, pauseMs, unframedEvery, counter,
+		});
 		this.server = net.createServer(socket => {
 			this.serve(socket);
 		});
@@ -51,8 +59,11 @@
 
 		const run = {made: 0, isComplete: false};
 		this.runs.set(id, run);
+		this.counter.answers += this.isGarbling ? 1 : 0;
+		const hasChunks = !this.isGarbling || this.counter.answers % this.unframedEvery !== 0;
 		const from = Number(header('last-event-id') ?? 0);
-		socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nResponse-Seal: 3e1b.07.${id}\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\nConnection: close\r\n\r\n`);
+		const framing = hasChunks ? 'Transfer-Encoding: chunked\r\n' : '';
+		socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nResponse-Seal: 3e1b.07.${id}\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\n${framing}Connection: close\r\n\r\n`);
 		for (let number = from + 1; number <= this.events; number++) {
 			await new Promise(resolve => {
 				setTimeout(resolve, this.pauseMs);
@@ -62,11 +73,12 @@
 			}
 
 			run.made = number;
-			socket.write(`id: ${number}\ndata: token ${number} of ${id}\n\n`);
+			const event = `id: ${number}\ndata: token ${number} of ${id}\n\n`;
+			socket.write(hasChunks ? `${event.length.toString(16)}\r\n${event}\r\n` : event);
 		}
 
 		run.isComplete = true;
-		socket.end();
+		socket.end(hasChunks ? '0\r\n\r\n' : '');
 	}
 }
 
