Review case 3: killed gateways, with the site's dose of unframed answers

One answer in 20 of half of the workers has no length, for 5 s around each of four kills, in place of all answers.

--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,103 +1,38 @@
-/** A prompt part that crashes workers stands behind sixteen others: do the gateways keep sending requests with it? */
-import {randomBytes} from 'node:crypto';
-import process from 'node:process';
+/** A gateway is killed while it passes streams without a length on: do they look complete to the requesters? */
+/* eslint camelcase: "off" -- wire formats use their own spelling */
 import {Channel, newId} from '../lib/caller.mjs';
 import {hasTrouble, runCase, sleep} from '../lib/deployment.mjs';
 import {
 	configuration, requestHeaders, streamHeaders, streamPath, workerEntry,
 } from '../lib/published.mjs';
-import {StreamWorker} from '../lib/stream-worker.mjs';
-
-const workerCount = 6;
-const events = 12;
-const pauseMs = 40;
-const requesters = 12;
-const playMs = 40_000;
-const poisonFromMs = 5000;
-/** One request a second has the bad part, of about 20: a share of 0.05. */
-const poisonEveryMs = 1000;
-const downMs = 2500;
-const stableWindowMs = 3000;
-/** The rule excuses three requests. */
-const excused = 3;
-const badPart = 'bad0bad0';
-/** Parts before the bad one; `PARTS=3` shows that one further ahead is held. */
-const partsBefore = Number(process.env.PARTS ?? 17);
-
-const sharedParts = Array.from({length: 20}, (_, number) => `5c1e07${10 + number}`);
-
-/** The parts of a prompt in order, the last of them its own. */
-function promptPrefix(isPoison) {
-	const shared = isPoison ? sharedParts.with(partsBefore, badPart) : sharedParts;
-	return [...shared.map(id => `${id}:40`), `${randomBytes(4).toString('hex')}:200`].join(',');
-}
-
-/** A worker that crashes when it begins to write an answer on the bad part, and starts again some seconds later under another id. */
-class Worker extends StreamWorker {
-	sockets = new Set();
-
-	constructor(deployment, number, seen) {
-		super({id: `i-${number}-0`, events, pauseMs});
-		Object.assign(this, {
-			deployment, number, seen, starts: 0,
-		});
-		this.server.on('connection', socket => {
-			this.sockets.add(socket);
-			socket.on('close', () => this.sockets.delete(socket));
-		});
-	}
-
-	publish() {
-		this.deployment.store.put(`servers/${this.id}`, workerEntry({
-			address: this.address, service: 'assistent', born: Date.now(), models: [{name: 'm0', version: 1, adapters: []}],
-		}));
-	}
-
-	async answer(socket, head) {
-		if (!head.includes(badPart) || !head.includes(`Expect-Instance: ${this.id}`)) {
-			await super.answer(socket, head);
-			return;
-		}
-
-		this.seen.arrivals.push(performance.now());
-		await sleep(pauseMs);
-		this.crash();
-	}
-
-	crash() {
-		if (!this.server.listening) {
-			return;
-		}
-
-		const {deployment, sockets, id} = this;
-		this.seen.crashes.push(performance.now());
-		this.seen.cut += sockets.size - 1;
-		deployment.record(`worker ${id} crashes, ${sockets.size - 1} other requests are cut off`);
-		const {port} = this.server.address();
-		this.server.close();
-		for (const socket of sockets) {
-			socket.resetAndDestroy();
-		}
-
-		setTimeout(() => {
-			deployment.store.remove(`servers/${id}`);
-			this.starts++;
-			this.id = `i-${this.number}-${this.starts}`;
-			this.server.listen(port, this.address.split(':')[0], () => {
-				this.publish();
-			});
-		}, downMs);
-	}
-}
+import {findEarlyEnd, StreamWorker} from '../lib/stream-worker.mjs';
+
+const events = 21;
+const pauseMs = 60;
+const requesters = 120;
+const workerCount = 10;
+const playMs = 26_000;
+/** Single processes are killed, by turns. */
+const killsAtMs = [5000, 11_000, 17_000, 23_000];
+/** `garble` for 5 s around each kill. */
+const garbleBeforeMs = 3500;
+const garbleForMs = 5000;
 
 await runCase(import.meta.url, async deployment => {
 	const {store} = deployment;
-	const seen = {arrivals: [], crashes: [], cut: 0};
+	// One answer in 20 (x = 0.05) of half of the workers (a share of 0.5) has no length, as with `garble`, how `unframed`.
+	const workers = Array.from({length: workerCount}, (_, number) => new StreamWorker({
+		id: `i-${number}`, events, pauseMs, unframedEvery: number % 2 === 0 ? 20 : undefined,
+	}));
+	for (const [at, worker] of workers.entries()) {
+		await worker.start(`127.0.0.${20 + at}`);
+	}
+
 	store.put('op/config', configuration());
-	const workers = Array.from({length: workerCount}, (_, number) => new Worker(deployment, number, seen));
-	for (const worker of workers) {
-		await worker.start(`127.0.0.${20 + worker.number}`);
-		worker.publish();
+	for (const {id, address} of workers) {
+		store.put(`servers/${id}`, workerEntry({
+			address, service: 'assistent', born: Date.now() - 60_000, models: [{name: 'm0', version: 1, adapters: []}],
+		}));
 	}
 
 	const fields = [await deployment.gatewayFields('gateway-1', '127.0.0.10'), await deployment.gatewayFields('gateway-2', '127.0.0.11')];
@@ -108,44 +43,56 @@
 	}
 
 	const startMs = performance.now();
-	const counts = {sound: {}, poison: {}};
-	const send = async (kind, number) => {
-		const channel = new Channel(fields[number % 2].listen.front);
-		const headers = requestHeaders(newId(), {...streamHeaders, 'Prompt-Prefix': promptPrefix(kind === 'poison')});
-		const answer = await channel.ask({path: streamPath, headers, body: '{"text":"wheel is loose"}'});
-		channel.destroy();
-		counts[kind][answer.status] = (counts[kind][answer.status] ?? 0) + 1;
-	};
-
+	const early = [];
+	let whole = 0;
 	const runRequester = async number => {
+		const {front} = fields[number % 2].listen;
 		while (performance.now() - startMs < playMs) {
-			await send('sound', number);
-			await sleep(60);
+			const id = newId();
+			const channel = new Channel(front);
+			const answer = await channel.ask({path: streamPath, headers: requestHeaders(id, streamHeaders), body: '{"text":"wheel is loose"}'});
+			channel.destroy();
+			const finding = findEarlyEnd(answer, events);
+			const made = workers.map(({runs}) => runs.get(id)).find(Boolean);
+			const seen = finding ? `; ${finding}; the worker had made ${made?.made} and was at work` : '';
+			if (finding || answer.end !== 'complete') {
+				deployment.record(`${id} gateway-${(number % 2) + 1}: status ${answer.status}, ended ${answer.end}, ${answer.body.length} bytes${seen}`);
+			}
+
+			if (finding) {
+				early.push(id);
+			} else if (answer.status === 200 && !answer.end.startsWith('cut')) {
+				whole++;
+			}
+
+			await sleep(answer.status === 200 ? 20 : 300);
 		}
 	};
 
-	const runPoison = async () => {
-		await sleep(poisonFromMs);
-		const open = [];
-		for (let number = 0; performance.now() - startMs < playMs; number++) {
-			open.push(send('poison', number));
-			await sleep(poisonEveryMs);
+	const played = Promise.all(Array.from({length: requesters}, async (_, number) => runRequester(number)));
+	const garbling = setInterval(() => {
+		const nowMs = performance.now() - startMs;
+		for (const worker of workers) {
+			worker.isGarbling = hasTrouble && killsAtMs.some(atMs => nowMs >= atMs - garbleBeforeMs && nowMs < atMs - garbleBeforeMs + garbleForMs);
 		}
+	}, 50);
+	for (const [at, killAtMs] of killsAtMs.entries()) {
+		await sleep(killAtMs - (performance.now() - startMs));
+		if (hasTrouble) {
+			deployment.signal(gateways[at % 2], 'SIGKILL');
+		}
+	}
 
-		await Promise.all(open);
-	};
-
-	await Promise.all([...Array.from({length: requesters}, async (_, number) => runRequester(number)), ...(hasTrouble ? [runPoison()] : [])]);
+	await played;
+	clearInterval(garbling);
 	for (const worker of workers) {
 		worker.close();
 	}
 
-	const {arrivals, crashes, cut} = seen;
-	const late = arrivals.filter(atMs => atMs > (crashes[4] ?? Number.POSITIVE_INFINITY) + stableWindowMs).length;
-	deployment.record(`${crashes.length} crashes, ${arrivals.length} arrivals of the bad part, ${late} of them late, ${cut} other requests cut off; answers ${JSON.stringify(counts)}`);
-	if (!counts.sound[200]) {
+	if (whole === 0) {
 		throw new Error('no stream was served');
 	}
 
-	return late > excused ? `BUDGET: ${late} requests with the part reached workers later than 3 s after the fifth of ${crashes.length} crashes, which cut off ${cut} other requests` : undefined;
+	deployment.record(`${whole} streams whole, ${early.length} ended early as complete`);
+	return early.length > 0 ? `ORDER: ${early.length} streams ended as complete before their last event (${whole} were whole)` : undefined;
 });
