An exception in the code of a call ends that call, not the gateway

Cause: the HTTP parser passes more than Node.js writes (status 000, a space in a header name), and the throw of `writeHead` in a listener had no owner. Ruled out: the memory limit (exit code 1, a stack of writeHead), an unhandled parser error (it is handled, and these answers parse). The same holds for `http.request` with a tab in the target, and for any exception in a listener, timer or promise of a call.

Change: heads of answers and requests are checked where they come in against what Node.js accepts for writing (http-syntax.ts); all code of a call runs in a boundary (call-boundary.ts) that ends this call with an answer that is true about whether it ran, one log line (`call_faulted`) and a counter. Options types and the steps that end a call moved to files of their own.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -79,7 +79,9 @@
 		forwarder.endHeldCalls();
 	});
 	const callers = new CallerListener({
-		forwarder, codec: adapter.codec, log, limits: () => directory.table?.configuration.limits,
+		forwarder, codec: adapter.codec, log, limits: () => directory.table?.configuration.limits, onFault(phase) {
+			forwardingMetrics.recordFault(phase);
+		},
 	});
 	directory.onChange(() => {
 		callers.applyLimits();
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -6,6 +6,7 @@
 import type {PromptQuarantine} from '../quarantine/prompt-quarantine.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
+import type {CallBoundary} from './call-boundary.ts';
 import type {ResponseWriter} from './response-writer.ts';
 import {ForwardedCall} from './forwarded-call.ts';
 import {InstanceSelector} from './instance-selector.ts';
@@ -50,6 +51,15 @@
 /** Retry delay given to callers while this process shuts down, in milliseconds; short, because another gateway takes the call. */
 const shutdownRetryAfterMs = 50;
 
+/** A call that may be forwarded. */
+type Admitted = {
+	readonly receivedCall: ReceivedCall;
+	readonly writer: ResponseWriter;
+	readonly boundary: CallBoundary;
+	readonly route: Route;
+	readonly holder: KeyHolder | undefined;
+};
+
 type Refusal = {readonly status: number; readonly reason: string; readonly retryAfterMs?: number};
 
 const noRoute: Refusal = {status: 404, reason: 'no_route'};
@@ -71,7 +81,7 @@
 		});
 		directory.onChange(() => {
 			for (const call of this.inFlight) {
-				call.attempt?.startDeadline.check();
+				call.recheckStartDeadline();
 			}
 		});
 	}
@@ -98,9 +108,10 @@
 	 *
 	 * @param call - the call as received
 	 * @param writer - writes the response to the caller
+	 * @param boundary - runs each step of the call
 	 * @returns the forwarded call; undefined if it was refused
 	 */
-	forward(call: ReceivedCall, writer: ResponseWriter): ForwardedCall | undefined {
+	forward(call: ReceivedCall, writer: ResponseWriter, boundary: CallBoundary): ForwardedCall | undefined {
 		const {directory} = this.options;
 		const {table} = directory;
 		const route = table?.findRoute(call.headers.host, call.target);
@@ -112,17 +123,18 @@
 		}
 
 		return this.startCall({
-			receivedCall: call, writer, route, holder,
+			receivedCall: call, writer, boundary, route, holder,
 		});
 	}
 
-	private startCall({receivedCall, writer, route, holder}: {receivedCall: ReceivedCall; writer: ResponseWriter; route: Route; holder: KeyHolder | undefined}): ForwardedCall {
+	private startCall({receivedCall, writer, boundary, route, holder}: Admitted): ForwardedCall {
 		const {codec, tracker, log, random} = this.options;
 		const service = chooseTargetService(route, random);
 		const budget = this.getRetryBudget(service);
 		budget.recordCall();
 		const call: ForwardedCall = new ForwardedCall({
 			call: receivedCall,
+			boundary,
 			route,
 			service,
 			holder: route.isPublic && !holder ? undefined : holder,
--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -5,6 +5,8 @@
 import type {CallerLimits} from '../directory/directory-types.ts';
 import type {ListenAddress} from '../links/http-listener.ts';
 import type {Logger} from '../runtime/logger.ts';
+import {areHeadersValid, isTargetValid} from '../links/http-syntax.ts';
+import {CallBoundary, type CallPhase, faultRetryAfterMs} from './call-boundary.ts';
 import {ResponseWriter} from './response-writer.ts';
 import type {CallForwarder} from './call-forwarder.ts';
 import type {ForwardedCall} from './forwarded-call.ts';
@@ -40,6 +42,8 @@
 	readonly log: Logger;
 	/** Returns the published limits; undefined until a configuration has been received. */
 	readonly limits: () => CallerLimits | undefined;
+	/** Called for each exception in the code of a call. */
+	readonly onFault: (phase: CallPhase) => void;
 };
 
 /** Accepts connections from callers and reads their calls. */
@@ -52,7 +56,7 @@
 		this.server = http.createServer({
 			maxHeaderSize: maxParsedHeaderBytes, connectionsCheckingInterval: connectionsCheckIntervalMs, noDelay: true, requestTimeout: requestTimeoutMs,
 		}, (req, res) => {
-			this.serve(req, res);
+			this.accept(req, res);
 		});
 		this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
 			this.respondToParseError(err, socket);
@@ -108,31 +112,43 @@
 		return this.options.limits() ?? defaultLimits;
 	}
 
-	private serve(req: http.IncomingMessage, res: http.ServerResponse): void {
+	private accept(req: http.IncomingMessage, res: http.ServerResponse): void {
+		const boundary = new CallBoundary({
+			log: this.options.log, onFault: this.options.onFault, disconnect() {
+				req.socket.destroy();
+			},
+		});
+		boundary.run('receive', () => {
+			this.serve(req, res, boundary);
+		});
+	}
+
+	private serve(req: http.IncomingMessage, res: http.ServerResponse, boundary: CallBoundary): void {
 		const receivedAtMs = performance.now();
 		if (this.isClosing) {
 			res.setHeader('connection', 'close');
 		}
 
 		let call: ForwardedCall | undefined;
-		const writer = new ResponseWriter(res, () => {
+		const writer = new ResponseWriter(res, boundary.wrap('disconnect', () => {
 			call?.handleDisconnect();
-		});
+		}));
+		boundary.endCall = () => {
+			writer.sendError(503, 'an internal error; not run', this.options.codec.writeRefusalHeaders(faultRetryAfterMs));
+		};
+
 		const violation = this.findViolation(req);
 		if (violation) {
 			this.refuse(req, writer, violation);
 			return;
 		}
 
-		this.readBody(req, writer, body => {
+		const headers = this.options.codec.readCallHeaders(req.rawHeaders);
+		boundary.attemptId = headers.attemptId;
+		this.readBody(req, {writer, boundary}, body => {
 			call = this.options.forwarder.forward({
-				method: req.method ?? 'GET',
-				target: req.url ?? '/',
-				rawHeaders: req.rawHeaders,
-				headers: this.options.codec.readCallHeaders(req.rawHeaders),
-				body,
-				receivedAtMs,
-			}, writer);
+				method: req.method ?? 'GET', target: req.url ?? '/', rawHeaders: req.rawHeaders, headers, body, receivedAtMs,
+			}, writer, boundary);
 		});
 	}
 
@@ -150,7 +166,15 @@
 			return {status: 413, reason: 'body is too large'};
 		}
 
-		return req.url?.startsWith('/') ? undefined : {status: 400, reason: 'the target is not a path'};
+		if (!areHeadersValid(req.rawHeaders)) {
+			return {status: 400, reason: 'a header has a character that is not allowed'};
+		}
+
+		if (!req.url?.startsWith('/')) {
+			return {status: 400, reason: 'the target is not a path'};
+		}
+
+		return isTargetValid(req.url) ? undefined : {status: 400, reason: 'the target has a character that is not allowed'};
 	}
 
 	private refuse(req: http.IncomingMessage, writer: ResponseWriter, {status, reason}: {status: number; reason: string}): void {
@@ -159,11 +183,11 @@
 		req.resume();
 	}
 
-	private readBody(req: http.IncomingMessage, writer: ResponseWriter, onComplete: (body: Buffer) => void): void {
+	private readBody(req: http.IncomingMessage, {writer, boundary}: {writer: ResponseWriter; boundary: CallBoundary}, onComplete: (body: Buffer) => void): void {
 		const chunks: Buffer[] = [];
 		let bytes = 0;
 		let isTooLarge = false;
-		req.on('data', (chunk: Buffer) => {
+		req.on('data', boundary.wrap('receive', (chunk: Buffer) => {
 			bytes += chunk.length;
 			if (bytes <= this.limits.bodyBytes) {
 				chunks.push(chunk);
@@ -171,12 +195,12 @@
 				isTooLarge = true;
 				this.refuse(req, writer, {status: 413, reason: 'body is too large'});
 			}
-		});
-		req.once('end', () => {
+		}));
+		req.once('end', boundary.wrap('forward', () => {
 			if (!isTooLarge && !writer.isClosed) {
 				onComplete(Buffer.concat(chunks));
 			}
-		});
+		}));
 		req.on('error', () => {
 			// The caller disconnected before its call was complete; the `close` event of the response follows.
 		});
--- /dev/null
+++ b/src/forwarding/forwarded-call-options.ts
@@ -0,0 +1,38 @@
+/** What a forwarded call is given by its forwarder. */
+import type {KeyHolder, Route} from '../directory/directory-types.ts';
+import type {ServiceId} from '../ids/service-id.ts';
+import type {CrashDetector} from '../quarantine/crash-detector.ts';
+import type {PromptQuarantine} from '../quarantine/prompt-quarantine.ts';
+import type {Logger} from '../runtime/logger.ts';
+import type {CallBoundary} from './call-boundary.ts';
+import type {InstanceQuery, SelectedInstance} from './instance-query.ts';
+import type {InstanceTracker} from './instance-tracker.ts';
+import type {ReceivedCall} from './received-call.ts';
+import type {ResponseBuffers} from './response-buffers.ts';
+import type {ResponseWriter} from './response-writer.ts';
+import type {Placement} from './select-instance.ts';
+import type {WireCodec} from './wire-codec.ts';
+
+/** The call, its route and the functions supplied by the forwarder. */
+export type ForwardedCallOptions = {
+	readonly call: ReceivedCall;
+	/** Runs each step of the call. */
+	readonly boundary: CallBoundary;
+	readonly route: Route;
+	readonly service: ServiceId;
+	readonly holder: KeyHolder | undefined;
+	/** As in {@link InstanceQuery}, at the time when the call was received. */
+	readonly aimLeftMs: number;
+	readonly writer: ResponseWriter;
+	readonly codec: WireCodec;
+	readonly tracker: InstanceTracker;
+	readonly buffers: ResponseBuffers;
+	readonly crashes: CrashDetector;
+	readonly quarantine: PromptQuarantine;
+	readonly log: Logger;
+	readonly selectInstance: (query: InstanceQuery) => Promise<SelectedInstance | Exclude<Placement, {kind: 'place'}>>;
+	/** Takes one retry from the budget; returns false if it is exhausted. */
+	readonly tryTakeRetry: () => boolean;
+	/** Called once when the call has ended. */
+	readonly onEnd: (outcome: string, ms: number) => void;
+};
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -1,41 +1,11 @@
 /** Forwards one call: sends it to an upstream, retries it where that is safe, and gives the caller at most one response. */
-import type {KeyHolder, Route} from '../directory/directory-types.ts';
-import type {ServiceId} from '../ids/service-id.ts';
-import type {Logger} from '../runtime/logger.ts';
-import type {CrashDetector} from '../quarantine/crash-detector.ts';
 import type {Admission} from '../quarantine/hold.ts';
-import type {PromptQuarantine} from '../quarantine/prompt-quarantine.ts';
-import type {ResponseBuffers} from './response-buffers.ts';
-import type {ResponseWriter} from './response-writer.ts';
-import {type AttemptOutcome, decideNextStep, type NextStep} from './decide-next-step.ts';
-import type {InstanceQuery, SelectedInstance} from './instance-query.ts';
-import type {ReceivedCall} from './received-call.ts';
-import type {Placement} from './select-instance.ts';
-import type {WireCodec} from './wire-codec.ts';
+import {faultRetryAfterMs} from './call-boundary.ts';
+import {type AttemptOutcome, decideNextStep} from './decide-next-step.ts';
+import {describeOutcome, endSteps} from './end-steps.ts';
+import type {ForwardedCallOptions} from './forwarded-call-options.ts';
+import type {SelectedInstance} from './instance-query.ts';
 import {UpstreamAttempt} from './upstream-attempt.ts';
-import type {InstanceTracker} from './instance-tracker.ts';
-
-/** The call, its route and the functions supplied by the forwarder. */
-export type ForwardedCallOptions = {
-	readonly call: ReceivedCall;
-	readonly route: Route;
-	readonly service: ServiceId;
-	readonly holder: KeyHolder | undefined;
-	/** As in {@link InstanceQuery}, at the time when the call was received. */
-	readonly aimLeftMs: number;
-	readonly writer: ResponseWriter;
-	readonly codec: WireCodec;
-	readonly tracker: InstanceTracker;
-	readonly buffers: ResponseBuffers;
-	readonly crashes: CrashDetector;
-	readonly quarantine: PromptQuarantine;
-	readonly log: Logger;
-	readonly selectInstance: (query: InstanceQuery) => Promise<SelectedInstance | Exclude<Placement, {kind: 'place'}>>;
-	/** Takes one retry from the budget; returns false if it is exhausted. */
-	readonly tryTakeRetry: () => boolean;
-	/** Called once when the call has ended. */
-	readonly onEnd: (outcome: string, ms: number) => void;
-};
 
 /** Minimum time left for another attempt, in milliseconds. */
 const minAttemptMs = 20;
@@ -46,25 +16,6 @@
 /** How long an upstream may send nothing before a retryable call moves to another one, in milliseconds. */
 const stallTimeoutsMs = {plain: 400, stream: 1100, beforeFirstEvent: 1300};
 
-const stepHandlers: Readonly<Record<Exclude<NextStep, 'repeat'>, (call: ForwardedCall, outcome: AttemptOutcome) => void>> = {
-	refuse(call, outcome) {
-		call.refuse(outcome.kind === 'not-run' ? outcome.reason : outcome.kind, 300);
-	},
-	'pass-on'(call) {
-		call.relayUpstreamError();
-	},
-	fail(call, outcome) {
-		call.finish('failed', {reason: describe(outcome)}, () => {
-			call.options.writer.sendError(502, 'the upstream did not answer; the call may have run');
-		});
-	},
-	cut(call, outcome) {
-		call.finish('cut', {reason: describe(outcome)}, () => {
-			call.options.writer.abort();
-		});
-	},
-};
-
 /** Runs the attempts of one call until one is served or no further attempt is allowed. */
 export class ForwardedCall {
 	/** The latest attempt. */
@@ -85,7 +36,11 @@
 
 	/** @param options - the call and its dependencies */
 	constructor(readonly options: ForwardedCallOptions) {
-		const {call, route} = options;
+		const {call, route, boundary} = options;
+		boundary.endCall = () => {
+			this.handleFault();
+		};
+
 		this.timeoutAtMs = call.receivedAtMs + route.timeoutMs;
 		this.deadlineAtMs = call.receivedAtMs + (call.headers.deadlineMs ?? route.timeoutMs);
 	}
@@ -93,7 +48,7 @@
 	/** Starts the timeout and the first attempt. */
 	start(): void {
 		this.startTimeoutTimer(this.timeoutAtMs);
-		void this.tryNextInstance();
+		this.startNextAttempt();
 	}
 
 	/** Ends the call and aborts the attempt because the caller disconnected. */
@@ -103,14 +58,18 @@
 		});
 	}
 
+	/** Applies a change of the announced versions to the attempt. */
+	recheckStartDeadline(): void {
+		this.options.boundary.run('signal', () => {
+			this.attempt?.startDeadline.check();
+		});
+	}
+
 	/** Ends the call if its prompt part was held after it was sent and no upstream has begun to answer it. */
 	handleHold(): void {
-		const {quarantine, call, writer} = this.options;
-		const heldForMs = quarantine.heldForMs(call.headers.promptParts);
-		if (heldForMs !== undefined && this.attempt && !this.isTrial && !writer.hasStarted) {
-			this.attempt.abort();
-			this.endWithoutInstance('prompt_part_held', heldForMs);
-		}
+		this.options.boundary.run('signal', () => {
+			this.endIfHeld();
+		});
 	}
 
 	/**
@@ -151,7 +110,46 @@
 
 		this.isFinished = true;
 		clearTimeout(this.timeoutTimer);
-		respond();
+		try {
+			respond();
+		} finally {
+			this.recordEnd(outcome, fields);
+		}
+	}
+
+	/** Ends the call after an exception in its code. The answer tells whether an upstream may have run it. */
+	private handleFault(): void {
+		const {writer, codec} = this.options;
+		const mayHaveRun = this.possibleRuns > (this.attempt?.isUnsent ? 1 : 0);
+		const respond = () => {
+			this.attempt?.abort();
+			if (writer.hasStarted) {
+				writer.abort();
+			} else if (mayHaveRun) {
+				writer.sendError(502, 'an internal error; the call may have run');
+			} else {
+				writer.sendError(503, 'an internal error; not run', codec.writeRefusalHeaders(faultRetryAfterMs));
+			}
+		};
+
+		if (this.isFinished) {
+			// The exception came after the outcome was recorded, so that only the response is missing.
+			respond();
+		} else {
+			this.finish('faulted', {runs: this.possibleRuns}, respond);
+		}
+	}
+
+	private endIfHeld(): void {
+		const {quarantine, call, writer} = this.options;
+		const heldForMs = quarantine.heldForMs(call.headers.promptParts);
+		if (heldForMs !== undefined && this.attempt && !this.isTrial && !writer.hasStarted) {
+			this.attempt.abort();
+			this.endWithoutInstance('prompt_part_held', heldForMs);
+		}
+	}
+
+	private recordEnd(outcome: string, fields: Record<string, unknown>): void {
 		const {call, route, log, onEnd, service} = this.options;
 		const ms = performance.now() - call.receivedAtMs;
 		const level = outcome === 'served' || outcome === 'left' ? 'info' : 'warn';
@@ -161,6 +159,10 @@
 		onEnd(outcome, ms);
 	}
 
+	private startNextAttempt(): void {
+		void this.options.boundary.runAsync('select', async () => this.tryNextInstance());
+	}
+
 	private async tryNextInstance(): Promise<void> {
 		const {options} = this;
 		const {call, route, service} = options;
@@ -210,11 +212,11 @@
 	/** Ends the call when no instance can take it; the earlier attempts decide whether it may have run. */
 	private endWithoutInstance(reason: string, retryAfterMs: number): void {
 		if (this.options.writer.hasStarted) {
-			stepHandlers.cut(this, {kind: 'failed', reason});
+			endSteps.cut(this, {kind: 'failed', reason});
 		} else if (this.possibleRuns > 0 && this.attempt?.bufferedResponse()) {
 			this.relayUpstreamError();
 		} else if (this.possibleRuns > 0) {
-			stepHandlers.fail(this, {kind: 'failed', reason});
+			endSteps.fail(this, {kind: 'failed', reason});
 		} else {
 			this.refuse(reason, retryAfterMs);
 		}
@@ -226,12 +228,13 @@
 	}
 
 	private startAttempt({instance, predictedMs, version, startTimeLeftMs}: SelectedInstance): void {
-		const {call, route, holder, writer, codec, tracker, buffers} = this.options;
+		const {call, boundary, route, holder, writer, codec, tracker, buffers} = this.options;
 		this.tried.add(instance.id);
 		this.version = version;
 		this.possibleRuns++;
 		this.attempt = new UpstreamAttempt({
 			call,
+			boundary,
 			instance,
 			isStream: route.kind === 'stream',
 			predictedMs,
@@ -266,6 +269,7 @@
 				this.handleAttemptOutcome(outcome);
 			},
 		});
+		this.attempt.start();
 	}
 
 	private stallTimeouts(): {readonly first: number; readonly next: number} {
@@ -308,28 +312,28 @@
 			tryTakeRetry: this.options.tryTakeRetry,
 		});
 		log.info({
-			event: 'send_ended', id: call.headers.attemptId, instance: this.attempt?.instanceId, outcome: outcome.kind, reason: describe(outcome), step, runs: this.possibleRuns, version: this.version, ...this.attempt?.timing,
+			event: 'send_ended', id: call.headers.attemptId, instance: this.attempt?.instanceId, outcome: outcome.kind, reason: describeOutcome(outcome), step, runs: this.possibleRuns, version: this.version, ...this.attempt?.timing,
 		}, 'attempt ended without a complete response');
 		if (step === 'repeat') {
-			void this.tryNextInstance();
+			this.startNextAttempt();
 		} else {
-			stepHandlers[step](this, outcome);
+			endSteps[step](this, outcome);
 		}
 	}
 
 	private startTimeoutTimer(atMs: number): void {
-		this.timeoutTimer = setTimeout(() => {
+		this.timeoutTimer = setTimeout(this.options.boundary.wrap('timer', () => {
 			this.handleTimeout();
-		}, Math.max(1, Math.min(atMs, this.deadlineAtMs) - performance.now()));
+		}), Math.max(1, Math.min(atMs, this.deadlineAtMs) - performance.now()));
 	}
 
 	private handleTimeout(): void {
 		const {writer} = this.options;
 		const limitMs = Math.min(this.timeoutAtMs, this.deadlineAtMs) + startedStreamGraceMs;
 		if (writer.hasStarted && performance.now() < limitMs) {
-			this.timeoutTimer = setTimeout(() => {
+			this.timeoutTimer = setTimeout(this.options.boundary.wrap('timer', () => {
 				this.handleTimeout();
-			}, Math.max(1, limitMs - performance.now()));
+			}), Math.max(1, limitMs - performance.now()));
 			return;
 		}
 
@@ -343,7 +347,3 @@
 		});
 	}
 }
-
-function describe(outcome: AttemptOutcome): string {
-	return outcome.kind === 'upstream-error' ? `status ${outcome.status}` : outcome.reason;
-}
--- a/src/forwarding/response-writer.ts
+++ b/src/forwarding/response-writer.ts
@@ -50,9 +50,9 @@
 			return;
 		}
 
+		this.res.writeHead(status, ['content-length', String(body.length), ...headers]);
 		this.hasStarted = true;
 		this.isFinished = true;
-		this.res.writeHead(status, ['content-length', String(body.length), ...headers]);
 		this.res.end(body);
 	}
 
@@ -65,6 +65,7 @@
 	 */
 	sendError(status: number, message: string, headers: readonly string[] = []): void {
 		const body = Buffer.from(JSON.stringify({error: message}));
+		this.dropHeaders();
 		this.send(status, ['content-type', 'application/json', ...headers], body);
 	}
 
@@ -81,7 +82,6 @@
 			return;
 		}
 
-		this.hasStarted = true;
 		this.isFramed = isFramed;
 		if (isFramed) {
 			this.res.writeHead(status, [...headers]);
@@ -89,6 +89,8 @@
 			this.res.useChunkedEncodingByDefault = false;
 			this.res.writeHead(status, [...headers, 'connection', 'close']);
 		}
+
+		this.hasStarted = true;
 	}
 
 	/**
@@ -134,4 +136,11 @@
 
 		this.res.destroy();
 	}
+
+	/** Drops what is left of a head that could not be written, so that an error response does not carry headers of another one. */
+	private dropHeaders(): void {
+		for (const name of this.res.getHeaderNames().filter(name => name !== 'connection')) {
+			this.res.removeHeader(name);
+		}
+	}
 }
--- a/src/forwarding/start-deadline.ts
+++ b/src/forwarding/start-deadline.ts
@@ -1,5 +1,7 @@
 /** Ends the wait of a call that has not started when the version of weights it was sent to expires, also if that time changes meanwhile. */
 
+import type {CallBoundary} from './call-boundary.ts';
+
 /** The maximum time between two looks at the time left, in milliseconds, since a clock jump or a late event loop shortens it without a call of {@link StartDeadline.check}. */
 const maxCheckIntervalMs = 100;
 
@@ -11,8 +13,9 @@
 	/**
 	 * @param timeLeftMs - returns how long calls may still start on the version, in milliseconds; infinite unless a newer version was announced
 	 * @param onPassed - called once when no time is left, never before the constructor has returned
+	 * @param boundary - runs the timers
 	 */
-	constructor(private readonly timeLeftMs: () => number, private readonly onPassed: () => void) {
+	constructor(private readonly timeLeftMs: () => number, private readonly onPassed: () => void, private readonly boundary: CallBoundary) {
 		this.check();
 	}
 
@@ -30,13 +33,13 @@
 		clearTimeout(this.timer);
 		const leftMs = this.timeLeftMs();
 		if (!this.isStopped && leftMs < Number.POSITIVE_INFINITY) {
-			this.timer = setTimeout(() => {
+			this.timer = setTimeout(this.boundary.wrap('timer', () => {
 				if (this.timeLeftMs() > 0) {
 					this.check();
 				} else {
 					this.onPassed();
 				}
-			}, Math.min(maxCheckIntervalMs, Math.max(0, leftMs)));
+			}), Math.min(maxCheckIntervalMs, Math.max(0, leftMs)));
 		}
 	}
 
--- /dev/null
+++ b/src/forwarding/upstream-attempt-options.ts
@@ -0,0 +1,41 @@
+/** What an attempt is given by its call. */
+import type {Instance} from '../directory/directory-types.ts';
+import type {CallBoundary} from './call-boundary.ts';
+import type {AttemptOutcome} from './decide-next-step.ts';
+import type {InstanceTracker} from './instance-tracker.ts';
+import type {ReceivedCall} from './received-call.ts';
+import type {ResponseBuffers} from './response-buffers.ts';
+import type {ResponseWriter} from './response-writer.ts';
+import type {UpstreamAttempt} from './upstream-attempt.ts';
+import type {AttemptInstructions, WireCodec} from './wire-codec.ts';
+
+/** The call, the selected instance and the dependencies of an attempt. */
+export type UpstreamAttemptOptions = {
+	readonly call: ReceivedCall;
+	readonly boundary: CallBoundary;
+	readonly instance: Instance;
+	readonly isStream: boolean;
+	readonly predictedMs: number;
+	/** Returns how long the call may still start on the selected version, in milliseconds; infinite unless a newer version was announced. */
+	readonly startTimeLeftMs: () => number;
+	readonly instructions: AttemptInstructions;
+	/** The attempt before this one, whose stream this one resumes. */
+	readonly previous: UpstreamAttempt | undefined;
+	readonly writer: ResponseWriter;
+	readonly codec: WireCodec;
+	readonly tracker: InstanceTracker;
+	/** Limits the memory of responses. */
+	readonly buffers: ResponseBuffers;
+	/** Stall timeouts before the first byte and between further bytes, in milliseconds. */
+	readonly stallTimeoutsMs: {readonly first: number; readonly next: number};
+	/** Returns whether the call may be sent to another instance now. */
+	readonly canRetryElsewhere: () => boolean;
+	/** Called when the connection broke or fell silent after the call was sent, before its outcome is reported. */
+	readonly onBroken: () => void;
+	/** Called once when the upstream has responded completely, or for long enough to show that the call does not crash it. */
+	readonly onSurvived: () => void;
+	/** Called when the response has been passed on completely. */
+	readonly onServed: () => void;
+	/** Called when the attempt has ended in any other way. */
+	readonly onOutcome: (outcome: AttemptOutcome) => void;
+};
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -1,54 +1,21 @@
 /** One attempt of a call at one instance: forwards events as they arrive, buffers other responses until they are complete, and reports the outcome. */
 import {Buffer} from 'node:buffer';
-import type {Instance} from '../directory/directory-types.ts';
 import {parseAddress} from '../links/http-listener.ts';
 import {type AttemptTiming, describeAttemptTiming} from './attempt-timing.ts';
-import type {ResponseWriter} from './response-writer.ts';
 import type {AttemptOutcome} from './decide-next-step.ts';
 import {EventSplitter, type StreamEvent} from './event-splitter.ts';
 import type {InFlightCall} from './in-flight-calls.ts';
 import type {AttemptSignals} from './instance-signals.ts';
-import type {InstanceTracker} from './instance-tracker.ts';
-import type {ReceivedCall} from './received-call.ts';
-import {type BufferOwner, maxEventBytes, type ResponseBuffers} from './response-buffers.ts';
+import {type BufferOwner, maxEventBytes} from './response-buffers.ts';
 import {findHeadFault, firstServerError, notRunStatuses} from './response-status.ts';
 import {UpstreamExchange} from './upstream-exchange.ts';
 import {StartDeadline} from './start-deadline.ts';
-import type {AttemptInstructions, ResponseHeaders, WireCodec} from './wire-codec.ts';
+import type {UpstreamAttemptOptions} from './upstream-attempt-options.ts';
+import type {ResponseHeaders} from './wire-codec.ts';
 
 /** How long after its first event a stream shows that it does not crash its upstream, in milliseconds. */
 const survivedAfterMs = 500;
 
-/** The call, the selected instance and the dependencies of an attempt. */
-export type UpstreamAttemptOptions = {
-	readonly call: ReceivedCall;
-	readonly instance: Instance;
-	readonly isStream: boolean;
-	readonly predictedMs: number;
-	/** Returns how long the call may still start on the selected version, in milliseconds; infinite unless a newer version was announced. */
-	readonly startTimeLeftMs: () => number;
-	readonly instructions: AttemptInstructions;
-	/** The attempt before this one, whose stream this one resumes. */
-	readonly previous: UpstreamAttempt | undefined;
-	readonly writer: ResponseWriter;
-	readonly codec: WireCodec;
-	readonly tracker: InstanceTracker;
-	/** Limits the memory of responses. */
-	readonly buffers: ResponseBuffers;
-	/** Stall timeouts before the first byte and between further bytes, in milliseconds. */
-	readonly stallTimeoutsMs: {readonly first: number; readonly next: number};
-	/** Returns whether the call may be sent to another instance now. */
-	readonly canRetryElsewhere: () => boolean;
-	/** Called when the connection broke or fell silent after the call was sent, before its outcome is reported. */
-	readonly onBroken: () => void;
-	/** Called once when the upstream has responded completely, or for long enough to show that the call does not crash it. */
-	readonly onSurvived: () => void;
-	/** Called when the response has been passed on completely. */
-	readonly onServed: () => void;
-	/** Called when the attempt has ended in any other way. */
-	readonly onOutcome: (outcome: AttemptOutcome) => void;
-};
-
 /** A complete response, kept until it is sent to the caller or discarded. */
 export type BufferedResponse = {readonly status: number; readonly headers: readonly string[]; readonly body: Buffer; readonly isFramed: boolean};
 
@@ -60,7 +27,8 @@
 	responseVersion: number | undefined;
 	/** Until when the call may start. */
 	readonly startDeadline: StartDeadline;
-	private readonly exchange: UpstreamExchange;
+	/** Undefined until {@link start}. */
+	private exchange: UpstreamExchange | undefined;
 	private readonly inFlightCall: InFlightCall;
 	private readonly signals: AttemptSignals;
 	private readonly startedAtMs = performance.now();
@@ -76,18 +44,27 @@
 
 	/** @param options - the call, the selected instance and dependencies */
 	constructor(private readonly options: UpstreamAttemptOptions) {
-		const {call, instance, codec, instructions, tracker, previous} = options;
+		const {call, boundary, instance, tracker, previous} = options;
 		this.lastEventId = previous?.lastEventId;
 		this.responseVersion = previous?.responseVersion;
 		this.inFlightCall = tracker.inFlight.add(instance.id, call.headers.promptTokens);
-		this.signals = tracker.signals.addAttempt(instance, () => {
+		this.signals = tracker.signals.addAttempt(instance, boundary.wrap('signal', () => {
 			this.handleInstanceClosed();
-		});
+		}));
 		this.restartStallTimer(options.stallTimeoutsMs.first + options.predictedMs);
 		this.startWindowMs = options.startTimeLeftMs();
 		this.startDeadline = new StartDeadline(options.startTimeLeftMs, () => {
-			this.report({kind: this.exchange.isWritten ? 'failed' : 'not-run', reason: 'version_expired'});
-		});
+			this.report({kind: this.exchange?.isWritten ? 'failed' : 'not-run', reason: 'version_expired'});
+		}, boundary);
+	}
+
+	/**
+	 * Connects to the instance and sends the call.
+	 *
+	 * @throws TypeError if Node.js does not accept a value of the request
+	 */
+	start(): void {
+		const {call, boundary, instance, codec, instructions} = this.options;
 		this.exchange = new UpstreamExchange({
 			...parseAddress(instance.address),
 			method: call.method,
@@ -95,7 +72,7 @@
 			headers: codec.writeCallHeaders(call.rawHeaders, instructions),
 			body: instructions.hasBody ? call.body : undefined,
 		}, {
-			mayWrite: () => this.startDeadline.allowsStartIn(options.predictedMs),
+			mayWrite: () => this.startDeadline.allowsStartIn(this.options.predictedMs),
 			onWithheld: () => {
 				this.report({kind: 'not-run', reason: 'version_expired'});
 			},
@@ -111,7 +88,12 @@
 			onError: (reason, wasConnected) => {
 				this.handleError(reason, wasConnected);
 			},
-		});
+		}, boundary);
+	}
+
+	/** Whether the attempt goes on and nothing of the call has been written, so that the upstream certainly did not get it. */
+	get isUnsent(): boolean {
+		return !this.isFinished && !this.exchange?.isWritten;
 	}
 
 	/** ID of the instance that the call is sent to. */
@@ -133,12 +115,14 @@
 	/** Aborts the attempt; no outcome is reported afterwards. */
 	abort(): void {
 		this.close();
-		this.exchange.abort();
+		this.exchange?.abort();
 	}
 
 	/** Fails the attempt because its response takes too much memory. */
 	discardResponse(): void {
-		this.fail('answer_too_large');
+		this.options.boundary.run('answer', () => {
+			this.fail('answer_too_large');
+		});
 	}
 
 	private handleHeaders(status: number, rawHeaders: readonly string[]): void {
@@ -158,7 +142,7 @@
 
 	/** Moves the call elsewhere if its instance wants no further calls and this one has not been sent. */
 	private handleInstanceClosed(): void {
-		if (!this.isFinished && !this.exchange.isWritten) {
+		if (this.isUnsent) {
 			this.report({kind: 'not-run', reason: 'instance_closed'});
 		}
 	}
@@ -192,13 +176,13 @@
 	/** Stops reading from the upstream until the caller has read what was written. */
 	private waitForCaller(): void {
 		clearTimeout(this.stallTimer);
-		this.exchange.pause();
-		this.options.writer.onceDrained(() => {
+		this.exchange?.pause();
+		this.options.writer.onceDrained(this.options.boundary.wrap('answer', () => {
 			if (!this.isFinished) {
 				this.restartStallTimer(this.options.stallTimeoutsMs.next);
-				this.exchange.resume();
+				this.exchange?.resume();
 			}
-		});
+		}));
 	}
 
 	private isEventStream(): boolean {
@@ -328,14 +312,14 @@
 	/** Fails the attempt if nothing arrives in time and the call may be sent elsewhere; otherwise the attempt goes on waiting. */
 	private restartStallTimer(limitMs: number): void {
 		clearTimeout(this.stallTimer);
-		this.stallTimer = setTimeout(() => {
+		this.stallTimer = setTimeout(this.options.boundary.wrap('timer', () => {
 			const {canRetryElsewhere, onBroken, tracker, instance} = this.options;
 			if (!this.isFinished && canRetryElsewhere()) {
 				tracker.markUnreachable(instance, 'silent');
 				onBroken();
 				this.fail('silent');
 			}
-		}, limitMs);
+		}), limitMs);
 	}
 
 	private close(): void {
--- a/src/forwarding/upstream-exchange.ts
+++ b/src/forwarding/upstream-exchange.ts
@@ -8,6 +8,8 @@
 import http from 'node:http';
 import net from 'node:net';
 import {parseAddress} from '../links/http-listener.ts';
+import {areHeadersValid, isFinalStatus} from '../links/http-syntax.ts';
+import type {CallBoundary} from './call-boundary.ts';
 
 /** Timeout for establishing a connection, in milliseconds. */
 const connectTimeoutMs = 300;
@@ -53,24 +55,26 @@
 	/**
 	 * @param request - the request to send
 	 * @param events - callbacks for the response
+	 * @param boundary - runs the listeners, and so the callbacks
+	 * @throws TypeError if Node.js does not accept a value of the request
 	 */
-	constructor(request: ExchangeRequest, private readonly events: ExchangeEvents) {
+	constructor(request: ExchangeRequest, private readonly events: ExchangeEvents, private readonly boundary: CallBoundary) {
 		const {host, port, method, target, headers, body} = request;
 		this.req = http.request({
 			host, port, method, path: target, headers, agent,
 		});
-		this.connectTimer = setTimeout(() => {
+		this.connectTimer = setTimeout(boundary.wrap('send', () => {
 			this.fail('connect_timeout');
-		}, connectTimeoutMs);
-		this.req.on('socket', socket => {
+		}), connectTimeoutMs);
+		this.req.on('socket', boundary.wrap('send', (socket: net.Socket) => {
 			this.watchSocket(socket, body);
-		});
-		this.req.on('response', res => {
+		}));
+		this.req.on('response', boundary.wrap('answer', (res: http.IncomingMessage) => {
 			this.handleResponse(res);
-		});
-		this.req.on('error', (err: NodeJS.ErrnoException) => {
+		}));
+		this.req.on('error', boundary.wrap('answer', (err: NodeJS.ErrnoException) => {
 			this.fail(err.code ?? err.message);
-		});
+		}));
 	}
 
 	/** Whether any part of the request was written; if not, the upstream certainly did not get the call. */
@@ -94,11 +98,11 @@
 	}
 
 	private watchSocket(socket: net.Socket, body: Buffer | undefined): void {
-		socket.once('connect', () => {
+		socket.once('connect', this.boundary.wrap('send', () => {
 			this.isConnected = true;
 			clearTimeout(this.connectTimer);
 			this.write(body);
-		});
+		}));
 		socket.prependOnceListener('end', () => {
 			// The event loop also reports a reset as an end if data was read just before. The socket has no peer then.
 			this.hasReceivedFin = socket.remoteAddress !== undefined;
@@ -125,14 +129,20 @@
 			return;
 		}
 
+		const status = res.statusCode ?? 0;
+		if (!isFinalStatus(status) || !areHeadersValid(res.rawHeaders)) {
+			this.fail('answer_head_invalid');
+			return;
+		}
+
 		this.res = res;
-		this.events.onHeaders(res.statusCode ?? 0, res.rawHeaders);
-		res.on('data', (chunk: Buffer) => {
+		this.events.onHeaders(status, res.rawHeaders);
+		res.on('data', this.boundary.wrap('answer', (chunk: Buffer) => {
 			if (!this.isFinished) {
 				this.events.onData(chunk);
 			}
-		});
-		res.on('end', () => {
+		}));
+		res.on('end', this.boundary.wrap('answer', () => {
 			// The parser reports an unframed response as complete even if a reset cut it off.
 			const isFramed = res.headers['content-length'] !== undefined || res.headers['transfer-encoding'] !== undefined;
 			if (res.complete && (isFramed || this.hasReceivedFin)) {
@@ -140,13 +150,13 @@
 			} else {
 				this.fail('answer_cut');
 			}
-		});
-		res.on('error', (err: NodeJS.ErrnoException) => {
+		}));
+		res.on('error', this.boundary.wrap('answer', (err: NodeJS.ErrnoException) => {
 			this.fail(err.code ?? err.message);
-		});
-		res.on('close', () => {
+		}));
+		res.on('close', this.boundary.wrap('answer', () => {
 			this.fail('answer_cut');
-		});
+		}));
 	}
 
 	private end(): void {
--- a/test/forwarding-decisions.test.ts
+++ b/test/forwarding-decisions.test.ts
@@ -16,7 +16,7 @@
 import {PauseDetector} from '../src/runtime/pause-detector.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {
-	observedNow, testConfiguration, testEngineTiming, testInstance, testRoute,
+	observedNow, testBoundary, testConfiguration, testEngineTiming, testInstance, testRoute,
 } from './support/direct-fixtures.ts';
 
 /** Runs a test of version expiry with its own directory and a fake clock. */
@@ -196,7 +196,7 @@
 		const passedAtMs: number[] = [];
 		const createDeadline = () => new StartDeadline(() => expiresAtMs - performance.now(), () => {
 			passedAtMs.push(performance.now());
-		});
+		}, testBoundary());
 		const usual = createDeadline();
 		expect([999, 1001].map(ms => usual.allowsStartIn(ms))).to.deep.equal([true, false]);
 		createDeadline().stop();
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -5,7 +5,7 @@
 import {UpstreamExchange} from '../src/forwarding/upstream-exchange.ts';
 import {createServiceId} from '../src/ids/service-id.ts';
 import {
-	callGateway, sendSignedResponse, startTestGateway, startUpstream, testConfiguration, type TestGateway, testInstance, type TestUpstream, type UpstreamHandler,
+	callGateway, sendSignedResponse, startTestGateway, startUpstream, testConfiguration, testBoundary, type TestGateway, testInstance, type TestUpstream, type UpstreamHandler,
 } from './support/direct-fixtures.ts';
 
 const open: Array<{close: () => void}> = [];
@@ -373,7 +373,7 @@
 			onError(reason) {
 				resolve({kind: 'error', reason});
 			},
-		});
+		}, testBoundary());
 	});
 	expect(outcome).to.deep.equal({kind: 'withheld', isWritten: false});
 	await sleep(30);
--- a/test/naming-times.test.ts
+++ b/test/naming-times.test.ts
@@ -15,7 +15,7 @@
 import {PauseDetector} from '../src/runtime/pause-detector.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
-import {observedNow} from './support/direct-fixtures.ts';
+import {observedNow, testBoundary} from './support/direct-fixtures.ts';
 
 const unknownContext = {isAfterOutage: false, namedAfterMs: Number.NEGATIVE_INFINITY};
 const namedVersion2 = {revision: 5, changes: [{revision: 5, change: {kind: 'version' as const, model: 'm', version: 2}}]};
@@ -390,7 +390,7 @@
 			const takenBackAtMs: number[] = [];
 			const deadline = new StartDeadline(() => expiry.timeLeftMs(held), () => {
 				takenBackAtMs.push(performance.now());
-			});
+			}, testBoundary());
 			directory.onChange(() => {
 				deadline.check();
 			});
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -8,9 +8,11 @@
 	EngineTiming, Instance, PublishedConfiguration, Route,
 } from '../../src/directory/directory-types.ts';
 import {CallForwarder} from '../../src/forwarding/call-forwarder.ts';
+import {CallBoundary} from '../../src/forwarding/call-boundary.ts';
 import {CallerListener} from '../../src/forwarding/caller-listener.ts';
 import {InstanceSignals} from '../../src/forwarding/instance-signals.ts';
 import {InstanceTracker} from '../../src/forwarding/instance-tracker.ts';
+import type {WireCodec} from '../../src/forwarding/wire-codec.ts';
 import {PromptQuarantine} from '../../src/quarantine/prompt-quarantine.ts';
 import {type Crash, CrashDetector} from '../../src/quarantine/crash-detector.ts';
 import {createServiceId} from '../../src/ids/service-id.ts';
@@ -57,6 +59,17 @@
 	};
 }
 
+/** Returns the boundary of a call; unless `expectsFault` is set, an exception in the code of the call fails the test. */
+export function testBoundary({expectsFault = false} = {}): CallBoundary {
+	return new CallBoundary({
+		log: createSilentLogger(), disconnect: () => undefined, onFault(phase) {
+			if (!expectsFault) {
+				throw new Error(`an exception in the phase ${phase} of a call`);
+			}
+		},
+	});
+}
+
 /** A fake upstream and the requests that it has received. */
 export type TestUpstream = {readonly address: string; readonly requests: http.IncomingMessage[]; readonly close: () => void};
 
@@ -94,16 +107,17 @@
 }
 
 /** A gateway in the test process, without its control listeners. */
-export type TestGateway = {readonly directory: Directory; readonly tracker: InstanceTracker; readonly crashes: readonly Crash[]; readonly url: string; readonly close: () => void};
+export type TestGateway = {readonly directory: Directory; readonly tracker: InstanceTracker; readonly crashes: readonly Crash[]; readonly faults: {count: number}; readonly url: string; readonly close: () => void};
 
-/** Starts the caller listener of a gateway with the given configuration and instances. */
-export async function startTestGateway(configuration: PublishedConfiguration | undefined, instances: readonly Instance[]): Promise<TestGateway> {
+/** Starts the caller listener of a gateway with the given configuration, instances and header codec. */
+export async function startTestGateway(configuration: PublishedConfiguration | undefined, instances: readonly Instance[], codec: WireCodec = platformCodec): Promise<TestGateway> {
 	const log = createSilentLogger();
 	const directory = new Directory(log);
 	directory.apply({revision: 1, changes: configuration ? [{revision: 1, change: {kind: 'configuration', configuration}}] : []});
 	directory.replaceInstances({revision: 2, changes: instances.map(instance => ({revision: 2, change: {kind: 'instance', instance}}))});
 	const tracker = new InstanceTracker(log, new InstanceSignals({log, random: new RandomSource(8), gatewayCount: () => 1}));
 	const crashList: Crash[] = [];
+	const faults = {count: 0};
 	const quarantine = new PromptQuarantine({log, hasTurn: () => true, tell: () => undefined});
 	const crashes = new CrashDetector({
 		probe: async instance => tracker.probeConnection(instance), onCrash(crash, instance) {
@@ -112,7 +126,7 @@
 		}, log,
 	});
 	const forwarder = new CallForwarder({
-		directory, codec: platformCodec, tracker, crashes, quarantine, loads: {ask: async () => new Map()}, random: new RandomSource(7), log, zone: 'z',
+		directory, codec, tracker, crashes, quarantine, loads: {ask: async () => new Map()}, random: new RandomSource(7), log, zone: 'z',
 		retryBudget: {ratio: 0.2, slack: 100, windowMs: 10_000}, versionBoundMs: 8000, eventLoopDelayMs: () => 0, gatewayCount: () => 1, onEnd: () => undefined,
 	});
 	quarantine.onHeld(() => {
@@ -120,11 +134,13 @@
 	});
 	const port = 20_000 + new RandomSource(Date.now() % 2_147_483_647).nextInt(12_000);
 	const listener = new CallerListener({
-		forwarder, codec: platformCodec, log, limits: () => directory.table?.configuration.limits,
+		forwarder, codec, log, limits: () => directory.table?.configuration.limits, onFault() {
+			faults.count++;
+		},
 	});
 	await listener.start({host: '127.0.0.1', port});
 	return {
-		directory, tracker, crashes: crashList, url: `http://127.0.0.1:${port}`, close() {
+		directory, tracker, crashes: crashList, faults, url: `http://127.0.0.1:${port}`, close() {
 			listener.destroy();
 		},
 	};
