Every answer to a caller has a length or chunks, and each open call gets an end at the end of the grace period

Cause: such answers were passed on without a length since, because a crashed worker also ends them with a FIN; so the gateway's own end could not be told from the answer's end, as the kernel closes the connections of a killed process in order.

Change: an answer that ends with its connection is whole if its worker still accepts connections then (one probe for each such answer), and broken off otherwise. Callers get a length or chunks; HTTP/1.0 callers get streams when they are whole, with a length. At the end of the grace period each open call ends by itself with a true answer, where all connections were closed.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -1,4 +1,5 @@
 /** The gateway role: the HTTP front end for callers, which forwards calls directly to upstreams. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {Drain} from '../calls/drain.ts';
 import type {Directory} from '../directory/directory.ts';
 import {CallForwarder} from '../forwarding/call-forwarder.ts';
@@ -24,6 +25,9 @@
 /** How long before the end of the grace period the remaining calls are aborted, in milliseconds. At its end, the process is killed. */
 const killMarginMs = 300;
 
+/** How long the last responses may take to be written before their connections are closed, in milliseconds. */
+const lastWritesMs = 50;
+
 /** The functions of the platform adapter that a gateway needs. */
 export type GatewayAdapter = {readonly createSource: CreateSource; readonly codec: WireCodec};
 
@@ -134,6 +138,8 @@
 			const drainResult = await Promise.race([drain.run(), waitUntilLate((settings.limits.grace_s * msPerSecond) - killMarginMs)]);
 			if (drainResult === 'late') {
 				log.warn({event: 'drain_cut', openCalls: forwarder.openCalls}, 'the grace period ends; aborting the remaining calls');
+				forwarder.endOpenCalls();
+				await sleep(lastWritesMs);
 				callers.destroy();
 				await logSink.drain();
 			}
--- a/src/forwarding/call-boundary.ts
+++ b/src/forwarding/call-boundary.ts
@@ -9,9 +9,6 @@
 /** What the call was doing when an exception was thrown, for the log. */
 export type CallPhase = 'receive' | 'forward' | 'select' | 'send' | 'answer' | 'timer' | 'signal' | 'disconnect';
 
-/** When callers may return whose call was ended by an exception before any upstream got it, in milliseconds. */
-export const faultRetryAfterMs = 300;
-
 /** Maximum number of lines of a stack trace that are logged. */
 const maxStackLines = 8;
 
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -98,6 +98,13 @@
 		}
 	}
 
+	/** Ends all calls, because the process is about to end. */
+	endOpenCalls(): void {
+		for (const call of this.inFlight) {
+			call.endForShutdown();
+		}
+	}
+
 	/** Number of calls whose response is not complete. */
 	get openCalls(): number {
 		return this.inFlight.size;
--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -6,7 +6,7 @@
 import type {ListenAddress} from '../links/http-listener.ts';
 import type {Logger} from '../runtime/logger.ts';
 import {areHeadersValid, isTargetValid} from '../links/http-syntax.ts';
-import {CallBoundary, type CallPhase, faultRetryAfterMs} from './call-boundary.ts';
+import {CallBoundary, type CallPhase} from './call-boundary.ts';
 import {ResponseWriter} from './response-writer.ts';
 import type {CallForwarder} from './call-forwarder.ts';
 import type {ForwardedCall} from './forwarded-call.ts';
@@ -24,6 +24,9 @@
 /** How often idle connections are closed while the listener drains, in milliseconds. */
 const idleCheckIntervalMs = 50;
 
+/** When callers may return after an exception before their call was forwarded, in milliseconds. */
+const faultRetryAfterMs = 300;
+
 /** Limits that apply until a configuration has been received. */
 const defaultLimits: CallerLimits = {
 	headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -1,6 +1,6 @@
 /** Forwards one call: sends it to an upstream, retries it where that is safe, and gives the caller at most one response. */
 import type {Admission} from '../quarantine/hold.ts';
-import {faultRetryAfterMs} from './call-boundary.ts';
+import {CallTimeout} from './call-timeout.ts';
 import {type AttemptOutcome, decideNextStep} from './decide-next-step.ts';
 import {describeOutcome, endSteps} from './end-steps.ts';
 import type {ForwardedCallOptions} from './forwarded-call-options.ts';
@@ -10,8 +10,8 @@
 /** Minimum time left for another attempt, in milliseconds. */
 const minAttemptMs = 20;
 
-/** How long a stream that has started may run past its timeout or deadline, in milliseconds. */
-const startedStreamGraceMs = 100;
+/** When callers may return whose call was ended before any upstream got it, in milliseconds. */
+const endedRetryAfterMs = 300;
 
 /** How long an upstream may send nothing before a retryable call moves to another one, in milliseconds. */
 const stallTimeoutsMs = {plain: 400, stream: 1100, beforeFirstEvent: 1300};
@@ -27,27 +27,31 @@
 	private possibleRuns = 0;
 	/** Attempts that certainly did not run the call. */
 	private refusals = 0;
-	private timeoutTimer: NodeJS.Timeout | undefined;
 	private isFinished = false;
 	/** Whether the call shows if its held prompt part still crashes upstreams. */
 	private isTrial = false;
-	private readonly deadlineAtMs: number;
-	private readonly timeoutAtMs: number;
+	private readonly timeout: CallTimeout;
+	/** The earlier of the caller's deadline and the timeout of the route. */
+	private readonly expiresAtMs: number;
 
 	/** @param options - the call and its dependencies */
 	constructor(readonly options: ForwardedCallOptions) {
 		const {call, route, boundary} = options;
 		boundary.endCall = () => {
-			this.handleFault();
+			this.endAtOnce('faulted', 'an internal error');
 		};
 
-		this.timeoutAtMs = call.receivedAtMs + route.timeoutMs;
-		this.deadlineAtMs = call.receivedAtMs + (call.headers.deadlineMs ?? route.timeoutMs);
+		this.expiresAtMs = call.receivedAtMs + Math.min(route.timeoutMs, call.headers.deadlineMs ?? route.timeoutMs);
+		this.timeout = new CallTimeout({
+			expiresAtMs: this.expiresAtMs, boundary, hasStarted: () => options.writer.hasStarted, onTimeout: () => {
+				this.handleTimeout();
+			},
+		});
 	}
 
 	/** Starts the timeout and the first attempt. */
 	start(): void {
-		this.startTimeoutTimer(this.timeoutAtMs);
+		this.timeout.start();
 		this.startNextAttempt();
 	}
 
@@ -91,7 +95,7 @@
 		const response = attempt?.bufferedResponse();
 		this.finish('passed_on', {status: response?.status}, () => {
 			if (response) {
-				this.options.writer.send(response.status, response.headers, response.body, response.isFramed);
+				this.options.writer.send(response.status, response.headers, response.body);
 			}
 		});
 	}
@@ -109,7 +113,7 @@
 		}
 
 		this.isFinished = true;
-		clearTimeout(this.timeoutTimer);
+		this.timeout.stop();
 		try {
 			respond();
 		} finally {
@@ -117,8 +121,20 @@
 		}
 	}
 
-	/** Ends the call after an exception in its code. The answer tells whether an upstream may have run it. */
-	private handleFault(): void {
+	/** Ends the call because the process is about to end. */
+	endForShutdown(): void {
+		this.options.boundary.run('signal', () => {
+			this.endAtOnce('shut_down', 'the gateway shuts down');
+		});
+	}
+
+	/**
+	 * Ends the call at once, whatever it waits for. The answer tells whether an upstream may have run it.
+	 *
+	 * @param outcome - the outcome for the log and the metrics
+	 * @param cause - the cause for the caller
+	 */
+	endAtOnce(outcome: string, cause: string): void {
 		const {writer, codec} = this.options;
 		const mayHaveRun = this.possibleRuns > (this.attempt?.isUnsent ? 1 : 0);
 		const respond = () => {
@@ -126,17 +142,17 @@
 			if (writer.hasStarted) {
 				writer.abort();
 			} else if (mayHaveRun) {
-				writer.sendError(502, 'an internal error; the call may have run');
+				writer.sendError(502, `${cause}; the call may have run`);
 			} else {
-				writer.sendError(503, 'an internal error; not run', codec.writeRefusalHeaders(faultRetryAfterMs));
+				writer.sendError(503, `${cause}; not run`, codec.writeRefusalHeaders(endedRetryAfterMs));
 			}
 		};
 
 		if (this.isFinished) {
-			// The exception came after the outcome was recorded, so that only the response is missing.
+			// An exception came after the outcome was recorded, so that only the response is missing.
 			respond();
 		} else {
-			this.finish('faulted', {runs: this.possibleRuns}, respond);
+			this.finish(outcome, {runs: this.possibleRuns}, respond);
 		}
 	}
 
@@ -222,11 +238,6 @@
 		}
 	}
 
-	/** The earlier of the caller's deadline and the timeout of the route. */
-	private get expiresAtMs(): number {
-		return Math.min(this.deadlineAtMs, this.timeoutAtMs);
-	}
-
 	private startAttempt({instance, predictedMs, version, startTimeLeftMs}: SelectedInstance): void {
 		const {call, boundary, route, holder, writer, codec, tracker, buffers} = this.options;
 		this.tried.add(instance.id);
@@ -321,22 +332,8 @@
 		}
 	}
 
-	private startTimeoutTimer(atMs: number): void {
-		this.timeoutTimer = setTimeout(this.options.boundary.wrap('timer', () => {
-			this.handleTimeout();
-		}), Math.max(1, Math.min(atMs, this.deadlineAtMs) - performance.now()));
-	}
-
 	private handleTimeout(): void {
 		const {writer} = this.options;
-		const limitMs = Math.min(this.timeoutAtMs, this.deadlineAtMs) + startedStreamGraceMs;
-		if (writer.hasStarted && performance.now() < limitMs) {
-			this.timeoutTimer = setTimeout(this.options.boundary.wrap('timer', () => {
-				this.handleTimeout();
-			}), Math.max(1, limitMs - performance.now()));
-			return;
-		}
-
 		this.finish('timed_out', {runs: this.possibleRuns}, () => {
 			this.attempt?.abort();
 			if (writer.hasStarted) {
--- a/src/forwarding/response-writer.ts
+++ b/src/forwarding/response-writer.ts
@@ -1,13 +1,22 @@
-/** Writes the response to one caller and reports when the caller disconnects. */
+/**
+ * Writes the response to one caller and reports when the caller disconnects.
+ *
+ * Each response has a length or is chunked, so that the caller can tell a complete one from one that was cut off, however this process
+ * ends: the kernel closes the connections of a killed process in order, as it does at the end of a response that has neither.
+ */
 import {Buffer} from 'node:buffer';
 import type http from 'node:http';
 
+/** Maximum size of a response that is held until its length is known, in bytes. */
+const maxHeldBytes = 1_048_576;
+
 /** Writes at most one response; calls after it has ended do nothing. */
 export class ResponseWriter {
 	/** Whether the response headers have been written. */
 	hasStarted = false;
 	private isFinished = false;
-	private isFramed = true;
+	/** The response to a caller that does not understand chunks; it is held until its length is known. */
+	private held: {readonly status: number; readonly headers: readonly string[]; readonly chunks: Buffer[]; bytes: number} | undefined;
 
 	/**
 	 * @param res - the response, with no headers sent yet
@@ -36,20 +45,12 @@
 	 * @param status - the HTTP status
 	 * @param headers - alternating names and values
 	 * @param body - the complete body
-	 * @param isFramed - whether the upstream marked the end of the body with `Content-Length` or chunked encoding
 	 */
-	send(status: number, headers: readonly string[], body: Buffer, isFramed = true): void {
+	send(status: number, headers: readonly string[], body: Buffer): void {
 		if (this.isFinished) {
 			return;
 		}
 
-		if (!isFramed) {
-			this.start(status, headers, false);
-			this.write(body);
-			this.end();
-			return;
-		}
-
 		this.res.writeHead(status, ['content-length', String(body.length), ...headers]);
 		this.hasStarted = true;
 		this.isFinished = true;
@@ -74,20 +75,18 @@
 	 *
 	 * @param status - the HTTP status
 	 * @param headers - alternating names and values
-	 * @param isFramed - whether the upstream marked the end of the body. If not, the response ends by closing the connection:
-	 * chunked encoding would let the caller take a truncated body for a complete one.
 	 */
-	start(status: number, headers: readonly string[], isFramed = true): void {
+	start(status: number, headers: readonly string[]): void {
 		if (this.isFinished) {
 			return;
 		}
 
-		this.isFramed = isFramed;
-		if (isFramed) {
+		if (this.res.useChunkedEncodingByDefault) {
 			this.res.writeHead(status, [...headers]);
 		} else {
-			this.res.useChunkedEncodingByDefault = false;
-			this.res.writeHead(status, [...headers, 'connection', 'close']);
+			this.held = {
+				status, headers, chunks: [], bytes: 0,
+			};
 		}
 
 		this.hasStarted = true;
@@ -99,8 +98,19 @@
 	 * @param chunk - the bytes to write
 	 */
 	write(chunk: Buffer): void {
-		if (!this.isFinished) {
+		if (this.isFinished) {
+			return;
+		}
+
+		if (!this.held) {
 			this.res.write(chunk);
+			return;
+		}
+
+		this.held.chunks.push(chunk);
+		this.held.bytes += chunk.length;
+		if (this.held.bytes > maxHeldBytes) {
+			this.abort();
 		}
 	}
 
@@ -116,7 +126,9 @@
 
 	/** Ends a response whose body has been written completely. */
 	end(): void {
-		if (!this.isFinished) {
+		if (this.held) {
+			this.send(this.held.status, this.held.headers, Buffer.concat(this.held.chunks));
+		} else if (!this.isFinished) {
 			this.isFinished = true;
 			this.res.end();
 		}
@@ -129,11 +141,6 @@
 		}
 
 		this.isFinished = true;
-		if (!this.isFramed) {
-			// The end of the connection marks the end of the body, so that only a reset shows that it is truncated.
-			this.res.socket?.resetAndDestroy();
-		}
-
 		this.res.destroy();
 	}
 
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -9,6 +9,7 @@
 import {type BufferOwner, maxEventBytes} from './response-buffers.ts';
 import {findHeadFault, firstServerError, notRunStatuses} from './response-status.ts';
 import {UpstreamExchange} from './upstream-exchange.ts';
+import {StallTimer} from './stall-timer.ts';
 import {StartDeadline} from './start-deadline.ts';
 import type {UpstreamAttemptOptions} from './upstream-attempt-options.ts';
 import type {ResponseHeaders} from './wire-codec.ts';
@@ -17,7 +18,7 @@
 const survivedAfterMs = 500;
 
 /** A complete response, kept until it is sent to the caller or discarded. */
-export type BufferedResponse = {readonly status: number; readonly headers: readonly string[]; readonly body: Buffer; readonly isFramed: boolean};
+export type BufferedResponse = {readonly status: number; readonly headers: readonly string[]; readonly body: Buffer};
 
 /** Sends a call to one instance and handles the response. */
 export class UpstreamAttempt implements BufferOwner {
@@ -33,11 +34,11 @@
 	private readonly signals: AttemptSignals;
 	private readonly startedAtMs = performance.now();
 	private readonly startWindowMs: number;
+	private readonly stallTimer: StallTimer;
 	private readonly splitter = new EventSplitter();
 	private bodyChunks: Buffer[] = [];
 	private head: {readonly status: number; readonly headers: ResponseHeaders} | undefined;
 	private buffered: BufferedResponse | undefined;
-	private stallTimer: NodeJS.Timeout | undefined;
 	private firstEventAtMs = Number.POSITIVE_INFINITY;
 	private hasSurvived = false;
 	private isFinished = false;
@@ -51,7 +52,10 @@
 		this.signals = tracker.signals.addAttempt(instance, boundary.wrap('signal', () => {
 			this.handleInstanceClosed();
 		}));
-		this.restartStallTimer(options.stallTimeoutsMs.first + options.predictedMs);
+		this.stallTimer = new StallTimer(() => {
+			this.handleSilence();
+		}, boundary);
+		this.stallTimer.restart(options.stallTimeoutsMs.first + options.predictedMs);
 		this.startWindowMs = options.startTimeLeftMs();
 		this.startDeadline = new StartDeadline(options.startTimeLeftMs, () => {
 			this.report({kind: this.exchange?.isWritten ? 'failed' : 'not-run', reason: 'version_expired'});
@@ -76,18 +80,10 @@
 			onWithheld: () => {
 				this.report({kind: 'not-run', reason: 'version_expired'});
 			},
-			onHeaders: (status, rawHeaders) => {
-				this.handleHeaders(status, rawHeaders);
-			},
-			onData: chunk => {
-				this.handleData(chunk);
-			},
-			onEnd: () => {
-				this.handleEnd();
-			},
-			onError: (reason, wasConnected) => {
-				this.handleError(reason, wasConnected);
-			},
+			onHeaders: this.handleHeaders.bind(this),
+			onData: this.handleData.bind(this),
+			onEnd: this.handleEnd.bind(this),
+			onError: this.handleError.bind(this),
 		}, boundary);
 	}
 
@@ -152,7 +148,7 @@
 			return;
 		}
 
-		this.restartStallTimer(this.options.stallTimeoutsMs.next);
+		this.stallTimer.restart(this.options.stallTimeoutsMs.next);
 		if (this.isEventStream()) {
 			this.forwardEvents(this.splitter.push(chunk));
 		} else {
@@ -175,11 +171,11 @@
 
 	/** Stops reading from the upstream until the caller has read what was written. */
 	private waitForCaller(): void {
-		clearTimeout(this.stallTimer);
+		this.stallTimer.stop();
 		this.exchange?.pause();
 		this.options.writer.onceDrained(this.options.boundary.wrap('answer', () => {
 			if (!this.isFinished) {
-				this.restartStallTimer(this.options.stallTimeoutsMs.next);
+				this.stallTimer.restart(this.options.stallTimeoutsMs.next);
 				this.exchange?.resume();
 			}
 		}));
@@ -206,7 +202,7 @@
 		}
 
 		if (!writer.hasStarted) {
-			writer.start(this.head!.status, this.head!.headers.forwardedHeaders, this.head!.headers.isFramed);
+			writer.start(this.head!.status, this.head!.headers.forwardedHeaders);
 			this.responseVersion = this.head!.headers.version;
 		}
 
@@ -215,7 +211,7 @@
 	}
 
 	private handleEnd(): void {
-		const {writer, tracker, instance, onServed} = this.options;
+		const {tracker, instance} = this.options;
 		const head = this.head!;
 		if (this.isFinished) {
 			return;
@@ -238,7 +234,7 @@
 		}
 
 		this.buffered = {
-			status: head.status, headers: head.headers.forwardedHeaders, body: Buffer.concat(this.bodyChunks), isFramed: head.headers.isFramed,
+			status: head.status, headers: head.headers.forwardedHeaders, body: Buffer.concat(this.bodyChunks),
 		};
 		if (head.status >= firstServerError) {
 			tracker.recordOutcome(instance.id, false);
@@ -246,30 +242,36 @@
 			return;
 		}
 
-		tracker.recordOutcome(instance.id, true);
-		this.recordSurvival();
-		this.close();
-		writer.send(this.buffered.status, this.buffered.headers, this.buffered.body, this.buffered.isFramed);
-		onServed();
+		const {status, headers, body} = this.buffered;
+		this.complete(() => {
+			this.options.writer.send(status, headers, body);
+		});
 	}
 
 	/** Ends the stream; it is complete only if no part of an event is left over. */
 	private endStream(): void {
-		const {writer, tracker, instance, onServed} = this.options;
 		if (this.splitter.pendingBytes > 0) {
 			this.options.onBroken();
 			this.fail('event_cut');
 			return;
 		}
 
+		this.complete(() => {
+			const {writer} = this.options;
+			if (!writer.hasStarted) {
+				writer.start(this.head!.status, this.head!.headers.forwardedHeaders);
+			}
+
+			writer.end();
+		});
+	}
+
+	private complete(passOn: () => void): void {
+		const {tracker, instance, onServed} = this.options;
 		tracker.recordOutcome(instance.id, true);
 		this.recordSurvival();
 		this.close();
-		if (!writer.hasStarted) {
-			writer.start(this.head!.status, this.head!.headers.forwardedHeaders, this.head!.headers.isFramed);
-		}
-
-		writer.end();
+		passOn();
 		onServed();
 	}
 
@@ -309,22 +311,19 @@
 		this.options.onOutcome(outcome);
 	}
 
-	/** Fails the attempt if nothing arrives in time and the call may be sent elsewhere; otherwise the attempt goes on waiting. */
-	private restartStallTimer(limitMs: number): void {
-		clearTimeout(this.stallTimer);
-		this.stallTimer = setTimeout(this.options.boundary.wrap('timer', () => {
-			const {canRetryElsewhere, onBroken, tracker, instance} = this.options;
-			if (!this.isFinished && canRetryElsewhere()) {
-				tracker.markUnreachable(instance, 'silent');
-				onBroken();
-				this.fail('silent');
-			}
-		}), limitMs);
+	/** Fails the attempt if the call may be sent elsewhere; otherwise the attempt goes on waiting. */
+	private handleSilence(): void {
+		const {canRetryElsewhere, onBroken, tracker, instance} = this.options;
+		if (!this.isFinished && canRetryElsewhere()) {
+			tracker.markUnreachable(instance, 'silent');
+			onBroken();
+			this.fail('silent');
+		}
 	}
 
 	private close(): void {
 		this.isFinished = true;
-		clearTimeout(this.stallTimer);
+		this.stallTimer.stop();
 		this.startDeadline.stop();
 		this.options.tracker.inFlight.remove(this.inFlightCall);
 		this.signals.end();
--- a/src/forwarding/upstream-exchange.ts
+++ b/src/forwarding/upstream-exchange.ts
@@ -7,13 +7,17 @@
 import type {Buffer} from 'node:buffer';
 import http from 'node:http';
 import net from 'node:net';
-import {parseAddress} from '../links/http-listener.ts';
+import {formatAddress, parseAddress} from '../links/http-listener.ts';
 import {areHeadersValid, isFinalStatus} from '../links/http-syntax.ts';
 import type {CallBoundary} from './call-boundary.ts';
 
 /** Timeout for establishing a connection, in milliseconds. */
 const connectTimeoutMs = 300;
 
+/** Statuses of responses that never have a body. */
+const noContentStatus = 204;
+const notModifiedStatus = 304;
+
 /** The request to send. */
 export type ExchangeRequest = {
 	readonly host: string;
@@ -51,6 +55,9 @@
 	private isFinished = false;
 	/** Whether the upstream closed the connection with a FIN rather than a reset. */
 	private hasReceivedFin = false;
+	/** Whether the response has ended with its connection, and a probe of the upstream is under way. */
+	private isConfirming = false;
+	private readonly address: string;
 
 	/**
 	 * @param request - the request to send
@@ -60,6 +67,7 @@
 	 */
 	constructor(request: ExchangeRequest, private readonly events: ExchangeEvents, private readonly boundary: CallBoundary) {
 		const {host, port, method, target, headers, body} = request;
+		this.address = formatAddress({host, port});
 		this.req = http.request({
 			host, port, method, path: target, headers, agent,
 		});
@@ -143,10 +151,12 @@
 			}
 		}));
 		res.on('end', this.boundary.wrap('answer', () => {
-			// The parser reports an unframed response as complete even if a reset cut it off.
-			const isFramed = res.headers['content-length'] !== undefined || res.headers['transfer-encoding'] !== undefined;
-			if (res.complete && (isFramed || this.hasReceivedFin)) {
+			if (res.complete && marksEnd(this.req.method, res)) {
 				this.end();
+			} else if (res.complete && this.hasReceivedFin) {
+				// The parser reports such a response as complete even if a reset cut it off.
+				this.isConfirming = true;
+				void this.boundary.runAsync('answer', async () => this.confirmEnd());
 			} else {
 				this.fail('answer_cut');
 			}
@@ -155,10 +165,24 @@
 			this.fail(err.code ?? err.message);
 		}));
 		res.on('close', this.boundary.wrap('answer', () => {
-			this.fail('answer_cut');
+			if (!this.isConfirming) {
+				this.fail('answer_cut');
+			}
 		}));
 	}
 
+	/**
+	 * Takes the end of the connection for the end of the response if the upstream still accepts connections. The system closes the
+	 * connections of a process that crashed in the same order, but then nobody listens any more.
+	 */
+	private async confirmEnd(): Promise<void> {
+		if (await probeConnection(this.address) === 'accepts') {
+			this.end();
+		} else {
+			this.fail('answer_cut');
+		}
+	}
+
 	private end(): void {
 		if (!this.isFinished) {
 			this.finish();
@@ -180,6 +204,12 @@
 	}
 }
 
+/** Returns whether a response shows where its body ends, other than by the end of its connection. */
+function marksEnd(method: string, {statusCode, headers}: http.IncomingMessage): boolean {
+	return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+		|| method === 'HEAD' || statusCode === noContentStatus || statusCode === notModifiedStatus;
+}
+
 /** What an upstream does with a new TCP connection; `silent` if it does not react in time. */
 export type ConnectionProbe = 'accepts' | 'refuses' | 'silent';
 
--- a/src/forwarding/wire-codec.ts
+++ b/src/forwarding/wire-codec.ts
@@ -43,8 +43,6 @@
 	readonly isSigned: boolean;
 	/** Whether the upstream states that it did not run the call. */
 	readonly isNotRun: boolean;
-	/** Whether the response marks the end of its body. If not, the body ends with the connection, which does not show whether it is complete. */
-	readonly isFramed: boolean;
 	/** Whether the body has a content encoding. Upstreams never set one, so that something in between has altered the response. */
 	readonly isEncoded: boolean;
 	/** Running and waiting calls at the upstream, and its slots. */
