Look at all parts of a prompt when engines crash

Cause: 16 parts of a call were read, to bound what callers choose; the datagrams between gateways had the same limit. Ruled out: crashes that are not noticed (they are logged), a hold that is released (there was none).

Change: all parts count. A long call is told in pieces that fit into packets. Blame compares sets and only parts that were in three crashes.

--- a/src/messages/crash-datagram.ts
+++ b/src/messages/crash-datagram.ts
@@ -1,5 +1,6 @@
 /** Datagram by which gateways tell each other of crashes of upstreams and of the prompt parts that may cause them. */
 import {z} from 'zod';
+import {maxListedParts} from '../quarantine/broken-call.ts';
 import {isPromptPartId, type PromptPartId} from '../ids/prompt-part-id.ts';
 
 const partSchema = z.custom<PromptPartId>(value => isPromptPartId(value));
@@ -10,8 +11,8 @@
 /** How long ago something happened, in milliseconds. */
 const ageSchema = z.number().min(0).max(maxDistanceMs);
 
-/** `[crash, age, calls]`: the ID of a crash, and the shared prompt parts of each call that it broke off. */
-const crashSchema = z.tuple([z.string().max(200), ageSchema, z.array(z.array(partSchema).max(16)).max(32)]);
+/** `[crash, age, calls]`: the ID of a crash, and the shared prompt parts of each call that it broke off, or a piece of them with the marker of the call. */
+const crashSchema = z.tuple([z.string().max(200), ageSchema, z.array(z.array(partSchema).max(maxListedParts)).max(32)]);
 
 /** `[part, age]`: an upstream survived a call with the part. */
 const survivalSchema = z.tuple([partSchema, ageSchema]);
--- a/src/peers/crash-gossip.ts
+++ b/src/peers/crash-gossip.ts
@@ -6,6 +6,8 @@
 import {parseAddress} from '../links/http-listener.ts';
 import {type CrashDatagram, crashDatagramSchema, maxDistanceMs} from '../messages/crash-datagram.ts';
 import type {PeerInfo} from '../messages/peers-exchange.ts';
+import type {PromptPartId} from '../ids/prompt-part-id.ts';
+import type {Crash} from '../quarantine/crash-detector.ts';
 import type {Hold} from '../quarantine/hold.ts';
 import type {CrashNews} from '../quarantine/prompt-quarantine.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
@@ -22,8 +24,14 @@
 /** Approximate limit of a datagram, in characters, so that it fits into one packet. */
 const maxDatagramLength = 1200;
 
-/** Maximum number of calls of a crash that are told as one fact, and of held parts that are repeated at a time. */
-const maxItems = {calls: 8, holds: 12};
+/** Approximate limit of the lists of parts in one fact, in characters; the rest of its datagram is for the ID of the crash. */
+const maxListsLength = 1000;
+
+/** Maximum number of held parts that are repeated at a time. */
+const maxRepeatedHolds = 12;
+
+/** Maximum number of lists of parts in one fact. */
+const maxLists = 32;
 
 /** Dependencies of a {@link CrashGossip}. */
 export type CrashGossipOptions = {
@@ -56,7 +64,7 @@
 			mergeNews(decodeNews(datagram));
 		});
 		this.repeatTimer = setInterval(() => {
-			this.tell({holds: random.sample(holds(), maxItems.holds)});
+			this.tell({holds: random.sample(holds(), maxRepeatedHolds)});
 		}, repeatIntervalMs);
 		this.repeatTimer.unref();
 	}
@@ -101,7 +109,7 @@
 	const age = (atMs: number) => Math.min(maxDistanceMs, Math.max(0, Math.round(nowMs - atMs)));
 	const fact = (at: Fact['at'], entry: readonly unknown[]): Fact => ({at, entry, length: JSON.stringify(entry).length});
 	return [
-		...crashes.flatMap(({id, atMs, calls}) => slice(calls, maxItems.calls).map(part => fact(1, [id, age(atMs), part]))),
+		...crashes.flatMap(({id, atMs, calls}) => groupLists(calls).map(lists => fact(1, [id, age(atMs), lists]))),
 		...survivals.map(({part, atMs}) => fact(2, [part, age(atMs)])),
 		...holds.map(({part, rivals, lastCrashMs, trials, nextTrialMs}) => fact(3, [part, rivals, age(lastCrashMs), trials, Math.max(-maxDistanceMs, Math.round(nextTrialMs - nowMs))])),
 	];
@@ -135,6 +143,20 @@
 	};
 }
 
-function slice<T>(items: readonly T[], size: number): T[][] {
-	return Array.from({length: Math.ceil(items.length / size)}, (_, at) => items.slice(at * size, (at + 1) * size));
+/** Groups lists of parts so that each group fits into one datagram. */
+function groupLists(lists: Crash['calls']): Array<Array<readonly PromptPartId[]>> {
+	const groups: Array<Array<readonly PromptPartId[]>> = [];
+	let length = Number.POSITIVE_INFINITY;
+	for (const list of lists) {
+		const listLength = JSON.stringify(list).length;
+		length += listLength;
+		if (length > maxListsLength || groups.at(-1)!.length >= maxLists) {
+			groups.push([]);
+			length = listLength;
+		}
+
+		groups.at(-1)!.push(list);
+	}
+
+	return groups;
 }
--- a/src/quarantine/crash-detector.ts
+++ b/src/quarantine/crash-detector.ts
@@ -18,6 +18,12 @@
 /** Maximum number of calls reported for a crash, which bounds the memory for what callers send. */
 const maxCallsPerCrash = 32;
 
+/** Maximum number of parts of the calls reported for a crash. */
+const maxPartsPerCrash = 32_768;
+
+/** Maximum number of parts in a log line. */
+const maxLoggedParts = 32;
+
 /** A crash of one run of an upstream, as one gateway saw it. */
 export type Crash = {
 	/** The same at all gateways. */
@@ -42,6 +48,7 @@
 	/** The broken calls, by their parts. */
 	readonly calls: Map<string, readonly PromptPartId[]>;
 	count: number;
+	partCount: number;
 	readonly brokenAtMs: number;
 	hasCrashed: boolean;
 	isScheduled: boolean;
@@ -61,12 +68,14 @@
 	 */
 	recordBroken(instance: Instance, parts: readonly PromptPartId[]): void {
 		const entry: Break = this.breaks.get(instance.id) ?? {
-			instance, calls: new Map(), count: 0, brokenAtMs: performance.now(), hasCrashed: false, isScheduled: false,
+			instance, calls: new Map(), count: 0, partCount: 0, brokenAtMs: performance.now(), hasCrashed: false, isScheduled: false,
 		};
 		this.breaks.set(instance.id, entry);
 		entry.count++;
-		if (parts.length > 0 && entry.calls.size < maxCallsPerCrash) {
-			entry.calls.set(parts.join(' '), parts);
+		const key = parts.join(' ');
+		if (parts.length > 0 && !entry.calls.has(key) && entry.calls.size < maxCallsPerCrash && entry.partCount + parts.length <= maxPartsPerCrash) {
+			entry.calls.set(key, parts);
+			entry.partCount += parts.length;
 		}
 
 		if (!entry.isScheduled) {
@@ -97,8 +106,9 @@
 
 	private report({instance, calls, count, brokenAtMs}: Break): void {
 		const partsOfCalls = [...calls.values()];
+		const parts = [...new Set(partsOfCalls.flat())];
 		this.options.log.warn({
-			event: 'instance_crashed', instance: instance.id, address: instance.address, startedAtMs: instance.startedAtMs, calls: count, parts: [...new Set(partsOfCalls.flat())],
+			event: 'instance_crashed', instance: instance.id, address: instance.address, startedAtMs: instance.startedAtMs, calls: count, parts: parts.slice(0, maxLoggedParts), partCount: parts.length,
 		}, 'an upstream broke off its calls and refuses connections');
 		this.options.onCrash({id: `${instance.id}@${instance.startedAtMs}`, atMs: brokenAtMs, calls: partsOfCalls}, instance);
 	}
--- a/src/quarantine/find-crashing-parts.ts
+++ b/src/quarantine/find-crashing-parts.ts
@@ -14,6 +14,9 @@
 /** Crashes since the last survival after which a part is blamed: if no call with it is known to have been survived, and otherwise. */
 const crashesToBlame = {unproven: 3, proven: 6};
 
+/** Parts that were in fewer crashes are never blamed. */
+export const minCrashesToBlame = crashesToBlame.unproven;
+
 /** What {@link findCrashingParts} decides from. */
 export type CrashFacts = {
 	readonly crashes: readonly KnownCrash[];
@@ -58,9 +61,8 @@
  * @param part - the part that the calls must have
  */
 export function findCompanions(part: PromptPartId, calls: ReadonlyArray<readonly PromptPartId[]>): PromptPartId[] {
-	const withPart = calls.filter(parts => parts.includes(part));
-	const [first = []] = withPart;
-	return first.filter(other => other !== part && withPart.every(parts => parts.includes(other)));
+	const [first = new Set<PromptPartId>(), ...others] = calls.filter(parts => parts.includes(part)).map(parts => new Set(parts));
+	return [...first].filter(other => other !== part && others.every(parts => parts.has(other)));
 }
 
 /**
--- a/src/quarantine/hold.ts
+++ b/src/quarantine/hold.ts
@@ -18,6 +18,9 @@
 /** How long a part is held after its last crash, in milliseconds. */
 const holdTtlMs = 7_200_000;
 
+/** Maximum number of rivals that are kept, the first ones by ID so that all gateways keep the same; a crash of a call without them ends the restriction. */
+const maxRivals = 16;
+
 /** Times of one event that gateways tell each other differ by less than this, in milliseconds, since ages pass over the network. */
 export const clockToleranceMs = 500;
 
@@ -37,7 +40,7 @@
 /** Creates the hold of a part that was blamed. */
 export function createHold(part: PromptPartId, rivals: readonly PromptPartId[], lastCrashMs: number): Hold {
 	return {
-		part, rivals, lastCrashMs, trials: 0, nextTrialMs: lastCrashMs + firstTrialMs,
+		part, rivals: rivals.toSorted().slice(0, maxRivals), lastCrashMs, trials: 0, nextTrialMs: lastCrashMs + firstTrialMs,
 	};
 }
 
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -7,9 +7,10 @@
 import type {Instance} from '../directory/directory-types.ts';
 import type {PromptPartId} from '../ids/prompt-part-id.ts';
 import type {Logger} from '../runtime/logger.ts';
+import {listBrokenCall} from './broken-call.ts';
 import type {Crash} from './crash-detector.ts';
 import {CrashEvidence, survivalDelayMs} from './crash-evidence.ts';
-import {countCrashesAfter, findCrashingParts} from './find-crashing-parts.ts';
+import {countCrashesAfter, findCrashingParts, minCrashesToBlame} from './find-crashing-parts.ts';
 import {
 	type Admission, appliesTo, clockToleranceMs, createHold, decideAdmission, type Hold, isInForce, withCrash, withPeerHold, withTrial,
 } from './hold.ts';
@@ -25,7 +26,7 @@
 const crashesToReportSurvival = 2;
 
 /** Number of parts whose survival is known to other gateways. */
-const maxSharedSurvivals = 2048;
+const maxSharedSurvivals = 8192;
 
 /** A survival of a part. */
 export type Survival = {readonly part: PromptPartId; readonly atMs: number};
@@ -128,7 +129,7 @@
 	private addCrashes(crashes: readonly Crash[]): void {
 		const news = crashes.flatMap(crash => {
 			const calls = crash.calls.length > 0 ? this.evidence.addCrash(crash) : undefined;
-			return calls ? [{...crash, calls}] : [];
+			return calls ? [{...crash, calls: calls.flatMap(call => listBrokenCall(call))}] : [];
 		});
 		if (news.length === 0) {
 			return;
@@ -145,6 +146,7 @@
 	/** Returns survivals that clear parts which other gateways may soon blame. */
 	private findUnsharedSurvivals(parts: readonly PromptPartId[]): Survival[] {
 		const {evidence} = this;
+		evidence.settle();
 		const survivals: Survival[] = [];
 		for (const part of parts) {
 			const atMs = evidence.lastSurvivalMs(part);
@@ -183,8 +185,10 @@
 	}
 
 	private judge(): void {
-		const {crashes} = this.evidence;
-		const found = findCrashingParts({crashes, lastSurvivalMs: part => this.evidence.lastSurvivalMs(part), blamed: new Set(this.holds.map(({part}) => part))});
+		const {evidence} = this;
+		const blamed = new Set(this.holds.map(({part}) => part));
+		evidence.settle();
+		const found = findCrashingParts({crashes: evidence.crashesOfRepeatedParts(minCrashesToBlame, blamed), lastSurvivalMs: part => evidence.lastSurvivalMs(part), blamed});
 		for (const {part, rivals} of found) {
 			this.updateHold(createHold(part, rivals, Math.max(...this.evidence.crashTimes(part))), 'crashes');
 		}
@@ -193,6 +197,7 @@
 	/** Takes over a hold from another gateway, unless a call with the part has been survived since. */
 	private mergeHold(hold: Hold): void {
 		const known = this.holdsByPart.get(hold.part);
+		this.evidence.settle();
 		const survivalMs = this.evidence.lastSurvivalMs(hold.part);
 		if (survivalMs !== undefined && survivalMs > hold.lastCrashMs) {
 			this.options.tell({survivals: [{part: hold.part, atMs: survivalMs}]});
@@ -244,6 +249,7 @@
 	}
 
 	private releaseSurvivors(): void {
+		this.evidence.settle();
 		for (const {part, lastCrashMs} of this.holds) {
 			const atMs = this.evidence.lastSurvivalMs(part);
 			if (atMs !== undefined && atMs > lastCrashMs) {
--- a/test/platform-wire.test.ts
+++ b/test/platform-wire.test.ts
@@ -74,11 +74,12 @@
 	expect(response.forwardedHeaders).not.to.include('Connection');
 });
 
-it('guards against unbounded state from callers: of a prompt, the shared parts count without the last one, at most 16 of them, and long or odd IDs become short digests', () => {
+it('guards against unbounded state from callers: of a prompt, the shared parts count without the last one, each once wherever it stands, and long or odd IDs become short digests', () => {
 	const partsOf = (text: string) => platformCodec.readCallHeaders(['Prompt-Prefix', text]).promptParts;
 	expect(partsOf('5c1e07a2:800, 91bd3f06:410,e4402b7d:250')).to.deep.equal(['5c1e07a2', '91bd3f06']);
 	expect([...partsOf('e4402b7d:250'), ...partsOf('')]).to.deep.equal([]);
-	expect(partsOf(Array.from({length: 1000}, (_, at) => `${at}:1`).join(','))).to.have.length(16);
+	expect(partsOf(Array.from({length: 1000}, (_, at) => `${at}:1`).join(','))).to.deep.equal(Array.from({length: 999}, (_, at) => String(at)));
+	expect(partsOf('a:1,'.repeat(1000))).to.deep.equal(['a']);
 	fc.assert(fc.property(fc.string({maxLength: 300}), text => {
 		expect(partsOf(`${text},x:1`).every(id => /^[\w.:-]{1,32}$/.test(id))).to.equal(true);
 	}), {seed: 24, numRuns: 200});
--- a/test/quarantine.test.ts
+++ b/test/quarantine.test.ts
@@ -105,7 +105,8 @@
 	const engines = await Promise.all(Array.from({length: 8}, async () => startEngine(log)));
 	const service = createServiceId('models');
 	const configuration = testConfiguration(1, {kind: 'stream', isResumable: true, targets: [{service, weight: 1}]});
-	const gateway = await startTestGateway(configuration, engines.map(({address}, at) => testInstance({
+	const limits = {...configuration.limits, headerBytes: 16_384};
+	const gateway = await startTestGateway({...configuration, limits}, engines.map(({address}, at) => testInstance({
 		id: `i-${at}`, address, service, slots: 16, held: [{
 			model: 'm', version: 1, fromLayer: 0, toLayer: 16,
 		}],
@@ -138,6 +139,24 @@
 	expect(answers.filter(({status, complete}) => status === 200 && complete)).to.have.length(20);
 });
 
+for (const place of [17, 40, 400]) {
+	it(`guards against a crashing part that is not looked at: as part ${place + 1} of a prompt it is held, too`, async () => {
+		const log: string[] = [];
+		const gateway = await startModels(log);
+		const shared = Array.from({length: place}, (_, at) => `s${at}:40`).join(',');
+		for (let at = 0; at < 15; at++) {
+			await Promise.all([callModel(gateway, `bad-${at}`, `${shared},bad:20,t:9,own${at}:9`), callModel(gateway, `sound-${at}`, `${shared},t:9,own${at}:9`)]);
+			await sleep(20);
+		}
+
+		const fifthCrash = log.flatMap((entry, at) => (entry === 'crash' ? [at] : []))[4] ?? log.length;
+		expect(log.slice(fifthCrash).filter(entry => entry === 'bad').length).to.be.at.most(3);
+		await sleep(restartMs);
+		const answers = await Promise.all(Array.from({length: 10}, async (_, at) => callModel(gateway, `after-${at}`, `${shared},after${at}:9`)));
+		expect(answers.filter(({status, complete}) => status === 200 && complete)).to.have.length(10);
+	});
+}
+
 it('guards against calls under way that crash further engines: when their part is held, they end as possibly run and their connections close', async () => {
 	const log: string[] = [];
 	const gateway = await startModels(log);
