Check addresses and IDs where they are decoded, and let operators choose their names

What callers saw: an entry with a port over 65535 ended each gateway that chose it, again and again; a tenant whose name holds a space, '&' or a letter beyond ASCII took the whole new configuration out of force.

Cause: addresses were checked by form only, those of other processes not at all; names had to have the form of the project's own IDs. Ruled out: the boundary of a call as the only answer: probes of connections and datagrams belong to no call.

A bad address or name costs its entry, tenant or origin, with a finding in the log. A datagram that cannot be sent is logged.

--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -1,7 +1,6 @@
 /** The stager role: downloads the published versions of the weights and loads them into the engine on the same VM. */
 import type {Directory} from '../directory/directory.ts';
 import type {EngineTiming, OriginInfo} from '../directory/directory-types.ts';
-import {createServiceId} from '../ids/service-id.ts';
 import {formatAddress, HttpListener} from '../links/http-listener.ts';
 import type {PeerClient} from '../links/peer-client.ts';
 import {manifestGetMethod, manifestGetParamsSchema, type PeerInfo} from '../messages/peers-exchange.ts';
@@ -260,7 +259,7 @@
 }
 
 function findPlan(directory: Directory, service: string): {readonly engine: EngineTiming; readonly origin: OriginInfo | undefined} | undefined {
-	const engine = directory.table?.findService(createServiceId(service))?.engine;
+	const engine = directory.table?.findService(service)?.engine;
 	const origin = directory.table?.configuration.services.find(item => item.origin)?.origin;
 	return engine && {engine, origin};
 }
--- a/src/directory/directory-types.ts
+++ b/src/directory/directory-types.ts
@@ -122,7 +122,8 @@
 
 /** One change of the directory. */
 export type DirectoryChange =
-	| {readonly kind: 'configuration'; readonly configuration: PublishedConfiguration}
+	/** `leftOut` says which parts of the configuration cannot be used, and why. */
+	| {readonly kind: 'configuration'; readonly configuration: PublishedConfiguration; readonly leftOut?: readonly string[]}
 	| {readonly kind: 'version'; readonly model: string; readonly version: number}
 	| {readonly kind: 'instance'; readonly instance: Instance}
 	| {readonly kind: 'instance-gone'; readonly id: string}
--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -251,6 +251,12 @@
 		switch (change.kind) {
 			case 'configuration': {
 				this.setConfiguration(change.configuration, 'source');
+				if (change.leftOut && change.leftOut.length > 0) {
+					this.log.warn({
+						event: 'configuration_parts_left_out', version: change.configuration.version, reasons: change.leftOut,
+					}, 'parts of a configuration cannot be used; the rest is in force');
+				}
+
 				return;
 			}
 
--- a/src/ids/id-text.ts
+++ b/src/ids/id-text.ts
@@ -3,6 +3,9 @@
 
 const idTextPattern = /^[\w.:-]{1,128}$/;
 
+/** What operators may call a thing: any text without control characters, which no header can hold. */
+const nameTextPattern = /^[^\p{Cc}\p{Cs}]{1,256}$/u;
+
 /** Thrown for a string that is not a valid identifier. */
 export class InvalidIdError extends VError {}
 
@@ -24,3 +27,22 @@
 
 	return text;
 }
+
+/** Returns whether a text can be a name that operators chose. */
+export function isNameText(text: string): boolean {
+	return nameTextPattern.test(text);
+}
+
+/**
+ * Returns a name that operators chose, unless it is none.
+ *
+ * @param kind - the type of the identifier, for the error
+ * @throws InvalidIdError if it is empty, longer than 256 characters or holds a control character
+ */
+export function requireNameText(text: string, kind: string): string {
+	if (!isNameText(text)) {
+		throw new InvalidIdError('%s: %j is not 1 to 256 characters without control characters', kind, text);
+	}
+
+	return text;
+}
--- a/src/ids/service-id.ts
+++ b/src/ids/service-id.ts
@@ -1,6 +1,6 @@
 /** The identifier of a service that upstreams offer. */
 import type {Branded} from '../runtime/branded.ts';
-import {isIdText, requireIdText} from './id-text.ts';
+import {isIdText, requireIdText, requireNameText} from './id-text.ts';
 
 /** Identifies a service that upstreams offer. */
 export type ServiceId = Branded<string, 'ServiceId'>;
@@ -21,3 +21,12 @@
 export function createServiceId(text: string): ServiceId {
 	return requireIdText(text, 'ServiceId') as ServiceId;
 }
+
+/**
+ * Creates a ServiceId from the name that operators gave to a service, which may hold spaces and letters of any language.
+ *
+ * @throws InvalidIdError if the name is empty, longer than 256 characters or holds a control character
+ */
+export function createServiceIdFromName(name: string): ServiceId {
+	return requireNameText(name, 'ServiceId') as ServiceId;
+}
--- a/src/ids/workspace-id.ts
+++ b/src/ids/workspace-id.ts
@@ -1,6 +1,6 @@
 /** The identifier of a workspace, the account that many callers share. */
 import type {Branded} from '../runtime/branded.ts';
-import {isIdText, requireIdText} from './id-text.ts';
+import {isIdText, requireIdText, requireNameText} from './id-text.ts';
 
 /** Identifies a workspace, the account that many callers share. */
 export type WorkspaceId = Branded<string, 'WorkspaceId'>;
@@ -21,3 +21,12 @@
 export function createWorkspaceId(text: string): WorkspaceId {
 	return requireIdText(text, 'WorkspaceId') as WorkspaceId;
 }
+
+/**
+ * Creates a WorkspaceId from the name that operators gave to a workspace, which may hold spaces and letters of any language.
+ *
+ * @throws InvalidIdError if the name is empty, longer than 256 characters or holds a control character
+ */
+export function createWorkspaceIdFromName(name: string): WorkspaceId {
+	return requireNameText(name, 'WorkspaceId') as WorkspaceId;
+}
--- a/src/links/datagram-port.ts
+++ b/src/links/datagram-port.ts
@@ -61,7 +61,14 @@
 			return;
 		}
 
-		this.socket.send(Buffer.from(JSON.stringify(message)), port, host);
+		try {
+			this.socket.send(Buffer.from(JSON.stringify(message)), port, host);
+		} catch (err) {
+			// Node.js throws for a port that does not exist.
+			this.log.warn({
+				event: 'datagram_failed', err, host, port,
+			}, 'cannot send a datagram to this address');
+		}
 	}
 
 	/** Closes the port. */
--- a/src/messages/peers-exchange.ts
+++ b/src/messages/peers-exchange.ts
@@ -1,5 +1,6 @@
 /** Messages for peer discovery and directory exchange, for deployments whose platform does not list the project's processes. */
 import {z} from 'zod';
+import {addressSchema} from '../links/address.ts';
 
 /** JSON-RPC method by which two processes exchange the processes they know and the revisions of their directories. */
 export const peersExchangeMethod = 'peers.exchange';
@@ -16,7 +17,7 @@
 	zone: z.string(),
 	region: z.string(),
 	/** Address of the control listener, `ip:port`. */
-	address: z.string(),
+	address: addressSchema,
 	/** For a stager: the service whose upstream runs on the VM. */
 	service: z.string().optional(),
 });
--- a/src/peers/directory-snapshot-schema.ts
+++ b/src/peers/directory-snapshot-schema.ts
@@ -1,5 +1,6 @@
 /** The wire format in which processes send their directory to each other. */
 import {z} from 'zod';
+import {addressSchema} from '../links/address.ts';
 import {directoryRevisionsSchema, announcedVersionSchema} from '../messages/peers-exchange.ts';
 
 /** The state of the requesting process, and whether it needs only the services. */
@@ -38,7 +39,7 @@
 	name: z.string(),
 	maxConnections: z.number(),
 	engine: engineSchema.optional(),
-	origin: z.object({address: z.string(), linkBytesPerSecond: z.number(), maxConnections: z.number()}).optional(),
+	origin: z.object({address: addressSchema, linkBytesPerSecond: z.number(), maxConnections: z.number()}).optional(),
 });
 
 const configurationSchema = z.object({
@@ -61,7 +62,7 @@
 	id: z.string(),
 	revision: z.number(),
 	service: z.string(),
-	address: z.string(),
+	address: addressSchema,
 	zone: z.string(),
 	isDraining: z.boolean(),
 	slots: z.number(),
--- a/src/settings/direct-settings.ts
+++ b/src/settings/direct-settings.ts
@@ -1,7 +1,7 @@
 /** Settings of the roles `gateway` and `stager`, for deployments in which the gateways call upstreams directly instead of through agents. */
 import {z} from 'zod';
 import {
-	address, idText, positiveNumber, processSection,
+	address, nameText, positiveNumber, processSection,
 } from './settings-schema.ts';
 
 /** A comma-separated list of addresses; may be empty. */
@@ -76,7 +76,7 @@
 	engine: z.strictObject({
 		/** Address of the engine on the same VM, `ip:port`. */
 		address,
-		service: idText,
+		service: nameText,
 	}),
 	transfer: z.strictObject({
 		/** Bandwidth of the VM's network link, in megabits per second in each direction. */
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -2,6 +2,7 @@
 import {isIPv4} from 'node:net';
 import {z} from 'zod';
 import {parseAddress, type ListenAddress} from '../links/http-listener.ts';
+import {isNameText} from '../ids/id-text.ts';
 import {createRegionId, type RegionId} from '../ids/region-id.ts';
 import {createServiceId, type ServiceId} from '../ids/service-id.ts';
 import {createVmId, type VmId} from '../ids/vm-id.ts';
@@ -10,6 +11,9 @@
 
 const urlPrefix = 'http://';
 
+/** A name that operators chose. */
+export const nameText = z.string().refine(text => isNameText(text), 'must be 1 to 256 characters without control characters');
+
 /** An ID of a VM, zone, region or service. */
 export const idText = z.string().regex(/^[\w.:-]{1,128}$/, 'must be 1 to 128 letters, digits, dots, dashes, underscores or colons');
 
