--- a/build/bundle.mjs
+++ b/build/bundle.mjs
@@ -4,10 +4,10 @@
  * `dist` (the default) creates one file for the single executable, `target` creates a file per command.
  */
 import {readFile} from 'node:fs/promises';
-import {rmSync} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
 import {build} from 'esbuild';
+import {installFiles, removeOldChunks} from './install-files.mjs';
 
 const root = path.join(import.meta.dirname, '..');
 
@@ -44,7 +44,7 @@
 };
 
 const shared = {
-	entryPoints: ['src/cli/main.ts'],
+	entryPoints: ['src/cli/start.ts'],
 	bundle: true,
 	platform: 'node',
 	target: 'node20',
@@ -61,7 +61,7 @@
 /** A file per command and chunks for shared code, so that a small process loads only the code it runs. */
 const filePerCommand = {
 	...shared,
-	entryPoints: [{in: 'src/cli/main.ts', out: 'cactusreach'}],
+	entryPoints: [{in: 'src/cli/start.ts', out: 'cactusreach'}],
 	outdir: 'target',
 	outExtension: {'.js': '.mjs'},
 	chunkNames: 'parts/[name]-[hash]',
@@ -71,9 +71,14 @@
 	banner: {js: 'import {createRequire} from \'node:module\'; const require = createRequire(import.meta.url);'},
 };
 
-// Chunks of an earlier build have other hashes in their names and would remain.
-rmSync(path.join(root, 'target/parts'), {recursive: true, force: true});
-
-const layouts = {dist: oneFile, target: filePerCommand};
+const layouts = {
+	dist: {options: oneFile, entry: 'dist/cactusreach.cjs'},
+	target: {options: filePerCommand, entry: 'target/cactusreach.mjs'},
+};
 
-await build(layouts[process.argv[2] ?? 'dist']);
+const {options, entry} = layouts[process.argv[2] ?? 'dist'];
+const {outputFiles} = await build({...options, write: false, absWorkingDir: root});
+await installFiles(outputFiles, path.join(root, entry));
+if (options.splitting) {
+	await removeOldChunks(path.join(root, 'target/parts'), outputFiles);
+}
