Keep signals, failed accepts and unowned exceptions from ending a process without a word

What users saw: SIGHUP in the first half second ended a process, and so did a second SIGTERM while it drained; both cut off calls or lost the process. An exception that nothing owns left no line in the log.

Cause: listeners were set late and removed early; the error of a server had a listener for its first occurrence only (found on the way: two failed accepts for want of descriptors end the process); nothing reported exceptions.

--- a/src/cli/entry-agent-base.ts
+++ b/src/cli/entry-agent-base.ts
@@ -4,6 +4,7 @@
 import {formatAddress, type ListenAddress} from '../links/http-listener.ts';
 import {MembershipManager} from '../membership/membership-manager.ts';
 import {ProcessMetrics} from '../reports/process-metrics.ts';
+import {onSignal} from '../runtime/held-signals.ts';
 import type {ProcessSettings} from '../settings/settings-schema.ts';
 import {ProcessBase} from './process-base.ts';
 
@@ -54,6 +55,9 @@
 			void this.membership.refresh();
 			void this.configuration.refresh();
 		});
+		onSignal('SIGHUP', () => {
+			this.log.info({event: 'settings_not_reloaded'}, 'this role reads its settings only at the start');
+		});
 		await this.membership.start();
 		void this.configuration.start();
 	}
--- a/src/cli/entry-agent-commands.ts
+++ b/src/cli/entry-agent-commands.ts
@@ -12,7 +12,8 @@
  * @returns the exit code
  */
 export async function runEntryCommand(file: string | undefined): Promise<number> {
-	return runUntilSignal(await startEntry(readSettings(requireSettingsFile(file), entrySettingsSchema)));
+	const path = requireSettingsFile(file);
+	return runUntilSignal(async () => startEntry(readSettings(path, entrySettingsSchema)));
 }
 
 /**
@@ -22,5 +23,6 @@
  * @returns the exit code
  */
 export async function runAgentCommand(file: string | undefined): Promise<number> {
-	return runUntilSignal(await startAgent(readSettings(requireSettingsFile(file), agentSettingsSchema)));
+	const path = requireSettingsFile(file);
+	return runUntilSignal(async () => startAgent(readSettings(path, agentSettingsSchema)));
 }
--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -8,6 +8,7 @@
 import {InstanceTracker} from '../forwarding/instance-tracker.ts';
 import type {WireCodec} from '../forwarding/wire-codec.ts';
 import {logSink} from '../runtime/logger.ts';
+import {setFailureHooks} from '../runtime/process-failure.ts';
 import {formatAddress, HttpListener, sendJson} from '../links/http-listener.ts';
 import {changingDatagramSchema, type EngineDatagram, heldModelDatagramSchema} from '../messages/engine-datagram.ts';
 import {directoryGetMethod} from '../messages/peers-exchange.ts';
@@ -124,6 +125,11 @@
 	}, log);
 	metrics.gauge('cactusreach_open_calls', 'Calls without a whole answer.', () => forwarder.openCalls);
 
+	setFailureHooks({
+		log, state: () => ({openCalls: forwarder.openCalls, configurationVersion: directory.configurationVersion}), endCalls() {
+			forwarder.endOpenCalls();
+		},
+	});
 	await control.start(settings.listen.control);
 	await readiness.start(settings.listen.readiness);
 	await base.start();
--- a/src/cli/gateway-stager-base.ts
+++ b/src/cli/gateway-stager-base.ts
@@ -1,6 +1,5 @@
 /** Shared components of the gateway and stager roles: directory, peer group, and reloading of the settings. */
 import {watchFile, unwatchFile} from 'node:fs';
-import process from 'node:process';
 import {Directory} from '../directory/directory.ts';
 import type {DirectoryPart, DirectorySource} from '../directory/directory-types.ts';
 import {DirectoryWatcher} from '../directory/directory-watcher.ts';
@@ -15,6 +14,7 @@
 import {WatchCoverage} from '../peers/watch-duty.ts';
 import {WatchManager} from '../peers/watch-manager.ts';
 import {ElapsedClock} from '../runtime/elapsed-clock.ts';
+import {onSignal} from '../runtime/held-signals.ts';
 import {logSink} from '../runtime/logger.ts';
 import {pauseCheckIntervalMs} from '../runtime/pause-detector.ts';
 import type {GatewaySettings, StagerSettings} from '../settings/direct-settings.ts';
@@ -59,6 +59,7 @@
 	private readonly group: PeerGroup;
 	private readonly datagramAddress: ListenAddress;
 	private clockTimer: NodeJS.Timeout | undefined;
+	private stopReloading: (() => void) | undefined;
 
 	/**
 	 * @param role - describes the role, given its settings
@@ -140,13 +141,13 @@
 		this.watchManager.start();
 		this.news.start();
 		this.group.start();
-		process.on('SIGHUP', this.reload);
+		this.stopReloading = onSignal('SIGHUP', this.reload);
 		watchFile(this.settingsSource.file, {interval: settingsCheckIntervalMs, persistent: false}, this.reload);
 	}
 
 	/** Stops all components, and writes the last log lines. */
 	async stop(): Promise<void> {
-		process.off('SIGHUP', this.reload);
+		this.stopReloading?.();
 		unwatchFile(this.settingsSource.file);
 		this.group.stop();
 		this.pauseDetector.stop();
--- a/src/cli/gateway-stager-commands.ts
+++ b/src/cli/gateway-stager-commands.ts
@@ -14,7 +14,7 @@
  */
 export async function runGatewayCommand(file: string | undefined): Promise<number> {
 	const path = requireSettingsFile(file ?? platformAdapter.settingsFile());
-	return runUntilSignal(await startGateway({file: path, read: () => readSettings(path, gatewaySettingsSchema)}, platformAdapter));
+	return runUntilSignal(async () => startGateway({file: path, read: () => readSettings(path, gatewaySettingsSchema)}, platformAdapter));
 }
 
 /**
@@ -25,5 +25,5 @@
  */
 export async function runStagerCommand(file: string | undefined): Promise<number> {
 	const path = requireSettingsFile(file ?? platformAdapter.settingsFile());
-	return runUntilSignal(await startStager({file: path, read: () => readSettings(path, stagerSettingsSchema)}, platformAdapter));
+	return runUntilSignal(async () => startStager({file: path, read: () => readSettings(path, stagerSettingsSchema)}, platformAdapter));
 }
--- a/src/cli/process-base.ts
+++ b/src/cli/process-base.ts
@@ -3,6 +3,7 @@
 import {RpcDispatcher} from '../links/rpc-dispatcher.ts';
 import {Metrics} from '../reports/metrics.ts';
 import {createLogger, type Logger} from '../runtime/logger.ts';
+import {setFailureHooks} from '../runtime/process-failure.ts';
 import {createIdentity} from '../runtime/process-identity.ts';
 import {RandomSource, randomSeed} from '../runtime/random-source.ts';
 import {PauseDetector} from '../runtime/pause-detector.ts';
@@ -21,6 +22,7 @@
 	/** @param processSettings - the section `process` of the settings */
 	constructor(processSettings: Pick<ProcessSettings['process'], 'vm' | 'log_level' | 'random_seed'>) {
 		this.log = createLogger(processSettings.vm, processSettings.log_level);
+		setFailureHooks({log: this.log});
 		this.random = new RandomSource(processSettings.random_seed ?? randomSeed());
 	}
 }
--- a/src/cli/run-until-signal.ts
+++ b/src/cli/run-until-signal.ts
@@ -1,6 +1,8 @@
 /** Functions shared by the commands that run a role until a signal stops it. */
-import process from 'node:process';
+import {onSignal} from '../runtime/held-signals.ts';
+import {installFailureReport} from '../runtime/process-failure.ts';
 import type {RunningProcess} from './entry-agent-base.ts';
+import {exitCodes} from './exit-codes.ts';
 import {UsageError} from './usage-error.ts';
 
 /**
@@ -18,18 +20,19 @@
 }
 
 /**
- * Waits for SIGTERM or SIGINT, then drains the process.
+ * Starts a role, waits for SIGTERM or SIGINT, then drains the process. Further signals do not end it before that.
  *
+ * @param start - starts the role
  * @returns the exit code
  */
-export async function runUntilSignal(running: RunningProcess): Promise<number> {
+export async function runUntilSignal(start: () => Promise<RunningProcess>): Promise<number> {
+	installFailureReport();
+	const running = await start();
 	await new Promise<void>(resolve => {
 		for (const signal of ['SIGTERM', 'SIGINT'] as const) {
-			process.once(signal, () => {
-				resolve();
-			});
+			onSignal(signal, resolve);
 		}
 	});
 	await running.drain();
-	return 0;
+	return exitCodes.success;
 }
--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -64,6 +64,10 @@
 		this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
 			this.respondToParseError(err, socket);
 		});
+		this.server.on('error', err => {
+			// For example, no descriptor is left for a new connection. The open ones go on.
+			this.options.log.warn({event: 'listener_failed', err}, 'cannot listen, or cannot accept a connection');
+		});
 		this.applyLimits();
 	}
 
--- a/src/links/http-listener.ts
+++ b/src/links/http-listener.ts
@@ -41,6 +41,10 @@
 		});
 		// Peers and load balancers keep idle connections open. With the default of 5 s, the server could close one just as a request arrives.
 		this.server.keepAliveTimeout = 75_000;
+		this.server.on('error', err => {
+			// For example, no descriptor is left for a new connection. The open ones go on.
+			this.log.warn({event: 'listener_failed', err}, 'cannot listen, or cannot accept a connection');
+		});
 	}
 
 	/**
