Count the age of what a stager knows from the beginning of its check, up to the order

Cause: six beliefs that an order rests on could be older than the order took them to be: a verification counted from its end and by a clock that stands still during a suspension; an engine that restarted between check and order; an order and a write without an answer that the engine obeyed later; a well-formed manifest with too few pieces. Ruled out: a piece that is never read back (each order needs a verification); two reconciliations at once (they are serialized).

Change: Stopwatch, a check right before the order is written, one more report between verification and order, OrderDoubt, a settling time after writes without an answer, orders on connections that are reset at their timeout, findManifestFault.

Connection pools moved to a file of their own.

--- a/build/parts/undici.mjs
+++ b/build/parts/undici.mjs
@@ -18,3 +18,4 @@
 export {default as Agent} from 'undici/lib/dispatcher/agent.js';
 export {default as DecoratorHandler} from 'undici/lib/handler/decorator-handler.js';
 export {default as Dispatcher} from 'undici/lib/dispatcher/dispatcher.js';
+export {default as buildConnector} from 'undici/lib/core/connect.js';
--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -1,4 +1,5 @@
 /** The stager role: downloads the published versions of the weights and loads them into the engine on the same VM. */
+import VError from 'verror';
 import type {Directory} from '../directory/directory.ts';
 import type {EngineTiming, OriginInfo} from '../directory/directory-types.ts';
 import {formatAddress, HttpListener} from '../links/http-listener.ts';
@@ -10,7 +11,9 @@
 import {NoticeDatagrams} from '../peers/notice-datagrams.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {ChunkStore} from '../rollout/chunk-store.ts';
-import {type Manifest, manifestSchema, parseManifest} from '../rollout/manifest.ts';
+import {
+	findManifestFault, type Manifest, manifestSchema, parseManifest,
+} from '../rollout/manifest.ts';
 import {TransferNode} from '../rollout/transfer-node.ts';
 import type {OriginChunk, TransferOptions} from '../rollout/transfer-options.ts';
 import {TransferPacer} from '../rollout/transfer-pacer.ts';
@@ -222,14 +225,28 @@
 	private async readManifest(model: string, version: number): Promise<Manifest | undefined> {
 		const origin = findPlan(this.base.directory, this.base.settings.engine.service)?.origin;
 		const manifest = origin && await this.origin.fetchManifest(origin.address, model, version);
-		return manifest?.version === String(version) ? manifest : undefined;
+		return manifest && this.requireSound(manifest, model, version);
+	}
+
+	/** Returns a manifest that fits the published weights, and throws for any other. */
+	private requireSound(manifest: Manifest, model: string, version: number): Manifest {
+		const engine = findPlan(this.base.directory, this.base.settings.engine.service)?.engine;
+		const fault = findManifestFault(manifest, {
+			model, version, chunkCount: engine?.chunkCount ?? 0, chunkBytes: engine?.chunkBytes ?? 0,
+		});
+		if (fault !== undefined) {
+			throw new VError('the manifest is not that of %s, version %d: %s', model, version, fault);
+		}
+
+		return manifest;
 	}
 
 	private async askForManifest({address}: PeerInfo, model: string, version: number): Promise<Manifest | null> {
 		const {links, log} = this.base;
 		try {
 			const call = {method: manifestGetMethod, params: {model, version}};
-			return await links.rpc(address, call, manifestSchema.nullable(), {timeoutMs: peerManifestTimeoutMs});
+			const manifest = await links.rpc(address, call, manifestSchema.nullable(), {timeoutMs: peerManifestTimeoutMs});
+			return manifest && this.requireSound(manifest, model, version);
 		} catch (err) {
 			log.debug({event: 'manifest_not_told', address, err}, 'failed to fetch a manifest from a peer');
 			throw err;
--- a/src/links/peer-client.ts
+++ b/src/links/peer-client.ts
@@ -4,21 +4,17 @@
  * It never retries a request, because only the code that sends the request knows whether a retry is safe.
  */
 import {Buffer} from 'node:buffer';
+import type net from 'node:net';
 import type {Readable} from 'node:stream';
 import {createJSONRPCRequest, type JSONRPCResponse} from 'json-rpc-2.0';
 import {
-	Agent, DecoratorHandler, type Dispatcher, request,
+	type Agent, type Dispatcher, request,
 } from 'undici';
 import VError from 'verror';
 import type {ZodType} from 'zod';
+import {createPool, type StartCallbackOptions, type TrackedPool} from './connection-pool.ts';
 import {rpcPath} from './rpc-dispatcher.ts';
 
-/** Timeout for establishing a TCP connection, in milliseconds. */
-export const connectTimeoutMs = 1000;
-
-/** Maximum number of pooled connections to one origin. */
-const maxConnectionsPerOrigin = 64;
-
 /** How long connections to an origin are kept after the last request to it, and the interval of the checks, in milliseconds. A process exchanges with each of hundreds of peers now and then. */
 const unusedPool = {maxAgeMs: 15_000, checkIntervalMs: 5000};
 
@@ -45,6 +41,10 @@
 	readonly freshConnection?: boolean;
 	/** Aborts the request. */
 	readonly signal?: AbortSignal;
+	/** With `freshConnection`, in `bytes` and `json`: resets the connection when the time is over, so that what it still holds is lost. */
+	readonly resetOnTimeout?: boolean;
+	/** Called with the new connection of a request with `freshConnection`. */
+	readonly onConnected?: (socket: net.Socket) => void;
 };
 
 /** A response whose body has not been read yet. */
@@ -127,9 +127,18 @@
 	 * @throws PeerRequestError when the response does not arrive completely in time or is too large
 	 */
 	async bytes(url: string, req: {method: Dispatcher.HttpMethod; body?: string | Buffer}, options: PeerRequestOptions): Promise<{status: number; bytes: Buffer}> {
-		const deadline = new RequestDeadline(options);
+		let socket: net.Socket | undefined;
+		const deadline = new RequestDeadline(options, () => {
+			if (options.resetOnTimeout) {
+				socket?.resetAndDestroy();
+			}
+		});
 		try {
-			const res = await this.send(url, req, {...options, signal: deadline.signal});
+			const res = await this.send(url, req, {
+				...options, signal: deadline.signal, onConnected(connected) {
+					socket = connected;
+				},
+			});
 			return {status: res.status, bytes: await readBytes(res.body, options.maxBytes)};
 		} catch (err) {
 			throw err instanceof PeerRequestError ? err : new PeerRequestError(err as Error, true, `${req.method} ${url}`);
@@ -147,7 +156,7 @@
 	 * @throws PeerRequestError when no headers arrive in time
 	 */
 	async send(url: string, req: {method: Dispatcher.HttpMethod; body?: string | Buffer}, options: PeerRequestOptions): Promise<PeerResponse> {
-		const {pool, trackedDispatcher} = options.freshConnection ? createPool() : this.getPool(url);
+		const {pool, trackedDispatcher} = options.freshConnection ? createPool(options.onConnected) : this.getPool(url);
 		let sent = false;
 		const onStart = (): void => {
 			options.beforeSend?.();
@@ -298,44 +307,17 @@
 	body.resume();
 }
 
-/** Dispatch options with a callback for the start of the request. */
-type StartCallbackOptions = {readonly onStart: () => void};
-
-/**
- * Calls `onStart` when a request starts to be written. Error codes do not tell whether that has happened: a request that was already written
- * may fail with the same ones.
- */
-class StartHandler extends DecoratorHandler {
-	constructor(handler: Dispatcher.DispatchHandler, private readonly onStart: () => void) {
-		super(handler);
-	}
-
-	onRequestStart(...args: Parameters<NonNullable<Dispatcher.DispatchHandler['onRequestStart']>>): void {
-		this.onStart();
-		(DecoratorHandler.prototype as Dispatcher.DispatchHandler).onRequestStart?.apply(this, args);
-	}
-}
-
-/** A connection pool, and a dispatcher on it that calls `onStart` of each request. */
-type TrackedPool = {readonly pool: Agent; readonly trackedDispatcher: Dispatcher; lastUsedMs: number};
-
-function createPool(): TrackedPool {
-	const pool = new Agent({
-		connections: maxConnectionsPerOrigin, pipelining: 1, connect: {timeout: connectTimeoutMs}, keepAliveTimeout: 30_000,
-	});
-	const trackedDispatcher = pool.compose(dispatch => (options, handler) => dispatch(options, new StartHandler(handler, (options as unknown as StartCallbackOptions).onStart)));
-	return {pool, trackedDispatcher, lastUsedMs: performance.now()};
-}
-
 /** Aborts a request when its time is over. A timer that outlived the request, as that of `AbortSignal.timeout`, would wake the process up for nothing. */
 class RequestDeadline {
 	readonly signal: AbortSignal;
 	private readonly timer: NodeJS.Timeout;
 
-	constructor({timeoutMs, signal}: PeerRequestOptions) {
+	/** @param onTimeout - called before the request is aborted */
+	constructor({timeoutMs, signal}: PeerRequestOptions, onTimeout: () => void) {
 		const controller = new AbortController();
 		this.signal = signal ? AbortSignal.any([signal, controller.signal]) : controller.signal;
 		this.timer = setTimeout(() => {
+			onTimeout();
 			controller.abort(new Error(`no response within ${timeoutMs} ms`));
 		}, timeoutMs);
 		this.timer.unref();
--- a/src/rollout/manifest.ts
+++ b/src/rollout/manifest.ts
@@ -28,6 +28,25 @@
 	return manifestSchema.parse(JSON.parse(Buffer.from(bytes).toString('utf8')));
 }
 
+/** What is published of the weights that a manifest lists; a size of 0 is not published. */
+export type PublishedWeights = {readonly model: string; readonly version: number; readonly chunkCount: number; readonly chunkBytes: number};
+
+/**
+ * Returns why a manifest cannot be that of the published weights; undefined if it can. An answer that was altered on its way may still be
+ * well-formed, and weights would count as complete with the chunks that it lists.
+ */
+export function findManifestFault(manifest: Manifest, {model, version, chunkCount, chunkBytes}: PublishedWeights): string | undefined {
+	if (manifest.model !== model || manifest.version !== String(version)) {
+		return `it is that of ${JSON.stringify(manifest.model)}, version ${manifest.version}`;
+	}
+
+	if (chunkCount > 0 && manifest.chunks.length !== chunkCount) {
+		return `it lists ${manifest.chunks.length} chunks instead of ${chunkCount}`;
+	}
+
+	return chunkBytes > 0 && manifest.chunk_bytes !== chunkBytes ? `its chunks have ${manifest.chunk_bytes} bytes instead of ${chunkBytes}` : undefined;
+}
+
 /**
  * Splits weights into chunks and creates their manifest.
  *
--- a/src/staging/local-engine.ts
+++ b/src/staging/local-engine.ts
@@ -15,8 +15,11 @@
 	readonly listChunks: (model: string) => Promise<readonly number[] | undefined>;
 	/** Reads a staged chunk back; undefined when there is none. */
 	readonly getChunk: (model: string, position: number) => Promise<Uint8Array | undefined>;
-	/** Orders the engine to load the staged chunks; the order is conditional on the number of orders accepted so far. */
-	readonly loadStaged: (model: string, version: number, expectedOrderCount: number) => Promise<OrderResult>;
+	/**
+	 * Orders the engine to load the staged chunks; the order is conditional on the number of orders accepted so far. `beforeSend` is called
+	 * right before the order is written; if it throws, nothing is sent.
+	 */
+	readonly loadStaged: (model: string, version: number, expectedOrderCount: number, beforeSend: () => void) => Promise<OrderResult>;
 };
 
 /** The origin of weights. */
--- /dev/null
+++ b/src/staging/order-doubt.ts
@@ -0,0 +1,54 @@
+/**
+ * An order to load weights whose answer did not arrive. The engine may still obey it, and it loads what is staged in that moment. Chunks of
+ * another version that were written by then would be mixed with those that the order was about.
+ */
+import {Stopwatch} from '../runtime/stopwatch.ts';
+import type {EngineReport} from './next-staging-step.ts';
+
+/**
+ * How long an engine must have been seen at work before an order that it has not counted is taken for lost, in milliseconds. An engine that
+ * was paused reads what has waited in its connections when it goes on.
+ */
+const settleMs = 500;
+
+type OpenOrder = {readonly version: number; readonly report: EngineReport; engineAtWork: Stopwatch | undefined};
+
+/** Keeps track of the last order of one stager. */
+export class OrderDoubt {
+	private open: OpenOrder | undefined;
+
+	/**
+	 * Records an order that is about to be sent.
+	 *
+	 * @param version - the version that the engine was to load
+	 * @param report - the state of the engine that the order was conditional on
+	 */
+	record(version: number, report: EngineReport): void {
+		this.open = {version, report, engineAtWork: undefined};
+	}
+
+	/** Records that the order has been answered. */
+	clear(): void {
+		this.open = undefined;
+	}
+
+	/**
+	 * Returns whether chunks of a version may not be written now.
+	 *
+	 * @param report - a report that was fetched after the order
+	 */
+	blocksWrites(version: number, report: EngineReport): boolean {
+		if (!this.open || this.isSettled(this.open, report)) {
+			this.open = undefined;
+			return false;
+		}
+
+		this.open.engineAtWork ??= new Stopwatch();
+		return version !== this.open.version;
+	}
+
+	/** An engine that has restarted or counted an order does not obey this one any more. */
+	private isSettled({report: before, engineAtWork}: OpenOrder, report: EngineReport): boolean {
+		return report.startedAtMs !== before.startedAtMs || report.orderCount !== before.orderCount || (engineAtWork !== undefined && engineAtWork.elapsedMs >= settleMs);
+	}
+}
--- a/src/staging/staged-chunks.ts
+++ b/src/staging/staged-chunks.ts
@@ -3,13 +3,20 @@
 import type {ChunkStore} from '../rollout/chunk-store.ts';
 import type {Manifest} from '../rollout/manifest.ts';
 import type {Logger} from '../runtime/logger.ts';
+import {Stopwatch} from '../runtime/stopwatch.ts';
 import type {LocalEngine} from './local-engine.ts';
 
 /** The maximum number of concurrent chunk reads or writes. */
 const maxConcurrentChunks = 4;
 
-/** How long a verification is trusted, in milliseconds; staged chunks may become corrupt later. */
-const verificationMaxAgeMs = 1200;
+/**
+ * How long a verification is trusted, in milliseconds from its beginning; staged chunks may become corrupt at any time after they were read.
+ * With the timeout of an order, it stays below three seconds.
+ */
+const verificationMaxAgeMs = 1700;
+
+/** How long after a write without an answer the engine may still apply it, in milliseconds; only a verification that begins later finds it. */
+const doubtfulWriteMs = 1000;
 
 /** The chunks staged at one engine, as far as this process wrote or verified them. */
 export class StagedChunks {
@@ -17,7 +24,10 @@
 	lastWriteAtMs: number | undefined;
 	/** Digests of staged chunks by position. */
 	private digests = new Map<number, Digest>();
-	private verifiedAtMs = Number.NEGATIVE_INFINITY;
+	/** Runs since the beginning of the last verification. */
+	private verification: Stopwatch | undefined;
+	/** Runs since the last write without an answer. */
+	private doubtfulWrite: Stopwatch | undefined;
 	private readBackEngineStartMs: number | undefined;
 
 	/**
@@ -34,7 +44,7 @@
 
 	/** Whether the last verification is still trusted. */
 	get isRecentlyVerified(): boolean {
-		return performance.now() - this.verifiedAtMs <= verificationMaxAgeMs;
+		return this.verification !== undefined && this.verification.elapsedMs <= verificationMaxAgeMs;
 	}
 
 	/** Returns whether every chunk of a manifest is staged. */
@@ -54,6 +64,7 @@
 		}
 
 		const {model} = manifest;
+		const verification = new Stopwatch();
 		this.digests = new Map();
 		this.lastWriteAtMs = undefined;
 		const listed = await this.engine.listChunks(model);
@@ -66,9 +77,9 @@
 			}
 		});
 		this.readBackEngineStartMs = startedAtMs;
-		this.verifiedAtMs = performance.now();
+		this.finishVerification(verification);
 		this.log.info({
-			event: 'staged_scanned', model, intact: this.digests.size, startedAtMs,
+			event: 'staged_scanned', model, intact: this.digests.size, startedAtMs, ms: Math.round(verification.elapsedMs),
 		}, 'staged chunks read back');
 	}
 
@@ -82,7 +93,7 @@
 		await forEachChunk(manifest, async (digest, position) => {
 			const bytes = this.digests.get(position) === digest ? undefined : this.chunks.get(digest);
 			if (bytes) {
-				await this.engine.putChunk(manifest.model, position, bytes);
+				await this.putChunk(manifest.model, position, bytes);
 				this.digests.set(position, digest);
 				stagedCount++;
 			}
@@ -99,6 +110,7 @@
 	 * @param manifest - the manifest of the wanted version
 	 */
 	async verify(manifest: Manifest): Promise<void> {
+		const verification = new Stopwatch();
 		await forEachChunk(manifest, async (digest, position) => {
 			const bytes = await this.engine.getChunk(manifest.model, position);
 			if (!bytes || digestOf(bytes) !== digest) {
@@ -108,12 +120,32 @@
 				}, 'staged chunk is missing or corrupt');
 			}
 		});
-		this.verifiedAtMs = performance.now();
+		this.finishVerification(verification);
 	}
 
 	/** Requires a new verification before the next order. */
 	expireVerification(): void {
-		this.verifiedAtMs = Number.NEGATIVE_INFINITY;
+		this.verification = undefined;
+	}
+
+	/** Trusts a verification unless a write may have been applied after it read the chunk. */
+	private finishVerification(verification: Stopwatch): void {
+		const isDoubtful = this.doubtfulWrite !== undefined && this.doubtfulWrite.elapsedMs - verification.elapsedMs < doubtfulWriteMs;
+		this.verification = isDoubtful ? undefined : verification;
+		if (verification.elapsedMs > verificationMaxAgeMs) {
+			this.log.warn({event: 'verification_too_old', ms: Math.round(verification.elapsedMs)}, 'reading the staged chunks took longer than the result may be trusted');
+		}
+	}
+
+	private async putChunk(model: string, position: number, bytes: Uint8Array): Promise<void> {
+		try {
+			await this.engine.putChunk(model, position, bytes);
+		} catch (err) {
+			// The engine may still apply the write, over a later one.
+			this.digests.delete(position);
+			this.doubtfulWrite = new Stopwatch();
+			throw err;
+		}
 	}
 }
 
--- a/src/staging/staging-manager.ts
+++ b/src/staging/staging-manager.ts
@@ -1,52 +1,32 @@
 /** Rolls out the published version of one model to the engine on this VM: transfer, staging, verification and the load order. */
 import {Buffer} from 'node:buffer';
-import type {Directory} from '../directory/directory.ts';
-import type {EngineTiming, OriginInfo} from '../directory/directory-types.ts';
+import VError from 'verror';
 import {createDigest, digestOf, type Digest} from '../ids/digest.ts';
 import type {Manifest} from '../rollout/manifest.ts';
-import type {ChunkStore} from '../rollout/chunk-store.ts';
-import type {TransferNode, WantedVersion} from '../rollout/transfer-node.ts';
+import type {WantedVersion} from '../rollout/transfer-node.ts';
 import {rankMembers} from '../runtime/rendezvous.ts';
-import type {Logger} from '../runtime/logger.ts';
 import {
 	type EngineReport, nextStagingStep, type StagingStep, switchoverAtMs,
 } from './next-staging-step.ts';
+import type {OrderResult} from './local-engine.ts';
+import {OrderDoubt} from './order-doubt.ts';
 import {StagedChunks} from './staged-chunks.ts';
-import type {LocalEngine} from './local-engine.ts';
+import type {StagingManagerOptions} from './staging-options.ts';
 
 /** The delay until the next poll after each step, in milliseconds; a newly published version is handled without delay. */
 const pollDelayMs: Readonly<Record<StagingStep, number>> = {
 	'ask-engine': 400, idle: 400, fetch: 100, stage: 0, wait: 100, start: 100,
 };
 
+/** The steps that write chunks to the engine. */
+const writingSteps: ReadonlySet<StagingStep> = new Set(['fetch', 'stage']);
+
 /** The interval of log lines about a transfer in progress, in milliseconds. */
 const progressLogIntervalMs = 2000;
 
 /** The version that engines hold before any version is published. */
 const defaultVersion = 1;
 
-/** Dependencies of a staging manager. */
-export type StagingManagerOptions = {
-	readonly vm: string;
-	/** Returns the service's published engine and the origin of its weights, once known. */
-	readonly publishedService: () => {readonly engine: EngineTiming; readonly origin: OriginInfo | undefined} | undefined;
-	readonly directory: Directory;
-	readonly engine: LocalEngine;
-	readonly chunks: ChunkStore;
-	readonly node: TransferNode;
-	/** Fetches the manifest of a version from a peer or the origin; undefined when neither has it yet. */
-	readonly fetchManifest: (model: string, version: number) => Promise<Manifest | undefined>;
-	/** Returns the VMs of all engines of the same service, including this one; the same array until they change. */
-	readonly groupVms: () => readonly string[];
-	/** How long older versions may still start calls after a newer one is published, in milliseconds. */
-	readonly versionBoundMs: number;
-	/** Called when the engine starts to load; it accepts no calls until it serves the new version. */
-	readonly onLoadStarted: (startedAtMs: number) => void;
-	/** Called when the engine serves another version than at the last poll. */
-	readonly onVersionServed: (served: {readonly model: string; readonly version: number; readonly layers: number; readonly startedAtMs: number}) => void;
-	readonly log: Logger;
-};
-
 /** The version to roll out, with its manifest. */
 type Target = {readonly model: string; readonly version: number; readonly layers: number; readonly manifest: Manifest; readonly digest: Digest};
 
@@ -55,6 +35,7 @@
 	private readonly manifests = new Map<string, {readonly manifest: Manifest; readonly digest: Digest}>();
 	private readonly stepActions: Readonly<Record<StagingStep, (target: Target, report: EngineReport) => Promise<void>>>;
 	private readonly stagedChunks: StagedChunks;
+	private readonly doubt = new OrderDoubt();
 	private lastStep: StagingStep | undefined;
 	private lastLoggedAtMs = 0;
 	private isEngineUnreachable = false;
@@ -189,6 +170,10 @@
 			wantedVersion: version, report, isHeld: this.isHeld(target), isStaged: this.stagedChunks.isComplete(target.manifest), isSwitchoverDue: switchoverInMs <= 0,
 		});
 		this.logStep(step, target, report);
+		if (writingSteps.has(step) && this.doubt.blocksWrites(version, report)) {
+			return pollDelayMs.wait;
+		}
+
 		await this.stepActions[step](target, report);
 		// While the engine only waits for its turn, its state is polled no more often than when it is idle.
 		return step === 'wait' && !report.isBusy ? Math.min(pollDelayMs.idle, Math.max(1, switchoverInMs)) : pollDelayMs[step];
@@ -299,7 +284,7 @@
 
 	private async orderLoad(target: Target, report: EngineReport): Promise<void> {
 		const {engine, log} = this.options;
-		const {model, version, manifest} = target;
+		const {model, version, layers, manifest} = target;
 		if (!this.stagedChunks.isRecentlyVerified) {
 			await this.stagedChunks.verify(manifest);
 			if (!this.stagedChunks.isComplete(manifest)) {
@@ -307,16 +292,41 @@
 			}
 		}
 
-		const answer = await engine.loadStaged(model, version, report.orderCount);
+		// The engine may have restarted meanwhile, with or without its staged chunks.
+		const latest = await engine.fetchReport(model, layers);
+		const isSameRun = latest.startedAtMs === report.startedAtMs && latest.orderCount === report.orderCount;
+		if (!isSameRun || !this.stagedChunks.isRecentlyVerified) {
+			log.warn({
+				event: 'order_withheld', model, version, isSameRun, isVerified: this.stagedChunks.isRecentlyVerified,
+			}, 'no order, because what was verified may have changed');
+			return;
+		}
+
+		const answer = await this.sendOrder(target, report);
 		log.info({
 			event: 'engine_ordered', model, version, before: report.servedVersion, orders: report.orderCount, answer,
 		}, 'engine ordered to load the staged version');
 		if (answer === 'begun') {
 			this.options.onLoadStarted(report.startedAtMs);
 		}
+	}
 
-		// Chunks are verified again before another order, if one is needed.
-		this.stagedChunks.expireVerification();
+	private async sendOrder({model, version}: Target, report: EngineReport): Promise<OrderResult> {
+		const {stagedChunks, doubt} = this;
+		try {
+			const answer = await this.options.engine.loadStaged(model, version, report.orderCount, () => {
+				if (!stagedChunks.isRecentlyVerified) {
+					throw new VError('the verification of the staged chunks is too old');
+				}
+
+				doubt.record(version, report);
+			});
+			doubt.clear();
+			return answer;
+		} finally {
+			// Chunks are verified again before another order, if one is needed.
+			stagedChunks.expireVerification();
+		}
 	}
 
 	private logStep(step: StagingStep, {model, version, manifest}: Target, {servedVersion, isBusy}: EngineReport): void {
--- a/test/endless-answers.test.ts
+++ b/test/endless-answers.test.ts
@@ -156,7 +156,7 @@
 	'engine report': async (links, address) => new EngineClient(links, address).fetchReport('m', 16),
 	'staged chunk': async (links, address) => new EngineClient(links, address).getChunk('m', 1),
 	'staging a chunk': async (links, address) => new EngineClient(links, address).putChunk('m', 1, new Uint8Array(10)),
-	order: async (links, address) => new EngineClient(links, address).loadStaged('m', 2, 0),
+	order: async (links, address) => new EngineClient(links, address).loadStaged('m', 2, 0, () => undefined),
 	manifest: async (links, address) => new PlatformWeightOrigin(links).fetchManifest(address, 'm', 2),
 	'store read': async (links, address) => new StoreSource(links, () => address).read('published', AbortSignal.timeout(1500)),
 	'store watch': async (links, address) => new StoreSource(links, () => address).watch('instances', 1, 500, AbortSignal.timeout(1500)),
--- a/test/staging.test.ts
+++ b/test/staging.test.ts
@@ -11,7 +11,8 @@
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {nextStagingStep, type StagingInput, switchoverAtMs} from '../src/staging/next-staging-step.ts';
 import type {LocalEngine} from '../src/staging/local-engine.ts';
-import {StagingManager, type StagingManagerOptions} from '../src/staging/staging-manager.ts';
+import {StagingManager} from '../src/staging/staging-manager.ts';
+import type {StagingManagerOptions} from '../src/staging/staging-options.ts';
 import {observedNow, testEngineTiming} from './support/direct-fixtures.ts';
 
 const contents = ['one', 'two', 'three', 'four'].map(text => new TextEncoder().encode(text));
