Bound the memory of all bodies of calls together

What users saw: 60 bodies of 4 MB at once bring a gateway to 498 MB, 120 to 708 MB, and a process over its limit is killed with its calls.

Cause: the published limit bounds one body; nothing bounded all of them. Ruled out: answers (bounded at 32 MiB), the heap (80 MB limit).

Change: BodyBudget, shares of the memory limit in the settings: large bodies wait shortly for room in their order while their connections are not read, then are refused with 503; small ones have room of their own. Responses take 10 % of the limit at most.

Test: body-memory.test.ts, red before with 120 bodies.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -6,9 +6,11 @@
 import {CallerListener} from '../forwarding/caller-listener.ts';
 import {InstanceSignals} from '../forwarding/instance-signals.ts';
 import {InstanceTracker} from '../forwarding/instance-tracker.ts';
+import {maxBufferedBytes} from '../forwarding/response-buffers.ts';
 import type {WireCodec} from '../forwarding/wire-codec.ts';
 import {logSink} from '../runtime/logger.ts';
 import {setFailureHooks} from '../runtime/process-failure.ts';
+import {BodyBudget, bodyRoomFor} from '../limits/body-budget.ts';
 import {formatAddress, HttpListener, sendJson} from '../links/http-listener.ts';
 import {changingDatagramSchema, type EngineDatagram, heldModelDatagramSchema} from '../messages/engine-datagram.ts';
 import {directoryGetMethod} from '../messages/peers-exchange.ts';
@@ -26,6 +28,11 @@
 /** How long before the end of the grace period the remaining calls are aborted, in milliseconds. At its end, the process is killed. */
 const killMarginMs = 300;
 
+/** The share of the memory limit that responses may take until they are complete. */
+const responseMemoryShare = 0.1;
+
+const bytesPerMegabyte = 1_000_000;
+
 /** How long the last responses may take to be written before their connections are closed, in milliseconds. */
 const lastWritesMs = 50;
 
@@ -76,6 +83,7 @@
 		versionBoundMs: settings.limits.version_bound_ms,
 		eventLoopDelayMs: () => base.pauseDetector.recentDelayMs,
 		gatewayCount,
+		responseBytes: Math.min(maxBufferedBytes, settings.limits.memory_mb * bytesPerMegabyte * responseMemoryShare),
 		onEnd(route, outcome, ms) {
 			forwardingMetrics.recordOutcome(route?.kind, outcome, ms);
 		},
@@ -83,8 +91,10 @@
 	quarantine.onHeld(() => {
 		forwarder.endHeldCalls();
 	});
+	const bodies = new BodyBudget(bodyRoomFor(settings.limits.memory_mb));
+	metrics.gauge('cactusreach_body_bytes', 'Memory taken by the bodies of calls.', () => bodies.usedBytes);
 	const callers = new CallerListener({
-		forwarder, codec: adapter.codec, log, limits: () => directory.table?.configuration.limits, onFault(phase) {
+		forwarder, codec: adapter.codec, log, bodies, limits: () => directory.table?.configuration.limits, onFault(phase) {
 			forwardingMetrics.recordFault(phase);
 		},
 	});
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -44,6 +44,8 @@
 	readonly eventLoopDelayMs: () => number;
 	/** Returns the number of gateways that share the retry budget. */
 	readonly gatewayCount: () => number;
+	/** Maximum size of the responses that are kept until they are complete, in bytes. */
+	readonly responseBytes?: number;
 	/** Called when a call has ended. */
 	readonly onEnd: (route: Route | undefined, outcome: string, ms: number) => void;
 };
@@ -70,12 +72,13 @@
 	private readonly retryBudgets = new Map<string, WindowedRetryBudget>();
 	private readonly deadlineHistory = new DeadlineHistory();
 	private readonly selector: InstanceSelector;
-	private readonly buffers = new ResponseBuffers();
+	private readonly buffers: ResponseBuffers;
 	private isShuttingDown = false;
 
 	/** @param options - dependencies and settings */
 	constructor(private readonly options: CallForwarderOptions) {
 		const {directory, tracker, loads, random, zone, log} = options;
+		this.buffers = new ResponseBuffers(options.responseBytes);
 		this.selector = new InstanceSelector({
 			directory, tracker, loads, random, zone, log, versionExpiry: new VersionExpiry(directory, options.versionBoundMs, options.eventLoopDelayMs),
 		});
--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -3,6 +3,7 @@
 import http from 'node:http';
 import type {Duplex} from 'node:stream';
 import type {CallerLimits} from '../directory/directory-types.ts';
+import type {BodyBudget, BodyLease} from '../limits/body-budget.ts';
 import type {ListenAddress} from '../links/http-listener.ts';
 import type {Logger} from '../runtime/logger.ts';
 import {areHeadersValid, isTargetValid} from '../links/http-syntax.ts';
@@ -27,6 +28,9 @@
 /** When callers may return after an exception before their call was forwarded, in milliseconds. */
 const faultRetryAfterMs = 300;
 
+/** When callers may return for whose bodies there was no memory, in milliseconds. */
+const noMemoryRetryAfterMs = 500;
+
 /** Limits that apply until a configuration has been received. */
 const defaultLimits: CallerLimits = {
 	headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
@@ -45,10 +49,15 @@
 	readonly log: Logger;
 	/** Returns the published limits; undefined until a configuration has been received. */
 	readonly limits: () => CallerLimits | undefined;
+	/** The memory for bodies. */
+	readonly bodies: BodyBudget;
 	/** Called for each exception in the code of a call. */
 	readonly onFault: (phase: CallPhase) => void;
 };
 
+/** How a call that is being read is answered, and what runs its code. */
+type Receiver = {readonly writer: ResponseWriter; readonly boundary: CallBoundary};
+
 /** Accepts connections from callers and reads their calls. */
 export class CallerListener {
 	private readonly server: http.Server;
@@ -152,7 +161,7 @@
 
 		const headers = this.options.codec.readCallHeaders(req.rawHeaders);
 		boundary.attemptId = headers.attemptId;
-		this.readBody(req, {writer, boundary}, body => {
+		this.receiveBody(req, {writer, boundary}, body => {
 			call = this.options.forwarder.forward({
 				method: req.method ?? 'GET', target: req.url ?? '/', rawHeaders: req.rawHeaders, headers, body, receivedAtMs,
 			}, writer, boundary);
@@ -190,22 +199,75 @@
 		req.resume();
 	}
 
-	private readBody(req: http.IncomingMessage, {writer, boundary}: {writer: ResponseWriter; boundary: CallBoundary}, onComplete: (body: Buffer) => void): void {
-		const chunks: Buffer[] = [];
+	/** Rejects a call for whose body there is no memory. What is left of the body is read and dropped. */
+	private refuseBody(req: http.IncomingMessage, {writer, boundary}: Receiver): void {
+		const {log, codec, bodies} = this.options;
+		log.warn({
+			event: 'call_refused', id: boundary.attemptId, status: 503, reason: 'no_memory_for_body', bodyBytes: bodies.usedBytes,
+		}, 'call refused');
+		writer.sendError(503, 'not run; return later', ['connection', 'close', ...codec.writeRefusalHeaders(noMemoryRetryAfterMs)]);
+		req.resume();
+	}
+
+	/** Reads the body once there is memory for it. */
+	private receiveBody(req: http.IncomingMessage, receiver: Receiver, onComplete: (body: Buffer) => void): void {
+		const {bodies} = this.options;
+		const {writer, boundary} = receiver;
+		const bytes = Number(req.headers['content-length'] ?? 0);
+		const read = (lease: BodyLease) => {
+			writer.onceClosed(() => {
+				lease.release();
+			});
+			this.readBody(req, {...receiver, lease}, onComplete);
+		};
+
+		const lease = bodies.tryTake(bytes);
+		if (lease) {
+			read(lease);
+			return;
+		}
+
+		void boundary.runAsync('receive', async () => {
+			const late = await bodies.take(bytes);
+			if (!late) {
+				this.refuseBody(req, receiver);
+			} else if (writer.isClosed) {
+				late.release();
+			} else {
+				read(late);
+			}
+		});
+	}
+
+	private readBody(req: http.IncomingMessage, {writer, boundary, lease}: Receiver & {readonly lease: BodyLease}, onComplete: (body: Buffer) => void): void {
+		const hasLength = req.headers['content-length'] !== undefined;
+		let chunks: Buffer[] = [];
 		let bytes = 0;
-		let isTooLarge = false;
+		let isRefused = false;
+		const drop = () => {
+			isRefused = true;
+			chunks = [];
+		};
+
 		req.on('data', boundary.wrap('receive', (chunk: Buffer) => {
 			bytes += chunk.length;
-			if (bytes <= this.limits.bodyBytes) {
-				chunks.push(chunk);
-			} else if (!isTooLarge) {
-				isTooLarge = true;
+			if (isRefused || writer.isClosed) {
+				drop();
+			} else if (bytes > this.limits.bodyBytes) {
+				drop();
 				this.refuse(req, writer, {status: 413, reason: 'body is too large'});
+			} else if (hasLength || lease.growTo(bytes)) {
+				chunks.push(chunk);
+			} else {
+				drop();
+				this.refuseBody(req, {writer, boundary});
 			}
 		}));
 		req.once('end', boundary.wrap('forward', () => {
-			if (!isTooLarge && !writer.isClosed) {
-				onComplete(Buffer.concat(chunks));
+			if (!isRefused && !writer.isClosed) {
+				const [first] = chunks;
+				onComplete(chunks.length === 1 ? first! : Buffer.concat(chunks));
+				chunks = [];
 			}
 		}));
 		req.on('error', () => {
--- a/src/forwarding/response-buffers.ts
+++ b/src/forwarding/response-buffers.ts
@@ -8,7 +8,7 @@
 /** Maximum size of one response that is kept, in bytes; the same as the default limit of a call's body. */
 export const maxResponseBytes = 4_194_304;
 
-/** Maximum size of all responses that are kept, in bytes. */
+/** Maximum size of all responses that are kept, in bytes, unless the memory limit of the process is small. */
 export const maxBufferedBytes = 33_554_432;
 
 /** Maximum size of one event of a stream, in bytes. */
@@ -25,6 +25,9 @@
 	private readonly bytesByOwner = new Map<BufferOwner, number>();
 	private totalBytes = 0;
 
+	/** @param maxTotalBytes - maximum size of all responses that are kept */
+	constructor(private readonly maxTotalBytes = maxBufferedBytes) {}
+
 	/**
 	 * Counts further bytes of a response. Discards the largest response if they are too many, which may be the one that they belong to.
 	 *
@@ -35,7 +38,7 @@
 		this.totalBytes += bytes;
 		if (this.bytesByOwner.get(owner)! > maxResponseBytes) {
 			this.discard(owner);
-		} else if (this.totalBytes > maxBufferedBytes) {
+		} else if (this.totalBytes > this.maxTotalBytes) {
 			this.discard(this.findLargest());
 		}
 	}
--- a/src/forwarding/response-writer.ts
+++ b/src/forwarding/response-writer.ts
@@ -34,6 +34,11 @@
 		});
 	}
 
+	/** Calls a listener once when the response has been sent or the caller has disconnected. */
+	onceClosed(listener: () => void): void {
+		this.res.once('close', listener);
+	}
+
 	/** Whether the response has ended or the caller has disconnected. */
 	get isClosed(): boolean {
 		return this.isFinished;
--- a/src/settings/direct-settings.ts
+++ b/src/settings/direct-settings.ts
@@ -60,6 +60,8 @@
 		drain_notice_ms: amount(2500),
 		/** Time from SIGTERM until the process is killed, in seconds. */
 		grace_s: positiveAmount(8),
+		/** Memory limit of the process, in megabytes; the memory for bodies and answers is a share of it. */
+		memory_mb: positiveAmount(350),
 	}).prefault({}),
 });
 
--- /dev/null
+++ b/test/body-memory.test.ts
@@ -0,0 +1,156 @@
+/** The memory that bodies of calls may take: a gateway, its workers and its callers as processes of their own. */
+import {type ChildProcess, spawn} from 'node:child_process';
+import {
+	mkdtempSync, readFileSync, rmSync, writeFileSync,
+} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {expect} from 'chai';
+import {BodyBudget, smallBodyBytes} from '../src/limits/body-budget.ts';
+import {DirectoryStore} from '../standins/directory-store.ts';
+import {waitFor} from './support/fleet.ts';
+import {freePorts} from './support/free-ports.ts';
+
+const program = path.join(import.meta.dirname, '../dist/cactusreach.cjs');
+const support = path.join(import.meta.dirname, 'support');
+
+/** The heap limit of a deployed gateway. */
+const gatewayOptions = ['--max-old-space-size=80', '--max-semi-space-size=1', '--optimize-for-size'];
+
+/** The memory limit of a deployed gateway, and how much it may use, in megabytes. */
+const memoryMb = 350;
+
+const kilobytesPerMegabyte = 1000;
+
+const children: ChildProcess[] = [];
+const folder = mkdtempSync(path.join(tmpdir(), 'cactusreach-memory-'));
+
+after(() => {
+	for (const child of children) {
+		child.kill('SIGKILL');
+	}
+
+	rmSync(folder, {recursive: true});
+});
+
+/** Starts a process; `out` returns its output so far. */
+function start(args: readonly string[]): {child: ChildProcess; out: () => string} {
+	const child = spawn(process.execPath, args, {stdio: ['ignore', 'pipe', 'inherit']});
+	children.push(child);
+	let text = '';
+	child.stdout.setEncoding('utf8').on('data', (part: string) => {
+		text += part;
+	});
+	return {child, out: () => text};
+}
+
+/** Returns the largest resident memory that a process has had, in megabytes. */
+function peakMemoryMb({pid}: ChildProcess): number {
+	return Number(/^VmHWM:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))![1]) / kilobytesPerMegabyte;
+}
+
+async function startGateway(store: DirectoryStore): Promise<{gateway: ChildProcess; port: number}> {
+	const [callers, control, readiness, datagrams] = await freePorts(4) as [number, number, number, number];
+	const settings = path.join(folder, 'gateway.ini');
+	writeFileSync(settings, `[process]
+vm = g
+zone = z
+region = r
+[listen]
+callers = 127.0.0.1:${callers}
+control = 127.0.0.1:${control}
+readiness = 127.0.0.1:${readiness}
+datagrams = 127.0.0.1:${datagrams}
+[directory]
+address = ${store.address}
+[limits]
+memory_mb = ${memoryMb}
+`);
+	const {child} = start([...gatewayOptions, program, 'gateway', '--settings', settings]);
+	await waitFor('the gateway is ready', async () => {
+		try {
+			const res = await fetch(`http://127.0.0.1:${readiness}/readyz`);
+			return res.status === 200;
+		} catch {
+			// It does not listen yet.
+			return false;
+		}
+	});
+	return {gateway: child, port: callers};
+}
+
+for (const calls of [20, 120]) {
+	it(`guards against bodies that take all memory: with ${calls} of 4 MB at once the gateway stays below its limit, small calls are served, and each large one is served or refused`, async () => {
+		const store = new DirectoryStore();
+		await store.start();
+		store.put('op/config', {
+			version: 1,
+			routes: [{
+				name: 'r', host: 'a.example', prefix: '/p/', kind: 'non_idempotent', timeout_ms: 5000, service: 'desk',
+			}],
+			services: [{name: 'desk', max_conns: 500}],
+			limits: {
+				max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
+			},
+			tenants: [{name: 't', api_keys: ['k1']}],
+		});
+		for (const id of ['i-1', 'i-2']) {
+			const {out} = start(['--import', 'tsx', path.join(support, 'body-worker.ts')]);
+			await waitFor('a worker listens', () => out().includes('\n'));
+			store.put(`servers/${id}`, {
+				service: 'desk', address: `127.0.0.1:${out().trim()}`, zone: 'z', slots: 100, state: 'ready', born: 1,
+			});
+		}
+
+		const {gateway, port} = await startGateway(store);
+		const {child, out} = start(['--import', 'tsx', path.join(support, 'body-callers.ts'), String(port), String(calls), '4000000']);
+		await new Promise(resolve => {
+			child.once('exit', resolve);
+		});
+		const peakMb = peakMemoryMb(gateway);
+		store.close();
+		const {large, small} = JSON.parse(out()) as Record<'large' | 'small', Record<string, number>>;
+		const text = JSON.stringify({large, small, peakMb});
+		expect(peakMb, text).to.be.below(memoryMb);
+		expect(gateway.exitCode, text).to.equal(null);
+		expect(small['200'] ?? 0, text).to.be.at.least(90);
+		expect(Object.keys(large).filter(status => status !== '200' && status !== '503'), text).to.deep.equal([]);
+		expect(large['200'] ?? 0, text).to.be.at.least(5);
+	});
+}
+
+it('guards against large bodies that overtake each other or wait for ever: they get room in their order, or none after a short time', async () => {
+	const megabyte = 1_000_000;
+	const budget = new BodyBudget({large: 10 * megabyte, small: 100_000});
+	const first = await budget.take(8 * megabyte);
+	const order: string[] = [];
+	const second = (async () => {
+		const lease = await budget.take(8 * megabyte);
+		order.push('second');
+		return lease;
+	})();
+	expect(budget.tryTake(megabyte)).to.equal(undefined);
+	const third = (async () => {
+		const lease = await budget.take(megabyte);
+		order.push('third');
+		return lease;
+	})();
+	expect(budget.tryTake(smallBodyBytes)).not.to.equal(undefined);
+	first!.release();
+	first!.release();
+	const leases = await Promise.all([second, third]);
+	expect([order, leases.every(Boolean), budget.usedBytes]).to.deep.equal([['second', 'third'], true, (9 * megabyte) + smallBodyBytes]);
+	expect(await budget.take(8 * megabyte)).to.equal(undefined);
+	expect(await budget.take(11 * megabyte)).to.equal(undefined);
+});
+
+it('guards against a body of unknown length that is not counted: its room grows with it, and moves to that of the large ones', () => {
+	const budget = new BodyBudget({large: 100_000, small: smallBodyBytes});
+	const lease = budget.tryTake(0)!;
+	expect([lease.growTo(smallBodyBytes), budget.usedBytes]).to.deep.equal([true, smallBodyBytes]);
+	expect(budget.tryTake(1)).to.equal(undefined);
+	expect([lease.growTo(90_000), budget.usedBytes, lease.growTo(110_000)]).to.deep.equal([true, 90_000, false]);
+	lease.release();
+	expect(budget.usedBytes).to.equal(0);
+});
--- a/test/process-ends.test.ts
+++ b/test/process-ends.test.ts
@@ -3,7 +3,7 @@
 import {
 	closeSync, mkdtempSync, openSync, readFileSync, renameSync, rmSync, writeFileSync, writeSync,
 } from 'node:fs';
-import net, {type AddressInfo} from 'node:net';
+import type net from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
@@ -12,6 +12,7 @@
 import {HttpListener} from '../src/links/http-listener.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {waitFor} from './support/fleet.ts';
+import {freePorts} from './support/free-ports.ts';
 
 const program = path.join(import.meta.dirname, '../dist/cactusreach.cjs');
 const children: ChildProcess[] = [];
@@ -29,20 +30,8 @@
 	rmSync(folder, {recursive: true});
 });
 
-async function freePort(): Promise<number> {
-	const server = net.createServer();
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	const {port} = server.address() as AddressInfo;
-	await new Promise(resolve => {
-		server.close(resolve);
-	});
-	return port;
-}
-
 async function gatewaySettings(): Promise<string> {
-	const [callers, control, readiness, datagrams, store] = await Promise.all(Array.from({length: 5}, async () => freePort()));
+	const [callers, control, readiness, datagrams, store] = await freePorts(5);
 	return `[process]\nvm = g\nzone = z\nregion = r\n[listen]\ncallers = 127.0.0.1:${callers}\ncontrol = 127.0.0.1:${control}\nreadiness = 127.0.0.1:${readiness}\nreadiness_path = /v1/readyz\n`
 		+ `datagrams = 127.0.0.1:${datagrams}\n[peers]\nseeds =\n[directory]\naddress = 127.0.0.1:${store}\n[limits]\nversion_bound_ms = 8000\nretry_ratio = 0.2\nretry_slack = 100\nretry_window_s = 10\ngrace_s = 8\n`;
 }
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -13,6 +13,7 @@
 import {InstanceSignals} from '../../src/forwarding/instance-signals.ts';
 import {InstanceTracker} from '../../src/forwarding/instance-tracker.ts';
 import type {WireCodec} from '../../src/forwarding/wire-codec.ts';
+import {BodyBudget, bodyRoomFor} from '../../src/limits/body-budget.ts';
 import {PromptQuarantine} from '../../src/quarantine/prompt-quarantine.ts';
 import {type Crash, CrashDetector} from '../../src/quarantine/crash-detector.ts';
 import {createServiceId} from '../../src/ids/service-id.ts';
@@ -134,7 +135,7 @@
 	});
 	const port = 20_000 + new RandomSource(Date.now() % 2_147_483_647).nextInt(12_000);
 	const listener = new CallerListener({
-		forwarder, codec, log, limits: () => directory.table?.configuration.limits, onFault() {
+		forwarder, codec, log, bodies: new BodyBudget(bodyRoomFor(350)), limits: () => directory.table?.configuration.limits, onFault() {
 			faults.count++;
 		},
 	});
