--- a/test/support/body-callers.ts
+++ b/test/support/body-callers.ts
@@ -46,10 +46,9 @@
 
 const large = Buffer.alloc(largeBytes, 'x');
 const sending = Array.from({length: largeCalls}, async (_, at) => sendBody(large, 5000, at % 4 === 0));
-const small: Array<Promise<string>> = [];
-for (let at = 0; at < smallCalls; at++) {
-	small.push(sendBody(Buffer.from('small'), 1000, false));
-	await sleep(smallIntervalMs);
-}
+const small = Array.from({length: smallCalls}, async (_, at) => {
+	await sleep(at * smallIntervalMs);
+	return sendBody(Buffer.from('small'), 1000, false);
+});
 
 console.log(JSON.stringify({large: count(await Promise.all(sending)), small: count(await Promise.all(small))}));
