Entries of unknown services hide no workers

Cause: of entries with one address the last started one hid the others, whatever service it named. Ruled out: the order of revisions. Change: entries of services that no configuration names are no candidates; a reported model is matched by address and start. Test: hostile-entries.test, red before ('other' instead of 'i-1').

--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -56,7 +56,7 @@
 		clock.onJump(jumpMs => {
 			this.namedVersions.moveBack(jumpMs);
 		});
-		this.instanceTable = new InstanceTable(log);
+		this.instanceTable = new InstanceTable(log, service => this.routeTable === undefined || this.routeTable.findService(service) !== undefined);
 	}
 
 	/** The route table of the current configuration; undefined before the first one. */
@@ -293,6 +293,7 @@
 			}
 
 			this.routeTable = new RouteTable(configuration);
+			this.instanceTable.refresh();
 			this.log.info({
 				event: 'configuration_taken', version: configuration.version, before, from, routes: configuration.routes.length,
 			}, 'applied a new configuration');
--- a/src/directory/instance-table.ts
+++ b/src/directory/instance-table.ts
@@ -1,5 +1,6 @@
 /** The table of instances that may still run, fed by the directory source, by peers and by the stagers of engines. */
 import {isDeepStrictEqual} from 'node:util';
+import type {ServiceId} from '../ids/service-id.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {HeldModel, Instance, InstanceChanges} from './directory-types.ts';
 import {RemovalLog} from './removal-log.ts';
@@ -39,9 +40,13 @@
 	/** The list of running instances, until an entry changes or an unconfirmed one times out. */
 	private running: {readonly untilMs: number; readonly list: readonly Instance[]} | undefined;
 
-	constructor(private readonly log: Logger) {}
+	/** @param isKnownService - returns whether the configuration names a service; an entry of another writer may name any */
+	constructor(private readonly log: Logger, private readonly isKnownService: (service: ServiceId) => boolean = () => true) {}
 
-	/** All instances that may still run; the same array until one changes. Of several with the same address, only the one that started last can run. */
+	/**
+	 * All instances of known services that may still run; the same array until one changes. Of several with the same address, only the one
+	 * that started last can run.
+	 */
 	get instances(): readonly Instance[] {
 		const nowMs = performance.now();
 		if (!this.running || nowMs >= this.running.untilMs) {
@@ -51,6 +56,11 @@
 		return this.running.list;
 	}
 
+	/** Applies a change of the known services. */
+	refresh(): void {
+		this.running = undefined;
+	}
+
 	/** Returns the instance with this id if it may still run. */
 	get(id: string): Instance | undefined {
 		const known = this.known.get(id);
@@ -170,7 +180,7 @@
 	 */
 	recordHeldModel(address: string, startedAtMs: number, held: HeldModel): void {
 		this.reportedByAddress.set(address, {startedAtMs, held});
-		const known = [...this.known.values()].find(({instance}) => instance.address === address);
+		const known = [...this.known.values()].find(({instance}) => instance.address === address && instance.startedAtMs === startedAtMs);
 		if (known) {
 			this.store(withReportedModel(known.instance, this.reportedByAddress.get(address)), known.revision, 'stager');
 		}
@@ -183,7 +193,7 @@
 	}
 
 	private listRunning(nowMs: number): readonly Instance[] {
-		const candidates = [...this.known.values()].filter(known => mayBeAlive(known, nowMs)).map(({instance}) => instance);
+		const candidates = [...this.known.values()].filter(known => mayBeAlive(known, nowMs)).map(({instance}) => instance).filter(({service}) => this.isKnownService(service));
 		const latestStarts = new Map<string, number>();
 		for (const {address, startedAtMs} of candidates) {
 			latestStarts.set(address, Math.max(startedAtMs, latestStarts.get(address) ?? startedAtMs));
--- a/test/hostile-entries.test.ts
+++ b/test/hostile-entries.test.ts
@@ -3,13 +3,15 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {decodeItem} from '../platform/decode-published.ts';
+import {Directory} from '../src/directory/directory.ts';
 import type {PublishedConfiguration} from '../src/directory/directory-types.ts';
+import {createServiceId} from '../src/ids/service-id.ts';
 import {isAddress} from '../src/links/address.ts';
 import {DatagramPort} from '../src/links/datagram-port.ts';
 import {peerInfoSchema} from '../src/messages/peers-exchange.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {
-	callGateway, sendSignedResponse, startTestGateway, startUpstream, testInstance,
+	callGateway, sendSignedResponse, startTestGateway, startUpstream, testConfiguration, testInstance,
 } from './support/direct-fixtures.ts';
 
 const encodeValue = (value: unknown) => Buffer.from(JSON.stringify(value)).toString('base64');
@@ -118,3 +120,24 @@
 		decodeItem(key, Buffer.from(text).toString('base64'));
 	}), {seed: 35, numRuns: 500});
 });
+
+it('guards against workers that another writer hides: an entry with their address, a later start and a service that no configuration names takes none out of use', () => {
+	const directory = new Directory(createSilentLogger());
+	const worker = testInstance({id: 'i-1', address: '10.0.0.1:80', startedAtMs: 5});
+	const foreign = testInstance({
+		id: 'other', address: '10.0.0.1:80', startedAtMs: 9, service: createServiceId('unknown'),
+	});
+	directory.apply({revision: 1, changes: [{revision: 1, change: {kind: 'configuration', configuration: testConfiguration(1)}}]});
+	directory.replaceInstances({revision: 2, changes: [worker, foreign].map(instance => ({revision: 2, change: {kind: 'instance', instance}}))});
+	expect(directory.instances.map(({id}) => id)).to.deep.equal(['i-1']);
+	const held = {
+		model: 'm', version: 2, fromLayer: 0, toLayer: 16,
+	};
+	directory.recordHeldModel(worker.address, worker.startedAtMs, held);
+	expect(directory.instances).to.deep.equal([{...worker, held: [held]}]);
+	// A service that a later configuration names counts from then on: the address belongs to its worker.
+	const configuration = testConfiguration(2);
+	const services = [...configuration.services, {name: createServiceId('unknown'), maxConnections: 5}];
+	directory.apply({revision: 3, changes: [{revision: 3, change: {kind: 'configuration', configuration: {...configuration, services}}}]});
+	expect(directory.instances.map(({id}) => id)).to.deep.equal(['other']);
+});
