Cut an answer off at an event ID that its upstream cannot have meant

What callers saw: after one wrong digit in an event ID, later events were dropped and the answer ended as complete. Cause: IDs were compared with the last one of any attempt, as if each event could be a repetition. Ruled out: the splitter. Change: EventOrder tells repetitions of a resumed stream from IDs that do not increase within an attempt; those end the call, and nothing is resumed after them. A response that is cut in the turn in which it began is sent as far as it was written. Test: hostile-bytes.test, three cases, red before.

--- a/src/forwarding/decide-next-step.ts
+++ b/src/forwarding/decide-next-step.ts
@@ -7,6 +7,8 @@
 	| {readonly kind: 'not-run'; readonly reason: string}
 	/** The call was sent and no usable response arrived; the upstream may have run it. */
 	| {readonly kind: 'failed'; readonly reason: string}
+	/** The upstream sent something that it cannot have meant, so that what it sent before is in doubt, too; it may have run the call. */
+	| {readonly kind: 'spoilt'; readonly reason: string}
 	/** The upstream responded with an error that may be passed on to the caller. */
 	| {readonly kind: 'upstream-error'; readonly status: number};
 
@@ -56,6 +58,8 @@
 		return input.isResponseStarted ? 'cut' : (input.possibleRuns > 0 ? 'fail' : 'refuse');
 	},
 	failed: input => (mayRetry(input) ? 'repeat' : (input.isResponseStarted ? 'cut' : 'fail')),
+	// A stream is not resumed after an event that may be wrong.
+	spoilt: input => (input.isResponseStarted ? 'cut' : (mayRetry(input) ? 'repeat' : 'fail')),
 	'upstream-error': input => (mayRetry(input) ? 'repeat' : (input.isResponseStarted ? 'cut' : 'pass-on')),
 };
 
--- a/src/forwarding/response-writer.ts
+++ b/src/forwarding/response-writer.ts
@@ -146,6 +146,11 @@
 		}
 
 		this.isFinished = true;
+		// What was written in this turn of the event loop is still held back, and the caller would see no response at all.
+		while (this.res.socket && this.res.socket.writableCorked > 0) {
+			this.res.socket.uncork();
+		}
+
 		this.res.destroy();
 	}
 
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -3,6 +3,7 @@
 import {parseAddress} from '../links/http-listener.ts';
 import {type AttemptTiming, describeAttemptTiming} from './attempt-timing.ts';
 import type {AttemptOutcome} from './decide-next-step.ts';
+import {EventOrder} from './event-order.ts';
 import {EventSplitter, type StreamEvent} from './event-splitter.ts';
 import type {InFlightCall} from './in-flight-calls.ts';
 import type {AttemptSignals} from './instance-signals.ts';
@@ -36,6 +37,7 @@
 	private readonly startWindowMs: number;
 	private readonly stallTimer: StallTimer;
 	private readonly splitter = new EventSplitter();
+	private readonly order: EventOrder;
 	private bodyChunks: Buffer[] = [];
 	private head: {readonly status: number; readonly headers: ResponseHeaders} | undefined;
 	private buffered: BufferedResponse | undefined;
@@ -47,6 +49,7 @@
 	constructor(private readonly options: UpstreamAttemptOptions) {
 		const {call, boundary, instance, tracker, previous} = options;
 		this.lastEventId = previous?.lastEventId;
+		this.order = new EventOrder(this.lastEventId);
 		this.responseVersion = previous?.responseVersion;
 		this.inFlightCall = tracker.inFlight.add(instance.id, call.headers.promptTokens);
 		this.signals = tracker.signals.addAttempt(instance, boundary.wrap('signal', () => {
@@ -159,7 +162,13 @@
 
 	private forwardEvents(events: readonly StreamEvent[]): void {
 		for (const event of events) {
-			this.forwardEvent(event);
+			if (!this.isFinished) {
+				this.forwardEvent(event);
+			}
+		}
+
+		if (this.isFinished) {
+			return;
 		}
 
 		if (this.splitter.pendingBytes > maxEventBytes) {
@@ -197,8 +206,16 @@
 			this.recordSurvival();
 		}
 
-		if (id !== undefined && this.lastEventId !== undefined && Number(id) <= Number(this.lastEventId)) {
-			return;
+		if (id !== undefined) {
+			const order = this.order.check(id);
+			if (order === 'impossible') {
+				tracker.recordOutcome(instance.id, false);
+				this.report({kind: 'spoilt', reason: 'event_id_impossible'});
+			}
+
+			if (order !== 'next') {
+				return;
+			}
 		}
 
 		if (!writer.hasStarted) {
--- a/test/hostile-bytes.test.ts
+++ b/test/hostile-bytes.test.ts
@@ -5,6 +5,7 @@
 import {platformCodec} from '../platform/call-headers.ts';
 import {type CallBoundary} from '../src/forwarding/call-boundary.ts';
 import {UpstreamExchange} from '../src/forwarding/upstream-exchange.ts';
+import {createServiceId} from '../src/ids/service-id.ts';
 import type {WireCodec} from '../src/forwarding/wire-codec.ts';
 import {
 	callGateway, sendSignedResponse, startTestGateway, startUpstream, testBoundary, testConfiguration, type TestGateway, testInstance, type TestResponse,
@@ -174,3 +175,27 @@
 		exchange.abort();
 	}
 });
+
+for (const [name, ids, isResumable] of [['goes back', [1, 2, 92, 13, 14], true], ['is no number', [1, 2, 'x\u00013'], true], ['repeats', [1, 2, 2], false]] as const) {
+	it(`guards against an answer that loses events and looks complete: one whose event ID ${name} is cut off, and not resumed after it`, async () => {
+		const service = createServiceId('models');
+		const upstreams = await Promise.all([1, 2].map(async () => startUpstream((req, res) => {
+			res.writeHead(200, {'attempt-id': req.headers['attempt-id'] as string, 'response-seal': 's.1'});
+			for (const id of ids) {
+				res.write(`id: ${id}\ndata: t\n\n`);
+			}
+
+			res.end();
+		})));
+		const held = [{
+			model: 'm', version: 1, fromLayer: 0, toLayer: 16,
+		}];
+		const gateway = await startTestGateway(testConfiguration(1, {kind: 'stream', isResumable, targets: [{service, weight: 1}]}), upstreams.map(({address}, at) => testInstance({
+			id: `i-${at}`, address, service, held,
+		})));
+		open.push(...upstreams, gateway);
+		const response = await callGateway(gateway.url, {headers: {model: 'm'}});
+		expect([response.status, response.complete, gateway.faults.count]).to.deep.equal([200, false, 0]);
+		expect(upstreams.flatMap(({requests}) => requests)).to.have.lengthOf(1);
+	});
+}
