Take a manifest only after two reads gave the same

Cause: the first answer that could be decoded was kept for good and handed on. Ruled out: stagers that do not retry (they do, in vain). Change: an answer counts when a stager of another region, or a further read, gave the same; until then it is neither held nor told.

--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -19,7 +19,7 @@
 import {TransferPacer} from '../rollout/transfer-pacer.ts';
 import type {StagerSettings} from '../settings/direct-settings.ts';
 import type {LocalEngine, WeightOrigin} from '../staging/local-engine.ts';
-import {ManifestFetcher} from '../staging/manifest-fetcher.ts';
+import {ManifestFetcher, type ManifestQuery} from '../staging/manifest-fetcher.ts';
 import {StagingManager} from '../staging/staging-manager.ts';
 import type {RunningProcess} from './entry-agent-base.ts';
 import {type CreateSource, GatewayStagerBase, type SettingsSource} from './gateway-stager-base.ts';
@@ -134,7 +134,7 @@
 		this.manifests = new ManifestFetcher({
 			self: {vm: settings.process.vm, region: settings.process.region},
 			others: () => this.stagers().others,
-			askPeer: async (peer, model, version) => this.askForManifest(peer, model, version),
+			askPeer: async (peer, query) => this.askForManifest(peer, query),
 			readOrigin: async (model, version) => this.readManifest(model, version),
 			held: (model, version) => this.staging.manifestOf(model, version),
 			random,
@@ -164,7 +164,7 @@
 	private createRoutes() {
 		const {rpc, metrics} = this.base;
 		rpc.method(rolloutHaveMethod, rolloutHaveParamsSchema, params => this.node.handleNotice(params));
-		rpc.method(manifestGetMethod, manifestGetParamsSchema, async ({model, version}) => this.manifests.answer(model, version));
+		rpc.method(manifestGetMethod, manifestGetParamsSchema, async query => this.manifests.answer(query));
 		metrics.gauge('cactusreach_chunk_bytes', 'Weights held in memory.', () => this.chunks.bytes);
 		return {
 			...createControlRoutes({
@@ -241,12 +241,12 @@
 		return manifest;
 	}
 
-	private async askForManifest({address}: PeerInfo, model: string, version: number): Promise<Manifest | null> {
+	private async askForManifest({address}: PeerInfo, query: ManifestQuery): Promise<Manifest | null> {
 		const {links, log} = this.base;
 		try {
-			const call = {method: manifestGetMethod, params: {model, version}};
+			const call = {method: manifestGetMethod, params: query};
 			const manifest = await links.rpc(address, call, manifestSchema.nullable(), {timeoutMs: peerManifestTimeoutMs});
-			return manifest && this.requireSound(manifest, model, version);
+			return manifest && this.requireSound(manifest, query.model, query.version);
 		} catch (err) {
 			log.debug({event: 'manifest_not_told', address, err}, 'failed to fetch a manifest from a peer');
 			throw err;
--- a/src/messages/peers-exchange.ts
+++ b/src/messages/peers-exchange.ts
@@ -52,8 +52,8 @@
 /** JSON-RPC method that returns the manifest of a version from a stager. */
 export const manifestGetMethod = 'rollout.manifest';
 
-/** The requested version. */
-export const manifestGetParamsSchema = z.object({model: z.string(), version: z.number()});
+/** The requested version, and whether the answer may be what the stager has read from the origin only once. */
+export const manifestGetParamsSchema = z.object({model: z.string(), version: z.number(), includesUnconfirmed: z.boolean().default(false)});
 
 /** A process of the deployment. */
 export type PeerInfo = z.infer<typeof peerInfoSchema>;
--- a/test/manifest-fetcher.test.ts
+++ b/test/manifest-fetcher.test.ts
@@ -29,12 +29,14 @@
 };
 
 /** Lets a group of stagers fetch a manifest from an origin that refuses connections until `returnsAtMs`. */
-async function fetchInGroup({returnsAtMs, untilMs, dead = [], cut = () => false}: {
+async function fetchInGroup({returnsAtMs, untilMs, dead = [], cut = () => false, alter = () => manifest}: {
 	readonly returnsAtMs: number;
 	readonly untilMs: number;
 	readonly dead?: readonly string[];
 	/** Returns whether a stager can't reach the origin. */
 	readonly cut?: (stager: Stager) => boolean;
+	/** Alters the answers of the origin, by their number. */
+	readonly alter?: (answer: number) => Manifest;
 }): Promise<Outcome> {
 	const clock = install();
 	try {
@@ -48,23 +50,23 @@
 			stager.fetcher = new ManifestFetcher({
 				self: {vm: stager.vm, region: stager.region},
 				others: () => stagers.filter(other => other !== stager).map(({vm, region}) => ({vm, region})),
-				async askPeer({vm}) {
+				async askPeer({vm}, query) {
 					if (isDead(vm)) {
 						await sleep(peerTimeoutMs);
 						throw new Error('no response');
 					}
 
 					await sleep(latencyMs);
-					return byVm.get(vm)!.fetcher.answer('m', 2);
+					return byVm.get(vm)!.fetcher.answer(query);
 				},
 				async readOrigin() {
-					reads.push(performance.now());
+					const number = reads.push(performance.now());
 					await sleep(latencyMs);
 					if (performance.now() < returnsAtMs || cut(stager)) {
 						throw new Error('connection refused');
 					}
 
-					return manifest;
+					return alter(number);
 				},
 				held: () => stager.held,
 				random: new RandomSource(seed),
@@ -128,3 +130,12 @@
 	const outcome = await fetchInGroup({returnsAtMs: 0, untilMs: 12_000, cut: ({region}) => region === 'a'});
 	expect(lastHeldAtMs(outcome)).to.be.lessThan(3000);
 });
+
+it('guards against a model that one wrong digit in a manifest takes out of service: no stager takes an altered one, and all have the right one soon', async () => {
+	const altered = {...manifest, chunks: [digestOf(new Uint8Array(2))]};
+	for (const wrong of [[1], [2], [1, 2], [1, 3, 5]]) {
+		const outcome = await fetchInGroup({returnsAtMs: 0, untilMs: 6000, alter: answer => (wrong.includes(answer) ? {...altered, total_bytes: answer} : manifest)});
+		expect(outcome.stagers.every(({held}) => held === manifest), `answers ${wrong.join(', ')}`).to.equal(true);
+		expect(lastHeldAtMs(outcome), `answers ${wrong.join(', ')}`).to.be.lessThan(2000);
+	}
+});
