Count a survival that another gateway tells from the earliest time that it may have had

Cause: the age in a datagram leaves out the time under way, so that each gateway that passed it on made it newer; beyond half a second of that it was news again. Ruled out: the tolerance alone (any value is reached after some hops). Change: 250 ms are taken off at each hop, so that a survival gets older, not newer, unless datagrams take longer than that.

--- a/src/peers/crash-gossip.ts
+++ b/src/peers/crash-gossip.ts
@@ -18,6 +18,12 @@
 /** How long facts are gathered before they are sent together, in milliseconds. */
 const batchDelayMs = 5;
 
+/**
+ * How long a datagram may have been under way, in milliseconds. A survival counts from the earliest time that it may have had: otherwise it
+ * would seem newer with each gateway that passes it on, and be told for ever.
+ */
+const maxDelayMs = 250;
+
 /** Interval at which held parts are repeated, in milliseconds. */
 const repeatIntervalMs = 1000;
 
@@ -136,7 +142,7 @@
 	const nowMs = performance.now();
 	return {
 		crashes: crashes.map(([id, ageMs, calls]) => ({id, atMs: nowMs - ageMs, calls})),
-		survivals: survivals.map(([part, ageMs]) => ({part, atMs: nowMs - ageMs})),
+		survivals: survivals.map(([part, ageMs]) => ({part, atMs: nowMs - maxDelayMs - ageMs})),
 		holds: holds.map(([part, rivals, ageMs, trials, trialInMs]) => ({
 			part, rivals, lastCrashMs: nowMs - ageMs, trials, nextTrialMs: nowMs + trialInMs,
 		})),
