--- a/src/forwarding/stall-timer.ts
+++ b/src/forwarding/stall-timer.ts
@@ -15,7 +15,7 @@
 	}
 
 	/**
-	 * Starts the timer anew.
+	 * Restarts the timer.
 	 *
 	 * @param limitMs - how long the upstream may stay silent, in milliseconds
 	 */
--- a/test/body-memory.test.ts
+++ b/test/body-memory.test.ts
@@ -8,7 +8,7 @@
 import process from 'node:process';
 import {expect} from 'chai';
 import {BodyBudget, smallBodyBytes} from '../src/limits/body-budget.ts';
-import {DirectoryStore} from '../standins/directory-store.ts';
+import {DirectoryStore} from './support/directory-store.ts';
 import {waitFor} from './support/fleet.ts';
 import {freePorts} from './support/free-ports.ts';
 
--- a/standins/directory-store.ts
+++ b/test/support/directory-store.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
-import {sendJson} from '../src/links/http-listener.ts';
+import {sendJson} from '../../src/links/http-listener.ts';
 
 /** How long a watch waits, in milliseconds. */
 const watchMs = 500;
