Refuse a body for want of memory without closing the connection that it is sent on

Cause: the refusal said `Connection: close`, so that the connection was closed while its caller was still sending, and a caller that writes to a closed connection may lose the response. Ruled out: load as such (a raw client shows it alone). Change: the refusal leaves the connection open and the rest of the body is read and dropped; while the process drains, the response follows the body. Rooms have a floor, so that a small memory limit does not refuse every body. Test: body-memory.test, 'a refusal that its caller never sees', red before (no further answer on the connection).

--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -199,13 +199,26 @@
 		req.resume();
 	}
 
-	/** Rejects a call for whose body there is no memory. What is left of the body is read and dropped. */
+	/**
+	 * Rejects a call for whose body there is no memory. What is left of the body is read and dropped: the caller, which is still sending, would
+	 * lose the response if its connection were closed meanwhile.
+	 */
 	private refuseBody(req: http.IncomingMessage, {writer, boundary}: Receiver): void {
 		const {log, codec, bodies} = this.options;
 		log.warn({
 			event: 'call_refused', id: boundary.attemptId, status: 503, reason: 'no_memory_for_body', bodyBytes: bodies.usedBytes,
 		}, 'call refused');
-		writer.sendError(503, 'not run; return later', ['connection', 'close', ...codec.writeRefusalHeaders(noMemoryRetryAfterMs)]);
+		const respond = () => {
+			writer.sendError(503, 'not run; return later', codec.writeRefusalHeaders(noMemoryRetryAfterMs));
+		};
+
+		if (this.isClosing) {
+			// The response closes the connection.
+			req.once('end', boundary.wrap('receive', respond));
+		} else {
+			respond();
+		}
+
 		req.resume();
 	}
 
--- a/src/limits/body-budget.ts
+++ b/src/limits/body-budget.ts
@@ -17,11 +17,15 @@
 /** Shares of the memory limit of the process. Each body may be in memory twice while it is put together or sent. */
 const shares = {large: 0.16, small: 0.04};
 
+/** Room that a process has whatever its memory limit, in bytes: for two of the largest usual bodies, and for some small ones. */
+const minRoom: BodyRoom = {large: 8_388_608, small: 2_097_152};
+
 const bytesPerMegabyte = 1_000_000;
 
 /** Returns the room for a process with a memory limit in megabytes. */
 export function bodyRoomFor(memoryMb: number): BodyRoom {
-	return {large: memoryMb * bytesPerMegabyte * shares.large, small: memoryMb * bytesPerMegabyte * shares.small};
+	const memoryBytes = memoryMb * bytesPerMegabyte;
+	return {large: Math.max(minRoom.large, memoryBytes * shares.large), small: Math.max(minRoom.small, memoryBytes * shares.small)};
 }
 
 type Pool = keyof BodyRoom;
--- a/test/body-memory.test.ts
+++ b/test/body-memory.test.ts
@@ -3,11 +3,16 @@
 import {
 	mkdtempSync, readFileSync, rmSync, writeFileSync,
 } from 'node:fs';
+import net from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import {BodyBudget, smallBodyBytes} from '../src/limits/body-budget.ts';
+import {BodyBudget, bodyRoomFor, smallBodyBytes} from '../src/limits/body-budget.ts';
+import {
+	sendSignedResponse, startTestGateway, startUpstream, testConfiguration, testInstance,
+} from './support/direct-fixtures.ts';
 import {DirectoryStore} from './support/directory-store.ts';
 import {waitFor} from './support/fleet.ts';
 import {freePorts} from './support/free-ports.ts';
@@ -154,3 +159,38 @@
 	lease.release();
 	expect(budget.usedBytes).to.equal(0);
 });
+
+it('guards against a refusal that its caller never sees: it comes while the body is still being sent, and the connection stays for the next call', async () => {
+	const upstream = await startUpstream((req, res) => {
+		sendSignedResponse(req, res, 200, 'ok');
+	});
+	const configuration = testConfiguration(1);
+	const gateway = await startTestGateway({...configuration, limits: {...configuration.limits, bodyBytes: 4_194_304}}, [testInstance({id: 'i-0', address: upstream.address})]);
+	gateway.bodies.tryTake(bodyRoomFor(memoryMb).large);
+	const head = 'POST /p/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: id-1\r\nApi-Key: k1\r\nDeadline-Ms: 900\r\n';
+	let answer = '';
+	try {
+		const socket = net.connect({host: '127.0.0.1', port: Number(new URL(gateway.url).port)});
+		socket.on('data', part => {
+			answer += part.toString('latin1');
+		});
+		let failure: Error | undefined;
+		socket.on('error', err => {
+			failure = err;
+		});
+		socket.write(`${head}Content-Length: 4000000\r\n\r\n`);
+		await waitFor('the refusal', () => answer.includes('HTTP/1.1 503 '));
+		for (let sent = 0; sent < 4_000_000; sent += 100_000) {
+			socket.write('x'.repeat(100_000));
+			await sleep(1);
+		}
+
+		socket.write(`${head}Content-Length: 1\r\n\r\nb`);
+		await waitFor('the next answer', () => failure !== undefined || answer.includes('HTTP/1.1 200 '));
+		expect(failure).to.equal(undefined);
+		socket.destroy();
+	} finally {
+		gateway.close();
+		upstream.close();
+	}
+});
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -108,7 +108,7 @@
 }
 
 /** A gateway in the test process, without its control listeners. */
-export type TestGateway = {readonly directory: Directory; readonly tracker: InstanceTracker; readonly forwarder: CallForwarder; readonly crashes: readonly Crash[]; readonly faults: {count: number}; readonly url: string; readonly close: () => void};
+export type TestGateway = {readonly directory: Directory; readonly tracker: InstanceTracker; readonly forwarder: CallForwarder; readonly bodies: BodyBudget; readonly crashes: readonly Crash[]; readonly faults: {count: number}; readonly url: string; readonly close: () => void};
 
 /** Starts the caller listener of a gateway with the given configuration, instances and header codec. */
 export async function startTestGateway(configuration: PublishedConfiguration | undefined, instances: readonly Instance[], codec: WireCodec = platformCodec): Promise<TestGateway> {
@@ -133,15 +133,16 @@
 	quarantine.onHeld(() => {
 		forwarder.endHeldCalls();
 	});
+	const bodies = new BodyBudget(bodyRoomFor(350));
 	const port = 20_000 + new RandomSource(Date.now() % 2_147_483_647).nextInt(12_000);
 	const listener = new CallerListener({
-		forwarder, codec, log, bodies: new BodyBudget(bodyRoomFor(350)), limits: () => directory.table?.configuration.limits, onFault() {
+		forwarder, codec, log, bodies, limits: () => directory.table?.configuration.limits, onFault() {
 			faults.count++;
 		},
 	});
 	await listener.start({host: '127.0.0.1', port});
 	return {
-		directory, tracker, forwarder, crashes: crashList, faults, url: `http://127.0.0.1:${port}`, close() {
+		directory, tracker, forwarder, bodies, crashes: crashList, faults, url: `http://127.0.0.1:${port}`, close() {
 			listener.destroy();
 		},
 	};
