Refuse a body without closing the connection also when the caller asked to close it

Ruled out: the drain (it was not under way), chunked bodies (the raw client sends a length). Change: the connection is kept for the refusal and closed after the rest of the body has been read.

--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -216,7 +216,13 @@
 			// The response closes the connection.
 			req.once('end', boundary.wrap('receive', respond));
 		} else {
+			const isLast = writer.keepConnection();
 			respond();
+			req.once('end', () => {
+				if (isLast) {
+					req.socket.end();
+				}
+			});
 		}
 
 		req.resume();
--- a/src/forwarding/response-writer.ts
+++ b/src/forwarding/response-writer.ts
@@ -39,6 +39,17 @@
 		this.res.once('close', listener);
 	}
 
+	/**
+	 * Keeps the end of the response from closing the connection.
+	 *
+	 * @returns whether it would have closed it, as the caller asked
+	 */
+	keepConnection(): boolean {
+		const isLast = !this.res.shouldKeepAlive;
+		this.res.shouldKeepAlive = true;
+		return isLast;
+	}
+
 	/** Whether the response has ended or the caller has disconnected. */
 	get isClosed(): boolean {
 		return this.isFinished;
--- a/test/body-memory.test.ts
+++ b/test/body-memory.test.ts
@@ -160,37 +160,48 @@
 	expect(budget.usedBytes).to.equal(0);
 });
 
-it('guards against a refusal that its caller never sees: it comes while the body is still being sent, and the connection stays for the next call', async () => {
-	const upstream = await startUpstream((req, res) => {
-		sendSignedResponse(req, res, 200, 'ok');
-	});
-	const configuration = testConfiguration(1);
-	const gateway = await startTestGateway({...configuration, limits: {...configuration.limits, bodyBytes: 4_194_304}}, [testInstance({id: 'i-0', address: upstream.address})]);
-	gateway.bodies.tryTake(bodyRoomFor(memoryMb).large);
-	const head = 'POST /p/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: id-1\r\nApi-Key: k1\r\nDeadline-Ms: 900\r\n';
-	let answer = '';
-	try {
-		const socket = net.connect({host: '127.0.0.1', port: Number(new URL(gateway.url).port)});
-		socket.on('data', part => {
-			answer += part.toString('latin1');
+for (const isLast of [false, true]) {
+	it(`guards against a refusal that its caller never sees: it comes while the body is still being sent, and the connection ${isLast ? 'closes after it, as the caller asked' : 'stays for the next call'}`, async () => {
+		const upstream = await startUpstream((req, res) => {
+			sendSignedResponse(req, res, 200, 'ok');
 		});
+		const configuration = testConfiguration(1);
+		const limits = {...configuration.limits, bodyBytes: 4_194_304};
+		const gateway = await startTestGateway({...configuration, limits}, [testInstance({id: 'i-0', address: upstream.address})]);
+		gateway.bodies.tryTake(bodyRoomFor(memoryMb).large);
+		const head = 'POST /p/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: id-1\r\nApi-Key: k1\r\nDeadline-Ms: 900\r\n';
+		let answer = '';
 		let failure: Error | undefined;
-		socket.on('error', err => {
-			failure = err;
-		});
-		socket.write(`${head}Content-Length: 4000000\r\n\r\n`);
-		await waitFor('the refusal', () => answer.includes('HTTP/1.1 503 '));
-		for (let sent = 0; sent < 4_000_000; sent += 100_000) {
-			socket.write('x'.repeat(100_000));
-			await sleep(1);
+		let isClosed = false;
+		const socket = net.connect({host: '127.0.0.1', port: Number(new URL(gateway.url).port)});
+		try {
+			socket.on('data', part => {
+				answer += part.toString('latin1');
+			});
+			socket.on('error', err => {
+				failure = err;
+			});
+			socket.on('close', () => {
+				isClosed = true;
+			});
+			socket.write(`${head}${isLast ? 'Connection: close\r\n' : ''}Content-Length: 4000000\r\n\r\n`);
+			await waitFor('the refusal', () => answer.includes('HTTP/1.1 503 '));
+			for (let sent = 0; sent < 4_000_000; sent += 100_000) {
+				expect(isClosed, `after ${sent} bytes`).to.equal(false);
+				socket.write('x'.repeat(100_000));
+				await sleep(1);
+			}
+
+			if (!isLast) {
+				socket.write(`${head}Content-Length: 1\r\n\r\nb`);
+			}
+
+			await waitFor('the end', () => isClosed || failure !== undefined || answer.includes('HTTP/1.1 200 '));
+			expect([failure, isClosed]).to.deep.equal([undefined, isLast]);
+		} finally {
+			socket.destroy();
+			gateway.close();
+			upstream.close();
 		}
-
-		socket.write(`${head}Content-Length: 1\r\n\r\nb`);
-		await waitFor('the next answer', () => failure !== undefined || answer.includes('HTTP/1.1 200 '));
-		expect(failure).to.equal(undefined);
-		socket.destroy();
-	} finally {
-		gateway.close();
-		upstream.close();
-	}
-});
+	});
+}
