Keep the lines that tell which configuration a process believes in

The line configuration_taken was dropped like any line of a call beyond 400 a second; explain showed only the last event of a process, so that a watch that started hid the configuration; call_ended did not tell under which configuration the route was chosen.

These lines now may use the reserve of the log, explain keeps the last line of each event of a process, and call_ended has the version. Both new tests failed before.

--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -138,7 +138,9 @@
 	}
 
 	private startCall({receivedCall, writer, boundary, route, holder}: Admitted): ForwardedCall {
-		const {codec, tracker, log, random} = this.options;
+		const {
+			codec, tracker, log, random, directory,
+		} = this.options;
 		const service = chooseTargetService(route, random);
 		const budget = this.getRetryBudget(service);
 		budget.recordCall();
@@ -146,6 +148,7 @@
 			call: receivedCall,
 			boundary,
 			route,
+			configurationVersion: directory.configurationVersion,
 			service,
 			holder: route.isPublic && !holder ? undefined : holder,
 			aimLeftMs: route.aimMs - this.deadlineHistory.estimateElapsedMs(route.prefix, receivedCall.headers.deadlineMs),
--- a/src/forwarding/forwarded-call-options.ts
+++ b/src/forwarding/forwarded-call-options.ts
@@ -19,6 +19,8 @@
 	/** Runs each step of the call. */
 	readonly boundary: CallBoundary;
 	readonly route: Route;
+	/** The version of the configuration that gave the route. */
+	readonly configurationVersion: number;
 	readonly service: ServiceId;
 	readonly holder: KeyHolder | undefined;
 	/** As in {@link InstanceQuery}, at the time when the call was received. */
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -166,11 +166,14 @@
 	}
 
 	private recordEnd(outcome: string, fields: Record<string, unknown>): void {
-		const {call, route, log, onEnd, service} = this.options;
+		const {
+			call, route, configurationVersion, log, onEnd, service,
+		} = this.options;
 		const ms = performance.now() - call.receivedAtMs;
 		const level = outcome === 'served' || outcome === 'left' ? 'info' : 'warn';
 		log[level]({
-			event: 'call_ended', id: call.headers.attemptId, route: route.name, service, outcome, ms: Math.round(ms), tried: [...this.tried], version: this.version, ...this.attempt?.timing, ...fields,
+			event: 'call_ended', id: call.headers.attemptId, route: route.name, configuration: configurationVersion, service, outcome, ms: Math.round(ms), tried: [...this.tried], version: this.version,
+			...this.attempt?.timing, ...fields,
 		}, 'call ended');
 		onEnd(outcome, ms);
 	}
--- a/src/reports/explain-request.ts
+++ b/src/reports/explain-request.ts
@@ -26,6 +26,7 @@
 	instance_leaving: 'instance', instance_quiet: 'instance', instance_tried: 'instance',
 	instance_suspect: 'instance', instance_trusted: 'instance', instance_changing: 'instance',
 	configuration_taken: 'vm', configuration_refused: 'vm', version_named: 'model', source_lost: 'part', source_regained: 'part', history_lost: 'part',
+	directory_unconfirmed: 'vm', directory_confirmed: 'vm', watch_started: 'vm', watch_stopped: 'vm',
 	gateway_started: 'vm', settings_reloaded: 'vm', settings_refused: 'vm', drain_started: 'vm', process_paused: 'vm', clock_jumped: 'vm',
 };
 
@@ -90,7 +91,9 @@
 			const field = stateChangeFields[line.event]!;
 			const isRelevant = processes.has(line.vm) && (field !== 'instance' || instances.has(line.instance));
 			if (isRelevant && line.time < first.time) {
-				before.set(`${line.vm} ${field} ${String(line[field])}`, line);
+				// Of a process, the last line of each event counts: its configuration does not change when it starts to drain.
+				const changed = field === 'vm' ? line.event : String(line[field]);
+				before.set(`${line.vm} ${field} ${changed}`, line);
 			} else if (isRelevant && line.time <= last.time) {
 				during.push(line);
 			}
--- a/src/runtime/log-sink.ts
+++ b/src/runtime/log-sink.ts
@@ -12,6 +12,12 @@
 /** The lowest bunyan level of lines that may use the reserve of the token bucket; lines below it are routine lines. */
 const warnLevel = 40;
 
+/**
+ * Events that may use the reserve whatever their level: they tell what a process believes of the directory, which lines of calls refer to. They
+ * come at most a few times a change.
+ */
+const priorityEvents: ReadonlySet<string | undefined> = new Set(['configuration_taken', 'directory_confirmed', 'version_named', 'watch_started', 'watch_stopped']);
+
 /** The time for which lines are collected into one write, in milliseconds. */
 const batchIntervalMs = 50;
 
@@ -44,8 +50,8 @@
 	 *
 	 * @param record - a bunyan record
 	 */
-	write(record: {readonly level: number}): void {
-		if (!this.tryTakeToken(record.level)) {
+	write(record: {readonly level: number; readonly event?: string}): void {
+		if (!this.tryTakeToken(record)) {
 			this.dropped++;
 			return;
 		}
@@ -71,11 +77,11 @@
 	}
 
 	/** Takes a token from the bucket. Routine lines leave half of the burst as a reserve for lines about failures. */
-	private tryTakeToken(level: number): boolean {
+	private tryTakeToken({level, event}: {readonly level: number; readonly event?: string}): boolean {
 		const nowMs = performance.now();
 		this.tokens = Math.min(rateLimit.burst, this.tokens + ((nowMs - this.lastRefillAtMs) / msPerSecond * rateLimit.perSecond));
 		this.lastRefillAtMs = nowMs;
-		const reserve = level >= warnLevel ? 0 : rateLimit.burst / 2;
+		const reserve = level >= warnLevel || priorityEvents.has(event) ? 0 : rateLimit.burst / 2;
 		if (this.tokens < 1 + reserve) {
 			return false;
 		}
--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -43,6 +43,15 @@
 	expect(formatLogLine(request[0]!)).to.include('{"instance":"i-2","reason":"quiet","leftMs":400}');
 });
 
+it('guards against a request whose configuration cannot be told: later events of the process do not hide which one it had taken', () => {
+	const explainer = new RequestExplainer('r');
+	explainer.add(lineAt(1, 'g1', 'configuration_taken', {version: 100}));
+	explainer.add(lineAt(2, 'g1', 'directory_unconfirmed', {ageMs: 1500}));
+	explainer.add(lineAt(3, 'g1', 'watch_started', {}));
+	explainer.add(lineAt(4, 'g1', 'call_ended', {id: 'r', outcome: 'served'}));
+	expect(explainer.explain().stateChanges.map(({event}) => event)).to.deep.equal(['configuration_taken', 'directory_unconfirmed', 'watch_started']);
+});
+
 it('guards against logs that cannot be parsed: other text and truncated lines are ignored', () => {
 	const whole = '  12.3 front-1 {"time":"t","vm":"front-1","event":"call_ended","id":"r"}';
 	expect(parseLogLine(whole)?.id).to.equal('r');
--- a/test/log-sink.test.ts
+++ b/test/log-sink.test.ts
@@ -58,3 +58,26 @@
 		rmSync(folder, {recursive: true});
 	}
 });
+
+it('guards against losing the line that tells which configuration is in force among too many lines of calls', async () => {
+	const folder = mkdtempSync(path.join(tmpdir(), 'log-sink-'));
+	const file = path.join(folder, 'log');
+	const fd = openSync(file, 'w');
+	try {
+		const sink = new LogSink(fd);
+		for (let at = 0; at < 2000; at++) {
+			sink.write({level: 30, event: 'call_ended'});
+		}
+
+		for (let at = 0; at < 20; at++) {
+			sink.write({level: 30, event: 'configuration_taken'});
+		}
+
+		await sink.drain();
+		expect(readFileSync(file, 'utf8').split('"configuration_taken"').length - 1).to.equal(20);
+		expect(sink.dropped).to.be.greaterThan(1000);
+	} finally {
+		closeSync(fd);
+		rmSync(folder, {recursive: true});
+	}
+});
