--- a/test/log-sink.test.ts
+++ b/test/log-sink.test.ts
@@ -41,11 +41,11 @@
 	try {
 		const sink = new LogSink(fd);
 		for (let at = 0; at < 2000; at++) {
-			sink.write({level: 30, event: 'routine'} as {level: number});
+			sink.write({level: 30, event: 'routine'});
 		}
 
 		for (let at = 0; at < 100; at++) {
-			sink.write({level: 40, event: 'failure'} as {level: number});
+			sink.write({level: 40, event: 'failure'});
 		}
 
 		await sink.drain();
