Put what keeps the directory up to date into one class, on the clock that tests fake

GatewayStagerBase built the peer list, the watchers, news and exchanges itself, so that they ran together only with real ports; and a watch timed out by AbortSignal.timeout, which no faked clock advances. No decision changes.

--- a/src/cli/gateway-stager-base.ts
+++ b/src/cli/gateway-stager-base.ts
@@ -2,17 +2,12 @@
 import {watchFile, unwatchFile} from 'node:fs';
 import {Directory} from '../directory/directory.ts';
 import type {DirectoryPart, DirectorySource} from '../directory/directory-types.ts';
-import {DirectoryWatcher} from '../directory/directory-watcher.ts';
 import {formatAddress, type ListenAddress} from '../links/http-listener.ts';
 import type {PeerClient} from '../links/peer-client.ts';
 import {type PeerInfo, peersExchangeMethod, peersExchangeSchema} from '../messages/peers-exchange.ts';
 import {DatagramPort} from '../links/datagram-port.ts';
-import {DirectoryPuller} from '../peers/directory-puller.ts';
-import {NewsSpreader} from '../peers/news-spreader.ts';
-import {PeerGroup} from '../peers/peer-group.ts';
-import {PeerList} from '../peers/peer-list.ts';
-import {WatchCoverage} from '../peers/watch-duty.ts';
-import {WatchManager} from '../peers/watch-manager.ts';
+import {DirectoryReplica} from '../peers/directory-replica.ts';
+import type {PeerList} from '../peers/peer-list.ts';
 import {ElapsedClock} from '../runtime/elapsed-clock.ts';
 import {onSignal} from '../runtime/held-signals.ts';
 import {logSink} from '../runtime/logger.ts';
@@ -54,9 +49,7 @@
 	readonly peers: PeerList;
 	readonly datagrams: DatagramPort;
 	settings: Settings;
-	private readonly watchManager: WatchManager;
-	private readonly news: NewsSpreader;
-	private readonly group: PeerGroup;
+	private readonly replica: DirectoryReplica;
 	private readonly datagramAddress: ListenAddress;
 	private clockTimer: NodeJS.Timeout | undefined;
 	private stopReloading: (() => void) | undefined;
@@ -77,46 +70,18 @@
 		const self: PeerInfo = {
 			vm: own.vm, startedAtMs: this.identity.startedAtMs, role: name, zone: own.zone, region: own.region, address: formatAddress(control), ...(service === undefined ? {} : {service}),
 		};
-		this.peers = new PeerList(self, log);
-		const others = () => this.peers.others;
-		const coverage = new WatchCoverage();
-		const watchers = parts.map(part => new DirectoryWatcher({
-			part, source: this.source, directory, random, log,
-		}));
-		const puller = new DirectoryPuller({
-			links, directory, pulledParts, log,
-		});
 		this.datagrams = new DatagramPort(log);
-		this.watchManager = new WatchManager({
-			self, others, coverage, watchers, log,
-		});
-		this.news = new NewsSpreader({
-			self, others, directory, puller, random, datagrams: this.datagrams, port: datagramAddress.port,
-		});
-		this.group = new PeerGroup({
-			self,
-			list: this.peers,
-			seeds: () => this.settings.peers.seeds,
-			links,
-			datagrams: this.datagrams,
-			port: datagramAddress.port,
-			directory,
-			random,
-			log,
-			puller,
-			coverage,
-			isSourceFailing: () => this.watchManager.isFailing,
-			onMessage: () => {
-				this.watchManager.recordOwnCoverage();
-			},
+		this.replica = new DirectoryReplica({
+			self, directory, source: this.source, parts, pulledParts, seeds: () => this.settings.peers.seeds, links, datagrams: this.datagrams, port: datagramAddress.port, random, log,
 		});
-		this.rpc.method(peersExchangeMethod, peersExchangeSchema, params => this.group.handleExchange(params));
+		this.peers = this.replica.peers;
+		this.rpc.method(peersExchangeMethod, peersExchangeSchema, params => this.replica.handleExchange(params));
 		this.addMetrics();
 	}
 
 	/** Whether this process reads and watches the source of the directory. */
 	get isWatching(): boolean {
-		return this.watchManager.isWatching;
+		return this.replica.isWatching;
 	}
 
 	/** Starts receiving datagrams, watching the directory source, exchanging state with peers, and reloading changed settings. */
@@ -124,13 +89,11 @@
 		await this.datagrams.start(this.datagramAddress);
 		this.pauseDetector.onResume(gapMs => {
 			this.log.warn({event: 'process_paused', gapMs: Math.round(gapMs)}, 'the process was paused');
-			this.watchManager.restart();
-			this.group.hurry();
+			this.replica.catchUp();
 		});
 		this.directory.clock.onJump(jumpMs => {
 			this.log.warn({event: 'clock_jumped', jumpMs: Math.round(jumpMs)}, 'the wall clock jumped against the monotonic clock: it was set, or the VM was suspended');
-			this.watchManager.restart();
-			this.group.hurry();
+			this.replica.catchUp();
 		});
 		this.clockTimer = setInterval(() => {
 			this.directory.clock.check();
@@ -138,9 +101,7 @@
 		this.pauseDetector.onDelay(delayMs => {
 			this.log.warn({event: 'event_loop_delayed', delayMs: Math.round(delayMs)}, 'the event loop ran late, and so did timers and messages');
 		});
-		this.watchManager.start();
-		this.news.start();
-		this.group.start();
+		this.replica.start();
 		this.stopReloading = onSignal('SIGHUP', this.reload);
 		watchFile(this.settingsSource.file, {interval: settingsCheckIntervalMs, persistent: false}, this.reload);
 	}
@@ -149,11 +110,9 @@
 	async stop(): Promise<void> {
 		this.stopReloading?.();
 		unwatchFile(this.settingsSource.file);
-		this.group.stop();
+		this.replica.stop();
 		this.pauseDetector.stop();
 		clearInterval(this.clockTimer);
-		this.watchManager.stop();
-		this.news.stop();
 		this.datagrams.close();
 
 		await this.links.close();
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -113,10 +113,21 @@
 	}
 
 	private async readOrWatch(run: number): Promise<void> {
-		const {part, source, directory: {clock}} = this.options;
-		const requestedAtMs = clock.nowMs;
+		const requestedAtMs = this.options.directory.clock.nowMs;
 		const limitMs = (this.revision === undefined ? 0 : watchWaitMs) + responseTimeoutMs;
-		const signal = AbortSignal.any([this.abortController.signal, AbortSignal.timeout(limitMs)]);
+		const {abortController} = this;
+		const timer = setTimeout(() => {
+			abortController.abort(new Error(`no response within ${limitMs} ms`));
+		}, limitMs);
+		try {
+			await this.call(run, abortController.signal, requestedAtMs);
+		} finally {
+			clearTimeout(timer);
+		}
+	}
+
+	private async call(run: number, signal: AbortSignal, requestedAtMs: number): Promise<void> {
+		const {part, source, directory: {clock}} = this.options;
 		if (this.revision === undefined) {
 			const snapshot = await source.read(part, signal);
 			this.applyResponse(run, snapshot, {isFullRead: true, namedAfterMs: this.completeUntilMs, completeUntilMs: requestedAtMs});
