--- /dev/null
+++ b/test/directory-bounds.test.ts
@@ -0,0 +1,180 @@
+/**
+ * The bound within which each gateway has each configuration, under losses, cuts and ended processes.
+ *
+ * `DIRECTORY_SEEDS` sets the number of seeds of each case; hundreds are run by hand.
+ */
+import process from 'node:process';
+import {expect} from 'chai';
+import type {PeerInfo} from '../src/messages/peers-exchange.ts';
+import {type ReplicaFleet, withReplicas} from './support/replica-fleet.ts';
+
+/** A deployment, and the bound of its operators for a configuration to be in force, in milliseconds. */
+type Deployment = {readonly gateways: number; readonly stagers: number; readonly zones: readonly string[]; readonly boundMs: number; readonly stableWindowMs: number};
+
+const small: Deployment = {
+	gateways: 6, stagers: 12, zones: ['a', 'b', 'c'], boundMs: 2000, stableWindowMs: 3000,
+};
+const grown: Deployment = {
+	gateways: 43, stagers: 40, zones: ['a', 'b', 'c'], boundMs: 3000, stableWindowMs: 4000,
+};
+const large: Deployment = {
+	gateways: 99, stagers: 110, zones: ['a', 'b', 'c', 'd', 'e'], boundMs: 4000, stableWindowMs: 5000,
+};
+
+/** The interval of the changes of a storm, in milliseconds, and their number. */
+const storm = {intervalMs: 230, count: 20};
+
+const {DIRECTORY_SEEDS: seedsText = '3'} = process.env;
+const seedCount = Number(seedsText);
+
+type Change = {readonly version: number; readonly atMs: number};
+
+async function publishStorm(fleet: ReplicaFleet): Promise<Change[]> {
+	const changes: Change[] = [];
+	for (let number = 0; number < storm.count; number++) {
+		await fleet.pass(storm.intervalMs);
+		changes.push({version: fleet.publish(), atMs: performance.now()});
+	}
+
+	return changes;
+}
+
+/** Describes the gateways that run and had changes too late. */
+function findLate(fleet: ReplicaFleet, changes: readonly Change[], boundMs: number): string[] {
+	return fleet.gateways.filter(({isDown}) => !isDown).flatMap(({info: {vm}}) => {
+		const delays = changes.map(({version, atMs}) => fleet.delayOf(vm, version, atMs) ?? Number.POSITIVE_INFINITY);
+		const late = delays.filter(delayMs => delayMs > boundMs);
+		return late.length === 0 ? [] : [`${vm} had ${late.length} of ${changes.length} changes late, one of them after ${Math.round(Math.max(...late))} ms`];
+	});
+}
+
+/** Runs a storm on each seed and expects each gateway that runs to have each change in time. */
+async function expectStormInTime(deployment: Deployment, disturb: (fleet: ReplicaFleet) => void): Promise<void> {
+	for (let seed = 1; seed <= seedCount; seed++) {
+		await withReplicas(seed, deployment, async fleet => {
+			disturb(fleet);
+			const changes = await publishStorm(fleet);
+			await fleet.pass(deployment.boundMs + 1);
+			expect(findLate(fleet, changes, deployment.boundMs), `seed ${seed}`).to.deep.equal([]);
+		});
+	}
+}
+
+/** Returns some gateways that have no duty to watch, one in ten of all. */
+function chooseOrdinary(fleet: ReplicaFleet): Set<string> {
+	const ordinary = fleet.gateways.filter(({replica}) => !replica.isWatching);
+	return new Set(ordinary.slice(0, Math.ceil(fleet.gateways.length / 10)).map(({info}) => info.vm));
+}
+
+const isGateway = ({role}: PeerInfo): boolean => role === 'gateway';
+
+for (const [name, deployment] of Object.entries({grown, large})) {
+	it(`guards against gateways without the configuration in force because no other gateway reaches them, while stagers and the source do: ${name}`, async () => {
+		await expectStormInTime(deployment, fleet => {
+			const chosen = chooseOrdinary(fleet);
+			fleet.isCut = (from, to) => isGateway(from) && isGateway(to) && (chosen.has(from.vm) || chosen.has(to.vm));
+		});
+	}).timeout(600_000);
+}
+
+it('guards against gateways without the configuration in force because no other process reaches them, while the source does', async () => {
+	await expectStormInTime(grown, fleet => {
+		const chosen = chooseOrdinary(fleet);
+		fleet.isCut = (from, to) => chosen.has(from.vm) || chosen.has(to.vm);
+	});
+}).timeout(600_000);
+
+it('guards against configurations that come late to the half without watchers when half of the gateways are cut off from the others', async () => {
+	await expectStormInTime(grown, fleet => {
+		const half = new Set(fleet.gateways.filter(({replica}) => replica.isWatching).map(({info}) => info.vm));
+		for (const {info} of fleet.gateways.slice(0, fleet.gateways.length / 2)) {
+			half.add(info.vm);
+		}
+
+		fleet.isCut = (from, to) => isGateway(from) && isGateway(to) && half.has(from.vm) !== half.has(to.vm);
+	});
+}).timeout(600_000);
+
+for (const lossPercent of [3, 30]) {
+	it(`guards against configurations that come late by bad luck: with ${lossPercent} % of all packets lost, none is late`, async () => {
+		await expectStormInTime(grown, fleet => {
+			fleet.lossBetween = () => lossPercent / 100;
+		});
+	}).timeout(600_000);
+}
+
+it('guards against a zone that stays behind when all of its watchers end', async () => {
+	await expectStormInTime(grown, fleet => {
+		for (const watcher of fleet.gateways.filter(({info, replica}) => info.zone === 'a' && replica.isWatching)) {
+			watcher.isDown = true;
+			watcher.replica.stop();
+		}
+	});
+}).timeout(600_000);
+
+it('guards against a zone that stays behind when its watchers cannot reach the source, and do not know it yet', async () => {
+	await expectStormInTime(grown, fleet => {
+		for (const {info} of fleet.gateways.filter(({info, replica}) => info.zone === 'a' && replica.isWatching)) {
+			fleet.source.silent.add(info.vm);
+		}
+	});
+}).timeout(600_000);
+
+for (const [name, deployment] of Object.entries({small, grown})) {
+	it(`guards against connections to the source that went silent right after a change, and are noticed too late: ${name}`, async () => {
+		for (let seed = 1; seed <= seedCount; seed++) {
+			await withReplicas(seed, deployment, async fleet => {
+				fleet.publish();
+				await fleet.pass(1000);
+				fleet.source.loseOpenCalls();
+				const lostAtMs = performance.now();
+				const change = {version: fleet.publish(), atMs: lostAtMs};
+				await fleet.pass(deployment.stableWindowMs + 1);
+				expect(findLate(fleet, [change], deployment.stableWindowMs), `seed ${seed}`).to.deep.equal([]);
+			});
+		}
+	}).timeout(600_000);
+}
+
+it('guards against a zone that stays behind after it was cut off from the source and the other zones', async () => {
+	for (let seed = 1; seed <= seedCount; seed++) {
+		await withReplicas(seed, grown, async fleet => {
+			const inZone = fleet.gateways.filter(({info}) => info.zone === 'c');
+			fleet.isCut = (from, to) => (from.zone === 'c') !== (to.zone === 'c');
+			for (const {info} of inZone) {
+				fleet.source.silent.add(info.vm);
+			}
+
+			const changes = await publishStorm(fleet);
+			fleet.isCut = () => false;
+			for (const {info} of inZone) {
+				fleet.source.silent.delete(info.vm);
+			}
+
+			const healedAtMs = performance.now();
+			await fleet.pass(grown.stableWindowMs + 1);
+			expect(findLate(fleet, changes.map(({version}) => ({version, atMs: healedAtMs})), grown.stableWindowMs), `seed ${seed}`).to.deep.equal([]);
+		});
+	}
+}).timeout(600_000);
+
+it('guards against gateways that stay behind when the source, which was silent to all watchers but one, answers again', async () => {
+	for (let seed = 1; seed <= seedCount; seed++) {
+		await withReplicas(seed, grown, async fleet => {
+			const watchers = fleet.gateways.filter(({replica}) => replica.isWatching);
+			for (const {info} of watchers.slice(1)) {
+				fleet.source.silent.add(info.vm);
+			}
+
+			await fleet.pass(4000);
+			const during = await publishStorm(fleet);
+			for (const {info} of watchers) {
+				fleet.source.silent.delete(info.vm);
+			}
+
+			const after = await publishStorm(fleet);
+			await fleet.pass(grown.boundMs + 1);
+			expect(findLate(fleet, [...during, ...after], grown.boundMs), `seed ${seed}`).to.deep.equal([]);
+		});
+	}
+}).timeout(600_000);
--- a/test/support/directory-fleet.ts
+++ b/test/support/directory-fleet.ts
@@ -20,6 +20,10 @@
 	readonly calls = new Map<string, number>();
 	/** VMs whose calls fail. */
 	readonly refused = new Set<string>();
+	/** VMs whose calls are not answered. */
+	readonly silent = new Set<string>();
+	private lostCalls = new Set<symbol>();
+	private readonly openCalls = new Set<symbol>();
 	private revision = 1;
 	private readonly items = new Map<string, {part: DirectoryPart; revised: RevisedChange}>();
 	private readonly waiting = new Set<() => void>();
@@ -40,6 +44,11 @@
 		this.waiting.clear();
 	}
 
+	/** Makes all open connections go silent for good, while new ones work. */
+	loseOpenCalls(): void {
+		this.lostCalls = new Set([...this.lostCalls, ...this.openCalls]);
+	}
+
 	/** The source as one process sees it. */
 	of(vm: string): DirectorySource {
 		const enter = () => {
@@ -49,27 +58,46 @@
 			}
 		};
 
+		const currentRevision = () => this.revision;
 		const changesAfter = (part: DirectoryPart, after: number) => [...this.items.values()].filter(item => item.part === part && item.revised.revision > after).map(({revised}) => revised);
-		return {
-			read: async part => {
-				enter();
-				return {revision: this.revision, changes: changesAfter(part, 0).filter(({change}) => change.kind !== 'instance-gone')};
-			},
-			watch: async (part, after, waitMs, signal) => {
-				enter();
-				const untilMs = performance.now() + waitMs;
-				while (changesAfter(part, after).length === 0 && performance.now() < untilMs && !signal.aborted) {
-					await new Promise<void>(resolve => {
-						this.waiting.add(resolve);
-						setTimeout(resolve, 50);
-					});
+		const answer = async <Answer>(signal: AbortSignal, create: () => Answer | undefined): Promise<Answer> => {
+			enter();
+			const call = Symbol(vm);
+			this.openCalls.add(call);
+			try {
+				for (;;) {
+					const isSilent = this.silent.has(vm) || this.lostCalls.has(call);
+					const created = isSilent ? undefined : create();
+					if (created !== undefined) {
+						return created;
+					}
+
+					await this.nextChange();
+					signal.throwIfAborted();
 				}
+			} finally {
+				this.openCalls.delete(call);
+			}
+		};
 
-				signal.throwIfAborted();
-				return {revision: this.revision, changes: changesAfter(part, after)};
+		return {
+			read: async (part, signal) => answer(signal, () => ({revision: this.revision, changes: changesAfter(part, 0).filter(({change}) => change.kind !== 'instance-gone')})),
+			async watch(part, after, waitMs, signal) {
+				const untilMs = performance.now() + waitMs;
+				return answer(signal, () => {
+					const changes = changesAfter(part, after);
+					return changes.length > 0 || performance.now() >= untilMs ? {revision: currentRevision(), changes} : undefined;
+				});
 			},
 		};
 	}
+
+	private async nextChange(): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.waiting.add(resolve);
+			setTimeout(resolve, 50);
+		});
+	}
 }
 
 type Base = GatewayStagerBase<GatewayStagerSettings>;
