--- a/test/directory-bounds.test.ts
+++ b/test/directory-bounds.test.ts
@@ -12,20 +12,20 @@
 import {choosePartners} from '../src/peers/check-partners.ts';
 import {DirectoryPuller} from '../src/peers/directory-puller.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
-import {testConfiguration} from './support/direct-fixtures.ts';
+import {testConfiguration, testInstance} from './support/direct-fixtures.ts';
 import {type ReplicaFleet, withReplicas} from './support/replica-fleet.ts';
 
-/** A deployment, and the bound of its operators for a configuration to be in force, in milliseconds. */
-type Deployment = {readonly gateways: number; readonly stagers: number; readonly zones: readonly string[]; readonly boundMs: number; readonly stableWindowMs: number};
+/** A deployment, and its operators' bounds for a configuration to be in force and for an instance that leaves to get no more calls, in milliseconds. */
+type Deployment = {readonly gateways: number; readonly stagers: number; readonly zones: readonly string[]; readonly boundMs: number; readonly drainMs: number; readonly stableWindowMs: number};
 
 const small: Deployment = {
-	gateways: 6, stagers: 12, zones: ['a', 'b', 'c'], boundMs: 2000, stableWindowMs: 3000,
+	gateways: 6, stagers: 12, zones: ['a', 'b', 'c'], boundMs: 2000, drainMs: 2000, stableWindowMs: 3000,
 };
 const grown: Deployment = {
-	gateways: 43, stagers: 40, zones: ['a', 'b', 'c'], boundMs: 3000, stableWindowMs: 4000,
+	gateways: 43, stagers: 40, zones: ['a', 'b', 'c'], boundMs: 3000, drainMs: 3000, stableWindowMs: 4000,
 };
 const large: Deployment = {
-	gateways: 99, stagers: 110, zones: ['a', 'b', 'c', 'd', 'e'], boundMs: 4000, stableWindowMs: 5000,
+	gateways: 99, stagers: 110, zones: ['a', 'b', 'c', 'd', 'e'], boundMs: 4000, drainMs: 4000, stableWindowMs: 5000,
 };
 
 /** The interval of the changes of a storm, in milliseconds, and their number. */
@@ -192,6 +192,23 @@
 	}
 }).timeout(600_000);
 
+it('guards against calls to an instance that has left because a gateway that no other one reaches is not told', async () => {
+	for (const seed of seedsWith()) {
+		await withReplicas(seed, grown, async fleet => {
+			fleet.source.publish('instances', 'i-1', {kind: 'instance', instance: testInstance({id: 'i-1'})});
+			await fleet.pass(2000);
+			expect(fleet.gateways.every(({directory}) => directory.instance('i-1') !== undefined)).to.equal(true);
+			const chosen = chooseOrdinary(fleet);
+			fleet.isCut = (from, to) => isGateway(from) && isGateway(to) && (chosen.has(from.vm) || chosen.has(to.vm));
+			await fleet.pass(1000);
+			fleet.source.publish('instances', 'i-1', {kind: 'instance-gone', id: 'i-1'});
+			await fleet.pass(grown.drainMs);
+			const unaware = fleet.gateways.filter(({directory}) => directory.instance('i-1') !== undefined);
+			expect(unaware.map(({info}) => info.vm), `seed ${seed}`).to.deep.equal([]);
+		});
+	}
+}).timeout(600_000);
+
 it('guards against calls of all gateways to a source that is out: those with the duty to watch are enough to find out when it is back', async () => {
 	for (const seed of seedsWith()) {
 		await withReplicas(seed, grown, async fleet => {
