--- a/src/cli/gateway-stager-base.ts
+++ b/src/cli/gateway-stager-base.ts
@@ -11,7 +11,6 @@
 import {ElapsedClock} from '../runtime/elapsed-clock.ts';
 import {onSignal} from '../runtime/held-signals.ts';
 import {logSink} from '../runtime/logger.ts';
-import {pauseCheckIntervalMs} from '../runtime/pause-detector.ts';
 import type {GatewaySettings, StagerSettings} from '../settings/direct-settings.ts';
 import {InvalidSettingsError} from '../settings/parse-settings.ts';
 import {ProcessBase} from './process-base.ts';
@@ -51,7 +50,6 @@
 	settings: Settings;
 	private readonly replica: DirectoryReplica;
 	private readonly datagramAddress: ListenAddress;
-	private clockTimer: NodeJS.Timeout | undefined;
 	private stopReloading: (() => void) | undefined;
 
 	/**
@@ -95,9 +93,9 @@
 			this.log.warn({event: 'clock_jumped', jumpMs: Math.round(jumpMs)}, 'the wall clock jumped against the monotonic clock: it was set, or the VM was suspended');
 			this.replica.catchUp();
 		});
-		this.clockTimer = setInterval(() => {
+		this.pauseDetector.onTick(() => {
 			this.directory.clock.check();
-		}, pauseCheckIntervalMs).unref();
+		});
 		this.pauseDetector.onDelay(delayMs => {
 			this.log.warn({event: 'event_loop_delayed', delayMs: Math.round(delayMs)}, 'the event loop ran late, and so did timers and messages');
 		});
@@ -112,7 +110,6 @@
 		unwatchFile(this.settingsSource.file);
 		this.replica.stop();
 		this.pauseDetector.stop();
-		clearInterval(this.clockTimer);
 		this.datagrams.close();
 
 		await this.links.close();
--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -1,7 +1,7 @@
 /** Detects that the process was paused, for example by a frozen VM. After a pause, all state received from other processes may be outdated. */
 
 /** The interval of the timer that checks for pauses, in milliseconds. */
-export const pauseCheckIntervalMs = 100;
+const pauseCheckIntervalMs = 100;
 
 /** The minimum time between two checks that counts as a pause, in milliseconds. */
 export const pauseThresholdMs = 2000;
@@ -24,12 +24,16 @@
 	private messageWaitMs = 0;
 	private readonly listeners = new Set<(gapMs: number) => void>();
 	private readonly delayListeners = new Set<(delayMs: number) => void>();
+	private readonly tickListeners = new Set<() => void>();
 	private readonly timer: NodeJS.Timeout;
 
 	constructor() {
 		this.timer = setInterval(() => {
 			this.recordDelay();
 			this.check();
+			for (const listener of this.tickListeners) {
+				listener();
+			}
 		}, pauseCheckIntervalMs);
 		this.timer.unref();
 	}
@@ -90,6 +94,11 @@
 		this.delayListeners.add(listener);
 	}
 
+	/** Adds a listener that is called with each check of the timer, for other checks that are due as often. */
+	onTick(listener: () => void): void {
+		this.tickListeners.add(listener);
+	}
+
 	/** Stops the timer. */
 	stop(): void {
 		clearInterval(this.timer);
