Let the next processes by rank take the watch over a second apart, not all at once

Cause: the next one by rank took over 0.3 s after the one before, but hears of it with the exchanges, one a second, so that most of a zone took over before they knew of each other.

A gateway that nobody confirms does not wait for its turn, and the watchers of a killed machine are replaced as soon as it is taken off the list, so that the longer step delays nobody.

The new test was red before.

--- a/src/peers/watch-duty.ts
+++ b/src/peers/watch-duty.ts
@@ -12,8 +12,11 @@
 /** How long a process counts as a working watcher after its source last responded to it, in milliseconds; longer than a watch without changes waits. */
 export const coverageTtlMs = 9000;
 
-/** How long there have to be too few watchers before others take over, in milliseconds, and how much later each next one by rank does. */
-const takeover = {afterMs: 1500, stepMs: 300};
+/**
+ * How long there have to be too few watchers before others take over, in milliseconds, and how much later each next one by rank does: by then
+ * it should have heard of the one before.
+ */
+const takeover = {afterMs: 1500, stepMs: 1000};
 
 /**
  * Ranks the VMs of a zone for the duty to watch: gateways first, since stagers need a small part of the directory only.
--- a/test/directory-bounds.test.ts
+++ b/test/directory-bounds.test.ts
@@ -224,6 +224,26 @@
 	}
 }).timeout(600_000);
 
+it('guards against a rush to the source when its watchers have had no answer for long: fewer than half of the gateways turn to it', async () => {
+	for (const seed of seedsWith()) {
+		await withReplicas(seed, grown, async fleet => {
+			const watchers = fleet.gateways.filter(({replica}) => replica.isWatching);
+			for (const {info} of watchers.slice(1)) {
+				fleet.source.silent.add(info.vm);
+			}
+
+			const before = new Map(fleet.source.calls);
+			for (let second = 0; second < 20; second++) {
+				await fleet.pass(1000);
+				fleet.publish();
+			}
+
+			const callers = fleet.gateways.filter(({info: {vm}}) => fleet.source.calls.get(vm) !== before.get(vm));
+			expect(callers.length, `seed ${seed}`).to.be.lessThan(fleet.gateways.length / 2);
+		});
+	}
+}).timeout(600_000);
+
 it('guards against checks that grow with the fleet: whatever the size of a zone, few gateways ask the same one, and each is a few steps away from a watcher', () => {
 	for (const size of [1, 2, 3, 6, 20, 133, 400]) {
 		const gateways = Array.from({length: size}, (_, index): PeerInfo => ({
