--- a/src/cli/gateway-stager-base.ts
+++ b/src/cli/gateway-stager-base.ts
@@ -18,6 +18,8 @@
 /** The interval of the checks for a changed settings file, in milliseconds, because the file may change without a SIGHUP. */
 const settingsCheckIntervalMs = 2000;
 
+const msPerSecond = 1000;
+
 /** The settings that both roles share. */
 export type GatewayStagerSettings = Pick<GatewaySettings | StagerSettings, 'process' | 'peers' | 'directory'>;
 
@@ -148,6 +150,7 @@
 		metrics.gauge('cactusreach_configuration_version', 'Version of the configuration in force.', () => directory.configurationVersion);
 		metrics.gauge('cactusreach_instances', 'Instances that may be alive.', () => directory.instances.length);
 		metrics.gauge('cactusreach_watches_source', '1 while this process watches the directory source.', () => Number(this.isWatching));
+		metrics.gauge('cactusreach_directory_age_seconds', 'How long ago another process last confirmed that the directory lacks nothing.', () => this.replica.ageMs / msPerSecond);
 		metrics.gauge('cactusreach_peers', 'Other processes that are known.', () => peers.others.length);
 		metrics.gauge('cactusreach_log_lines_dropped_total', 'Log lines that were dropped.', () => logSink.dropped);
 	}
--- a/src/peers/directory-checks.ts
+++ b/src/peers/directory-checks.ts
@@ -77,6 +77,11 @@
 
 	constructor(private readonly options: DirectoryChecksOptions) {}
 
+	/** How long this process has known nothing newer, in milliseconds: since it started or another one confirmed its directory. */
+	get ageMs(): number {
+		return performance.now() - Math.max(this.startedAtMs, this.confirmedAtMs);
+	}
+
 	/** Starts to ask and to answer. */
 	start(): void {
 		const {datagrams, puller} = this.options;
@@ -106,11 +111,6 @@
 		clearTimeout(this.timer);
 	}
 
-	/** How long this process has known nothing newer, in milliseconds: since it started or another one confirmed its directory. */
-	private get ageMs(): number {
-		return performance.now() - Math.max(this.startedAtMs, this.confirmedAtMs);
-	}
-
 	private get limitMs(): number {
 		return maxAgeMs(this.partners.level);
 	}
--- a/src/peers/directory-replica.ts
+++ b/src/peers/directory-replica.ts
@@ -101,6 +101,11 @@
 		return this.watchManager.isWatching;
 	}
 
+	/** How old the knowledge of this process is, in milliseconds; 0 if it watches the source itself or fetches only the services. */
+	get ageMs(): number {
+		return this.watchManager.ownWatch === 'working' ? 0 : this.checks?.ageMs ?? 0;
+	}
+
 	/** Starts to watch the source, until others are known to, and to exchange with other processes. */
 	start(): void {
 		this.watchManager.start();
