--- a/test/log-sink.test.ts
+++ b/test/log-sink.test.ts
@@ -34,50 +34,43 @@
 	expect(process.memoryUsage().rss - initialRssBytes).to.be.lessThan(64 * 1024 * 1024);
 });
 
-it('guards against losing lines about failures among too many routine lines: routine lines are dropped first, and a line reports the number of dropped lines', async () => {
+/** Returns what a sink has written after an action, and how many lines it dropped. */
+async function writtenBy(action: (sink: LogSink) => void): Promise<{readonly text: string; readonly dropped: number}> {
 	const folder = mkdtempSync(path.join(tmpdir(), 'log-sink-'));
 	const file = path.join(folder, 'log');
 	const fd = openSync(file, 'w');
 	try {
 		const sink = new LogSink(fd);
-		for (let at = 0; at < 2000; at++) {
-			sink.write({level: 30, event: 'routine'});
-		}
-
-		for (let at = 0; at < 100; at++) {
-			sink.write({level: 40, event: 'failure'});
-		}
-
+		action(sink);
 		await sink.drain();
-		const text = readFileSync(file, 'utf8');
-		expect(text.split('"failure"').length - 1).to.equal(100);
-		expect(text).to.include('"lines_dropped"');
-		expect(sink.dropped).to.be.greaterThan(1000);
+		return {text: readFileSync(file, 'utf8'), dropped: sink.dropped};
 	} finally {
 		closeSync(fd);
 		rmSync(folder, {recursive: true});
 	}
-});
+}
 
-it('guards against losing the line that tells which configuration is in force among too many lines of calls', async () => {
-	const folder = mkdtempSync(path.join(tmpdir(), 'log-sink-'));
-	const file = path.join(folder, 'log');
-	const fd = openSync(file, 'w');
-	try {
-		const sink = new LogSink(fd);
-		for (let at = 0; at < 2000; at++) {
-			sink.write({level: 30, event: 'call_ended'});
-		}
+function writeMany(sink: LogSink, count: number, record: {readonly level: number; readonly event: string}): void {
+	for (let at = 0; at < count; at++) {
+		sink.write(record);
+	}
+}
 
-		for (let at = 0; at < 20; at++) {
-			sink.write({level: 30, event: 'configuration_taken'});
-		}
+it('guards against losing lines about failures among too many routine lines: routine lines are dropped first, and a line reports the number of dropped lines', async () => {
+	const {text, dropped} = await writtenBy(sink => {
+		writeMany(sink, 2000, {level: 30, event: 'routine'});
+		writeMany(sink, 100, {level: 40, event: 'failure'});
+	});
+	expect(text.split('"failure"').length - 1).to.equal(100);
+	expect(text).to.include('"lines_dropped"');
+	expect(dropped).to.be.greaterThan(1000);
+});
 
-		await sink.drain();
-		expect(readFileSync(file, 'utf8').split('"configuration_taken"').length - 1).to.equal(20);
-		expect(sink.dropped).to.be.greaterThan(1000);
-	} finally {
-		closeSync(fd);
-		rmSync(folder, {recursive: true});
-	}
+it('guards against losing the line that tells which configuration is in force among too many lines of calls', async () => {
+	const {text, dropped} = await writtenBy(sink => {
+		writeMany(sink, 2000, {level: 30, event: 'call_ended'});
+		writeMany(sink, 20, {level: 30, event: 'configuration_taken'});
+	});
+	expect(text.split('"configuration_taken"').length - 1).to.equal(20);
+	expect(dropped).to.be.greaterThan(1000);
 });
