--- a/src/directory/instance-table.ts
+++ b/src/directory/instance-table.ts
@@ -182,7 +182,8 @@
 		this.reportedByAddress.set(address, {startedAtMs, held});
 		const known = [...this.known.values()].find(({instance}) => instance.address === address && instance.startedAtMs === startedAtMs);
 		if (known) {
-			this.store(withReportedModel(known.instance, this.reportedByAddress.get(address)), known.revision, 'stager');
+			// The stager may run on after its engine has left, so its word confirms no instance.
+			this.store(withReportedModel(known.instance, this.reportedByAddress.get(address)), known.revision, 'stager', known.missing);
 		}
 	}
 
@@ -217,9 +218,9 @@
 		return true;
 	}
 
-	private store(instance: Instance, revision: number, from: string): void {
+	private store(instance: Instance, revision: number, from: string, missing?: KnownInstance['missing']): void {
 		const before = this.known.get(instance.id)?.instance;
-		this.known.set(instance.id, {instance, revision});
+		this.known.set(instance.id, {instance, revision, ...(missing ? {missing} : {})});
 		this.running = undefined;
 		if (before?.isDraining !== instance.isDraining || before.startedAtMs !== instance.startedAtMs || JSON.stringify(before.held) !== JSON.stringify(instance.held)) {
 			const {id, service, address, zone, isDraining, held} = instance;
--- a/test/directory-spread.test.ts
+++ b/test/directory-spread.test.ts
@@ -221,3 +221,24 @@
 		clock.uninstall();
 	}
 });
+
+it('guards against calls to an instance that has left because its stager reports loaded weights: the report brings back no instance that is not confirmed', () => {
+	const clock = install();
+	try {
+		const directory = new Directory(createSilentLogger());
+		const instance = testInstance({id: 'i-1', address: '127.0.0.1:7', startedAtMs: 3});
+		directory.replaceInstances({revision: 3, changes: [{revision: 3, change: {kind: 'instance', instance}}]});
+		directory.apply({revision: 5, changes: [{revision: 5, change: {kind: 'instance-gone', id: 'i-1'}}]}, {namedAfterMs: Number.NEGATIVE_INFINITY, isAfterOutage: true});
+		const held = {
+			model: 'm', version: 2, fromLayer: 0, toLayer: 16,
+		};
+		directory.recordHeldModel('127.0.0.1:7', 3, held);
+		expect(directory.instance('i-1')?.held).to.deep.equal([held]);
+		clock.tick(confirmationTimeoutMs);
+		expect(directory.instances).to.have.lengthOf(0);
+		directory.recordHeldModel('127.0.0.1:7', 3, {...held, version: 3});
+		expect(directory.instances).to.have.lengthOf(0);
+	} finally {
+		clock.uninstall();
+	}
+});
