One place for the state of the directory, and fewer forms of one watch

Change: Directory.state serves the four messages; a call of the watcher is a read or a watch with its start and its wait; the limit is part of its getter; OwnWatch stands beside the duty to watch. Nothing behaves differently.

--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -47,6 +47,9 @@
 	readonly completeUntilMs: number;
 };
 
+/** When a call is made, in milliseconds of the directory's clock, and what a watch starts from and how long it waits; none for a read. */
+type CallInput = {readonly requestedAtMs: number; readonly watch: {readonly after: number; readonly waitMs: number} | undefined};
+
 /** Reads and watches one part of the directory, and applies the changes. */
 export class DirectoryWatcher {
 	private revision: number | undefined;
@@ -118,16 +121,17 @@
 
 	private async readOrWatch(run: number): Promise<void> {
 		const requestedAtMs = this.options.directory.clock.nowMs;
-		const waitMs = this.revision === undefined ? undefined : this.options.watchWaitMs();
-		const limitMs = (waitMs ?? 0) + (waitMs !== undefined && this.isFast ? fastTimeoutMs : responseTimeoutMs);
+		const watch = this.revision === undefined ? undefined : {after: this.revision, waitMs: this.options.watchWaitMs()};
+		const waitMs = watch?.waitMs ?? 0;
+		const limitMs = waitMs + (watch && this.isFast ? fastTimeoutMs : responseTimeoutMs);
 		const {abortController} = this;
 		const timer = setTimeout(() => {
 			abortController.abort(new Error(`no response within ${limitMs} ms`));
 		}, limitMs);
 		try {
 			const startedMs = performance.now();
-			await this.call(run, {requestedAtMs, waitMs}, abortController.signal);
-			this.recordSpeed(performance.now() - startedMs - (waitMs ?? 0));
+			await this.call(run, {requestedAtMs, watch}, abortController.signal);
+			this.recordSpeed(performance.now() - startedMs - waitMs);
 		} finally {
 			clearTimeout(timer);
 		}
@@ -140,18 +144,18 @@
 		}
 	}
 
-	/** Reads the part if `waitMs` is undefined, otherwise watches it for so long. */
-	private async call(run: number, {requestedAtMs, waitMs}: {readonly requestedAtMs: number; readonly waitMs: number | undefined}, signal: AbortSignal): Promise<void> {
+	/** Watches the part, or reads it if it has not been read yet. */
+	private async call(run: number, {requestedAtMs, watch}: CallInput, signal: AbortSignal): Promise<void> {
 		const {part, source, directory: {clock}} = this.options;
-		if (this.revision === undefined || waitMs === undefined) {
-			const snapshot = await source.read(part, signal);
-			this.applyResponse(run, snapshot, {isFullRead: true, namedAfterMs: this.completeUntilMs, completeUntilMs: requestedAtMs});
-		} else {
-			const changes = await source.watch(part, this.revision, waitMs, signal);
+		if (watch) {
+			const changes = await source.watch(part, watch.after, watch.waitMs, signal);
 			const {sentAfterMs} = clock;
 			// The source answers a watch as soon as there is a change, so one that is answered late tells what has just changed.
 			const namedAfterMs = sentAfterMs > requestedAtMs + maxRequestMs ? sentAfterMs : this.completeUntilMs;
 			this.applyResponse(run, changes, {isFullRead: false, namedAfterMs, completeUntilMs: Math.max(requestedAtMs, sentAfterMs)});
+		} else {
+			const snapshot = await source.read(part, signal);
+			this.applyResponse(run, snapshot, {isFullRead: true, namedAfterMs: this.completeUntilMs, completeUntilMs: requestedAtMs});
 		}
 	}
 
--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -1,6 +1,7 @@
 /** This process's copy of the directory: the published configuration, the versions of weights and the instances. */
 import {RouteTable} from '../forwarding/route-table.ts';
 import type {ServiceId} from '../ids/service-id.ts';
+import type {DirectoryState} from '../messages/peers-exchange.ts';
 import {ElapsedClock} from '../runtime/elapsed-clock.ts';
 import type {Logger} from '../runtime/logger.ts';
 import {applyDelta, type ConfigurationDelta, createDelta} from './configuration-delta.ts';
@@ -79,6 +80,12 @@
 		return this.instanceTable.lastChange;
 	}
 
+	/** What other processes compare with theirs, to know whether they lack a change. */
+	get state(): DirectoryState {
+		const {configurationVersion, lastInstanceChange} = this;
+		return {configurationVersion, lastInstanceChange};
+	}
+
 	/** Increases whenever a version of weights is named, or the bounds of the time when it was named change. */
 	get versionChanges(): number {
 		return this.namedVersions.changes;
--- a/src/peers/directory-checks.ts
+++ b/src/peers/directory-checks.ts
@@ -3,7 +3,7 @@
  *
  * News and random exchanges bring each change to nearly all gateways at once, but promise nothing to any one of them. An answer to a check tells
  * how old the partner's own knowledge is, back to a gateway that watches the source. A gateway whose knowledge becomes older than
- * {@link maxAgeMs} reads and watches the source itself, so that it is late only if it reaches neither another gateway nor the source.
+ * a limit by level reads and watches the source itself, so that it is late only if it reaches neither another gateway nor the source.
  */
 import type {Directory} from '../directory/directory.ts';
 import type {DatagramPort} from '../links/datagram-port.ts';
@@ -16,6 +16,7 @@
 import type {RandomSource} from '../runtime/random-source.ts';
 import {type CheckPartners, choosePartners} from './check-partners.ts';
 import type {DirectoryPuller} from './directory-puller.ts';
+import type {OwnWatch} from './watch-duty.ts';
 
 /** Mean interval between two rounds of checks, in milliseconds. */
 const checkIntervalMs = 500;
@@ -32,11 +33,6 @@
 /** How old the knowledge of a gateway may become: for a lost answer, and for one interval of each level above the gateway, in milliseconds. */
 const ageLimitMs = {base: 700, perLevel: 750};
 
-/** Returns the age of its knowledge at which a gateway of a level turns to the source, in milliseconds. */
-export function maxAgeMs(level: number): number {
-	return ageLimitMs.base + (ageLimitMs.perLevel * Math.max(1, level));
-}
-
 /** Dependencies of {@link DirectoryChecks}. */
 export type DirectoryChecksOptions = {
 	readonly self: PeerInfo;
@@ -55,9 +51,6 @@
 	readonly onUnconfirmed: () => void;
 };
 
-/** Whether a process watches the source and gets answers, gets none although it is its duty, or leaves the watch to others. */
-export type OwnWatch = 'working' | 'failing' | 'none';
-
 type SentCheck = {readonly sentAtMs: number; readonly resolve: () => void};
 
 /** Asks partners, answers those that ask, and keeps the age of what is known. */
@@ -111,8 +104,9 @@
 		clearTimeout(this.timer);
 	}
 
+	/** The age of its knowledge at which this process turns to the source, in milliseconds. */
 	private get limitMs(): number {
-		return maxAgeMs(this.partners.level);
+		return ageLimitMs.base + (ageLimitMs.perLevel * Math.max(1, this.partners.level));
 	}
 
 	private get partners(): CheckPartners {
@@ -170,7 +164,7 @@
 
 	/** Asks one gateway, and waits until what its answer tells is known here, but not for long. */
 	private async check(address: string): Promise<void> {
-		const {directory: {configurationVersion, lastInstanceChange}, self} = this.options;
+		const {directory, self} = this.options;
 		return new Promise(resolve => {
 			const timer = setTimeout(resolve, answerTimeoutMs);
 			const number = ++this.lastNumber;
@@ -181,19 +175,18 @@
 					resolve();
 				},
 			});
-			this.send(address, ['check', self.address, {configurationVersion, lastInstanceChange}, number]);
+			this.send(address, ['check', self.address, directory.state, number]);
 		});
 	}
 
 	private answer(address: string, number: number): void {
 		const {self, directory, ownWatch} = this.options;
-		const {configurationVersion, lastInstanceChange} = directory;
-		const watch = configurationVersion === 0 ? 'none' : ownWatch();
+		const watch = directory.configurationVersion === 0 ? 'none' : ownWatch();
 		const ages = {
 			directoryMs: watch === 'working' ? 0 : ageSince(this.confirmedAtMs),
 			outageMs: watch === 'failing' ? 0 : ageSince(this.outageAtMs),
 		};
-		this.send(address, ['checked', self.address, {configurationVersion, lastInstanceChange}, ages, number]);
+		this.send(address, ['checked', self.address, directory.state, ages, number]);
 	}
 
 	private async takeAnswer([, address, state, {directoryMs, outageMs}, number]: CheckedDatagram): Promise<void> {
--- a/src/peers/news-spreader.ts
+++ b/src/peers/news-spreader.ts
@@ -87,8 +87,7 @@
 		const peers = others().filter(peer => isConcerned(peer));
 		const local = random.sample(peers.filter(({zone}) => zone === self.zone), fanout.local);
 		const remote = random.sample(peers.filter(({zone}) => zone !== self.zone), fanout.remote);
-		const {configurationVersion, lastInstanceChange, shareableVersions} = directory;
-		const news: NewsDatagram = ['news', self.address, {configurationVersion, lastInstanceChange}, shareableVersions];
+		const news: NewsDatagram = ['news', self.address, directory.state, directory.shareableVersions];
 		for (const {address} of [...local, ...remote]) {
 			datagrams.send(news, {host: parseAddress(address).host, port});
 		}
--- a/src/peers/peer-group.ts
+++ b/src/peers/peer-group.ts
@@ -232,13 +232,12 @@
 		const {self, list, directory, coverage, onMessage} = this.options;
 		onMessage();
 		const {digest} = list;
-		const {configurationVersion, lastInstanceChange, shareableVersions} = directory;
 		return {
 			self,
 			groupDigest: digest,
 			...(theirDigest === undefined || theirDigest === digest ? {} : {group: list.selectForMessage(performance.now() < this.discoveryUntilMs)}),
-			directory: {configurationVersion, lastInstanceChange},
-			versions: shareableVersions,
+			directory: directory.state,
+			versions: directory.shareableVersions,
 			watchers: [...coverage.ages].map(([vm, ageMs]) => [vm, Math.round(ageMs)]),
 		};
 	}
--- a/src/peers/watch-duty.ts
+++ b/src/peers/watch-duty.ts
@@ -38,6 +38,9 @@
 	return Math.ceil(minWatchers / zoneCount);
 }
 
+/** Whether a process watches the source and gets answers, gets none although it is its duty, or leaves the watch to others. */
+export type OwnWatch = 'working' | 'failing' | 'none';
+
 /** Input of {@link shouldWatch}. */
 export type WatchInput = {
 	/** Number of processes of the zone that should watch. */
--- a/src/peers/watch-manager.ts
+++ b/src/peers/watch-manager.ts
@@ -2,9 +2,8 @@
 import type {DirectoryWatcher} from '../directory/directory-watcher.ts';
 import type {PeerInfo} from '../messages/peers-exchange.ts';
 import type {Logger} from '../runtime/logger.ts';
-import type {OwnWatch} from './directory-checks.ts';
 import {
-	rankForWatch, shouldWatch, type WatchCoverage, watchersPerZone,
+	type OwnWatch, rankForWatch, shouldWatch, type WatchCoverage, watchersPerZone,
 } from './watch-duty.ts';
 
 /** When a process decides first after its start, and how long it waits while it knows no other process, in milliseconds. */
