One storm and one cut for the tests and the bench of the directory

Cause: directory-bounds.test and bench/directory-delay.ts each had the storm, its constants and the choice of one in ten gateways, and three tests the same cut.

Change: they are methods of the fleet that both use. Bounds, seeds, titles and assertions are as they were.

--- a/bench/directory-delay.ts
+++ b/bench/directory-delay.ts
@@ -6,10 +6,7 @@
  */
 import process from 'node:process';
 import {initRendezvousHash} from '../src/runtime/rendezvous.ts';
-import {type ReplicaFleet, withReplicas} from '../test/support/replica-fleet.ts';
-
-/** The interval of the changes of a storm, in milliseconds, and their number. */
-const storm = {intervalMs: 230, count: 20};
+import {type ReplicaFleet, storm, withReplicas} from '../test/support/replica-fleet.ts';
 
 /** How long the last change may take, in milliseconds. */
 const settleMs = 8000;
@@ -26,8 +23,7 @@
 		fleet.lossBetween = () => 0.3;
 	},
 	'one in ten gateways cut off from the other gateways'(fleet) {
-		const cut = new Set(fleet.gateways.filter(({replica}) => !replica.isWatching).slice(0, Math.ceil(gateways / 10)).map(({info}) => info.vm));
-		fleet.isCut = (from, to) => from.role === 'gateway' && to.role === 'gateway' && (cut.has(from.vm) || cut.has(to.vm));
+		fleet.cutOffFromGateways();
 	},
 	'open connections to the source go silent'(fleet) {
 		fleet.source.loseOpenCalls();
@@ -39,11 +35,7 @@
 async function playStorm(fleet: ReplicaFleet, disturb: (fleet: ReplicaFleet) => void, sums: Sums): Promise<void> {
 	const before = {...fleet.sent, calls: fleet.source.total};
 	disturb(fleet);
-	const changes: Array<{version: number; atMs: number}> = [];
-	for (let number = 0; number < storm.count; number++) {
-		await fleet.pass(storm.intervalMs);
-		changes.push({version: fleet.publish(), atMs: performance.now()});
-	}
+	const changes = await fleet.publishStorm();
 
 	sums.datagrams += fleet.sent.datagrams - before.datagrams;
 	sums.bytes += fleet.sent.bytes - before.bytes;
--- a/test/directory-bounds.test.ts
+++ b/test/directory-bounds.test.ts
@@ -13,7 +13,9 @@
 import {DirectoryPuller} from '../src/peers/directory-puller.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {testConfiguration, testInstance} from './support/direct-fixtures.ts';
-import {type ReplicaFleet, withReplicas} from './support/replica-fleet.ts';
+import {
+	type Change, isGateway, type ReplicaFleet, withReplicas,
+} from './support/replica-fleet.ts';
 
 /** A deployment, and its operators' bounds for a configuration to be in force and for an instance that leaves to get no more calls, in milliseconds. */
 type Deployment = {readonly gateways: number; readonly stagers: number; readonly zones: readonly string[]; readonly boundMs: number; readonly drainMs: number; readonly stableWindowMs: number};
@@ -28,9 +30,6 @@
 	gateways: 99, stagers: 110, zones: ['a', 'b', 'c', 'd', 'e'], boundMs: 4000, drainMs: 4000, stableWindowMs: 5000,
 };
 
-/** The interval of the changes of a storm, in milliseconds, and their number. */
-const storm = {intervalMs: 230, count: 20};
-
 const {DIRECTORY_SEEDS: seedsText = '3'} = process.env;
 const seedCount = Number(seedsText);
 
@@ -40,18 +39,6 @@
 	return redSeed === undefined || redSeed <= seedCount ? seeds : [...seeds, redSeed];
 }
 
-type Change = {readonly version: number; readonly atMs: number};
-
-async function publishStorm(fleet: ReplicaFleet): Promise<Change[]> {
-	const changes: Change[] = [];
-	for (let number = 0; number < storm.count; number++) {
-		await fleet.pass(storm.intervalMs);
-		changes.push({version: fleet.publish(), atMs: performance.now()});
-	}
-
-	return changes;
-}
-
 /** Describes the gateways that run and had changes too late. */
 function findLate(fleet: ReplicaFleet, changes: readonly Change[], boundMs: number): string[] {
 	return fleet.gateways.filter(({isDown}) => !isDown).flatMap(({info: {vm}}) => {
@@ -66,33 +53,24 @@
 	for (const seed of seedsWith(redSeed)) {
 		await withReplicas(seed, deployment, async fleet => {
 			disturb(fleet);
-			const changes = await publishStorm(fleet);
+			const changes = await fleet.publishStorm();
 			await fleet.pass(deployment.boundMs + 1);
 			expect(findLate(fleet, changes, deployment.boundMs), `seed ${seed}`).to.deep.equal([]);
 		});
 	}
 }
 
-/** Returns some gateways that have no duty to watch, one in ten of all. */
-function chooseOrdinary(fleet: ReplicaFleet): Set<string> {
-	const ordinary = fleet.gateways.filter(({replica}) => !replica.isWatching);
-	return new Set(ordinary.slice(0, Math.ceil(fleet.gateways.length / 10)).map(({info}) => info.vm));
-}
-
-const isGateway = ({role}: PeerInfo): boolean => role === 'gateway';
-
 for (const [name, deployment] of Object.entries({grown, large})) {
 	it(`guards against gateways without the configuration in force because no other gateway reaches them, while stagers and the source do: ${name}`, async () => {
 		await expectStormInTime(deployment, fleet => {
-			const chosen = chooseOrdinary(fleet);
-			fleet.isCut = (from, to) => isGateway(from) && isGateway(to) && (chosen.has(from.vm) || chosen.has(to.vm));
+			fleet.cutOffFromGateways();
 		});
 	}).timeout(600_000);
 }
 
 it('guards against gateways without the configuration in force because no other process reaches them, while the source does', async () => {
 	await expectStormInTime(grown, fleet => {
-		const chosen = chooseOrdinary(fleet);
+		const chosen = fleet.chooseOrdinary();
 		fleet.isCut = (from, to) => chosen.has(from.vm) || chosen.has(to.vm);
 	});
 }).timeout(600_000);
@@ -140,8 +118,7 @@
 				fleet.publish();
 				await fleet.pass(1000);
 				fleet.source.loseOpenCalls();
-				const lostAtMs = performance.now();
-				const change = {version: fleet.publish(), atMs: lostAtMs};
+				const change = {version: fleet.publish(), atMs: performance.now()};
 				await fleet.pass(deployment.stableWindowMs + 1);
 				expect(findLate(fleet, [change], deployment.stableWindowMs), `seed ${seed}`).to.deep.equal([]);
 			});
@@ -158,7 +135,7 @@
 				fleet.source.silent.add(info.vm);
 			}
 
-			const changes = await publishStorm(fleet);
+			const changes = await fleet.publishStorm();
 			fleet.isCut = () => false;
 			for (const {info} of inZone) {
 				fleet.source.silent.delete(info.vm);
@@ -180,12 +157,12 @@
 			}
 
 			await fleet.pass(4000);
-			const during = await publishStorm(fleet);
+			const during = await fleet.publishStorm();
 			for (const {info} of watchers) {
 				fleet.source.silent.delete(info.vm);
 			}
 
-			const after = await publishStorm(fleet);
+			const after = await fleet.publishStorm();
 			await fleet.pass(grown.boundMs + 1);
 			expect(findLate(fleet, [...during, ...after], grown.boundMs), `seed ${seed}`).to.deep.equal([]);
 		});
@@ -198,8 +175,7 @@
 			fleet.source.publish('instances', 'i-1', {kind: 'instance', instance: testInstance({id: 'i-1'})});
 			await fleet.pass(2000);
 			expect(fleet.gateways.every(({directory}) => directory.instance('i-1') !== undefined)).to.equal(true);
-			const chosen = chooseOrdinary(fleet);
-			fleet.isCut = (from, to) => isGateway(from) && isGateway(to) && (chosen.has(from.vm) || chosen.has(to.vm));
+			fleet.cutOffFromGateways();
 			await fleet.pass(1000);
 			fleet.source.publish('instances', 'i-1', {kind: 'instance-gone', id: 'i-1'});
 			await fleet.pass(grown.drainMs);
--- a/test/support/replica-fleet.ts
+++ b/test/support/replica-fleet.ts
@@ -23,6 +23,12 @@
 
 const discoveryMs = 14_000;
 
+/** The interval of the changes of a storm, in milliseconds, and their number. */
+export const storm = {intervalMs: 230, count: 20};
+
+/** A published configuration. */
+export type Change = {readonly version: number; readonly atMs: number};
+
 /** The parts of the deployment that each role watches and fetches. */
 const roles = {
 	gateway: {parts: ['published', 'instances'], pulledParts: 'directory'},
@@ -33,6 +39,8 @@
 
 type RpcCall = {readonly method: string; readonly params: unknown};
 
+export const isGateway = ({role}: PeerInfo): boolean => role === 'gateway';
+
 /** One process. */
 export class ReplicaProcess {
 	readonly directory = new Directory(createSilentLogger(), new ElapsedClock(() => 250));
@@ -113,7 +121,7 @@
 
 	/** The gateways, of all zones in turn. */
 	get gateways(): ReplicaProcess[] {
-		return this.processes.filter(({info}) => info.role === 'gateway');
+		return this.processes.filter(({info}) => isGateway(info));
 	}
 
 	/** Adds a process; it runs from {@link start} on. */
@@ -154,6 +162,29 @@
 		return this.version;
 	}
 
+	/** Publishes configurations in quick succession. */
+	async publishStorm(): Promise<Change[]> {
+		const changes: Change[] = [];
+		for (let number = 0; number < storm.count; number++) {
+			await this.pass(storm.intervalMs);
+			changes.push({version: this.publish(), atMs: performance.now()});
+		}
+
+		return changes;
+	}
+
+	/** Cuts one in ten gateways, which have no duty to watch, off from the other gateways. */
+	cutOffFromGateways(): void {
+		const chosen = this.chooseOrdinary();
+		this.isCut = (from, to) => isGateway(from) && isGateway(to) && (chosen.has(from.vm) || chosen.has(to.vm));
+	}
+
+	/** Returns some gateways that have no duty to watch, one in ten of all. */
+	chooseOrdinary(): Set<string> {
+		const ordinary = this.gateways.filter(({replica}) => !replica.isWatching);
+		return new Set(ordinary.slice(0, Math.ceil(this.gateways.length / 10)).map(({info}) => info.vm));
+	}
+
 	/** Returns how long after `fromMs` a gateway had a version or a newer one, in milliseconds; undefined if it has neither. */
 	delayOf(vm: string, version: number, fromMs: number): number | undefined {
 		const times = [...this.takenAtMs].filter(([taken]) => taken >= version).flatMap(([, byVm]) => byVm.get(vm) ?? []);
