Log how long an upstream was silent, and for how much of it the process did not run

PauseDetector counts it as a clock that stands still while nothing can be heard. No decision changes.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -81,6 +81,7 @@
 		zone: settings.process.zone,
 		retryBudget: {ratio: settings.limits.retry_ratio, slack: settings.limits.retry_slack, windowMs: settings.limits.retry_window_s * msPerSecond},
 		versionBoundMs: settings.limits.version_bound_ms,
+		clock: base.pauseDetector,
 		eventLoopDelayMs: () => base.pauseDetector.recentDelayMs,
 		gatewayCount,
 		responseBytes: Math.min(maxBufferedBytes, settings.limits.memory_mb * bytesPerMegabyte * responseMemoryShare),
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -4,6 +4,7 @@
 import type {ServiceId} from '../ids/service-id.ts';
 import type {CrashDetector} from '../quarantine/crash-detector.ts';
 import type {PromptQuarantine} from '../quarantine/prompt-quarantine.ts';
+import type {ListeningClock} from '../runtime/pause-detector.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import type {CallBoundary} from './call-boundary.ts';
@@ -40,6 +41,8 @@
 	readonly retryBudget: RetryBudgetOptions;
 	/** How long calls may still start on an older version of a model after a newer one was announced, in milliseconds. */
 	readonly versionBoundMs: number;
+	/** Measures the silence of instances. */
+	readonly clock: ListeningClock;
 	/** Returns how late a timer of this process may run now, in milliseconds. */
 	readonly eventLoopDelayMs: () => number;
 	/** Returns the number of gateways that share the retry budget. */
@@ -156,6 +159,7 @@
 			codec,
 			tracker,
 			buffers: this.buffers,
+			clock: this.options.clock,
 			crashes: this.options.crashes,
 			quarantine: this.options.quarantine,
 			log,
--- a/src/forwarding/forwarded-call-options.ts
+++ b/src/forwarding/forwarded-call-options.ts
@@ -3,6 +3,7 @@
 import type {ServiceId} from '../ids/service-id.ts';
 import type {CrashDetector} from '../quarantine/crash-detector.ts';
 import type {PromptQuarantine} from '../quarantine/prompt-quarantine.ts';
+import type {ListeningClock} from '../runtime/pause-detector.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {CallBoundary} from './call-boundary.ts';
 import type {InstanceQuery, SelectedInstance} from './instance-query.ts';
@@ -29,6 +30,7 @@
 	readonly codec: WireCodec;
 	readonly tracker: InstanceTracker;
 	readonly buffers: ResponseBuffers;
+	readonly clock: ListeningClock;
 	readonly crashes: CrashDetector;
 	readonly quarantine: PromptQuarantine;
 	readonly log: Logger;
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -173,7 +173,7 @@
 		const level = outcome === 'served' || outcome === 'left' ? 'info' : 'warn';
 		log[level]({
 			event: 'call_ended', id: call.headers.attemptId, route: route.name, configuration: configurationVersion, service, outcome, ms: Math.round(ms), tried: [...this.tried], version: this.version,
-			...this.attempt?.timing, ...fields,
+			...this.attempt?.timing, lastEventId: this.attempt?.lastEventId, ...fields,
 		}, 'call ended');
 		onEnd(outcome, ms);
 	}
@@ -242,7 +242,7 @@
 	}
 
 	private startAttempt({instance, predictedMs, version, startTimeLeftMs}: SelectedInstance): void {
-		const {call, boundary, route, holder, writer, codec, tracker, buffers} = this.options;
+		const {call, boundary, route, holder, writer, codec, tracker, buffers, clock} = this.options;
 		this.tried.add(instance.id);
 		this.version = version;
 		this.possibleRuns++;
@@ -268,6 +268,7 @@
 			codec,
 			tracker,
 			buffers,
+			clock,
 			stallTimeoutsMs: this.stallTimeouts(),
 			canRetryElsewhere: () => this.canRetryElsewhere(),
 			onBroken: () => {
@@ -326,7 +327,7 @@
 			tryTakeRetry: this.options.tryTakeRetry,
 		});
 		log.info({
-			event: 'send_ended', id: call.headers.attemptId, instance: this.attempt?.instanceId, outcome: outcome.kind, reason: describeOutcome(outcome), step, runs: this.possibleRuns, version: this.version, ...this.attempt?.timing,
+			event: 'send_ended', id: call.headers.attemptId, instance: this.attempt?.instanceId, outcome: outcome.kind, reason: describeOutcome(outcome), step, runs: this.possibleRuns, version: this.version, ...this.attempt?.timing, ...this.attempt?.silence,
 		}, 'attempt ended without a complete response');
 		if (step === 'repeat') {
 			this.startNextAttempt();
--- a/src/forwarding/upstream-attempt-options.ts
+++ b/src/forwarding/upstream-attempt-options.ts
@@ -1,5 +1,6 @@
 /** What an attempt is given by its call. */
 import type {Instance} from '../directory/directory-types.ts';
+import type {ListeningClock} from '../runtime/pause-detector.ts';
 import type {CallBoundary} from './call-boundary.ts';
 import type {AttemptOutcome} from './decide-next-step.ts';
 import type {InstanceTracker} from './instance-tracker.ts';
@@ -24,6 +25,8 @@
 	readonly writer: ResponseWriter;
 	readonly codec: WireCodec;
 	readonly tracker: InstanceTracker;
+	/** Measures the silence of the instance. */
+	readonly clock: ListeningClock;
 	/** Limits the memory of responses. */
 	readonly buffers: ResponseBuffers;
 	/** Stall timeouts before the first byte and between further bytes, in milliseconds. */
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -10,7 +10,7 @@
 import {type BufferOwner, maxEventBytes} from './response-buffers.ts';
 import {findHeadFault, firstServerError, notRunStatuses} from './response-status.ts';
 import {UpstreamExchange} from './upstream-exchange.ts';
-import {StallTimer} from './stall-timer.ts';
+import {type Silence, StallTimer} from './stall-timer.ts';
 import {StartDeadline} from './start-deadline.ts';
 import type {UpstreamAttemptOptions} from './upstream-attempt-options.ts';
 import type {ResponseHeaders} from './wire-codec.ts';
@@ -57,7 +57,7 @@
 		}));
 		this.stallTimer = new StallTimer(() => {
 			this.handleSilence();
-		}, boundary);
+		}, boundary, options.clock);
 		this.stallTimer.restart(options.stallTimeoutsMs.first + options.predictedMs);
 		this.startWindowMs = options.startTimeLeftMs();
 		this.startDeadline = new StartDeadline(options.startTimeLeftMs, () => {
@@ -106,6 +106,11 @@
 		return describeAttemptTiming(waitedMs, this.options.predictedMs, this.startWindowMs);
 	}
 
+	/** How long the instance has sent nothing. */
+	get silence(): Silence {
+		return this.stallTimer.silence;
+	}
+
 	/** Returns the complete response; undefined if there is none or it was streamed. */
 	bufferedResponse(): BufferedResponse | undefined {
 		return this.buffered;
--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -15,10 +15,18 @@
 /** The time after which {@link PauseDetector.recentDelayMs} counts a delay by half, in milliseconds. */
 const delayHalfLifeMs = 2000;
 
+/** A clock for silence: it stands still while the event loop does not run, since this process can hear nothing then. */
+export type ListeningClock = {
+	/** The time, in milliseconds. */
+	readonly listeningMs: number;
+};
+
 /** Calls its listeners after the event loop did not run for at least {@link pauseThresholdMs}. */
-export class PauseDetector {
+export class PauseDetector implements ListeningClock {
 	private lastCheckAtMs = performance.now();
 	private lastTickAtMs = performance.now();
+	/** How long the event loop has not run since the start, without the delay of the next tick, in milliseconds. */
+	private stalledMs = 0;
 	private largestDelay = {ms: 0, atMs: performance.now()};
 	/** The delay of the last tick, or half of that of an earlier one for each tick since, while messages from before it may still wait. */
 	private messageWaitMs = 0;
@@ -44,6 +52,10 @@
 		return Math.max(decayedMs, this.tickDelayMs);
 	}
 
+	get listeningMs(): number {
+		return performance.now() - this.stalledMs - this.tickDelayMs;
+	}
+
 	/** How long a message that is read now may have been under way or waited in its socket, in milliseconds. */
 	get maxMessageDelayMs(): number {
 		return unnoticedMessageDelayMs + this.messageWaitMs + this.tickDelayMs;
@@ -110,6 +122,7 @@
 			this.largestDelay = {ms: delayMs, atMs: performance.now()};
 		}
 
+		this.stalledMs += delayMs;
 		this.messageWaitMs = Math.max(delayMs, this.messageWaitMs / 2);
 		this.lastTickAtMs = performance.now();
 		if (delayMs < reportedDelayMs) {
--- a/test/hostile-bytes.test.ts
+++ b/test/hostile-bytes.test.ts
@@ -146,7 +146,7 @@
 				sendSignedResponse(req, res, 200, 'ok');
 			}, 100);
 		});
-		const gateway = await startTestGateway(testConfiguration(1), [testInstance({id: 'i-0', address: upstream.address})], faultyCodec(name as 'readCallHeaders'));
+		const gateway = await startTestGateway(testConfiguration(1), [testInstance({id: 'i-0', address: upstream.address})], {codec: faultyCodec(name as 'readCallHeaders')});
 		open.push(upstream, gateway);
 		const [faulty, sound] = await callWithFault(gateway);
 		expect([faulty.status, sound.status, gateway.faults.count]).to.deep.equal([status, 200, 1]);
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -18,6 +18,7 @@
 import {type Crash, CrashDetector} from '../../src/quarantine/crash-detector.ts';
 import {createServiceId} from '../../src/ids/service-id.ts';
 import {createWorkspaceId} from '../../src/ids/workspace-id.ts';
+import {PauseDetector} from '../../src/runtime/pause-detector.ts';
 import {createSilentLogger} from '../../src/runtime/logger.ts';
 import {RandomSource} from '../../src/runtime/random-source.ts';
 
@@ -108,10 +109,10 @@
 }
 
 /** A gateway in the test process, without its control listeners. */
-export type TestGateway = {readonly directory: Directory; readonly tracker: InstanceTracker; readonly forwarder: CallForwarder; readonly bodies: BodyBudget; readonly crashes: readonly Crash[]; readonly faults: {count: number}; readonly url: string; readonly close: () => void};
+export type TestGateway = {readonly directory: Directory; readonly tracker: InstanceTracker; readonly forwarder: CallForwarder; readonly listener: CallerListener; readonly bodies: BodyBudget; readonly crashes: readonly Crash[]; readonly faults: {count: number}; readonly url: string; readonly close: () => void};
 
 /** Starts the caller listener of a gateway with the given configuration, instances and header codec. */
-export async function startTestGateway(configuration: PublishedConfiguration | undefined, instances: readonly Instance[], codec: WireCodec = platformCodec): Promise<TestGateway> {
+export async function startTestGateway(configuration: PublishedConfiguration | undefined, instances: readonly Instance[], {codec = platformCodec, retrySlack = 100}: {codec?: WireCodec; retrySlack?: number} = {}): Promise<TestGateway> {
 	const log = createSilentLogger();
 	const directory = new Directory(log);
 	directory.apply({revision: 1, changes: configuration ? [{revision: 1, change: {kind: 'configuration', configuration}}] : []});
@@ -119,6 +120,7 @@
 	const tracker = new InstanceTracker(log, new InstanceSignals({log, random: new RandomSource(8), gatewayCount: () => 1}));
 	const crashList: Crash[] = [];
 	const faults = {count: 0};
+	const pauses = new PauseDetector();
 	const quarantine = new PromptQuarantine({log, hasTurn: () => true, tell: () => undefined});
 	const crashes = new CrashDetector({
 		probe: async instance => tracker.probeConnection(instance), onCrash(crash, instance) {
@@ -128,7 +130,7 @@
 	});
 	const forwarder = new CallForwarder({
 		directory, codec, tracker, crashes, quarantine, loads: {ask: async () => new Map()}, random: new RandomSource(7), log, zone: 'z',
-		retryBudget: {ratio: 0.2, slack: 100, windowMs: 10_000}, versionBoundMs: 8000, eventLoopDelayMs: () => 0, gatewayCount: () => 1, onEnd: () => undefined,
+		retryBudget: {ratio: 0.2, slack: retrySlack, windowMs: 10_000}, versionBoundMs: 8000, clock: pauses, eventLoopDelayMs: () => 0, gatewayCount: () => 1, onEnd: () => undefined,
 	});
 	quarantine.onHeld(() => {
 		forwarder.endHeldCalls();
@@ -142,8 +144,9 @@
 	});
 	await listener.start({host: '127.0.0.1', port});
 	return {
-		directory, tracker, forwarder, bodies, crashes: crashList, faults, url: `http://127.0.0.1:${port}`, close() {
+		directory, tracker, forwarder, listener, bodies, crashes: crashList, faults, url: `http://127.0.0.1:${port}`, close() {
 			listener.destroy();
+			pauses.stop();
 		},
 	};
 }
