--- /dev/null
+++ b/test/silence.test.ts
@@ -0,0 +1,145 @@
+/** What callers get when this process, or an upstream, pauses while answers are under way. */
+import {expect} from 'chai';
+import {createServiceId} from '../src/ids/service-id.ts';
+import type {RouteKind} from '../src/directory/directory-types.ts';
+import {
+	callGateway, startTestGateway, testConfiguration, type TestGateway, testInstance, type TestResponse,
+} from './support/direct-fixtures.ts';
+import {Processes, type StreamWorker} from './support/processes.ts';
+
+/** How long the event loop or an upstream pauses, in milliseconds; more than any stall timeout. */
+const pauseMs = 1600;
+
+const processes = new Processes();
+const gateways: TestGateway[] = [];
+
+after(() => {
+	processes.stop();
+});
+
+afterEach(() => {
+	for (const gateway of gateways.splice(0)) {
+		gateway.close();
+	}
+});
+
+async function start(kind: RouteKind, workerCount: number, options: {timeoutMs?: number; attempts?: number; retrySlack?: number} = {}): Promise<{gateway: TestGateway; workers: StreamWorker[]}> {
+	const {timeoutMs = 8000, attempts = 3, retrySlack} = options;
+	const workers = await Promise.all(Array.from({length: workerCount}, async () => processes.startStreamWorker()));
+	const service = createServiceId(kind === 'stream' ? 'models' : 'desk');
+	const held = kind === 'stream'
+		? [{
+			model: 'm', version: 1, fromLayer: 0, toLayer: 16,
+		}]
+		: [];
+	const configuration = testConfiguration(1, {
+		kind, isResumable: kind === 'stream', timeoutMs, aimMs: 1000, attempts, targets: [{service, weight: 1}],
+	});
+	const instances = workers.map(({address}, at) => testInstance({
+		id: `i-${at}`, address, service, slots: 16, held,
+	}));
+	const gateway = await startTestGateway(configuration, instances, {retrySlack});
+	gateways.push(gateway);
+	return {gateway, workers};
+}
+
+/** Sends calls, `query` telling the worker how to answer. */
+async function callAll(gateway: TestGateway, count: number, query: string, headers: Record<string, string> = {}): Promise<TestResponse[]> {
+	return Promise.all(Array.from({length: count}, async (_, at) => callGateway(gateway.url, {
+		path: `/p/x?${query}`, headers: {'attempt-id': `id-${at}`, 'deadline-ms': '8000', ...headers},
+	})));
+}
+
+const streamHeaders = {model: 'm', 'token-usage': '100,50'};
+
+/** Blocks the event loop of this process after a time, as a machine without free processors does: timers that are due run before sockets are read. */
+function blockAfter(ms: number, forMs = pauseMs): void {
+	setTimeout(() => {
+		setImmediate(() => {
+			Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, forMs);
+		});
+	}, ms);
+}
+
+function expectWhole(responses: readonly TestResponse[], events: number): void {
+	const last = `data: t${events}`;
+	const cut = responses.filter(({status, complete, body}) => status !== 200 || !complete || !body.includes(last));
+	expect(cut.map(({status, complete, body}) => ({status, complete, events: body.split('\n\n').length - 1}))).to.deep.equal([]);
+}
+
+async function countRuns(workers: readonly StreamWorker[]): Promise<number> {
+	const runs = await Promise.all(workers.map(async worker => worker.runs()));
+	return runs.flatMap(item => Object.values(item)).reduce((sum, count) => sum + count, 0);
+}
+
+it('guards against a pause of the gateway that passes for silence of its upstreams: streams go on where they are', async () => {
+	const {gateway, workers} = await start('stream', 2);
+	blockAfter(400);
+	const responses = await callAll(gateway, 20, 'events=20&gap=100', streamHeaders);
+	expectWhole(responses, 20);
+	expect(await countRuns(workers)).to.equal(20);
+});
+
+it('guards against a pause of the gateway that passes for silence before the first event: no call is sent twice', async () => {
+	const {gateway, workers} = await start('stream', 2);
+	blockAfter(100);
+	const responses = await callAll(gateway, 10, 'events=3&gap=50&after=300', streamHeaders);
+	expectWhole(responses, 3);
+	expect(await countRuns(workers)).to.equal(10);
+});
+
+it('guards against a pause of the gateway that passes for a dead connection: calls that connect meanwhile go to their upstream', async () => {
+	const {gateway, workers} = await start('idempotent', 1, {attempts: 1});
+	const responses = callAll(gateway, 10, 'bytes=10');
+	for (let at = 0; at < 8; at++) {
+		blockAfter(1 + at, 400);
+	}
+
+	const statuses = await responses;
+	expect(statuses.map(({status}) => status)).to.deep.equal(Array.from({length: 10}, () => 200));
+	expect(await countRuns(workers)).to.equal(10);
+});
+
+it('guards against an answer that is ready and thrown away: a pause across the timeout of its route does not end the call', async () => {
+	const {gateway} = await start('once', 1, {timeoutMs: 1000});
+	blockAfter(100);
+	const responses = await callAll(gateway, 10, 'bytes=800&after=300', {'deadline-ms': '1000'});
+	expect(responses.map(({status}) => status)).to.deep.equal(Array.from({length: 10}, () => 200));
+});
+
+it('guards against a silent upstream that is left for nothing: without another one, the stream goes on when the upstream does', async () => {
+	const {gateway, workers} = await start('stream', 1);
+	const responses = await callAll(gateway, 10, `events=6&gap=50&pause-at=3&pause=${pauseMs}`, streamHeaders);
+	expectWhole(responses, 6);
+	expect(await countRuns(workers)).to.equal(10);
+});
+
+it('guards against a silent upstream that is left for nothing: without a retry in the budget, the stream goes on when the upstream does', async () => {
+	const {gateway, workers} = await start('stream', 2, {retrySlack: 0});
+	const responses = await callAll(gateway, 3, `events=6&gap=50&pause-at=3&pause=${pauseMs}`, streamHeaders);
+	expectWhole(responses, 6);
+	expect(await countRuns(workers)).to.equal(3);
+});
+
+it('guards against a silent upstream that is left for nothing: a call without an answer so far waits for it, too', async () => {
+	const {gateway, workers} = await start('idempotent', 1);
+	const responses = await callAll(gateway, 10, `bytes=10&after=${pauseMs}`);
+	expect(responses.map(({status}) => status)).to.deep.equal(Array.from({length: 10}, () => 200));
+	expect(await countRuns(workers)).to.equal(10);
+});
+
+it('guards against an upstream that is left for one that is no better: if both are silent, the first to go on answers', async () => {
+	const {gateway, workers} = await start('stream', 2, {attempts: 2});
+	const responses = await callAll(gateway, 6, `events=6&gap=50&after=${pauseMs + 1200}`, {...streamHeaders, 'deadline-ms': '7000'});
+	expectWhole(responses, 6);
+	expect(await countRuns(workers)).to.be.at.most(12);
+});
+
+it('guards against two answers in one: a stream that another upstream resumes has each event once, also if the silent one goes on', async () => {
+	const {gateway, workers} = await start('stream', 2);
+	const responses = await callAll(gateway, 12, `events=8&gap=60&pause-at=3&pause=${pauseMs}`, streamHeaders);
+	expectWhole(responses, 8);
+	const events = Array.from({length: 8}, (_, at) => `id: ${at + 1}\ndata: t${at + 1}\n\n`).join('');
+	expect(responses.map(({body}) => body)).to.deep.equal(responses.map(() => events));
+	expect(await countRuns(workers)).to.be.at.most(24);
+});
--- /dev/null
+++ b/test/support/processes.ts
@@ -0,0 +1,86 @@
+/** Programs of the repository as processes of their own, for tests. */
+import {type ChildProcess, spawn} from 'node:child_process';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import type {DirectoryStore} from './directory-store.ts';
+import {waitFor} from './fleet.ts';
+import {freePorts} from './free-ports.ts';
+
+const program = path.join(import.meta.dirname, '../../dist/cactusreach.cjs');
+
+/** A started process, and its output so far. */
+export type Started = {readonly child: ChildProcess; readonly out: () => string};
+
+/** A worker that `stream-worker.ts` runs. */
+export type StreamWorker = Started & {
+	readonly address: string;
+	/** Returns how many runs the worker began, by attempt ID. */
+	readonly runs: () => Promise<Record<string, number>>;
+};
+
+/** A gateway and the address at which callers reach it. */
+export type GatewayProcess = Started & {readonly url: string};
+
+/** The processes of one test, and a folder for their settings. */
+export class Processes {
+	private readonly folder = mkdtempSync(path.join(tmpdir(), 'cactusreach-processes-'));
+	private readonly children: ChildProcess[] = [];
+
+	/** Starts Node.js with the given arguments. */
+	start(args: readonly string[]): Started {
+		const child = spawn(process.execPath, args, {stdio: ['ignore', 'pipe', 'inherit']});
+		this.children.push(child);
+		let text = '';
+		child.stdout.setEncoding('utf8').on('data', (part: string) => {
+			text += part;
+		});
+		return {child, out: () => text};
+	}
+
+	/** Starts a worker and waits until it listens. */
+	async startStreamWorker(): Promise<StreamWorker> {
+		const started = this.start(['--import', 'tsx', path.join(import.meta.dirname, 'stream-worker.ts')]);
+		await waitFor('a worker listens', () => started.out().includes('\n'));
+		const address = `127.0.0.1:${started.out().trim()}`;
+		return {
+			...started, address, async runs() {
+				const res = await fetch(`http://${address}/runs`);
+				return await res.json() as Record<string, number>;
+			},
+		};
+	}
+
+	/**
+	 * Starts a gateway and waits until it is ready.
+	 *
+	 * @param limits - further lines of the section `limits` of its settings
+	 */
+	async startGateway(store: DirectoryStore, limits = ''): Promise<GatewayProcess> {
+		const [callers, control, readiness, datagrams] = await freePorts(4) as [number, number, number, number];
+		const settings = path.join(this.folder, `gateway-${callers}.ini`);
+		writeFileSync(settings, `[process]\nvm = g-${callers}\nzone = z\nregion = r\n[listen]\ncallers = 127.0.0.1:${callers}\ncontrol = 127.0.0.1:${control}\nreadiness = 127.0.0.1:${readiness}\n`
+		+ `datagrams = 127.0.0.1:${datagrams}\n[directory]\naddress = ${store.address}\n[limits]\n${limits}`);
+		const started = this.start([program, 'gateway', '--settings', settings]);
+		await waitFor('the gateway is ready', async () => {
+			try {
+				const res = await fetch(`http://127.0.0.1:${readiness}/readyz`);
+				return res.status === 200;
+			} catch {
+				// It does not listen yet.
+				return false;
+			}
+		});
+		return {...started, url: `http://127.0.0.1:${callers}`};
+	}
+
+	/** Kills all processes. */
+	stop(): void {
+		for (const child of this.children.splice(0)) {
+			child.kill('SIGKILL');
+		}
+
+		rmSync(this.folder, {recursive: true});
+	}
+}
