A timeout reads what has arrived before it ends a wait

Callers saw 504 for calls whose answers lay ready, and 503 for calls whose connection to an upstream was open, after the gateway had had no processor time. Cause: when a process runs again, the event loop runs the timers that are due before it reads its sockets, and each of these timers ends a wait for input. setInputTimeout reads first.

Ruled out: longer timeouts, which only move the length of the pause.

--- a/src/forwarding/call-timeout.ts
+++ b/src/forwarding/call-timeout.ts
@@ -1,4 +1,5 @@
 /** Ends a call whose time is up: at its timeout or the caller's deadline, or a little later if its response has begun. */
+import {type InputTimeout, setInputTimeout} from '../runtime/input-timeout.ts';
 import type {CallBoundary} from './call-boundary.ts';
 
 /** How long a response that has begun may run past the time, in milliseconds. */
@@ -16,7 +17,7 @@
 
 /** The timeout of one call. */
 export class CallTimeout {
-	private timer: NodeJS.Timeout | undefined;
+	private timeout: InputTimeout | undefined;
 
 	/** @param options - the time and the callbacks */
 	constructor(private readonly options: CallTimeoutOptions) {}
@@ -34,10 +35,10 @@
 
 	/** Stops the timer, because the call has ended. */
 	stop(): void {
-		clearTimeout(this.timer);
+		this.timeout?.clear();
 	}
 
 	private wait(untilMs: number, listener: () => void): void {
-		this.timer = setTimeout(this.options.boundary.wrap('timer', listener), Math.max(1, untilMs - performance.now()));
+		this.timeout = setInputTimeout(this.options.boundary.wrap('timer', listener), Math.max(1, untilMs - performance.now()));
 	}
 }
--- a/src/forwarding/start-deadline.ts
+++ b/src/forwarding/start-deadline.ts
@@ -1,5 +1,6 @@
 /** Ends the wait of a call that has not started when the version of weights it was sent to expires, also if that time changes meanwhile. */
 
+import {type InputTimeout, setInputTimeout} from '../runtime/input-timeout.ts';
 import type {CallBoundary} from './call-boundary.ts';
 
 /** The maximum time between two looks at the time left, in milliseconds, since a clock jump or a late event loop shortens it without a call of {@link StartDeadline.check}. */
@@ -7,7 +8,7 @@
 
 /** The time until which one call may start; it depends on the announced versions and on how late this process runs. */
 export class StartDeadline {
-	private timer: NodeJS.Timeout | undefined;
+	private timeout: InputTimeout | undefined;
 	private isStopped = false;
 
 	/**
@@ -30,10 +31,10 @@
 
 	/** Applies a change of the announced versions; does nothing after {@link stop}. */
 	check(): void {
-		clearTimeout(this.timer);
+		this.timeout?.clear();
 		const leftMs = this.timeLeftMs();
 		if (!this.isStopped && leftMs < Number.POSITIVE_INFINITY) {
-			this.timer = setTimeout(this.boundary.wrap('timer', () => {
+			this.timeout = setInputTimeout(this.boundary.wrap('timer', () => {
 				if (this.timeLeftMs() > 0) {
 					this.check();
 				} else {
@@ -46,6 +47,6 @@
 	/** Ends the check, because the call has started or ended. */
 	stop(): void {
 		this.isStopped = true;
-		clearTimeout(this.timer);
+		this.timeout?.clear();
 	}
 }
--- a/src/forwarding/upstream-exchange.ts
+++ b/src/forwarding/upstream-exchange.ts
@@ -9,6 +9,7 @@
 import net from 'node:net';
 import {formatAddress, parseAddress} from '../links/http-listener.ts';
 import {areHeadersValid, isFinalStatus} from '../links/http-syntax.ts';
+import {type InputTimeout, setInputTimeout} from '../runtime/input-timeout.ts';
 import type {CallBoundary} from './call-boundary.ts';
 
 /** Timeout for establishing a connection, in milliseconds. */
@@ -48,7 +49,7 @@
 /** One request and its response. */
 export class UpstreamExchange {
 	private readonly req: http.ClientRequest;
-	private readonly connectTimer: NodeJS.Timeout;
+	private readonly connectTimeout: InputTimeout;
 	private res: http.IncomingMessage | undefined;
 	private isConnected = false;
 	private hasWritten = false;
@@ -71,7 +72,7 @@
 		this.req = http.request({
 			host, port, method, path: target, headers, agent,
 		});
-		this.connectTimer = setTimeout(boundary.wrap('send', () => {
+		this.connectTimeout = setInputTimeout(boundary.wrap('send', () => {
 			this.fail('connect_timeout');
 		}), connectTimeoutMs);
 		this.req.on('socket', boundary.wrap('send', (socket: net.Socket) => {
@@ -108,7 +109,7 @@
 	private watchSocket(socket: net.Socket, body: Buffer | undefined): void {
 		socket.once('connect', this.boundary.wrap('send', () => {
 			this.isConnected = true;
-			clearTimeout(this.connectTimer);
+			this.connectTimeout.clear();
 			this.write(body);
 		}));
 		socket.prependOnceListener('end', () => {
@@ -199,7 +200,7 @@
 
 	private finish(): void {
 		this.isFinished = true;
-		clearTimeout(this.connectTimer);
+		this.connectTimeout.clear();
 		this.req.destroy();
 	}
 }
@@ -223,13 +224,14 @@
 	return new Promise(resolve => {
 		const socket = net.connect({host, port});
 		const finish = (probe: ConnectionProbe) => {
+			timeout.clear();
 			socket.destroy();
 			resolve(probe);
 		};
 
-		socket.setTimeout(connectTimeoutMs, () => {
+		const timeout = setInputTimeout(() => {
 			finish('silent');
-		});
+		}, connectTimeoutMs);
 		socket.once('connect', () => {
 			finish('accepts');
 		});
--- a/test/forwarding-decisions.test.ts
+++ b/test/forwarding-decisions.test.ts
@@ -39,6 +39,7 @@
 	maxAttempts: fc.integer({min: 1, max: 3}),
 	refusals: fc.integer({min: 0, max: 4}),
 	hasTime: fc.boolean(),
+	hasOtherAttempt: fc.boolean(),
 	budget: fc.boolean(),
 });
 
@@ -55,7 +56,13 @@
 		}
 
 		if (input.isResponseStarted) {
-			expect(step).to.be.oneOf(['repeat', 'cut']);
+			expect(step).to.be.oneOf(input.hasOtherAttempt ? ['wait'] : ['repeat', 'cut']);
+		}
+
+		if (input.hasOtherAttempt) {
+			expect(step).to.be.oneOf(['wait', 'pass-on']);
+		} else {
+			expect(step).to.not.equal('wait');
 		}
 
 		if (step === 'repeat') {
@@ -206,11 +213,12 @@
 		expect(passedAtMs).to.deep.equal([]);
 		expiresAtMs = 1200;
 		usual.check();
-		clock.tick(1);
+		// The fake clock counts each immediate that a callback sets as 1 ms.
+		clock.tick(3);
 		expect(passedAtMs).to.have.lengthOf(1);
 		expiresAtMs = Number.NEGATIVE_INFINITY;
 		createDeadline();
-		clock.tick(1);
+		clock.tick(3);
 		expect(passedAtMs).to.have.lengthOf(2);
 		const started = createDeadline();
 		started.stop();
