A drain waits until the last bytes of each answer are written

Shown for the listeners alone, not seen by callers of a real gateway: server.close() and closeIdleConnections() destroy a connection whose response has ended, written or not, and a call counts as ended then.

ServerConnections counts the responses that are not handed to the system, and closes idle connections only when there are none. The last writes at the end of the grace period have 200 ms in place of 50, and end earlier if all is written.

Test red before: one of two calls answered, with it both.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -34,7 +34,7 @@
 const bytesPerMegabyte = 1_000_000;
 
 /** How long the last responses may take to be written before their connections are closed, in milliseconds. */
-const lastWritesMs = 50;
+const lastWritesMs = 200;
 
 /** The functions of the platform adapter that a gateway needs. */
 export type GatewayAdapter = {readonly createSource: CreateSource; readonly codec: WireCodec};
@@ -152,11 +152,14 @@
 	return {
 		async drain() {
 			callers.disableKeepAlive();
-			const drainResult = await Promise.race([drain.run(), waitUntilLate((settings.limits.grace_s * msPerSecond) - killMarginMs)]);
+			const drained = drain.run();
+			const drainResult = await Promise.race([drained, waitUntilLate((settings.limits.grace_s * msPerSecond) - killMarginMs)]);
 			if (drainResult === 'late') {
-				log.warn({event: 'drain_cut', openCalls: forwarder.openCalls}, 'the grace period ends; aborting the remaining calls');
+				log.warn({
+					event: 'drain_cut', openCalls: forwarder.openCalls, unwritten: callers.unwrittenResponses,
+				}, 'the grace period ends; aborting the remaining calls');
 				forwarder.endOpenCalls();
-				await sleep(lastWritesMs);
+				await Promise.race([drained, sleep(lastWritesMs)]);
 				callers.destroy();
 				await logSink.drain();
 			}
--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -5,6 +5,7 @@
 import type {CallerLimits} from '../directory/directory-types.ts';
 import type {BodyBudget, BodyLease} from '../limits/body-budget.ts';
 import type {ListenAddress} from '../links/http-listener.ts';
+import {ServerConnections} from '../links/server-connections.ts';
 import type {Logger} from '../runtime/logger.ts';
 import {areHeadersValid, isTargetValid} from '../links/http-syntax.ts';
 import {CallBoundary, type CallPhase} from './call-boundary.ts';
@@ -22,9 +23,6 @@
 /** How long a complete request may take to arrive, in milliseconds. */
 const requestTimeoutMs = 30_000;
 
-/** How often idle connections are closed while the listener drains, in milliseconds. */
-const idleCheckIntervalMs = 50;
-
 /** When callers may return after an exception before their call was forwarded, in milliseconds. */
 const faultRetryAfterMs = 300;
 
@@ -61,6 +59,7 @@
 /** Accepts connections from callers and reads their calls. */
 export class CallerListener {
 	private readonly server: http.Server;
+	private readonly connections: ServerConnections;
 	private isClosing = false;
 
 	/** @param options - dependencies */
@@ -70,6 +69,7 @@
 		}, (req, res) => {
 			this.accept(req, res);
 		});
+		this.connections = new ServerConnections(this.server);
 		this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
 			this.respondToParseError(err, socket);
 		});
@@ -99,6 +99,11 @@
 		});
 	}
 
+	/** Number of calls whose response has not been handed to the system completely. */
+	get unwrittenResponses(): number {
+		return this.connections.unwrittenResponses;
+	}
+
 	/** Sends `Connection: close` with every further response, so that each connection ends after its next call. */
 	disableKeepAlive(): void {
 		this.isClosing = true;
@@ -107,15 +112,7 @@
 	/** Stops accepting connections and waits until every open call has its response. */
 	async drain(): Promise<void> {
 		this.isClosing = true;
-		await new Promise<void>(resolve => {
-			const timer = setInterval(() => {
-				this.server.closeIdleConnections();
-			}, idleCheckIntervalMs);
-			this.server.close(() => {
-				clearInterval(timer);
-				resolve();
-			});
-		});
+		await this.connections.drain();
 	}
 
 	/** Closes all connections immediately. */
--- a/src/links/http-listener.ts
+++ b/src/links/http-listener.ts
@@ -3,6 +3,7 @@
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {Logger} from '../runtime/logger.ts';
+import {ServerConnections} from './server-connections.ts';
 
 /** Handles one request; `params` holds the path segments that matched `*`, in order. */
 export type HttpHandler = (req: http.IncomingMessage, res: http.ServerResponse, params: readonly string[]) => Promise<void> | void;
@@ -19,14 +20,12 @@
 /** Thrown when a request body exceeds {@link maxBodyBytes}. */
 export class BodyTooLargeError extends Error {}
 
-/** How often idle connections are closed while the listener drains, in milliseconds. */
-const idleCheckIntervalMs = 50;
-
 type CompiledRoute = {readonly method: string; readonly pattern: RegExp; readonly handler: HttpHandler};
 
 /** Serves HTTP routes on one address. */
 export class HttpListener {
 	private readonly server: http.Server;
+	private readonly connections: ServerConnections;
 	private readonly routes: readonly CompiledRoute[];
 	private isClosing = false;
 
@@ -39,6 +38,7 @@
 		this.server = http.createServer((req, res) => {
 			void this.serve(req, res);
 		});
+		this.connections = new ServerConnections(this.server);
 		// Peers and load balancers keep idle connections open. With the default of 5 s, the server could close one just as a request arrives.
 		this.server.keepAliveTimeout = 75_000;
 		this.server.on('error', err => {
@@ -71,17 +71,7 @@
 	/** Stops accepting connections and waits until all open requests are answered. */
 	async drain(): Promise<void> {
 		this.isClosing = true;
-		await new Promise<void>(resolve => {
-			this.server.close(() => {
-				clearInterval(timer);
-				resolve();
-			});
-			// Connections with a request in progress are not idle yet and have to be closed later.
-			const timer = setInterval(() => {
-				this.server.closeIdleConnections();
-			}, idleCheckIntervalMs);
-			this.server.closeIdleConnections();
-		});
+		await this.connections.drain();
 	}
 
 	/** Stops listening and closes all connections immediately, aborting open requests. */
--- /dev/null
+++ b/src/links/server-connections.ts
@@ -0,0 +1,58 @@
+/** The connections of an HTTP server: closes idle ones, and drains the server without cutting a response that is still written. */
+import type http from 'node:http';
+import net from 'node:net';
+
+/** How often idle connections are closed while the server drains, in milliseconds. */
+const idleCheckIntervalMs = 50;
+
+/** Watches the connections of one server. */
+export class ServerConnections {
+	private unwritten = 0;
+
+	/** @param server - the server, before it listens */
+	constructor(private readonly server: http.Server) {
+		server.prependListener('request', (_, res: http.ServerResponse) => {
+			this.unwritten++;
+			res.once('close', () => {
+				this.unwritten--;
+			});
+		});
+		server.on('timeout', closeUnlessReadable);
+	}
+
+	/** Number of requests whose response has not been handed to the system completely. */
+	get unwrittenResponses(): number {
+		return this.unwritten;
+	}
+
+	/** Stops accepting connections and waits until every response has been written and every connection is closed. */
+	async drain(): Promise<void> {
+		await new Promise<void>(resolve => {
+			const timer = setInterval(() => {
+				this.closeIdle();
+			}, idleCheckIntervalMs);
+			// The method of `http.Server` would destroy connections whose response has ended and is not written yet.
+			net.Server.prototype.close.call(this.server, () => {
+				clearInterval(timer);
+				resolve();
+			});
+			this.closeIdle();
+		});
+	}
+
+	private closeIdle(): void {
+		if (this.unwritten === 0) {
+			this.server.closeIdleConnections();
+		}
+	}
+}
+
+/** Closes a connection that was idle for too long, unless the next request has arrived and was not read during a pause of this process. */
+function closeUnlessReadable(socket: net.Socket): void {
+	const {bytesRead} = socket;
+	setImmediate(() => {
+		if (socket.bytesRead === bytesRead) {
+			socket.destroy();
+		}
+	});
+}
--- a/test/planned-stop.test.ts
+++ b/test/planned-stop.test.ts
@@ -1,6 +1,6 @@
 /** A planned stop of a gateway, as a process of its own, whose callers go on using their open connections until it is gone. */
 import http from 'node:http';
-import type net from 'node:net';
+import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {HttpListener} from '../src/links/http-listener.ts';
@@ -202,3 +202,35 @@
 		expect(await answer).to.include({status: 200, complete: true, bytes: 2});
 	});
 }
+
+it('guards against an idle connection that is closed although its next call has arrived: a pause of the gateway across the idle timeout', async () => {
+	const upstream = await startUpstream((req, res) => {
+		sendSignedResponse(req, res, 200, 'ok');
+	});
+	const configuration = testConfiguration(1);
+	const gateway = await startTestGateway({...configuration, limits: {...configuration.limits, idleTimeoutMs: 1000}}, [testInstance({id: 'i-0', address: upstream.address})]);
+	const socket = net.connect(Number(new URL(gateway.url).port), '127.0.0.1');
+	let received = '';
+	socket.setEncoding('utf8').on('data', (text: string) => {
+		received += text;
+	});
+	socket.on('error', err => {
+		received += err.message;
+	});
+	const send = (id: string) => {
+		socket.write(`GET /p/x HTTP/1.1\r\nhost: a.example\r\napi-key: k1\r\nattempt-id: ${id}\r\n\r\n`);
+	};
+
+	send('id-1');
+	await waitFor('the first answer', () => received.includes('ok'));
+	await sleep(850);
+	setImmediate(() => {
+		send('id-2');
+		Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 1500);
+	});
+	await sleep(2500);
+	socket.destroy();
+	gateway.close();
+	upstream.close();
+	expect(received.split('HTTP/1.1 200').length - 1, received).to.equal(2);
+});
