A call that is sent to a second instance keeps its prompt check, and waits for the better answer

The first error response is now kept and passed on only if nothing better comes.

The test of answers that lie ready waits until all calls run before it blocks: beside a load of 30 one of ten calls had not been sent before, and got a 504 that was true.

--- a/src/forwarding/decide-next-step.ts
+++ b/src/forwarding/decide-next-step.ts
@@ -47,7 +47,7 @@
  */
 export function decideNextStep(input: NextStepInput): NextStep {
 	const step = stepDeciders[input.outcome.kind](input);
-	return input.hasOtherAttempt && step !== 'pass-on' ? 'wait' : step;
+	return input.hasOtherAttempt ? 'wait' : step;
 }
 
 const stepDeciders: Readonly<Record<AttemptOutcome['kind'], (input: NextStepInput) => NextStep>> = {
--- a/src/forwarding/end-steps.ts
+++ b/src/forwarding/end-steps.ts
@@ -16,6 +16,11 @@
 		});
 	},
 	fail(call, outcome) {
+		if (call.upstreamError) {
+			endSteps['pass-on'](call, outcome);
+			return;
+		}
+
 		call.finish('failed', {reason: describeOutcome(outcome)}, () => {
 			call.options.writer.sendError(502, 'the upstream did not answer; the call may have run');
 		});
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -21,6 +21,8 @@
 export class ForwardedCall {
 	/** Attempts that may have run the call. */
 	possibleRuns = 0;
+	/** The last error response that an upstream gave. */
+	upstreamError: BufferedResponse | undefined;
 	private readonly attempts = new CallAttempts(attempt => {
 		this.handleReplaced(attempt);
 	});
@@ -50,7 +52,7 @@
 		this.log = new CallLog(options);
 		this.hedge = new Hedge({
 			...options,
-			mayRepeat: () => this.canRetryElsewhere(),
+			mayRepeat: () => this.canRetryElsewhere() && !this.promptCheck.isHeld,
 			selectInstance: async () => this.selectInstance(),
 			isUnderWay: attempt => this.attempts.has(attempt),
 			startAttempt: selection => {
@@ -65,11 +67,6 @@
 		});
 	}
 
-	/** The error response of the attempt that ended last, if it got one. */
-	get upstreamError(): BufferedResponse | undefined {
-		return this.attempts.lastEnded?.buffered;
-	}
-
 	/** Starts the timeout and the first attempt. */
 	start(): void {
 		this.timeout.start();
@@ -239,8 +236,6 @@
 	private endWithoutInstance(reason: string, retryAfterMs: number): void {
 		if (this.options.writer.hasStarted) {
 			endSteps.cut(this, {kind: 'failed', reason});
-		} else if (this.possibleRuns > 0 && this.upstreamError) {
-			endSteps['pass-on'](this, {kind: 'failed', reason});
 		} else if (this.possibleRuns > 0) {
 			endSteps.fail(this, {kind: 'failed', reason});
 		} else {
@@ -324,6 +319,7 @@
 			this.refusals++;
 		}
 
+		this.upstreamError = attempt.buffered ?? this.upstreamError;
 		const step = decideNextStep({
 			outcome,
 			kind: route.kind,
--- a/src/forwarding/hedge.ts
+++ b/src/forwarding/hedge.ts
@@ -67,10 +67,10 @@
 
 	/** Returns what came of it, for the log. */
 	private async trySecond(silent: UpstreamAttempt): Promise<string> {
-		const {selectInstance, isUnderWay, retryBudget, startAttempt} = this.options;
+		const {mayRepeat, selectInstance, isUnderWay, retryBudget, startAttempt} = this.options;
 		const selection = await selectInstance();
-		if (!isUnderWay(silent) || !silent.isSilent) {
-			return 'no_longer_silent';
+		if (!isUnderWay(silent) || !silent.isSilent || !mayRepeat()) {
+			return 'not_wanted_any_more';
 		}
 
 		if (!('instance' in selection)) {
--- a/src/forwarding/prompt-check.ts
+++ b/src/forwarding/prompt-check.ts
@@ -10,6 +10,12 @@
 	/** @param options - the call, the quarantine and the log */
 	constructor(private readonly options: Pick<ForwardedCallOptions, 'quarantine' | 'call' | 'log'>) {}
 
+	/** Whether a part of the call is held, also if the call is the trial. */
+	get isHeld(): boolean {
+		const {quarantine, call} = this.options;
+		return this.isTrial || quarantine.heldForMs(call.headers.promptParts) !== undefined;
+	}
+
 	/** For how long a part of the call is held, in milliseconds; undefined if none is, or if the call is the trial. */
 	get heldForMs(): number | undefined {
 		const {quarantine, call} = this.options;
--- a/test/forwarding-decisions.test.ts
+++ b/test/forwarding-decisions.test.ts
@@ -60,7 +60,7 @@
 		}
 
 		if (input.hasOtherAttempt) {
-			expect(step).to.be.oneOf(['wait', 'pass-on']);
+			expect(step).to.equal('wait');
 		} else {
 			expect(step).to.not.equal('wait');
 		}
--- a/test/silence.test.ts
+++ b/test/silence.test.ts
@@ -1,10 +1,12 @@
 /** What callers get when this process, or an upstream, pauses while answers are under way. */
 import {expect} from 'chai';
 import {createServiceId} from '../src/ids/service-id.ts';
+import {createPromptPartId} from '../src/ids/prompt-part-id.ts';
 import type {RouteKind} from '../src/directory/directory-types.ts';
 import {
-	callGateway, startTestGateway, testConfiguration, type TestGateway, testInstance, type TestResponse,
+	callGateway, sendSignedResponse, startTestGateway, startUpstream, testConfiguration, type TestGateway, testInstance, type TestResponse, type UpstreamHandler,
 } from './support/direct-fixtures.ts';
+import {waitFor} from './support/fleet.ts';
 import {Processes, type StreamWorker} from './support/processes.ts';
 
 /** How long the event loop or an upstream pauses, in milliseconds; more than any stall timeout. */
@@ -101,9 +103,11 @@
 });
 
 it('guards against an answer that is ready and thrown away: a pause across the timeout of its route does not end the call', async () => {
-	const {gateway} = await start('once', 1, {timeoutMs: 1000});
-	blockAfter(100);
-	const responses = await callAll(gateway, 10, 'bytes=800&after=300', {'deadline-ms': '1000'});
+	const {gateway, workers} = await start('once', 1, {timeoutMs: 2000});
+	const calls = callAll(gateway, 10, 'bytes=800&after=800', {'deadline-ms': '2000'});
+	await waitFor('all calls run', async () => await countRuns(workers) === 10);
+	blockAfter(0, 2400);
+	const responses = await calls;
 	expect(responses.map(({status}) => status)).to.deep.equal(Array.from({length: 10}, () => 200));
 });
 
@@ -143,3 +147,60 @@
 	expect(responses.map(({body}) => body)).to.deep.equal(responses.map(() => events));
 	expect(await countRuns(workers)).to.be.at.most(24);
 });
+
+it('guards against a held prompt part that reaches a second upstream because the first one is silent', async () => {
+	const {gateway, workers} = await start('stream', 2);
+	const responses = callAll(gateway, 1, `events=6&gap=50&pause-at=3&pause=${pauseMs}`, {...streamHeaders, 'prompt-prefix': 'aa:60,bb:40'});
+	setTimeout(() => {
+		for (let crash = 0; crash < 3; crash++) {
+			const crashed = testInstance({id: `i-crashed-${crash}`});
+			gateway.quarantine.recordCrash({id: `${crashed.id}@1`, atMs: performance.now() - (crash * 100), calls: [[createPromptPartId('aa')]]}, crashed);
+		}
+	}, 700);
+	expectWhole(await responses, 6);
+	expect(gateway.quarantine.holds).to.have.lengthOf(1);
+	expect(await countRuns(workers)).to.equal(1);
+});
+
+const lateEnds: Readonly<Record<string, {end: UpstreamHandler; expected: readonly [number, string]}>> = {
+	'breaks off': {
+		end(req) {
+			req.socket.destroy();
+		},
+		expected: [500, 'failed'],
+	},
+	answers: {
+		end(req, res) {
+			sendSignedResponse(req, res, 200, 'ok');
+		},
+		expected: [200, 'ok'],
+	},
+};
+
+for (const [name, {end, expected}] of Object.entries(lateEnds)) {
+	it(`guards against a failure that hides a better answer: the second upstream fails, the silent one ${name}`, async () => {
+		const upstreams = await Promise.all([
+			startUpstream((...args) => {
+				setTimeout(() => {
+					end(...args);
+				}, 900);
+			}),
+			startUpstream((req, res) => {
+				sendSignedResponse(req, res, 500, 'failed');
+			}),
+		]);
+		const instances = upstreams.map(({address}, at) => testInstance({id: `i-${at}`, address}));
+		const gateway = await startTestGateway(testConfiguration(1, {kind: 'idempotent', timeoutMs: 3000}), instances);
+		gateways.push(gateway);
+		// The second one is suspect, so that the first one gets the call first.
+		gateway.tracker.recordOutcome('i-1', false);
+		gateway.tracker.recordOutcome('i-1', false);
+		const response = await callGateway(gateway.url, {headers: {'deadline-ms': '2500'}});
+		for (const upstream of upstreams) {
+			upstream.close();
+		}
+
+		expect(upstreams.map(({requests}) => requests.length)).to.deep.equal([1, 1]);
+		expect([response.status, response.body]).to.deep.equal(expected);
+	});
+}
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -109,7 +109,7 @@
 }
 
 /** A gateway in the test process, without its control listeners. */
-export type TestGateway = {readonly directory: Directory; readonly tracker: InstanceTracker; readonly forwarder: CallForwarder; readonly listener: CallerListener; readonly bodies: BodyBudget; readonly crashes: readonly Crash[]; readonly faults: {count: number}; readonly url: string; readonly close: () => void};
+export type TestGateway = {readonly directory: Directory; readonly tracker: InstanceTracker; readonly forwarder: CallForwarder; readonly listener: CallerListener; readonly bodies: BodyBudget; readonly quarantine: PromptQuarantine; readonly crashes: readonly Crash[]; readonly faults: {count: number}; readonly url: string; readonly close: () => void};
 
 /** Starts the caller listener of a gateway with the given configuration, instances and header codec. */
 export async function startTestGateway(configuration: PublishedConfiguration | undefined, instances: readonly Instance[], {codec = platformCodec, retrySlack = 100}: {codec?: WireCodec; retrySlack?: number} = {}): Promise<TestGateway> {
@@ -144,7 +144,7 @@
 	});
 	await listener.start({host: '127.0.0.1', port});
 	return {
-		directory, tracker, forwarder, listener, bodies, crashes: crashList, faults, url: `http://127.0.0.1:${port}`, close() {
+		directory, tracker, forwarder, listener, bodies, quarantine, crashes: crashList, faults, url: `http://127.0.0.1:${port}`, close() {
 			listener.destroy();
 			pauses.stop();
 		},
