--- a/test/body-memory.test.ts
+++ b/test/body-memory.test.ts
@@ -1,12 +1,8 @@
 /** The memory that bodies of calls may take: a gateway, its workers and its callers as processes of their own. */
-import {type ChildProcess, spawn} from 'node:child_process';
-import {
-	mkdtempSync, readFileSync, rmSync, writeFileSync,
-} from 'node:fs';
+import type {ChildProcess} from 'node:child_process';
+import {readFileSync} from 'node:fs';
 import net from 'node:net';
-import {tmpdir} from 'node:os';
 import path from 'node:path';
-import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {BodyBudget, bodyRoomFor, smallBodyBytes} from '../src/limits/body-budget.ts';
@@ -15,9 +11,8 @@
 } from './support/direct-fixtures.ts';
 import {DirectoryStore} from './support/directory-store.ts';
 import {waitFor} from './support/fleet.ts';
-import {freePorts} from './support/free-ports.ts';
+import {Processes} from './support/processes.ts';
 
-const program = path.join(import.meta.dirname, '../dist/cactusreach.cjs');
 const support = path.join(import.meta.dirname, 'support');
 
 /** The heap limit of a deployed gateway. */
@@ -28,63 +23,17 @@
 
 const kilobytesPerMegabyte = 1000;
 
-const children: ChildProcess[] = [];
-const folder = mkdtempSync(path.join(tmpdir(), 'cactusreach-memory-'));
+const processes = new Processes();
 
 after(() => {
-	for (const child of children) {
-		child.kill('SIGKILL');
-	}
-
-	rmSync(folder, {recursive: true});
+	processes.stop();
 });
 
-/** Starts a process; `out` returns its output so far. */
-function start(args: readonly string[]): {child: ChildProcess; out: () => string} {
-	const child = spawn(process.execPath, args, {stdio: ['ignore', 'pipe', 'inherit']});
-	children.push(child);
-	let text = '';
-	child.stdout.setEncoding('utf8').on('data', (part: string) => {
-		text += part;
-	});
-	return {child, out: () => text};
-}
-
 /** Returns the largest resident memory that a process has had, in megabytes. */
 function peakMemoryMb({pid}: ChildProcess): number {
 	return Number(/^VmHWM:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))![1]) / kilobytesPerMegabyte;
 }
 
-async function startGateway(store: DirectoryStore): Promise<{gateway: ChildProcess; port: number}> {
-	const [callers, control, readiness, datagrams] = await freePorts(4) as [number, number, number, number];
-	const settings = path.join(folder, 'gateway.ini');
-	writeFileSync(settings, `[process]
-vm = g
-zone = z
-region = r
-[listen]
-callers = 127.0.0.1:${callers}
-control = 127.0.0.1:${control}
-readiness = 127.0.0.1:${readiness}
-datagrams = 127.0.0.1:${datagrams}
-[directory]
-address = ${store.address}
-[limits]
-memory_mb = ${memoryMb}
-`);
-	const {child} = start([...gatewayOptions, program, 'gateway', '--settings', settings]);
-	await waitFor('the gateway is ready', async () => {
-		try {
-			const res = await fetch(`http://127.0.0.1:${readiness}/readyz`);
-			return res.status === 200;
-		} catch {
-			// It does not listen yet.
-			return false;
-		}
-	});
-	return {gateway: child, port: callers};
-}
-
 for (const calls of [20, 120]) {
 	it(`guards against bodies that take all memory: with ${calls} of 4 MB at once the gateway stays below its limit, small calls are served, and each large one is served or refused`, async () => {
 		const store = new DirectoryStore();
@@ -101,15 +50,15 @@
 			tenants: [{name: 't', api_keys: ['k1']}],
 		});
 		for (const id of ['i-1', 'i-2']) {
-			const {out} = start(['--import', 'tsx', path.join(support, 'body-worker.ts')]);
+			const {out} = processes.start(['--import', 'tsx', path.join(support, 'body-worker.ts')]);
 			await waitFor('a worker listens', () => out().includes('\n'));
 			store.put(`servers/${id}`, {
 				service: 'desk', address: `127.0.0.1:${out().trim()}`, zone: 'z', slots: 100, state: 'ready', born: 1,
 			});
 		}
 
-		const {gateway, port} = await startGateway(store);
-		const {child, out} = start(['--import', 'tsx', path.join(support, 'body-callers.ts'), String(port), String(calls), '4000000']);
+		const {child: gateway, url} = await processes.startGateway(store, `memory_mb = ${memoryMb}\n`, gatewayOptions);
+		const {child, out} = processes.start(['--import', 'tsx', path.join(support, 'body-callers.ts'), new URL(url).port, String(calls), '4000000']);
 		await new Promise(resolve => {
 			child.once('exit', resolve);
 		});
--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -56,13 +56,14 @@
 	 * Starts a gateway and waits until it is ready.
 	 *
 	 * @param limits - further lines of the section `limits` of its settings
+	 * @param nodeOptions - options of Node.js
 	 */
-	async startGateway(store: DirectoryStore, limits = ''): Promise<GatewayProcess> {
+	async startGateway(store: DirectoryStore, limits = '', nodeOptions: readonly string[] = []): Promise<GatewayProcess> {
 		const [callers, control, readiness, datagrams] = await freePorts(4) as [number, number, number, number];
 		const settings = path.join(this.folder, `gateway-${callers}.ini`);
 		writeFileSync(settings, `[process]\nvm = g-${callers}\nzone = z\nregion = r\n[listen]\ncallers = 127.0.0.1:${callers}\ncontrol = 127.0.0.1:${control}\nreadiness = 127.0.0.1:${readiness}\n`
 		+ `datagrams = 127.0.0.1:${datagrams}\n[directory]\naddress = ${store.address}\n[limits]\n${limits}`);
-		const started = this.start([program, 'gateway', '--settings', settings]);
+		const started = this.start([...nodeOptions, program, 'gateway', '--settings', settings]);
 		await waitFor('the gateway is ready', async () => {
 			try {
 				const res = await fetch(`http://127.0.0.1:${readiness}/readyz`);
