A pause of this process is no silence of a peer that it asked

Operators saw peers, agents and the platform counted as failed (peer_lost, vm_list_failed, source_lost) after the process itself had had no processor time. Cause: the time limit of a request was a plain timer, which runs after a pause before sockets are read; the header timeout of undici is one, too.

A request now outlives a pause, so two bounds of age are kept in another way: a request that is not written within its time by the monotonic clock fails unsent, and the ages in an offer of the configuration count from the question.

Ruled out: reading first alone, since a response that is still under way when the process goes on would count as missing. Unchanged: undici's connect timeout and timeout between chunks, which count ticks of half a second in place of time.

Tests: five of silence-elsewhere.test, each red before.

--- a/src/cli/process-base.ts
+++ b/src/cli/process-base.ts
@@ -12,10 +12,10 @@
 /** The components that every role has. */
 export class ProcessBase {
 	readonly identity = createIdentity();
-	readonly links = new PeerClient();
 	readonly rpc = new RpcDispatcher();
 	readonly metrics = new Metrics();
 	readonly pauseDetector = new PauseDetector();
+	readonly links = new PeerClient(this.pauseDetector);
 	readonly log: Logger;
 	readonly random: RandomSource;
 
--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -4,6 +4,7 @@
 import type {EngineTiming, OriginInfo} from '../directory/directory-types.ts';
 import {formatAddress, HttpListener} from '../links/http-listener.ts';
 import type {PeerClient} from '../links/peer-client.ts';
+import {RequestDeadline} from '../links/request-deadline.ts';
 import {manifestGetMethod, manifestGetParamsSchema, type PeerInfo} from '../messages/peers-exchange.ts';
 import {rolloutHaveMethod, rolloutHaveParamsSchema} from '../messages/rollout-have.ts';
 import {serveCallCounter} from '../peers/call-counter-listener.ts';
@@ -17,6 +18,7 @@
 import {TransferNode} from '../rollout/transfer-node.ts';
 import type {OriginChunk, TransferOptions} from '../rollout/transfer-options.ts';
 import {TransferPacer} from '../rollout/transfer-pacer.ts';
+import {monotonicClock} from '../runtime/pause-detector.ts';
 import type {StagerSettings} from '../settings/direct-settings.ts';
 import type {LocalEngine, WeightOrigin} from '../staging/local-engine.ts';
 import {ManifestFetcher, type ManifestQuery} from '../staging/manifest-fetcher.ts';
@@ -267,10 +269,14 @@
 		}
 
 		this.scheduleServiceRead(serviceReadIntervalMs);
+		const deadline = new RequestDeadline(monotonicClock, {timeoutMs: serviceReadIntervalMs});
+		deadline.start();
 		try {
-			directory.apply(await source.read('published', AbortSignal.timeout(serviceReadIntervalMs)));
+			directory.apply(await source.read('published', deadline.signal));
 		} catch (err) {
 			log.warn({event: 'services_unknown', err}, 'the published services are unknown: no gateway sent them, and reading the source failed');
+		} finally {
+			deadline.clear();
 		}
 	}
 }
--- a/src/configuration/peer-exchange.ts
+++ b/src/configuration/peer-exchange.ts
@@ -87,9 +87,11 @@
 	 * @returns the peer's offer; undefined when it did not answer
 	 */
 	async exchange(peer: Peer): Promise<ConfigOffer | undefined> {
+		const askedAtMs = performance.now();
 		const offer = await this.call(peer, {method: configDigestMethod, params: this.options.currentOffer()}, configOfferSchema);
 		if (offer) {
-			this.handleOffer(offer);
+			// The ages were right at some time since the question, and must not look younger than they are.
+			this.handleOffer(addAge(offer, performance.now() - askedAtMs));
 		}
 
 		return offer;
@@ -147,3 +149,8 @@
 		}
 	}
 }
+
+function addAge(offer: ConfigOffer, ageMs: number): ConfigOffer {
+	const {serviceAgeMs, list} = offer;
+	return {...offer, serviceAgeMs: serviceAgeMs + ageMs, list: list && {...list, ageMs: list.ageMs + ageMs}};
+}
--- a/src/links/peer-client.ts
+++ b/src/links/peer-client.ts
@@ -12,15 +12,15 @@
 } from 'undici';
 import VError from 'verror';
 import type {ZodType} from 'zod';
+import {setInputTimeout} from '../runtime/input-timeout.ts';
+import {type ListeningClock, monotonicClock} from '../runtime/pause-detector.ts';
 import {createPool, type StartCallbackOptions, type TrackedPool} from './connection-pool.ts';
+import {RequestDeadline} from './request-deadline.ts';
 import {rpcPath} from './rpc-dispatcher.ts';
 
 /** How long connections to an origin are kept after the last request to it, and the interval of the checks, in milliseconds. A process exchanges with each of hundreds of peers now and then. */
 const unusedPool = {maxAgeMs: 15_000, checkIntervalMs: 5000};
 
-/** Added to the header timeout, in milliseconds: undici's timers have a resolution of about half a second and may fire one step early. */
-const timerSlackMs = 1000;
-
 /** How long the unread rest of a response body may take to drain before its connection is closed, in milliseconds. */
 const maxBodyDrainMs = 1000;
 
@@ -29,7 +29,10 @@
 
 /** Time limits and other options of a request. */
 export type PeerRequestOptions = {
-	/** Time limit for the response, in milliseconds. Covers the body in `rpc`, `json` and `bytes`, only the headers in `send`. */
+	/**
+	 * Time limit for the response, in milliseconds. Covers the body in `rpc`, `json` and `bytes`, only the headers in `send`. A pause of this
+	 * process does not count, except that a request is not sent after its time: its receiver may rely on that for the age of what it says.
+	 */
 	readonly timeoutMs: number;
 	/** Size limit of the body in `rpc`, `json` and `bytes`, in bytes; {@link defaultMaxBodyBytes} if absent. */
 	readonly maxBytes?: number;
@@ -74,6 +77,9 @@
 	private readonly retiredPools = new Set<Agent>();
 	private lastCheckMs = performance.now();
 
+	/** @param clock - tells for how long this process could hear responses; without it, pauses count as such time */
+	constructor(private readonly clock: ListeningClock = monotonicClock) {}
+
 	/** Number of origins to which connections may be open. */
 	get poolCount(): number {
 		return this.pools.size;
@@ -128,13 +134,14 @@
 	 */
 	async bytes(url: string, req: {method: Dispatcher.HttpMethod; body?: string | Buffer}, options: PeerRequestOptions): Promise<{status: number; bytes: Buffer}> {
 		let socket: net.Socket | undefined;
-		const deadline = new RequestDeadline(options, () => {
+		const deadline = new RequestDeadline(this.clock, options, () => {
 			if (options.resetOnTimeout) {
 				socket?.resetAndDestroy();
 			}
 		});
+		deadline.start();
 		try {
-			const res = await this.send(url, req, {
+			const res = await this.request(url, req, {
 				...options, signal: deadline.signal, onConnected(connected) {
 					socket = connected;
 				},
@@ -152,13 +159,56 @@
 	 *
 	 * @param url - the absolute URL
 	 * @param req - method and body
-	 * @param options - `timeoutMs` limits the time to the response headers; `signal` aborts the whole exchange
+	 * @param options - `timeoutMs` limits the time from the first byte of the request to the response headers; `signal` aborts the whole exchange
 	 * @throws PeerRequestError when no headers arrive in time
 	 */
 	async send(url: string, req: {method: Dispatcher.HttpMethod; body?: string | Buffer}, options: PeerRequestOptions): Promise<PeerResponse> {
+		const deadline = new RequestDeadline(this.clock, options);
+		try {
+			return await this.request(url, req, {
+				...options, signal: deadline.signal, beforeSend() {
+					options.beforeSend?.();
+					deadline.start();
+				},
+			});
+		} finally {
+			deadline.clear();
+		}
+	}
+
+	/**
+	 * Replaces the connection pool of a peer: open requests finish on their connections, and later requests open new ones.
+	 *
+	 * If one connection is dead without having been closed, others on the same network path usually are too, and a request on each of
+	 * them would have to wait for its progress timeout.
+	 *
+	 * @param address - address of the peer's control listener, `host:port`
+	 */
+	replaceConnections(address: string): void {
+		const origin = `http://${address}`;
+		const old = this.pools.get(origin);
+		if (old) {
+			this.pools.delete(origin);
+			void this.retire(old.pool);
+		}
+	}
+
+	/** Closes all connections and aborts open requests. */
+	async close(): Promise<void> {
+		const pools = [...this.pools.values()].map(({pool}) => pool);
+		await Promise.all([...pools, ...this.retiredPools].map(async pool => pool.destroy()));
+	}
+
+	/** Sends a request and waits for the response headers without a time limit. */
+	private async request(url: string, req: {method: Dispatcher.HttpMethod; body?: string | Buffer}, options: PeerRequestOptions): Promise<PeerResponse> {
 		const {pool, trackedDispatcher} = options.freshConnection ? createPool(options.onConnected) : this.getPool(url);
+		const startedAtMs = performance.now();
 		let sent = false;
 		const onStart = (): void => {
+			if (performance.now() - startedAtMs > options.timeoutMs) {
+				throw new VError('not sent within %d ms', options.timeoutMs);
+			}
+
 			options.beforeSend?.();
 			sent = true;
 		};
@@ -171,7 +221,8 @@
 				headers: req.body === undefined ? {} : {'content-type': 'application/json'},
 				dispatcher: trackedDispatcher,
 				signal: options.signal,
-				headersTimeout: options.timeoutMs + timerSlackMs,
+				// The timers of undici do not read what has arrived before they end a wait.
+				headersTimeout: 0,
 				bodyTimeout: options.bodyIdleTimeoutMs ?? 0,
 			});
 			if (options.freshConnection) {
@@ -190,29 +241,6 @@
 		}
 	}
 
-	/**
-	 * Replaces the connection pool of a peer: open requests finish on their connections, and later requests open new ones.
-	 *
-	 * If one connection is dead without having been closed, others on the same network path usually are too, and a request on each of
-	 * them would have to wait for its progress timeout.
-	 *
-	 * @param address - address of the peer's control listener, `host:port`
-	 */
-	replaceConnections(address: string): void {
-		const origin = `http://${address}`;
-		const old = this.pools.get(origin);
-		if (old) {
-			this.pools.delete(origin);
-			void this.retire(old.pool);
-		}
-	}
-
-	/** Closes all connections and aborts open requests. */
-	async close(): Promise<void> {
-		const pools = [...this.pools.values()].map(({pool}) => pool);
-		await Promise.all([...pools, ...this.retiredPools].map(async pool => pool.destroy()));
-	}
-
 	private async retire(pool: Agent): Promise<void> {
 		this.retiredPools.add(pool);
 		try {
@@ -296,35 +324,11 @@
 		return;
 	}
 
-	const timer = setTimeout(() => {
+	const timeout = setInputTimeout(() => {
 		body.destroy();
 	}, maxBodyDrainMs);
-	body.once('close', () => {
-		clearTimeout(timer);
-	});
+	body.once('close', timeout.clear);
 	// All needed data has been read, so that a later error affects only the connection.
 	body.on('error', () => undefined);
 	body.resume();
 }
-
-/** Aborts a request when its time is over. A timer that outlived the request, as that of `AbortSignal.timeout`, would wake the process up for nothing. */
-class RequestDeadline {
-	readonly signal: AbortSignal;
-	private readonly timer: NodeJS.Timeout;
-
-	/** @param onTimeout - called before the request is aborted */
-	constructor({timeoutMs, signal}: PeerRequestOptions, onTimeout: () => void) {
-		const controller = new AbortController();
-		this.signal = signal ? AbortSignal.any([signal, controller.signal]) : controller.signal;
-		this.timer = setTimeout(() => {
-			onTimeout();
-			controller.abort(new Error(`no response within ${timeoutMs} ms`));
-		}, timeoutMs);
-		this.timer.unref();
-	}
-
-	/** Ends the deadline. */
-	clear(): void {
-		clearTimeout(this.timer);
-	}
-}
--- a/src/membership/vm-list-client.ts
+++ b/src/membership/vm-list-client.ts
@@ -1,6 +1,8 @@
 /** HTTP client of the platform's VM list. */
-import {request} from 'undici';
+import {type Dispatcher, request} from 'undici';
 import {VError} from 'verror';
+import {RequestDeadline} from '../links/request-deadline.ts';
+import {monotonicClock} from '../runtime/pause-detector.ts';
 import {type ListedVm, vmListSchema} from './member.ts';
 
 /** Timeout of a request, in milliseconds. */
@@ -20,8 +22,7 @@
 	 */
 	async read(): Promise<readonly ListedVm[]> {
 		const headers: Record<string, string> = this.entityTag === undefined ? {} : {'if-none-match': this.entityTag};
-		const res = await request(`${this.baseUrl}/v1/vms`, {headers, signal: AbortSignal.timeout(vmListTimeoutMs)});
-		const text = await res.body.text();
+		const {res, text} = await this.request(headers);
 		if (res.statusCode === 304) {
 			return this.lastVms;
 		}
@@ -35,4 +36,15 @@
 		this.entityTag = typeof etag === 'string' ? etag : undefined;
 		return this.lastVms;
 	}
+
+	private async request(headers: Record<string, string>): Promise<{res: Dispatcher.ResponseData; text: string}> {
+		const deadline = new RequestDeadline(monotonicClock, {timeoutMs: vmListTimeoutMs});
+		deadline.start();
+		try {
+			const res = await request(`${this.baseUrl}/v1/vms`, {headers, signal: deadline.signal});
+			return {res, text: await res.body.text()};
+		} finally {
+			deadline.clear();
+		}
+	}
 }
--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -21,6 +21,13 @@
 	readonly listeningMs: number;
 };
 
+/** A clock that pauses do not stop, for programs without a {@link PauseDetector}. */
+export const monotonicClock: ListeningClock = {
+	get listeningMs() {
+		return performance.now();
+	},
+};
+
 /** Calls its listeners after the event loop did not run for at least {@link pauseThresholdMs}. */
 export class PauseDetector implements ListeningClock {
 	private lastCheckAtMs = performance.now();
--- /dev/null
+++ b/test/silence-elsewhere.test.ts
@@ -0,0 +1,116 @@
+/** What a process believes of others after it was paused itself: nobody is gone before there was time to hear from them. */
+import {expect} from 'chai';
+import {z} from 'zod';
+import type {ConfigurationReplica} from '../src/configuration/configuration-replica.ts';
+import {PeerExchange} from '../src/configuration/peer-exchange.ts';
+import {createRevision} from '../src/ids/revision.ts';
+import {PeerClient} from '../src/links/peer-client.ts';
+import {RpcDispatcher} from '../src/links/rpc-dispatcher.ts';
+import {VmListClient} from '../src/membership/vm-list-client.ts';
+import type {ConfigOffer} from '../src/messages/config-sync.ts';
+import {createSilentLogger} from '../src/runtime/logger.ts';
+import {PauseDetector} from '../src/runtime/pause-detector.ts';
+import {RandomSource} from '../src/runtime/random-source.ts';
+import {Processes} from './support/processes.ts';
+
+const processes = new Processes();
+let worker = '';
+let clock: PauseDetector;
+let links: PeerClient;
+
+before(async () => {
+	worker = await processes.startLateWorker();
+});
+
+after(() => {
+	processes.stop();
+});
+
+beforeEach(() => {
+	clock = new PauseDetector();
+	links = new PeerClient(clock);
+});
+
+afterEach(async () => {
+	clock.stop();
+	await links.close();
+});
+
+/** Blocks the event loop of this process after a time, as a machine without free processors does: timers that are due run before sockets are read. */
+function blockAfter(ms: number, forMs: number): void {
+	setTimeout(() => {
+		setImmediate(() => {
+			Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, forMs);
+		});
+	}, ms);
+}
+
+async function request(afterMs: number, timeoutMs: number): Promise<unknown> {
+	return links.rpc(worker, {method: 'test', params: {afterMs}}, z.unknown(), {timeoutMs});
+}
+
+it('guards against a pause that passes for a peer that is gone: a response that has arrived meanwhile is read', async () => {
+	await request(0, 900);
+	blockAfter(100, 2500);
+	expect(await request(300, 900)).to.equal(true);
+});
+
+it('guards against a pause that takes the time to hear from a peer: the rest of the time is left after it', async () => {
+	await request(0, 900);
+	blockAfter(100, 2000);
+	expect(await request(2500, 900)).to.equal(true);
+});
+
+it('guards against messages that are older than their receiver assumes: a request that is not sent within its time is not sent after a pause', async () => {
+	await request(0, 900);
+	const count = await links.json(`http://${worker}/requests`, {method: 'GET'}, {timeoutMs: 900}) as number;
+	links.replaceConnections(worker);
+	const late = request(0, 500);
+	setImmediate(() => {
+		Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 1200);
+	});
+	let err: unknown;
+	try {
+		await late;
+	} catch (err_) {
+		err = err_;
+	}
+
+	expect(err).to.have.property('sent', false);
+	expect(await links.json(`http://${worker}/requests`, {method: 'GET'}, {timeoutMs: 900})).to.equal(count);
+});
+
+it('guards against a pause that passes for a platform that is out: the list of VMs that has arrived meanwhile is read', async () => {
+	const client = new VmListClient(`http://${worker}`);
+	blockAfter(100, 2300);
+	expect(await client.read()).to.deep.equal([]);
+});
+
+it('guards against state that looks younger than it is: the ages in an offer count from the question, also after a pause', async () => {
+	const offer = {
+		revision: createRevision(1), digest: 'd', vm: 'b', address: worker, serviceAgeMs: 10, list: {digest: 'd', ageMs: 20},
+	} as unknown as ConfigOffer;
+	const offers: ConfigOffer[] = [];
+	const exchange = new PeerExchange({
+		replica: {handlePeerVersion: () => undefined} as unknown as ConfigurationReplica,
+		links: {
+			async rpc() {
+				await request(600, 900);
+				return offer;
+			},
+		} as unknown as PeerClient,
+		rpc: new RpcDispatcher(),
+		random: new RandomSource(1),
+		log: createSilentLogger(),
+		zone: 'z',
+		peers: () => [],
+		currentOffer: () => offer,
+		onOffer(taken) {
+			offers.push(taken);
+		},
+	});
+	blockAfter(100, 1500);
+	await exchange.exchange({vm: 'b', address: worker, zone: 'z'});
+	expect(offers[0]?.serviceAgeMs).to.be.at.least(1500);
+	expect(offers[0]?.list?.ageMs).to.be.at.least(1500);
+});
--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -52,6 +52,17 @@
 		};
 	}
 
+	/**
+	 * Starts a peer that answers late and waits until it listens; returns the address of its HTTP server.
+	 *
+	 * @param host - the address at which it receives datagrams, at `port`
+	 */
+	async startLateWorker(host?: string, port?: number): Promise<string> {
+		const {out} = this.start(['--import', 'tsx', path.join(import.meta.dirname, 'late-worker.ts'), ...(host === undefined ? [] : [host, String(port)])]);
+		await waitFor('a worker listens', () => out().includes('\n'));
+		return `127.0.0.1:${out().trim()}`;
+	}
+
 	/**
 	 * Starts a gateway and waits until it is ready.
 	 *
