A pause of an entry or agent ends no call whose answer has arrived

Callers of an entry saw attempts that were broken off as silent, cancelled and sent again, and 504, after the entry had had no processor time; a generation at an agent was aborted at its deadline although the engine had sent all of it. Cause: the timers of the progress check and of both deadlines ran after the pause before sockets were read.

The progress check of AttemptWatchdog is a SilenceTimer now; the deadlines of the attempt and of the agent's generation read first. Ruled out: deadlines that stand still in a pause, since callers do not wait for longer.

Unchanged: the agent's heartbeats, which wait for nothing.

--- a/src/calls/agent-call-handler.ts
+++ b/src/calls/agent-call-handler.ts
@@ -4,6 +4,7 @@
 import {readBody} from '../links/http-listener.ts';
 import type {RefusalCode} from '../messages/call-frame.ts';
 import {type CallRequest, callRequestSchema} from '../messages/call-request.ts';
+import {setInputTimeout} from '../runtime/input-timeout.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {CallLedger, CallRecord} from './call-ledger.ts';
 import {FrameWriter} from './frame-writer.ts';
@@ -97,7 +98,7 @@
 		// Abort a generation at its deadline or when its entry disconnects, since nobody reads the rest. An operation runs on, so that
 		// its answer can be recorded.
 		const isStream = call.work.kind === 'generate';
-		const timer = isStream ? setTimeout(record.abort, Math.max(0, deadlineAtMs - performance.now())) : undefined;
+		const deadline = isStream ? setInputTimeout(record.abort, Math.max(0, deadlineAtMs - performance.now())) : undefined;
 		if (isStream) {
 			frameWriter.onClose(record.abort);
 		}
@@ -109,7 +110,7 @@
 
 			await this.forward(call, record, frameWriter, {signal: abortController.signal, beforeSend});
 		} finally {
-			clearTimeout(timer);
+			deadline?.clear();
 			this.updateRunningCounts(call, -1);
 		}
 	}
--- a/src/calls/attempt-client.ts
+++ b/src/calls/attempt-client.ts
@@ -7,6 +7,9 @@
 import {
 	callsCancelMethod, type CallsCancelParams, type CallsCancelResult, callsCancelResultSchema,
 } from '../messages/calls-cancel.ts';
+import {type InputTimeout, setInputTimeout} from '../runtime/input-timeout.ts';
+import type {ListeningClock} from '../runtime/pause-detector.ts';
+import {SilenceTimer} from '../runtime/silence-timer.ts';
 import type {AttemptEndKind} from './decide-outcome.ts';
 import {BrokenAnswerError} from './frame-checker.ts';
 import {readFrames} from './frame-reader.ts';
@@ -36,7 +39,8 @@
 
 /** Sends calls to agents and cancels them. */
 export class AttemptClient {
-	constructor(private readonly links: PeerClient) {}
+	/** @param clock - tells for how long this process could hear agents */
+	constructor(private readonly links: PeerClient, private readonly clock: ListeningClock) {}
 
 	/**
 	 * Sends a call and passes the frames of its answer to `onFrame`.
@@ -49,7 +53,7 @@
 			this.links.replaceConnections(address);
 		}
 
-		const watchdog = new AttemptWatchdog(call.remainingMs, options.callerGone);
+		const watchdog = new AttemptWatchdog(this.clock, call.remainingMs, options.callerGone);
 		try {
 			return await this.sendCall(address, call, options, watchdog);
 		} catch (err) {
@@ -109,20 +113,21 @@
 class AttemptWatchdog {
 	reason: 'expired' | 'silent' | undefined;
 	private readonly abortController = new AbortController();
-	private readonly deadlineTimer: NodeJS.Timeout;
-	private readonly progressTimer: NodeJS.Timeout;
+	private readonly deadline: InputTimeout;
+	private readonly progressTimer: SilenceTimer;
 	private paused = false;
 
-	constructor(remainingMs: number, private readonly callerGone: AbortSignal) {
-		this.deadlineTimer = setTimeout(() => {
+	constructor(clock: ListeningClock, remainingMs: number, private readonly callerGone: AbortSignal) {
+		this.deadline = setInputTimeout(() => {
 			this.abortWith('expired');
 		}, remainingMs);
-		this.progressTimer = setTimeout(() => {
+		this.progressTimer = new SilenceTimer(clock, () => {
 			// While a frame waits for a slow caller, the agent is not expected to send the next one.
 			if (!this.paused) {
 				this.abortWith('silent');
 			}
-		}, progressTimeoutMs);
+		});
+		this.progressTimer.restart(progressTimeoutMs);
 		callerGone.addEventListener('abort', this);
 		if (callerGone.aborted) {
 			this.handleEvent();
@@ -139,12 +144,12 @@
 
 	expectFrame(): void {
 		this.paused = false;
-		this.progressTimer.refresh();
+		this.progressTimer.restart(progressTimeoutMs);
 	}
 
 	stop(): void {
-		clearTimeout(this.deadlineTimer);
-		clearTimeout(this.progressTimer);
+		this.deadline.clear();
+		this.progressTimer.stop();
 		this.callerGone.removeEventListener('abort', this);
 	}
 
--- a/src/cli/entry-process.ts
+++ b/src/cli/entry-process.ts
@@ -33,7 +33,7 @@
 		maxWaitMs: settings.limits.queue_wait_ms,
 		random,
 	});
-	const attempts = new AttemptClient(links);
+	const attempts = new AttemptClient(links, base.pauseDetector);
 	const runner = new CallRunner({
 		attempts, router, log, upstreamWaitMs: settings.limits.queue_wait_ms,
 	});
--- a/test/silence-elsewhere.test.ts
+++ b/test/silence-elsewhere.test.ts
@@ -1,16 +1,24 @@
 /** What a process believes of others after it was paused itself: nobody is gone before there was time to hear from them. */
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
 import {expect} from 'chai';
 import {z} from 'zod';
+import {AgentCallHandler} from '../src/calls/agent-call-handler.ts';
+import {type AttemptEnd, AttemptClient} from '../src/calls/attempt-client.ts';
+import {CallLedger} from '../src/calls/call-ledger.ts';
+import type {RunOptions, UpstreamEvent} from '../src/calls/upstream.ts';
 import type {ConfigurationReplica} from '../src/configuration/configuration-replica.ts';
 import {PeerExchange} from '../src/configuration/peer-exchange.ts';
 import {createRevision} from '../src/ids/revision.ts';
 import {PeerClient} from '../src/links/peer-client.ts';
 import {RpcDispatcher} from '../src/links/rpc-dispatcher.ts';
 import {VmListClient} from '../src/membership/vm-list-client.ts';
+import type {CallRequest} from '../src/messages/call-request.ts';
 import type {ConfigOffer} from '../src/messages/config-sync.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {PauseDetector} from '../src/runtime/pause-detector.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
+import {bookingCall, generateCall} from './support/call-samples.ts';
 import {Processes} from './support/processes.ts';
 
 const processes = new Processes();
@@ -114,3 +122,53 @@
 	expect(offers[0]?.serviceAgeMs).to.be.at.least(1500);
 	expect(offers[0]?.list?.ageMs).to.be.at.least(1500);
 });
+
+async function runAttempt(address: string, call: CallRequest): Promise<AttemptEnd> {
+	return new AttemptClient(links, clock).run(address, call, {onFrame: () => undefined, callerGone: new AbortController().signal});
+}
+
+function lateCall(forMs: number, remainingMs: number): CallRequest {
+	return bookingCall({remainingMs, work: {kind: 'operation', operation: 'o', body: {forMs}}});
+}
+
+it('guards against a pause of the entry that passes for silence of its agents: attempts go on', async () => {
+	const call = lateCall(3500, 8000);
+	blockAfter(300, 2500);
+	const ends = await Promise.all(Array.from({length: 10}, async () => runAttempt(worker, call)));
+	expect(ends.map(({kind}) => kind)).to.deep.equal(Array.from({length: 10}, () => 'answered'));
+});
+
+it('guards against an answer that is ready and thrown away: a pause of the entry across the deadline of a call', async () => {
+	blockAfter(100, 1500);
+	const end = await runAttempt(worker, lateCall(300, 1000));
+	expect(end.kind).to.equal('answered');
+});
+
+it('guards against a generation that is complete and aborted: a pause of the agent across the deadline of a call', async () => {
+	const upstream = {
+		serves: () => true,
+		async * run(req: CallRequest, {signal, beforeSend}: RunOptions): AsyncGenerator<UpstreamEvent> {
+			beforeSend();
+			await links.json(`http://${worker}/rpc`, {method: 'POST', body: JSON.stringify({params: {afterMs: 300}})}, {timeoutMs: 9000, signal});
+			yield {kind: 'head', version: 'v1'};
+		},
+	};
+	const handler = new AgentCallHandler({
+		ledger: new CallLedger({incarnation: 'i', maxRecords: 8}), upstream, log: createSilentLogger(), incarnation: 'i', service: 'assistant', isDraining: () => false, beforeForward: () => undefined,
+	});
+	const server = http.createServer((req, res) => {
+		void handler.handle(req, res);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	try {
+		const call = {...generateCall, remainingMs: 1000};
+		blockAfter(100, 1500);
+		const res = await fetch(`http://127.0.0.1:${(server.address() as AddressInfo).port}/`, {method: 'POST', body: JSON.stringify(call)});
+		expect(await res.text()).to.include('"kind":"end"');
+	} finally {
+		server.close();
+		server.closeAllConnections();
+	}
+});
