A pause is no silence of the load counts

Operators saw counter_silent for stagers that answered, and gateways placed calls by older counts, after the gateway had had no processor time; after a pause of a stager, gateways heard of no calls of others at its engine until these reported again. Cause: both sides compared the time since something was heard with a limit, pauses included, before they read what had arrived.

Questions without an answer and reports are timed by the listening clock.

Tests: two of silence-elsewhere.test, red before: no counts after a pause of 1 s across an answer that came within 0.15 s; 0 of 3 calls counted after a pause of 10 s of the stager.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -58,6 +58,7 @@
 		datagrams: base.datagrams,
 		port: settings.listen.datagrams.port,
 		log,
+		clock: base.pauseDetector,
 	});
 	base.datagrams.on('held', heldModelDatagramSchema, state => {
 		applyEngineState(state, directory, tracker);
--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -143,7 +143,7 @@
 			log,
 		});
 		this.control = new HttpListener(this.createRoutes(), log);
-		serveCallCounter(this.base.datagrams);
+		serveCallCounter(this.base.datagrams, this.base.pauseDetector);
 	}
 
 	async start(): Promise<void> {
--- a/src/peers/call-counter-listener.ts
+++ b/src/peers/call-counter-listener.ts
@@ -1,15 +1,17 @@
 /** The stager's side of the load counts: receives the reports of gateways about the engine on the same VM, and answers their questions. */
 import type {DatagramPort} from '../links/datagram-port.ts';
 import {askDatagramSchema, countDatagramSchema, type LoadDatagram} from '../messages/load-datagram.ts';
+import type {ListeningClock} from '../runtime/pause-detector.ts';
 import {CallCounter} from './call-counter.ts';
 
 /**
  * Counts the calls that gateways report, and answers their questions.
  *
  * @param datagrams - the port on which they are received
+ * @param clock - tells for how long this process could hear reports
  */
-export function serveCallCounter(datagrams: DatagramPort): void {
-	const counter = new CallCounter();
+export function serveCallCounter(datagrams: DatagramPort, clock: ListeningClock): void {
+	const counter = new CallCounter(clock);
 	datagrams.on('count', countDatagramSchema, ([, gateway, sequence, [calls, unreadTokens]]) => {
 		counter.report(gateway, sequence, {calls, unreadTokens});
 	});
--- a/src/peers/call-counter.ts
+++ b/src/peers/call-counter.ts
@@ -1,5 +1,6 @@
 /** Counts the calls that all gateways have in flight at one engine. No I/O. */
 import type {InFlightCounts} from '../forwarding/engine-forecast.ts';
+import {type ListeningClock, monotonicClock} from '../runtime/pause-detector.ts';
 
 /** How long the counts of a gateway stay valid after it last reported them, in milliseconds; it may have been killed or cut off. */
 export const reportTtlMs = 1500;
@@ -11,6 +12,9 @@
 	private readonly reports = new Map<string, GatewayReport>();
 	private total: InFlightCounts = {calls: 0, unreadTokens: 0};
 
+	/** @param clock - tells for how long this process could hear reports; without it, pauses count as such time */
+	constructor(private readonly clock: ListeningClock = monotonicClock) {}
+
 	/**
 	 * Records the calls that a gateway has in flight; a report that is older than the last one is ignored.
 	 *
@@ -18,7 +22,7 @@
 	 * @param sequence - increases with each report of the gateway
 	 */
 	report(gateway: string, sequence: number, counts: InFlightCounts): void {
-		const nowMs = performance.now();
+		const nowMs = this.clock.listeningMs;
 		this.dropExpired(nowMs);
 		const last = this.reports.get(gateway);
 		if (last && sequence <= last.sequence) {
@@ -37,7 +41,7 @@
 	 * @param gateway - VM of the gateway whose own calls are left out
 	 */
 	othersThan(gateway: string): InFlightCounts {
-		this.dropExpired(performance.now());
+		this.dropExpired(this.clock.listeningMs);
 		const own = this.reports.get(gateway)?.counts;
 		return {calls: this.total.calls - (own?.calls ?? 0), unreadTokens: this.total.unreadTokens - (own?.unreadTokens ?? 0)};
 	}
--- a/src/peers/load-queries.ts
+++ b/src/peers/load-queries.ts
@@ -10,7 +10,9 @@
 import type {DatagramPort} from '../links/datagram-port.ts';
 import {type ListenAddress, parseAddress} from '../links/http-listener.ts';
 import {loadDatagramSchema, type LoadDatagram} from '../messages/load-datagram.ts';
+import {setInputTimeout} from '../runtime/input-timeout.ts';
 import type {Logger} from '../runtime/logger.ts';
+import type {ListeningClock} from '../runtime/pause-detector.ts';
 
 /** Interval at which the counts of all calls in flight are reported again, in milliseconds; corrects counts after lost datagrams and keeps them from expiring. */
 const refreshIntervalMs = 700;
@@ -35,7 +37,7 @@
 	counts: InFlightCounts;
 	countedAtMs: number;
 	lastAskedMs: number;
-	/** When the first question after the last answer was sent; undefined if none was. */
+	/** When the first question after the last answer was sent, by the clock that stands still while this process is paused; undefined if none was. */
 	unansweredSinceMs: number | undefined;
 	/** The queries that wait for the answer. */
 	readonly waiting: Set<Query>;
@@ -53,6 +55,8 @@
 	/** The number of the port on which the stagers receive datagrams. */
 	readonly port: number;
 	readonly log: Logger;
+	/** Tells for how long this process could hear the stagers. */
+	readonly clock: ListeningClock;
 };
 
 /** Reports and asks by datagram. */
@@ -128,17 +132,18 @@
 			counts: {calls: 0, unreadTokens: 0}, countedAtMs: Number.NEGATIVE_INFINITY, lastAskedMs: Number.NEGATIVE_INFINITY, unansweredSinceMs: undefined, waiting: new Set<Query>(),
 		};
 		this.counters.set(id, counter);
-		const isSilent = counter.unansweredSinceMs !== undefined && nowMs - counter.unansweredSinceMs >= silenceMs;
+		const {listeningMs} = this.options.clock;
+		const isSilent = counter.unansweredSinceMs !== undefined && listeningMs - counter.unansweredSinceMs >= silenceMs;
 		if (isSilent && nowMs - counter.lastAskedMs < silentAskIntervalMs) {
 			return false;
 		}
 
 		if (isSilent) {
-			this.options.log.info({event: 'counter_silent', instance: id, forMs: Math.round(nowMs - counter.unansweredSinceMs!)}, 'the stager of an engine does not answer; using the load that the engine reports');
+			this.options.log.info({event: 'counter_silent', instance: id, forMs: Math.round(listeningMs - counter.unansweredSinceMs!)}, 'the stager of an engine does not answer; using the load that the engine reports');
 		}
 
 		counter.lastAskedMs = nowMs;
-		counter.unansweredSinceMs ??= nowMs;
+		counter.unansweredSinceMs ??= listeningMs;
 		this.options.datagrams.send(['ask', this.options.vm, id], this.counterAddress(address));
 		return !isSilent;
 	}
@@ -148,13 +153,10 @@
 		const waitedFor = instances.map(({id}) => this.counters.get(id)!);
 		let query: Query | undefined;
 		await new Promise<void>(resolve => {
-			const timer = setTimeout(() => {
-				// After a pause of this process, answers that have arrived are read before the immediate runs.
-				setImmediate(resolve);
-			}, answerTimeoutMs);
+			const timeout = setInputTimeout(resolve, answerTimeoutMs);
 			query = {
 				unanswered: waitedFor.length, finish() {
-					clearTimeout(timer);
+					timeout.clear();
 					resolve();
 				},
 			};
--- a/test/load-queries.test.ts
+++ b/test/load-queries.test.ts
@@ -12,6 +12,7 @@
 import {serveCallCounter} from '../src/peers/call-counter-listener.ts';
 import {LoadQueries} from '../src/peers/load-queries.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
+import {monotonicClock} from '../src/runtime/pause-detector.ts';
 import {testConfiguration, testInstance} from './support/direct-fixtures.ts';
 
 const port = 17_931;
@@ -26,7 +27,7 @@
 	const instances = Array.from({length: engines}, (item, index) => engineAt(index + 1));
 	const counterPorts = instances.slice(0, counters).map(() => new DatagramPort(log));
 	for (const [index, datagrams] of counterPorts.entries()) {
-		serveCallCounter(datagrams);
+		serveCallCounter(datagrams, monotonicClock);
 		await datagrams.start({host: `127.0.1.${index + 1}`, port});
 	}
 
@@ -37,7 +38,7 @@
 		const inFlight = new InFlightCalls();
 		const datagrams = new DatagramPort(log);
 		const queries = new LoadQueries({
-			vm: host, inFlight, directory, datagrams, port, log,
+			vm: host, inFlight, directory, datagrams, port, log, clock: monotonicClock,
 		});
 		return {
 			host, inFlight, datagrams, queries,
--- a/test/silence-elsewhere.test.ts
+++ b/test/silence-elsewhere.test.ts
@@ -1,6 +1,7 @@
 /** What a process believes of others after it was paused itself: nobody is gone before there was time to hear from them. */
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import {z} from 'zod';
 import {AgentCallHandler} from '../src/calls/agent-call-handler.ts';
@@ -9,38 +10,53 @@
 import type {RunOptions, UpstreamEvent} from '../src/calls/upstream.ts';
 import type {ConfigurationReplica} from '../src/configuration/configuration-replica.ts';
 import {PeerExchange} from '../src/configuration/peer-exchange.ts';
+import {Directory} from '../src/directory/directory.ts';
+import type {InFlightCounts} from '../src/forwarding/engine-forecast.ts';
+import {InFlightCalls} from '../src/forwarding/in-flight-calls.ts';
 import {createRevision} from '../src/ids/revision.ts';
+import {DatagramPort} from '../src/links/datagram-port.ts';
 import {PeerClient} from '../src/links/peer-client.ts';
 import {RpcDispatcher} from '../src/links/rpc-dispatcher.ts';
 import {VmListClient} from '../src/membership/vm-list-client.ts';
 import type {CallRequest} from '../src/messages/call-request.ts';
 import type {ConfigOffer} from '../src/messages/config-sync.ts';
+import {CallCounter, reportTtlMs} from '../src/peers/call-counter.ts';
+import {LoadQueries} from '../src/peers/load-queries.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {PauseDetector} from '../src/runtime/pause-detector.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
 import {bookingCall, generateCall} from './support/call-samples.ts';
+import {testInstance} from './support/direct-fixtures.ts';
 import {Processes} from './support/processes.ts';
 
+/** The port on which the worker and the components under test receive datagrams, and the worker's host. */
+const datagramPort = 17_951;
+const workerHost = '127.0.1.51';
+
 const processes = new Processes();
 let worker = '';
 let clock: PauseDetector;
 let links: PeerClient;
+let datagrams: DatagramPort;
 
 before(async () => {
-	worker = await processes.startLateWorker();
+	worker = await processes.startLateWorker(workerHost, datagramPort);
 });
 
 after(() => {
 	processes.stop();
 });
 
-beforeEach(() => {
+beforeEach(async () => {
 	clock = new PauseDetector();
 	links = new PeerClient(clock);
+	datagrams = new DatagramPort(createSilentLogger());
+	await datagrams.start({host: '127.0.1.52', port: datagramPort});
 });
 
 afterEach(async () => {
 	clock.stop();
+	datagrams.close();
 	await links.close();
 });
 
@@ -172,3 +188,38 @@
 		server.closeAllConnections();
 	}
 });
+
+it('guards against a pause of the gateway that passes for silence of a stager: its counts are used', async () => {
+	const queries = new LoadQueries({
+		vm: 'g', inFlight: new InFlightCalls(), directory: new Directory(createSilentLogger()), datagrams, port: datagramPort, log: createSilentLogger(), clock,
+	});
+	const engine = testInstance({id: 'i-1', address: `${workerHost}:80`});
+	await queries.ask([engine]);
+	blockAfter(20, 1000);
+	const counts = await new Promise<ReadonlyMap<string, InFlightCounts>>(resolve => {
+		// Due within the pause, so that it runs before the answer is read.
+		setTimeout(async () => {
+			resolve(await queries.ask([engine]));
+		}, 100);
+	});
+	expect([...counts.values()]).to.deep.equal([{calls: 1, unreadTokens: 0}]);
+});
+
+it('guards against a pause of the stager that passes for the end of all gateways: their calls count until there was time for a report', () => {
+	let listeningMs = 0;
+	const counter = new CallCounter({
+		get listeningMs() {
+			return listeningMs;
+		},
+	});
+	const fake = install();
+	try {
+		counter.report('g-1', 1, {calls: 3, unreadTokens: 0});
+		fake.tick(10_000);
+		expect(counter.othersThan('g-2').calls).to.equal(3);
+		listeningMs += reportTtlMs;
+		expect(counter.othersThan('g-2').calls).to.equal(0);
+	} finally {
+		fake.uninstall();
+	}
+});
