A route that cannot be decoded costs only its own calls

Operators saw: one route with, say, a text as its timeout kept the whole new configuration out of force (entry_unreadable), and a gateway that started then was never ready. A route without a service threw in each of its calls.

Cause: the list of routes was decoded as one value.

Ruled out: leaving the route out, since its calls would match a shorter prefix of the host and run at another service. A field of its own for such routes: other processes validate what they receive by a schema in src/peers, and a route without targets passes it unchanged.

Change: such a route is kept without targets. Its calls get 503 with Retry-After before their key is looked at.

--- a/src/directory/directory-types.ts
+++ b/src/directory/directory-types.ts
@@ -27,6 +27,7 @@
 	readonly isPublic: boolean;
 	/** Whether an interrupted stream may be resumed at another upstream. */
 	readonly isResumable: boolean;
+	/** Empty if the published route cannot be decoded: its calls are refused. An empty host or prefix of such a route could not be read. */
 	readonly targets: readonly RouteTarget[];
 };
 
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -69,6 +69,9 @@
 
 const noRoute: Refusal = {status: 404, reason: 'no_route'};
 
+/** For calls of a published route that cannot be decoded; the operators have to correct it. */
+const unreadableRoute: Refusal = {status: 503, reason: 'unreadable_route', retryAfterMs: 1000};
+
 /** Forwards calls to upstreams, with one retry budget per service. */
 export class CallForwarder {
 	private readonly inFlight = new Set<ForwardedCall>();
@@ -192,6 +195,10 @@
 			return noRoute;
 		}
 
+		if (route.targets.length === 0) {
+			return unreadableRoute;
+		}
+
 		return table.needsKeys && !route.isPublic && !holder ? {status: 401, reason: 'unknown_key'} : undefined;
 	}
 
--- a/src/forwarding/route-table.ts
+++ b/src/forwarding/route-table.ts
@@ -6,6 +6,8 @@
 /** Lookup tables of one published configuration. */
 export class RouteTable {
 	private readonly routesByHost = new Map<string, Route[]>();
+	/** The routes without targets whose host is unknown: a call to any host may belong to them. */
+	private readonly refusedAtAnyHost: readonly Route[];
 	private readonly services: ReadonlyMap<string, ServiceInfo>;
 	private readonly keyHolders: ReadonlyMap<string, KeyHolder> | undefined;
 
@@ -18,9 +20,11 @@
 		}
 
 		for (const routes of this.routesByHost.values()) {
-			routes.sort((a, b) => b.prefix.length - a.prefix.length);
+			routes.sort(compareRoutes);
 		}
 
+		this.refusedAtAnyHost = (this.routesByHost.get('') ?? []).filter(route => isRefused(route));
+
 		this.services = new Map(configuration.services.map(service => [service.name, service]));
 		this.keyHolders = configuration.keys && new Map(Object.entries(configuration.keys));
 	}
@@ -31,7 +35,8 @@
 	}
 
 	/**
-	 * Returns the route of the host with the longest matching path prefix.
+	 * Returns the route of the host with the longest matching path prefix. Calls of a route without targets have to be refused; where its host
+	 * or its prefix is empty because it could not be read, that route stands for all calls that may belong to it.
 	 *
 	 * @param hostHeader - value of the `Host` header, with or without a port
 	 * @param target - the request target, with or without a query
@@ -39,7 +44,9 @@
 	findRoute(hostHeader: string, target: string): Route | undefined {
 		const host = hostHeader.replace(/:\d+$/, '').toLowerCase();
 		const path = target.split('?', 1)[0]!;
-		return this.routesByHost.get(host)?.find(({prefix}) => path.startsWith(prefix));
+		const route = this.routesByHost.get(host)?.find(({prefix}) => path.startsWith(prefix));
+		const refused = this.refusedAtAnyHost.find(({prefix}) => path.startsWith(prefix));
+		return refused && (!route || compareRoutes(refused, route) < 0) ? refused : route;
 	}
 
 	/**
@@ -56,3 +63,17 @@
 		return this.services.get(name);
 	}
 }
+
+function isRefused({targets}: Route): boolean {
+	return targets.length === 0;
+}
+
+/** Orders routes so that the one that a call belongs to comes first: longer prefixes, then routes whose calls are refused. */
+function compareRoutes(a: Route, b: Route): number {
+	return prefixRank(b) - prefixRank(a) || Number(isRefused(b)) - Number(isRefused(a));
+}
+
+/** Returns the length of a prefix; one that could not be read may be longer than any other. */
+function prefixRank(route: Route): number {
+	return route.prefix === '' && isRefused(route) ? Number.MAX_SAFE_INTEGER : route.prefix.length;
+}
