A caller that still sends keeps its answer 413

Callers saw EPIPE or ECONNRESET instead of 413 if they write a body that is over the limit before they read.

Cause: the response to a malformed call closed the connection as soon as it was written, while the body was still arriving; the kernel resets such a connection.

Ruled out: keeping the connection without telling the caller to close it, as refuseBody does. The connection is then closed by the bound in the middle of a body, and a caller that reuses it loses its next call.

Change: refuse() writes the response at once and ends it when the rest has been read and dropped, or after 2 s; it stops reading after 32 MiB. A refused chunked body returns its memory lease at once.

A drain with such a caller open takes 2.0 s at most.

--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -31,6 +31,10 @@
 /** When callers may return for whose bodies there was no memory, in milliseconds. */
 const noMemoryRetryAfterMs = 500;
 
+/** How long a malformed call may still send, and how many bytes of it are read meanwhile; a connection that is closed earlier loses the response. */
+const refusedCallMs = 2000;
+const maxRefusedBytes = 33_554_432;
+
 /** Limits that apply until a configuration has been received. */
 const defaultLimits: CallerLimits = {
 	headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
@@ -193,10 +197,33 @@
 		return isTargetValid(req.url) ? undefined : {status: 400, reason: 'the target has a character that is not allowed'};
 	}
 
+	/**
+	 * Rejects a malformed call and closes its connection once the call has arrived, or after a short time. What is left of its body is read and
+	 * dropped: the caller, which is still sending, would lose the response if its connection were closed at once.
+	 */
 	private refuse(req: http.IncomingMessage, writer: ResponseWriter, {status, reason}: {status: number; reason: string}): void {
 		this.options.log.warn({event: 'call_malformed', status, reason}, 'malformed call rejected');
-		writer.sendError(status, reason, ['connection', 'close']);
-		req.resume();
+		const body = Buffer.from(JSON.stringify({error: reason}));
+		// The writer adds the length of a response to a caller that does not understand chunks.
+		const length = req.httpVersion === '1.0' ? [] : ['content-length', String(body.length)];
+		writer.start(status, ['content-type', 'application/json', 'connection', 'close', ...length]);
+		writer.write(body);
+		const timer = setTimeout(() => {
+			writer.end();
+		}, refusedCallMs);
+		writer.onceClosed(() => {
+			clearTimeout(timer);
+		});
+		let bytes = 0;
+		req.on('data', (chunk: Buffer) => {
+			bytes += chunk.length;
+			if (bytes > maxRefusedBytes) {
+				req.pause();
+			}
+		});
+		req.once('end', () => {
+			writer.end();
+		});
 	}
 
 	/**
@@ -274,6 +301,7 @@
 				drop();
 			} else if (bytes > this.limits.bodyBytes) {
 				drop();
+				lease.release();
 				this.refuse(req, writer, {status: 413, reason: 'body is too large'});
 			} else if (hasLength || lease.growTo(bytes)) {
 				chunks.push(chunk);
