Write the last lines of a process before it ends

Operators missed drain_finished: a gateway wrote process_stopped, and never that its drain had ended, so that a whole drain could not be told from one that hung after its parts were stopped.

Cause: GatewayStagerBase.stop() waits for the queue of the log, and Drain writes drain_finished after that. The timer that writes the queue does not keep the process alive, so that the line was lost with the process.

Ruled out: a drain that is cut short; the process ended with code 0, 2.5 s after SIGTERM, with all other lines.

Change: each command that runs a role waits for the queue once more before it returns.

--- a/src/cli/run-until-signal.ts
+++ b/src/cli/run-until-signal.ts
@@ -1,5 +1,6 @@
 /** Functions shared by the commands that run a role until a signal stops it. */
 import {onSignal} from '../runtime/held-signals.ts';
+import {logSink} from '../runtime/logger.ts';
 import {installFailureReport} from '../runtime/process-failure.ts';
 import type {RunningProcess} from './entry-agent-base.ts';
 import {exitCodes} from './exit-codes.ts';
@@ -34,5 +35,7 @@
 		}
 	});
 	await running.drain();
+	// The timer of the log does not keep the process alive, so that the last lines would be lost.
+	await logSink.drain();
 	return exitCodes.success;
 }
