--- a/src/reports/explain-request.ts
+++ b/src/reports/explain-request.ts
@@ -23,13 +23,20 @@
 /** Events that log a state change of a process, each with the field that identifies what changed. */
 const stateChangeFields: Readonly<Record<string, string | undefined>> = {
 	instance_seen: 'instance', instance_gone: 'instance', instance_unconfirmed: 'instance', instance_lost: 'instance', instance_back: 'instance',
-	instance_leaving: 'instance', instance_quiet: 'instance', instance_tried: 'instance',
+	instance_leaving: 'instance', instance_quiet: 'instance', instance_tried: 'instance', instance_crashed: 'instance',
 	instance_suspect: 'instance', instance_trusted: 'instance', instance_changing: 'instance',
 	configuration_taken: 'vm', configuration_refused: 'vm', version_named: 'model', source_lost: 'part', source_regained: 'part', history_lost: 'part',
 	directory_unconfirmed: 'vm', directory_confirmed: 'vm', watch_started: 'vm', watch_stopped: 'vm',
-	gateway_started: 'vm', settings_reloaded: 'vm', settings_refused: 'vm', drain_started: 'vm', process_paused: 'vm', clock_jumped: 'vm',
+	gateway_started: 'vm', settings_reloaded: 'vm', settings_refused: 'vm', drain_started: 'vm', drain_cut: 'vm', drain_finished: 'vm', process_stopped: 'vm', process_failed: 'vm',
+	process_paused: 'vm', event_loop_delayed: 'vm', clock_jumped: 'vm', lines_dropped: 'vm',
 };
 
+/** Events that tell of a moment and not of a state: they explain a request only if they are near to it. */
+const momentaryEvents: ReadonlySet<string> = new Set(['process_paused', 'event_loop_delayed', 'lines_dropped']);
+
+/** How long before the first line and after the last line of a request a moment still explains it, in milliseconds; the line of a pause follows it. */
+const momentRangeMs = {before: 10_000, after: 1000};
+
 /** Fields that {@link formatLogLine} prints in front or leaves out. */
 const commonFields = new Set(['name', 'hostname', 'pid', 'level', 'msg', 'v', 'time', 'vm', 'event', 'id']);
 
@@ -90,7 +97,11 @@
 		for (const line of this.stateChangeLines.toSorted(byTime)) {
 			const field = stateChangeFields[line.event]!;
 			const isRelevant = processes.has(line.vm) && (field !== 'instance' || instances.has(line.instance));
-			if (isRelevant && line.time < first.time) {
+			if (momentaryEvents.has(line.event)) {
+				if (isRelevant && isNear(line, first, last)) {
+					during.push(line);
+				}
+			} else if (isRelevant && line.time < first.time) {
 				// Of a process, the last line of each event counts: its configuration does not change when it starts to drain.
 				const changed = field === 'vm' ? line.event : String(line[field]);
 				before.set(`${line.vm} ${field} ${changed}`, line);
@@ -99,7 +110,7 @@
 			}
 		}
 
-		return {request, stateChanges: [...[...before.values()].toSorted(byTime), ...during]};
+		return {request, stateChanges: [...before.values(), ...during].toSorted(byTime)};
 	}
 }
 
@@ -109,6 +120,11 @@
 	return [line.time, line.vm, line.event, ...fields].join(' ');
 }
 
+function isNear({time}: LogLine, first: LogLine, last: LogLine): boolean {
+	const atMs = Date.parse(time);
+	return atMs >= Date.parse(first.time) - momentRangeMs.before && atMs <= Date.parse(last.time) + momentRangeMs.after;
+}
+
 function byTime(a: LogLine, b: LogLine): number {
 	return a.time < b.time ? -1 : (a.time > b.time ? 1 : 0);
 }
--- a/test/explain.test.ts
+++ b/test/explain.test.ts
@@ -52,6 +52,18 @@
 	expect(explainer.explain().stateChanges.map(({event}) => event)).to.deep.equal(['configuration_taken', 'directory_unconfirmed', 'watch_started']);
 });
 
+it('guards against a pause of the gateway that is not shown beside the request that it delayed, and against old pauses that hide it', () => {
+	const explainer = new RequestExplainer('r');
+	explainer.add(lineAt(1, 'g1', 'event_loop_delayed', {delayMs: 300}));
+	explainer.add(lineAt(20, 'g1', 'send_silent', {id: 'r', instance: 'i-1', stalledMs: 1200}));
+	explainer.add(lineAt(21, 'g1', 'event_loop_delayed', {delayMs: 1200}));
+	explainer.add(lineAt(21, 'g2', 'event_loop_delayed', {delayMs: 900}));
+	explainer.add(lineAt(22, 'g1', 'call_ended', {id: 'r', outcome: 'served'}));
+	explainer.add(lineAt(23, 'g1', 'process_paused', {gapMs: 2100}));
+	explainer.add(lineAt(24, 'g1', 'lines_dropped', {dropped: 3}));
+	expect(explainer.explain().stateChanges.map(({event, delayMs}) => [event, delayMs])).to.deep.equal([['event_loop_delayed', 1200], ['process_paused', undefined]]);
+});
+
 it('guards against logs that cannot be parsed: other text and truncated lines are ignored', () => {
 	const whole = '  12.3 front-1 {"time":"t","vm":"front-1","event":"call_ended","id":"r"}';
 	expect(parseLogLine(whole)?.id).to.equal('r');
--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -20,8 +20,16 @@
 	readonly runs: () => Promise<Record<string, number>>;
 };
 
-/** A gateway and the address at which callers reach it. */
-export type GatewayProcess = Started & {readonly url: string};
+/** A gateway, the addresses at which callers and operators reach it, and its settings file. */
+export type GatewayProcess = Started & {readonly url: string; readonly controlUrl: string; readonly settingsFile: string};
+
+/** What distinguishes a gateway of a test from others. */
+export type GatewayOptions = {
+	/** Further lines of the section `process` of its settings. */
+	readonly processSettings?: string;
+	/** Whether the test reads what the gateway writes; if not, its standard output is a pipe that fills up. */
+	readonly isOutputRead?: boolean;
+};
 
 /** The processes of one test, and a folder for their settings. */
 export class Processes {
@@ -29,9 +37,13 @@
 	private readonly children: ChildProcess[] = [];
 
 	/** Starts Node.js with the given arguments. */
-	start(args: readonly string[]): Started {
+	start(args: readonly string[], isOutputRead = true): Started {
 		const child = spawn(process.execPath, args, {stdio: ['ignore', 'pipe', 'inherit']});
 		this.children.push(child);
+		if (!isOutputRead) {
+			return {child, out: () => ''};
+		}
+
 		let text = '';
 		child.stdout.setEncoding('utf8').on('data', (part: string) => {
 			text += part;
@@ -57,12 +69,12 @@
 	 *
 	 * @param limits - further lines of the section `limits` of its settings
 	 */
-	async startGateway(store: DirectoryStore, limits = ''): Promise<GatewayProcess> {
+	async startGateway(store: DirectoryStore, limits = '', {processSettings = '', isOutputRead = true}: GatewayOptions = {}): Promise<GatewayProcess> {
 		const [callers, control, readiness, datagrams] = await freePorts(4) as [number, number, number, number];
 		const settings = path.join(this.folder, `gateway-${callers}.ini`);
-		writeFileSync(settings, `[process]\nvm = g-${callers}\nzone = z\nregion = r\n[listen]\ncallers = 127.0.0.1:${callers}\ncontrol = 127.0.0.1:${control}\nreadiness = 127.0.0.1:${readiness}\n`
+		writeFileSync(settings, `[process]\nvm = g-${callers}\nzone = z\nregion = r\n${processSettings}\n[listen]\ncallers = 127.0.0.1:${callers}\ncontrol = 127.0.0.1:${control}\nreadiness = 127.0.0.1:${readiness}\n`
 		+ `datagrams = 127.0.0.1:${datagrams}\n[directory]\naddress = ${store.address}\n[limits]\n${limits}`);
-		const started = this.start([program, 'gateway', '--settings', settings]);
+		const started = this.start([program, 'gateway', '--settings', settings], isOutputRead);
 		await waitFor('the gateway is ready', async () => {
 			try {
 				const res = await fetch(`http://127.0.0.1:${readiness}/readyz`);
@@ -72,7 +84,9 @@
 				return false;
 			}
 		});
-		return {...started, url: `http://127.0.0.1:${callers}`};
+		return {
+			...started, url: `http://127.0.0.1:${callers}`, controlUrl: `http://127.0.0.1:${control}`, settingsFile: settings,
+		};
 	}
 
 	/** Kills all processes. */
