End a process whose log nobody reads, and count each line that is lost

Operators missed the end of such a process: a gateway whose standard output is a pipe that nobody reads did not end after SIGTERM until it was killed. They also missed the number of lost lines, since a failed write of many lines counted as one, and lines_dropped named no process, so that explain left it out.

Cause: lines were written by fs.write, whose thread blocks in a full pipe; the event loop waits for it, and process.exit would, too.

Ruled out: a thread for the log, which blocks in the same way; reopening the pipe, which is not possible for sockets; unref of the connection, which does not let the loop end while a write is pending (tried, red).

Change: pipes and sockets are written through a connection that does not block, one batch at a time as before, and it is given up when the process ends. Files stay with fs.write. lines_dropped has the process, and the lines since the last one.

--- a/src/cli/run-until-signal.ts
+++ b/src/cli/run-until-signal.ts
@@ -36,6 +36,6 @@
 	});
 	await running.drain();
 	// The timer of the log does not keep the process alive, so that the last lines would be lost.
-	await logSink.drain();
+	await logSink.close();
 	return exitCodes.success;
 }
--- a/src/runtime/log-sink.ts
+++ b/src/runtime/log-sink.ts
@@ -1,6 +1,7 @@
 /** Writes log lines without blocking the event loop. The queue is bounded, one write runs at a time, and dropped lines are counted. */
 import {Buffer} from 'node:buffer';
-import {write} from 'node:fs';
+import {fstatSync, write} from 'node:fs';
+import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 
 /** The maximum size of the queued lines, in bytes. */
@@ -29,10 +30,18 @@
 
 const msPerSecond = 1000;
 
+/** A bunyan record, with the fields that the sink uses. */
+type LogRecord = {readonly level: number; readonly event?: string; readonly name?: string; readonly vm?: string; readonly hostname?: string; readonly pid?: number};
+
 /** A non-blocking output stream for bunyan records, with a bounded queue and a rate limit. */
 export class LogSink {
 	/** The number of lines dropped since the process started. */
 	dropped = 0;
+	/** The connection that pipes and sockets are written through; undefined for files, and until the first line. */
+	private socket: net.Socket | undefined;
+	private isOpened = false;
+	/** The fields of the last record that name its process, for lines that the sink writes itself. */
+	private source: LogRecord | undefined;
 	private readonly queue: Buffer[] = [];
 	private queuedBytes = 0;
 	private isWriting = false;
@@ -50,7 +59,8 @@
 	 *
 	 * @param record - a bunyan record
 	 */
-	write(record: {readonly level: number; readonly event?: string}): void {
+	write(record: LogRecord): void {
+		this.source = record;
 		if (!this.tryTakeToken(record)) {
 			this.dropped++;
 			return;
@@ -76,8 +86,14 @@
 		}
 	}
 
+	/** Writes the queued lines as {@link drain} does, then gives up what is not written, so that a reader that stopped does not keep the process alive. */
+	async close(): Promise<void> {
+		await this.drain();
+		this.socket?.destroy();
+	}
+
 	/** Takes a token from the bucket. Routine lines leave half of the burst as a reserve for lines about failures. */
-	private tryTakeToken({level, event}: {readonly level: number; readonly event?: string}): boolean {
+	private tryTakeToken({level, event}: LogRecord): boolean {
 		const nowMs = performance.now();
 		this.tokens = Math.min(rateLimit.burst, this.tokens + ((nowMs - this.lastRefillAtMs) / msPerSecond * rateLimit.perSecond));
 		this.lastRefillAtMs = nowMs;
@@ -107,39 +123,82 @@
 		}
 
 		if (this.dropped > this.reportedDropped) {
-			this.queue.push(Buffer.from(`${JSON.stringify({
-				level: warnLevel, event: 'lines_dropped', dropped: this.dropped, time: new Date().toISOString(),
-			})}\n`));
+			this.queue.push(this.describeDropped());
 			this.reportedDropped = this.dropped;
 		}
 
-		const batch = Buffer.concat(this.queue.splice(0));
+		const lines = this.queue.splice(0);
 		this.isWriting = true;
 		this.lastWriteAtMs = performance.now();
-		this.writeBatch(batch);
+		this.open();
+		this.writeBatch(Buffer.concat(lines), lines.length);
+	}
+
+	private describeDropped(): Buffer {
+		const {name, vm, hostname, pid} = this.source ?? {};
+		return Buffer.from(`${JSON.stringify({
+			name,
+			vm,
+			hostname,
+			pid,
+			level: warnLevel,
+			event: 'lines_dropped',
+			dropped: this.dropped,
+			added: this.dropped - this.reportedDropped,
+			msg: 'lines were dropped',
+			time: new Date().toISOString(),
+			v: 0,
+		})}\n`);
+	}
+
+	/** Opens a pipe or socket as a connection: a blocked `fs.write` to it would hold a thread that the process waits for at its end. */
+	private open(): void {
+		if (this.isOpened) {
+			return;
+		}
+
+		this.isOpened = true;
+		const stats = fstatSync(this.fd);
+		if (stats.isFIFO() || stats.isSocket()) {
+			this.socket = new net.Socket({fd: this.fd, readable: false, writable: true});
+			this.socket.on('error', () => {
+				// The callback of the write reports it, too.
+			});
+			this.socket.unref();
+		}
 	}
 
-	private writeBatch(batch: Buffer): void {
+	private writeBatch(batch: Buffer, lineCount: number): void {
+		if (this.socket) {
+			this.socket.write(batch, err => {
+				this.endBatch(lineCount, err);
+			});
+			return;
+		}
+
 		write(this.fd, batch, 0, batch.length, null, (err, written) => {
 			if (!err && written < batch.length) {
-				this.writeBatch(batch.subarray(written));
-				return;
+				this.writeBatch(batch.subarray(written), lineCount);
+			} else {
+				this.endBatch(lineCount, err);
 			}
+		});
+	}
 
-			if (err) {
-				// The failure cannot be logged, but the count is exported as a metric.
-				this.dropped++;
-			}
+	private endBatch(lineCount: number, err: Error | null | undefined): void {
+		if (err) {
+			// The failure cannot be logged, but the count is exported as a metric.
+			this.dropped += lineCount;
+		}
 
-			this.queuedBytes = 0;
-			for (const line of this.queue) {
-				this.queuedBytes += line.length;
-			}
+		this.queuedBytes = 0;
+		for (const line of this.queue) {
+			this.queuedBytes += line.length;
+		}
 
-			this.isWriting = false;
-			if (this.queue.length > 0) {
-				this.scheduleFlush();
-			}
-		});
+		this.isWriting = false;
+		if (this.queue.length > 0) {
+			this.scheduleFlush();
+		}
 	}
 }
--- a/test/log-sink.test.ts
+++ b/test/log-sink.test.ts
@@ -8,6 +8,7 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
+import {parseLogLine} from '../src/reports/explain-request.ts';
 import {LogSink} from '../src/runtime/log-sink.ts';
 
 const lineBytes = 500;
@@ -50,7 +51,7 @@
 	}
 }
 
-function writeMany(sink: LogSink, count: number, record: {readonly level: number; readonly event: string}): void {
+function writeMany(sink: LogSink, count: number, record: {readonly level: number; readonly event: string; readonly vm?: string}): void {
 	for (let at = 0; at < count; at++) {
 		sink.write(record);
 	}
@@ -66,6 +67,27 @@
 	expect(dropped).to.be.greaterThan(1000);
 });
 
+it('guards against a number of dropped lines that does not tell whose they are: the line names the process, and the lines since the last one', async () => {
+	const {text, dropped} = await writtenBy(sink => {
+		writeMany(sink, 500, {level: 30, event: 'routine', vm: 'g1'});
+	});
+	const line = text.split('\n').map(item => parseLogLine(item)).find(item => item?.event === 'lines_dropped');
+	expect(line).to.include({vm: 'g1', dropped, added: dropped});
+});
+
+it('guards against lost lines that are counted as one: all lines of a write that failed are counted', async () => {
+	// Each write to this device fails, as on a full disk.
+	const fd = openSync('/dev/full', 'w');
+	try {
+		const sink = new LogSink(fd);
+		writeMany(sink, 100, {level: 40, event: 'failure'});
+		await sink.drain();
+		expect(sink.dropped).to.equal(100);
+	} finally {
+		closeSync(fd);
+	}
+});
+
 it('guards against losing the line that tells which configuration is in force among too many lines of calls', async () => {
 	const {text, dropped} = await writtenBy(sink => {
 		writeMany(sink, 2000, {level: 30, event: 'call_ended'});
