Count calls by service, kind, outcome and reason, silences, and time without a running event loop

Operators missed which service and which reason a rise of failures belongs to: cactusreach_forwarded_calls_total had one label of kind and outcome together, latencies were told by kind alone, and silences and pauses of a gateway were in its log only. Calls that were refused for the memory of their bodies, and malformed ones, were in no metric.

Cause: the end of a call was handed on without its reason and service.

Ruled out: the reason as it stands, since it may be the text of an error with an address; a label for the instance, since its number is not bounded.

Change: CallEnd has kind, service, outcome and reason; a metric tells at most 500 (latencies 200, silences 100) combinations of labels apart and counts further ones as other; a reason that is not made of word characters is other. Histograms of latencies, cactusreach_silent_sends_total and cactusreach_event_loop_stalled_seconds_total are new. A refusal at once has the outcome refused_at_once with its reason as label of its own.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -85,8 +85,11 @@
 		eventLoopDelayMs: () => base.pauseDetector.recentDelayMs,
 		gatewayCount,
 		responseBytes: Math.min(maxBufferedBytes, settings.limits.memory_mb * bytesPerMegabyte * responseMemoryShare),
-		onEnd(route, outcome, ms) {
-			forwardingMetrics.recordOutcome(route?.kind, outcome, ms);
+		onSilence(service, result) {
+			forwardingMetrics.recordSilence(service, result);
+		},
+		onEnd(end) {
+			forwardingMetrics.recordEnd(end);
 		},
 	});
 	quarantine.onHeld(() => {
@@ -97,6 +100,10 @@
 	const callers = new CallerListener({
 		forwarder, codec: adapter.codec, log, bodies, limits: () => directory.table?.configuration.limits, onFault(phase) {
 			forwardingMetrics.recordFault(phase);
+		}, onRefused(reason) {
+			forwardingMetrics.recordEnd({
+				kind: undefined, service: undefined, outcome: 'refused_at_once', reason, ms: 0,
+			});
 		},
 	});
 	directory.onChange(() => {
--- a/src/cli/gateway-stager-base.ts
+++ b/src/cli/gateway-stager-base.ts
@@ -152,6 +152,7 @@
 		metrics.gauge('cactusreach_watches_source', '1 while this process watches the directory source.', () => Number(this.isWatching));
 		metrics.gauge('cactusreach_directory_age_seconds', 'How long ago another process last confirmed that the directory lacks nothing.', () => this.replica.ageMs / msPerSecond);
 		metrics.gauge('cactusreach_peers', 'Other processes that are known.', () => peers.others.length);
+		metrics.gauge('cactusreach_event_loop_stalled_seconds_total', 'Time in which the event loop did not run when its timer was due.', () => this.pauseDetector.totalStalledMs / msPerSecond);
 		metrics.gauge('cactusreach_log_lines_dropped_total', 'Log lines that were dropped.', () => logSink.dropped);
 	}
 }
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -1,6 +1,6 @@
 /** Accepts calls from callers, resolves their route and API key, and starts forwarding them to upstreams. */
 import type {Directory} from '../directory/directory.ts';
-import type {KeyHolder, Route} from '../directory/directory-types.ts';
+import type {KeyHolder, Route, RouteKind} from '../directory/directory-types.ts';
 import type {ServiceId} from '../ids/service-id.ts';
 import type {CrashDetector} from '../quarantine/crash-detector.ts';
 import type {PromptQuarantine} from '../quarantine/prompt-quarantine.ts';
@@ -49,8 +49,19 @@
 	readonly gatewayCount: () => number;
 	/** Maximum size of the responses that are kept until they are complete, in bytes. */
 	readonly responseBytes?: number;
+	/** Called when an instance of a service has sent nothing for too long, with what was done about it. */
+	readonly onSilence?: (service: ServiceId, result: string) => void;
 	/** Called when a call has ended. */
-	readonly onEnd: (route: Route | undefined, outcome: string, ms: number) => void;
+	readonly onEnd: (end: CallEnd) => void;
+};
+
+/** How a call ended; `service` is undefined if it was refused at once, `kind` also if no route matched. */
+export type CallEnd = {
+	readonly kind: RouteKind | undefined;
+	readonly service: ServiceId | undefined;
+	readonly outcome: string;
+	readonly reason: string | undefined;
+	readonly ms: number;
 };
 
 /** Retry delay given to callers while this process shuts down, in milliseconds; short, because another gateway takes the call. */
@@ -165,9 +176,14 @@
 			log,
 			selectInstance: async query => this.selector.select(query),
 			retryBudget: budget,
-			onEnd: (outcome, ms) => {
+			onSilence: result => {
+				this.options.onSilence?.(service, result);
+			},
+			onEnd: (outcome, ms, reason) => {
 				this.inFlight.delete(call);
-				this.options.onEnd(route, outcome, ms);
+				this.options.onEnd({
+					kind: route.kind, service, outcome, reason, ms,
+				});
 			},
 		});
 		this.inFlight.add(call);
@@ -201,7 +217,9 @@
 			event: 'call_refused', id: call.headers.attemptId, status, reason, host: call.headers.host, configuration: directory.configurationVersion,
 		}, 'call refused');
 		writer.sendError(status, reason, retryAfterMs === undefined ? [] : codec.writeRefusalHeaders(retryAfterMs));
-		onEnd(route, reason, performance.now() - call.receivedAtMs);
+		onEnd({
+			kind: route?.kind, service: undefined, outcome: 'refused_at_once', reason, ms: performance.now() - call.receivedAtMs,
+		});
 	}
 
 	private getRetryBudget(service: string): WindowedRetryBudget {
--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -53,6 +53,8 @@
 	readonly bodies: BodyBudget;
 	/** Called for each exception in the code of a call. */
 	readonly onFault: (phase: CallPhase) => void;
+	/** Called for each call that was refused before it could be forwarded. */
+	readonly onRefused?: (reason: string) => void;
 };
 
 /** How a call that is being read is answered, and what runs its code. */
@@ -195,6 +197,7 @@
 
 	private refuse(req: http.IncomingMessage, writer: ResponseWriter, {status, reason}: {status: number; reason: string}): void {
 		this.options.log.warn({event: 'call_malformed', status, reason}, 'malformed call rejected');
+		this.options.onRefused?.(`status ${status}`);
 		writer.sendError(status, reason, ['connection', 'close']);
 		req.resume();
 	}
@@ -208,6 +211,7 @@
 		log.warn({
 			event: 'call_refused', id: boundary.attemptId, status: 503, reason: 'no_memory_for_body', bodyBytes: bodies.usedBytes,
 		}, 'call refused');
+		this.options.onRefused?.('no_memory_for_body');
 		const respond = () => {
 			writer.sendError(503, 'not run; return later', codec.writeRefusalHeaders(noMemoryRetryAfterMs));
 		};
--- a/src/forwarding/end-steps.ts
+++ b/src/forwarding/end-steps.ts
@@ -9,7 +9,7 @@
 	},
 	'pass-on'(call) {
 		const {upstreamError} = call;
-		call.finish('passed_on', {status: upstreamError?.status}, () => {
+		call.finish('passed_on', {status: upstreamError?.status, reason: `status ${upstreamError?.status}`}, () => {
 			if (upstreamError) {
 				call.options.writer.send(upstreamError.status, upstreamError.headers, upstreamError.body);
 			}
--- a/src/forwarding/forwarded-call-options.ts
+++ b/src/forwarding/forwarded-call-options.ts
@@ -38,6 +38,8 @@
 	readonly selectInstance: (query: InstanceQuery) => Promise<SelectedInstance | Exclude<Placement, {kind: 'place'}>>;
 	/** The retries of the service. */
 	readonly retryBudget: WindowedRetryBudget;
-	/** Called once when the call has ended. */
-	readonly onEnd: (outcome: string, ms: number) => void;
+	/** Called when an instance has sent nothing for too long, with what was done about it. */
+	readonly onSilence?: (result: string) => void;
+	/** Called once when the call has ended; the reason is undefined if the outcome tells enough. */
+	readonly onEnd: (outcome: string, ms: number, reason: string | undefined) => void;
 };
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -131,7 +131,7 @@
 			this.log.recordEnd(outcome, ms, {
 				tried: [...this.tried], version: this.version, ...timing, lastEventId: this.progress.lastEventId, ...fields,
 			});
-			this.options.onEnd(outcome, ms);
+			this.options.onEnd(outcome, ms, typeof fields.reason === 'string' ? fields.reason : undefined);
 		}
 	}
 
--- a/src/forwarding/hedge.ts
+++ b/src/forwarding/hedge.ts
@@ -17,7 +17,7 @@
 }
 
 /** The call, and the functions that it supplies. */
-export type HedgeOptions = Pick<ForwardedCallOptions, 'call' | 'boundary' | 'tracker' | 'crashes' | 'retryBudget' | 'log'> & {
+export type HedgeOptions = Pick<ForwardedCallOptions, 'call' | 'boundary' | 'tracker' | 'crashes' | 'retryBudget' | 'log' | 'onSilence'> & {
 	/** Returns whether the call may run once more. */
 	readonly mayRepeat: () => boolean;
 	readonly selectInstance: () => ReturnType<ForwardedCallOptions['selectInstance']>;
@@ -86,7 +86,8 @@
 	}
 
 	private log(silent: UpstreamAttempt, result: string): void {
-		const {log, call} = this.options;
+		const {log, call, onSilence} = this.options;
+		onSilence?.(result.startsWith('sent to ') ? 'sent' : result);
 		log.info({
 			event: 'send_silent', id: call.headers.attemptId, instance: silent.instance.id, result, ...silent.timing,
 		}, 'an instance has sent nothing for too long');
--- a/src/reports/forwarding-metrics.ts
+++ b/src/reports/forwarding-metrics.ts
@@ -1,19 +1,33 @@
-/** Metrics of forwarded calls: count by kind of route and outcome, and latency by kind of route. */
+/** Metrics of forwarded calls: how they ended, how long they took, silences of upstreams, crashes and faults. */
 import type {RouteKind} from '../directory/directory-types.ts';
 import type {ServiceId} from '../ids/service-id.ts';
 import type {CallPhase} from '../forwarding/call-boundary.ts';
+import type {CallEnd} from '../forwarding/call-forwarder.ts';
 import type {LatencyRecorder, Metrics} from './metrics.ts';
 
-/** Counts the outcomes of forwarded calls and records their latencies. */
+/** How many combinations of labels a metric has at most: services are published, and reasons hold codes of the system. */
+const maxSeries = {ends: 500, latencies: 200, silences: 100};
+
+/** What a reason may consist of; it excludes addresses and texts of errors. */
+const reasonPattern = /^[\w ]{1,40}$/;
+
+/** The value of a label that does not apply. */
+const noLabel = 'none';
+
+/** Counts and measures forwarded calls. */
 export class ForwardingMetrics {
-	private readonly incrementOutcome: (outcome: string) => void;
+	private readonly countEnd: (labels: Readonly<Record<'service' | 'kind' | 'outcome' | 'reason', string>>) => void;
+	private readonly observeMs: (labels: Readonly<Record<'service' | 'kind' | 'outcome', string>>, ms: number) => void;
+	private readonly countSilence: (labels: Readonly<Record<'service' | 'result', string>>) => void;
 	private readonly incrementCrashes: (service: string) => void;
 	private readonly incrementFaults: (phase: string) => void;
 	private readonly latencies: Readonly<Record<RouteKind, LatencyRecorder>>;
 
 	/** @param metrics - the registry that the metrics are added to */
 	constructor(metrics: Metrics) {
-		this.incrementOutcome = metrics.counter('cactusreach_forwarded_calls_total', 'Forwarded calls by kind and end.', 'outcome');
+		this.countEnd = metrics.labelledCounter('cactusreach_forwarded_calls_total', 'Forwarded calls by their end.', ['service', 'kind', 'outcome', 'reason'], maxSeries.ends);
+		this.observeMs = metrics.latencyHistogram('cactusreach_call_ms', 'Time of calls from their headers to the end of their answer.', ['service', 'kind', 'outcome'], maxSeries.latencies);
+		this.countSilence = metrics.labelledCounter('cactusreach_silent_sends_total', 'Silences of upstreams by what was done about them.', ['service', 'result'], maxSeries.silences);
 		this.incrementCrashes = metrics.counter('cactusreach_upstream_crashes_total', 'Crashes of upstreams that broke off calls of this process.', 'service');
 		this.incrementFaults = metrics.counter('cactusreach_call_faults_total', 'Exceptions in the code of calls, each of which ended one call.', 'phase');
 		this.latencies = {
@@ -23,19 +37,25 @@
 		};
 	}
 
-	/**
-	 * Records a call that ended.
-	 *
-	 * @param kind - the kind of its route; undefined if no route matched
-	 * @param ms - the duration of the call, in milliseconds
-	 */
-	recordOutcome(kind: RouteKind | undefined, outcome: string, ms: number): void {
-		this.incrementOutcome(`${kind ?? 'none'}_${outcome}`);
+	/** Records a call that ended. */
+	recordEnd({kind, service = noLabel, outcome, reason, ms}: Omit<CallEnd, 'service'> & {readonly service: string | undefined}): void {
+		const labels = {service, kind: kind ?? noLabel, outcome};
+		this.countEnd({...labels, reason: boundReason(reason)});
 		if (kind) {
+			this.observeMs(labels, ms);
 			this.latencies[kind].record(ms);
 		}
 	}
 
+	/**
+	 * Records that an upstream sent nothing for too long.
+	 *
+	 * @param result - what was done about it
+	 */
+	recordSilence(service: ServiceId, result: string): void {
+		this.countSilence({service, result: boundReason(result)});
+	}
+
 	/** Records an exception in the code of a call. */
 	recordFault(phase: CallPhase): void {
 		this.incrementFaults(phase);
@@ -50,3 +70,7 @@
 		this.incrementCrashes(service);
 	}
 }
+
+function boundReason(reason: string | undefined): string {
+	return reason === undefined ? noLabel : (reasonPattern.test(reason) ? reason : 'other');
+}
--- a/src/reports/metrics.ts
+++ b/src/reports/metrics.ts
@@ -1,6 +1,8 @@
 /** Metrics of a process in the Prometheus format: HDR histograms for latencies, and gauges that are read on each scrape. */
 import {build as buildHistogram, type Histogram} from 'hdr-histogram-js';
-import {Counter, Gauge, Registry} from 'prom-client';
+import {
+	Counter, Gauge, Histogram as BucketHistogram, Registry,
+} from 'prom-client';
 
 const microsPerMilli = 1000;
 
@@ -9,6 +11,15 @@
 
 const quantiles = [0.5, 0.95, 0.99];
 
+/** Upper bounds of the buckets of latency histograms, in milliseconds. */
+const latencyBucketsMs = [5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10_000, 30_000];
+
+/** The value of all labels of samples beyond the bound of a metric. */
+const otherLabel = 'other';
+
+/** Label values, by the name of the label. */
+type Labels<Name extends string> = Readonly<Record<Name, string>>;
+
 /** One value of a labelled gauge. */
 export type MetricSample = {readonly labels: Readonly<Record<string, string>>; readonly value: number};
 
@@ -72,6 +83,44 @@
 		};
 	}
 
+	/**
+	 * Adds a counter with several labels.
+	 *
+	 * @param name - the metric's name, ending in `_total`
+	 * @param help - one sentence
+	 * @param labelNames - the names of the labels
+	 * @param maxSeries - how many combinations of label values are told apart; further ones are counted as `other`
+	 * @returns a function that increments the counter for a combination
+	 */
+	labelledCounter<Name extends string>(name: string, help: string, labelNames: readonly Name[], maxSeries: number): (labels: Labels<Name>) => void {
+		const counter = new Counter<Name>({
+			name, help, labelNames, registers: [this.registry],
+		});
+		const bound = createSeriesBound(labelNames, maxSeries);
+		return labels => {
+			counter.inc(bound(labels));
+		};
+	}
+
+	/**
+	 * Adds a histogram of latencies in milliseconds with several labels.
+	 *
+	 * @param name - the metric's name, ending in `_ms`
+	 * @param help - one sentence
+	 * @param labelNames - the names of the labels
+	 * @param maxSeries - how many combinations of label values are told apart; further ones are counted as `other`
+	 * @returns a function that records a latency for a combination
+	 */
+	latencyHistogram<Name extends string>(name: string, help: string, labelNames: readonly Name[], maxSeries: number): (labels: Labels<Name>, ms: number) => void {
+		const histogram = new BucketHistogram<Name>({
+			name, help, labelNames, buckets: latencyBucketsMs, registers: [this.registry],
+		});
+		const bound = createSeriesBound(labelNames, maxSeries);
+		return (labels, ms) => {
+			histogram.observe(bound(labels), ms);
+		};
+	}
+
 	/**
 	 * Adds a latency metric: a gauge in milliseconds with the label `quantile`, computed from a histogram.
 	 *
@@ -119,3 +168,21 @@
 		return this.histogram.getValueAtPercentile(quantile * 100) / microsPerMilli;
 	}
 }
+
+/** Returns a function that keeps the first combinations of label values and replaces the values of further ones. */
+function createSeriesBound<Name extends string>(labelNames: readonly Name[], maxSeries: number): (labels: Labels<Name>) => Labels<Name> {
+	const known = new Set<string>();
+	const others = Object.fromEntries(labelNames.map(name => [name, otherLabel])) as Labels<Name>;
+	return labels => {
+		const key = JSON.stringify(labelNames.map(name => labels[name]));
+		if (!known.has(key)) {
+			if (known.size >= maxSeries) {
+				return others;
+			}
+
+			known.add(key);
+		}
+
+		return labels;
+	};
+}
--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -53,7 +53,12 @@
 	}
 
 	get listeningMs(): number {
-		return performance.now() - this.stalledMs - this.tickDelayMs;
+		return performance.now() - this.totalStalledMs;
+	}
+
+	/** How long the event loop has not run since the start, in milliseconds. */
+	get totalStalledMs(): number {
+		return this.stalledMs + this.tickDelayMs;
 	}
 
 	/** How long a message that is read now may have been under way or waited in its socket, in milliseconds. */
