--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -55,6 +55,8 @@
 	readonly bodies: BodyBudget;
 	/** Called for each exception in the code of a call. */
 	readonly onFault: (phase: CallPhase) => void;
+	/** Called for each call that was refused before it could be forwarded. */
+	readonly onRefused?: (reason: string) => void;
 };
 
 /** How a call that is being read is answered, and what runs its code. */
@@ -200,6 +202,7 @@
 	 */
 	private refuse(req: http.IncomingMessage, writer: ResponseWriter, {status, reason}: {status: number; reason: string}): void {
 		this.options.log.warn({event: 'call_malformed', status, reason}, 'malformed call rejected');
+		this.options.onRefused?.(`status ${status}`);
 		const body = Buffer.from(JSON.stringify({error: reason}));
 		// The writer adds the length of a response to a caller that does not understand chunks.
 		const length = req.httpVersion === '1.0' ? [] : ['content-length', String(body.length)];
@@ -232,6 +235,7 @@
 		log.warn({
 			event: 'call_refused', id: boundary.attemptId, status: 503, reason: 'no_memory_for_body', bodyBytes: bodies.usedBytes,
 		}, 'call refused');
+		this.options.onRefused?.('no_memory_for_body');
 		const respond = () => {
 			writer.sendError(503, 'not run; return later', codec.writeRefusalHeaders(noMemoryRetryAfterMs));
 		};
--- a/src/forwarding/hedge.ts
+++ b/src/forwarding/hedge.ts
@@ -17,7 +17,7 @@
 }
 
 /** The call, and the functions that it supplies. */
-export type HedgeOptions = Pick<ForwardedCallOptions, 'call' | 'boundary' | 'tracker' | 'crashes' | 'retryBudget' | 'log'> & {
+export type HedgeOptions = Pick<ForwardedCallOptions, 'call' | 'boundary' | 'tracker' | 'crashes' | 'retryBudget' | 'log' | 'onSilence'> & {
 	/** Returns whether the call may run once more. */
 	readonly mayRepeat: () => boolean;
 	readonly selectInstance: () => ReturnType<ForwardedCallOptions['selectInstance']>;
@@ -58,37 +58,39 @@
 		this.isLooking = true;
 		void boundary.runAsync('select', async () => {
 			try {
-				this.log(silent, await this.trySecond(silent));
+				const {result, selected} = await this.trySecond(silent);
+				this.log(silent, result, selected);
 			} finally {
 				this.isLooking = false;
 			}
 		});
 	}
 
-	/** Returns what came of it, for the log. */
-	private async trySecond(silent: UpstreamAttempt): Promise<string> {
+	/** Returns what came of it, for the log, and the ID of the second instance. */
+	private async trySecond(silent: UpstreamAttempt): Promise<{result: string; selected?: string}> {
 		const {mayRepeat, selectInstance, isUnderWay, retryBudget, startAttempt} = this.options;
 		const selection = await selectInstance();
 		if (!isUnderWay(silent) || !silent.isSilent || !mayRepeat()) {
-			return 'not_wanted_any_more';
+			return {result: 'not_wanted_any_more'};
 		}
 
 		if (!('instance' in selection)) {
-			return selection.reason;
+			return {result: selection.reason};
 		}
 
 		if (!retryBudget.tryTake()) {
-			return 'no_retry_left';
+			return {result: 'no_retry_left'};
 		}
 
 		startAttempt(selection);
-		return `sent to ${selection.instance.id}`;
+		return {result: 'sent', selected: selection.instance.id};
 	}
 
-	private log(silent: UpstreamAttempt, result: string): void {
-		const {log, call} = this.options;
+	private log(silent: UpstreamAttempt, result: string, selected?: string): void {
+		const {log, call, onSilence} = this.options;
+		onSilence?.(result);
 		log.info({
-			event: 'send_silent', id: call.headers.attemptId, instance: silent.instance.id, result, ...silent.timing,
+			event: 'send_silent', id: call.headers.attemptId, instance: silent.instance.id, result, selected, ...silent.timing,
 		}, 'an instance has sent nothing for too long');
 	}
 }
