--- /dev/null
+++ b/standins/watched-store.ts
@@ -0,0 +1,149 @@
+/** A stand-in for the platform's store whose watches report changes, with a bounded history and with faults that are switched from outside. */
+import {Buffer} from 'node:buffer';
+import http from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {sendJson} from '../src/links/http-listener.ts';
+import {RandomSource} from '../src/runtime/random-source.ts';
+
+type Item = {readonly key: string; readonly value?: string; readonly revision: number; readonly tombstone?: true};
+
+/** A request that waits, for a change or for the end of a silence. */
+type Waiting = {readonly answer: () => boolean};
+
+const percent = 100;
+const turnAwayStatuses = [503, 429] as const;
+const historyGoneStatus = 410;
+
+/** A store on a port of one loopback address. */
+export class WatchedStore {
+	/** Share of the requests that are turned away with 503 or 429, in percent. */
+	turnedAwayPercent = 0;
+	/** Called with the number of turned away requests so far. */
+	turnedAway = 0;
+	private revision = 1;
+	private forgottenUntil = 0;
+	private isSilent = false;
+	private readonly items = new Map<string, Item>();
+	private history: Item[] = [];
+	private readonly waiting = new Set<Waiting>();
+	private readonly random: RandomSource;
+	private readonly server = http.createServer((req, res) => {
+		this.handle(req, res);
+	});
+
+	/** @param seed - decides which requests are turned away */
+	constructor(seed: number) {
+		this.random = new RandomSource(seed);
+	}
+
+	/** The address, once {@link start} has returned. */
+	get address(): string {
+		const {address, port} = this.server.address() as AddressInfo;
+		return `${address}:${port}`;
+	}
+
+	/** Starts to listen on a free port. */
+	async start(host: string): Promise<void> {
+		await new Promise<void>(resolve => {
+			this.server.listen(0, host, resolve);
+		});
+	}
+
+	/** Puts a value in place of the one before. */
+	put(key: string, value: unknown): void {
+		this.change({key, value: Buffer.from(JSON.stringify(value)).toString('base64'), revision: ++this.revision});
+	}
+
+	/** Removes an entry, as an owner does or a lease that lapses. */
+	remove(key: string): void {
+		this.change({key, revision: ++this.revision, tombstone: true});
+	}
+
+	/** Answers watches from before now with 410. */
+	forgetHistory(): void {
+		this.revision++;
+		this.forgottenUntil = this.revision;
+		this.history = [];
+		this.answerWaiting();
+	}
+
+	/** Answers no request until it is called with false; those that came until then are answered at that time. */
+	setSilent(isSilent: boolean): void {
+		this.isSilent = isSilent;
+		this.answerWaiting();
+	}
+
+	/** Stops. */
+	close(): void {
+		this.server.close();
+		this.server.closeAllConnections();
+	}
+
+	private change(item: Item): void {
+		this.history.push(item);
+		if (item.tombstone) {
+			this.items.delete(item.key);
+		} else {
+			this.items.set(item.key, item);
+		}
+
+		this.answerWaiting();
+	}
+
+	private answerWaiting(): void {
+		for (const waiting of this.waiting) {
+			if (!this.isSilent && waiting.answer()) {
+				this.waiting.delete(waiting);
+			}
+		}
+	}
+
+	private handle(req: http.IncomingMessage, res: http.ServerResponse): void {
+		if (this.random.nextInt(percent) < this.turnedAwayPercent) {
+			this.turnedAway++;
+			sendJson(res, turnAwayStatuses[this.random.nextInt(turnAwayStatuses.length)]!, {});
+			return;
+		}
+
+		const {pathname, searchParams} = new URL(req.url ?? '/', 'http://store');
+		const prefix = searchParams.get('prefix') ?? '';
+		const endsAtMs = performance.now() + Number(searchParams.get('wait_ms') ?? 0);
+		const answer = pathname === '/v1/kv-range'
+			? () => this.answerRange(res, prefix)
+			: () => this.answerWatch(res, prefix, {after: Number(searchParams.get('after')), endsAtMs});
+		const waiting = {answer};
+		if (!this.isSilent && answer()) {
+			return;
+		}
+
+		this.waiting.add(waiting);
+		setTimeout(() => {
+			if (!this.isSilent && this.waiting.has(waiting) && answer()) {
+				this.waiting.delete(waiting);
+			}
+		}, endsAtMs - performance.now() + 1);
+		res.on('close', () => {
+			this.waiting.delete(waiting);
+		});
+	}
+
+	private answerRange(res: http.ServerResponse, prefix: string): boolean {
+		sendJson(res, 200, {items: [...this.items.values()].filter(({key}) => key.startsWith(prefix)), more_pages: false, store_revision: this.revision});
+		return true;
+	}
+
+	private answerWatch(res: http.ServerResponse, prefix: string, {after, endsAtMs}: {readonly after: number; readonly endsAtMs: number}): boolean {
+		if (after < this.forgottenUntil) {
+			sendJson(res, historyGoneStatus, {});
+			return true;
+		}
+
+		const events = this.history.filter(({key, revision}) => revision > after && key.startsWith(prefix));
+		const isDue = events.length > 0 || performance.now() >= endsAtMs;
+		if (isDue) {
+			sendJson(res, 200, {events, store_revision: this.revision});
+		}
+
+		return isDue;
+	}
+}
