--- a/soak/run-soak.ts
+++ b/soak/run-soak.ts
@@ -6,7 +6,7 @@
 import {Callers} from './soak-callers.ts';
 import {checks} from './soak-checks.ts';
 import {type CallKind, Evidence, nowMs} from './soak-evidence.ts';
-import {FaultContext, faults} from './soak-faults.ts';
+import {type Fault, FaultContext, faults} from './soak-faults.ts';
 import {Fleet, type FleetSize} from './soak-fleet.ts';
 
 /** Time from the last fault until calls are served again, in milliseconds. */
@@ -33,7 +33,12 @@
 };
 
 /** What came of a run. */
-export type SoakResult = {readonly violations: Readonly<Record<string, readonly string[]>>; readonly calls: Readonly<Record<string, number>>; readonly arrivals: number; readonly faults: Readonly<Record<string, number>>};
+export type SoakResult = {
+	readonly violations: Readonly<Record<string, readonly string[]>>;
+	readonly calls: Readonly<Record<string, number>>;
+	readonly arrivals: number;
+	readonly faults: Readonly<Record<string, number>>;
+};
 
 /** Runs the soak once. Settings, logs and, if a check failed, everything that was seen are left in the folder. */
 export async function runSoak({seed, faultsMs, size, callersPerGateway, groups, folder}: SoakOptions): Promise<SoakResult> {
@@ -89,7 +94,7 @@
 		const length = 1 + random.nextInt(3);
 		for (let at = 0; at < length; at++) {
 			onFault(`${group}.${name}`);
-			running.push(fault(context));
+			running.push(runFault(context, `${group}.${name}`, fault));
 			await sleep(context.between(50, 700));
 		}
 
@@ -99,6 +104,14 @@
 	await Promise.all(running);
 }
 
+async function runFault(context: FaultContext, name: string, fault: Fault): Promise<void> {
+	try {
+		await fault(context);
+	} catch (err) {
+		context.evidence.processFaults.push(`${name}: ${(err as Error).message}`);
+	}
+}
+
 /** Waits until each gateway has served calls of each kind in a row; returns the ones that did not in time. */
 async function waitUntilServed({gateways}: Fleet, {calls}: Evidence): Promise<string[]> {
 	const fromMs = nowMs();
--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -36,8 +36,11 @@
 
 		const item = free[this.random.nextInt(free.length)]!;
 		this.busy.add(item.name);
-		await act(item);
-		this.busy.delete(item.name);
+		try {
+			await act(item);
+		} finally {
+			this.busy.delete(item.name);
+		}
 	}
 
 	/** Records a disturbance while a function runs. */
@@ -51,7 +54,8 @@
 /** The most busy processes at once. */
 const maxBusyProcesses = 16;
 
-type Fault = (context: FaultContext) => Promise<void>;
+/** Injects one fault. */
+export type Fault = (context: FaultContext) => Promise<void>;
 
 /** Pauses a gateway from outside. */
 async function pauseGateway(context: FaultContext, {name, process}: Gateway): Promise<void> {
@@ -227,10 +231,11 @@
 		}),
 	},
 	machine: {
-		async busy(context) {
+		// One set at a time: several at once kept a gateway from starting within 20 s.
+		busy: async context => context.withOne([{name: 'machine'}], async () => {
 			const ms = context.between(1000, 4000);
 			const count = Math.min(maxBusyProcesses, availableParallelism() + 4);
 			await Promise.all(Array.from({length: count}, async () => once(spawn(process.execPath, ['-e', `const end = Date.now() + ${ms}; while (Date.now() < end);`]), 'exit')));
-		},
+		}),
 	},
 };
--- a/soak/soak-process.ts
+++ b/soak/soak-process.ts
@@ -4,6 +4,15 @@
 import {closeSync, openSync} from 'node:fs';
 import process from 'node:process';
 
+/** Processes that are killed when this one ends early. */
+const running = new Set<ChildProcess>();
+
+process.on('exit', () => {
+	for (const child of running) {
+		child.kill('SIGKILL');
+	}
+});
+
 /** How a process is started. */
 export type SoakProcessOptions = {
 	readonly name: string;
@@ -40,6 +49,7 @@
 		closeSync(file);
 		this.child = child;
 		this.starts++;
+		running.add(child);
 		if (onMessage) {
 			child.on('message', onMessage);
 		}
@@ -89,6 +99,7 @@
 	private async watchEnd(child: ChildProcess): Promise<void> {
 		const [code, signal] = await once(child, 'exit') as [number | null, NodeJS.Signals | null];
 		this.child = undefined;
+		running.delete(child);
 		const isExpected = this.lastSignal === 'SIGTERM' ? code === 0 : signal === 'SIGKILL' && this.lastSignal === 'SIGKILL';
 		if (!isExpected) {
 			this.options.onUnexpectedEnd(`${this.options.name} ended with code ${code}, signal ${signal}, after ${this.lastSignal ?? 'no signal'} was sent`);
