A pause is no silence of those that tell of the directory

Operators saw directory_unconfirmed, source_lost and watch_started, billed reads of the source, and exchanges over connections after a gateway had had no processor time. Cause: the waits for a check, for an exchange by datagram and for the source were plain timers, which run after a pause before sockets are read; and the time for which there were too few watchers ran on in the pause.

The wait for a check counts the time in which the process could hear, and a check that a pause of 0.5 s or more fell into is repeated before its age is judged. The other waits read first, and the watch duty uses the listening clock. The ages of the directory and of the source's responses do not stand still.

Ruled out: an age that leaves pauses out, which would be told to others and would hide changes that were made meanwhile.

--- a/src/cli/gateway-stager-base.ts
+++ b/src/cli/gateway-stager-base.ts
@@ -72,7 +72,7 @@
 		};
 		this.datagrams = new DatagramPort(log);
 		this.replica = new DirectoryReplica({
-			self, directory, source: this.source, parts, pulledParts, seeds: () => this.settings.peers.seeds, links, datagrams: this.datagrams, port: datagramAddress.port, random, log,
+			self, directory, source: this.source, parts, pulledParts, seeds: () => this.settings.peers.seeds, links, datagrams: this.datagrams, port: datagramAddress.port, random, log, clock: this.pauseDetector,
 		});
 		this.peers = this.replica.peers;
 		this.rpc.method(peersExchangeMethod, peersExchangeSchema, params => this.replica.handleExchange(params));
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -1,4 +1,5 @@
 /** Keeps a part of the directory up to date: one full read, then long-polling watches, with delayed retries when the source fails. */
+import {setInputTimeout} from '../runtime/input-timeout.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import type {Directory} from './directory.ts';
@@ -125,7 +126,7 @@
 		const waitMs = watch?.waitMs ?? 0;
 		const limitMs = waitMs + (watch && this.isFast ? fastTimeoutMs : responseTimeoutMs);
 		const {abortController} = this;
-		const timer = setTimeout(() => {
+		const timeout = setInputTimeout(() => {
 			abortController.abort(new Error(`no response within ${limitMs} ms`));
 		}, limitMs);
 		try {
@@ -133,7 +134,7 @@
 			await this.call(run, {requestedAtMs, watch}, abortController.signal);
 			this.recordSpeed(performance.now() - startedMs - waitMs);
 		} finally {
-			clearTimeout(timer);
+			timeout.clear();
 		}
 	}
 
--- a/src/peers/directory-checks.ts
+++ b/src/peers/directory-checks.ts
@@ -13,7 +13,9 @@
 } from '../messages/check-datagram.ts';
 import type {PeerInfo} from '../messages/peers-exchange.ts';
 import type {Logger} from '../runtime/logger.ts';
+import type {ListeningClock} from '../runtime/pause-detector.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
+import {SilenceTimer} from '../runtime/silence-timer.ts';
 import {type CheckPartners, choosePartners} from './check-partners.ts';
 import type {DirectoryPuller} from './directory-puller.ts';
 import type {OwnWatch} from './watch-duty.ts';
@@ -33,6 +35,9 @@
 /** How old the knowledge of a gateway may become: for a lost answer, and for one interval of each level above the gateway, in milliseconds. */
 const ageLimitMs = {base: 700, perLevel: 750};
 
+/** The minimum pause of this process after which a check is repeated, in milliseconds; after a shorter one, the answer is young enough to end a round. */
+const minPauseMs = ageLimitMs.base - answerTimeoutMs;
+
 /** Dependencies of {@link DirectoryChecks}. */
 export type DirectoryChecksOptions = {
 	readonly self: PeerInfo;
@@ -45,6 +50,8 @@
 	readonly port: number;
 	readonly random: RandomSource;
 	readonly log: Logger;
+	/** Tells for how long this process could hear its partners. */
+	readonly clock: ListeningClock;
 	/** What this process knows of the source by watching it. */
 	readonly ownWatch: () => OwnWatch;
 	/** Called while the knowledge is too old although the source is not known to be out. */
@@ -135,10 +142,14 @@
 	private async runRound(): Promise<void> {
 		const round = ++this.round;
 		for (const address of this.listCandidates()) {
-			await this.check(address);
-			if (round !== this.round || this.isStopped) {
-				return;
-			}
+			let wasPaused: boolean;
+			do {
+				// An answer to a question from before a pause tells nothing of the time since.
+				wasPaused = await this.check(address);
+				if (round !== this.round || this.isStopped) {
+					return;
+				}
+			} while (wasPaused);
 
 			this.reportAge(address);
 			if (this.ageMs <= this.limitMs - ageLimitMs.perLevel) {
@@ -162,17 +173,22 @@
 		return [...new Set([...first, ...anyOther])];
 	}
 
-	/** Asks one gateway, and waits until what its answer tells is known here, but not for long. */
-	private async check(address: string): Promise<void> {
-		const {directory, self} = this.options;
+	/** Asks one gateway, and waits until what its answer tells is known here, but not for long; returns whether this process was paused meanwhile. */
+	private async check(address: string): Promise<boolean> {
+		const {directory, self, clock} = this.options;
 		return new Promise(resolve => {
-			const timer = setTimeout(resolve, answerTimeoutMs);
+			const finish = () => {
+				resolve(timer.silence.stalledMs >= minPauseMs);
+			};
+
+			const timer = new SilenceTimer(clock, finish);
+			timer.restart(answerTimeoutMs);
 			const number = ++this.lastNumber;
 			this.sent.delete(number - keptChecks);
 			this.sent.set(number, {
 				sentAtMs: performance.now(), resolve() {
-					clearTimeout(timer);
-					resolve();
+					timer.stop();
+					finish();
 				},
 			});
 			this.send(address, ['check', self.address, directory.state, number]);
--- a/src/peers/directory-replica.ts
+++ b/src/peers/directory-replica.ts
@@ -6,6 +6,7 @@
 import type {PeerClient} from '../links/peer-client.ts';
 import type {PeerInfo, PeersExchange} from '../messages/peers-exchange.ts';
 import type {Logger} from '../runtime/logger.ts';
+import type {ListeningClock} from '../runtime/pause-detector.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import {DirectoryChecks} from './directory-checks.ts';
 import {DirectoryPuller} from './directory-puller.ts';
@@ -31,6 +32,8 @@
 	readonly port: number;
 	readonly random: RandomSource;
 	readonly log: Logger;
+	/** Tells for how long this process could hear the others. */
+	readonly clock: ListeningClock;
 };
 
 /** Finds the other processes, and brings the directory up to date from them and from the source. */
@@ -45,7 +48,7 @@
 
 	constructor(options: DirectoryReplicaOptions) {
 		const {
-			self, directory, source, parts, pulledParts, seeds, links, datagrams, port, random, log,
+			self, directory, source, parts, pulledParts, seeds, links, datagrams, port, random, log, clock,
 		} = options;
 		this.peers = new PeerList(self, log);
 		const others = () => this.peers.others;
@@ -57,7 +60,7 @@
 			links, directory, pulledParts, log,
 		});
 		this.watchManager = new WatchManager({
-			self, others, coverage, watchers, log,
+			self, others, coverage, watchers, log, clock,
 		});
 		this.news = new NewsSpreader({
 			self, others, directory, puller, random, datagrams, port,
@@ -71,6 +74,7 @@
 			port,
 			random,
 			log,
+			clock,
 			ownWatch: () => this.watchManager.ownWatch,
 			onUnconfirmed: () => {
 				this.watchManager.watchAlone();
--- a/src/peers/load-queries.ts
+++ b/src/peers/load-queries.ts
@@ -37,7 +37,7 @@
 	counts: InFlightCounts;
 	countedAtMs: number;
 	lastAskedMs: number;
-	/** When the first question after the last answer was sent, by the clock that stands still while this process is paused; undefined if none was. */
+	/** When the first question after the last answer was sent, by the listening clock; undefined if none was. */
 	unansweredSinceMs: number | undefined;
 	/** The queries that wait for the answer. */
 	readonly waiting: Set<Query>;
--- a/src/peers/peer-group.ts
+++ b/src/peers/peer-group.ts
@@ -8,6 +8,7 @@
 	type PeerInfo, peersExchangeMethod, type PeersExchange, peersExchangeSchema,
 } from '../messages/peers-exchange.ts';
 import type {Logger} from '../runtime/logger.ts';
+import {setInputTimeout} from '../runtime/input-timeout.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import type {DirectoryPuller} from './directory-puller.ts';
 import type {PeerList} from './peer-list.ts';
@@ -154,13 +155,13 @@
 	/** Returns the response, or undefined if none arrives in time: a datagram may be lost. */
 	private async exchangeDatagrams({vm, address}: PeerInfo): Promise<PeersExchange | undefined> {
 		return new Promise(resolve => {
-			const timer = setTimeout(() => {
+			const timeout = setInputTimeout(() => {
 				resolve(undefined);
 			}, datagramTimeoutMs);
 			const number = ++this.sentDatagrams;
 			this.awaited = {
 				vm, number, sentAtMs: this.options.directory.clock.nowMs, resolve(theirs) {
-					clearTimeout(timer);
+					timeout.clear();
 					resolve(theirs);
 				},
 			};
--- a/src/peers/watch-manager.ts
+++ b/src/peers/watch-manager.ts
@@ -2,6 +2,7 @@
 import type {DirectoryWatcher} from '../directory/directory-watcher.ts';
 import type {PeerInfo} from '../messages/peers-exchange.ts';
 import type {Logger} from '../runtime/logger.ts';
+import type {ListeningClock} from '../runtime/pause-detector.ts';
 import {
 	type OwnWatch, rankForWatch, shouldWatch, type WatchCoverage, watchersPerZone,
 } from './watch-duty.ts';
@@ -29,6 +30,8 @@
 	readonly coverage: WatchCoverage;
 	readonly watchers: readonly DirectoryWatcher[];
 	readonly log: Logger;
+	/** Tells for how long this process could hear of other watchers. */
+	readonly clock: ListeningClock;
 };
 
 /** The rank of this process for the duty to watch, among the processes of `list`. */
@@ -48,6 +51,7 @@
 	/** Whether this process reads and watches the source. */
 	isWatching = false;
 	private startedAtMs = 0;
+	/** Since when there have been too few watchers, by the listening clock. */
 	private shortSinceMs: number | undefined;
 	private timer: NodeJS.Timeout | undefined;
 	private lastDuty: Duty | undefined;
@@ -89,7 +93,7 @@
 	start(): void {
 		this.setWatching(true, {});
 		this.startedAtMs = performance.now();
-		this.shortSinceMs = this.startedAtMs;
+		this.shortSinceMs = this.options.clock.listeningMs;
 		this.schedule(startHoldMs.min);
 	}
 
@@ -155,12 +159,12 @@
 	}
 
 	private decide(): void {
-		const {coverage} = this.options;
+		const {coverage, clock} = this.options;
 		this.recordOwnCoverage();
 		const {position, above, wanted} = this.duty;
 		const {ages} = coverage;
 		const workingAbove = above.filter(vm => ages.has(vm)).length;
-		const nowMs = performance.now();
+		const nowMs = clock.listeningMs;
 		this.shortSinceMs = workingAbove < wanted ? this.shortSinceMs ?? nowMs : undefined;
 		const shortForMs = nowMs - (this.shortSinceMs ?? nowMs);
 		const inputs = {
--- a/test/silence-elsewhere.test.ts
+++ b/test/silence-elsewhere.test.ts
@@ -25,6 +25,7 @@
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {PauseDetector} from '../src/runtime/pause-detector.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
+import {blockAfter} from './support/block-after.ts';
 import {bookingCall, generateCall} from './support/call-samples.ts';
 import {testInstance} from './support/direct-fixtures.ts';
 import {Processes} from './support/processes.ts';
@@ -60,15 +61,6 @@
 	await links.close();
 });
 
-/** Blocks the event loop of this process after a time, as a machine without free processors does: timers that are due run before sockets are read. */
-function blockAfter(ms: number, forMs: number): void {
-	setTimeout(() => {
-		setImmediate(() => {
-			Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, forMs);
-		});
-	}, ms);
-}
-
 async function request(afterMs: number, timeoutMs: number): Promise<unknown> {
 	return links.rpc(worker, {method: 'test', params: {afterMs}}, z.unknown(), {timeoutMs});
 }
--- a/test/support/replica-fleet.ts
+++ b/test/support/replica-fleet.ts
@@ -9,6 +9,7 @@
 import {DirectoryReplica} from '../../src/peers/directory-replica.ts';
 import {ElapsedClock} from '../../src/runtime/elapsed-clock.ts';
 import {createSilentLogger} from '../../src/runtime/logger.ts';
+import {monotonicClock} from '../../src/runtime/pause-detector.ts';
 import {RandomSource} from '../../src/runtime/random-source.ts';
 import {testConfiguration} from './direct-fixtures.ts';
 import {FakeSource} from './directory-fleet.ts';
@@ -75,6 +76,7 @@
 			port,
 			random: new RandomSource(seed),
 			log: createSilentLogger(),
+			clock: monotonicClock,
 		});
 	}
 
