A pause is no time in which an engine survived a call

A held prompt part was released, here and at other gateways, by a call whose engine crashed soon after its end, if the gateway had no processor time then. Cause: 0.2 s without news of a crash count as a survival, and a pause counted as such time, although the broken connections were not read.

The evidence uses the listening clock for this delay. The times of crashes and survivals that others are told stay those of the monotonic clock.

--- a/src/cli/crash-protection.ts
+++ b/src/cli/crash-protection.ts
@@ -8,6 +8,7 @@
 import type {ForwardingMetrics} from '../reports/forwarding-metrics.ts';
 import type {Metrics} from '../reports/metrics.ts';
 import type {Logger} from '../runtime/logger.ts';
+import type {ListeningClock} from '../runtime/pause-detector.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import {selectMember} from '../runtime/rendezvous.ts';
 
@@ -22,6 +23,8 @@
 	readonly port: number;
 	readonly random: RandomSource;
 	readonly log: Logger;
+	/** Tells for how long this process could hear of crashes. */
+	readonly clock: ListeningClock;
 	readonly metrics: Metrics;
 	readonly forwardingMetrics: ForwardingMetrics;
 };
@@ -30,10 +33,13 @@
 export type CrashProtection = {readonly crashes: CrashDetector; readonly quarantine: PromptQuarantine; readonly gossip: CrashGossip};
 
 /** Creates the parts; the gossip has to be started and stopped. */
-export function createCrashProtection({vm, tracker, peers, log, metrics, forwardingMetrics, ...links}: CrashProtectionOptions): CrashProtection {
+export function createCrashProtection({
+	vm, tracker, peers, log, clock, metrics, forwardingMetrics, ...links
+}: CrashProtectionOptions): CrashProtection {
 	const gatewayVms = () => [vm, ...peers.others.filter(({role}) => role === 'gateway').map(peer => peer.vm)];
 	const quarantine = new PromptQuarantine({
 		log,
+		clock,
 		hasTurn: turn => selectMember(turn, gatewayVms(), name => name) === vm,
 		tell(news) {
 			gossip.tell(news);
--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -68,7 +68,7 @@
 	});
 	const forwardingMetrics = new ForwardingMetrics(metrics);
 	const {crashes, quarantine, gossip} = createCrashProtection({
-		...settings.process, tracker, peers, datagrams: base.datagrams, port: settings.listen.datagrams.port, random, log, metrics, forwardingMetrics,
+		...settings.process, tracker, peers, datagrams: base.datagrams, port: settings.listen.datagrams.port, random, log, clock: base.pauseDetector, metrics, forwardingMetrics,
 	});
 	const forwarder = new CallForwarder({
 		directory,
--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -5,6 +5,7 @@
  * the total number of parts: the oldest crashes are dropped first.
  */
 import type {PromptPartId} from '../ids/prompt-part-id.ts';
+import type {ListeningClock} from '../runtime/pause-detector.ts';
 import {type BrokenCall, readBrokenCall} from './broken-call.ts';
 import type {Crash} from './crash-detector.ts';
 import {RecentTimes} from './recent-times.ts';
@@ -36,7 +37,7 @@
 /** A crash with the number of parts of all its calls. */
 type CrashEntry = KnownCrash & {partCount: number};
 
-type PendingSurvival = {readonly instance: string; readonly parts: readonly PromptPartId[]; readonly atMs: number};
+type PendingSurvival = {readonly instance: string; readonly parts: readonly PromptPartId[]; readonly atMs: number; readonly atListeningMs: number};
 
 /** A part of a broken call: the number of crashes it was in, and when it was last survived. */
 type Suspect = {crashes: number; survivedAtMs: number | undefined};
@@ -51,6 +52,9 @@
 	private pendingParts = 0;
 	private partCount = 0;
 
+	/** @param clock - tells for how long this process could hear that an upstream has crashed */
+	constructor(private readonly clock: ListeningClock) {}
+
 	/** The crashes that count now. */
 	get crashes(): KnownCrash[] {
 		return [...this.crashesById.values()];
@@ -102,7 +106,9 @@
 			return;
 		}
 
-		this.pending.push({instance, parts, atMs: performance.now()});
+		this.pending.push({
+			instance, parts, atMs: performance.now(), atListeningMs: this.clock.listeningMs,
+		});
 		this.pendingParts += parts.length;
 		if (this.pending.length >= maxPending.calls || this.pendingParts > maxPending.parts) {
 			this.settle();
@@ -135,9 +141,9 @@
 
 	/** Turns the ended calls whose upstreams have survived them into survivals of their parts. */
 	settle(): void {
-		const untilMs = performance.now() - survivalDelayMs;
+		const untilMs = this.clock.listeningMs - survivalDelayMs;
 		let settled = 0;
-		while (settled < this.pending.length && this.pending[settled]!.atMs <= untilMs) {
+		while (settled < this.pending.length && this.pending[settled]!.atListeningMs <= untilMs) {
 			const {parts, atMs} = this.pending[settled]!;
 			for (const part of parts) {
 				this.addSurvival(part, atMs);
--- a/src/quarantine/prompt-quarantine.ts
+++ b/src/quarantine/prompt-quarantine.ts
@@ -7,6 +7,7 @@
 import type {Instance} from '../directory/directory-types.ts';
 import type {PromptPartId} from '../ids/prompt-part-id.ts';
 import type {Logger} from '../runtime/logger.ts';
+import {type ListeningClock, monotonicClock} from '../runtime/pause-detector.ts';
 import {listBrokenCall} from './broken-call.ts';
 import type {Crash} from './crash-detector.ts';
 import {CrashEvidence, survivalDelayMs} from './crash-evidence.ts';
@@ -41,11 +42,14 @@
 	readonly hasTurn: (turn: string) => boolean;
 	/** Tells other gateways. */
 	readonly tell: (news: Partial<CrashNews>) => void;
+	/** Tells for how long this process could hear of crashes; without it, pauses count as such time. */
+	readonly clock?: ListeningClock;
 };
 
 /** Holds prompt parts. */
 export class PromptQuarantine {
-	private readonly evidence = new CrashEvidence();
+	private readonly clock: ListeningClock;
+	private readonly evidence: CrashEvidence;
 	private readonly holdsByPart = new Map<PromptPartId, Hold>();
 	/** The latest survivals that other gateways know of. */
 	private readonly sharedSurvivals = new RecentTimes<PromptPartId>(maxSharedSurvivals);
@@ -53,7 +57,10 @@
 	private judgeTimer: NodeJS.Timeout | undefined;
 
 	/** @param options - dependencies */
-	constructor(private readonly options: PromptQuarantineOptions) {}
+	constructor(private readonly options: PromptQuarantineOptions) {
+		this.clock = options.clock ?? monotonicClock;
+		this.evidence = new CrashEvidence(this.clock);
+	}
 
 	/**
 	 * Adds a listener.
@@ -104,9 +111,7 @@
 	recordSurvival({id}: Instance, parts: readonly PromptPartId[]): void {
 		this.evidence.addEndedCall(id, parts);
 		if (this.findHold(parts)) {
-			setTimeout(() => {
-				this.releaseSurvivors();
-			}, survivalDelayMs + 1).unref();
+			this.releaseSurvivorsAt(this.clock.listeningMs + survivalDelayMs + 1);
 		}
 	}
 
@@ -177,6 +182,16 @@
 		}
 	}
 
+	private releaseSurvivorsAt(listeningMs: number): void {
+		setTimeout(() => {
+			if (this.clock.listeningMs < listeningMs) {
+				this.releaseSurvivorsAt(listeningMs);
+			} else {
+				this.releaseSurvivors();
+			}
+		}, Math.ceil(listeningMs - this.clock.listeningMs)).unref();
+	}
+
 	private scheduleJudgement(): void {
 		this.judgeTimer ??= setTimeout(() => {
 			this.judgeTimer = undefined;
--- a/test/silence-elsewhere.test.ts
+++ b/test/silence-elsewhere.test.ts
@@ -13,6 +13,7 @@
 import {Directory} from '../src/directory/directory.ts';
 import type {InFlightCounts} from '../src/forwarding/engine-forecast.ts';
 import {InFlightCalls} from '../src/forwarding/in-flight-calls.ts';
+import {createPromptPartId} from '../src/ids/prompt-part-id.ts';
 import {createRevision} from '../src/ids/revision.ts';
 import {DatagramPort} from '../src/links/datagram-port.ts';
 import {PeerClient} from '../src/links/peer-client.ts';
@@ -22,6 +23,7 @@
 import type {ConfigOffer} from '../src/messages/config-sync.ts';
 import {CallCounter, reportTtlMs} from '../src/peers/call-counter.ts';
 import {LoadQueries} from '../src/peers/load-queries.ts';
+import {PromptQuarantine} from '../src/quarantine/prompt-quarantine.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {PauseDetector} from '../src/runtime/pause-detector.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
@@ -215,3 +217,40 @@
 		fake.uninstall();
 	}
 });
+
+it('guards against a hold that its own cause ends: a pause after the end of a call is no time in which its engine survived it', async () => {
+	const fake = install();
+	let pausedMs = 0;
+	try {
+		const quarantine = new PromptQuarantine({
+			log: createSilentLogger(), hasTurn: () => false, tell: () => undefined, clock: {
+				get listeningMs() {
+					return performance.now() - pausedMs;
+				},
+			},
+		});
+		const engine = testInstance({id: 'i-1'});
+		const part = createPromptPartId('bad');
+		const crash = async () => {
+			quarantine.recordCrash({id: `crash-${performance.now()}`, atMs: performance.now(), calls: [[part]]}, engine);
+			await fake.tickAsync(1000);
+		};
+
+		for (let count = 0; count < 3; count++) {
+			await crash();
+		}
+
+		quarantine.recordSurvival(engine, [part]);
+		pausedMs = 2000;
+		fake.jump(pausedMs);
+		await fake.tickAsync(50);
+		expect(quarantine.admit([part]).kind, 'before the crash in the pause is heard of').to.equal('refuse');
+		await crash();
+		expect(quarantine.admit([part]).kind, 'after it is heard of').to.equal('refuse');
+		quarantine.recordSurvival(engine, [part]);
+		await fake.tickAsync(500);
+		expect(quarantine.admit([part]).kind, 'after a survival').to.equal('pass');
+	} finally {
+		fake.uninstall();
+	}
+});
