A route that is nested too deeply costs only its own calls

Operators saw: a route with a value nested some thousands deep kept the whole configuration out of force ('Maximum call stack size exceeded').

Cause: the text of each route is its key in the cache, and JSON.stringify recurses where JSON.parse does not.

--- a/test/unreadable-routes.test.ts
+++ b/test/unreadable-routes.test.ts
@@ -82,6 +82,24 @@
 	}
 });
 
+it('guards against a configuration that the depth of one route takes out of force: too deep a value costs that route', () => {
+	const depth = 50_000;
+	const deep = `${'['.repeat(depth)}${']'.repeat(depth)}`;
+	const text = JSON.stringify({
+		version: 1, routes: [sound, {...inner, split: 'deep'}, {...other, note: 'deep'}], services: [], limits: {
+			max_header_bytes: 1, max_body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1,
+		},
+	}).replaceAll('"deep"', deep);
+	const change = decodeItem('op/config', Buffer.from(text).toString('base64'));
+	if (change.kind !== 'configuration') {
+		throw new Error(change.kind === 'unreadable' ? change.reason : change.kind);
+	}
+
+	const found = ['/p/x', '/p/inner/x'].map(path => findTarget(change.configuration, 'a.example', path));
+	expect([...found, findTarget(change.configuration, 'b.example', '/p/x')]).to.deep.equal(['desk', 'refused', 'refused']);
+	expect(change.leftOut).to.have.length(2);
+});
+
 it('guards against findings without end: of thousands of routes that cannot be decoded a few are named, shortly, and the rest is counted', () => {
 	const {configuration, leftOut} = decode(Array.from({length: 3000}, (_, at) => ({...sound, name: `${'n'.repeat(500)}${at}`, kind: null})));
 	expect(configuration.routes).to.have.length(3000);
