A route of the kind __proto__ runs its calls at most once

Callers could see: calls of a route whose kind is the name of a property of all objects were treated as neither repeatable nor run at most once.

Cause: the kinds were looked up in an object, so that '__proto__' gave Object.prototype instead of the default for unknown kinds.

--- a/test/unreadable-routes.test.ts
+++ b/test/unreadable-routes.test.ts
@@ -100,6 +100,12 @@
 	expect(change.leftOut).to.have.length(2);
 });
 
+it('guards against calls of an unknown kind that are repeated: each is run at most once, also if the kind is the name of a property of all objects', () => {
+	for (const kind of ['other', '__proto__', 'constructor', 'toString', '']) {
+		expect(decode([{...sound, kind}]).configuration.routes[0]!.kind, kind).to.equal('once');
+	}
+});
+
 it('guards against findings without end: of thousands of routes that cannot be decoded a few are named, shortly, and the rest is counted', () => {
 	const {configuration, leftOut} = decode(Array.from({length: 3000}, (_, at) => ({...sound, name: `${'n'.repeat(500)}${at}`, kind: null})));
 	expect(configuration.routes).to.have.length(3000);
