A configuration with a negative limit is refused

Callers and operators could see: with idle_timeout_ms -5000 each answer was followed by an exception outside of any call (ERR_OUT_OF_RANGE in Node's resOnFinish); a negative size refused every call.

Cause: the schema asked for any number.

Ruled out: default limits in place of a negative one, since a limit that nobody published would be in force.

--- a/test/hostile-entries.test.ts
+++ b/test/hostile-entries.test.ts
@@ -107,6 +107,15 @@
 	expect([configuration.services[0]!.origin, leftOut.length]).to.deep.equal([undefined, 3]);
 });
 
+it('guards against limits that end gateways or refuse every call: a negative one is no limit, and the configuration before stays in force', () => {
+	for (const field of Object.keys(publishedConfiguration.limits)) {
+		for (const value of [-1, -5000, -0.5]) {
+			const change = decodeItem('op/config', encodeValue({...publishedConfiguration, limits: {...publishedConfiguration.limits, [field]: value}}));
+			expect(change.kind, `${field}: ${value}`).to.equal('unreadable');
+		}
+	}
+});
+
 it('guards against a value of the store that ends the process: decoding never throws, whatever one field of an entry or a configuration holds', () => {
 	const values = fc.oneof(fc.jsonValue(), fc.string(), fc.double(), fc.constant(null));
 	fc.assert(fc.property(fc.constantFrom(...Object.keys(entry), 'models', 'layers'), values, (field, value) => {
