A stager that restarts knows that an order may be open

Callers could see: answers with the weights of two versions mixed. A stager orders version 2, gets no answer and restarts, version 3 is named, and the engine obeys the order while pieces of version 3 are written.

Cause: OrderDoubt kept the open order in the process alone.

Ruled out: an order on a false belief. Each order names the count of orders that the engine reported to this process, and the engine refuses it if it has counted another one meanwhile. Storing the open order on disk: a restart would read an older state after a crash of the VM, and the wait is short.

Change: a stager starts in doubt about an order of unknown version, and writes no piece until the engine has been seen at work for 0.5 s, or has counted an order or restarted. The time runs from its first report on, also while there is nothing to write.

Measured: staging-age.test, 'an order that a stager forgets', red before with an order obeyed after 100 ms ('2: v3-0 v2-1 v2-2 v2-3'), green after for 100, 250 and 400 ms and never; staging.test green (12 of 12).

--- a/src/staging/order-doubt.ts
+++ b/src/staging/order-doubt.ts
@@ -11,11 +11,12 @@
  */
 const settleMs = 500;
 
-type OpenOrder = {readonly version: number; readonly report: EngineReport; engineAtWork: Stopwatch | undefined};
+/** The version is unknown if an earlier process sent the order; the report is that of the first poll then. */
+type OpenOrder = {readonly version: number | undefined; report: EngineReport | undefined; engineAtWork: Stopwatch | undefined};
 
-/** Keeps track of the last order of one stager. */
+/** Keeps track of the last order of one stager. A stager that starts may be the next process of one whose order has had no answer. */
 export class OrderDoubt {
-	private open: OpenOrder | undefined;
+	private open: OpenOrder | undefined = {version: undefined, report: undefined, engineAtWork: undefined};
 
 	/**
 	 * Records an order that is about to be sent.
@@ -33,7 +34,7 @@
 	}
 
 	/**
-	 * Returns whether chunks of a version may not be written now.
+	 * Returns whether chunks of a version may not be written now. Asked with each report, since the doubt ends some time after the first one.
 	 *
 	 * @param report - a report that was fetched after the order
 	 */
@@ -43,12 +44,14 @@
 			return false;
 		}
 
+		this.open.report ??= report;
 		this.open.engineAtWork ??= new Stopwatch();
 		return version !== this.open.version;
 	}
 
 	/** An engine that has restarted or counted an order does not obey this one any more. */
 	private isSettled({report: before, engineAtWork}: OpenOrder, report: EngineReport): boolean {
-		return report.startedAtMs !== before.startedAtMs || report.orderCount !== before.orderCount || (engineAtWork !== undefined && engineAtWork.elapsedMs >= settleMs);
+		const hasMoved = before !== undefined && (report.startedAtMs !== before.startedAtMs || report.orderCount !== before.orderCount);
+		return hasMoved || (engineAtWork !== undefined && engineAtWork.elapsedMs >= settleMs);
 	}
 }
--- a/src/staging/staging-manager.ts
+++ b/src/staging/staging-manager.ts
@@ -160,6 +160,7 @@
 			return pollDelayMs['ask-engine'];
 		}
 
+		const isBlocked = this.doubt.blocksWrites(version, report);
 		const target = {
 			model, version, layers: service.engine.layers, ...known,
 		};
@@ -170,7 +171,7 @@
 			wantedVersion: version, report, isHeld: this.isHeld(target), isStaged: this.stagedChunks.isComplete(target.manifest), isSwitchoverDue: switchoverInMs <= 0,
 		});
 		this.logStep(step, target, report);
-		if (writingSteps.has(step) && this.doubt.blocksWrites(version, report)) {
+		if (writingSteps.has(step) && isBlocked) {
 			return pollDelayMs.wait;
 		}
 
--- a/test/staging-age.test.ts
+++ b/test/staging-age.test.ts
@@ -71,8 +71,8 @@
 
 const whole = (version: number) => `${version}: ${contentsOf(version).map(bytes => new TextDecoder().decode(bytes)).join(' ')}`;
 
-/** Runs the staging of version 2 for some seconds; `publish` names further versions. */
-async function runStaging(engine: DisturbedEngine, disturb: (clock: Clock, publish: (version: number) => void) => void): Promise<void> {
+/** Runs the staging of version 2 for some seconds; `publish` names further versions, and `restart` puts a new process in the place of the stager. */
+async function runStaging(engine: DisturbedEngine, disturb: (clock: Clock, publish: (version: number) => void, restart: () => void) => void): Promise<void> {
 	const clock = install({toFake: ['setTimeout', 'clearTimeout', 'performance', 'Date']});
 	const log = createSilentLogger();
 	const directory = new Directory(log);
@@ -85,7 +85,7 @@
 		directory.apply({revision: version, changes: [{revision: version, change: {kind: 'version', model: 'm', version}}]}, observedNow());
 	};
 
-	const manager = new StagingManager({
+	const createManager = () => new StagingManager({
 		vm: 'a',
 		publishedService: () => ({engine: testEngineTiming, origin: undefined}),
 		directory,
@@ -99,9 +99,14 @@
 		onVersionServed: () => undefined,
 		log,
 	});
+	let manager = createManager();
 	try {
 		publish(2);
-		disturb(clock, publish);
+		disturb(clock, publish, () => {
+			manager.stop();
+			manager = createManager();
+			manager.start();
+		});
 		manager.start();
 		await clock.tickAsync(20_000);
 	} finally {
@@ -189,6 +194,39 @@
 	}
 });
 
+it('guards against an order that a stager forgets when it restarts: the new process writes no pieces that the engine could still load for it', async () => {
+	for (const obeysAfterMs of [100, 250, 400, undefined]) {
+		const engine = new DisturbedEngine();
+		engine.put = async (position, bytes) => {
+			await new Promise(resolve => {
+				setTimeout(resolve, position * 100);
+			});
+			engine.staged.set(position, bytes);
+		};
+
+		await runStaging(engine, (clock, publish, restart) => {
+			let isFirst = true;
+			engine.order = async load => {
+				if (!isFirst) {
+					load();
+					return;
+				}
+
+				isFirst = false;
+				publish(3);
+				setTimeout(restart, 10);
+				if (obeysAfterMs !== undefined) {
+					setTimeout(load, obeysAfterMs);
+				}
+
+				await new Promise(() => undefined); // eslint-disable-line no-promise-executor-return -- the process that waits is gone
+			};
+		});
+		expect(engine.loads.every(load => load === whole(2) || load === whole(3)), engine.loads.join('; ')).to.equal(true);
+		expect(engine.loads.at(-1)).to.equal(whole(3));
+	}
+});
+
 it('guards against a write without an answer that is applied late: what is verified before that is not loaded', async () => {
 	const engine = new DisturbedEngine();
 	engine.afterGet = async () => new Promise(resolve => {
