A stager that restarts knows that a write may be open

Callers could see: answers with the weights of two versions mixed, if a write of a killed stager was applied after the next process had verified the pieces.

Cause: StagedChunks kept the last write without an answer in the process alone.

Ruled out: the same doubt at an engine without any pieces.

Change: a process that finds pieces at its engine when it first reads them back treats its start as a write without an answer, so that it trusts no verification that began within a second.

--- a/src/staging/staged-chunks.ts
+++ b/src/staging/staged-chunks.ts
@@ -68,6 +68,11 @@
 		this.digests = new Map();
 		this.lastWriteAtMs = undefined;
 		const listed = await this.engine.listChunks(model);
+		if (this.readBackEngineStartMs === undefined && listed?.length !== 0) {
+			// What is staged is from an earlier process of this stager, whose last write may have had no answer.
+			this.doubtfulWrite = new Stopwatch();
+		}
+
 		const listedPositions = listed && new Set(listed);
 		await forEachChunk(manifest, async (digest, position) => {
 			const bytes = listedPositions?.has(position) === false ? undefined : await this.engine.getChunk(model, position);
--- a/test/staging-age.test.ts
+++ b/test/staging-age.test.ts
@@ -251,6 +251,27 @@
 	expect(engine.loads.at(-1)).to.equal(whole(3));
 });
 
+it('guards against a write that a stager forgets when it restarts: the new process loads nothing that it verified before the write may have been applied', async () => {
+	const engine = new DisturbedEngine();
+	for (const [position, bytes] of contentsOf(2).entries()) {
+		engine.staged.set(position, bytes);
+	}
+
+	// The write of an earlier process, of a version that is not wanted any more.
+	await runStaging(engine, () => {
+		setTimeout(() => {
+			engine.staged.set(1, contentsOf(3)[1]!);
+		}, 400);
+		engine.order = async load => {
+			await new Promise(resolve => {
+				setTimeout(resolve, 500);
+			});
+			load();
+		};
+	});
+	expect(engine.loads).to.deep.equal([whole(2)]);
+});
+
 it('guards against weights that a spoilt manifest calls complete: one of another model, version or size, or with too few pieces is not taken', () => {
 	const expected = {
 		model: 'm', version: 2, chunkCount: 4, chunkBytes: 8,
