--- a/src/forwarding/instance-selector.ts
+++ b/src/forwarding/instance-selector.ts
@@ -186,7 +186,7 @@
 		};
 	}
 
-	private logPlacement({placement, candidates}: Choice, {headers, aimLeftMs}: InstanceQuery, answers: number, barriers: ReadonlyMap<string, Barrier>): void {
+	private logPlacement({placement, candidates}: Choice, {service, headers, aimLeftMs, requiredVersion}: InstanceQuery, answers: number, barriers: ReadonlyMap<string, Barrier>): void {
 		const {log, directory} = this.options;
 		const common = {
 			id: headers.attemptId, aimLeftMs: Math.round(aimLeftMs), deadlineMs: headers.deadlineMs, candidates: candidates.length, answers,
@@ -195,6 +195,9 @@
 			log.info({
 				...common,
 				event: 'no_place',
+				service,
+				model: headers.model,
+				requiredVersion,
 				reason: placement.reason,
 				leastCalls: Math.min(...candidates.map(({load}) => load.calls)),
 				instancesRevision: directory.instancesRevision,
