Show processor time and memory of gateways and stagers

Operators missed cactusreach_processor_seconds_total and cactusreach_resident_bytes on gateways and stagers, with which a gateway that is busy itself is told from one that gets no processor time. Only entries and agents had them.

Cause: both were added by ProcessMetrics, which also samples the event loop's delay with a timer of its own, and the direct roles leave that out.

Ruled out: ProcessMetrics as a whole, since PauseDetector measures the delay there and a second timer costs processor time at rest.

Change: addResourceMetrics adds the two alone; they are read on each scrape.

--- a/src/cli/gateway-stager-base.ts
+++ b/src/cli/gateway-stager-base.ts
@@ -9,6 +9,7 @@
 import {DirectoryReplica} from '../peers/directory-replica.ts';
 import type {PeerList} from '../peers/peer-list.ts';
 import {ElapsedClock} from '../runtime/elapsed-clock.ts';
+import {addResourceMetrics} from '../reports/process-metrics.ts';
 import {onSignal} from '../runtime/held-signals.ts';
 import {logSink} from '../runtime/logger.ts';
 import type {GatewaySettings, StagerSettings} from '../settings/direct-settings.ts';
@@ -147,6 +148,7 @@
 
 	private addMetrics(): void {
 		const {metrics, directory, peers} = this;
+		addResourceMetrics(metrics);
 		metrics.gauge('cactusreach_configuration_version', 'Version of the configuration in force.', () => directory.configurationVersion);
 		metrics.gauge('cactusreach_instances', 'Instances that may be alive.', () => directory.instances.length);
 		metrics.gauge('cactusreach_watches_source', '1 while this process watches the directory source.', () => Number(this.isWatching));
--- a/src/reports/process-metrics.ts
+++ b/src/reports/process-metrics.ts
@@ -9,6 +9,19 @@
 const nanosPerMilli = 1_000_000;
 const microsPerSecond = 1_000_000;
 
+/**
+ * Adds the memory and processor time of this process to a registry; they are read on each scrape only.
+ *
+ * @param metrics - the registry
+ */
+export function addResourceMetrics(metrics: Metrics): void {
+	metrics.gauge('cactusreach_resident_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss());
+	metrics.gauge('cactusreach_processor_seconds_total', 'Processor time that the process used.', () => {
+		const {user, system} = process.cpuUsage();
+		return (user + system) / microsPerSecond;
+	});
+}
+
 /** Measures the event loop delay, and adds the metrics of this process to a registry. */
 export class ProcessMetrics {
 	private readonly eventLoopDelay = monitorEventLoopDelay({resolution: sampleIntervalMs});
@@ -16,11 +29,7 @@
 	/** @param metrics - the registry that the metrics are added to */
 	constructor(metrics: Metrics) {
 		this.eventLoopDelay.enable();
-		metrics.gauge('cactusreach_resident_bytes', 'Resident memory of the process.', () => process.memoryUsage.rss());
-		metrics.gauge('cactusreach_processor_seconds_total', 'Processor time that the process used.', () => {
-			const {user, system} = process.cpuUsage();
-			return (user + system) / microsPerSecond;
-		});
+		addResourceMetrics(metrics);
 		metrics.labelledGauge('cactusreach_event_loop_delay_ms', 'How late timers ran since the metric was last read.', ['quantile'], () => this.readDelay());
 	}
 
--- a/test/forwarding-metrics.test.ts
+++ b/test/forwarding-metrics.test.ts
@@ -116,6 +116,9 @@
 		expect(text).to.include('cactusreach_call_ms_bucket{le="5000",service="models",kind="stream",outcome="served"} 1');
 		const stalledS = Number(/^cactusreach_event_loop_stalled_seconds_total (.*)$/m.exec(text)?.[1]);
 		expect(stalledS).to.be.within(1, 10);
+		const processorS = Number(/^cactusreach_processor_seconds_total (.*)$/m.exec(text)?.[1]);
+		expect(processorS).to.be.within(0.01, 60);
+		expect(text).to.match(/^cactusreach_resident_bytes \d+$/m);
 	});
 
 	it('guards against a key or a body in a log line, a metric or a dump, and against a label per request or worker', async () => {
