Keep lines about failures when the reader of the log is slow

Operators missed lines about failures whose process had a slow reader: routine lines filled the queue of 256 KB, and what came after them was dropped whatever it was about.

Cause: the rate of lines has a reserve for failures, the size of the queue had none.

Ruled out: removing routine lines from the queue when a failure comes; the batch that is being written could not be shortened.

Change: routine lines leave half of the queue to lines about failures and to the few events that may use the reserve of the rate.

--- a/src/runtime/log-sink.ts
+++ b/src/runtime/log-sink.ts
@@ -4,13 +4,13 @@
 import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 
-/** The maximum size of the queued lines, in bytes. */
+/** The maximum size of the queued lines, in bytes; routine lines leave half of it for lines about failures. */
 const maxQueuedBytes = 256 * 1024;
 
 /** Token bucket that limits the rate of lines: sustained lines per second, and the maximum burst. Lines beyond it are dropped. */
 const rateLimit = {perSecond: 400, burst: 800};
 
-/** The lowest bunyan level of lines that may use the reserve of the token bucket; lines below it are routine lines. */
+/** The lowest bunyan level of lines that may use the reserve of the token bucket and of the queue; lines below it are routine lines. */
 const warnLevel = 40;
 
 /**
@@ -67,7 +67,7 @@
 		}
 
 		const line = Buffer.from(`${JSON.stringify(record)}\n`);
-		if (this.queuedBytes + line.length > maxQueuedBytes) {
+		if (this.queuedBytes + line.length > (mayUseReserve(record) ? maxQueuedBytes : maxQueuedBytes / 2)) {
 			this.dropped++;
 			return;
 		}
@@ -93,11 +93,11 @@
 	}
 
 	/** Takes a token from the bucket. Routine lines leave half of the burst as a reserve for lines about failures. */
-	private tryTakeToken({level, event}: LogRecord): boolean {
+	private tryTakeToken(record: LogRecord): boolean {
 		const nowMs = performance.now();
 		this.tokens = Math.min(rateLimit.burst, this.tokens + ((nowMs - this.lastRefillAtMs) / msPerSecond * rateLimit.perSecond));
 		this.lastRefillAtMs = nowMs;
-		const reserve = level >= warnLevel || priorityEvents.has(event) ? 0 : rateLimit.burst / 2;
+		const reserve = mayUseReserve(record) ? 0 : rateLimit.burst / 2;
 		if (this.tokens < 1 + reserve) {
 			return false;
 		}
@@ -202,3 +202,7 @@
 		}
 	}
 }
+
+function mayUseReserve({level, event}: LogRecord): boolean {
+	return level >= warnLevel || priorityEvents.has(event);
+}
--- a/test/log-sink.test.ts
+++ b/test/log-sink.test.ts
@@ -67,6 +67,14 @@
 	expect(dropped).to.be.greaterThan(1000);
 });
 
+it('guards against losing lines about failures behind a slow reader: routine lines leave half of the queue to them', async () => {
+	const {text} = await writtenBy(sink => {
+		writeMany(sink, 400, {level: 30, event: 'routine', vm: 'x'.repeat(600)});
+		writeMany(sink, 100, {level: 40, event: 'failure', vm: 'x'.repeat(600)});
+	});
+	expect(text.split('"failure"').length - 1).to.equal(100);
+});
+
 it('guards against a number of dropped lines that does not tell whose they are: the line names the process, and the lines since the last one', async () => {
 	const {text, dropped} = await writtenBy(sink => {
 		writeMany(sink, 500, {level: 30, event: 'routine', vm: 'g1'});
