A drain does not wait for ever for a caller that reads nothing

Found by reading: entries and agents have no limit for their drain, and ServerConnections waited for each response that is not written. It now waits for 30 s; gateways end earlier, by their grace period.

--- a/src/links/server-connections.ts
+++ b/src/links/server-connections.ts
@@ -5,6 +5,9 @@
 /** How often idle connections are closed while the server drains, in milliseconds. */
 const idleCheckIntervalMs = 50;
 
+/** How long a drain waits for peers that do not read their responses, in milliseconds. */
+const maxLastWritesMs = 30_000;
+
 /** Watches the connections of one server. */
 export class ServerConnections {
 	private unwritten = 0;
@@ -25,26 +28,25 @@
 		return this.unwritten;
 	}
 
-	/** Stops accepting connections and waits until every response has been written and every connection is closed. */
+	/** Stops accepting connections and waits until every response has been written, unless that takes too long, and every connection is closed. */
 	async drain(): Promise<void> {
+		const writesUntilMs = performance.now() + maxLastWritesMs;
 		await new Promise<void>(resolve => {
-			const timer = setInterval(() => {
-				this.closeIdle();
-			}, idleCheckIntervalMs);
+			const closeIdle = () => {
+				if (this.unwritten === 0 || performance.now() > writesUntilMs) {
+					this.server.closeIdleConnections();
+				}
+			};
+
+			const timer = setInterval(closeIdle, idleCheckIntervalMs);
 			// The method of `http.Server` would destroy connections whose response has ended and is not written yet.
 			net.Server.prototype.close.call(this.server, () => {
 				clearInterval(timer);
 				resolve();
 			});
-			this.closeIdle();
+			closeIdle();
 		});
 	}
-
-	private closeIdle(): void {
-		if (this.unwritten === 0) {
-			this.server.closeIdleConnections();
-		}
-	}
 }
 
 /** Closes a connection that was idle for too long, unless the next request has arrived and was not read during a pause of this process. */
