Log a silence also of a call that may not run again

send_silent was written only for calls that may be sent elsewhere; for others the silence showed in silentMs of call_ended alone (found by the work on the log events). Written once for each silence.

--- a/src/forwarding/hedge.ts
+++ b/src/forwarding/hedge.ts
@@ -41,7 +41,15 @@
 	 */
 	handleSilence(silent: UpstreamAttempt, isFirstReport: boolean): void {
 		const {tracker, crashes, call, boundary, retryBudget, mayRepeat} = this.options;
-		if (this.isLooking || !mayRepeat()) {
+		if (this.isLooking) {
+			return;
+		}
+
+		if (!mayRepeat()) {
+			if (isFirstReport) {
+				this.log(silent, 'may_not_run_again');
+			}
+
 			return;
 		}
 
