Test of leaving instances with a gateway process whose store is out

Guards against calls to an instance that says it is leaving while the store turns the gateway away (503) or is silent, lapses from the list and comes back under the same ID and start: no call reaches it after 2 s, and its next run gets calls.

The stand-in of the store answers watches with what was put or removed, and can refuse or be silent.

--- /dev/null
+++ b/test/leaving-processes.test.ts
@@ -0,0 +1,85 @@
+/** A gateway as a process of its own, whose store does not answer while an instance says that it is leaving. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {expect} from 'chai';
+import {SignallingUpstream} from '../standins/signalling-upstream.ts';
+import {callGateway} from './support/direct-fixtures.ts';
+import {DirectoryStore} from './support/directory-store.ts';
+import {waitFor} from './support/fleet.ts';
+import {Processes} from './support/processes.ts';
+
+const callIntervalMs = 25;
+
+/** How long after an instance has said that it is leaving calls may still reach it, in milliseconds. */
+const leavingGraceMs = 2000;
+
+const configuration = {
+	version: 1,
+	routes: [{
+		name: 'r', host: 'a.example', prefix: '/p/', kind: 'idempotent', timeout_ms: 900, service: 'desk', attempts: 2,
+	}],
+	services: [{name: 'desk', max_conns: 50}],
+	limits: {
+		max_header_bytes: 16_384, max_body_bytes: 10_000, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
+	},
+	tenants: [{name: 't', api_keys: ['k1']}],
+};
+
+for (const mode of ['refusing', 'silent'] as const) {
+	it(`guards against calls to an instance that says it is leaving while the store is ${mode}: no call reaches it after 2 s, also when its entry lapses and comes back`, async () => {
+		const processes = new Processes();
+		const store = new DirectoryStore();
+		const upstreams = ['i-1', 'i-2'].map(id => new SignallingUpstream(id));
+		const [leaving] = upstreams as [SignallingUpstream, SignallingUpstream];
+		const entryOf = ({address}: SignallingUpstream) => ({
+			service: 'desk', address, zone: 'z', slots: 50, state: 'ready', born: 1,
+		});
+		await store.start();
+		store.put('op/config', configuration);
+		for (const upstream of upstreams) {
+			await upstream.start();
+			store.put(`servers/${upstream.id}`, entryOf(upstream));
+		}
+
+		const {url} = await processes.startGateway(store);
+		const statuses: number[] = [];
+		const stopCalling = new AbortController();
+		const calling = (async () => {
+			for (let number = 0; !stopCalling.signal.aborted; number++) {
+				const {status} = await callGateway(url, {headers: {'attempt-id': `id-${number}`}});
+				statuses.push(status);
+				await sleep(callIntervalMs);
+			}
+		})();
+		try {
+			await waitFor('the instance has had calls', () => leaving.arrivals.length > 5);
+			store.mode = mode;
+			await sleep(300);
+			leaving.isLeaving = true;
+			const saidAtMs = performance.now();
+			const before = leaving.arrivals.length;
+			await waitFor('a call has told that the instance is leaving', () => leaving.arrivals.length > before);
+			store.remove('servers/i-1');
+			await sleep(1500);
+			store.mode = 'answering';
+			await sleep(3000);
+			store.put('servers/i-1', entryOf(leaving));
+			await sleep(3000);
+			expect(leaving.arrivals.filter(atMs => atMs > saidAtMs + leavingGraceMs), 'late calls').to.deep.equal([]);
+			expect(leaving.violations).to.deep.equal([]);
+			expect(statuses.filter(status => status !== 200)).to.deep.equal([]);
+			// Another run under the same ID gets calls: the store was heard again.
+			const last = leaving.arrivals.length;
+			leaving.isLeaving = false;
+			store.put('servers/i-1', {...entryOf(leaving), born: Date.now()});
+			await waitFor('the next run gets calls', () => leaving.arrivals.length > last);
+		} finally {
+			stopCalling.abort();
+			await calling;
+			processes.stop();
+			store.close();
+			for (const upstream of upstreams) {
+				upstream.close();
+			}
+		}
+	});
+}
--- a/test/support/directory-store.ts
+++ b/test/support/directory-store.ts
@@ -1,4 +1,4 @@
-/** A stand-in for the platform's store: it lists what is put into it, and its watches end without an event. */
+/** A stand-in for the platform's store: it lists what is put into it, and its watches tell what was put or removed. */
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
@@ -7,24 +7,22 @@
 /** How long a watch waits, in milliseconds. */
 const watchMs = 500;
 
-type Item = {readonly key: string; readonly value: string; readonly revision: number};
+type Item = {readonly key: string; readonly value?: string; readonly tombstone?: true; readonly revision: number};
+
+/** Whether the store answers, turns its callers away with 503, or leaves them without an answer. */
+type StoreMode = 'answering' | 'refusing' | 'silent';
 
 /** A store on a free port of 127.0.0.1. */
 export class DirectoryStore {
+	mode: StoreMode = 'answering';
 	private readonly items = new Map<string, Item>();
 	private revision = 1;
 	private readonly server = http.createServer((req, res) => {
-		const {pathname, searchParams} = new URL(req.url ?? '/', 'http://store');
-		const prefix = searchParams.get('prefix') ?? '';
-		const items = [...this.items.values()].filter(({key}) => key.startsWith(prefix));
-		if (pathname === '/v1/kv-range') {
-			sendJson(res, 200, {items, more_pages: false, store_revision: this.revision});
-			return;
+		if (this.mode === 'refusing') {
+			sendJson(res, 503, {});
+		} else if (this.mode === 'answering') {
+			this.answer(new URL(req.url ?? '/', 'http://store'), res);
 		}
-
-		setTimeout(() => {
-			sendJson(res, 200, {events: [], store_revision: this.revision});
-		}, watchMs);
 	});
 
 	/** The address, once {@link start} has returned. */
@@ -45,9 +43,31 @@
 		this.items.set(key, {key, value: Buffer.from(JSON.stringify(value)).toString('base64'), revision: this.revision});
 	}
 
+	/** Removes a value. */
+	remove(key: string): void {
+		this.revision++;
+		this.items.set(key, {key, tombstone: true, revision: this.revision});
+	}
+
 	/** Stops. */
 	close(): void {
 		this.server.close();
 		this.server.closeAllConnections();
 	}
+
+	private answer({pathname, searchParams}: URL, res: http.ServerResponse): void {
+		const prefix = searchParams.get('prefix') ?? '';
+		const items = [...this.items.values()].filter(({key}) => key.startsWith(prefix));
+		if (pathname === '/v1/kv-range') {
+			sendJson(res, 200, {items: items.filter(({tombstone}) => !tombstone), more_pages: false, store_revision: this.revision});
+			return;
+		}
+
+		const after = Number(searchParams.get('after'));
+		const events = items.filter(({revision}) => revision > after);
+		const {revision} = this;
+		setTimeout(() => {
+			sendJson(res, 200, {events, store_revision: revision});
+		}, events.length > 0 ? 0 : watchMs);
+	}
 }
