An agent that is leaving stays so when its VM is listed again

Callers could see: calls that go to a leaving agent first and are refused there, if its VM lapsed from the list for over 30 s and came back.

Cause: what an entry had observed of a VM was dropped 30 s after the VM had left the list.

Ruled out: an older report of the same incarnation that reopens the agent (isNewerReport orders them), and findBarrier of the gateways here: an agent's state is part of its report, which mergeMember reads.

Change: the report of an agent that is leaving is kept until another incarnation reports; of VMs that the list lacks, 4,096 at most are remembered.

Remains: a refusal with the code draining closes nothing, and refusals of agents carry no time.

--- a/src/membership/membership-manager.ts
+++ b/src/membership/membership-manager.ts
@@ -33,6 +33,9 @@
 /** Maximum age of the view before it is rebuilt, in milliseconds; a rebuild expires VMs that are not listed. */
 const rebuildIntervalMs = 3000;
 
+/** Maximum number of VMs that the list lacks of which observations are kept, so that an agent that has said it is leaving gets no calls when its VM is listed again. */
+const maxRememberedVms = 4096;
+
 /** Dependencies of {@link MembershipManager}. */
 export type MembershipManagerOptions = {
 	/** The VM and zone of this process, and the address of its control listener. */
@@ -236,6 +239,7 @@
 			}
 		}
 
+		this.forgetOldestVms();
 		this.otherVms = [...list.vms.values(), ...this.evaluatedList.retained.values()].filter(({vm}) => vm !== own.vm);
 		this.rebuiltAtMs = undefined;
 		// Notifies new and leaving VMs at once. The number is limited, since the restart of a zone changes too many VMs.
@@ -259,11 +263,24 @@
 		}
 	}
 
+	/** Forgets VMs that the list lacks beyond {@link maxRememberedVms}, those that were observed first before others. */
+	private forgetOldestVms(): void {
+		let excess = this.observations.size - this.evaluatedList.list.vms.size - maxRememberedVms;
+		for (const vm of this.observations.keys()) {
+			if (excess > 0 && !this.findListedVm(vm)) {
+				this.observations.delete(vm);
+				excess--;
+			}
+		}
+	}
+
 	private collectUnlistedVms(nowMs: number): ListedVm[] {
 		for (const [vm, {atMs}] of this.removed) {
 			if (nowMs - atMs > observationTimeoutMs) {
 				this.removed.delete(vm);
-				this.observations.delete(vm);
+				if (this.observations.get(vm)?.report?.state !== 'draining') {
+					this.observations.delete(vm);
+				}
 			}
 		}
 
