A watch of instances starts from the last change that others have told of

directory-spread.test, "calls to the source that grow with the fleet", was red once beside load: 25 calls in 5 s, at most 24. A log of the calls of the same fleet beside three busy processes (20 calls by 6 gateways in the window shown) has one watch of 5 s in the window for each of 10 parts, three of 1.7 s for each part of the first watcher, and besides them watches that were answered at once: a watcher that waits its half second between two calls hears of the last change by news, and then asks the source for it. The 25 calls themselves were not seen again with six watching gateways, so that this cause is inferred.

A watch of instances now starts from the revision up to which the process knows them, from whomever. The published part has no revision that peers tell, so its watchers still ask once more.

Ruled out: a larger bound.

Test: a watch from the told revision, red before. directory-spread, directory-bounds and naming-times tests: green.

--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -105,6 +105,12 @@
 		this.cancelSleep?.();
 	}
 
+	/** The revision to watch from; undefined before a read. A watch from an earlier one would be answered at once with instances that other processes have told of. */
+	private get knownRevision(): number | undefined {
+		const {part, directory} = this.options;
+		return this.revision !== undefined && part === 'instances' ? Math.max(this.revision, directory.instancesRevision) : this.revision;
+	}
+
 	private async watchUntilStopped(run: number): Promise<void> {
 		while (run === this.run) {
 			const startedMs = performance.now();
@@ -122,7 +128,7 @@
 
 	private async readOrWatch(run: number): Promise<void> {
 		const requestedAtMs = this.options.directory.clock.nowMs;
-		const watch = this.revision === undefined ? undefined : {after: this.revision, waitMs: this.options.watchWaitMs()};
+		const watch = this.knownRevision === undefined ? undefined : {after: this.knownRevision, waitMs: this.options.watchWaitMs()};
 		const waitMs = watch?.waitMs ?? 0;
 		const limitMs = waitMs + (watch && this.isFast ? fastTimeoutMs : responseTimeoutMs);
 		const {abortController} = this;
--- a/test/directory-spread.test.ts
+++ b/test/directory-spread.test.ts
@@ -6,9 +6,11 @@
 import {applyDelta, createDelta} from '../src/directory/configuration-delta.ts';
 import {Directory} from '../src/directory/directory.ts';
 import type {PublishedConfiguration} from '../src/directory/directory-types.ts';
+import {DirectoryWatcher} from '../src/directory/directory-watcher.ts';
 import {confirmationTimeoutMs} from '../src/directory/instance-table.ts';
 import {rankForWatch, shouldWatch, watchersPerZone as watchersPerZoneOf} from '../src/peers/watch-duty.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
+import {RandomSource} from '../src/runtime/random-source.ts';
 import {testConfiguration, testInstance, testRoute} from './support/direct-fixtures.ts';
 import {type DirectoryGateway, FakeSource, startDirectoryGateway} from './support/directory-fleet.ts';
 
@@ -72,6 +74,33 @@
 	});
 }).timeout(60_000);
 
+it('guards against calls to the source for instances that others have told of: a watch starts from the last of them', async () => {
+	const [directory, peer] = [new Directory(createSilentLogger()), new Directory(createSilentLogger())];
+	const watchedFrom: number[] = [];
+	const watcher = new DirectoryWatcher({
+		part: 'instances',
+		source: {
+			read: async () => ({revision: 1, changes: []}),
+			async watch(part, after) {
+				watchedFrom.push(after);
+				await sleep(20);
+				return {revision: after, changes: []};
+			},
+		},
+		directory,
+		watchWaitMs: () => 20,
+		random: new RandomSource(1),
+		log: createSilentLogger(),
+	});
+	peer.replaceInstances({revision: 7, changes: [{revision: 7, change: {kind: 'instance', instance: testInstance({id: 'i-1'})}}]});
+	watcher.start();
+	await waitUntil('a first watch', 3000, () => watchedFrom.length === 1);
+	directory.mergeFromPeer(peer.snapshot(0, directory.instancesRevision), performance.now());
+	await waitUntil('a second watch', 3000, () => watchedFrom.length === 2);
+	watcher.stop();
+	expect(watchedFrom).to.deep.equal([1, 7]);
+});
+
 it('guards against a zone that stays behind when its watchers are turned away: others take over, and removals reach all in the meantime', async () => {
 	await withFleet(24, async (source, gateways) => {
 		await waitUntil('few watch', 15_000, () => gateways.filter(({base}) => base.isWatching).length <= zones.length * watchersPerZone);
