A check turns to the next partner in time on a busy machine

Likely cause: the listening clock leaves out each late tick, so that a busy process waited longer for each partner, while the age of its directory ran on.

--- a/src/peers/directory-checks.ts
+++ b/src/peers/directory-checks.ts
@@ -12,10 +12,10 @@
 	type CheckDatagram, checkDatagramSchema, type CheckedDatagram, checkedDatagramSchema,
 } from '../messages/check-datagram.ts';
 import type {PeerInfo} from '../messages/peers-exchange.ts';
+import {setInputTimeout} from '../runtime/input-timeout.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {ListeningClock} from '../runtime/pause-detector.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
-import {SilenceTimer} from '../runtime/silence-timer.ts';
 import {type CheckPartners, choosePartners} from './check-partners.ts';
 import type {DirectoryPuller} from './directory-puller.ts';
 import type {OwnWatch} from './watch-duty.ts';
@@ -177,17 +177,18 @@
 	private async check(address: string): Promise<boolean> {
 		const {directory, self, clock} = this.options;
 		return new Promise(resolve => {
+			const stalledBeforeMs = performance.now() - clock.listeningMs;
 			const finish = () => {
-				resolve(timer.silence.stalledMs >= minPauseMs);
+				resolve(performance.now() - clock.listeningMs - stalledBeforeMs >= minPauseMs);
 			};
 
-			const timer = new SilenceTimer(clock, finish);
-			timer.restart(answerTimeoutMs);
+			// A busy process is late often, and has to turn to the next partner in time nevertheless.
+			const timeout = setInputTimeout(finish, answerTimeoutMs);
 			const number = ++this.lastNumber;
 			this.sent.delete(number - keptChecks);
 			this.sent.set(number, {
 				sentAtMs: performance.now(), resolve() {
-					timer.stop();
+					timeout.clear();
 					finish();
 				},
 			});
