A download waits for as long as this process listens and as responses take

Cause: the watchdog ran by the wall clock and fired before sockets were read, and its limit did not depend on how slow responses are for everybody. Each abort adds a new connection and a new request to the load.

Ruled out: a queue at the sender. The peer with wrong bytes answers at once, and the downloads from it stalled in the same way.

Change: the watchdog is a SilenceTimer, and the limit grows with the average wait of all sources, up to four times (WaitTimes).

--- a/src/rollout/chunk-fetcher.ts
+++ b/src/rollout/chunk-fetcher.ts
@@ -6,6 +6,7 @@
 import type {Neighbourhood} from './neighbourhood.ts';
 import {type OpenTransfer, originSource, type PlannedTransfer} from './plan-transfers.ts';
 import type {TransferOptions} from './transfer-options.ts';
+import type {WaitTimes} from './wait-times.ts';
 
 /** The base of the exponential backoff, as a fraction of the chunk timeout. */
 const backoffBaseRatio = 0.1;
@@ -24,6 +25,7 @@
 	readonly agentOptions: TransferOptions;
 	readonly manifest: Digest;
 	readonly neighbourhood: Neighbourhood;
+	readonly waitTimes: WaitTimes;
 	/** Returns the digest of a chunk. */
 	readonly digestAt: (chunk: number) => Digest;
 	/** Returns the size limit of the chunks, in bytes. */
@@ -94,7 +96,7 @@
 	}
 
 	private async download({chunk, source}: PlannedTransfer, url: string): Promise<void> {
-		const {agentOptions, neighbourhood, digestAt, onChunk, onEnd} = this.options;
+		const {agentOptions, neighbourhood, waitTimes, digestAt, onChunk, onEnd} = this.options;
 		const controller = new AbortController();
 		const open: OpenDownload = {
 			chunk, source, startedAtMs: performance.now(), receivedBytes: 0, controller,
@@ -110,7 +112,8 @@
 				links: agentOptions.links,
 				url,
 				pacer: agentOptions.downPacer,
-				stallMs: agentOptions.limits().chunk_timeout_ms,
+				stallMs: agentOptions.limits().chunk_timeout_ms * waitTimes.slowness,
+				clock: agentOptions.clock,
 				chunkBytes: this.options.chunkBytes(),
 				freshConnection: neighbourhood.lastContactFailed(source),
 				controller,
@@ -120,6 +123,9 @@
 				onNotice(text) {
 					neighbourhood.recordNoticeHeader(text);
 				},
+				onLongestWait(ms) {
+					waitTimes.record(ms);
+				},
 			});
 			if (!this.stopped) {
 				agentOptions.chunks.put(digest, bytes);
--- a/src/rollout/version-transfer.ts
+++ b/src/rollout/version-transfer.ts
@@ -10,6 +10,7 @@
 import {TransferMachine, type TransferState} from './transfer-machine.ts';
 import type {TransferOptions} from './transfer-options.ts';
 import {UnavailabilityTracker} from './unavailability-tracker.ts';
+import {WaitTimes} from './wait-times.ts';
 
 /** The size limit of a manifest, in bytes. */
 const maxManifestBytes = 8_388_608;
@@ -77,6 +78,7 @@
 			agentOptions,
 			manifest,
 			neighbourhood: this.neighbourhood,
+			waitTimes: new WaitTimes(() => agentOptions.limits().chunk_timeout_ms),
 			digestAt: chunk => this.digestAt(chunk),
 			chunkBytes: () => this.content?.chunk_bytes ?? maxManifestBytes,
 			notice: () => this.notice(),
