An owner whose news is only late is not replaced

Cause: the next rank took over when it had no news of progress for a step-in time, although the notices of the owner were under way or unread; each such read made everything slower. In the traces, further ranks read chunks that an owner had already read (its last notice 700 to 3900 ms old), and chunks of holders that counted as failing after two stalls.

Change: an owner counts as idle once it has said so after the step-in time, once an exchange with it failed, or after three step-in times of silence; a reader that still reports its read counts for as long. Times of the plan, exchanges and surveys count while this process runs, and step-in times grow with the waits, as stall limits do, up to four times.

--- a/src/rollout/chunk-fetcher.ts
+++ b/src/rollout/chunk-fetcher.ts
@@ -46,7 +46,7 @@
 	originBytes = 0;
 	/** Bytes received from outside the region, including those of failed downloads. */
 	importedBytes = 0;
-	/** The earliest time of the next origin request, in milliseconds. */
+	/** The earliest time of the next origin request by the listening clock, in milliseconds. */
 	originNotBeforeMs = 0;
 	private originFailures = 0;
 	/** The pause after a failed read of the origin; undefined when there is none. */
@@ -238,7 +238,7 @@
 	}
 
 	private pause(source: string, forMs: number): void {
-		const untilMs = performance.now() + forMs;
+		const untilMs = this.options.agentOptions.clock.listeningMs + forMs;
 		if (source === originSource) {
 			this.originNotBeforeMs = untilMs;
 		} else {
--- a/src/rollout/version-transfer.ts
+++ b/src/rollout/version-transfer.ts
@@ -49,19 +49,24 @@
 	private readonly fetcher: ChunkFetcher;
 	private readonly machine: TransferMachine;
 	private readonly unavailability = new UnavailabilityTracker();
+	private readonly waitTimes: WaitTimes;
 	private content: Manifest | undefined;
 	private held = new ChunkBitmap(manifestPhaseSize);
-	private startedAtMs = performance.now();
-	private progressAtMs = this.startedAtMs;
+	private startedAtMs: number;
+	private progressAtMs: number;
 	private randomRanks: readonly number[] = [0];
 	private timer: NodeJS.Timeout | undefined;
 	private planTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly options: VersionTransferOptions) {
 		const {agentOptions, manifest, objective} = options;
+		this.startedAtMs = agentOptions.clock.listeningMs;
+		this.progressAtMs = this.startedAtMs;
+		this.waitTimes = new WaitTimes(() => agentOptions.limits().chunk_timeout_ms);
 		this.neighbourhood = new Neighbourhood({
 			agentOptions,
 			manifest,
+			waitTimes: this.waitTimes,
 			watchesAllRegions: objective === 'origin-bytes',
 			notice: () => this.notice(),
 			onImport: () => {
@@ -78,7 +83,7 @@
 			agentOptions,
 			manifest,
 			neighbourhood: this.neighbourhood,
-			waitTimes: new WaitTimes(() => agentOptions.limits().chunk_timeout_ms),
+			waitTimes: this.waitTimes,
 			digestAt: chunk => this.digestAt(chunk),
 			chunkBytes: () => this.content?.chunk_bytes ?? maxManifestBytes,
 			notice: () => this.notice(),
@@ -138,7 +143,7 @@
 	wake(): void {
 		this.neighbourhood.peers.clear();
 		this.unavailability.clear();
-		this.startedAtMs = performance.now();
+		this.startedAtMs = this.options.agentOptions.clock.listeningMs;
 		this.machine.send('WOKEN');
 	}
 
@@ -241,7 +246,7 @@
 		const {neighbourhood, fetcher} = this;
 		const {owners} = neighbourhood;
 		const known = {
-			nowMs: performance.now(), peers: neighbourhood.peers.toPlanPeers(neighbourhood.regions, agentOptions.self.region), stepInMs: agentOptions.limits().step_in_ms,
+			nowMs: agentOptions.clock.listeningMs, peers: neighbourhood.peers.toPlanPeers(neighbourhood.regions, agentOptions.self.region), stepInMs: agentOptions.limits().step_in_ms * this.waitTimes.slowness,
 		};
 		this.unavailability.update(this.held.size, chunk => isAvailableInRegion(known, chunk), known.nowMs);
 		return planTransfers({
@@ -257,6 +262,7 @@
 			progressAtMs: this.progressAtMs,
 			originNotBeforeMs: fetcher.originNotBeforeMs,
 			surveyed: neighbourhood.surveyed,
+			unreachable: neighbourhood.unreachable,
 			maxOpen: this.maxOpen,
 			maxOriginReads,
 			randomRank: chunk => this.randomRanks[chunk] ?? chunk,
@@ -272,7 +278,7 @@
 	}
 
 	private acceptChunk(digest: Digest, chunk: number): void {
-		this.progressAtMs = performance.now();
+		this.progressAtMs = this.options.agentOptions.clock.listeningMs;
 		if (this.content) {
 			this.markHeld(digest);
 			this.neighbourhood.announceChunk(chunk);
--- a/test/origin-return.test.ts
+++ b/test/origin-return.test.ts
@@ -140,9 +140,10 @@
 	};
 	const neighbourhood = new Neighbourhood({
 		agentOptions: {
-			self: {vm: 'near-0', region: 'near'}, peers: () => vms.map(vm => ({vm, region: regionOf(vm), address: vm})), links, random: new RandomSource(1), noticeBytesPerSecond: 1000,
+			self: {vm: 'near-0', region: 'near'}, peers: () => vms.map(vm => ({vm, region: regionOf(vm), address: vm})), links, clock: new PauseDetector(), random: new RandomSource(1), noticeBytesPerSecond: 1000,
 		} as unknown as TransferOptions,
 		manifest: digestOf(new Uint8Array()),
+		waitTimes: new WaitTimes(() => 1500),
 		watchesAllRegions: true,
 		notice: () => ({
 			vm: 'near-0', bitmap: '', reading: '', imported: 0, uploaded: 0,
