A pause of its VM is no time in which an engine could have obeyed an order

The engine may read the order afterwards, and load chunks that were written meanwhile. OrderDoubt counts by the listening clock. Test red before.

--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -115,6 +115,7 @@
 		});
 		this.staging = new StagingManager({
 			vm: settings.process.vm,
+			clock: pauseDetector,
 			publishedService: () => findPlan(directory, settings.engine.service),
 			directory,
 			engine: adapter.createEngine(links, formatAddress(settings.engine.address)),
--- a/src/staging/order-doubt.ts
+++ b/src/staging/order-doubt.ts
@@ -2,7 +2,7 @@
  * An order to load weights whose answer did not arrive. The engine may still obey it, and it loads what is staged in that moment. Chunks of
  * another version that were written by then would be mixed with those that the order was about.
  */
-import {Stopwatch} from '../runtime/stopwatch.ts';
+import {type ListeningClock, monotonicClock} from '../runtime/pause-detector.ts';
 import type {EngineReport} from './next-staging-step.ts';
 
 /**
@@ -12,11 +12,14 @@
 const settleMs = 500;
 
 /** The version is unknown if an earlier process sent the order; the report is that of the first poll then. */
-type OpenOrder = {readonly version: number | undefined; report: EngineReport | undefined; engineAtWork: Stopwatch | undefined};
+type OpenOrder = {readonly version: number | undefined; report: EngineReport | undefined; engineAtWorkSinceMs: number | undefined};
 
 /** Keeps track of the last order of one stager. A stager that starts may be the next process of one whose order has had no answer. */
 export class OrderDoubt {
-	private open: OpenOrder | undefined = {version: undefined, report: undefined, engineAtWork: undefined};
+	private open: OpenOrder | undefined = {version: undefined, report: undefined, engineAtWorkSinceMs: undefined};
+
+	/** @param clock - a clock that stands still in a pause of this VM, in which the engine does no work either; without it, pauses count as work */
+	constructor(private readonly clock: ListeningClock = monotonicClock) {}
 
 	/**
 	 * Records an order that is about to be sent.
@@ -25,7 +28,7 @@
 	 * @param report - the state of the engine that the order was conditional on
 	 */
 	record(version: number, report: EngineReport): void {
-		this.open = {version, report, engineAtWork: undefined};
+		this.open = {version, report, engineAtWorkSinceMs: undefined};
 	}
 
 	/** Records that the order has been answered. */
@@ -45,13 +48,13 @@
 		}
 
 		this.open.report ??= report;
-		this.open.engineAtWork ??= new Stopwatch();
+		this.open.engineAtWorkSinceMs ??= this.clock.listeningMs;
 		return version !== this.open.version;
 	}
 
 	/** An engine that has restarted or counted an order does not obey this one any more. */
-	private isSettled({report: before, engineAtWork}: OpenOrder, report: EngineReport): boolean {
+	private isSettled({report: before, engineAtWorkSinceMs}: OpenOrder, report: EngineReport): boolean {
 		const hasMoved = before !== undefined && (report.startedAtMs !== before.startedAtMs || report.orderCount !== before.orderCount);
-		return hasMoved || (engineAtWork !== undefined && engineAtWork.elapsedMs >= settleMs);
+		return hasMoved || (engineAtWorkSinceMs !== undefined && this.clock.listeningMs - engineAtWorkSinceMs >= settleMs);
 	}
 }
--- a/src/staging/staging-manager.ts
+++ b/src/staging/staging-manager.ts
@@ -35,7 +35,7 @@
 	private readonly manifests = new Map<string, {readonly manifest: Manifest; readonly digest: Digest}>();
 	private readonly stepActions: Readonly<Record<StagingStep, (target: Target, report: EngineReport) => Promise<void>>>;
 	private readonly stagedChunks: StagedChunks;
-	private readonly doubt = new OrderDoubt();
+	private readonly doubt: OrderDoubt;
 	private lastStep: StagingStep | undefined;
 	private lastLoggedAtMs = 0;
 	private isEngineUnreachable = false;
@@ -50,10 +50,8 @@
 
 	constructor(private readonly options: StagingManagerOptions) {
 		this.stagedChunks = new StagedChunks(options.engine, options.chunks, options.log);
-		const waitForNextPoll = async () => {
-			// Nothing to do now; the next poll decides again.
-		};
-
+		this.doubt = new OrderDoubt(options.clock);
+		const waitForNextPoll = async () => undefined;
 		this.stepActions = {
 			'ask-engine': waitForNextPoll,
 			idle: waitForNextPoll,
--- a/src/staging/staging-options.ts
+++ b/src/staging/staging-options.ts
@@ -4,6 +4,7 @@
 import type {ChunkStore} from '../rollout/chunk-store.ts';
 import type {Manifest} from '../rollout/manifest.ts';
 import type {TransferNode} from '../rollout/transfer-node.ts';
+import type {ListeningClock} from '../runtime/pause-detector.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {LocalEngine} from './local-engine.ts';
 
@@ -26,5 +27,7 @@
 	readonly onLoadStarted: (startedAtMs: number) => void;
 	/** Called when the engine serves another version than at the last poll. */
 	readonly onVersionServed: (served: {readonly model: string; readonly version: number; readonly layers: number; readonly startedAtMs: number}) => void;
+	/** Tells for how long this VM has run; pauses count as such time without it. */
+	readonly clock?: ListeningClock;
 	readonly log: Logger;
 };
--- a/test/staging-age.test.ts
+++ b/test/staging-age.test.ts
@@ -8,6 +8,8 @@
 import type {TransferNode} from '../src/rollout/transfer-node.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import type {LocalEngine} from '../src/staging/local-engine.ts';
+import type {EngineReport} from '../src/staging/next-staging-step.ts';
+import {OrderDoubt} from '../src/staging/order-doubt.ts';
 import {StagingManager} from '../src/staging/staging-manager.ts';
 import {observedNow, testEngineTiming} from './support/direct-fixtures.ts';
 
@@ -286,3 +288,21 @@
 		expect(findManifestFault({...manifest, ...change}, expected), JSON.stringify(change)).to.be.a('string');
 	}
 });
+
+it('guards against an order that is taken for lost in a pause of its VM: the engine did no work meanwhile and may still obey it', () => {
+	const clock = {listeningMs: 1000};
+	const doubt = new OrderDoubt(clock);
+	const report: EngineReport = {
+		startedAtMs: 1, isBusy: false, orderCount: 3, servedVersion: 1,
+	};
+	doubt.record(2, report);
+	expect(doubt.blocksWrites(3, report)).to.equal(true);
+	const untilMs = performance.now() + 600;
+	while (performance.now() < untilMs) {
+		// The monotonic clock runs on in a pause.
+	}
+
+	expect(doubt.blocksWrites(3, report)).to.equal(true);
+	clock.listeningMs += 500;
+	expect(doubt.blocksWrites(3, report)).to.equal(false);
+});
