--- a/soak/soak-callers.ts
+++ b/soak/soak-callers.ts
@@ -5,7 +5,7 @@
 import {callHeaders} from '../standins/store-entries.ts';
 import {eventText, plainText} from '../standins/worker-answers.ts';
 import {
-	type CallKind, type CallRecord, type Evidence, nowMs,
+	type CallKind, type CallRecord, type Evidence, nowMs, unendedError,
 } from './soak-evidence.ts';
 import type {Gateway} from './soak-fleet.ts';
 
@@ -90,7 +90,7 @@
 async function send({url}: Gateway, agent: http.Agent, call: CallRecord, {target, check}: Request): Promise<void> {
 	return new Promise(resolve => {
 		const fail = (err: Error) => {
-			call.error = err.message;
+			call.error ??= err.message;
 			resolve();
 		};
 
@@ -108,7 +108,9 @@
 			res.on('error', fail);
 		});
 		req.setTimeout(patienceMs, () => {
-			req.destroy(new Error('no answer in time'));
+			// The response, if it has begun, only reports that it was aborted.
+			call.error = unendedError;
+			req.destroy();
 		});
 		req.on('error', fail);
 		req.end('b');
--- a/soak/soak-checks.ts
+++ b/soak/soak-checks.ts
@@ -2,7 +2,7 @@
 import type {Arrival} from '../standins/fault-worker.ts';
 import {callTimeoutMs} from '../standins/store-entries.ts';
 import {
-	type CallRecord, configurationOf, type Disturbance, type Evidence,
+	type CallRecord, configurationOf, type Disturbance, type Evidence, unendedError,
 } from './soak-evidence.ts';
 
 /** Time within which a leaving worker gets no further calls, in milliseconds. */
@@ -31,7 +31,7 @@
 		.map(call => `${describe(call)} got ${call.wrong}`),
 
 	'no call is left without an end': ({calls}) => calls
-		.filter(({error}) => error === 'no answer in time')
+		.filter(({error}) => error === unendedError)
 		.map(call => `${describe(call)} got neither an answer nor a closed connection`),
 
 	'a refused call never runs'(evidence) {
--- a/soak/soak-evidence.ts
+++ b/soak/soak-evidence.ts
@@ -1,6 +1,9 @@
 /** What callers and workers saw in one run, and what was done to the processes meanwhile. Times are in milliseconds of the system's clock. */
 import type {Arrival} from '../standins/fault-worker.ts';
 
+/** The error of a call that got neither an answer nor a closed connection. */
+export const unendedError = 'no answer in time';
+
 /** The kinds of calls, as the routes name them. */
 export type CallKind = 'stream' | 'once' | 'repeatable';
 
