--- a/soak/soak.ts
+++ b/soak/soak.ts
@@ -4,6 +4,7 @@
 import {cac} from 'cac';
 import {runSoak} from './run-soak.ts';
 import {faults} from './soak-faults.ts';
+import {regressions} from './soak-regressions.ts';
 
 type Options = {
 	readonly seeds: string;
@@ -24,7 +25,7 @@
 const cli = cac('soak');
 
 cli.command('', 'Run seeds of the soak, one after the other')
-	.option('--seeds <list>', 'Seeds, such as 1-50 or 3,7', {default: '1'})
+	.option('--seeds <list>', 'Seeds, such as 1-50 or 3,7, or "regressions"', {default: '1'})
 	.option('--seconds <number>', 'How long faults are injected', {default: 15})
 	.option('--gateways <number>', 'Gateways', {default: 3})
 	.option('--engines <number>', 'Engines, each with a stager', {default: 4})
@@ -36,9 +37,10 @@
 		seeds, seconds, gateways, engines, plain, callers, groups, folder,
 	}: Options) => {
 		let failed = 0;
-		for (const seed of parseSeeds(String(seeds))) {
+		const runs = seeds === 'regressions' ? regressions : parseSeeds(String(seeds)).map(seed => ({seed, groups}));
+		for (const {seed, groups: runGroups} of runs) {
 			const {violations, ...counts} = await runSoak({
-				seed, faultsMs: seconds * msPerSecond, size: {gateways, engines, plain}, callersPerGateway: callers, groups: groups.split(','), folder: path.join(folder, `seed-${seed}`),
+				seed, faultsMs: seconds * msPerSecond, size: {gateways, engines, plain}, callersPerGateway: callers, groups: runGroups.split(','), folder: path.join(folder, `seed-${seed}`),
 			});
 			const names = Object.keys(violations);
 			failed += names.length > 0 ? 1 : 0;
