--- a/src/links/server-connections.ts
+++ b/src/links/server-connections.ts
@@ -10,14 +10,22 @@
 
 /** Watches the connections of one server. */
 export class ServerConnections {
-	private unwritten = 0;
+	/** The responses that have not been handed to the system completely, those without an answer so far included. */
+	private readonly unwritten = new Set<http.ServerResponse>();
 
 	/** @param server - the server, before it listens */
 	constructor(private readonly server: http.Server) {
 		server.prependListener('request', (_, res: http.ServerResponse) => {
-			this.unwritten++;
+			this.unwritten.add(res);
 			res.once('close', () => {
-				this.unwritten--;
+				this.unwritten.delete(res);
+			});
+		});
+		server.on('connection', socket => {
+			socket.once('close', () => {
+				setImmediate(() => {
+					this.closeResponsesOf(socket);
+				});
 			});
 		});
 		server.on('timeout', closeUnlessReadable);
@@ -25,7 +33,7 @@
 
 	/** Number of requests whose response has not been handed to the system completely. */
 	get unwrittenResponses(): number {
-		return this.unwritten;
+		return this.unwritten.size;
 	}
 
 	/** Stops accepting connections and waits until every response has been written, unless that takes too long, and every connection is closed. */
@@ -33,7 +41,7 @@
 		const writesUntilMs = performance.now() + maxLastWritesMs;
 		await new Promise<void>(resolve => {
 			const closeIdle = () => {
-				if (this.unwritten === 0 || performance.now() > writesUntilMs) {
+				if (this.unwritten.size === 0 || performance.now() > writesUntilMs) {
 					this.server.closeIdleConnections();
 				}
 			};
@@ -47,6 +55,15 @@
 			closeIdle();
 		});
 	}
+
+	/** Node.js emits `close` only for the first of several requests that a peer has sent on a connection before it left. */
+	private closeResponsesOf(socket: net.Socket): void {
+		for (const res of this.unwritten) {
+			if (res.req.socket === socket) {
+				res.emit('close');
+			}
+		}
+	}
 }
 
 /** Closes a connection that was idle for too long, unless the next request has arrived and was not read during a pause of this process. */
--- a/test/planned-stop.test.ts
+++ b/test/planned-stop.test.ts
@@ -234,3 +234,28 @@
 	upstream.close();
 	expect(received.split('HTTP/1.1 200').length - 1, received).to.equal(2);
 });
+
+it('guards against requests of a caller that has left which are never forgotten: several on one connection hold neither a drain nor memory', async () => {
+	const upstream = await startUpstream(() => undefined);
+	const gateway = await startTestGateway(testConfiguration(1, {timeoutMs: 20_000}), [testInstance({id: 'i-0', address: upstream.address})]);
+	const {port} = new URL(gateway.url);
+	const idle = new http.Agent({keepAlive: true});
+	await call(gateway, idle, 'id-idle', '/unknown');
+	const socket = net.connect(Number(port), '127.0.0.1');
+	for (const id of ['id-1', 'id-2']) {
+		socket.write(`POST /p/x HTTP/1.1\r\nhost: a.example\r\napi-key: k1\r\nattempt-id: ${id}\r\ncontent-length: 1000\r\n\r\n${'b'.repeat(1000)}`);
+	}
+
+	await waitFor('both bodies are read', () => gateway.bodies.usedBytes >= 2000);
+	socket.destroy();
+	await waitFor('the calls end', () => gateway.forwarder.openCalls === 0);
+	await sleep(50);
+	const startedAtMs = performance.now();
+	await gateway.listener.drain();
+	const drainMs = performance.now() - startedAtMs;
+	idle.destroy();
+	gateway.close();
+	upstream.close();
+	expect(gateway.bodies.usedBytes).to.equal(0);
+	expect(drainMs).to.be.lessThan(1000);
+});
