--- a/src/forwarding/call-attempts.ts
+++ b/src/forwarding/call-attempts.ts
@@ -14,9 +14,14 @@
 	/** @param onReplaced - called for each attempt that is aborted because another one answers */
 	constructor(private readonly onReplaced: (attempt: UpstreamAttempt) => void) {}
 
-	/** Whether no attempt is under way. */
-	get areOver(): boolean {
-		return this.underWay.size === 0;
+	/** Whether an attempt is under way. */
+	get areUnderWay(): boolean {
+		return this.underWay.size > 0;
+	}
+
+	/** Whether no more than one attempt is under way. */
+	get isAlone(): boolean {
+		return this.underWay.size <= 1;
 	}
 
 	/** The attempts under way whose upstreams certainly did not get the call. */
--- a/src/forwarding/decide-next-step.ts
+++ b/src/forwarding/decide-next-step.ts
@@ -30,6 +30,8 @@
 	readonly hasTime: boolean;
 	/** Whether another attempt of the call is under way. */
 	readonly hasOtherAttempt: boolean;
+	/** Whether this attempt has passed on a part of the response. */
+	readonly hasAnswered: boolean;
 	/** Takes one retry from the shared budget. Called last, only if everything else allows a retry. */
 	readonly tryTakeRetry: () => boolean;
 };
@@ -37,8 +39,8 @@
 /** The next step: retry, wait for the other attempt, or how the call ends for the caller. */
 export type NextStep = 'repeat' | 'wait' | 'refuse' | 'pass-on' | 'fail' | 'cut';
 
-/** Number of refused attempts after which the call ends. */
-const maxRefusals = 3;
+/** Number of refused attempts after which the call is sent to no further instance. */
+export const maxRefusals = 3;
 
 /**
  * Decides what follows an attempt that ended without a usable response.
@@ -47,7 +49,8 @@
  */
 export function decideNextStep(input: NextStepInput): NextStep {
 	const step = stepDeciders[input.outcome.kind](input);
-	return input.hasOtherAttempt ? 'wait' : step;
+	const isPartInDoubt = input.outcome.kind === 'spoilt' && input.hasAnswered;
+	return input.hasOtherAttempt && !isPartInDoubt ? 'wait' : step;
 }
 
 const stepDeciders: Readonly<Record<AttemptOutcome['kind'], (input: NextStepInput) => NextStep>> = {
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -2,7 +2,7 @@
 import {CallAttempts} from './call-attempts.ts';
 import {CallLog} from './call-log.ts';
 import {CallTimeout} from './call-timeout.ts';
-import {type AttemptOutcome, decideNextStep} from './decide-next-step.ts';
+import {type AttemptOutcome, decideNextStep, maxRefusals} from './decide-next-step.ts';
 import {findStallTimeouts, Hedge} from './hedge.ts';
 import {describeOutcome, endOnTimeout, endSteps} from './end-steps.ts';
 import type {ForwardedCallOptions} from './forwarded-call-options.ts';
@@ -52,6 +52,7 @@
 		this.log = new CallLog(options);
 		this.hedge = new Hedge({
 			...options,
+			progress: this.progress,
 			mayRepeat: () => this.canRetryElsewhere() && !this.promptCheck.isHeld,
 			selectInstance: async () => this.selectInstance(),
 			isUnderWay: attempt => this.attempts.has(attempt),
@@ -275,6 +276,7 @@
 			onSilent: isFirstReport => {
 				this.hedge.handleSilence(attempt, isFirstReport);
 			},
+			isAlone: () => this.attempts.isAlone,
 			onAnswering: () => {
 				this.attempts.keepOnly(attempt);
 			},
@@ -300,7 +302,7 @@
 	private canRetryElsewhere(): boolean {
 		const {route} = this.options;
 		const isRetryable = route.kind === 'idempotent' || (route.kind === 'stream' && route.isResumable);
-		return isRetryable && this.possibleRuns < route.attempts && this.hasTimeForAttempt();
+		return isRetryable && this.possibleRuns < route.attempts && this.refusals < maxRefusals && this.hasTimeForAttempt();
 	}
 
 	private hasTimeForAttempt(): boolean {
@@ -329,7 +331,8 @@
 			maxAttempts: route.attempts,
 			refusals: this.refusals,
 			hasTime: this.hasTimeForAttempt(),
-			hasOtherAttempt: !this.attempts.areOver,
+			hasOtherAttempt: this.attempts.areUnderWay,
+			hasAnswered: attempt.hasAnswered,
 			tryTakeRetry: () => retryBudget.tryTake(),
 		});
 		this.log.recordAttemptEnd(attempt, {
--- a/src/forwarding/hedge.ts
+++ b/src/forwarding/hedge.ts
@@ -3,6 +3,7 @@
 import type {ForwardedCallOptions} from './forwarded-call-options.ts';
 import type {SelectedInstance} from './instance-query.ts';
 import type {UpstreamAttempt} from './upstream-attempt.ts';
+import type {AnswerProgress} from './upstream-attempt-options.ts';
 
 /** How long an upstream may send nothing before a call that may run again is sent to another one, too, in milliseconds. */
 const stallTimeoutsMs = {
@@ -18,6 +19,7 @@
 
 /** The call, and the functions that it supplies. */
 export type HedgeOptions = Pick<ForwardedCallOptions, 'call' | 'boundary' | 'tracker' | 'crashes' | 'retryBudget' | 'log' | 'onSilence'> & {
+	readonly progress: AnswerProgress;
 	/** Returns whether the call may run once more. */
 	readonly mayRepeat: () => boolean;
 	readonly selectInstance: () => ReturnType<ForwardedCallOptions['selectInstance']>;
@@ -29,6 +31,8 @@
 /** Looks for further instances for one call. */
 export class Hedge {
 	private isLooking = false;
+	/** What was reported last of the silence of each attempt. */
+	private readonly lastResults = new WeakMap<UpstreamAttempt, string>();
 
 	/** @param options - the call and its functions */
 	constructor(private readonly options: HedgeOptions) {}
@@ -41,15 +45,12 @@
 	 */
 	handleSilence(silent: UpstreamAttempt, isFirstReport: boolean): void {
 		const {tracker, crashes, call, boundary, retryBudget, mayRepeat} = this.options;
-		if (this.isLooking) {
-			return;
+		if (isFirstReport) {
+			this.lastResults.delete(silent);
 		}
 
 		if (!mayRepeat()) {
-			if (isFirstReport) {
-				this.log(silent, 'may_not_run_again');
-			}
-
+			this.report(silent, 'may_not_run_again');
 			return;
 		}
 
@@ -58,8 +59,12 @@
 			crashes.recordBroken(silent.instance, call.headers.promptParts);
 		}
 
+		if (this.isLooking) {
+			return;
+		}
+
 		if (!retryBudget.hasRetry) {
-			this.log(silent, 'no_retry_left');
+			this.report(silent, 'no_retry_left');
 			return;
 		}
 
@@ -67,7 +72,7 @@
 		void boundary.runAsync('select', async () => {
 			try {
 				const {result, selected} = await this.trySecond(silent);
-				this.log(silent, result, selected);
+				this.report(silent, result, selected);
 			} finally {
 				this.isLooking = false;
 			}
@@ -76,9 +81,10 @@
 
 	/** Returns what came of it, for the log, and the ID of the second instance. */
 	private async trySecond(silent: UpstreamAttempt): Promise<{result: string; selected?: string}> {
-		const {mayRepeat, selectInstance, isUnderWay, retryBudget, startAttempt} = this.options;
+		const {progress, mayRepeat, selectInstance, isUnderWay, retryBudget, startAttempt} = this.options;
+		const {version} = progress;
 		const selection = await selectInstance();
-		if (!isUnderWay(silent) || !silent.isSilent || !mayRepeat()) {
+		if (!isUnderWay(silent) || !silent.isSilent || progress.version !== version || !mayRepeat()) {
 			return {result: 'not_wanted_any_more'};
 		}
 
@@ -94,8 +100,14 @@
 		return {result: 'sent', selected: selection.instance.id};
 	}
 
-	private log(silent: UpstreamAttempt, result: string, selected?: string): void {
+	/** Reports what was done about a silence, unless that is the same as before. */
+	private report(silent: UpstreamAttempt, result: string, selected?: string): void {
 		const {log, call, onSilence} = this.options;
+		if (this.lastResults.get(silent) === result) {
+			return;
+		}
+
+		this.lastResults.set(silent, result);
 		onSilence?.(result);
 		log.info({
 			event: 'send_silent', id: call.headers.attemptId, instance: silent.instance.id, result, selected, ...silent.timing,
--- a/src/forwarding/upstream-attempt-options.ts
+++ b/src/forwarding/upstream-attempt-options.ts
@@ -46,6 +46,8 @@
 	readonly onSilent: (isFirstReport: boolean) => void;
 	/** Called when the connection broke after the call was sent, before its outcome is reported. */
 	readonly onBroken: () => void;
+	/** Returns whether no other attempt of the call is under way. */
+	readonly isAlone: () => boolean;
 	/** Called before anything of the response is passed on. */
 	readonly onAnswering: () => void;
 	/** Called once when the upstream has responded completely, or for long enough to show that the call does not crash it. */
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import type {Instance} from '../directory/directory-types.ts';
 import {parseAddress} from '../links/http-listener.ts';
-import {type Silence, SilenceTimer} from '../runtime/silence-timer.ts';
+import type {Silence} from '../runtime/silence-timer.ts';
 import {type AttemptTiming, describeAttemptTiming} from './attempt-timing.ts';
 import type {AttemptOutcome} from './decide-next-step.ts';
 import {EventOrder} from './event-order.ts';
@@ -11,6 +11,7 @@
 import type {AttemptSignals} from './instance-signals.ts';
 import {type BufferOwner, maxEventBytes} from './response-buffers.ts';
 import {findHeadFault, firstServerError, notRunStatuses} from './response-status.ts';
+import {SilenceWatch} from './silence-watch.ts';
 import {UpstreamExchange} from './upstream-exchange.ts';
 import {StartDeadline} from './start-deadline.ts';
 import type {BufferedResponse, UpstreamAttemptOptions} from './upstream-attempt-options.ts';
@@ -19,13 +20,10 @@
 /** How long after its first event a stream shows that it does not crash its upstream, in milliseconds. */
 const survivedAfterMs = 500;
 
-/** How often a silence that goes on is reported again, in milliseconds. */
-const silenceReportIntervalMs = 500;
-
 /** Sends a call to one instance and handles the response. */
 export class UpstreamAttempt implements BufferOwner {
-	/** Whether the instance has sent nothing for too long. */
-	isSilent = false;
+	/** Whether a part of its response has been passed on. */
+	hasAnswered = false;
 	/** The complete response, if it was not streamed. */
 	buffered: BufferedResponse | undefined;
 	/** Until when the call may start. */
@@ -36,7 +34,7 @@
 	private readonly signals: AttemptSignals;
 	private readonly startedAtMs = performance.now();
 	private readonly startWindowMs: number;
-	private readonly silenceTimer: SilenceTimer;
+	private readonly silenceWatch: SilenceWatch;
 	private readonly splitter = new EventSplitter();
 	private readonly order: EventOrder;
 	private bodyChunks: Buffer[] = [];
@@ -53,10 +51,10 @@
 		this.signals = tracker.signals.addAttempt(instance, boundary.wrap('signal', () => {
 			this.handleInstanceClosed();
 		}));
-		this.silenceTimer = new SilenceTimer(options.clock, boundary.wrap('timer', () => {
-			this.handleSilence();
-		}));
-		this.silenceTimer.restart(options.stallTimeoutsMs.first + options.predictedMs);
+		const {first, next} = options.stallTimeoutsMs;
+		this.silenceWatch = new SilenceWatch({
+			clock: options.clock, boundary, limitsMs: {first: first + options.predictedMs, next}, onSilent: options.onSilent,
+		});
 		this.startWindowMs = options.startTimeLeftMs();
 		this.startDeadline = new StartDeadline(options.startTimeLeftMs, () => {
 			this.report({kind: this.exchange?.isWritten ? 'failed' : 'not-run', reason: 'version_expired'});
@@ -98,10 +96,15 @@
 		return this.options.instance;
 	}
 
+	/** Whether the instance has sent nothing for too long. */
+	get isSilent(): boolean {
+		return this.silenceWatch.isSilent;
+	}
+
 	/** How long the attempt took to begin, beside what was predicted and allowed, and how long the instance has sent nothing. */
 	get timing(): AttemptTiming & Silence {
 		const waitedMs = Math.min(this.firstEventAtMs, performance.now()) - this.startedAtMs;
-		return {...describeAttemptTiming(waitedMs, this.options.predictedMs, this.startWindowMs), ...this.silenceTimer.silence};
+		return {...describeAttemptTiming(waitedMs, this.options.predictedMs, this.startWindowMs), ...this.silenceWatch.silence};
 	}
 
 	/** Aborts the attempt; no outcome is reported afterwards. */
@@ -144,7 +147,7 @@
 			return;
 		}
 
-		this.listenOn();
+		this.silenceWatch.restart();
 		if (this.isEventStream()) {
 			this.forwardEvents(this.splitter.push(chunk));
 		} else {
@@ -169,21 +172,16 @@
 
 	/** Stops reading from the upstream until the caller has read what was written. */
 	private waitForCaller(): void {
-		this.silenceTimer.stop();
+		this.silenceWatch.stop();
 		this.exchange?.pause();
 		this.options.writer.onceDrained(this.options.boundary.wrap('answer', () => {
 			if (!this.isFinished) {
-				this.listenOn();
+				this.silenceWatch.restart();
 				this.exchange?.resume();
 			}
 		}));
 	}
 
-	private listenOn(): void {
-		this.isSilent = false;
-		this.silenceTimer.restart(this.options.stallTimeoutsMs.next);
-	}
-
 	private isEventStream(): boolean {
 		return this.options.isStream && this.head?.status === 200;
 	}
@@ -212,7 +210,12 @@
 			}
 		}
 
-		this.options.onAnswering();
+		if (id === undefined && !this.options.isAlone()) {
+			// A comment is no progress, and must not decide between two attempts.
+			return;
+		}
+
+		this.markAnswering();
 		if (!writer.hasStarted) {
 			writer.start(this.head!.status, this.head!.headers.forwardedHeaders);
 			progress.version = this.head!.headers.version;
@@ -254,6 +257,12 @@
 			return;
 		}
 
+		if (this.options.writer.hasStarted) {
+			// It cannot follow the part of a stream that the caller has.
+			this.fail(`status_${head.status}_in_stream`);
+			return;
+		}
+
 		const {status, headers, body} = this.buffered;
 		this.complete(() => {
 			this.options.writer.send(status, headers, body);
@@ -279,15 +288,20 @@
 	}
 
 	private complete(passOn: () => void): void {
-		const {tracker, instance, onAnswering, onServed} = this.options;
+		const {tracker, instance, onServed} = this.options;
 		tracker.recordOutcome(instance.id, true);
-		onAnswering();
+		this.markAnswering();
 		this.recordSurvival();
 		this.close();
 		passOn();
 		onServed();
 	}
 
+	private markAnswering(): void {
+		this.hasAnswered = true;
+		this.options.onAnswering();
+	}
+
 	private recordSurvival(): void {
 		if (!this.hasSurvived) {
 			this.hasSurvived = true;
@@ -324,19 +338,9 @@
 		this.options.onOutcome(outcome);
 	}
 
-	/** Reports the silence and goes on waiting: the instance may still respond, and only another one that does is a reason to leave it. */
-	private handleSilence(): void {
-		if (!this.isFinished) {
-			const isFirstReport = !this.isSilent;
-			this.isSilent = true;
-			this.silenceTimer.extend(silenceReportIntervalMs);
-			this.options.onSilent(isFirstReport);
-		}
-	}
-
 	private close(): void {
 		this.isFinished = true;
-		this.silenceTimer.stop();
+		this.silenceWatch.stop();
 		this.startDeadline.stop();
 		this.options.tracker.inFlight.remove(this.inFlightCall);
 		this.signals.end();
--- a/test/forwarding-decisions.test.ts
+++ b/test/forwarding-decisions.test.ts
@@ -40,6 +40,7 @@
 	refusals: fc.integer({min: 0, max: 4}),
 	hasTime: fc.boolean(),
 	hasOtherAttempt: fc.boolean(),
+	hasAnswered: fc.boolean(),
 	budget: fc.boolean(),
 });
 
@@ -55,11 +56,13 @@
 			expect([input.outcome.kind, input.possibleRuns, input.isResponseStarted]).to.deep.equal(['not-run', 0, false]);
 		}
 
+		const isPartInDoubt = input.outcome.kind === 'spoilt' && input.hasAnswered;
+		const waits = input.hasOtherAttempt && !isPartInDoubt;
 		if (input.isResponseStarted) {
-			expect(step).to.be.oneOf(input.hasOtherAttempt ? ['wait'] : ['repeat', 'cut']);
+			expect(step).to.be.oneOf(waits ? ['wait'] : (isPartInDoubt ? ['cut'] : ['repeat', 'cut']));
 		}
 
-		if (input.hasOtherAttempt) {
+		if (waits) {
 			expect(step).to.equal('wait');
 		} else {
 			expect(step).to.not.equal('wait');
--- a/test/silence.test.ts
+++ b/test/silence.test.ts
@@ -4,7 +4,7 @@
 import {createPromptPartId} from '../src/ids/prompt-part-id.ts';
 import type {RouteKind} from '../src/directory/directory-types.ts';
 import {
-	callGateway, sendSignedResponse, startTestGateway, startUpstream, testConfiguration, type TestGateway, testInstance, type TestResponse, type UpstreamHandler,
+	callGateway, sendSignedResponse, startTestGateway, startUpstream, testConfiguration, type TestGateway, testInstance, type TestResponse, type TestUpstream, type UpstreamHandler,
 } from './support/direct-fixtures.ts';
 import {waitFor} from './support/fleet.ts';
 import {Processes, type StreamWorker} from './support/processes.ts';
@@ -204,3 +204,93 @@
 		expect([response.status, response.body]).to.deep.equal(expected);
 	});
 }
+
+/** What the second upstream sends to a stream of which the caller has events 1 to 3, while the first one is silent. */
+const secondAnswers: Readonly<Record<string, UpstreamHandler>> = {
+	'refuses it with 404'(req, res) {
+		sendSignedResponse(req, res, 404, 'none');
+	},
+	'sends a comment and nothing else'(req, res) {
+		res.writeHead(200, {
+			'attempt-id': String(req.headers['attempt-id']), 'response-seal': 's', 'content-type': 'text/event-stream', 'weight-versions': '1',
+		});
+		res.write(': alive\n\n');
+	},
+};
+
+async function startPair(first: UpstreamHandler, others: readonly UpstreamHandler[]): Promise<{gateway: TestGateway; upstreams: TestUpstream[]}> {
+	const upstreams = await Promise.all([first, ...others].map(async handler => startUpstream(handler)));
+	const service = createServiceId('models');
+	const configuration = testConfiguration(1, {
+		kind: 'stream', isResumable: true, timeoutMs: 6000, aimMs: 1000, attempts: 3, targets: [{service, weight: 1}],
+	});
+	const gateway = await startTestGateway(configuration, upstreams.map(({address}, at) => testInstance({
+		id: `i-${at}`, address, service, slots: 16, held: [{
+			model: 'm', version: 1, fromLayer: 0, toLayer: 16,
+		}],
+	})));
+	for (const at of others.keys()) {
+		// The others look slower, so that the first one gets the call first.
+		gateway.tracker.inFlight.add(`i-${at + 1}`, 2000);
+	}
+
+	gateways.push(gateway);
+	return {gateway, upstreams};
+}
+
+const event = (id: number) => `id: ${id}\ndata: t${id}\n\n`;
+
+/** Sends events 1 to 3, and after a silence what `end` writes. */
+function streamWithSilence(silentMs: number, end: string): UpstreamHandler {
+	return (req, res) => {
+		res.writeHead(200, {
+			'attempt-id': String(req.headers['attempt-id']), 'response-seal': 's', 'content-type': 'text/event-stream', 'weight-versions': '1',
+		});
+		res.write([1, 2, 3].map(id => event(id)).join(''));
+		setTimeout(() => {
+			res.end(end);
+		}, silentMs);
+	};
+}
+
+const streamCall = {headers: {...streamHeaders, 'deadline-ms': '6000'}};
+
+for (const [name, answer] of Object.entries(secondAnswers)) {
+	it(`guards against a stream that is left for no answer: the second upstream ${name}`, async () => {
+		const {gateway, upstreams} = await startPair(streamWithSilence(2000, event(4)), [answer]);
+		const response = await callGateway(gateway.url, streamCall);
+		expect(upstreams.map(({requests}) => requests.length)).to.deep.equal([1, 1]);
+		expect([response.complete, response.body, gateway.faults.count]).to.deep.equal([true, [1, 2, 3, 4].map(id => event(id)).join(''), 0]);
+		for (const upstream of upstreams) {
+			upstream.close();
+		}
+	});
+}
+
+it('guards against a stream that goes on after events in doubt: an impossible ID of the upstream that sent them cuts it, whatever a second one does', async () => {
+	const {gateway, upstreams} = await startPair(streamWithSilence(1600, event(2)), [(req, res) => {
+		setTimeout(() => {
+			streamWithSilence(0, event(4))(req, res, '');
+		}, 1000);
+	}]);
+	const response = await callGateway(gateway.url, streamCall);
+	expect(upstreams.map(({requests}) => requests.length)).to.deep.equal([1, 1]);
+	expect([response.complete, response.body]).to.deep.equal([false, [1, 2, 3].map(id => event(id)).join('')]);
+	for (const upstream of upstreams) {
+		upstream.close();
+	}
+});
+
+it('guards against a silent upstream that makes its call visit all others: after three refusals it asks no more', async () => {
+	const refuse: UpstreamHandler = (req, res) => {
+		res.writeHead(429, {'attempt-id': String(req.headers['attempt-id']), 'not-executed': '1'}).end();
+	};
+
+	const {gateway, upstreams} = await startPair(streamWithSilence(4500, event(4)), Array.from({length: 8}, () => refuse));
+	const response = await callGateway(gateway.url, streamCall);
+	expect(response.complete).to.equal(true);
+	expect(upstreams.slice(1).reduce((sum, {requests}) => sum + requests.length, 0)).to.be.within(1, 3);
+	for (const upstream of upstreams) {
+		upstream.close();
+	}
+});
