--- a/src/runtime/silence-timer.ts
+++ b/src/runtime/silence-timer.ts
@@ -29,7 +29,7 @@
 	}
 
 	/**
-	 * Starts the wait anew, because something was heard.
+	 * Starts the wait again, because something was heard.
 	 *
 	 * @param limitMs - how long nothing may be heard, in milliseconds
 	 */
