--- a/bench/rollout-worker.ts
+++ b/bench/rollout-worker.ts
@@ -84,7 +84,7 @@
 	for (;;) {
 		try {
 			const bytes = await downloadChunk({
-				links: agent.links, url: `${baseUrl}/${digest}`, pacer: agent.downPacer, stallMs: 60_000, clock: agent.clock, chunkBytes: Number.MAX_SAFE_INTEGER, freshConnection: false, controller: new AbortController(), onBytes: noop, onNotice: noop,
+				links: agent.links, url: `${baseUrl}/${digest}`, pacer: agent.downPacer, stallMs: 60_000, chunkBytes: Number.MAX_SAFE_INTEGER, freshConnection: false, controller: new AbortController(), onBytes: noop, onNotice: noop,
 			});
 			agent.chunks.put(createDigest(digest.split('?')[0]!), bytes);
 			return;
--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -167,7 +167,7 @@
 	}
 
 	private transferOptions(): TransferOptions {
-		const {store, links, random, log, membership, pauseDetector} = this.base;
+		const {store, links, random, log, membership} = this.base;
 		const {process, transfer, platform, upstream} = this.settings;
 		return {
 			self: {vm: process.vm, region: process.region},
@@ -177,7 +177,6 @@
 			upPacer: this.upPacer,
 			downPacer: this.downPacer,
 			originUrl: platform.origin,
-			clock: pauseDetector,
 			random,
 			log,
 			limits: () => store.transferLimits(),
--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -178,7 +178,7 @@
 	}
 
 	private transferOptions(): TransferOptions {
-		const {links, random, log, settings, pauseDetector} = this.base;
+		const {links, random, log, settings} = this.base;
 		const {process, transfer} = settings;
 		// An engine that serves no version sends no responses over the link.
 		const rate = () => transfer.link_mbps * bytesPerMegabit * (this.staging.isServing ? transfer.link_share : idleLinkShare);
@@ -192,7 +192,6 @@
 			originUrl: '',
 			originChunkUrl: chunk => this.originChunkUrl(chunk),
 			sendNotice: (peer, manifest, notice) => this.notices.send(peer.address, manifest, notice),
-			clock: pauseDetector,
 			random,
 			log,
 			limits: () => transferLimits,
--- a/src/rollout/chunk-download.ts
+++ b/src/rollout/chunk-download.ts
@@ -3,8 +3,6 @@
 import {VError} from 'verror';
 import {type PeerClient, readText} from '../links/peer-client.ts';
 import {noticeHeader} from '../messages/rollout-have.ts';
-import type {ListeningClock} from '../runtime/pause-detector.ts';
-import {SilenceTimer} from '../runtime/silence-timer.ts';
 import {CorruptChunkError} from './chunk-store.ts';
 import type {TransferPacer} from './transfer-pacer.ts';
 
@@ -31,9 +29,6 @@
 /** The minimum number of bytes that a source has to send within each stall timeout on average; a trickle would hold the download for hours. */
 const minBytesPerStall = 4096;
 
-/** The maximum time to the headers that the client allows, in milliseconds. The watchdog ends the wait sooner, unless this process does not run. */
-const maxHeaderWaitMs = 120_000;
-
 /** The size limit of a refusal or error, in bytes. */
 const maxRefusalBytes = 65_536;
 
@@ -44,8 +39,6 @@
 	readonly pacer: TransferPacer;
 	/** The maximum time without received data, in milliseconds. */
 	readonly stallMs: number;
-	/** Tells for how long this process could receive data. */
-	readonly clock: ListeningClock;
 	/** The maximum size of the chunk, in bytes. */
 	readonly chunkBytes: number;
 	/** Whether to open a new connection, because an existing one may be dead. */
@@ -55,8 +48,6 @@
 	readonly onBytes: (bytes: number) => void;
 	/** Receives the transfer notice from the response header. Refusals carry it too. */
 	readonly onNotice: (notice: string) => void;
-	/** Receives the longest time without received data, in milliseconds, when the download has ended. */
-	readonly onLongestWait?: (ms: number) => void;
 };
 
 /**
@@ -67,10 +58,10 @@
  * @throws CorruptChunkError when the source sends more than `chunkBytes`
  */
 export async function downloadChunk(download: ChunkDownload): Promise<Uint8Array> {
-	const {links, url, stallMs, clock, freshConnection, controller, onNotice, onLongestWait} = download;
-	const watchdog = new Watchdog(clock, stallMs, controller);
+	const {links, url, stallMs, freshConnection, controller, onNotice} = download;
+	const watchdog = new Watchdog(stallMs, controller);
 	try {
-		const res = await links.send(url, {method: 'GET'}, {timeoutMs: maxHeaderWaitMs, signal: controller.signal, freshConnection});
+		const res = await links.send(url, {method: 'GET'}, {timeoutMs: stallMs, signal: controller.signal, freshConnection});
 		const notice = res.headers[noticeHeader];
 		if (typeof notice === 'string') {
 			onNotice(notice);
@@ -90,17 +81,16 @@
 		throw watchdog.fired ? new StalledTransferError(err as Error, 'no data for %d ms from %s', stallMs, url) : err;
 	} finally {
 		watchdog.clear();
-		onLongestWait?.(watchdog.longestWaitMs);
 	}
 }
 
-async function readBody(body: AsyncIterable<unknown>, {pacer, onBytes, chunkBytes, stallMs, clock}: ChunkDownload, watchdog: Watchdog): Promise<Uint8Array> {
+async function readBody(body: AsyncIterable<unknown>, {pacer, onBytes, chunkBytes, stallMs}: ChunkDownload, watchdog: Watchdog): Promise<Uint8Array> {
 	const parts: Buffer[] = [];
 	let received = 0;
 	let waitedMs = 0;
 	for await (const part of body) {
 		// Time spent waiting for the local rate limit must not count as a stall of the source.
-		const pausedAtMs = clock.listeningMs;
+		const pausedAtMs = performance.now();
 		watchdog.clear();
 		const bytes = part as Buffer;
 		received += bytes.length;
@@ -111,7 +101,7 @@
 		parts.push(bytes);
 		onBytes(bytes.length);
 		await pacer.take(bytes.length);
-		waitedMs += clock.listeningMs - pausedAtMs;
+		waitedMs += performance.now() - pausedAtMs;
 		if (watchdog.elapsedMs - waitedMs > stallMs * (1 + Math.ceil(chunkBytes / minBytesPerStall))) {
 			throw new StalledTransferError('only %d bytes in %d ms', received, Math.round(watchdog.elapsedMs - waitedMs));
 		}
@@ -133,39 +123,31 @@
 	}
 }
 
-/** Aborts a download unless it is restarted within the limit. Time in which this process did not run does not count. */
+/** Aborts a download unless it is restarted within the limit. */
 class Watchdog {
 	fired = false;
-	/** The longest wait so far, in milliseconds. */
-	longestWaitMs = 0;
-	private readonly startedAtMs: number;
-	private waitingSinceMs: number | undefined;
-	private readonly timer: SilenceTimer;
-
-	constructor(private readonly clock: ListeningClock, private readonly limitMs: number, controller: AbortController) {
-		this.startedAtMs = clock.listeningMs;
-		this.timer = new SilenceTimer(clock, () => {
-			this.fired = true;
-			controller.abort();
-		});
+	private readonly startedAtMs = performance.now();
+	private timer: NodeJS.Timeout | undefined;
+
+	constructor(private readonly limitMs: number, private readonly controller: AbortController) {
 		this.restart();
 	}
 
 	restart(): void {
-		this.waitingSinceMs = this.clock.listeningMs;
-		this.timer.restart(this.limitMs);
+		clearTimeout(this.timer);
+		this.timer = setTimeout(() => {
+			this.fired = true;
+			this.controller.abort();
+		}, this.limitMs);
+		this.timer.unref();
 	}
 
 	/** Time since the start of the download, in milliseconds. */
 	get elapsedMs(): number {
-		return this.clock.listeningMs - this.startedAtMs;
+		return performance.now() - this.startedAtMs;
 	}
 
 	clear(): void {
-		this.timer.stop();
-		if (this.waitingSinceMs !== undefined) {
-			this.longestWaitMs = Math.max(this.longestWaitMs, this.clock.listeningMs - this.waitingSinceMs);
-			this.waitingSinceMs = undefined;
-		}
+		clearTimeout(this.timer);
 	}
 }
--- a/src/rollout/chunk-fetcher.ts
+++ b/src/rollout/chunk-fetcher.ts
@@ -6,7 +6,6 @@
 import type {Neighbourhood} from './neighbourhood.ts';
 import {type OpenTransfer, originSource, type PlannedTransfer} from './plan-transfers.ts';
 import type {TransferOptions} from './transfer-options.ts';
-import type {WaitTimes} from './wait-times.ts';
 
 /** The base of the exponential backoff, as a fraction of the chunk timeout. */
 const backoffBaseRatio = 0.1;
@@ -25,7 +24,6 @@
 	readonly agentOptions: TransferOptions;
 	readonly manifest: Digest;
 	readonly neighbourhood: Neighbourhood;
-	readonly waitTimes: WaitTimes;
 	/** Returns the digest of a chunk. */
 	readonly digestAt: (chunk: number) => Digest;
 	/** Returns the size limit of the chunks, in bytes. */
@@ -46,7 +44,7 @@
 	originBytes = 0;
 	/** Bytes received from outside the region, including those of failed downloads. */
 	importedBytes = 0;
-	/** The earliest time of the next origin request by the listening clock, in milliseconds. */
+	/** The earliest time of the next origin request, in milliseconds. */
 	originNotBeforeMs = 0;
 	private originFailures = 0;
 	/** The pause after a failed read of the origin; undefined when there is none. */
@@ -96,7 +94,7 @@
 	}
 
 	private async download({chunk, source}: PlannedTransfer, url: string): Promise<void> {
-		const {agentOptions, neighbourhood, waitTimes, digestAt, onChunk, onEnd} = this.options;
+		const {agentOptions, neighbourhood, digestAt, onChunk, onEnd} = this.options;
 		const controller = new AbortController();
 		const open: OpenDownload = {
 			chunk, source, startedAtMs: performance.now(), receivedBytes: 0, controller,
@@ -112,8 +110,7 @@
 				links: agentOptions.links,
 				url,
 				pacer: agentOptions.downPacer,
-				stallMs: agentOptions.limits().chunk_timeout_ms * waitTimes.slowness,
-				clock: agentOptions.clock,
+				stallMs: agentOptions.limits().chunk_timeout_ms,
 				chunkBytes: this.options.chunkBytes(),
 				freshConnection: neighbourhood.lastContactFailed(source),
 				controller,
@@ -123,9 +120,6 @@
 				onNotice(text) {
 					neighbourhood.recordNoticeHeader(text);
 				},
-				onLongestWait(ms) {
-					waitTimes.record(ms);
-				},
 			});
 			if (!this.stopped) {
 				agentOptions.chunks.put(digest, bytes);
@@ -238,7 +232,7 @@
 	}
 
 	private pause(source: string, forMs: number): void {
-		const untilMs = this.options.agentOptions.clock.listeningMs + forMs;
+		const untilMs = performance.now() + forMs;
 		if (source === originSource) {
 			this.originNotBeforeMs = untilMs;
 		} else {
--- a/src/rollout/chunk-server.ts
+++ b/src/rollout/chunk-server.ts
@@ -5,7 +5,6 @@
 import {
 	decodeNotice, encodeNotice, noticeHeader, type TransferNotice,
 } from '../messages/rollout-have.ts';
-import {setInputTimeout} from '../runtime/input-timeout.ts';
 import type {ChunkStore} from './chunk-store.ts';
 import type {TransferPacer} from './transfer-pacer.ts';
 import {UploadSlots} from './upload-slots.ts';
@@ -114,16 +113,17 @@
 	private async waitForDrain(res: http.ServerResponse): Promise<void> {
 		await new Promise<void>(resolve => {
 			const done = () => {
-				timeout.clear();
+				clearTimeout(timer);
 				res.off('drain', done);
 				res.off('close', done);
 				resolve();
 			};
 
-			const timeout = setInputTimeout(() => {
+			const timer = setTimeout(() => {
 				res.destroy();
 				done();
 			}, this.options.stallMs());
+			timer.unref();
 			res.once('drain', done);
 			res.once('close', done);
 		});
--- a/src/rollout/neighbourhood.ts
+++ b/src/rollout/neighbourhood.ts
@@ -3,18 +3,16 @@
  *
  * A notice says which chunks a peer holds and which ones it is importing, that is, reading from outside its region.
  */
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {Digest} from '../ids/digest.ts';
 import {
 	decodeNotice, rolloutHaveMethod, rolloutHaveResultSchema, type TransferNotice,
 } from '../messages/rollout-have.ts';
-import type {ListeningClock} from '../runtime/pause-detector.ts';
-import {SilenceTimer} from '../runtime/silence-timer.ts';
 import {type ChunkOwners, rankOwners} from './chunk-owners.ts';
 import {chooseNeighbours} from './choose-neighbours.ts';
 import {NoticeSender} from './notice-sender.ts';
 import {PeerTable} from './peer-table.ts';
 import type {TransferOptions, TransferPeer} from './transfer-options.ts';
-import type {WaitTimes} from './wait-times.ts';
 
 /** The mean interval of polls while there is nothing to announce, in milliseconds. */
 const pollIntervalMs = 1000;
@@ -25,12 +23,9 @@
 /** The number of random neighbours in each poll, in case a notice was lost. */
 const polledNeighbours = 1;
 
-/** The timeout of one exchange of notices, in milliseconds in which this process could hear something. */
+/** The timeout of one exchange of notices, in milliseconds. */
 const exchangeTimeoutMs = 1000;
 
-/** The maximum time of one exchange of notices, in milliseconds, however long this process did not run. */
-const maxExchangeMs = 30_000;
-
 /** How long a survey waits for responses, in milliseconds. Slower neighbours do not delay the transfer. */
 const surveyTimeoutMs = 250;
 
@@ -44,7 +39,6 @@
 export type NeighbourhoodOptions = {
 	readonly agentOptions: TransferOptions;
 	readonly manifest: Digest;
-	readonly waitTimes: WaitTimes;
 	/** Whether this agent's turn to import also depends on the importers of other regions. */
 	readonly watchesAllRegions: boolean;
 	/** Returns this agent's notice. */
@@ -62,7 +56,6 @@
 	surveyed = false;
 	private readonly noticeSender: NoticeSender;
 	private readonly failedContacts = new Set<string>();
-	private readonly failedExchanges = new Set<string>();
 	private group: readonly TransferPeer[] | undefined;
 	private groupKey: string | undefined;
 	private rankedOwners!: ChunkOwners;
@@ -75,7 +68,7 @@
 		this.noticeSender = new NoticeSender({
 			bytesPerSecond: options.agentOptions.noticeBytesPerSecond,
 			exchange: async vm => {
-				if (this.isOverdue(vm) || !this.sendNotice(vm)) {
+				if (!this.sendNotice(vm)) {
 					await this.exchange(vm);
 				}
 			},
@@ -93,11 +86,6 @@
 		return this.rankedOwners.importers.has(this.options.agentOptions.self.vm);
 	}
 
-	/** The VMs whose last exchange of notices failed. */
-	get unreachable(): ReadonlySet<string> {
-		return this.failedExchanges;
-	}
-
 	/** The region of each VM of the group. */
 	get regions(): ReadonlyMap<string, string> {
 		return this.regionByVm;
@@ -131,12 +119,11 @@
 	recordNotice(notice: TransferNotice): void {
 		// Accepting only members of the group also bounds the size of the table.
 		this.noticeSender.recordContact(notice.vm);
-		this.failedExchanges.delete(notice.vm);
 		if (this.peers.importedBytes(notice.vm) < notice.imported) {
 			this.options.onImport();
 		}
 
-		if (this.groupByVm.has(notice.vm) && this.peers.record(notice, this.options.agentOptions.clock.listeningMs)) {
+		if (this.groupByVm.has(notice.vm) && this.peers.record(notice, performance.now())) {
 			this.options.onNewChunks();
 		}
 	}
@@ -185,7 +172,7 @@
 		const isAwaited = (vm: string) => awaitOtherRegion && this.regionByVm.get(vm) !== this.options.agentOptions.self.region;
 		const ended = Promise.all(exchanges.map(async ({response}) => response));
 		const awaited = waitForAny(exchanges.filter(({vm}) => isAwaited(vm)).map(async ({response}) => response));
-		await Promise.race([ended, Promise.all([listen(this.options.agentOptions.clock, surveyTimeoutMs), awaited])]);
+		await Promise.race([ended, Promise.all([sleep(surveyTimeoutMs, undefined, {ref: false}), awaited])]);
 		this.surveyed = true;
 	}
 
@@ -241,13 +228,6 @@
 		return [...new Set([...this.ownNeighbours, ...this.peers.vms])].slice(0, maxNeighbours);
 	}
 
-	/** Whether an importer has not been heard of for a step-in time. A notice without a connection does not tell whether it is gone. */
-	private isOverdue(vm: string): boolean {
-		const {clock, limits} = this.options.agentOptions;
-		const contactAtMs = this.peers.contactAtMs(vm);
-		return contactAtMs !== undefined && this.rankedOwners.importers.has(vm) && clock.listeningMs - contactAtMs >= limits().step_in_ms;
-	}
-
 	/** Sends the notice without a connection; returns false if that is not possible. */
 	private sendNotice(vm: string): boolean {
 		const {agentOptions, manifest, notice} = this.options;
@@ -262,27 +242,16 @@
 			return false;
 		}
 
-		const {agentOptions, manifest, waitTimes, notice} = this.options;
-		const {clock} = agentOptions;
-		const sentAtMs = clock.listeningMs;
-		const controller = new AbortController();
-		const timer = new SilenceTimer(clock, () => {
-			controller.abort();
-		});
-		timer.restart(exchangeTimeoutMs * waitTimes.slowness);
+		const {agentOptions, manifest, notice} = this.options;
 		try {
 			const call = {method: rolloutHaveMethod, params: {manifest, notice: notice()}};
-			const answer = await agentOptions.links.rpc(peer.address, call, rolloutHaveResultSchema, {timeoutMs: maxExchangeMs, signal: controller.signal, freshConnection: this.lastContactFailed(vm)});
-			waitTimes.record(clock.listeningMs - sentAtMs);
+			const answer = await agentOptions.links.rpc(peer.address, call, rolloutHaveResultSchema, {timeoutMs: exchangeTimeoutMs, freshConnection: this.lastContactFailed(vm)});
 			this.recordContact(vm, false);
 			this.recordNotice(answer);
 			return true;
 		} catch {
 			this.recordContact(vm, true);
-			this.failedExchanges.add(vm);
 			return false;
-		} finally {
-			timer.stop();
 		}
 	}
 }
@@ -300,13 +269,6 @@
 	}
 }
 
-/** Waits for a time in which this process could hear something. */
-async function listen(clock: ListeningClock, ms: number): Promise<void> {
-	await new Promise<void>(resolve => {
-		new SilenceTimer(clock, resolve).restart(ms);
-	});
-}
-
 async function awaitWithIndex(result: Promise<boolean>, at: number) {
 	return {value: await result, at};
 }
--- a/src/rollout/peer-table.ts
+++ b/src/rollout/peer-table.ts
@@ -79,11 +79,6 @@
 		return state.holds.count > before;
 	}
 
-	/** Returns when a peer's last notice was received, in milliseconds; undefined for an unknown peer. */
-	contactAtMs(vm: string): number | undefined {
-		return this.states.get(vm)?.contactAtMs;
-	}
-
 	/** Returns how many bytes a peer has received from outside its region; infinite for an unknown peer, whose first notice shows no progress. */
 	importedBytes(vm: string): number {
 		return this.states.get(vm)?.notice.imported ?? Number.POSITIVE_INFINITY;
--- a/src/rollout/plan-transfers.ts
+++ b/src/rollout/plan-transfers.ts
@@ -34,7 +34,7 @@
 /** A download to start; `lastResort` asks the peer to ignore its upload budget. */
 export type PlannedTransfer = {readonly chunk: number; readonly source: string; readonly lastResort: boolean};
 
-/** The input of the plan. All times are of one clock, which stands still while this process does not run. */
+/** The input of the plan. */
 export type PlanInput = {
 	readonly nowMs: number;
 	readonly held: ChunkBitmap;
@@ -58,8 +58,6 @@
 	readonly unavailableSinceMs: (chunk: number) => number;
 	/** Whether a survey of the neighbours is complete, so that it is known which chunks they hold. */
 	readonly surveyed: boolean;
-	/** The VMs whose last exchange of notices failed. */
-	readonly unreachable: ReadonlySet<string>;
 	/** How long a VM waits without progress of the higher ranks before it takes over their imports, in milliseconds. */
 	readonly stepInMs: number;
 	readonly maxOpen: number;
@@ -80,9 +78,6 @@
 /** An owner with at least this many chunks left to import has some of them taken over by other importers. With fewer, both would read the same chunk. */
 const minStealableBacklog = 2;
 
-/** How many step-in times an importer counts that is silent without being unreachable, or that reports a read without progress. On a machine that is slow for everybody, notices and bytes arrive late. */
-const patienceStepIns = 3;
-
 /** Plans the next downloads, most urgent first. */
 export function planTransfers(input: PlanInput): PlannedTransfer[] {
 	if (input.open.length >= input.maxOpen) {
@@ -201,11 +196,10 @@
 		return peer.notBeforeMs <= input.nowMs || input.nowMs - peer.contactAtMs < input.stepInMs;
 	}
 
-	const stillReports = input.nowMs - peer.contactAtMs < input.stepInMs;
-	return peer.reading.has(chunk) && input.nowMs - peer.progressAtMs < input.stepInMs * (stillReports ? patienceStepIns : 1);
+	return peer.reading.has(chunk) && input.nowMs - peer.progressAtMs < input.stepInMs;
 }
 
-/** Returns whether it is this VM's turn to import a chunk. The VM of rank k, with the owner at rank 0, waits k times `stepInMs` after the last progress of any higher rank, and until the higher ranks are known to be idle. */
+/** Returns whether it is this VM's turn to import a chunk. The VM of rank k, with the owner at rank 0, waits k times `stepInMs` after the last progress of any higher rank. */
 function isDue(input: PlanInput, higherRanked: readonly string[], chunk: number): boolean {
 	if (higherRanked.length === 0) {
 		return true;
@@ -219,13 +213,7 @@
 		}
 	}
 
-	return input.nowMs - waitingSinceMs >= higherRanked.length * input.stepInMs && higherRanked.every(vm => isKnownIdle(input, vm, waitingSinceMs));
-}
-
-/** Returns whether a VM is unreachable, or has reported after a wait of `stepInMs` that it made no progress. Without news, it may have made progress. */
-function isKnownIdle({nowMs, peers, startedAtMs, stepInMs, unreachable}: PlanInput, vm: string, waitingSinceMs: number): boolean {
-	const contactAtMs = peers.find(peer => peer.vm === vm)?.contactAtMs ?? startedAtMs;
-	return unreachable.has(vm) || contactAtMs - waitingSinceMs >= stepInMs || nowMs - contactAtMs >= patienceStepIns * stepInMs;
+	return input.nowMs - waitingSinceMs >= higherRanked.length * input.stepInMs;
 }
 
 /** Plans downloads from peers of the region, rarest chunk first. */
--- a/src/rollout/transfer-options.ts
+++ b/src/rollout/transfer-options.ts
@@ -3,7 +3,6 @@
 import type {PeerClient} from '../links/peer-client.ts';
 import type {TransferNotice} from '../messages/rollout-have.ts';
 import type {Logger} from '../runtime/logger.ts';
-import type {ListeningClock} from '../runtime/pause-detector.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import type {ChunkStore} from './chunk-store.ts';
 import type {VmLocation} from './chunk-owners.ts';
@@ -46,8 +45,6 @@
 	 * does not send, notices are exchanged over connections.
 	 */
 	readonly sendNotice?: (peer: TransferPeer, manifest: Digest, notice: TransferNotice) => boolean;
-	/** Tells for how long this process could hear something. */
-	readonly clock: ListeningClock;
 	readonly random: RandomSource;
 	readonly log: Logger;
 	readonly limits: () => TransferLimits;
--- a/src/rollout/version-transfer.ts
+++ b/src/rollout/version-transfer.ts
@@ -10,7 +10,6 @@
 import {TransferMachine, type TransferState} from './transfer-machine.ts';
 import type {TransferOptions} from './transfer-options.ts';
 import {UnavailabilityTracker} from './unavailability-tracker.ts';
-import {WaitTimes} from './wait-times.ts';
 
 /** The size limit of a manifest, in bytes. */
 const maxManifestBytes = 8_388_608;
@@ -49,24 +48,19 @@
 	private readonly fetcher: ChunkFetcher;
 	private readonly machine: TransferMachine;
 	private readonly unavailability = new UnavailabilityTracker();
-	private readonly waitTimes: WaitTimes;
 	private content: Manifest | undefined;
 	private held = new ChunkBitmap(manifestPhaseSize);
-	private startedAtMs: number;
-	private progressAtMs: number;
+	private startedAtMs = performance.now();
+	private progressAtMs = this.startedAtMs;
 	private randomRanks: readonly number[] = [0];
 	private timer: NodeJS.Timeout | undefined;
 	private planTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly options: VersionTransferOptions) {
 		const {agentOptions, manifest, objective} = options;
-		this.startedAtMs = agentOptions.clock.listeningMs;
-		this.progressAtMs = this.startedAtMs;
-		this.waitTimes = new WaitTimes(() => agentOptions.limits().chunk_timeout_ms);
 		this.neighbourhood = new Neighbourhood({
 			agentOptions,
 			manifest,
-			waitTimes: this.waitTimes,
 			watchesAllRegions: objective === 'origin-bytes',
 			notice: () => this.notice(),
 			onImport: () => {
@@ -83,7 +77,6 @@
 			agentOptions,
 			manifest,
 			neighbourhood: this.neighbourhood,
-			waitTimes: this.waitTimes,
 			digestAt: chunk => this.digestAt(chunk),
 			chunkBytes: () => this.content?.chunk_bytes ?? maxManifestBytes,
 			notice: () => this.notice(),
@@ -143,7 +136,7 @@
 	wake(): void {
 		this.neighbourhood.peers.clear();
 		this.unavailability.clear();
-		this.startedAtMs = this.options.agentOptions.clock.listeningMs;
+		this.startedAtMs = performance.now();
 		this.machine.send('WOKEN');
 	}
 
@@ -246,7 +239,7 @@
 		const {neighbourhood, fetcher} = this;
 		const {owners} = neighbourhood;
 		const known = {
-			nowMs: agentOptions.clock.listeningMs, peers: neighbourhood.peers.toPlanPeers(neighbourhood.regions, agentOptions.self.region), stepInMs: agentOptions.limits().step_in_ms * this.waitTimes.slowness,
+			nowMs: performance.now(), peers: neighbourhood.peers.toPlanPeers(neighbourhood.regions, agentOptions.self.region), stepInMs: agentOptions.limits().step_in_ms,
 		};
 		this.unavailability.update(this.held.size, chunk => isAvailableInRegion(known, chunk), known.nowMs);
 		return planTransfers({
@@ -262,7 +255,6 @@
 			progressAtMs: this.progressAtMs,
 			originNotBeforeMs: fetcher.originNotBeforeMs,
 			surveyed: neighbourhood.surveyed,
-			unreachable: neighbourhood.unreachable,
 			maxOpen: this.maxOpen,
 			maxOriginReads,
 			randomRank: chunk => this.randomRanks[chunk] ?? chunk,
@@ -278,7 +270,7 @@
 	}
 
 	private acceptChunk(digest: Digest, chunk: number): void {
-		this.progressAtMs = this.options.agentOptions.clock.listeningMs;
+		this.progressAtMs = performance.now();
 		if (this.content) {
 			this.markHeld(digest);
 			this.neighbourhood.announceChunk(chunk);
--- a/standins/transfer-agent.ts
+++ b/standins/transfer-agent.ts
@@ -9,7 +9,6 @@
 import {type TransferLimits, type TransferOptions, type TransferPeer} from '../src/rollout/transfer-options.ts';
 import {TransferPacer} from '../src/rollout/transfer-pacer.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
-import {PauseDetector} from '../src/runtime/pause-detector.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
 
 /** Options of a {@link TransferAgent}. */
@@ -31,14 +30,10 @@
 /** Burst of each rate limit, in milliseconds: unused time that may be made up for after the process was not scheduled, since many agents share one machine. */
 const burstMs = 300;
 
-/** One for all agents of a process, since they pause together. */
-const pauseDetector = new PauseDetector();
-
 /** A peer in the weight transfer, without calls, an engine or a configuration. */
 export class TransferAgent {
 	readonly chunks = new ChunkStore();
 	readonly links = new PeerClient();
-	readonly clock = pauseDetector;
 	readonly upPacer: TransferPacer;
 	readonly downPacer: TransferPacer;
 	readonly node: TransferNode;
@@ -124,7 +119,6 @@
 			downPacer: this.downPacer,
 			originUrl,
 			...(sendNotice && {sendNotice}),
-			clock: this.clock,
 			random: new RandomSource(seed),
 			log: createSilentLogger(),
 			limits: () => limits,
--- a/test/endless-answers.test.ts
+++ b/test/endless-answers.test.ts
@@ -9,7 +9,6 @@
 import {PeerClient} from '../src/links/peer-client.ts';
 import {downloadChunk} from '../src/rollout/chunk-download.ts';
 import {TransferPacer} from '../src/rollout/transfer-pacer.ts';
-import {PauseDetector} from '../src/runtime/pause-detector.ts';
 import {
 	callGateway, startTestGateway, startUpstream, sendSignedResponse, testConfiguration, testInstance,
 } from './support/direct-fixtures.ts';
@@ -162,7 +161,7 @@
 	'store read': async (links, address) => new StoreSource(links, () => address).read('published', AbortSignal.timeout(1500)),
 	'store watch': async (links, address) => new StoreSource(links, () => address).watch('instances', 1, 500, AbortSignal.timeout(1500)),
 	chunk: async (links, address) => downloadChunk({
-		links, url: `http://${address}/c`, pacer: new TransferPacer(() => Number.POSITIVE_INFINITY), stallMs: 300, clock: new PauseDetector(), chunkBytes: 24_576, freshConnection: false,
+		links, url: `http://${address}/c`, pacer: new TransferPacer(() => Number.POSITIVE_INFINITY), stallMs: 300, chunkBytes: 24_576, freshConnection: false,
 		controller: new AbortController(), onBytes: () => undefined, onNotice: () => undefined,
 	}),
 };
--- a/test/origin-return.test.ts
+++ b/test/origin-return.test.ts
@@ -11,9 +11,7 @@
 import {originSource} from '../src/rollout/plan-transfers.ts';
 import type {TransferOptions} from '../src/rollout/transfer-options.ts';
 import {TransferPacer} from '../src/rollout/transfer-pacer.ts';
-import {WaitTimes} from '../src/rollout/wait-times.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
-import {PauseDetector} from '../src/runtime/pause-detector.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
 
 const outageMs = 6000;
@@ -47,7 +45,7 @@
 	const links = new PeerClient();
 	const chunks = new ChunkStore();
 	const agentOptions = {
-		self: {vm: 'a', region: 'r'}, links, chunks, downPacer: new TransferPacer(() => 1_000_000), originUrl: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, clock: new PauseDetector(), random: new RandomSource(2), log: createSilentLogger(), limits: () => ({chunk_timeout_ms: 1500, step_in_ms: 900, upload_copies: 4}), ...limits,
+		self: {vm: 'a', region: 'r'}, links, chunks, downPacer: new TransferPacer(() => 1_000_000), originUrl: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, random: new RandomSource(2), log: createSilentLogger(), limits: () => ({chunk_timeout_ms: 1500, step_in_ms: 900, upload_copies: 4}), ...limits,
 	} as unknown as TransferOptions;
 	const noop = () => undefined;
 	const neighbourhood = {
@@ -60,7 +58,7 @@
 		survey: async () => undefined,
 	} as unknown as Neighbourhood;
 	const fetcher = new ChunkFetcher({
-		agentOptions, manifest: digest, neighbourhood, waitTimes: new WaitTimes(() => 1500), chunkBytes: () => 1_000_000, digestAt: () => digest, notice: () => ({
+		agentOptions, manifest: digest, neighbourhood, chunkBytes: () => 1_000_000, digestAt: () => digest, notice: () => ({
 			vm: 'a', bitmap: '', reading: '', imported: 0, uploaded: 0,
 		}), onChunk: noop, onEnd: noop,
 	});
@@ -140,10 +138,9 @@
 	};
 	const neighbourhood = new Neighbourhood({
 		agentOptions: {
-			self: {vm: 'near-0', region: 'near'}, peers: () => vms.map(vm => ({vm, region: regionOf(vm), address: vm})), links, clock: new PauseDetector(), random: new RandomSource(1), noticeBytesPerSecond: 1000,
+			self: {vm: 'near-0', region: 'near'}, peers: () => vms.map(vm => ({vm, region: regionOf(vm), address: vm})), links, random: new RandomSource(1), noticeBytesPerSecond: 1000,
 		} as unknown as TransferOptions,
 		manifest: digestOf(new Uint8Array()),
-		waitTimes: new WaitTimes(() => 1500),
 		watchesAllRegions: true,
 		notice: () => ({
 			vm: 'near-0', bitmap: '', reading: '', imported: 0, uploaded: 0,
--- a/test/rollout-plan.test.ts
+++ b/test/rollout-plan.test.ts
@@ -90,7 +90,7 @@
 	};
 	const input: PlanInput = {
 		nowMs: 10_000, held: new ChunkBitmap(1), open: [], peers: [holder], unavailableSinceMs: () => 0, higherRankedInRegion: () => [], higherRankedGlobally: () => ['gone'],
-		objective: 'origin-bytes', isImporter: true, startedAtMs: 0, progressAtMs: 0, originNotBeforeMs: 0, surveyed: true, unreachable: new Set(), stepInMs: 900, maxOpen: 4, maxOriginReads: 4, randomRank: chunk => chunk,
+		objective: 'origin-bytes', isImporter: true, startedAtMs: 0, progressAtMs: 0, originNotBeforeMs: 0, surveyed: true, stepInMs: 900, maxOpen: 4, maxOriginReads: 4, randomRank: chunk => chunk,
 	};
 	const sourceOf = (changed: Partial<PlanInput>) => planTransfers({...input, ...changed})[0]?.source;
 	expect(sourceOf({})).to.equal('gone');
--- a/test/support/transfer-simulation.ts
+++ b/test/support/transfer-simulation.ts
@@ -252,7 +252,6 @@
 			progressAtMs: node.progressAtMs,
 			originNotBeforeMs: 0,
 			surveyed: this.tick > 4,
-			unreachable: new Set(),
 			maxOpen: 4,
 			maxOriginReads: 1,
 			randomRank: chunk => node.randomRanks[chunk]!,
