Move the choice of an instance from src/forwarding to src/placement

Cause: src/forwarding held two things, the exchange with one instance and the choice among instances, and new rules about which instance may take a call need room. The selection, sampling, availability, forecast, tracking and signals move as they are; probeConnection moves to src/links, so that the choice does not depend on the exchange. No change of behaviour.

--- a/bench/placing-model.ts
+++ b/bench/placing-model.ts
@@ -5,8 +5,8 @@
  * engines before each call. A caller retries once after a refusal.
  */
 import {BatchingEngine} from '../standins/batching-engine.ts';
-import type {EngineLoad} from '../src/forwarding/engine-forecast.ts';
-import {type Candidate, shouldAskMore} from '../src/forwarding/select-instance.ts';
+import type {EngineLoad} from '../src/placement/engine-forecast.ts';
+import {type Candidate, shouldAskMore} from '../src/placement/select-instance.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
 import {EventQueue} from './event-queue.ts';
 import type {CallKind, CallResult, PlacingScenario} from './placing-types.ts';
--- a/bench/placing-scenarios.ts
+++ b/bench/placing-scenarios.ts
@@ -1,7 +1,7 @@
 /** Selection policies and scenarios of the simulation in `placing-model.ts`. */
 import type {EngineTiming} from '../src/directory/directory-types.ts';
-import {engineSamples} from '../src/forwarding/instance-selector.ts';
-import {selectEngineInstance} from '../src/forwarding/select-instance.ts';
+import {engineSamples} from '../src/placement/instance-selector.ts';
+import {selectEngineInstance} from '../src/placement/select-instance.ts';
 import type {CallKind, PlacementPolicy, PlacingScenario} from './placing-types.ts';
 
 /** The selection that the gateway uses. */
--- a/bench/placing-types.ts
+++ b/bench/placing-types.ts
@@ -1,6 +1,6 @@
 /** Types of the simulation in `placing-model.ts`. */
 import type {EngineTiming} from '../src/directory/directory-types.ts';
-import type {Candidate, Placement} from '../src/forwarding/select-instance.ts';
+import type {Candidate, Placement} from '../src/placement/select-instance.ts';
 
 /** A kind of call. */
 export type CallKind = {
--- a/bench/placing.ts
+++ b/bench/placing.ts
@@ -1,7 +1,7 @@
 /** Compares policies that select an engine for a stream, and writes the table and the plots for docs/ROUTING.md: `node build/bench.mjs placing`. */
 import {writeFileSync} from 'node:fs';
 import path from 'node:path';
-import {meanSlotTimeMs} from '../src/forwarding/engine-forecast.ts';
+import {meanSlotTimeMs} from '../src/placement/engine-forecast.ts';
 import {PlacingModel} from './placing-model.ts';
 import {
 	asksCounters, createScenario, currentPolicy, defaultTiming, fewestCallsPolicy, largeFleet, randomPolicy,
--- a/bench/signals.ts
+++ b/bench/signals.ts
@@ -2,8 +2,8 @@
 import process from 'node:process';
 import {platformCodec} from '../platform/call-headers.ts';
 import type {Instance} from '../src/directory/directory-types.ts';
-import {InstanceSignals} from '../src/forwarding/instance-signals.ts';
-import {InstanceTracker} from '../src/forwarding/instance-tracker.ts';
+import {InstanceSignals} from '../src/placement/instance-signals.ts';
+import {InstanceTracker} from '../src/placement/instance-tracker.ts';
 import {createServiceId} from '../src/ids/service-id.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
--- a/src/cli/crash-protection.ts
+++ b/src/cli/crash-protection.ts
@@ -1,5 +1,5 @@
 /** Connects the parts of a gateway that keep calls from crashing one upstream after the other. */
-import type {InstanceTracker} from '../forwarding/instance-tracker.ts';
+import type {InstanceTracker} from '../placement/instance-tracker.ts';
 import type {DatagramPort} from '../links/datagram-port.ts';
 import {CrashGossip} from '../peers/crash-gossip.ts';
 import type {PeerList} from '../peers/peer-list.ts';
--- a/src/cli/start.ts
+++ b/src/cli/start.ts
@@ -10,5 +10,5 @@
 }
 
 // The single executable runs CommonJS, which does not support top-level await.
-// eslint-disable-next-line unicorn/prefer-top-level-await
+
 void import('./main.ts');
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -7,18 +7,18 @@
 import type {ListeningClock} from '../runtime/pause-detector.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
+import {InstanceSelector} from '../placement/instance-selector.ts';
+import type {InstanceTracker} from '../placement/instance-tracker.ts';
+import type {LoadSource} from '../placement/load-source.ts';
+import {VersionExpiry} from '../placement/version-expiry.ts';
 import type {CallBoundary} from './call-boundary.ts';
 import type {ResponseWriter} from './response-writer.ts';
 import {ForwardedCall} from './forwarded-call.ts';
-import {InstanceSelector} from './instance-selector.ts';
-import type {InstanceTracker} from './instance-tracker.ts';
-import type {LoadSource} from './load-source.ts';
 import type {ReceivedCall} from './received-call.ts';
 import {ResponseBuffers} from './response-buffers.ts';
 import {type RetryBudgetOptions, WindowedRetryBudget} from './windowed-retry-budget.ts';
 import type {RouteTable} from './route-table.ts';
 import {DeadlineHistory} from './deadline-history.ts';
-import {VersionExpiry} from './version-expiry.ts';
 import type {WireCodec} from './wire-codec.ts';
 
 /** Retry delay given to callers until a configuration has been received, in milliseconds. */
--- a/src/forwarding/forwarded-call-options.ts
+++ b/src/forwarding/forwarded-call-options.ts
@@ -5,13 +5,13 @@
 import type {PromptQuarantine} from '../quarantine/prompt-quarantine.ts';
 import type {ListeningClock} from '../runtime/pause-detector.ts';
 import type {Logger} from '../runtime/logger.ts';
+import type {InstanceQuery, SelectedInstance} from '../placement/instance-query.ts';
+import type {InstanceTracker} from '../placement/instance-tracker.ts';
+import type {Placement} from '../placement/select-instance.ts';
 import type {CallBoundary} from './call-boundary.ts';
-import type {InstanceQuery, SelectedInstance} from './instance-query.ts';
-import type {InstanceTracker} from './instance-tracker.ts';
 import type {ReceivedCall} from './received-call.ts';
 import type {ResponseBuffers} from './response-buffers.ts';
 import type {ResponseWriter} from './response-writer.ts';
-import type {Placement} from './select-instance.ts';
 import type {WindowedRetryBudget} from './windowed-retry-budget.ts';
 import type {WireCodec} from './wire-codec.ts';
 
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -1,4 +1,5 @@
 /** Forwards one call: sends it to an upstream, retries it where that is safe, and gives the caller at most one response. */
+import type {SelectedInstance} from '../placement/instance-query.ts';
 import {CallAttempts} from './call-attempts.ts';
 import {CallLog} from './call-log.ts';
 import {CallTimeout} from './call-timeout.ts';
@@ -6,7 +7,6 @@
 import {findStallTimeouts, Hedge} from './hedge.ts';
 import {describeOutcome, endOnTimeout, endSteps} from './end-steps.ts';
 import type {ForwardedCallOptions} from './forwarded-call-options.ts';
-import type {SelectedInstance} from './instance-query.ts';
 import {PromptCheck} from './prompt-check.ts';
 import {UpstreamAttempt} from './upstream-attempt.ts';
 import type {AnswerProgress, BufferedResponse} from './upstream-attempt-options.ts';
--- a/src/forwarding/hedge.ts
+++ b/src/forwarding/hedge.ts
@@ -1,7 +1,7 @@
 /** Sends a call to a second instance while the first one is silent. The call leaves neither before one of them answers. */
 import type {RouteKind} from '../directory/directory-types.ts';
+import type {SelectedInstance} from '../placement/instance-query.ts';
 import type {ForwardedCallOptions} from './forwarded-call-options.ts';
-import type {SelectedInstance} from './instance-query.ts';
 import type {UpstreamAttempt} from './upstream-attempt.ts';
 import type {AnswerProgress} from './upstream-attempt-options.ts';
 
--- a/src/forwarding/upstream-attempt-options.ts
+++ b/src/forwarding/upstream-attempt-options.ts
@@ -2,9 +2,9 @@
 import type {Buffer} from 'node:buffer';
 import type {Instance} from '../directory/directory-types.ts';
 import type {ListeningClock} from '../runtime/pause-detector.ts';
+import type {InstanceTracker} from '../placement/instance-tracker.ts';
 import type {CallBoundary} from './call-boundary.ts';
 import type {AttemptOutcome} from './decide-next-step.ts';
-import type {InstanceTracker} from './instance-tracker.ts';
 import type {ReceivedCall} from './received-call.ts';
 import type {ResponseBuffers} from './response-buffers.ts';
 import type {ResponseWriter} from './response-writer.ts';
--- a/src/forwarding/upstream-exchange.ts
+++ b/src/forwarding/upstream-exchange.ts
@@ -6,15 +6,13 @@
  */
 import type {Buffer} from 'node:buffer';
 import http from 'node:http';
-import net from 'node:net';
-import {formatAddress, parseAddress} from '../links/http-listener.ts';
+import type net from 'node:net';
+import {formatAddress} from '../links/http-listener.ts';
 import {areHeadersValid, isFinalStatus} from '../links/http-syntax.ts';
+import {connectTimeoutMs, probeConnection} from '../links/probe-connection.ts';
 import {type InputTimeout, setInputTimeout} from '../runtime/input-timeout.ts';
 import type {CallBoundary} from './call-boundary.ts';
 
-/** Timeout for establishing a connection, in milliseconds. */
-const connectTimeoutMs = 300;
-
 /** Statuses of responses that never have a body. */
 const noContentStatus = 204;
 const notModifiedStatus = 304;
@@ -210,33 +208,3 @@
 	return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
 		|| method === 'HEAD' || statusCode === noContentStatus || statusCode === notModifiedStatus;
 }
-
-/** What an upstream does with a new TCP connection; `silent` if it does not react in time. */
-export type ConnectionProbe = 'accepts' | 'refuses' | 'silent';
-
-/**
- * Opens a TCP connection to an upstream and closes it.
- *
- * @param address - IP address and TCP port of the upstream
- */
-export async function probeConnection(address: string): Promise<ConnectionProbe> {
-	const {host, port} = parseAddress(address);
-	return new Promise(resolve => {
-		const socket = net.connect({host, port});
-		const finish = (probe: ConnectionProbe) => {
-			timeout.clear();
-			socket.destroy();
-			resolve(probe);
-		};
-
-		const timeout = setInputTimeout(() => {
-			finish('silent');
-		}, connectTimeoutMs);
-		socket.once('connect', () => {
-			finish('accepts');
-		});
-		socket.once('error', (err: NodeJS.ErrnoException) => {
-			finish(err.code === 'ECONNREFUSED' ? 'refuses' : 'silent');
-		});
-	});
-}
--- a/src/forwarding/wire-codec.ts
+++ b/src/forwarding/wire-codec.ts
@@ -1,7 +1,7 @@
 /** Interface to the platform's HTTP headers; the platform adapter implements it. */
 import type {PromptPartId} from '../ids/prompt-part-id.ts';
 import type {WorkspaceId} from '../ids/workspace-id.ts';
-import type {InstanceSignal} from './instance-signal.ts';
+import type {InstanceSignal} from '../placement/instance-signal.ts';
 
 /** The parsed headers of a caller's request. */
 export type CallHeaders = {
--- a/src/peers/call-counter.ts
+++ b/src/peers/call-counter.ts
@@ -1,5 +1,5 @@
 /** Counts the calls that all gateways have in flight at one engine. No I/O. */
-import type {InFlightCounts} from '../forwarding/engine-forecast.ts';
+import type {InFlightCounts} from '../placement/engine-forecast.ts';
 import {type ListeningClock, monotonicClock} from '../runtime/pause-detector.ts';
 
 /** How long the counts of a gateway stay valid after it last reported them, in milliseconds; it may have been killed or cut off. */
--- a/src/peers/load-queries.ts
+++ b/src/peers/load-queries.ts
@@ -4,9 +4,9 @@
  */
 import type {Directory} from '../directory/directory.ts';
 import type {Instance} from '../directory/directory-types.ts';
-import type {InFlightCounts} from '../forwarding/engine-forecast.ts';
-import type {InFlightCalls} from '../forwarding/in-flight-calls.ts';
-import type {LoadSource} from '../forwarding/load-source.ts';
+import type {InFlightCounts} from '../placement/engine-forecast.ts';
+import type {InFlightCalls} from '../placement/in-flight-calls.ts';
+import type {LoadSource} from '../placement/load-source.ts';
 import type {DatagramPort} from '../links/datagram-port.ts';
 import {type ListenAddress, parseAddress} from '../links/http-listener.ts';
 import {loadDatagramSchema, type LoadDatagram} from '../messages/load-datagram.ts';
--- a/src/forwarding/instance-query.ts
+++ b/src/placement/instance-query.ts
@@ -1,7 +1,7 @@
 /** What an attempt needs of an instance, and the instance selected for it. */
 import type {Instance, Route} from '../directory/directory-types.ts';
 import type {ServiceId} from '../ids/service-id.ts';
-import type {CallHeaders} from './wire-codec.ts';
+import type {CallHeaders} from '../forwarding/wire-codec.ts';
 
 /** What an instance must satisfy to receive a call. */
 export type InstanceQuery = {
--- a/src/forwarding/instance-signals.ts
+++ b/src/placement/instance-signals.ts
@@ -9,10 +9,10 @@
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import {ChartTransitions} from '../runtime/state-chart.ts';
+import {firstServerError, misdirectedStatus, notRunStatuses} from '../forwarding/response-status.ts';
+import type {ResponseHeaders} from '../forwarding/wire-codec.ts';
 import type {SignalBelief, SignalState} from './instance-availability.ts';
 import type {InstanceSignal} from './instance-signal.ts';
-import {firstServerError, misdirectedStatus, notRunStatuses} from './response-status.ts';
-import type {ResponseHeaders} from './wire-codec.ts';
 
 /** Bounds of the time for which an instance can close itself, in milliseconds. */
 const quietLimitsMs = {min: 120, max: 300_000};
--- a/src/forwarding/instance-tracker.ts
+++ b/src/placement/instance-tracker.ts
@@ -1,12 +1,12 @@
 /** Tracks the load and health of each instance from this gateway's own calls, responses and failures. */
 import type {Instance} from '../directory/directory-types.ts';
 import type {Logger} from '../runtime/logger.ts';
+import {misdirectedStatus} from '../forwarding/response-status.ts';
+import {type ConnectionProbe, probeConnection} from '../links/probe-connection.ts';
 import {InFlightCalls} from './in-flight-calls.ts';
 import type {EngineLoad, InFlightCounts} from './engine-forecast.ts';
 import {type Barrier, findBarrier} from './instance-availability.ts';
 import type {InstanceSignals} from './instance-signals.ts';
-import {misdirectedStatus} from './response-status.ts';
-import {type ConnectionProbe, probeConnection} from './upstream-exchange.ts';
 
 /** How long the load reported in a response is used, in milliseconds. */
 const reportedLoadTtlMs = 600;
--- a/src/quarantine/crash-detector.ts
+++ b/src/quarantine/crash-detector.ts
@@ -5,7 +5,7 @@
  * The calls that a crash breaks off at this gateway are reported together, since any of them may have caused it.
  */
 import type {Instance} from '../directory/directory-types.ts';
-import type {ConnectionProbe} from '../forwarding/upstream-exchange.ts';
+import type {ConnectionProbe} from '../links/probe-connection.ts';
 import type {PromptPartId} from '../ids/prompt-part-id.ts';
 import type {Logger} from '../runtime/logger.ts';
 
--- a/test/forwarding-decisions.test.ts
+++ b/test/forwarding-decisions.test.ts
@@ -6,13 +6,13 @@
 import {Directory} from '../src/directory/directory.ts';
 import {decideNextStep, type NextStepInput} from '../src/forwarding/decide-next-step.ts';
 import {EventSplitter} from '../src/forwarding/event-splitter.ts';
-import {predictFirstEventMs} from '../src/forwarding/engine-forecast.ts';
-import {type Candidate, selectEngineInstance} from '../src/forwarding/select-instance.ts';
+import {predictFirstEventMs} from '../src/placement/engine-forecast.ts';
+import {type Candidate, selectEngineInstance} from '../src/placement/select-instance.ts';
 import {WindowedRetryBudget} from '../src/forwarding/windowed-retry-budget.ts';
 import {RouteTable} from '../src/forwarding/route-table.ts';
 import {DeadlineHistory} from '../src/forwarding/deadline-history.ts';
 import {StartDeadline} from '../src/forwarding/start-deadline.ts';
-import {VersionExpiry} from '../src/forwarding/version-expiry.ts';
+import {VersionExpiry} from '../src/placement/version-expiry.ts';
 import {PauseDetector} from '../src/runtime/pause-detector.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {
--- a/test/naming-times.test.ts
+++ b/test/naming-times.test.ts
@@ -9,7 +9,7 @@
 import {DirectoryWatcher} from '../src/directory/directory-watcher.ts';
 import type {NamedVersion} from '../src/directory/named-versions.ts';
 import {StartDeadline} from '../src/forwarding/start-deadline.ts';
-import {VersionExpiry} from '../src/forwarding/version-expiry.ts';
+import {VersionExpiry} from '../src/placement/version-expiry.ts';
 import type {PeerClient} from '../src/links/peer-client.ts';
 import {ElapsedClock} from '../src/runtime/elapsed-clock.ts';
 import {PauseDetector} from '../src/runtime/pause-detector.ts';
--- a/test/placing-load.test.ts
+++ b/test/placing-load.test.ts
@@ -5,7 +5,7 @@
 	asksCounters, createScenario, largeFleet,
 } from '../bench/placing-scenarios.ts';
 import type {CallResult, PlacingScenario} from '../bench/placing-types.ts';
-import {meanSlotTimeMs} from '../src/forwarding/engine-forecast.ts';
+import {meanSlotTimeMs} from '../src/placement/engine-forecast.ts';
 
 const seeds = [1, 2, 3];
 const msPerSecond = 1000;
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -10,8 +10,8 @@
 import {CallForwarder} from '../../src/forwarding/call-forwarder.ts';
 import {CallBoundary} from '../../src/forwarding/call-boundary.ts';
 import {CallerListener} from '../../src/forwarding/caller-listener.ts';
-import {InstanceSignals} from '../../src/forwarding/instance-signals.ts';
-import {InstanceTracker} from '../../src/forwarding/instance-tracker.ts';
+import {InstanceSignals} from '../../src/placement/instance-signals.ts';
+import {InstanceTracker} from '../../src/placement/instance-tracker.ts';
 import type {WireCodec} from '../../src/forwarding/wire-codec.ts';
 import {BodyBudget, bodyRoomFor} from '../../src/limits/body-budget.ts';
 import {PromptQuarantine} from '../../src/quarantine/prompt-quarantine.ts';
