Tests bind ports that no other process can take

In-process listeners now bind port 0 and tell the bound address; processes use a loopback address made from the test process's ID.

--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -1,6 +1,7 @@
 /** HTTP listener for callers: reads complete calls within the published limits and passes them to the forwarder. */
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
+import type {AddressInfo} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {CallerLimits} from '../directory/directory-types.ts';
 import type {BodyBudget, BodyLease} from '../limits/body-budget.ts';
@@ -96,13 +97,16 @@
 	/**
 	 * Starts to listen.
 	 *
-	 * @param address - host and port to bind
+	 * @param address - host and port to bind; with port 0, the system chooses a free one
+	 * @returns the bound address
 	 */
-	async start(address: ListenAddress): Promise<void> {
-		return new Promise((resolve, reject) => {
+	async start(address: ListenAddress): Promise<ListenAddress> {
+		await new Promise<void>((resolve, reject) => {
 			this.server.once('error', reject);
 			this.server.listen(address.port, address.host, resolve);
 		});
+		const {port} = this.server.address() as AddressInfo;
+		return {host: address.host, port};
 	}
 
 	/** Number of calls whose response has not been handed to the system completely. */
--- a/test/body-memory.test.ts
+++ b/test/body-memory.test.ts
@@ -58,7 +58,7 @@
 		}
 
 		const {child: gateway, url} = await processes.startGateway(store, `memory_mb = ${memoryMb}\n`, {nodeOptions: gatewayOptions});
-		const {child, out} = processes.start(['--import', 'tsx', path.join(support, 'body-callers.ts'), new URL(url).port, String(calls), '4000000']);
+		const {child, out} = processes.start(['--import', 'tsx', path.join(support, 'body-callers.ts'), url, String(calls), '4000000']);
 		await new Promise(resolve => {
 			child.once('exit', resolve);
 		});
--- a/test/log-events.test.ts
+++ b/test/log-events.test.ts
@@ -143,7 +143,8 @@
 		const tooLong = await callGateway(gateway.url, {body: 'b'.repeat(20_000), headers: {'content-length': '20000'}});
 		expect(tooLong.status).to.equal(413);
 		expect(await line('call_malformed')).to.include({status: 413});
-		const socket = net.connect(Number(new URL(gateway.url).port), '127.0.0.1');
+		const {hostname, port} = new URL(gateway.url);
+		const socket = net.connect(Number(port), hostname);
 		socket.on('error', () => undefined);
 		socket.end('no request\r\n\r\n');
 		expect(await line('call_unreadable')).to.have.property('code');
@@ -172,8 +173,8 @@
 		expect(JSON.stringify(await line('settings_refused'))).to.include('unknown_key');
 		writeFileSync(gateway.settingsFile, settings);
 		const socket = dgram.createSocket('udp4');
-		const port = Number(/^datagrams = .*:(\d+)$/m.exec(settings)![1]);
-		socket.send('no message', port, '127.0.0.1', () => {
+		const [, host, port] = /^datagrams = (.*):(\d+)$/m.exec(settings)!;
+		socket.send('no message', Number(port), host, () => {
 			socket.close();
 		});
 		expect(await line('datagram_unreadable')).to.include.keys('bytes', 'count', 'reason');
--- a/test/process-ends.test.ts
+++ b/test/process-ends.test.ts
@@ -12,7 +12,7 @@
 import {HttpListener} from '../src/links/http-listener.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {waitFor} from './support/fleet.ts';
-import {freePorts} from './support/free-ports.ts';
+import {loopbackHost, reservePorts} from './support/loopback-ports.ts';
 
 const program = path.join(import.meta.dirname, '../dist/cactusreach.cjs');
 const children: ChildProcess[] = [];
@@ -30,10 +30,10 @@
 	rmSync(folder, {recursive: true});
 });
 
-async function gatewaySettings(): Promise<string> {
-	const [callers, control, readiness, datagrams, store] = await freePorts(5);
-	return `[process]\nvm = g\nzone = z\nregion = r\n[listen]\ncallers = 127.0.0.1:${callers}\ncontrol = 127.0.0.1:${control}\nreadiness = 127.0.0.1:${readiness}\nreadiness_path = /v1/readyz\n`
-		+ `datagrams = 127.0.0.1:${datagrams}\n[peers]\nseeds =\n[directory]\naddress = 127.0.0.1:${store}\n[limits]\nversion_bound_ms = 8000\nretry_ratio = 0.2\nretry_slack = 100\nretry_window_s = 10\ngrace_s = 8\n`;
+function gatewaySettings(): string {
+	const [callers, control, readiness, datagrams, store] = reservePorts(5);
+	return `[process]\nvm = g\nzone = z\nregion = r\n[listen]\ncallers = ${loopbackHost}:${callers}\ncontrol = ${loopbackHost}:${control}\nreadiness = ${loopbackHost}:${readiness}\nreadiness_path = /v1/readyz\n`
+		+ `datagrams = ${loopbackHost}:${datagrams}\n[peers]\nseeds =\n[directory]\naddress = ${loopbackHost}:${store}\n[limits]\nversion_bound_ms = 8000\nretry_ratio = 0.2\nretry_slack = 100\nretry_window_s = 10\ngrace_s = 8\n`;
 }
 
 /** A started process, its output so far and its end. */
@@ -73,7 +73,7 @@
 	child.kill('SIGHUP');
 	child.kill('SIGHUP');
 	await sleep(50);
-	const text = await gatewaySettings();
+	const text = gatewaySettings();
 	const pipe = openSync(settings, 'w');
 	// The reload that the signals ask for finds a plain file.
 	writeFileSync(`${settings}.new`, text);
--- a/test/support/body-callers.ts
+++ b/test/support/body-callers.ts
@@ -1,5 +1,5 @@
 /**
- * Callers in a process of their own: `body-callers.ts PORT LARGE BYTES` sends that many large bodies at once and small calls beside them,
+ * Callers in a process of their own: `body-callers.ts URL LARGE BYTES` sends that many large bodies at once and small calls beside them,
  * and prints the number of answers by status of either.
  */
 import {Buffer} from 'node:buffer';
@@ -7,7 +7,9 @@
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 
-const [port, largeCalls, largeBytes] = process.argv.slice(2).map(Number) as [number, number, number];
+const [url, ...sizes] = process.argv.slice(2) as [string, ...string[]];
+const {hostname, port} = new URL(url);
+const [largeCalls, largeBytes] = sizes.map(Number) as [number, number];
 const smallCalls = 100;
 const smallIntervalMs = 30;
 let id = 0;
@@ -16,7 +18,7 @@
 async function sendBody(body: Buffer, deadlineMs: number, isChunked: boolean): Promise<string> {
 	return new Promise(resolve => {
 		const req = http.request({
-			host: '127.0.0.1', port, method: 'POST', path: '/p/x', agent: false, headers: {
+			host: hostname, port, method: 'POST', path: '/p/x', agent: false, headers: {
 				host: 'a.example', 'attempt-id': `id-${id++}`, 'api-key': 'k1', 'deadline-ms': deadlineMs, ...(isChunked ? {'transfer-encoding': 'chunked'} : {'content-length': body.length}),
 			},
 		}, res => {
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -136,13 +136,12 @@
 		forwarder.endHeldCalls();
 	});
 	const bodies = new BodyBudget(bodyRoomFor(350));
-	const port = 20_000 + new RandomSource(Date.now() % 2_147_483_647).nextInt(12_000);
 	const listener = new CallerListener({
 		forwarder, codec, log, bodies, limits: () => directory.table?.configuration.limits, onFault() {
 			faults.count++;
 		},
 	});
-	await listener.start({host: '127.0.0.1', port});
+	const {port} = await listener.start({host: '127.0.0.1', port: 0});
 	return {
 		directory, tracker, forwarder, listener, bodies, quarantine, crashes: crashList, faults, url: `http://127.0.0.1:${port}`, close() {
 			listener.destroy();
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -1,7 +1,6 @@
 /** Starts entries and agents as separate processes on loopback. The stand-ins for the platform and the upstreams run in this process. */
 import {type ChildProcess, spawn} from 'node:child_process';
 import {mkdtempSync, writeFileSync} from 'node:fs';
-import net, {type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import {createInterface} from 'node:readline';
@@ -13,6 +12,7 @@
 import {type OriginOptions, PlatformStandin} from '../../standins/platform.ts';
 import {formatAddress} from '../../src/links/http-listener.ts';
 import type {ListedVm} from '../../src/membership/member.ts';
+import {reserveAddresses} from './loopback-ports.ts';
 
 const bundlePath = path.join(import.meta.dirname, '../../dist/cactusreach.cjs');
 
@@ -70,7 +70,7 @@
 	 * @param overrides - settings to add or replace, by section
 	 */
 	async entry(vm: string, overrides: Record<string, Record<string, unknown>> = {}, location = defaultLocation): Promise<FleetProcess> {
-		const [callers = '', control = ''] = await findFreeAddresses(2);
+		const [callers = '', control = ''] = reserveAddresses(2);
 		this.upsertVm({
 			vm, role: 'entry', address: control, services: [], location,
 		});
@@ -114,7 +114,7 @@
 	 * @param overrides - settings to add or replace, by section
 	 */
 	async agent(vm: string, upstream: {kind: string; service: string; address: string}, overrides: Record<string, Record<string, unknown>> = {}, location = defaultLocation): Promise<FleetProcess> {
-		const [freeAddress = ''] = await findFreeAddresses(1);
+		const [freeAddress = ''] = reserveAddresses(1);
 		const control = (overrides.listen?.control ?? freeAddress) as string;
 		this.upsertVm({
 			vm, role: 'upstream', address: control, services: [upstream.service], location,
@@ -231,16 +231,3 @@
 		child.kill(signal);
 	});
 }
-
-async function findFreeAddresses(count: number): Promise<string[]> {
-	const servers = await Promise.all(Array.from({length: count}, async () => new Promise<net.Server>(resolve => {
-		const server = net.createServer().listen(0, '127.0.0.1', () => {
-			resolve(server);
-		});
-	})));
-	const addresses = servers.map(server => `127.0.0.1:${(server.address() as AddressInfo).port}`);
-	await Promise.all(servers.map(async server => new Promise(resolve => {
-		server.close(resolve);
-	})));
-	return addresses;
-}
--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -6,7 +6,7 @@
 import process from 'node:process';
 import type {DirectoryStore} from './directory-store.ts';
 import {waitFor} from './fleet.ts';
-import {freePorts} from './free-ports.ts';
+import {loopbackHost, reservePorts} from './loopback-ports.ts';
 
 const program = path.join(import.meta.dirname, '../../dist/cactusreach.cjs');
 
@@ -83,14 +83,14 @@
 	 * @param limits - further lines of the section `limits` of its settings
 	 */
 	async startGateway(store: DirectoryStore, limits = '', {processSettings = '', isOutputRead = true, nodeOptions = []}: GatewayOptions = {}): Promise<GatewayProcess> {
-		const [callers, control, readiness, datagrams] = await freePorts(4) as [number, number, number, number];
+		const [callers, control, readiness, datagrams] = reservePorts(4) as [number, number, number, number];
 		const settings = path.join(this.folder, `gateway-${callers}.ini`);
-		writeFileSync(settings, `[process]\nvm = g-${callers}\nzone = z\nregion = r\n${processSettings}\n[listen]\ncallers = 127.0.0.1:${callers}\ncontrol = 127.0.0.1:${control}\nreadiness = 127.0.0.1:${readiness}\n`
-		+ `datagrams = 127.0.0.1:${datagrams}\n[directory]\naddress = ${store.address}\n[limits]\n${limits}`);
+		writeFileSync(settings, `[process]\nvm = g-${callers}\nzone = z\nregion = r\n${processSettings}\n[listen]\ncallers = ${loopbackHost}:${callers}\ncontrol = ${loopbackHost}:${control}\nreadiness = ${loopbackHost}:${readiness}\n`
+		+ `datagrams = ${loopbackHost}:${datagrams}\n[directory]\naddress = ${store.address}\n[limits]\n${limits}`);
 		const started = this.start([...nodeOptions, program, 'gateway', '--settings', settings], isOutputRead);
 		await waitFor('the gateway is ready', async () => {
 			try {
-				const res = await fetch(`http://127.0.0.1:${readiness}/readyz`);
+				const res = await fetch(`http://${loopbackHost}:${readiness}/readyz`);
 				return res.status === 200;
 			} catch {
 				// It does not listen yet.
@@ -98,7 +98,7 @@
 			}
 		});
 		return {
-			...started, url: `http://127.0.0.1:${callers}`, controlUrl: `http://127.0.0.1:${control}`, settingsFile: settings,
+			...started, url: `http://${loopbackHost}:${callers}`, controlUrl: `http://${loopbackHost}:${control}`, settingsFile: settings,
 		};
 	}
 
