A call that is given up after it was written resets its connection

The gateway closed the connection, and the system went on delivering what waited on the busy link of the engine's VM. A reset drops it.

Test: 'guards against a call that begins after it was given up' fails before the change. Ruled out: a send after the expiry (sent 0.9 s before).

--- a/src/forwarding/upstream-exchange.ts
+++ b/src/forwarding/upstream-exchange.ts
@@ -199,6 +199,12 @@
 	private finish(): void {
 		this.isFinished = true;
 		this.connectTimeout.clear();
+		if (this.hasWritten && !this.res?.complete) {
+			// A reset drops what the connection still holds. After a normal close, the system would go on delivering it, and a call that waits
+			// on a busy link would begin after it was given up.
+			this.req.socket?.resetAndDestroy();
+		}
+
 		this.req.destroy();
 	}
 }
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -1,4 +1,5 @@
 /** Tests forwarding over loopback: what callers and upstreams receive when responses are lost, altered, refused or late. */
+import {Buffer} from 'node:buffer';
 import net, {type AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
@@ -372,6 +373,38 @@
 	expect(closed).to.deep.equal([true]);
 });
 
+it('guards against a call that begins after it was given up: what its connection still held is dropped, not delivered to the upstream later', async () => {
+	const sockets: net.Socket[] = [];
+	const server = net.createServer({pauseOnConnect: true}, socket => {
+		sockets.push(socket);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	open.push(server);
+	const exchange = new UpstreamExchange({
+		host: '127.0.0.1', port: (server.address() as AddressInfo).port, method: 'POST', target: '/', headers: ['host', 'a'], body: Buffer.alloc(8_000_000),
+	}, {
+		mayWrite: () => true, onWithheld: () => undefined, onHeaders: () => undefined, onData: () => undefined, onEnd: () => undefined, onError: () => undefined,
+	}, testBoundary());
+	while (!exchange.isWritten || sockets.length === 0) {
+		await sleep(5);
+	}
+
+	exchange.abort();
+	const wasReset = await new Promise(resolve => {
+		sockets[0]!.on('error', () => {
+			resolve(true);
+		});
+		sockets[0]!.on('end', () => {
+			// Node.js may report a reset as an end; the socket has no peer then.
+			resolve(sockets[0]!.remoteAddress === undefined);
+		});
+		sockets[0]!.resume();
+	});
+	expect(wasReset).to.equal(true);
+});
+
 it('guards against a started stream that is treated as a late call: it resumes at another upstream even if the first one reported no version and the target time has passed', async () => {
 	const breakingHandler: UpstreamHandler = (req, res) => {
 		res.writeHead(200, {'attempt-id': req.headers['attempt-id'] as string, 'response-seal': 's', 'content-type': 'text/event-stream'});
