check: recognise a published configuration and compare it with the one in force

An operator could not check the configuration that the platform publishes before sending it: check knew only settings and documents of the other form of deployment.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -3,6 +3,7 @@
 import {cac} from 'cac';
 import {initRendezvousHash} from '../runtime/rendezvous.ts';
 import {InvalidSettingsError} from '../settings/parse-settings.ts';
+import type {CheckOptions} from './check-command.ts';
 import {exitCodes} from './exit-codes.ts';
 import type {StandinOptions} from './standin-command.ts';
 import {UsageError} from './usage-error.ts';
@@ -44,10 +45,13 @@
 		return runStagerCommand(options.settings);
 	});
 
-cli.command('check <...files>', 'Check settings (.ini) and configuration documents (.json)')
-	.action(async (files: string[]) => {
+cli.command('check <...files>', 'Check settings (.ini), configuration documents and published configurations (.json)')
+	.option('--against <file|address>', 'Compare a published configuration with the one in a file or in force at a gateway')
+	.option('--settings <file>', 'Settings of a gateway, for limits that depend on them')
+	.option('--json', 'Print JSON')
+	.action(async (files: string[], options: CheckOptions) => {
 		const {checkCommand} = await import('./check-command.ts');
-		return checkCommand(files);
+		return checkCommand(files, options);
 	});
 
 cli.command('dump <address>', 'Print the state of a running process as JSON')
--- a/src/forwarding/route-table.ts
+++ b/src/forwarding/route-table.ts
@@ -64,12 +64,13 @@
 	}
 }
 
-function isRefused({targets}: Route): boolean {
+/** Whether all calls of a route are refused, because it could not be decoded. */
+export function isRefused({targets}: Route): boolean {
 	return targets.length === 0;
 }
 
 /** Orders routes so that the one that a call belongs to comes first: longer prefixes, then routes whose calls are refused. */
-function compareRoutes(a: Route, b: Route): number {
+export function compareRoutes(a: Route, b: Route): number {
 	return prefixRank(b) - prefixRank(a) || Number(isRefused(b)) - Number(isRefused(a));
 }
 
--- a/src/forwarding/windowed-retry-budget.ts
+++ b/src/forwarding/windowed-retry-budget.ts
@@ -17,6 +17,16 @@
 /** Share of the limit that is used, as a margin: gateways do not see each other's calls. */
 const usableShare = 0.7;
 
+/**
+ * Returns how many retries the limit allows one gateway per window; only whole ones are made.
+ *
+ * @param calls - the calls that the gateway received within the window
+ * @param gateways - the number of gateways that share the limit
+ */
+export function allowedRetries({ratio, slack}: Pick<RetryBudgetOptions, 'ratio' | 'slack'>, calls: number, gateways: number): number {
+	return usableShare * ((calls * ratio) + (slack / Math.max(1, gateways)));
+}
+
 /** Counts the calls and retries of one service within the window. */
 export class WindowedRetryBudget {
 	private readonly calls: number[] = [];
@@ -37,9 +47,7 @@
 	/** Whether a retry is left. */
 	get hasRetry(): boolean {
 		this.dropExpired();
-		const {ratio, slack} = this.options;
-		const allowed = usableShare * ((this.calls.length * ratio) + (slack / Math.max(1, this.gatewayCount())));
-		return this.retries.length + 1 <= allowed;
+		return this.retries.length + 1 <= allowedRetries(this.options, this.calls.length, this.gatewayCount());
 	}
 
 	/** Takes one retry; returns false if the budget is exhausted. */
