--- a/src/checks/compare-routes.ts
+++ b/src/checks/compare-routes.ts
@@ -51,14 +51,14 @@
 	return before === after ? undefined : {effect: after < before ? 'limited' : 'none', reason: `${name}: ${before} becomes ${after}`};
 }
 
-/** Compares priorities, of which 0 is the most urgent; undefined if they are the same. */
+/** Compares priorities, of which 0 is the most urgent; undefined if they are the same. Where one is not given, calls may be less urgent than before. */
 export function comparePriority(before: number | undefined, after: number | undefined): Omit<RouteChange, 'field'> | undefined {
 	if (before === after) {
 		return undefined;
 	}
 
-	const isLessUrgent = after !== undefined && (before === undefined || after > before);
-	return {effect: isLessUrgent ? 'limited' : 'none', reason: `priority: ${before ?? 'none'} becomes ${after ?? 'none'}`};
+	const isLessUrgent = before === undefined || after === undefined || after > before;
+	return {effect: isLessUrgent ? 'limited' : 'none', reason: `priority: ${before ?? 'that of the route'} becomes ${after ?? 'that of the route'}`};
 }
 
 /** Compares restrictions to regions; undefined if they permit the same regions. */
