--- a/test/configuration-check.test.ts
+++ b/test/configuration-check.test.ts
@@ -112,18 +112,51 @@
 	}
 });
 
-it('guards against a check that takes another configuration than processes do', () => {
-	const values = [null, 0, -1, 0.5, '', 'x', '/a/', 'desk', true, [], {}, [{service: 'desk', weight: 1}]];
-	const place = fc.constantFrom(...Object.keys(route), 'split', 'priority', 'public');
-	fc.assert(fc.property(fc.array(fc.tuple(place, fc.constantFrom(...values)), {minLength: 1, maxLength: 2}), fields => {
-		const value = withRoute(Object.fromEntries(fields));
+/** Returns the paths of all values in a JSON value. */
+function listPaths(value: unknown, at: ReadonlyArray<string | number> = []): Array<ReadonlyArray<string | number>> {
+	const entries: Array<[string | number, unknown]> = Array.isArray(value) ? [...value.entries()] : Object.entries(value ?? {});
+	return typeof value === 'object' ? entries.flatMap(([key, item]) => [[...at, key], ...listPaths(item, [...at, key])]) : [];
+}
+
+function replaceAt(value: unknown, [key, ...rest]: ReadonlyArray<string | number>, by: unknown): unknown {
+	if (key === undefined) {
+		return by;
+	}
+
+	// An earlier change may have replaced what the path leads through.
+	if (typeof value !== 'object' || value === null || !Object.hasOwn(value, key)) {
+		return value;
+	}
+
+	const item = replaceAt((value as Raw)[key], rest, by);
+	return Array.isArray(value) ? value.with(Number(key), item) : {...value, [key]: item};
+}
+
+it('guards against a check that takes another configuration than processes do, or fails with an exception', () => {
+	const engine = {
+		slots: 4, step_ms: 1, read_per_s: 1000, models: [{name: 'm'}],
+	};
+	const whole = {
+		...valid, routes: [{
+			...route, priority: 1, public: true, resumable: false, split: [{service: 'desk', weight: 1}],
+		}, valid.routes[1]], services: [...valid.services, {name: 'models', engine, origin: '127.0.0.1:1'}],
+	};
+	const values = [null, 0, -1, 0.5, '', 'x', '/a/', 'desk', 'a\nb', true, [], {}, [null], [{}], [{name: ''}], [{service: 'desk', weight: 1}]];
+	const mutation = fc.tuple(fc.constantFrom(...listPaths(whole)), fc.constantFrom<unknown>(...values));
+	fc.assert(fc.property(fc.array(mutation, {minLength: 1, maxLength: 3}), mutations => {
+		let value: unknown = whole;
+		for (const [at, by] of mutations) {
+			value = replaceAt(value, at, by);
+		}
+
+		check(value, {retryLimit: {ratio: 0, slack: 0}, inForce: read(whole).checked!});
 		const {faults, checked} = read(value);
 		const change = decodeItem('op/config', Buffer.from(JSON.stringify(value)).toString('base64'));
 		expect(checked?.configuration).to.deep.equal(change.kind === 'configuration' ? change.configuration : undefined);
 		if (change.kind !== 'configuration' || change.leftOut!.length > 0) {
 			expect(faults).to.have.length.above(0);
 		}
-	}), {seed: 613, numRuns: 600});
+	}), {seed: 613, numRuns: 1500});
 });
 
 it('guards against entries that no call matches and nobody notices', () => {
