--- a/src/checks/compare-services.ts
+++ b/src/checks/compare-services.ts
@@ -37,7 +37,7 @@
 	const {name: _old, maxConnections: oldMaxConnections, engine: oldEngine, origin: oldOrigin, ...oldOthers} = before;
 	const connections = compareLimit('connections to an instance', oldMaxConnections, maxConnections);
 	return [
-		...(connections ? [{field: 'maxConnections', ...connections} as const] : []),
+		...(connections ? [{field: 'maxConnections', effect: connections.effect, reason: `changes: ${connections.reason}`} as const] : []),
 		...compareEngines(oldEngine, engine),
 		...(isSame(oldOrigin, origin) ? [] : [{field: 'origin', effect: 'none', reason: 'gets weights from another origin, or at another rate'} as const]),
 		...(isSame(oldOthers, others) ? [] : [{effect: 'none', reason: 'changes in other fields'} as const]),
@@ -55,7 +55,7 @@
 	const missing = oldModels.filter(model => !models.includes(model));
 	const added = models.filter(model => !oldModels.includes(model));
 	const changes: Array<Omit<ServiceChange, 'field'>> = [
-		...(places ? [places] : []),
+		...(places ? [{effect: places.effect, reason: `changes: ${places.reason}`}] : []),
 		...(missing.length === 0 ? [] : [{effect: 'refused', reason: `no longer loads model ${missing.join(', ')}; its calls are refused`} as const]),
 		...(added.length === 0 ? [] : [{effect: 'served', reason: `loads model ${added.join(', ')}`} as const]),
 		...(isSame(oldTiming, timing) ? [] : [{effect: 'none', reason: 'has engines of another speed or size, by which calls are placed'} as const]),
--- a/src/checks/compare-workspaces.ts
+++ b/src/checks/compare-workspaces.ts
@@ -72,7 +72,7 @@
 		// Of the other configuration, "lost" keys are those that are new.
 		changes.push(...(to.lost > 0 ? [{effect: 'served', reason: `gets ${keys(to.lost)} more`} as const] : []));
 		const holderChanges = [comparePriority(from.holder.priority, to.holder.priority), compareHomeRegions(from.holder, to.holder)];
-		changes.push(...holderChanges.filter(change => change !== undefined));
+		changes.push(...holderChanges.filter(change => change !== undefined).map(({effect, reason}) => ({effect, reason: `changes: ${reason}`})));
 	}
 
 	return changes;
--- a/src/cli/check-command.ts
+++ b/src/cli/check-command.ts
@@ -89,11 +89,11 @@
 
 function readGatewayFacts(file: string): Facts {
 	try {
-		const {limits, zones}: GatewaySettings & ZoneSettings = readSettings(file, gatewaySettingsSchema);
+		const {limits, zones = {}}: GatewaySettings & ZoneSettings = readSettings(file, gatewaySettingsSchema);
 		return {
 			facts: {
 				retryLimit: {ratio: limits.retry_ratio, slack: limits.retry_slack},
-				...(zones ? {regionByZone: new Map(Object.entries(zones))} : {}),
+				...(Object.keys(zones).length > 0 ? {regionByZone: new Map(Object.entries(zones))} : {}),
 			},
 			findings: [],
 		};
