Keep calls of routes and workspaces with home regions in them

home_regions was not decoded anywhere, so that calls reached instances in every region. It is now read with routes and tenants, passed on between processes, and intersected once when a call is admitted. InstanceSelector checks the result for first sends, retries, resumed streams and second attempts. Calls without a permitted instance get 503 with a reason. Unrestricted calls pay a cost in regions that restricted calls fill.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -4,8 +4,10 @@
 import type {Directory} from '../directory/directory.ts';
 import {CallForwarder} from '../forwarding/call-forwarder.ts';
 import {CallerListener} from '../forwarding/caller-listener.ts';
+import {HomeRegions} from '../placement/home-regions.ts';
 import {InstanceSignals} from '../placement/instance-signals.ts';
 import {InstanceTracker} from '../placement/instance-tracker.ts';
+import {RegionMap} from '../placement/region-map.ts';
 import {maxBufferedBytes} from '../forwarding/response-buffers.ts';
 import type {WireCodec} from '../forwarding/wire-codec.ts';
 import {logSink} from '../runtime/logger.ts';
@@ -66,6 +68,7 @@
 	base.datagrams.on('changing', changingDatagramSchema, state => {
 		applyEngineState(state, directory, tracker);
 	});
+	const homes = new HomeRegions(new RegionMap({[settings.process.zone]: settings.process.region, ...settings.zones}));
 	const forwardingMetrics = new ForwardingMetrics(metrics);
 	const {crashes, quarantine, gossip} = createCrashProtection({
 		...settings.process, tracker, peers, datagrams: base.datagrams, port: settings.listen.datagrams.port, random, log, clock: base.pauseDetector, metrics, forwardingMetrics,
@@ -77,6 +80,7 @@
 		crashes,
 		quarantine,
 		loads,
+		homes,
 		random,
 		log,
 		zone: settings.process.zone,
@@ -109,6 +113,7 @@
 	});
 	directory.onChange(() => {
 		callers.applyLimits();
+		homes.checkConfiguration(directory.table?.configuration, log);
 		const present = new Set(directory.instances.map(({id}) => id));
 		tracker.retainOnly(present);
 		loads.retainOnly(present);
@@ -134,7 +139,7 @@
 		(servicesOnly ? directory.servicesSnapshot(configurationVersion) : directory.snapshot(configurationVersion, instancesRevision)));
 	const control = new HttpListener(createControlRoutes({
 		rpc, metrics, isReady, dump: () => ({
-			role: 'gateway', ...base.dump(), openCalls: forwarder.openCalls, heldParts: quarantine.holds,
+			role: 'gateway', ...base.dump(), openCalls: forwarder.openCalls, heldParts: quarantine.holds, homes: homes.dump(),
 		}),
 	}), log);
 	const readiness = new HttpListener({
--- a/src/directory/directory-types.ts
+++ b/src/directory/directory-types.ts
@@ -1,4 +1,5 @@
 /** The types of the directory: the published configuration (routes, services, keys), the versions of weights and the upstream instances. */
+import type {RegionId} from '../ids/region-id.ts';
 import type {ServiceId} from '../ids/service-id.ts';
 import type {WorkspaceId} from '../ids/workspace-id.ts';
 
@@ -27,6 +28,8 @@
 	readonly isPublic: boolean;
 	/** Whether an interrupted stream may be resumed at another upstream. */
 	readonly isResumable: boolean;
+	/** The regions in which calls may run; undefined if in any. */
+	readonly homeRegions?: readonly RegionId[];
 	/** Empty if the published route cannot be decoded: its calls are refused. An empty host or prefix of such a route could not be read. */
 	readonly targets: readonly RouteTarget[];
 };
@@ -69,7 +72,12 @@
 };
 
 /** The workspace that an API key belongs to, and the priority of its calls. */
-export type KeyHolder = {readonly workspace: WorkspaceId; readonly priority?: number};
+export type KeyHolder = {
+	readonly workspace: WorkspaceId;
+	readonly priority?: number;
+	/** The regions in which its calls may run; undefined if in any. Empty if the published list cannot be read: its calls are refused. */
+	readonly homeRegions?: readonly RegionId[];
+};
 
 /** Limits on what a caller may send. */
 export type CallerLimits = {
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -1,12 +1,14 @@
 /** Accepts calls from callers, resolves their route and API key, and starts forwarding them to upstreams. */
 import type {Directory} from '../directory/directory.ts';
 import type {KeyHolder, Route, RouteKind} from '../directory/directory-types.ts';
+import type {RegionId} from '../ids/region-id.ts';
 import type {ServiceId} from '../ids/service-id.ts';
 import type {CrashDetector} from '../quarantine/crash-detector.ts';
 import type {PromptQuarantine} from '../quarantine/prompt-quarantine.ts';
 import type {ListeningClock} from '../runtime/pause-detector.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
+import {findPermittedRegions, type HomeRegions} from '../placement/home-regions.ts';
 import {InstanceSelector} from '../placement/instance-selector.ts';
 import type {InstanceTracker} from '../placement/instance-tracker.ts';
 import type {LoadSource} from '../placement/load-source.ts';
@@ -35,6 +37,8 @@
 	readonly quarantine: PromptQuarantine;
 	/** Tells the calls that other gateways have in flight. */
 	readonly loads: LoadSource;
+	/** Tells at which instances calls with home regions may run. */
+	readonly homes: HomeRegions;
 	readonly random: RandomSource;
 	readonly log: Logger;
 	readonly zone: string;
@@ -74,8 +78,12 @@
 	readonly boundary: CallBoundary;
 	readonly route: Route;
 	readonly holder: KeyHolder | undefined;
+	readonly permittedRegions: readonly RegionId[] | undefined;
 };
 
+/** What the configuration says of a refused call. */
+type CallOrigin = {readonly route: Route | undefined; readonly holder: KeyHolder | undefined};
+
 type Refusal = {readonly status: number; readonly reason: string; readonly retryAfterMs?: number};
 
 const noRoute: Refusal = {status: 404, reason: 'no_route'};
@@ -83,6 +91,9 @@
 /** For calls of a published route that cannot be decoded; the operators have to correct it. */
 const unreadableRoute: Refusal = {status: 503, reason: 'unreadable_route', retryAfterMs: 1000};
 
+/** For calls whose home regions are not readable or have none in common; the operators have to correct them. */
+const homeRegionsRetryAfterMs = 1000;
+
 /** Forwards calls to upstreams, with one retry budget per service. */
 export class CallForwarder {
 	private readonly inFlight = new Set<ForwardedCall>();
@@ -94,10 +105,10 @@
 
 	/** @param options - dependencies and settings */
 	constructor(private readonly options: CallForwarderOptions) {
-		const {directory, tracker, loads, random, zone, log} = options;
+		const {directory, tracker, loads, homes, random, zone, log} = options;
 		this.buffers = new ResponseBuffers(options.responseBytes);
 		this.selector = new InstanceSelector({
-			directory, tracker, loads, random, zone, log, versionExpiry: new VersionExpiry(directory, options.versionBoundMs, options.eventLoopDelayMs),
+			directory, tracker, loads, homes, random, zone, log, versionExpiry: new VersionExpiry(directory, options.versionBoundMs, options.eventLoopDelayMs),
 		});
 		directory.onChange(() => {
 			for (const call of this.inFlight) {
@@ -143,20 +154,21 @@
 		const {table} = directory;
 		const route = table?.findRoute(call.headers.host, call.target);
 		const holder = table?.findKeyHolder(call.headers.key);
-		const refusal = this.findRefusal(table, route, holder, call);
+		const permittedRegions = route && findPermittedRegions(route, holder);
+		const refusal = this.findRefusal(table, route, holder, call) ?? findHomeRefusal(permittedRegions, holder);
 		if (refusal !== undefined || route === undefined) {
-			this.sendRefusal(call, writer, route, refusal ?? noRoute);
+			this.sendRefusal(call, writer, {route, holder}, refusal ?? noRoute);
 			return undefined;
 		}
 
 		return this.startCall({
-			receivedCall: call, writer, boundary, route, holder,
+			receivedCall: call, writer, boundary, route, holder, permittedRegions,
 		});
 	}
 
-	private startCall({receivedCall, writer, boundary, route, holder}: Admitted): ForwardedCall {
+	private startCall({receivedCall, writer, boundary, route, holder, permittedRegions}: Admitted): ForwardedCall {
 		const {
-			codec, tracker, log, random, directory,
+			codec, tracker, homes, log, random, directory,
 		} = this.options;
 		const service = chooseTargetService(route, random);
 		const budget = this.getRetryBudget(service);
@@ -168,6 +180,7 @@
 			configurationVersion: directory.configurationVersion,
 			service,
 			holder: route.isPublic && !holder ? undefined : holder,
+			permittedRegions,
 			aimLeftMs: route.aimMs - this.deadlineHistory.estimateElapsedMs(route.prefix, receivedCall.headers.deadlineMs),
 			writer,
 			codec,
@@ -184,6 +197,7 @@
 			},
 			onEnd: (outcome, ms, reason) => {
 				this.inFlight.delete(call);
+				homes.refusals.record(reason, route, holder, performance.now());
 				this.options.onEnd({
 					kind: route.kind, service, outcome, reason, ms,
 				});
@@ -218,10 +232,15 @@
 		return table.needsKeys && !route.isPublic && !holder ? {status: 401, reason: 'unknown_key'} : undefined;
 	}
 
-	private sendRefusal(call: ReceivedCall, writer: ResponseWriter, route: Route | undefined, {status, reason, retryAfterMs}: Refusal): void {
-		const {log, codec, directory, onEnd} = this.options;
+	private sendRefusal(call: ReceivedCall, writer: ResponseWriter, {route, holder}: CallOrigin, {status, reason, retryAfterMs}: Refusal): void {
+		const {log, codec, directory, homes, onEnd} = this.options;
+		if (route) {
+			homes.refusals.record(reason, route, holder, performance.now());
+		}
+
 		log.warn({
 			event: 'call_refused', id: call.headers.attemptId, status, reason, host: call.headers.host, configuration: directory.configurationVersion,
+			route: route?.name, routeRegions: route?.homeRegions, workspaceRegions: holder?.homeRegions,
 		}, 'call refused');
 		writer.sendError(status, reason, retryAfterMs === undefined ? [] : codec.writeRefusalHeaders(retryAfterMs));
 		onEnd({
@@ -240,6 +259,16 @@
 	}
 }
 
+/** Returns the refusal of a call that may run in no region. */
+function findHomeRefusal(permittedRegions: readonly RegionId[] | undefined, holder: KeyHolder | undefined): Refusal | undefined {
+	if (permittedRegions?.length !== 0) {
+		return undefined;
+	}
+
+	const isUnreadable = holder?.homeRegions?.length === 0;
+	return {status: 503, reason: isUnreadable ? 'home_regions_unreadable' : 'home_regions_contradict', retryAfterMs: homeRegionsRetryAfterMs};
+}
+
 function chooseTargetService(route: Route, random: RandomSource): ServiceId {
 	const total = route.targets.reduce((sum, {weight}) => sum + weight, 0);
 	let remainder = random.nextInt(Math.max(1, Math.round(total)));
--- a/src/forwarding/forwarded-call-options.ts
+++ b/src/forwarding/forwarded-call-options.ts
@@ -1,5 +1,6 @@
 /** What a forwarded call is given by its forwarder. */
 import type {KeyHolder, Route} from '../directory/directory-types.ts';
+import type {RegionId} from '../ids/region-id.ts';
 import type {ServiceId} from '../ids/service-id.ts';
 import type {CrashDetector} from '../quarantine/crash-detector.ts';
 import type {PromptQuarantine} from '../quarantine/prompt-quarantine.ts';
@@ -25,6 +26,8 @@
 	readonly configurationVersion: number;
 	readonly service: ServiceId;
 	readonly holder: KeyHolder | undefined;
+	/** As in {@link InstanceQuery}. */
+	readonly permittedRegions: readonly RegionId[] | undefined;
 	/** As in {@link InstanceQuery}, at the time when the call was received. */
 	readonly aimLeftMs: number;
 	readonly writer: ResponseWriter;
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -198,11 +198,12 @@
 	}
 
 	private async selectInstance(): ReturnType<ForwardedCallOptions['selectInstance']> {
-		const {call, route, service, aimLeftMs, writer, selectInstance} = this.options;
+		const {call, route, service, permittedRegions, aimLeftMs, writer, selectInstance} = this.options;
 		const nowMs = performance.now();
 		return selectInstance({
 			route,
 			service,
+			permittedRegions,
 			headers: call.headers,
 			aimLeftMs: aimLeftMs - (nowMs - call.receivedAtMs),
 			deadlineLeftMs: this.expiresAtMs - nowMs,
--- a/src/peers/directory-snapshot-schema.ts
+++ b/src/peers/directory-snapshot-schema.ts
@@ -6,6 +6,9 @@
 /** The state of the requesting process, and whether it needs only the services. */
 export const directoryGetParamsSchema = directoryRevisionsSchema.extend({servicesOnly: z.boolean().default(false)});
 
+/** Absent in messages of processes that do not know home regions. */
+const homeRegionsSchema = z.array(z.string()).optional();
+
 const routeSchema = z.object({
 	name: z.string(),
 	host: z.string(),
@@ -17,6 +20,7 @@
 	priority: z.number(),
 	isPublic: z.boolean(),
 	isResumable: z.boolean(),
+	homeRegions: homeRegionsSchema,
 	targets: z.array(z.object({service: z.string(), weight: z.number()})),
 });
 
@@ -42,6 +46,8 @@
 	origin: z.object({address: addressSchema, linkBytesPerSecond: z.number(), maxConnections: z.number()}).optional(),
 });
 
+const keyHolderSchema = z.object({workspace: z.string(), priority: z.number().optional(), homeRegions: homeRegionsSchema});
+
 const configurationSchema = z.object({
 	version: z.number(),
 	routes: z.array(routeSchema),
@@ -49,7 +55,7 @@
 	limits: z.object({
 		headerBytes: z.number(), bodyBytes: z.number(), headerTimeoutMs: z.number(), idleTimeoutMs: z.number(),
 	}),
-	keys: z.record(z.string(), z.object({workspace: z.string(), priority: z.number().optional()})).optional(),
+	keys: z.record(z.string(), keyHolderSchema).optional(),
 });
 
 const configurationDeltaSchema = configurationSchema.omit({routes: true}).extend({
--- a/src/placement/instance-query.ts
+++ b/src/placement/instance-query.ts
@@ -1,5 +1,6 @@
 /** What an attempt needs of an instance, and the instance selected for it. */
 import type {Instance, Route} from '../directory/directory-types.ts';
+import type {RegionId} from '../ids/region-id.ts';
 import type {ServiceId} from '../ids/service-id.ts';
 import type {CallHeaders} from '../forwarding/wire-codec.ts';
 
@@ -12,6 +13,8 @@
 	readonly aimLeftMs: number;
 	/** Time left until the call expires, in milliseconds. */
 	readonly deadlineLeftMs: number;
+	/** The regions in which the call may run; undefined if in any. */
+	readonly permittedRegions?: readonly RegionId[] | undefined;
 	/** IDs of the instances that the call has been sent to. */
 	readonly tried: ReadonlySet<string>;
 	/** Whether a part of the response has been sent to the caller. */
--- a/src/placement/instance-selector.ts
+++ b/src/placement/instance-selector.ts
@@ -4,6 +4,7 @@
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import type {InFlightCounts} from './engine-forecast.ts';
+import type {HomeRegions} from './home-regions.ts';
 import {type Barrier, barrierDescriptions, findReopeningMs} from './instance-availability.ts';
 import type {InstanceQuery, SelectedInstance} from './instance-query.ts';
 import type {InstanceTracker} from './instance-tracker.ts';
@@ -22,6 +23,8 @@
 	readonly directory: Directory;
 	readonly tracker: InstanceTracker;
 	readonly loads: LoadSource;
+	/** Tells at which instances calls with home regions may run. */
+	readonly homes: HomeRegions;
 	readonly versionExpiry: VersionExpiry;
 	readonly random: RandomSource;
 	readonly zone: string;
@@ -91,12 +94,13 @@
 
 	/** Reserves what the chosen instance needs, or tells the caller when an instance is expected to open again. */
 	private settle(choice: Choice, query: InstanceQuery, {counts, barriers}: Sample): SelectedInstance | Refusal {
-		const {tracker, random} = this.options;
+		const {tracker, homes, random} = this.options;
 		const {placement, instances, candidates} = choice;
 		this.logPlacement(choice, query, counts.size, barriers);
 		if (placement.kind === 'place') {
 			const selection = this.createSelection(placement, instances, query.headers.model);
 			tracker.signals.reserveTrial(selection.instance);
+			homes.recordPlaced(selection.instance, query.permittedRegions);
 			return selection;
 		}
 
@@ -106,9 +110,10 @@
 
 	/** Draws further eligible instances and asks for their load; returns whether there were any. */
 	private async extendSample(query: InstanceQuery, service: ServiceInfo | undefined, {ids, counts, barriers}: Sample, sizes: SampleSizes): Promise<boolean> {
-		const {directory, random, loads, zone} = this.options;
+		const {directory, random, loads, homes, zone} = this.options;
 		const isNew = (instance: Instance) => !ids.has(instance.id) && this.isEligible(instance, query, service, barriers);
-		const sampled = sampleInstances(directory.availableInstances(query.service, zone), sizes, isNew, bound => random.nextInt(bound));
+		const available = homes.narrow(directory.availableInstances(query.service, zone), query.permittedRegions);
+		const sampled = sampleInstances(available, sizes, isNew, bound => random.nextInt(bound));
 		for (const {id} of sampled) {
 			ids.add(id);
 		}
@@ -127,7 +132,7 @@
 		const randomBelow = (bound: number) => random.nextInt(bound);
 		// An instance may have changed or left while its load was asked for.
 		const instances = [...sample.ids].flatMap(id => directory.instance(id) ?? []).filter(instance => this.isEligible(instance, query, service, sample.barriers));
-		const candidates = instances.map(instance => this.createCandidate(instance, query.headers.model, sample.counts.get(instance.id)));
+		const candidates = instances.map(instance => this.createCandidate(instance, query, sample.counts.get(instance.id)));
 		const placement = service?.engine
 			? selectEngineInstance(service.engine, candidates, {
 				promptTokens: query.headers.promptTokens || service.engine.usualPromptTokens,
@@ -136,12 +141,12 @@
 				isResponseStarted: query.isResponseStarted,
 			}, randomBelow)
 			: selectPlainInstance(candidates, randomBelow);
-		return {placement, instances, candidates};
+		return {placement: nameMissingHome(placement, query), instances, candidates};
 	}
 
 	/** Whether an instance may take the call; if only a barrier speaks against it, that is added to `barriers`. */
 	private isEligible(instance: Instance, query: InstanceQuery, service: ServiceInfo | undefined, barriers: Map<string, Barrier>): boolean {
-		if (!this.holdsRequired(instance, query, service)) {
+		if (!this.options.homes.permits(instance, query.permittedRegions) || !this.holdsRequired(instance, query, service)) {
 			return false;
 		}
 
@@ -164,14 +169,16 @@
 			&& this.options.versionExpiry.mayStart(held) && (requiredVersion === undefined || held.version === requiredVersion);
 	}
 
-	private createCandidate(instance: Instance, model: string | undefined, others: InFlightCounts | undefined): Candidate {
-		const {tracker, zone, versionExpiry} = this.options;
-		const held = findHeldModel(instance, model);
+	private createCandidate(instance: Instance, {headers, permittedRegions}: InstanceQuery, others: InFlightCounts | undefined): Candidate {
+		const {tracker, homes, zone, versionExpiry} = this.options;
+		const held = findHeldModel(instance, headers.model);
+		const load = tracker.getLoad(instance.id, others);
 		return {
 			id: instance.id,
 			isLocal: instance.zone === zone,
-			load: tracker.getLoad(instance.id, others),
+			load,
 			slots: instance.slots,
+			homeReserveMs: homes.reserveMs(instance, {calls: load.calls, slots: instance.slots}, permittedRegions),
 			isSuspect: tracker.isSuspect(instance.id),
 			startWindowMs: held ? versionExpiry.timeLeftMs(held) : Number.POSITIVE_INFINITY,
 		};
@@ -186,8 +193,9 @@
 		};
 	}
 
-	private logPlacement({placement, candidates}: Choice, {service, headers, aimLeftMs, requiredVersion}: InstanceQuery, answers: number, barriers: ReadonlyMap<string, Barrier>): void {
+	private logPlacement({placement, candidates}: Choice, query: InstanceQuery, answers: number, barriers: ReadonlyMap<string, Barrier>): void {
 		const {log, directory} = this.options;
+		const {service, headers, aimLeftMs, permittedRegions, requiredVersion} = query;
 		const common = {
 			id: headers.attemptId, aimLeftMs: Math.round(aimLeftMs), deadlineMs: headers.deadlineMs, candidates: candidates.length, answers,
 		};
@@ -198,6 +206,7 @@
 				service,
 				model: headers.model,
 				requiredVersion,
+				permittedRegions,
 				reason: placement.reason,
 				leastCalls: Math.min(...candidates.map(({load}) => load.calls)),
 				instancesRevision: directory.instancesRevision,
@@ -212,6 +221,11 @@
 	}
 }
 
+/** Tells a call that is kept to its home regions from one that no instance at all could take. */
+function nameMissingHome(placement: Placement, {permittedRegions}: InstanceQuery): Placement {
+	return placement.kind === 'refuse' && placement.reason === 'no_upstream' && permittedRegions ? {...placement, reason: 'no_home_instance'} : placement;
+}
+
 function findChosen({placement, instances}: Choice): Instance | undefined {
 	return placement.kind === 'place' ? instances.find(({id}) => id === placement.id) : undefined;
 }
--- a/src/placement/select-instance.ts
+++ b/src/placement/select-instance.ts
@@ -17,6 +17,8 @@
 	readonly slots: number;
 	/** Whether too many recent calls to the instance failed. */
 	readonly isSuspect: boolean;
+	/** Cost of using up what other calls need that may run only in the region of the instance, in milliseconds; see {@link HomeDemand}. */
+	readonly homeReserveMs?: number;
 	/** How long calls may still start on the version that the instance holds, in milliseconds; infinite unless a newer version was announced. */
 	readonly startWindowMs: number;
 };
@@ -32,10 +34,13 @@
 	readonly isResponseStarted: boolean;
 };
 
+/** Why no instance is selected: none is eligible, none of those in the home regions of the call, or none has a place in time. */
+export type RefusalReason = 'no_upstream' | 'no_home_instance' | 'overloaded';
+
 /** The selected instance, or a refusal. */
 export type Placement =
 	| {readonly kind: 'place'; readonly id: string; readonly predictedMs: number}
-	| {readonly kind: 'refuse'; readonly reason: 'no_upstream' | 'overloaded'; readonly retryAfterMs: number};
+	| {readonly kind: 'refuse'; readonly reason: RefusalReason; readonly retryAfterMs: number};
 
 /** Costs within this range count as equal, in milliseconds. The instance is then drawn at random, because several gateways choose at the same time. */
 const tieToleranceMs = 12;
@@ -170,8 +175,8 @@
 	return {kind: 'place', id: best.candidate.id, predictedMs: 0};
 }
 
-function penaltyMs({isLocal, isSuspect}: Candidate): number {
-	return (isLocal ? 0 : crossZonePenaltyMs) + (isSuspect ? suspectPenaltyMs : 0);
+function penaltyMs({isLocal, isSuspect, homeReserveMs = 0}: Candidate): number {
+	return (isLocal ? 0 : crossZonePenaltyMs) + (isSuspect ? suspectPenaltyMs : 0) + homeReserveMs;
 }
 
 function pickLowestCost<Item extends {readonly costMs: number}>(items: readonly Item[], randomBelow: (bound: number) => number): Item | undefined {
--- a/src/settings/direct-settings.ts
+++ b/src/settings/direct-settings.ts
@@ -1,7 +1,8 @@
 /** Settings of the roles `gateway` and `stager`, for deployments in which the gateways call upstreams directly instead of through agents. */
 import {z} from 'zod';
+import {createRegionId, type RegionId} from '../ids/region-id.ts';
 import {
-	address, nameText, positiveNumber, processSection,
+	address, idText, nameText, positiveNumber, processSection,
 } from './settings-schema.ts';
 
 /** A comma-separated list of addresses; may be empty. */
@@ -30,6 +31,9 @@
 	address,
 });
 
+/** The region of each zone, by the name of the zone. */
+const zonesSection = z.record(idText, idText.transform((text): RegionId => createRegionId(text))).prefault({});
+
 const versionLimits = {
 	/** How long calls may still start on an older version of a model after a newer one was announced, in milliseconds. */
 	version_bound_ms: positiveAmount(8000),
@@ -49,6 +53,7 @@
 	}),
 	peers: peersSection,
 	directory: directorySection,
+	zones: zonesSection,
 	limits: z.strictObject({
 		...versionLimits,
 		/** Retries allowed per call, over all gateways. */
--- a/test/published-values.test.ts
+++ b/test/published-values.test.ts
@@ -21,9 +21,13 @@
 	service: 'huvo11a',
 };
 
+const zones: Readonly<Record<string, string>> = {'randstad-a': 'randstad', 'twente-a': 'twente'};
+
 /** Fills a settings template; `numberText` replaces every published number. */
-function renderTemplate(file: string, numberText: string): string {
-	return readFileSync(file, 'utf8').replaceAll(/{{([\w.]+)}}/g, (_, key: string) => places[key] ?? numberText);
+function renderTemplate(file: string, numberText: string, zonePlaces = zones): string {
+	const fillZones = (body: string) => Object.entries(zonePlaces).map(([zone, region]) => body.replace('{{@}}', zone).replace('{{.}}', region)).join('');
+	const text = readFileSync(file, 'utf8').replaceAll(/{{#zones}}(.*?){{\/zones}}/gs, (_, body: string) => fillZones(body));
+	return text.replaceAll(/{{([\w.]+)}}/g, (_, key: string) => places[key] ?? numberText);
 }
 
 const templates = [
@@ -50,6 +54,17 @@
 	expect(parsed.ok ? [] : parsed.findings.map(({key}) => key)).to.have.members(['limits.version_bound_ms', 'limits.retry_window_s', 'limits.grace_s', 'limits.memory_mb']);
 });
 
+it('guards against zones without a region, or with one that is no ID: the regions of the template are read, and none where the platform gives none', () => {
+	const parse = (regions: Readonly<Record<string, string>>) => parseSettings(renderTemplate('deploy/gateway.ini.template', '8', regions), 'g.ini', gatewaySettingsSchema);
+	for (const regions of [zones, {}]) {
+		const parsed = parse(regions);
+		expect(parsed.ok && parsed.settings.zones).to.deep.equal(regions);
+	}
+
+	const parsed = parse({'randstad-a': 'no region'});
+	expect(parsed.ok ? [] : parsed.findings.map(({key}) => key)).to.deep.equal(['zones.randstad-a']);
+});
+
 const encodeValue = (value: unknown) => Buffer.from(JSON.stringify(value)).toString('base64');
 
 const route = {
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -10,8 +10,10 @@
 import {CallForwarder} from '../../src/forwarding/call-forwarder.ts';
 import {CallBoundary} from '../../src/forwarding/call-boundary.ts';
 import {CallerListener} from '../../src/forwarding/caller-listener.ts';
+import {HomeRegions} from '../../src/placement/home-regions.ts';
 import {InstanceSignals} from '../../src/placement/instance-signals.ts';
 import {InstanceTracker} from '../../src/placement/instance-tracker.ts';
+import {RegionMap} from '../../src/placement/region-map.ts';
 import type {WireCodec} from '../../src/forwarding/wire-codec.ts';
 import {BodyBudget, bodyRoomFor} from '../../src/limits/body-budget.ts';
 import {PromptQuarantine} from '../../src/quarantine/prompt-quarantine.ts';
@@ -109,10 +111,10 @@
 }
 
 /** A gateway in the test process, without its control listeners. */
-export type TestGateway = {readonly directory: Directory; readonly tracker: InstanceTracker; readonly forwarder: CallForwarder; readonly listener: CallerListener; readonly bodies: BodyBudget; readonly quarantine: PromptQuarantine; readonly crashes: readonly Crash[]; readonly faults: {count: number}; readonly url: string; readonly close: () => void};
+export type TestGateway = {readonly directory: Directory; readonly tracker: InstanceTracker; readonly forwarder: CallForwarder; readonly listener: CallerListener; readonly bodies: BodyBudget; readonly quarantine: PromptQuarantine; readonly homes: HomeRegions; readonly crashes: readonly Crash[]; readonly faults: {count: number}; readonly url: string; readonly close: () => void};
 
 /** Starts the caller listener of a gateway with the given configuration, instances and header codec. */
-export async function startTestGateway(configuration: PublishedConfiguration | undefined, instances: readonly Instance[], {codec = platformCodec, retrySlack = 100}: {codec?: WireCodec; retrySlack?: number} = {}): Promise<TestGateway> {
+export async function startTestGateway(configuration: PublishedConfiguration | undefined, instances: readonly Instance[], {codec = platformCodec, retrySlack = 100, homes = new HomeRegions(new RegionMap({}))}: {codec?: WireCodec; retrySlack?: number; homes?: HomeRegions} = {}): Promise<TestGateway> {
 	const log = createSilentLogger();
 	const directory = new Directory(log);
 	directory.apply({revision: 1, changes: configuration ? [{revision: 1, change: {kind: 'configuration', configuration}}] : []});
@@ -129,7 +131,7 @@
 		}, log,
 	});
 	const forwarder = new CallForwarder({
-		directory, codec, tracker, crashes, quarantine, loads: {ask: async () => new Map()}, random: new RandomSource(7), log, zone: 'z',
+		directory, codec, tracker, crashes, quarantine, loads: {ask: async () => new Map()}, homes, random: new RandomSource(7), log, zone: 'z',
 		retryBudget: {ratio: 0.2, slack: retrySlack, windowMs: 10_000}, versionBoundMs: 8000, clock: pauses, eventLoopDelayMs: () => 0, gatewayCount: () => 1, onEnd: () => undefined,
 	});
 	quarantine.onHeld(() => {
@@ -144,7 +146,7 @@
 	});
 	await listener.start({host: '127.0.0.1', port});
 	return {
-		directory, tracker, forwarder, listener, bodies, quarantine, crashes: crashList, faults, url: `http://127.0.0.1:${port}`, close() {
+		directory, tracker, forwarder, listener, bodies, quarantine, homes, crashes: crashList, faults, url: `http://127.0.0.1:${port}`, close() {
 			listener.destroy();
 			pauses.stop();
 		},
