Keep calls away from evacuated zones

The key op/evacuate/ZONE was an unknown key, so that calls reached instances of evacuated zones. It is now read with the configuration, ordered by revision and passed on between gateways, which are not ready before they know it.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -19,6 +19,7 @@
 import {directoryGetParamsSchema} from '../peers/directory-snapshot-schema.ts';
 import {LoadQueries} from '../peers/load-queries.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
+import {EvacuationReport} from '../reports/evacuation-report.ts';
 import {ForwardingMetrics} from '../reports/forwarding-metrics.ts';
 import type {GatewaySettings} from '../settings/direct-settings.ts';
 import {createCrashProtection} from './crash-protection.ts';
@@ -52,7 +53,7 @@
 	}), adapter.createSource);
 	const {directory, log, random, peers, metrics, rpc, settings} = base;
 	const gatewayCount = () => peers.knownGateways.size;
-	const tracker = new InstanceTracker(log, new InstanceSignals({log, random, gatewayCount}));
+	const tracker = new InstanceTracker(log, new InstanceSignals({log, random, gatewayCount}), directory.evacuations);
 	const loads = new LoadQueries({
 		vm: settings.process.vm,
 		inFlight: tracker.inFlight,
@@ -68,7 +69,12 @@
 	base.datagrams.on('changing', changingDatagramSchema, state => {
 		applyEngineState(state, directory, tracker);
 	});
-	const homes = new HomeRegions(new RegionMap({[settings.process.zone]: settings.process.region, ...settings.zones}));
+	const regions = new RegionMap({[settings.process.zone]: settings.process.region, ...settings.zones});
+	const homes = new HomeRegions(regions);
+	const evacuationReport = new EvacuationReport({
+		directory, regions, inFlight: tracker.inFlight, boundMs: settings.limits.evacuate_ms, directoryAgeMs: () => base.directoryAgeMs, log,
+	});
+	evacuationReport.addMetrics(metrics);
 	const forwardingMetrics = new ForwardingMetrics(metrics);
 	const {crashes, quarantine, gossip} = createCrashProtection({
 		...settings.process, tracker, peers, datagrams: base.datagrams, port: settings.listen.datagrams.port, random, log, clock: base.pauseDetector, metrics, forwardingMetrics,
@@ -113,12 +119,13 @@
 	});
 	directory.onChange(() => {
 		callers.applyLimits();
+		evacuationReport.checkZones();
 		homes.checkConfiguration(directory.table?.configuration, log);
 		const present = new Set(directory.instances.map(({id}) => id));
 		tracker.retainOnly(present);
 		loads.retainOnly(present);
 	});
-	const isReady = () => !drain.isDraining && directory.configurationVersion > 0 && directory.instancesRevision > 0;
+	const isReady = () => !drain.isDraining && directory.configurationVersion > 0 && directory.instancesRevision > 0 && directory.evacuations.isKnown;
 	const drain = new Drain({
 		log,
 		noticeMs: settings.limits.drain_notice_ms,
@@ -139,7 +146,7 @@
 		(servicesOnly ? directory.servicesSnapshot(configurationVersion) : directory.snapshot(configurationVersion, instancesRevision)));
 	const control = new HttpListener(createControlRoutes({
 		rpc, metrics, isReady, dump: () => ({
-			role: 'gateway', ...base.dump(), openCalls: forwarder.openCalls, heldParts: quarantine.holds, homes: homes.dump(),
+			role: 'gateway', ...base.dump(), openCalls: forwarder.openCalls, heldParts: quarantine.holds, homes: homes.dump(), evacuations: evacuationReport.dump(),
 		}),
 	}), log);
 	const readiness = new HttpListener({
--- a/src/cli/gateway-stager-base.ts
+++ b/src/cli/gateway-stager-base.ts
@@ -85,6 +85,11 @@
 		return this.replica.isWatching;
 	}
 
+	/** How long ago it was last known that the directory lacks nothing, in milliseconds. */
+	get directoryAgeMs(): number {
+		return this.replica.ageMs;
+	}
+
 	/** Starts receiving datagrams, watching the directory source, exchanging state with peers, and reloading changed settings. */
 	async start(): Promise<void> {
 		await this.datagrams.start(this.datagramAddress);
--- a/src/directory/configuration-delta.ts
+++ b/src/directory/configuration-delta.ts
@@ -31,6 +31,26 @@
 	};
 }
 
+/** Number of earlier configurations that are kept, to send the difference to processes that have one of them. */
+const maxRecent = 6;
+
+/** The last configurations before the one in force. */
+export class RecentConfigurations {
+	private readonly recent: PublishedConfiguration[] = [];
+
+	/** Keeps a configuration that is replaced. */
+	add(configuration: PublishedConfiguration): void {
+		this.recent.push(configuration);
+		this.recent.splice(0, this.recent.length - maxRecent);
+	}
+
+	/** Returns what changed since the configuration with a version; undefined if that one is no longer known. */
+	changesSince(version: number, current: PublishedConfiguration): ConfigurationDelta | undefined {
+		const base = this.recent.find(item => item.version === version);
+		return base && createDelta(base, current);
+	}
+}
+
 /** Returns the configuration that results from a difference; the routes that it does not name stay the same objects. */
 export function applyDelta(base: PublishedConfiguration, {base: _, changedRoutes, removedRoutes, ...rest}: ConfigurationDelta): PublishedConfiguration {
 	const replaced = new Set([...removedRoutes, ...changedRoutes.map(({name}) => name)]);
--- a/src/directory/directory-types.ts
+++ b/src/directory/directory-types.ts
@@ -136,6 +136,8 @@
 	| {readonly kind: 'version'; readonly model: string; readonly version: number}
 	| {readonly kind: 'instance'; readonly instance: Instance}
 	| {readonly kind: 'instance-gone'; readonly id: string}
+	| {readonly kind: 'evacuation'; readonly zone: string}
+	| {readonly kind: 'evacuation-ended'; readonly zone: string}
 	| {readonly kind: 'unreadable'; readonly key: string; readonly reason: string};
 
 /** A change and the revision of the source at which it was made. */
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -177,6 +177,10 @@
 		const {part, directory} = this.options;
 		// Before the first read, other processes may have had an outage of the source that this one did not notice.
 		const context = {isAfterOutage: isAfterOutage || !this.hasReadOnce, namedAfterMs};
+		if (part === 'published') {
+			directory.evacuations.recordComplete(changes, isFullRead);
+		}
+
 		if (isFullRead && part === 'instances') {
 			directory.replaceInstances(changes, context);
 		} else {
--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -4,11 +4,12 @@
 import type {DirectoryState} from '../messages/peers-exchange.ts';
 import {ElapsedClock} from '../runtime/elapsed-clock.ts';
 import type {Logger} from '../runtime/logger.ts';
-import {applyDelta, type ConfigurationDelta, createDelta} from './configuration-delta.ts';
+import {applyDelta, type ConfigurationDelta, RecentConfigurations} from './configuration-delta.ts';
 import type {
 	DirectoryChange, DirectoryChanges, HeldModel, Instance, InstanceChanges, PublishedConfiguration,
 } from './directory-types.ts';
 import {type AvailableInstances, AvailableInstancesIndex} from './available-instances.ts';
+import {Evacuations, type SharedEvacuations} from './evacuations.ts';
 import {InstanceTable} from './instance-table.ts';
 import {type KnownVersion, NamedVersions, type NamedVersion} from './named-versions.ts';
 
@@ -31,22 +32,21 @@
 	readonly configurationDelta?: ConfigurationDelta;
 	readonly versions: readonly NamedVersion[];
 	readonly instances?: InstanceChanges;
+	readonly evacuations?: SharedEvacuations | undefined;
 };
 
-/** Number of earlier configurations that are kept, to send the difference to processes that have one of them. */
-const maxRecentConfigurations = 6;
-
 /** Holds the newest known state. No part of it ever reverts to an older version or revision. */
 export class Directory {
+	readonly evacuations: Evacuations;
 	private routeTable: RouteTable | undefined;
 	private readonly namedVersions: NamedVersions;
 	private readonly instanceTable: InstanceTable;
 	private readonly listeners = new Set<() => void>();
-	private readonly recentConfigurations: PublishedConfiguration[] = [];
+	private readonly recentConfigurations = new RecentConfigurations();
 	/** The state that the listeners were last called for. */
 	private notifiedState: readonly unknown[] = [];
 	/** The index of the last list of instances. */
-	private available: {readonly instances: readonly Instance[]; readonly zone: string; readonly index: AvailableInstancesIndex} | undefined;
+	private available: {readonly key: readonly unknown[]; readonly index: AvailableInstancesIndex} | undefined;
 
 	/**
 	 * @param log - logs changes
@@ -54,6 +54,7 @@
 	 */
 	constructor(private readonly log: Logger, readonly clock = new ElapsedClock()) {
 		this.namedVersions = new NamedVersions(log);
+		this.evacuations = new Evacuations(log);
 		clock.onJump(jumpMs => {
 			this.namedVersions.moveBack(jumpMs);
 		});
@@ -82,8 +83,8 @@
 
 	/** What other processes compare with theirs, to know whether they lack a change. */
 	get state(): DirectoryState {
-		const {configurationVersion, lastInstanceChange} = this;
-		return {configurationVersion, lastInstanceChange};
+		const {configurationVersion, lastInstanceChange, evacuations: {lastChange}} = this;
+		return {configurationVersion, lastInstanceChange, ...(lastChange === undefined ? {} : {lastEvacuationChange: lastChange})};
 	}
 
 	/** Increases whenever a version of weights is named, or the bounds of the time when it was named change. */
@@ -125,14 +126,15 @@
 	}
 
 	/**
-	 * Returns the instances of a service that accept new calls: those that are not draining.
+	 * Returns the instances of a service that accept new calls: those that are not draining, and not in an evacuated zone.
 	 *
 	 * @param zone - the zone whose instances are listed as local ones
 	 */
 	availableInstances(service: ServiceId, zone: string): AvailableInstances {
-		const {instances} = this;
-		if (this.available?.instances !== instances || this.available.zone !== zone) {
-			this.available = {instances, zone, index: new AvailableInstancesIndex(instances, zone)};
+		const {instances, evacuations} = this;
+		const key = [instances, zone, evacuations.changes];
+		if (!this.available || key.some((part, index) => part !== this.available!.key[index])) {
+			this.available = {key, index: new AvailableInstancesIndex(instances.filter(instance => !evacuations.isEvacuated(instance.zone)), zone)};
 		}
 
 		return this.available.index.of(service);
@@ -202,6 +204,7 @@
 		return {
 			...this.configurationSince(configurationVersion),
 			versions: this.shareableVersions,
+			evacuations: this.evacuations.shareable,
 			...(this.instancesRevision > instancesRevision ? {instances: this.instanceTable.changesSince(instancesRevision)} : {}),
 		};
 	}
@@ -247,6 +250,10 @@
 			this.namedVersions.record(model, {version, earliestMs: createdMs - maxAgeMs, latestMs: nowMs - minAgeMs});
 		}
 
+		if (snapshot.evacuations) {
+			this.evacuations.merge(snapshot.evacuations, createdMs);
+		}
+
 		if (snapshot.instances) {
 			this.instanceTable.applyChanges(snapshot.instances, createdMs);
 		}
@@ -283,6 +290,12 @@
 				return;
 			}
 
+			case 'evacuation':
+			case 'evacuation-ended': {
+				this.evacuations.record(change.zone, change.kind === 'evacuation', revision);
+				return;
+			}
+
 			case 'unreadable': {
 				this.log.warn({
 					event: 'entry_unreadable', key: change.key, reason: change.reason, revision,
@@ -295,8 +308,7 @@
 		const before = this.configurationVersion;
 		if (configuration.version > before) {
 			if (this.routeTable) {
-				this.recentConfigurations.push(this.routeTable.configuration);
-				this.recentConfigurations.splice(0, this.recentConfigurations.length - maxRecentConfigurations);
+				this.recentConfigurations.add(this.routeTable.configuration);
 			}
 
 			this.routeTable = new RouteTable(configuration);
@@ -318,14 +330,13 @@
 			return {};
 		}
 
-		const base = this.recentConfigurations.find(item => item.version === version);
-		const delta = base && createDelta(base, current);
+		const delta = this.recentConfigurations.changesSince(version, current);
 		return delta ? {configurationDelta: delta} : {configuration: current};
 	}
 
 	/** Calls the listeners if anything has changed since the last time. */
 	private notifyListeners(): void {
-		const state = [this.routeTable, this.instances, this.namedVersions.changes] as const;
+		const state = [this.routeTable, this.instances, this.namedVersions.changes, this.evacuations.changes] as const;
 		if (state.every((part, index) => part === this.notifiedState[index])) {
 			return;
 		}
--- a/src/forwarding/call-attempts.ts
+++ b/src/forwarding/call-attempts.ts
@@ -2,6 +2,7 @@
  * The attempts of one call that are under way: usually one, and more while an upstream is silent. The first one that has something to
  * pass on answers the call, and the others are aborted.
  */
+import type {Instance} from '../directory/directory-types.ts';
 import type {UpstreamAttempt} from './upstream-attempt.ts';
 
 /** Holds the attempts of one call. */
@@ -66,10 +67,17 @@
 		}
 	}
 
-	/** Applies a change of the announced versions. */
-	recheckStartDeadlines(): void {
-		for (const {startDeadline} of this.underWay) {
-			startDeadline.check();
+	/**
+	 * Applies a change of the announced versions and of the evacuated zones.
+	 *
+	 * @param isEvacuated - whether the zone of an instance is evacuated
+	 */
+	recheck(isEvacuated: (instance: Instance) => boolean): void {
+		for (const attempt of this.underWay) {
+			attempt.startDeadline.check();
+			if (isEvacuated(attempt.instance)) {
+				attempt.handleInstanceClosed('zone_evacuated');
+			}
 		}
 	}
 
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -112,7 +112,7 @@
 		});
 		directory.onChange(() => {
 			for (const call of this.inFlight) {
-				call.recheckStartDeadline();
+				call.recheckAttempts();
 			}
 		});
 	}
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -79,10 +79,10 @@
 		this.finish('left', {}, () => undefined);
 	}
 
-	/** Applies a change of the announced versions to the attempt. */
-	recheckStartDeadline(): void {
+	/** Applies a change of the directory to the attempts. */
+	recheckAttempts(): void {
 		this.options.boundary.run('signal', () => {
-			this.attempts.recheckStartDeadlines();
+			this.attempts.recheck(instance => this.options.tracker.isEvacuated(instance));
 		});
 	}
 
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -120,6 +120,13 @@
 		});
 	}
 
+	/** Moves the call elsewhere if its instance may get no further calls and this one has not been sent. */
+	handleInstanceClosed(reason = 'instance_closed'): void {
+		if (this.isUnsent) {
+			this.report({kind: 'not-run', reason});
+		}
+	}
+
 	private handleHeaders(status: number, rawHeaders: readonly string[]): void {
 		const {codec, call, tracker, instance} = this.options;
 		const headers = codec.readResponseHeaders(status, rawHeaders);
@@ -135,13 +142,6 @@
 		}
 	}
 
-	/** Moves the call elsewhere if its instance wants no further calls and this one has not been sent. */
-	private handleInstanceClosed(): void {
-		if (this.isUnsent) {
-			this.report({kind: 'not-run', reason: 'instance_closed'});
-		}
-	}
-
 	private handleData(chunk: Buffer): void {
 		if (this.isFinished) {
 			return;
--- a/src/messages/peers-exchange.ts
+++ b/src/messages/peers-exchange.ts
@@ -25,8 +25,19 @@
 /** What a process knows, as the start of the differences that it requests. */
 export const directoryRevisionsSchema = z.object({configurationVersion: z.number(), instancesRevision: z.number()});
 
-/** The state of a process's directory: another process that knows the instances up to `lastInstanceChange` lacks none of its changes. */
-export const directoryStateSchema = z.object({configurationVersion: z.number(), lastInstanceChange: z.number()});
+/**
+ * The state of a process's directory: another process that knows the instances up to `lastInstanceChange` lacks none of its changes, and the
+ * same holds for evacuations. The latter is absent from processes that do not know which zones are evacuated.
+ */
+export const directoryStateSchema = z.object({configurationVersion: z.number(), lastInstanceChange: z.number(), lastEvacuationChange: z.number().optional()});
+
+/** Zones that are or were evacuated, and the revision up to which the list is complete. */
+export const evacuationsSchema = z.object({
+	revision: z.number(),
+	zones: z.array(z.object({
+		zone: z.string(), isEvacuated: z.boolean(), revision: z.number(), ageMs: z.number(),
+	})),
+});
 
 /**
  * A version of model weights and bounds of the time since it was announced. The upper bound is absent if the version was already
--- a/src/peers/directory-puller.ts
+++ b/src/peers/directory-puller.ts
@@ -56,9 +56,10 @@
 		return !this.isNewer(state);
 	}
 
-	private isNewer({configurationVersion, lastInstanceChange}: DirectoryState): boolean {
+	private isNewer({configurationVersion, lastInstanceChange, lastEvacuationChange}: DirectoryState): boolean {
 		const {directory, pulledParts} = this.options;
-		return configurationVersion > directory.configurationVersion || (pulledParts === 'directory' && lastInstanceChange > directory.instancesRevision);
+		const hasMore = lastInstanceChange > directory.instancesRevision || directory.evacuations.lacks(lastEvacuationChange);
+		return configurationVersion > directory.configurationVersion || (pulledParts === 'directory' && hasMore);
 	}
 
 	private canRequest(address: string): boolean {
--- a/src/peers/directory-snapshot-schema.ts
+++ b/src/peers/directory-snapshot-schema.ts
@@ -1,7 +1,7 @@
 /** The wire format in which processes send their directory to each other. */
 import {z} from 'zod';
 import {addressSchema} from '../links/address.ts';
-import {directoryRevisionsSchema, announcedVersionSchema} from '../messages/peers-exchange.ts';
+import {announcedVersionSchema, directoryRevisionsSchema, evacuationsSchema} from '../messages/peers-exchange.ts';
 
 /** The state of the requesting process, and whether it needs only the services. */
 export const directoryGetParamsSchema = directoryRevisionsSchema.extend({servicesOnly: z.boolean().default(false)});
@@ -82,6 +82,7 @@
 export const directorySnapshotSchema = z.object({
 	configuration: configurationSchema.optional(),
 	versions: z.array(announcedVersionSchema),
+	evacuations: evacuationsSchema.optional(),
 	configurationDelta: configurationDeltaSchema.optional(),
 	instances: z.object({
 		since: z.number().optional(),
--- a/src/peers/news-spreader.ts
+++ b/src/peers/news-spreader.ts
@@ -39,6 +39,7 @@
 	private sentVersionChanges = 0;
 	private sentConfiguration = 0;
 	private sentInstanceChange = 0;
+	private sentEvacuationChanges = 0;
 	private lastSentMs = Number.NEGATIVE_INFINITY;
 	private timer: NodeJS.Timeout | undefined;
 
@@ -69,10 +70,12 @@
 	private spread(): void {
 		const {directory, self} = this.options;
 		const hasNewVersion = directory.versionChanges !== this.sentVersionChanges;
-		const hasNewEntries = directory.configurationVersion !== this.sentConfiguration || directory.lastInstanceChange !== this.sentInstanceChange;
+		const hasNewEntries = directory.configurationVersion !== this.sentConfiguration || directory.lastInstanceChange !== this.sentInstanceChange
+			|| directory.evacuations.changes !== this.sentEvacuationChanges;
 		this.sentVersionChanges = directory.versionChanges;
 		this.sentConfiguration = directory.configurationVersion;
 		this.sentInstanceChange = directory.lastInstanceChange;
+		this.sentEvacuationChanges = directory.evacuations.changes;
 		if (hasNewVersion) {
 			this.tell(() => true);
 		} else if (hasNewEntries && self.role === 'gateway') {
--- a/src/placement/instance-availability.ts
+++ b/src/placement/instance-availability.ts
@@ -25,10 +25,12 @@
 	readonly unreachableSinceMs: number | undefined;
 	/** Until when it gets no calls after it refused one or started to load weights; in the past if there is no such pause. */
 	readonly pausedUntilMs: number;
+	/** Since when its zone is known to be evacuated; undefined if it is not. */
+	readonly evacuatedSinceMs?: number | undefined;
 };
 
 /** Why no call may start at an instance. */
-export type BarrierReason = 'leaving' | 'draining' | 'unreachable' | 'quiet' | 'trial' | 'paused';
+export type BarrierReason = 'leaving' | 'draining' | 'evacuated' | 'unreachable' | 'quiet' | 'trial' | 'paused';
 
 /** A reason against a call at an instance. */
 export type Barrier = {
@@ -46,6 +48,7 @@
 export const barrierDescriptions: Readonly<Record<BarrierReason, {readonly source: string; readonly endsBy: string}>> = {
 	leaving: {source: 'response of the instance', endsBy: 'another run'},
 	draining: {source: 'directory', endsBy: 'another run'},
+	evacuated: {source: 'evacuation of its zone', endsBy: 'end of the evacuation'},
 	unreachable: {source: 'connection', endsBy: 'accepted connection'},
 	quiet: {source: 'response of the instance', endsBy: 'time, then a trial call'},
 	trial: {source: 'trial call under way', endsBy: 'its response'},
@@ -58,6 +61,7 @@
 const barrierFinders: Readonly<Record<BarrierReason, BarrierFinder>> = {
 	leaving: (_, {signal}) => (signal?.state === 'leaving' ? signal : undefined),
 	draining: ({isDraining}) => (isDraining ? {sinceMs: undefined, untilMs: Number.POSITIVE_INFINITY} : undefined),
+	evacuated: (_, {evacuatedSinceMs}) => (evacuatedSinceMs === undefined ? undefined : {sinceMs: evacuatedSinceMs, untilMs: Number.POSITIVE_INFINITY}),
 	unreachable: (_, {unreachableSinceMs}) => (unreachableSinceMs === undefined ? undefined : {sinceMs: unreachableSinceMs, untilMs: Number.POSITIVE_INFINITY}),
 	quiet: (_, {signal}) => (signal?.state === 'quiet' ? signal : undefined),
 	trial: (_, {signal}) => (signal?.state === 'trying' ? signal : undefined),
--- a/src/placement/instance-selector.ts
+++ b/src/placement/instance-selector.ts
@@ -9,6 +9,7 @@
 import type {InstanceQuery, SelectedInstance} from './instance-query.ts';
 import type {InstanceTracker} from './instance-tracker.ts';
 import type {LoadSource} from './load-source.ts';
+import {nameRefusal} from './refusal-cause.ts';
 import {sampleInstances, type SampleSizes} from './sample-instances.ts';
 import {
 	type Candidate, type Placement, selectEngineInstance, selectPlainInstance, shouldAskMore,
@@ -89,7 +90,7 @@
 			choice = this.choose(query, service, sample);
 		}
 
-		return this.settle(choice, query, sample);
+		return this.settle({...choice, placement: this.nameCause(choice.placement, query)}, query, sample);
 	}
 
 	/** Reserves what the chosen instance needs, or tells the caller when an instance is expected to open again. */
@@ -141,7 +142,18 @@
 				isResponseStarted: query.isResponseStarted,
 			}, randomBelow)
 			: selectPlainInstance(candidates, randomBelow);
-		return {placement: nameMissingHome(placement, query), instances, candidates};
+		return {placement, instances, candidates};
+	}
+
+	/** Names the cause of a refusal without an eligible instance. */
+	private nameCause(placement: Placement, {service, permittedRegions}: InstanceQuery): Placement {
+		const {directory: {evacuations, instances}, homes, random} = this.options;
+		const isAnyEvacuated = placement.kind === 'refuse' && evacuations.zones.length > 0;
+		return nameRefusal(placement, {
+			instances: isAnyEvacuated ? instances.filter(instance => instance.service === service && !instance.isDraining) : [],
+			isEvacuated: zone => evacuations.isEvacuated(zone),
+			isPermitted: permittedRegions && (instance => homes.permits(instance, permittedRegions)),
+		}, bound => random.nextInt(bound));
 	}
 
 	/** Whether an instance may take the call; if only a barrier speaks against it, that is added to `barriers`. */
@@ -200,6 +212,7 @@
 			id: headers.attemptId, aimLeftMs: Math.round(aimLeftMs), deadlineMs: headers.deadlineMs, candidates: candidates.length, answers,
 		};
 		if (placement.kind === 'refuse') {
+			const evacuatedZones = directory.evacuations.zones;
 			log.info({
 				...common,
 				event: 'no_place',
@@ -207,6 +220,7 @@
 				model: headers.model,
 				requiredVersion,
 				permittedRegions,
+				...(evacuatedZones.length > 0 ? {evacuatedZones} : {}),
 				reason: placement.reason,
 				leastCalls: Math.min(...candidates.map(({load}) => load.calls)),
 				instancesRevision: directory.instancesRevision,
@@ -221,11 +235,6 @@
 	}
 }
 
-/** Tells a call that is kept to its home regions from one that no instance at all could take. */
-function nameMissingHome(placement: Placement, {permittedRegions}: InstanceQuery): Placement {
-	return placement.kind === 'refuse' && placement.reason === 'no_upstream' && permittedRegions ? {...placement, reason: 'no_home_instance'} : placement;
-}
-
 function findChosen({placement, instances}: Choice): Instance | undefined {
 	return placement.kind === 'place' ? instances.find(({id}) => id === placement.id) : undefined;
 }
--- a/src/placement/instance-tracker.ts
+++ b/src/placement/instance-tracker.ts
@@ -1,5 +1,6 @@
 /** Tracks the load and health of each instance from this gateway's own calls, responses and failures. */
 import type {Instance} from '../directory/directory-types.ts';
+import type {EvacuationView} from '../directory/evacuations.ts';
 import type {Logger} from '../runtime/logger.ts';
 import {misdirectedStatus} from '../forwarding/response-status.ts';
 import {type ConnectionProbe, probeConnection} from '../links/probe-connection.ts';
@@ -36,6 +37,8 @@
 /** How long an engine gets no calls after it started to load weights, in milliseconds, unless it reports earlier that it has loaded them. */
 const loadingPauseMs = 4000;
 
+const noEvacuations: EvacuationView = {evacuatedSinceMs: () => undefined};
+
 /** Connections to one run of an instance that fail. */
 type Outage = {readonly startedAtMs: number; readonly sinceMs: number};
 
@@ -59,8 +62,9 @@
 	/**
 	 * @param log - receives changes in the assessed health of an instance
 	 * @param signals - what instances say of themselves
+	 * @param evacuations - the evacuated zones
 	 */
-	constructor(private readonly log: Logger, readonly signals: InstanceSignals) {}
+	constructor(private readonly log: Logger, readonly signals: InstanceSignals, private readonly evacuations = noEvacuations) {}
 
 	/**
 	 * Returns the known load of an instance, including the calls of other gateways.
@@ -84,10 +88,18 @@
 		const health = this.health.get(instance.id);
 		const outage = health?.outage?.startedAtMs === instance.startedAtMs ? health.outage : undefined;
 		return findBarrier(instance, {
-			signal: this.signals.beliefAbout(instance), unreachableSinceMs: outage?.sinceMs, pausedUntilMs: health?.pausedUntilMs ?? 0,
+			signal: this.signals.beliefAbout(instance),
+			unreachableSinceMs: outage?.sinceMs,
+			pausedUntilMs: health?.pausedUntilMs ?? 0,
+			evacuatedSinceMs: this.evacuations.evacuatedSinceMs(instance.zone),
 		}, performance.now());
 	}
 
+	/** Returns whether the zone of an instance is evacuated. */
+	isEvacuated({zone}: Instance): boolean {
+		return this.evacuations.evacuatedSinceMs(zone) !== undefined;
+	}
+
 	/**
 	 * Probes whether an instance accepts connections. One that closed itself and has no calls of this gateway is left alone and counts as silent.
 	 *
--- a/src/placement/select-instance.ts
+++ b/src/placement/select-instance.ts
@@ -34,8 +34,8 @@
 	readonly isResponseStarted: boolean;
 };
 
-/** Why no instance is selected: none is eligible, none of those in the home regions of the call, or none has a place in time. */
-export type RefusalReason = 'no_upstream' | 'no_home_instance' | 'overloaded';
+/** Why no instance is selected: none is eligible, none of those in the home regions of the call, all are in evacuated zones, or none has a place in time. */
+export type RefusalReason = 'no_upstream' | 'no_home_instance' | 'all_zones_evacuated' | 'overloaded';
 
 /** The selected instance, or a refusal. */
 export type Placement =
--- a/src/reports/explain-request.ts
+++ b/src/reports/explain-request.ts
@@ -25,7 +25,7 @@
 	instance_seen: 'instance', instance_gone: 'instance', instance_unconfirmed: 'instance', instance_lost: 'instance', instance_back: 'instance',
 	instance_leaving: 'instance', instance_quiet: 'instance', instance_tried: 'instance', instance_crashed: 'instance',
 	instance_suspect: 'instance', instance_trusted: 'instance', instance_changing: 'instance',
-	configuration_taken: 'vm', configuration_refused: 'vm', home_region_unknown: 'vm', version_named: 'model', source_lost: 'part', source_regained: 'part', history_lost: 'part',
+	configuration_taken: 'vm', configuration_refused: 'vm', home_region_unknown: 'vm', zone_evacuated: 'zone', evacuation_ended: 'zone', evacuation_zone_unknown: 'zone', version_named: 'model', source_lost: 'part', source_regained: 'part', history_lost: 'part',
 	directory_unconfirmed: 'vm', directory_confirmed: 'vm', watch_started: 'vm', watch_stopped: 'vm',
 	gateway_started: 'vm', settings_reloaded: 'vm', settings_refused: 'vm', drain_started: 'vm', drain_cut: 'vm', drain_finished: 'vm', process_stopped: 'vm', process_failed: 'vm',
 	process_paused: 'vm', event_loop_delayed: 'vm', clock_jumped: 'vm', lines_dropped: 'vm',
--- a/src/settings/direct-settings.ts
+++ b/src/settings/direct-settings.ts
@@ -65,6 +65,8 @@
 		drain_notice_ms: amount(2500),
 		/** Time from SIGTERM until the process is killed, in seconds. */
 		grace_s: positiveAmount(8),
+		/** Within what time after its publication the evacuation of a zone has to be in force, in milliseconds; for operators only. */
+		evacuate_ms: positiveAmount(5000),
 		/** Memory limit of the process, in megabytes; the memory for bodies and answers is a share of it. */
 		memory_mb: positiveAmount(350),
 	}).prefault({}),
--- a/test/fuzz.test.ts
+++ b/test/fuzz.test.ts
@@ -128,6 +128,8 @@
 		expect(isHeaderValue(id) && isIpv4Address(address) && slots > 0).to.equal(true);
 	},
 	'instance-gone': () => undefined,
+	evacuation: () => undefined,
+	'evacuation-ended': () => undefined,
 	unreadable({reason}) {
 		expect(reason.length).to.be.at.most(200);
 	},
--- a/test/published-values.test.ts
+++ b/test/published-values.test.ts
@@ -51,7 +51,7 @@
 	}
 
 	const parsed = parseSettings<unknown>(renderTemplate('deploy/gateway.ini.template', '0'), 'g.ini', gatewaySettingsSchema);
-	expect(parsed.ok ? [] : parsed.findings.map(({key}) => key)).to.have.members(['limits.version_bound_ms', 'limits.retry_window_s', 'limits.grace_s', 'limits.memory_mb']);
+	expect(parsed.ok ? [] : parsed.findings.map(({key}) => key)).to.have.members(['limits.version_bound_ms', 'limits.retry_window_s', 'limits.grace_s', 'limits.evacuate_ms', 'limits.memory_mb']);
 });
 
 it('guards against zones without a region, or with one that is no ID: the regions of the template are read, and none where the platform gives none', () => {
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -7,7 +7,7 @@
 import type {
 	EngineTiming, Instance, PublishedConfiguration, Route,
 } from '../../src/directory/directory-types.ts';
-import {CallForwarder} from '../../src/forwarding/call-forwarder.ts';
+import {type CallEnd, CallForwarder} from '../../src/forwarding/call-forwarder.ts';
 import {CallBoundary} from '../../src/forwarding/call-boundary.ts';
 import {CallerListener} from '../../src/forwarding/caller-listener.ts';
 import {HomeRegions} from '../../src/placement/home-regions.ts';
@@ -111,7 +111,7 @@
 }
 
 /** A gateway in the test process, without its control listeners. */
-export type TestGateway = {readonly directory: Directory; readonly tracker: InstanceTracker; readonly forwarder: CallForwarder; readonly listener: CallerListener; readonly bodies: BodyBudget; readonly quarantine: PromptQuarantine; readonly homes: HomeRegions; readonly crashes: readonly Crash[]; readonly faults: {count: number}; readonly url: string; readonly close: () => void};
+export type TestGateway = {readonly directory: Directory; readonly tracker: InstanceTracker; readonly forwarder: CallForwarder; readonly listener: CallerListener; readonly bodies: BodyBudget; readonly quarantine: PromptQuarantine; readonly homes: HomeRegions; readonly crashes: readonly Crash[]; readonly ends: readonly CallEnd[]; readonly faults: {count: number}; readonly url: string; readonly close: () => void};
 
 /** Starts the caller listener of a gateway with the given configuration, instances and header codec. */
 export async function startTestGateway(configuration: PublishedConfiguration | undefined, instances: readonly Instance[], {codec = platformCodec, retrySlack = 100, homes = new HomeRegions(new RegionMap({}))}: {codec?: WireCodec; retrySlack?: number; homes?: HomeRegions} = {}): Promise<TestGateway> {
@@ -119,9 +119,10 @@
 	const directory = new Directory(log);
 	directory.apply({revision: 1, changes: configuration ? [{revision: 1, change: {kind: 'configuration', configuration}}] : []});
 	directory.replaceInstances({revision: 2, changes: instances.map(instance => ({revision: 2, change: {kind: 'instance', instance}}))});
-	const tracker = new InstanceTracker(log, new InstanceSignals({log, random: new RandomSource(8), gatewayCount: () => 1}));
+	const tracker = new InstanceTracker(log, new InstanceSignals({log, random: new RandomSource(8), gatewayCount: () => 1}), directory.evacuations);
 	const crashList: Crash[] = [];
 	const faults = {count: 0};
+	const ends: CallEnd[] = [];
 	const pauses = new PauseDetector();
 	const quarantine = new PromptQuarantine({log, hasTurn: () => true, tell: () => undefined});
 	const crashes = new CrashDetector({
@@ -132,7 +133,9 @@
 	});
 	const forwarder = new CallForwarder({
 		directory, codec, tracker, crashes, quarantine, loads: {ask: async () => new Map()}, homes, random: new RandomSource(7), log, zone: 'z',
-		retryBudget: {ratio: 0.2, slack: retrySlack, windowMs: 10_000}, versionBoundMs: 8000, clock: pauses, eventLoopDelayMs: () => 0, gatewayCount: () => 1, onEnd: () => undefined,
+		retryBudget: {ratio: 0.2, slack: retrySlack, windowMs: 10_000}, versionBoundMs: 8000, clock: pauses, eventLoopDelayMs: () => 0, gatewayCount: () => 1, onEnd(end) {
+			ends.push(end);
+		},
 	});
 	quarantine.onHeld(() => {
 		forwarder.endHeldCalls();
@@ -146,7 +149,7 @@
 	});
 	await listener.start({host: '127.0.0.1', port});
 	return {
-		directory, tracker, forwarder, listener, bodies, quarantine, homes, crashes: crashList, faults, url: `http://127.0.0.1:${port}`, close() {
+		directory, tracker, forwarder, listener, bodies, quarantine, homes, crashes: crashList, ends, faults, url: `http://127.0.0.1:${port}`, close() {
 			listener.destroy();
 			pauses.stop();
 		},
--- a/test/support/directory-fleet.ts
+++ b/test/support/directory-fleet.ts
@@ -81,7 +81,7 @@
 		};
 
 		return {
-			read: async (part, signal) => answer(signal, () => ({revision: this.revision, changes: changesAfter(part, 0).filter(({change}) => change.kind !== 'instance-gone')})),
+			read: async (part, signal) => answer(signal, () => ({revision: this.revision, changes: changesAfter(part, 0).filter(({change}) => change.kind !== 'instance-gone' && change.kind !== 'evacuation-ended')})),
 			async watch(part, after, waitMs, signal) {
 				const untilMs = performance.now() + waitMs;
 				return answer(signal, () => {
