--- a/src/checks/compare-routes.ts
+++ b/src/checks/compare-routes.ts
@@ -1,17 +1,18 @@
 /** Tells what it means for calls that they belong to another route than before, or that their route has changed. */
+import type {Route} from '../directory/directory-types.ts';
 import {isRefused} from '../forwarding/route-table.ts';
-import type {CheckedRoute, Effect} from './configuration-finding.ts';
+import type {Effect} from './configuration-finding.ts';
 
 /** One change, and what it means for the calls. */
 export type Change<Field> = {readonly field?: Field; readonly effect: Effect; readonly reason: string};
 
 /** A change of a route. */
-export type RouteChange = Change<keyof CheckedRoute>;
+export type RouteChange = Change<keyof Route>;
 
-type CompareField = (before: CheckedRoute, after: CheckedRoute) => Omit<RouteChange, 'field'> | undefined;
+type CompareField = (before: Route, after: Route) => Omit<RouteChange, 'field'> | undefined;
 
 /** The comparison of each field of a route, for routes that are both served. */
-const comparisons: ReadonlyArray<{readonly field: keyof CheckedRoute; readonly compare: CompareField}> = [
+const comparisons: ReadonlyArray<{readonly field: keyof Route; readonly compare: CompareField}> = [
 	{field: 'targets', compare: compareTargets},
 	{field: 'homeRegions', compare: compareHomeRegions},
 	{field: 'timeoutMs', compare: (before, after) => compareLimit('timeout in ms', before.timeoutMs, after.timeoutMs)},
@@ -30,7 +31,7 @@
  * @param before - the route in force; undefined if the calls match none
  * @param after - the route to come; undefined if the calls match none
  */
-export function compareCallRoutes(before: CheckedRoute | undefined, after: CheckedRoute | undefined): RouteChange[] {
+export function compareCallRoutes(before: Route | undefined, after: Route | undefined): RouteChange[] {
 	const isServed = after && !isRefused(after);
 	if (!before || isRefused(before)) {
 		return isServed ? [{effect: 'served', reason: 'its calls, which are refused until now, are served'}] : [];
@@ -62,7 +63,7 @@
 }
 
 /** Compares restrictions to regions; undefined if they permit the same regions. */
-export function compareHomeRegions({homeRegions: before}: Pick<CheckedRoute, 'homeRegions'>, {homeRegions: after}: Pick<CheckedRoute, 'homeRegions'>): Omit<RouteChange, 'field'> | undefined {
+export function compareHomeRegions({homeRegions: before}: Pick<Route, 'homeRegions'>, {homeRegions: after}: Pick<Route, 'homeRegions'>): Omit<RouteChange, 'field'> | undefined {
 	const [from, to] = [describeRegions(before), describeRegions(after)];
 	if (from === to) {
 		return undefined;
@@ -90,7 +91,7 @@
 }
 
 /** Calls that ran at most once may now run again; others are no longer repeated, or no longer passed on event by event. */
-function compareKinds({kind: before}: CheckedRoute, {kind: after}: CheckedRoute): Omit<RouteChange, 'field'> | undefined {
+function compareKinds({kind: before}: Route, {kind: after}: Route): Omit<RouteChange, 'field'> | undefined {
 	if (before === after) {
 		return undefined;
 	}
@@ -99,13 +100,13 @@
 	return {effect: before === 'once' ? 'repeated' : (isLimited ? 'limited' : 'none'), reason: `kind ${before} becomes ${after}`};
 }
 
-function compareTargets({targets: before}: CheckedRoute, {targets: after}: CheckedRoute): Omit<RouteChange, 'field'> | undefined {
+function compareTargets({targets: before}: Route, {targets: after}: Route): Omit<RouteChange, 'field'> | undefined {
 	const [from, to] = [describeShares(before), describeShares(after)];
 	return from === to ? undefined : {effect: 'moved', reason: `calls go to ${to} instead of ${from}`};
 }
 
 /** Describes the shares of the services of a route, regardless of their order. */
-function describeShares(targets: CheckedRoute['targets']): string {
+function describeShares(targets: Route['targets']): string {
 	const total = targets.reduce((sum, {weight}) => sum + weight, 0);
 	const weights = new Map<string, number>();
 	for (const {service, weight} of targets) {
--- a/src/checks/compare-workspaces.ts
+++ b/src/checks/compare-workspaces.ts
@@ -1,13 +1,14 @@
 /** Tells what the differences between the workspaces and keys of two configurations mean for calls. Names no key, since whoever reads it could use it. */
+import type {KeyHolder} from '../directory/directory-types.ts';
 import {compareHomeRegions, comparePriority} from './compare-routes.ts';
 import type {
-	CheckedConfiguration, CheckedKeyHolder, Effect, GroupedFinding, Place,
+	CheckedConfiguration, Effect, GroupedFinding, Place,
 } from './configuration-finding.ts';
 
-type Keys = ReadonlyMap<string, CheckedKeyHolder>;
+type Keys = ReadonlyMap<string, KeyHolder>;
 
 /** How many keys of a workspace the other configuration lacks, or gives to another workspace. */
-type KeyCounts = {lost: number; passedOn: number; readonly holder: CheckedKeyHolder};
+type KeyCounts = {lost: number; passedOn: number; readonly holder: KeyHolder};
 
 /** Compares the workspaces by name, and the keys by their holder. */
 export function compareWorkspaces(before: CheckedConfiguration, after: CheckedConfiguration): GroupedFinding[] {
--- a/src/checks/configuration-finding.ts
+++ b/src/checks/configuration-finding.ts
@@ -2,27 +2,20 @@
 import type {
 	CallerLimits, KeyHolder, PublishedConfiguration, Route, ServiceInfo,
 } from '../directory/directory-types.ts';
-import type {RegionId} from '../ids/region-id.ts';
 import type {WorkspaceId} from '../ids/workspace-id.ts';
 import type {Finding} from '../runtime/finding.ts';
 import type {JsonPath} from './parse-json-with-lines.ts';
 
-/** The regions in which calls may run; undefined where there is no restriction. */
-export type HomeRegions = {readonly homeRegions?: readonly RegionId[] | undefined};
-
-/** A route, and its restriction to regions. */
-export type CheckedRoute = Route & HomeRegions;
-
-/** The holder of a key, and its restriction to regions. */
-export type CheckedKeyHolder = KeyHolder & HomeRegions;
+/** What a route and the holder of a key have in common: the regions in which their calls may run. */
+export type HomeRegions = Pick<Route, 'homeRegions'>;
 
 /** A part of a configuration, and one field of it. */
 export type Place =
 	| {readonly part: 'version'}
 	| {readonly part: 'limit'; readonly field: keyof CallerLimits}
-	| {readonly part: 'route'; readonly at: number; readonly field?: keyof CheckedRoute}
+	| {readonly part: 'route'; readonly at: number; readonly field?: keyof Route}
 	| {readonly part: 'service'; readonly at: number; readonly field?: keyof ServiceInfo}
-	| {readonly part: 'workspace'; readonly at: number; readonly field?: 'keys' | keyof CheckedKeyHolder};
+	| {readonly part: 'workspace'; readonly at: number; readonly field?: 'keys' | keyof KeyHolder};
 
 /** A workspace as published, with its keys. */
 export type CheckedWorkspace = {readonly name: WorkspaceId; readonly keys: readonly string[]};
--- a/src/checks/find-differences.ts
+++ b/src/checks/find-differences.ts
@@ -1,15 +1,13 @@
 /** Finds what changes for calls when a configuration replaces the one in force. */
-import type {CallerLimits} from '../directory/directory-types.ts';
+import type {CallerLimits, Route} from '../directory/directory-types.ts';
 import {compareCallRoutes, compareLimit, type RouteChange} from './compare-routes.ts';
 import {compareServices} from './compare-services.ts';
 import {compareWorkspaces} from './compare-workspaces.ts';
-import type {
-	CheckedConfiguration, CheckedRoute, GroupedFinding, Place,
-} from './configuration-finding.ts';
+import type {CheckedConfiguration, GroupedFinding, Place} from './configuration-finding.ts';
 import {RouteIndex} from './route-index.ts';
 
 /** A configuration whose routes can be found by the calls that belong to them. */
-type Side = CheckedConfiguration & {readonly index: RouteIndex; readonly reachable: ReadonlyMap<string, {readonly route: CheckedRoute; readonly at: number}>};
+type Side = CheckedConfiguration & {readonly index: RouteIndex; readonly reachable: ReadonlyMap<string, {readonly route: Route; readonly at: number}>};
 
 const limitNames: Readonly<Record<keyof CallerLimits, string>> = {
 	headerBytes: 'bytes of the headers of a call',
@@ -53,7 +51,7 @@
 }
 
 /** Returns a text that only routes of the same host and prefix share. */
-function placeKey({host, prefix}: CheckedRoute): string {
+function placeKey({host, prefix}: Route): string {
 	return JSON.stringify([host, prefix]);
 }
 
@@ -66,7 +64,7 @@
 }
 
 /** Describes a route that is kept or new; calls of a new one may have belonged to a route with a shorter prefix. */
-function describeKept(route: CheckedRoute, at: number, before: Side, after: Side): GroupedFinding[] {
+function describeKept(route: Route, at: number, before: Side, after: Side): GroupedFinding[] {
 	const same = before.reachable.get(placeKey(route))?.route;
 	const old = same ?? before.index.findRoute(route.host, route.prefix);
 	const changes = compareCallRoutes(old, route);
@@ -78,7 +76,7 @@
 		toFinding(change, at, after, old ? ` is new, and takes calls of route ${JSON.stringify(old.name)}: ` : ' is new: '));
 }
 
-function describeRemoved(route: CheckedRoute, at: number, before: Side, after: Side): GroupedFinding[] {
+function describeRemoved(route: Route, at: number, before: Side, after: Side): GroupedFinding[] {
 	const next = after.index.findRoute(route.host, route.prefix);
 	return withoutName(compareCallRoutes(route, next), 'its calls are served as before').map(change =>
 		toFinding(change, at, before, next ? ` is removed, and route ${JSON.stringify(next.name)} takes its calls: ` : ' is removed: '));
--- a/src/checks/find-region-contradictions.ts
+++ b/src/checks/find-region-contradictions.ts
@@ -1,9 +1,7 @@
 /** Finds home regions that leave calls no place to run. */
-import type {Instance} from '../directory/directory-types.ts';
+import type {Instance, KeyHolder, Route} from '../directory/directory-types.ts';
 import type {ServiceId} from '../ids/service-id.ts';
-import type {
-	CheckedConfiguration, CheckedKeyHolder, CheckedRoute, GroupedFinding, HomeRegions,
-} from './configuration-finding.ts';
+import type {CheckedConfiguration, GroupedFinding, HomeRegions} from './configuration-finding.ts';
 
 /** Number of workspaces that a finding names. */
 const maxNamedWorkspaces = 3;
@@ -25,9 +23,9 @@
 
 /** Compares each distinct restriction of routes with each one of workspaces: their number does not grow with the number of routes. */
 function findDisjointRegions({configuration, locate}: CheckedConfiguration): GroupedFinding[] {
-	const ofWorkspaces = groupRestrictions(Object.values(configuration.keys ?? {}).map((holder: CheckedKeyHolder) => ({...holder, name: holder.workspace})));
+	const ofWorkspaces = groupRestrictions(Object.values(configuration.keys ?? {}).map((holder: KeyHolder) => ({...holder, name: holder.workspace})));
 	const excludedBy = new Map<string, string[]>();
-	return configuration.routes.flatMap((route: CheckedRoute, at): GroupedFinding[] => {
+	return configuration.routes.flatMap((route: Route, at): GroupedFinding[] => {
 		const key = restrictionKey(route);
 		if (key === undefined) {
 			return [];
@@ -78,9 +76,9 @@
 
 	const known = new Set(regionByZone.values());
 	const reasons = ({homeRegions = []}: HomeRegions) => homeRegions.filter(region => !known.has(region)).map(region => `names region ${region} that no zone has; it permits nothing`);
-	const ofWorkspace = new Map<string, CheckedKeyHolder>(Object.values(configuration.keys ?? {}).map(holder => [holder.workspace, holder]));
+	const ofWorkspace = new Map<string, KeyHolder>(Object.values(configuration.keys ?? {}).map(holder => [holder.workspace, holder]));
 	return [
-		...configuration.routes.flatMap((route: CheckedRoute, at) => reasons(route)
+		...configuration.routes.flatMap((route: Route, at) => reasons(route)
 			.map((reason): GroupedFinding => ({group: 'contradiction', ...locate({part: 'route', at, field: 'homeRegions'}), reason}))),
 		...workspaces.flatMap(({name}, at) => reasons(ofWorkspace.get(name) ?? {})
 			.map((reason): GroupedFinding => ({group: 'contradiction', ...locate({part: 'workspace', at, field: 'homeRegions'}), reason}))),
@@ -100,7 +98,7 @@
 		}
 	}
 
-	return configuration.routes.flatMap(({homeRegions, targets}: CheckedRoute, at) => targets
+	return configuration.routes.flatMap(({homeRegions, targets}: Route, at) => targets
 		.filter(({service}) => homeRegions && !homeRegions.some(region => regionsByService.get(service)?.has(region)))
 		.map(({service}): GroupedFinding => ({
 			group: 'contradiction', ...locate({part: 'route', at, field: 'homeRegions'}), reason: `service ${service} has no instance in ${homeRegions!.join(', ')}; its calls are refused`,
--- a/src/cli/check-command.ts
+++ b/src/cli/check-command.ts
@@ -26,9 +26,6 @@
 	readonly json?: boolean;
 };
 
-/** The regions of zones, in the settings of gateways that know them. */
-type ZoneSettings = {readonly zones?: Readonly<Record<string, string>>};
-
 /** What was learnt about the deployment, and what was wrong with the files that should tell it. */
 type Facts = {readonly facts: DeploymentFacts; readonly findings: readonly GroupedFinding[]};
 
@@ -89,7 +86,7 @@
 
 function readGatewayFacts(file: string): Facts {
 	try {
-		const {limits, zones = {}}: GatewaySettings & ZoneSettings = readSettings(file, gatewaySettingsSchema);
+		const {limits, zones}: GatewaySettings = readSettings(file, gatewaySettingsSchema);
 		return {
 			facts: {
 				retryLimit: {ratio: limits.retry_ratio, slack: limits.retry_slack},
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -79,10 +79,10 @@
 		this.finish('left', {}, () => undefined);
 	}
 
-	/** Applies a change of the announced versions to the attempt. */
-	recheckStartDeadline(): void {
+	/** Applies a change of the directory to the attempts. */
+	recheckAttempts(): void {
 		this.options.boundary.run('signal', () => {
-			this.attempts.recheckStartDeadlines();
+			this.attempts.recheck(instance => this.options.tracker.isEvacuated(instance));
 		});
 	}
 
@@ -198,11 +198,12 @@
 	}
 
 	private async selectInstance(): ReturnType<ForwardedCallOptions['selectInstance']> {
-		const {call, route, service, aimLeftMs, writer, selectInstance} = this.options;
+		const {call, route, service, permittedRegions, aimLeftMs, writer, selectInstance} = this.options;
 		const nowMs = performance.now();
 		return selectInstance({
 			route,
 			service,
+			permittedRegions,
 			headers: call.headers,
 			aimLeftMs: aimLeftMs - (nowMs - call.receivedAtMs),
 			deadlineLeftMs: this.expiresAtMs - nowMs,
--- a/src/placement/instance-selector.ts
+++ b/src/placement/instance-selector.ts
@@ -4,10 +4,12 @@
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import type {InFlightCounts} from './engine-forecast.ts';
+import type {HomeRegions} from './home-regions.ts';
 import {type Barrier, barrierDescriptions, findReopeningMs} from './instance-availability.ts';
 import type {InstanceQuery, SelectedInstance} from './instance-query.ts';
 import type {InstanceTracker} from './instance-tracker.ts';
 import type {LoadSource} from './load-source.ts';
+import {nameRefusal} from './refusal-cause.ts';
 import {sampleInstances, type SampleSizes} from './sample-instances.ts';
 import {
 	type Candidate, type Placement, selectEngineInstance, selectPlainInstance, shouldAskMore,
@@ -22,6 +24,8 @@
 	readonly directory: Directory;
 	readonly tracker: InstanceTracker;
 	readonly loads: LoadSource;
+	/** Tells at which instances calls with home regions may run. */
+	readonly homes: HomeRegions;
 	readonly versionExpiry: VersionExpiry;
 	readonly random: RandomSource;
 	readonly zone: string;
@@ -86,17 +90,18 @@
 			choice = this.choose(query, service, sample);
 		}
 
-		return this.settle(choice, query, sample);
+		return this.settle({...choice, placement: this.nameCause(choice.placement, query)}, query, sample);
 	}
 
 	/** Reserves what the chosen instance needs, or tells the caller when an instance is expected to open again. */
 	private settle(choice: Choice, query: InstanceQuery, {counts, barriers}: Sample): SelectedInstance | Refusal {
-		const {tracker, random} = this.options;
+		const {tracker, homes, random} = this.options;
 		const {placement, instances, candidates} = choice;
 		this.logPlacement(choice, query, counts.size, barriers);
 		if (placement.kind === 'place') {
 			const selection = this.createSelection(placement, instances, query.headers.model);
 			tracker.signals.reserveTrial(selection.instance);
+			homes.recordPlaced(selection.instance, query.permittedRegions);
 			return selection;
 		}
 
@@ -106,9 +111,10 @@
 
 	/** Draws further eligible instances and asks for their load; returns whether there were any. */
 	private async extendSample(query: InstanceQuery, service: ServiceInfo | undefined, {ids, counts, barriers}: Sample, sizes: SampleSizes): Promise<boolean> {
-		const {directory, random, loads, zone} = this.options;
+		const {directory, random, loads, homes, zone} = this.options;
 		const isNew = (instance: Instance) => !ids.has(instance.id) && this.isEligible(instance, query, service, barriers);
-		const sampled = sampleInstances(directory.availableInstances(query.service, zone), sizes, isNew, bound => random.nextInt(bound));
+		const available = homes.narrow(directory.availableInstances(query.service, zone), query.permittedRegions);
+		const sampled = sampleInstances(available, sizes, isNew, bound => random.nextInt(bound));
 		for (const {id} of sampled) {
 			ids.add(id);
 		}
@@ -127,7 +133,7 @@
 		const randomBelow = (bound: number) => random.nextInt(bound);
 		// An instance may have changed or left while its load was asked for.
 		const instances = [...sample.ids].flatMap(id => directory.instance(id) ?? []).filter(instance => this.isEligible(instance, query, service, sample.barriers));
-		const candidates = instances.map(instance => this.createCandidate(instance, query.headers.model, sample.counts.get(instance.id)));
+		const candidates = instances.map(instance => this.createCandidate(instance, query, sample.counts.get(instance.id)));
 		const placement = service?.engine
 			? selectEngineInstance(service.engine, candidates, {
 				promptTokens: query.headers.promptTokens || service.engine.usualPromptTokens,
@@ -139,9 +145,20 @@
 		return {placement, instances, candidates};
 	}
 
+	/** Names the cause of a refusal without an eligible instance. */
+	private nameCause(placement: Placement, {service, permittedRegions}: InstanceQuery): Placement {
+		const {directory: {evacuations, instances}, homes, random} = this.options;
+		const isAnyEvacuated = placement.kind === 'refuse' && evacuations.zones.length > 0;
+		return nameRefusal(placement, {
+			instances: isAnyEvacuated ? instances.filter(instance => instance.service === service && !instance.isDraining) : [],
+			isEvacuated: zone => evacuations.isEvacuated(zone),
+			isPermitted: permittedRegions && (instance => homes.permits(instance, permittedRegions)),
+		}, bound => random.nextInt(bound));
+	}
+
 	/** Whether an instance may take the call; if only a barrier speaks against it, that is added to `barriers`. */
 	private isEligible(instance: Instance, query: InstanceQuery, service: ServiceInfo | undefined, barriers: Map<string, Barrier>): boolean {
-		if (!this.holdsRequired(instance, query, service)) {
+		if (!this.options.homes.permits(instance, query.permittedRegions) || !this.holdsRequired(instance, query, service)) {
 			return false;
 		}
 
@@ -164,14 +181,16 @@
 			&& this.options.versionExpiry.mayStart(held) && (requiredVersion === undefined || held.version === requiredVersion);
 	}
 
-	private createCandidate(instance: Instance, model: string | undefined, others: InFlightCounts | undefined): Candidate {
-		const {tracker, zone, versionExpiry} = this.options;
-		const held = findHeldModel(instance, model);
+	private createCandidate(instance: Instance, {headers, permittedRegions}: InstanceQuery, others: InFlightCounts | undefined): Candidate {
+		const {tracker, homes, zone, versionExpiry} = this.options;
+		const held = findHeldModel(instance, headers.model);
+		const load = tracker.getLoad(instance.id, others);
 		return {
 			id: instance.id,
 			isLocal: instance.zone === zone,
-			load: tracker.getLoad(instance.id, others),
+			load,
 			slots: instance.slots,
+			homeReserveMs: homes.reserveMs(instance, {calls: load.calls, slots: instance.slots}, permittedRegions),
 			isSuspect: tracker.isSuspect(instance.id),
 			startWindowMs: held ? versionExpiry.timeLeftMs(held) : Number.POSITIVE_INFINITY,
 		};
@@ -186,18 +205,22 @@
 		};
 	}
 
-	private logPlacement({placement, candidates}: Choice, {service, headers, aimLeftMs, requiredVersion}: InstanceQuery, answers: number, barriers: ReadonlyMap<string, Barrier>): void {
+	private logPlacement({placement, candidates}: Choice, query: InstanceQuery, answers: number, barriers: ReadonlyMap<string, Barrier>): void {
 		const {log, directory} = this.options;
+		const {service, headers, aimLeftMs, permittedRegions, requiredVersion} = query;
 		const common = {
 			id: headers.attemptId, aimLeftMs: Math.round(aimLeftMs), deadlineMs: headers.deadlineMs, candidates: candidates.length, answers,
 		};
 		if (placement.kind === 'refuse') {
+			const evacuatedZones = directory.evacuations.zones;
 			log.info({
 				...common,
 				event: 'no_place',
 				service,
 				model: headers.model,
 				requiredVersion,
+				permittedRegions,
+				...(evacuatedZones.length > 0 ? {evacuatedZones} : {}),
 				reason: placement.reason,
 				leastCalls: Math.min(...candidates.map(({load}) => load.calls)),
 				instancesRevision: directory.instancesRevision,
--- a/src/settings/direct-settings.ts
+++ b/src/settings/direct-settings.ts
@@ -1,7 +1,8 @@
 /** Settings of the roles `gateway` and `stager`, for deployments in which the gateways call upstreams directly instead of through agents. */
 import {z} from 'zod';
+import {createRegionId, type RegionId} from '../ids/region-id.ts';
 import {
-	address, nameText, positiveNumber, processSection,
+	address, idText, nameText, positiveNumber, processSection,
 } from './settings-schema.ts';
 
 /** A comma-separated list of addresses; may be empty. */
@@ -30,6 +31,9 @@
 	address,
 });
 
+/** The region of each zone, by the name of the zone. */
+const zonesSection = z.record(idText, idText.transform((text): RegionId => createRegionId(text))).prefault({});
+
 const versionLimits = {
 	/** How long calls may still start on an older version of a model after a newer one was announced, in milliseconds. */
 	version_bound_ms: positiveAmount(8000),
@@ -49,6 +53,7 @@
 	}),
 	peers: peersSection,
 	directory: directorySection,
+	zones: zonesSection,
 	limits: z.strictObject({
 		...versionLimits,
 		/** Retries allowed per call, over all gateways. */
@@ -60,6 +65,8 @@
 		drain_notice_ms: amount(2500),
 		/** Time from SIGTERM until the process is killed, in seconds. */
 		grace_s: positiveAmount(8),
+		/** Within what time after its publication the evacuation of a zone has to be in force, in milliseconds; for operators only. */
+		evacuate_ms: positiveAmount(5000),
 		/** Memory limit of the process, in megabytes; the memory for bodies and answers is a share of it. */
 		memory_mb: positiveAmount(350),
 	}).prefault({}),
--- a/test/configuration-check.test.ts
+++ b/test/configuration-check.test.ts
@@ -13,11 +13,11 @@
 	checkConfiguration, type DeploymentFacts, findFaults, toCheckedConfiguration,
 } from '../src/checks/check-configuration.ts';
 import {compareCallRoutes} from '../src/checks/compare-routes.ts';
-import type {CheckedConfiguration, CheckedRoute, GroupedFinding} from '../src/checks/configuration-finding.ts';
+import type {CheckedConfiguration, GroupedFinding} from '../src/checks/configuration-finding.ts';
 import {findRegionContradictions} from '../src/checks/find-region-contradictions.ts';
 import {parseJsonWithLines} from '../src/checks/parse-json-with-lines.ts';
 import {RouteIndex} from '../src/checks/route-index.ts';
-import type {PublishedConfiguration} from '../src/directory/directory-types.ts';
+import type {PublishedConfiguration, Route} from '../src/directory/directory-types.ts';
 import {RouteTable} from '../src/forwarding/route-table.ts';
 import {createRegionId} from '../src/ids/region-id.ts';
 import {createServiceId} from '../src/ids/service-id.ts';
@@ -227,7 +227,7 @@
 		'contradiction route 2 service desk has no instance in moon; its calls are refused',
 	]);
 	expect(findRegionContradictions(checked, {regionByZone, instances: [testInstance({id: 'i-1', zone: 'n-1'})]})).to.have.length(4);
-	const [north, free] = configuration.routes as [CheckedRoute, CheckedRoute];
+	const [north, free] = configuration.routes as [Route, Route];
 	const narrower = {...north, homeRegions: regions('east')};
 	const changes = [[free, north], [north, narrower], [narrower, north], [north, free]].map(([from, to]) => compareCallRoutes(from, to).find(({field}) => field === 'homeRegions')?.effect);
 	expect(changes).to.deep.equal(['moved', 'moved', 'none', 'none']);
