Decode cold times and rates, and the pace in the load header

The cold time of an entry and of a response, and the cold rate of a service were not read. An entry counts its cold time down; the directory keeps the end of it instead, so that such an entry is no change and causes no message to peers, which are told what is left.

--- a/src/directory/directory-types.ts
+++ b/src/directory/directory-types.ts
@@ -60,10 +60,20 @@
 /** The origin server that weights are downloaded from. */
 export type OriginInfo = {readonly address: string; readonly linkBytesPerSecond: number; readonly maxConnections: number};
 
+/** What instances of a service can take while they are cold. */
+export type ColdInfo = {
+	/** How long an instance is cold after its start, in milliseconds. */
+	readonly startMs: number;
+	/** Calls per second that a cold instance can take from all gateways together. */
+	readonly callsPerSecond: number;
+};
+
 /** One published service. */
 export type ServiceInfo = {
 	readonly name: ServiceId;
 	readonly maxConnections: number;
+	/** Undefined if cold instances take as many calls as others. */
+	readonly cold?: ColdInfo;
 	readonly engine?: EngineTiming;
 	readonly origin?: OriginInfo;
 };
@@ -104,6 +114,10 @@
 	/** Wall-clock start, in milliseconds since 1970; distinguishes runs under the same id. */
 	readonly startedAtMs: number;
 	readonly held: readonly HeldModel[];
+	/** How much longer the instance is cold, at the time of its entry, in milliseconds. The table of instances replaces it by `coldUntilMs`. */
+	readonly coldLeftMs?: number;
+	/** Until when the instance is cold according to its entry, in milliseconds of the monotonic clock of this process. */
+	readonly coldUntilMs?: number;
 };
 
 /** An instance, and the revision of the source at which its entry was written. */
--- a/src/directory/instance-table.ts
+++ b/src/directory/instance-table.ts
@@ -2,6 +2,7 @@
 import {isDeepStrictEqual} from 'node:util';
 import type {ServiceId} from '../ids/service-id.ts';
 import type {Logger} from '../runtime/logger.ts';
+import {withColdEnd, withColdLeft} from './cold-entry.ts';
 import type {HeldModel, Instance, InstanceChanges} from './directory-types.ts';
 import {RemovalLog} from './removal-log.ts';
 
@@ -80,7 +81,8 @@
 
 		this.removals.forget(instance.id);
 		const known = this.known.get(instance.id);
-		const merged = withReportedModel(instance, this.reportedByAddress.get(instance.address));
+		const timed = withColdEnd(instance, known?.instance, performance.now());
+		const merged = withReportedModel(timed, this.reportedByAddress.get(instance.address));
 		if (known && !known.missing && isDeepStrictEqual(known.instance, merged)) {
 			// Only fields of the entry that are not used here have changed, so that other processes need not fetch it again.
 			this.known.set(instance.id, {instance: known.instance, revision});
@@ -136,7 +138,7 @@
 		return {
 			since: removed ? since : undefined,
 			revision: this.revision,
-			instances: alive.filter(({revision}) => revision > after).map(({instance, revision}) => ({...instance, revision})),
+			instances: alive.filter(({revision}) => revision > after).map(({instance, revision}) => ({...withColdLeft(instance, nowMs), revision})),
 			gone: [...removed ?? [], ...timedOut.map(({instance, missing}) => ({id: instance.id, revision: missing!.revision}))],
 			unconfirmed: alive.flatMap(({instance, missing}) => (missing && missing.revision > after ? [{id: instance.id, revision: missing.revision, ageMs: nowMs - missing.sinceMs}] : [])),
 		};
@@ -222,10 +224,12 @@
 		const before = this.known.get(instance.id)?.instance;
 		this.known.set(instance.id, {instance, revision, ...(missing ? {missing} : {})});
 		this.running = undefined;
-		if (before?.isDraining !== instance.isDraining || before.startedAtMs !== instance.startedAtMs || JSON.stringify(before.held) !== JSON.stringify(instance.held)) {
+		const isColdnessNew = before?.coldUntilMs !== instance.coldUntilMs;
+		if (isColdnessNew || before?.isDraining !== instance.isDraining || before.startedAtMs !== instance.startedAtMs || JSON.stringify(before.held) !== JSON.stringify(instance.held)) {
 			const {id, service, address, zone, isDraining, held} = instance;
+			const {coldLeftMs} = withColdLeft(instance, performance.now());
 			this.log.info({
-				event: 'instance_seen', instance: id, service, address, zone, isDraining, held, revision, from,
+				event: 'instance_seen', instance: id, service, address, zone, isDraining, held, coldLeftMs, revision, from,
 			}, 'instance registered or changed');
 		}
 	}
--- a/src/forwarding/wire-codec.ts
+++ b/src/forwarding/wire-codec.ts
@@ -45,8 +45,10 @@
 	readonly isNotRun: boolean;
 	/** Whether the body has a content encoding. Upstreams never set one, so that something in between has altered the response. */
 	readonly isEncoded: boolean;
-	/** Running and waiting calls at the upstream, and its slots. */
-	readonly load: {readonly calls: number; readonly slots: number} | undefined;
+	/** Running and waiting calls at the upstream, its slots, and how long work takes there at this moment, if it says so: 1 is as usual, 2 twice as long. */
+	readonly load: {readonly calls: number; readonly slots: number; readonly pace?: number} | undefined;
+	/** How much longer the upstream is cold, in milliseconds; 0 if it says that it is not, and undefined if it says nothing. */
+	readonly coldMs: number | undefined;
 	/** Version of the model that produced the response. */
 	readonly version: number | undefined;
 	/** ID of the instance that responded; undefined if it did not state it. */
--- a/src/peers/directory-snapshot-schema.ts
+++ b/src/peers/directory-snapshot-schema.ts
@@ -38,6 +38,7 @@
 const serviceSchema = z.object({
 	name: z.string(),
 	maxConnections: z.number(),
+	cold: z.object({startMs: z.number(), callsPerSecond: z.number().positive()}).optional(),
 	engine: engineSchema.optional(),
 	origin: z.object({address: addressSchema, linkBytesPerSecond: z.number(), maxConnections: z.number()}).optional(),
 });
@@ -70,6 +71,7 @@
 	held: z.array(z.object({
 		model: z.string(), version: z.number(), fromLayer: z.number(), toLayer: z.number(),
 	})),
+	coldLeftMs: z.number().optional(),
 });
 
 /** The parts that are newer than those of the requesting process. */
