Limit the calls that start at cold instances over all gateways

Nothing limited the calls at an instance that has just started, so that all gateways chose it as the emptiest one. The stager beside an engine now grants starts, spaced at the published rate; gateways use even shares in turns where no stager answers.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -16,9 +16,11 @@
 import {directoryGetMethod} from '../messages/peers-exchange.ts';
 import {directoryGetParamsSchema} from '../peers/directory-snapshot-schema.ts';
 import {LoadQueries} from '../peers/load-queries.ts';
+import {StartClaims} from '../peers/start-claims.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {ForwardingMetrics} from '../reports/forwarding-metrics.ts';
 import type {GatewaySettings} from '../settings/direct-settings.ts';
+import {createColdStarts} from './create-cold-starts.ts';
 import {createCrashProtection} from './crash-protection.ts';
 import type {RunningProcess} from './entry-agent-base.ts';
 import {type CreateSource, GatewayStagerBase, type SettingsSource} from './gateway-stager-base.ts';
@@ -50,7 +52,9 @@
 	}), adapter.createSource);
 	const {directory, log, random, peers, metrics, rpc, settings} = base;
 	const gatewayCount = () => peers.knownGateways.size;
-	const tracker = new InstanceTracker(log, new InstanceSignals({log, random, gatewayCount}));
+	const claims = new StartClaims({datagrams: base.datagrams, port: settings.listen.datagrams.port});
+	const coldStarts = createColdStarts({base, claims, metrics});
+	const tracker = new InstanceTracker(log, new InstanceSignals({log, random, gatewayCount}), coldStarts);
 	const loads = new LoadQueries({
 		vm: settings.process.vm,
 		inFlight: tracker.inFlight,
@@ -112,6 +116,7 @@
 		const present = new Set(directory.instances.map(({id}) => id));
 		tracker.retainOnly(present);
 		loads.retainOnly(present);
+		claims.retainOnly(present);
 	});
 	const isReady = () => !drain.isDraining && directory.configurationVersion > 0 && directory.instancesRevision > 0;
 	const drain = new Drain({
--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -8,6 +8,7 @@
 import {manifestGetMethod, manifestGetParamsSchema, type PeerInfo} from '../messages/peers-exchange.ts';
 import {rolloutHaveMethod, rolloutHaveParamsSchema} from '../messages/rollout-have.ts';
 import {serveCallCounter} from '../peers/call-counter-listener.ts';
+import {serveStartClaims} from '../peers/start-claim-listener.ts';
 import {EngineStateSender} from '../peers/engine-state-sender.ts';
 import {NoticeDatagrams} from '../peers/notice-datagrams.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
@@ -145,6 +146,7 @@
 		});
 		this.control = new HttpListener(this.createRoutes(), log);
 		serveCallCounter(this.base.datagrams, this.base.pauseDetector);
+		serveStartClaims(this.base.datagrams, () => peers.knownGateways.size);
 	}
 
 	async start(): Promise<void> {
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -47,6 +47,8 @@
 	readonly eventLoopDelayMs: () => number;
 	/** Returns the number of gateways that share the retry budget. */
 	readonly gatewayCount: () => number;
+	/** Returns when calls were allowed to a zone again; undefined if they always were. */
+	readonly returnedAtMs?: (zone: string) => number | undefined;
 	/** Maximum size of the responses that are kept until they are complete, in bytes. */
 	readonly responseBytes?: number;
 	/** Called when an instance of a service has sent nothing for too long, with what was done about it. */
@@ -94,10 +96,10 @@
 
 	/** @param options - dependencies and settings */
 	constructor(private readonly options: CallForwarderOptions) {
-		const {directory, tracker, loads, random, zone, log} = options;
+		const {directory, tracker, loads, random, zone, log, returnedAtMs} = options;
 		this.buffers = new ResponseBuffers(options.responseBytes);
 		this.selector = new InstanceSelector({
-			directory, tracker, loads, random, zone, log, versionExpiry: new VersionExpiry(directory, options.versionBoundMs, options.eventLoopDelayMs),
+			directory, tracker, loads, random, zone, log, returnedAtMs, versionExpiry: new VersionExpiry(directory, options.versionBoundMs, options.eventLoopDelayMs),
 		});
 		directory.onChange(() => {
 			for (const call of this.inFlight) {
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -244,7 +244,7 @@
 		}
 	}
 
-	private startAttempt({instance, predictedMs, version, startTimeLeftMs}: SelectedInstance): void {
+	private startAttempt({instance, predictedMs, version, startTimeLeftMs, isStartPermitted}: SelectedInstance): void {
 		const {call, boundary, route, holder, writer, codec, tracker, buffers, clock} = this.options;
 		this.tried.add(instance.id);
 		this.version = version;
@@ -256,6 +256,7 @@
 			isStream: route.kind === 'stream',
 			predictedMs,
 			startTimeLeftMs,
+			isStartPermitted,
 			instructions: {
 				deadlineMs: Math.max(1, Math.floor(this.expiresAtMs - performance.now())),
 				instance: instance.id,
--- a/src/forwarding/upstream-attempt-options.ts
+++ b/src/forwarding/upstream-attempt-options.ts
@@ -30,6 +30,8 @@
 	readonly predictedMs: number;
 	/** Returns how long the call may still start on the selected version, in milliseconds; infinite unless a newer version was announced. */
 	readonly startTimeLeftMs: () => number;
+	/** Returns whether the instance still expects the start of the call; asked before anything is written. */
+	readonly isStartPermitted: () => boolean;
 	readonly instructions: AttemptInstructions;
 	/** What the caller has of the answer. */
 	readonly progress: AnswerProgress;
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -75,9 +75,9 @@
 			headers: codec.writeCallHeaders(call.rawHeaders, instructions),
 			body: instructions.hasBody ? call.body : undefined,
 		}, {
-			mayWrite: () => this.startDeadline.allowsStartIn(this.options.predictedMs),
+			mayWrite: () => this.options.isStartPermitted() && this.startDeadline.allowsStartIn(this.options.predictedMs),
 			onWithheld: () => {
-				this.report({kind: 'not-run', reason: 'version_expired'});
+				this.report({kind: 'not-run', reason: this.options.isStartPermitted() ? 'version_expired' : 'cold_start_expired'});
 			},
 			onHeaders: this.handleHeaders.bind(this),
 			onData: this.handleData.bind(this),
@@ -125,10 +125,7 @@
 		const headers = codec.readResponseHeaders(status, rawHeaders);
 		this.head = {status, headers};
 		this.signals.recordHead(status, headers);
-		if (headers.load) {
-			tracker.recordReportedLoad(instance.id, headers.load.calls);
-		}
-
+		tracker.recordHead(instance, this.head);
 		const fault = findHeadFault(status, headers, call.headers.attemptId);
 		if (fault) {
 			this.fail(fault);
--- a/src/placement/instance-availability.ts
+++ b/src/placement/instance-availability.ts
@@ -25,10 +25,12 @@
 	readonly unreachableSinceMs: number | undefined;
 	/** Until when it gets no calls after it refused one or started to load weights; in the past if there is no such pause. */
 	readonly pausedUntilMs: number;
+	/** Until when it gets no calls because it is cold and no start is left; in the past or undefined if there is no such limit. */
+	readonly coldUntilMs?: number;
 };
 
 /** Why no call may start at an instance. */
-export type BarrierReason = 'leaving' | 'draining' | 'unreachable' | 'quiet' | 'trial' | 'paused';
+export type BarrierReason = 'leaving' | 'draining' | 'unreachable' | 'quiet' | 'trial' | 'paused' | 'cold';
 
 /** A reason against a call at an instance. */
 export type Barrier = {
@@ -50,6 +52,7 @@
 	quiet: {source: 'response of the instance', endsBy: 'time, then a trial call'},
 	trial: {source: 'trial call under way', endsBy: 'its response'},
 	paused: {source: 'refusal, or weights that load', endsBy: 'time'},
+	cold: {source: 'starts at a cold instance are used up', endsBy: 'time'},
 };
 
 type BarrierFinder = (instance: Instance, beliefs: InstanceBeliefs, nowMs: number) => Omit<Barrier, 'reason'> | undefined;
@@ -62,6 +65,7 @@
 	quiet: (_, {signal}) => (signal?.state === 'quiet' ? signal : undefined),
 	trial: (_, {signal}) => (signal?.state === 'trying' ? signal : undefined),
 	paused: (_, {pausedUntilMs}, nowMs) => (pausedUntilMs > nowMs ? {sinceMs: undefined, untilMs: pausedUntilMs} : undefined),
+	cold: (_, {coldUntilMs = 0}, nowMs) => (coldUntilMs > nowMs ? {sinceMs: undefined, untilMs: coldUntilMs} : undefined),
 };
 
 const barrierReasons = Object.keys(barrierFinders) as BarrierReason[];
@@ -92,7 +96,7 @@
  * @param nowMs - the time, in milliseconds of the monotonic clock
  */
 export function findReopeningMs(barriers: readonly Barrier[], nowMs: number): number | undefined {
-	const isTimed = barriers.some(({reason}) => reason === 'quiet' || reason === 'trial');
+	const isTimed = barriers.some(({reason}) => reason === 'quiet' || reason === 'trial' || reason === 'cold');
 	const untilMs = Math.min(...barriers.map(barrier => (barrier.reason === 'trial' ? nowMs + usualTrialMs : barrier.untilMs)));
 	return isTimed && Number.isFinite(untilMs) ? Math.max(0, untilMs - nowMs) : undefined;
 }
--- a/src/placement/instance-query.ts
+++ b/src/placement/instance-query.ts
@@ -29,4 +29,6 @@
 	readonly version: number | undefined;
 	/** Returns how long calls may still start on this version, in milliseconds; infinite unless a newer version was announced. */
 	readonly startTimeLeftMs: () => number;
+	/** Returns whether the call may still be written; false some time after its start at a cold instance was allowed. */
+	readonly isStartPermitted: () => boolean;
 };
--- a/src/placement/instance-selector.ts
+++ b/src/placement/instance-selector.ts
@@ -4,6 +4,7 @@
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import type {InFlightCounts} from './engine-forecast.ts';
+import type {StartPermit} from './cold-starts.ts';
 import {type Barrier, barrierDescriptions, findReopeningMs} from './instance-availability.ts';
 import type {InstanceQuery, SelectedInstance} from './instance-query.ts';
 import type {InstanceTracker} from './instance-tracker.ts';
@@ -13,6 +14,7 @@
 	type Candidate, type Placement, selectEngineInstance, selectPlainInstance, shouldAskMore,
 } from './select-instance.ts';
 import type {VersionExpiry} from './version-expiry.ts';
+import {warmShare} from './warm-share.ts';
 
 /** A refusal of the selection. */
 export type Refusal = Exclude<Placement, {kind: 'place'}>;
@@ -26,6 +28,8 @@
 	readonly random: RandomSource;
 	readonly zone: string;
 	readonly log: Logger;
+	/** Returns when calls were allowed to a zone again, in milliseconds of the monotonic clock; undefined if they always were. */
+	readonly returnedAtMs?: (zone: string) => number | undefined;
 };
 
 /**
@@ -37,6 +41,12 @@
 /** The sample of instances of a plain service, whose load is known without a question. */
 const plainSamples: readonly SampleSizes[] = [{local: 4, remote: 3}];
 
+/** Maximum number of cold instances that one call claims a start at. */
+const maxClaims = 4;
+
+/** When callers may return that got no start at any of these, in milliseconds. */
+const noStartRetryAfterMs = 400;
+
 /** Upper bound of the random delay of callers that are told when an instance opens again, in milliseconds. */
 const reopeningJitterMs = 300;
 
@@ -50,10 +60,12 @@
 	readonly counts: Map<string, InFlightCounts>;
 	/** Instances that would suit the call, but may get none now. */
 	readonly barriers: Map<string, Barrier>;
+	/** The samples that have not been drawn yet. */
+	readonly furtherSizes: SampleSizes[];
 };
 
 /** A placement, and what it was chosen from. */
-type Choice = {readonly placement: Placement; readonly instances: readonly Instance[]; readonly candidates: readonly Candidate[]};
+type Choice = {readonly placement: Placement; readonly instances: readonly Instance[]; readonly candidates: readonly Candidate[]; readonly permit?: StartPermit};
 
 /** Selects instances for the calls of this gateway. */
 export class InstanceSelector {
@@ -66,36 +78,64 @@
 	 * @param query - what the instance must satisfy
 	 */
 	async select(query: InstanceQuery): Promise<SelectedInstance | Refusal> {
-		const sample: Sample = {ids: new Set(), counts: new Map(), barriers: new Map()};
 		const service = this.options.directory.table?.findService(query.service);
+		const sample: Sample = {
+			ids: new Set(), counts: new Map(), barriers: new Map(), furtherSizes: [...(service?.engine ? engineSamples : plainSamples)],
+		};
+		let choice = await this.search(query, service, sample);
+		const chosen = findChosen(choice);
+		if (chosen && service && this.options.tracker.coldStarts.needsClaim(chosen, service)) {
+			choice = await this.claimStart(choice, query, service, sample);
+		}
+
+		return this.settle(choice, query, sample);
+	}
+
+	/** Draws samples until one of them has an instance that is good enough. */
+	private async search(query: InstanceQuery, service: ServiceInfo | undefined, sample: Sample): Promise<Choice> {
 		let choice = this.choose(query, service, sample);
-		for (const sizes of service?.engine ? engineSamples : plainSamples) {
-			const hasGrown = await this.extendSample(query, service, sample, sizes);
+		while (sample.furtherSizes.length > 0 && shouldAskMore(choice.placement, choice.candidates)) {
+			const hasGrown = await this.extendSample(query, service, sample, sample.furtherSizes.shift()!);
 			if (!hasGrown) {
 				break;
 			}
 
 			choice = this.choose(query, service, sample);
-			if (!shouldAskMore(choice.placement, choice.candidates)) {
-				break;
-			}
 		}
 
 		// Other calls may have been placed since the choice was made.
-		if (choice.placement.kind === 'place' && this.options.tracker.barrierAt(findChosen(choice)!)) {
-			choice = this.choose(query, service, sample);
+		const chosen = findChosen(choice);
+		return chosen && this.options.tracker.barrierAt(chosen) ? this.choose(query, service, sample) : choice;
+	}
+
+	/** Claims the start of a call that was placed at a cold instance. Without a start there, the call is placed elsewhere. */
+	private async claimStart(first: Choice, query: InstanceQuery, service: ServiceInfo, sample: Sample): Promise<Choice> {
+		const {coldStarts} = this.options.tracker;
+		let choice = first;
+		for (let claims = 0; claims < maxClaims; claims++) {
+			const chosen = findChosen(choice);
+			if (!chosen || !coldStarts.needsClaim(chosen, service)) {
+				return choice;
+			}
+
+			const permit = await coldStarts.claim(chosen, service, query.headers.attemptId);
+			if (permit && this.isEligible(chosen, query, service, sample.barriers)) {
+				return {...choice, permit};
+			}
+
+			choice = await this.search(query, service, sample);
 		}
 
-		return this.settle(choice, query, sample);
+		return {placement: {kind: 'refuse', reason: 'overloaded', retryAfterMs: noStartRetryAfterMs}, instances: [], candidates: []};
 	}
 
 	/** Reserves what the chosen instance needs, or tells the caller when an instance is expected to open again. */
 	private settle(choice: Choice, query: InstanceQuery, {counts, barriers}: Sample): SelectedInstance | Refusal {
 		const {tracker, random} = this.options;
-		const {placement, instances, candidates} = choice;
+		const {placement, candidates} = choice;
 		this.logPlacement(choice, query, counts.size, barriers);
 		if (placement.kind === 'place') {
-			const selection = this.createSelection(placement, instances, query.headers.model);
+			const selection = this.createSelection(placement, choice, query.headers.model);
 			tracker.signals.reserveTrial(selection.instance);
 			return selection;
 		}
@@ -127,7 +167,7 @@
 		const randomBelow = (bound: number) => random.nextInt(bound);
 		// An instance may have changed or left while its load was asked for.
 		const instances = [...sample.ids].flatMap(id => directory.instance(id) ?? []).filter(instance => this.isEligible(instance, query, service, sample.barriers));
-		const candidates = instances.map(instance => this.createCandidate(instance, query.headers.model, sample.counts.get(instance.id)));
+		const candidates = instances.map(instance => this.createCandidate(instance, service, query.headers.model, sample.counts.get(instance.id)));
 		const placement = service?.engine
 			? selectEngineInstance(service.engine, candidates, {
 				promptTokens: query.headers.promptTokens || service.engine.usualPromptTokens,
@@ -164,7 +204,7 @@
 			&& this.options.versionExpiry.mayStart(held) && (requiredVersion === undefined || held.version === requiredVersion);
 	}
 
-	private createCandidate(instance: Instance, model: string | undefined, others: InFlightCounts | undefined): Candidate {
+	private createCandidate(instance: Instance, service: ServiceInfo | undefined, model: string | undefined, others: InFlightCounts | undefined): Candidate {
 		const {tracker, zone, versionExpiry} = this.options;
 		const held = findHeldModel(instance, model);
 		return {
@@ -174,15 +214,28 @@
 			slots: instance.slots,
 			isSuspect: tracker.isSuspect(instance.id),
 			startWindowMs: held ? versionExpiry.timeLeftMs(held) : Number.POSITIVE_INFINITY,
+			warmShare: this.warmShareOf(instance, service),
 		};
 	}
 
-	private createSelection({id, predictedMs}: Extract<Placement, {kind: 'place'}>, instances: readonly Instance[], model: string | undefined): SelectedInstance {
+	private warmShareOf(instance: Instance, service: ServiceInfo | undefined): number {
+		const {tracker, returnedAtMs} = this.options;
+		const nowMs = performance.now();
+		// The clock of the VM that noted the start may run ahead.
+		const startedAtMs = Math.min(nowMs, nowMs + instance.startedAtMs - Date.now());
+		return warmShare(nowMs, startedAtMs, tracker.coldStarts.coldUntilMs(instance, service, nowMs), returnedAtMs?.(instance.zone) ?? Number.NEGATIVE_INFINITY);
+	}
+
+	private createSelection({id, predictedMs}: Extract<Placement, {kind: 'place'}>, {instances, permit}: Choice, model: string | undefined): SelectedInstance {
 		const {versionExpiry} = this.options;
 		const instance = instances.find(item => item.id === id)!;
 		const held = findHeldModel(instance, model);
 		return {
-			instance, predictedMs, version: held?.version, startTimeLeftMs: () => (held ? versionExpiry.timeLeftMs(held) : Number.POSITIVE_INFINITY),
+			instance,
+			predictedMs,
+			version: held?.version,
+			startTimeLeftMs: () => (held ? versionExpiry.timeLeftMs(held) : Number.POSITIVE_INFINITY),
+			isStartPermitted: () => permit?.isValid() ?? true,
 		};
 	}
 
--- a/src/placement/instance-signals.ts
+++ b/src/placement/instance-signals.ts
@@ -55,7 +55,7 @@
 };
 
 /** The head of a response. */
-type ResponseHead = {readonly status: number; readonly headers: ResponseHeaders};
+export type ResponseHead = {readonly status: number; readonly headers: ResponseHeaders};
 
 /** Dependencies of {@link InstanceSignals}. */
 export type InstanceSignalsOptions = {
@@ -316,7 +316,7 @@
 	},
 };
 
-/** Whether a response comes from the instance that the call was sent to. A 421 shows that only if it names its instance. */
-function isFrom({id}: Instance, {status, headers}: ResponseHead): boolean {
+/** Returns whether a response comes from the instance that the call was sent to. A 421 shows that only if it names its instance. */
+export function isFrom({id}: Instance, {status, headers}: ResponseHead): boolean {
 	return headers.instance === id || (headers.instance === undefined && status !== misdirectedStatus);
 }
--- a/src/placement/instance-tracker.ts
+++ b/src/placement/instance-tracker.ts
@@ -3,10 +3,11 @@
 import type {Logger} from '../runtime/logger.ts';
 import {misdirectedStatus} from '../forwarding/response-status.ts';
 import {type ConnectionProbe, probeConnection} from '../links/probe-connection.ts';
+import {ColdStarts} from './cold-starts.ts';
 import {InFlightCalls} from './in-flight-calls.ts';
 import type {EngineLoad, InFlightCounts} from './engine-forecast.ts';
 import {type Barrier, findBarrier} from './instance-availability.ts';
-import type {InstanceSignals} from './instance-signals.ts';
+import {type InstanceSignals, isFrom, type ResponseHead} from './instance-signals.ts';
 
 /** How long the load reported in a response is used, in milliseconds. */
 const reportedLoadTtlMs = 600;
@@ -59,8 +60,9 @@
 	/**
 	 * @param log - receives changes in the assessed health of an instance
 	 * @param signals - what instances say of themselves
+	 * @param coldStarts - limits the calls that start at cold instances
 	 */
-	constructor(private readonly log: Logger, readonly signals: InstanceSignals) {}
+	constructor(private readonly log: Logger, readonly signals: InstanceSignals, readonly coldStarts = new ColdStarts()) {}
 
 	/**
 	 * Returns the known load of an instance, including the calls of other gateways.
@@ -84,7 +86,7 @@
 		const health = this.health.get(instance.id);
 		const outage = health?.outage?.startedAtMs === instance.startedAtMs ? health.outage : undefined;
 		return findBarrier(instance, {
-			signal: this.signals.beliefAbout(instance), unreachableSinceMs: outage?.sinceMs, pausedUntilMs: health?.pausedUntilMs ?? 0,
+			signal: this.signals.beliefAbout(instance), unreachableSinceMs: outage?.sinceMs, pausedUntilMs: health?.pausedUntilMs ?? 0, coldUntilMs: this.coldStarts.closedUntilMs(instance),
 		}, performance.now());
 	}
 
@@ -172,6 +174,23 @@
 		this.getOrCreateHealth(id).pausedUntilMs = 0;
 	}
 
+	/**
+	 * Records what the head of a response tells of its instance.
+	 *
+	 * @param instance - the instance that the call was sent to
+	 * @param head - the head of the response
+	 */
+	recordHead(instance: Instance, head: ResponseHead): void {
+		const {load, coldMs} = head.headers;
+		if (load) {
+			this.recordReportedLoad(instance.id, load.calls);
+		}
+
+		if (coldMs !== undefined && isFrom(instance, head)) {
+			this.coldStarts.recordCold(instance, coldMs);
+		}
+	}
+
 	/**
 	 * Records the load that an instance reported in a response.
 	 *
@@ -207,6 +226,7 @@
 	 */
 	retainOnly(present: ReadonlySet<string>): void {
 		this.signals.retainOnly(present);
+		this.coldStarts.retainOnly(present);
 		for (const id of this.health.keys()) {
 			if (!present.has(id)) {
 				this.health.delete(id);
--- a/src/placement/select-instance.ts
+++ b/src/placement/select-instance.ts
@@ -19,6 +19,8 @@
 	readonly isSuspect: boolean;
 	/** How long calls may still start on the version that the instance holds, in milliseconds; infinite unless a newer version was announced. */
 	readonly startWindowMs: number;
+	/** Share of the slots that may be used, from 0 to 1; less than 1, the default, while the instance warms up or its zone is returned to. */
+	readonly warmShare?: number;
 };
 
 /** What the selection needs to know about a call. */
@@ -46,6 +48,9 @@
 /** Cost added to an instance with recent failures, in milliseconds. */
 const suspectPenaltyMs = 300;
 
+/** Cost added to an instance that uses its share of slots while it warms up, in milliseconds. */
+const warmingPenaltyMs = 150;
+
 /** Share of the slots of an instance that late calls may use; a late response is worth little and must not delay others. */
 const lateCallSlotShare = 0.5;
 
@@ -93,7 +98,7 @@
 export function selectEngineInstance(timing: EngineTiming, candidates: readonly Candidate[], call: CallRequirements, randomBelow: (bound: number) => number): Placement {
 	const ranked = candidates.map(candidate => {
 		const predictedMs = predictFirstEventMs(timing, candidate.load, call.promptTokens);
-		return {candidate, predictedMs, costMs: predictedMs + penaltyMs(candidate)};
+		return {candidate, predictedMs, costMs: predictedMs + penaltyMs(candidate) + warmingMs(candidate)};
 	}).filter(({candidate, predictedMs}) => predictedMs <= candidate.startWindowMs);
 	if (ranked.length === 0) {
 		return {kind: 'refuse', reason: 'no_upstream', retryAfterMs: noUpstreamRetryAfterMs + randomBelow(retryJitterMs)};
@@ -102,7 +107,7 @@
 	const limitMs = onTimeLimitMs(timing, call);
 	const beforeDeadline = ranked.filter(({predictedMs}) => predictedMs < call.deadlineLeftMs);
 	const onTime = beforeDeadline.filter(({predictedMs}) => call.isResponseStarted || predictedMs <= limitMs);
-	const belowLateShare = beforeDeadline.filter(({candidate}) => candidate.load.calls < candidate.slots * lateCallSlotShare);
+	const belowLateShare = beforeDeadline.filter(({candidate}) => candidate.load.calls < usableSlots(candidate) * lateCallSlotShare);
 	const best = pickLowestCost(onTime, randomBelow) ?? pickLowestCost(belowLateShare, randomBelow);
 	return best
 		? {kind: 'place', id: best.candidate.id, predictedMs: best.predictedMs}
@@ -120,7 +125,7 @@
  */
 export function shouldAskMore(placement: Placement, candidates: readonly Candidate[]): boolean {
 	const selected = placement.kind === 'place' ? candidates.find(({id}) => id === placement.id) : undefined;
-	if (selected && selected.load.calls < selected.slots) {
+	if (selected && selected.load.calls < usableSlots(selected)) {
 		return false;
 	}
 
@@ -155,7 +160,7 @@
  */
 export function selectPlainInstance(candidates: readonly Candidate[], randomBelow: (bound: number) => number): Placement {
 	const ranked = candidates.map(candidate => {
-		const perSlot = candidate.load.calls / Math.max(1, candidate.slots);
+		const perSlot = candidate.load.calls / Math.max(1, usableSlots(candidate));
 		return {candidate, predictedMs: 0, costMs: (perSlot * 100) + penaltyMs(candidate)};
 	});
 	const best = pickLowestCost(ranked, randomBelow);
@@ -174,6 +179,14 @@
 	return (isLocal ? 0 : crossZonePenaltyMs) + (isSuspect ? suspectPenaltyMs : 0);
 }
 
+function usableSlots({slots, warmShare = 1}: Candidate): number {
+	return slots * warmShare;
+}
+
+function warmingMs(candidate: Candidate): number {
+	return candidate.load.calls >= usableSlots(candidate) && usableSlots(candidate) < candidate.slots ? warmingPenaltyMs : 0;
+}
+
 function pickLowestCost<Item extends {readonly costMs: number}>(items: readonly Item[], randomBelow: (bound: number) => number): Item | undefined {
 	const lowest = Math.min(...items.map(({costMs}) => costMs));
 	const tied = items.filter(({costMs}) => costMs <= lowest + tieToleranceMs);
--- a/src/reports/explain-request.ts
+++ b/src/reports/explain-request.ts
@@ -23,7 +23,7 @@
 /** Events that log a state change of a process, each with the field that identifies what changed. */
 const stateChangeFields: Readonly<Record<string, string | undefined>> = {
 	instance_seen: 'instance', instance_gone: 'instance', instance_unconfirmed: 'instance', instance_lost: 'instance', instance_back: 'instance',
-	instance_leaving: 'instance', instance_quiet: 'instance', instance_tried: 'instance', instance_crashed: 'instance',
+	instance_leaving: 'instance', instance_quiet: 'instance', instance_tried: 'instance', instance_crashed: 'instance', instance_cold: 'instance',
 	instance_suspect: 'instance', instance_trusted: 'instance', instance_changing: 'instance',
 	configuration_taken: 'vm', configuration_refused: 'vm', version_named: 'model', source_lost: 'part', source_regained: 'part', history_lost: 'part',
 	directory_unconfirmed: 'vm', directory_confirmed: 'vm', watch_started: 'vm', watch_stopped: 'vm',
--- a/src/settings/direct-settings.ts
+++ b/src/settings/direct-settings.ts
@@ -1,5 +1,6 @@
 /** Settings of the roles `gateway` and `stager`, for deployments in which the gateways call upstreams directly instead of through agents. */
 import {z} from 'zod';
+import {defaultColdLimits} from '../placement/cold-quota.ts';
 import {
 	address, nameText, positiveNumber, processSection,
 } from './settings-schema.ts';
@@ -56,6 +57,9 @@
 		/** Additional retries allowed per window, over all gateways. */
 		retry_slack: amount(50),
 		retry_window_s: positiveAmount(10),
+		/** By how much the calls that start at a cold instance within one second may exceed its published rate: rate × `cold_overage` + `cold_slack`. */
+		cold_overage: amount(defaultColdLimits.overage),
+		cold_slack: amount(defaultColdLimits.slack),
 		/** How long new calls are still accepted after SIGTERM, so that load balancers can notice the shutdown, in milliseconds. */
 		drain_notice_ms: amount(2500),
 		/** Time from SIGTERM until the process is killed, in seconds. */
--- /dev/null
+++ b/test/cold-instances.test.ts
@@ -0,0 +1,215 @@
+/** Calls at cold instances: how gateways learn that an instance is cold, and what happens to the calls that it cannot take. */
+import {Buffer} from 'node:buffer';
+import {install} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {platformCodec} from '../platform/call-headers.ts';
+import {decodeItem} from '../platform/decode-published.ts';
+import {Directory} from '../src/directory/directory.ts';
+import type {DirectoryChange, PublishedConfiguration} from '../src/directory/directory-types.ts';
+import {createServiceId} from '../src/ids/service-id.ts';
+import {DatagramPort} from '../src/links/datagram-port.ts';
+import {directorySnapshotSchema} from '../src/peers/directory-snapshot-schema.ts';
+import {serveStartClaims} from '../src/peers/start-claim-listener.ts';
+import {StartClaims} from '../src/peers/start-claims.ts';
+import {ColdStarts} from '../src/placement/cold-starts.ts';
+import {InstanceSelector} from '../src/placement/instance-selector.ts';
+import {InstanceSignals} from '../src/placement/instance-signals.ts';
+import {InstanceTracker} from '../src/placement/instance-tracker.ts';
+import {StartLimiter} from '../src/placement/start-limiter.ts';
+import {VersionExpiry} from '../src/placement/version-expiry.ts';
+import {createSilentLogger} from '../src/runtime/logger.ts';
+import {RandomSource} from '../src/runtime/random-source.ts';
+import {
+	callGateway, sendSignedResponse, startTestGateway, startUpstream, testConfiguration, testInstance, testRoute,
+} from './support/direct-fixtures.ts';
+
+const log = createSilentLogger();
+const encodeValue = (value: unknown) => Buffer.from(JSON.stringify(value)).toString('base64');
+
+function withCold(configuration: PublishedConfiguration, startMs: number, callsPerSecond: number): PublishedConfiguration {
+	return {...configuration, services: configuration.services.map(service => ({...service, cold: {startMs, callsPerSecond}}))};
+}
+
+it('guards against cold times that are misread: rates and times are decoded, unusable ones allow one call per second and are reported, and the rest of the configuration stays', () => {
+	const decode = (service: object) => {
+		const change = decodeItem('op/config', encodeValue({
+			version: 1, routes: [], limits: {
+				max_header_bytes: 1, max_body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1,
+			}, services: [{name: 's', ...service}],
+		})) as Extract<DirectoryChange, {kind: 'configuration'}>;
+		expect(change).to.have.property('configuration');
+		return {cold: change.configuration.services[0]!.cold, findings: change.leftOut?.length};
+	};
+
+	expect(decode({cold_start_s: 3, cold_per_s: 14})).to.deep.equal({cold: {startMs: 3000, callsPerSecond: 14}, findings: 0});
+	for (const none of [{}, {cold_start_s: 3}, {cold_start_s: 3, cold_per_s: 0}, {cold_start_s: null, cold_per_s: null}]) {
+		expect(decode(none)).to.deep.equal({cold: undefined, findings: 0});
+	}
+
+	for (const rate of [-1, '14', 1e300, {}]) {
+		expect(decode({cold_start_s: 3, cold_per_s: rate})).to.deep.equal({cold: {startMs: 3000, callsPerSecond: 1}, findings: 1});
+	}
+
+	expect(decode({cold_start_s: -3, cold_per_s: 14})).to.deep.equal({cold: {startMs: 0, callsPerSecond: 14}, findings: 1});
+	const headers = (value: string) => platformCodec.readResponseHeaders(200, ['Cold-Ms', value]);
+	expect(headers('1200.5')).to.deep.include({coldMs: 1200.5, unreadableSignals: []});
+	expect(headers('-1')).to.deep.include({coldMs: undefined, unreadableSignals: ['cold-ms: -1']});
+});
+
+it('guards against messages to peers about a cold time that only counts down: entries of one cold time are no change, a new one is, and peers learn what is left of it', () => {
+	const clock = install();
+	try {
+		const directory = new Directory(log);
+		const peer = new Directory(log);
+		directory.apply({revision: 1, changes: [{revision: 1, change: {kind: 'configuration', configuration: withCold(testConfiguration(1), 3000, 14)}}]});
+		const list = (revision: number, coldLeftMs?: number) => {
+			directory.replaceInstances({revision, changes: [{revision, change: {kind: 'instance', instance: testInstance({id: 'i', ...(coldLeftMs === undefined ? {} : {coldLeftMs})})}}]});
+			return directory.instances[0];
+		};
+
+		const first = list(2, 3000);
+		clock.tick(1200);
+		expect(list(3, 1700), 'told 100 ms early').to.equal(first);
+		clock.tick(300);
+		const told = directorySnapshotSchema.parse(structuredClone(directory.snapshot(0, 0)));
+		peer.mergeFromPeer(told as ReturnType<Directory['snapshot']>, performance.now());
+		expect(peer.instances[0]?.coldUntilMs).to.equal(3000);
+		expect(peer.table?.findService(createServiceId('desk'))?.cold).to.deep.equal({startMs: 3000, callsPerSecond: 14});
+		clock.tick(2000);
+		expect(list(4), 'warm').to.equal(first);
+		expect(list(5, 3000)?.coldUntilMs, 'cold again').to.equal(6500);
+		expect(list(6)?.coldUntilMs, 'warm before its time').to.equal(undefined);
+	} finally {
+		clock.uninstall();
+	}
+});
+
+/** Starts a cold and a warm upstream of a plain service and a gateway; returns how many calls each got of 30. */
+async function callColdService(coldLeftMs: number, coldHeader: string | undefined): Promise<{cold: number; warm: number; served: number}> {
+	const coldUpstream = await startUpstream((req, res) => {
+		if (coldHeader !== undefined) {
+			res.setHeader('Cold-Ms', coldHeader);
+		}
+
+		sendSignedResponse(req, res, 200, 'cold');
+	});
+	const warmUpstream = await startUpstream((req, res) => {
+		sendSignedResponse(req, res, 200, 'warm');
+	});
+	const gateway = await startTestGateway(withCold(testConfiguration(1), 0, 2), [testInstance({id: 'cold', address: coldUpstream.address, coldLeftMs}), testInstance({id: 'warm', address: warmUpstream.address})]);
+	try {
+		let served = 0;
+		for (let call = 0; call < 30; call++) {
+			const {status} = await callGateway(gateway.url);
+			served += Number(status === 200);
+		}
+
+		return {cold: coldUpstream.requests.length, warm: warmUpstream.requests.length, served};
+	} finally {
+		for (const item of [gateway, coldUpstream, warmUpstream]) {
+			item.close();
+		}
+	}
+}
+
+it('guards against calls that a cold instance cannot take, known from its entry or its last response: they go to other instances, and all are served', async () => {
+	const [listed, said, warm] = [await callColdService(60_000, undefined), await callColdService(0, '60000'), await callColdService(0, undefined)];
+	expect([listed.served, said.served, warm.served]).to.deep.equal([30, 30, 30]);
+	expect(listed.cold).to.be.at.most(4);
+	expect(said.cold).to.be.at.most(5);
+	expect(warm.cold).to.be.greaterThan(5);
+});
+
+it('guards against a zone that is cold as a whole: each of its engines gets what it can take, the other zone the rest, and callers of an all-cold service learn when to return', async () => {
+	const clock = install();
+	try {
+		const directory = new Directory(log);
+		const service = createServiceId('models');
+		const held = [{
+			model: 'm', version: 1, fromLayer: 0, toLayer: 16,
+		}];
+		const change = (at: number): DirectoryChange => ({
+			kind: 'instance', instance: testInstance({
+				id: `i-${at}`, service, address: `127.0.0.1:${at + 1}`, zone: at < 4 ? 'z' : 'y', held, startedAtMs: Date.now() - 60_000, ...(at < 4 ? {coldLeftMs: 10_000} : {}),
+			}),
+		});
+		directory.apply({revision: 1, changes: [{kind: 'configuration' as const, configuration: withCold(testConfiguration(1), 3000, 14)}, ...Array.from({length: 8}, (_, at) => change(at))].map(item => ({revision: 1, change: item}))});
+		const limiters = new Map<string, StartLimiter>();
+		const random = new RandomSource(3);
+		const coldStarts = new ColdStarts({
+			log, limits: {overage: 1.5, slack: 5}, share: () => ({rank: 0, known: 1, count: 1}), random: () => 0, startedAtMs: 0, authority: {
+				async claim({id}, spacing) {
+					limiters.set(id, limiters.get(id) ?? new StartLimiter(0));
+					return limiters.get(id)!.claim(performance.now(), spacing);
+				},
+			},
+		});
+		const tracker = new InstanceTracker(log, new InstanceSignals({log, random, gatewayCount: () => 1}), coldStarts);
+		const selector = new InstanceSelector({
+			directory, tracker, random, log, zone: 'z', loads: {ask: async () => new Map()}, versionExpiry: new VersionExpiry(directory, 8000, () => 0),
+		});
+		const headers = platformCodec.readCallHeaders(['model', 'm', 'token-usage', '100,5']);
+		const place = async () => selector.select({
+			route: testRoute({kind: 'stream'}), service, headers, aimLeftMs: 400, deadlineLeftMs: 6000, tried: new Set(), isResponseStarted: false, requiredVersion: undefined,
+		});
+		const starts = new Map<string, number>();
+		for (let call = 0; call < 1000; call++) {
+			clock.tick(5);
+			const selection = await place();
+			expect(selection).to.have.property('instance');
+			const id = 'instance' in selection ? selection.instance.id : '';
+			starts.set(id, (starts.get(id) ?? 0) + 1);
+		}
+
+		const cold = [0, 1, 2, 3].map(at => starts.get(`i-${at}`) ?? 0);
+		expect(Math.min(...cold), `${cold.join(', ')} starts in 5 s`).to.be.at.least(40);
+		expect(Math.max(...cold)).to.be.at.most(5 * 14);
+		for (const at of [4, 5, 6, 7]) {
+			tracker.recordLoading(`i-${at}`);
+		}
+
+		let last = await place();
+		for (let call = 0; call < 4 && 'instance' in last; call++) {
+			last = await place();
+		}
+
+		expect('retryAfterMs' in last && last.retryAfterMs, 'no start is left in this moment').to.be.within(1, 1500);
+	} finally {
+		clock.uninstall();
+	}
+});
+
+it('guards against starts that two gateways are both granted, and calls that wait for a stager that is gone: it answers each claim once, and is soon not waited for', async () => {
+	const port = 17_937;
+	const stager = new DatagramPort(log);
+	serveStartClaims(stager, () => 7);
+	const gateways = ['127.0.0.21', '127.0.0.22'].map(host => ({host, datagrams: new DatagramPort(log)}));
+	const claims = gateways.map(({datagrams}) => new StartClaims({datagrams, port}));
+	const engine = testInstance({id: 'i', address: '127.0.2.1:80'});
+	const spacing = {intervalMs: 300, toleranceMs: 0};
+	try {
+		await stager.start({host: '127.0.2.1', port});
+		for (const {host, datagrams} of gateways) {
+			await datagrams.start({host, port});
+		}
+
+		await new Promise(resolve => {
+			setTimeout(resolve, 310);
+		});
+		const answers = await Promise.all([...claims, ...claims].map(async claim => claim.claim(engine, spacing)));
+		expect(answers.filter(answer => answer?.isAllowed)).to.have.length(1);
+		expect(answers.every(answer => answer !== undefined)).to.equal(true);
+		expect(claims[0]!.reportedGateways).to.equal(7);
+		stager.close();
+		const startMs = performance.now();
+		for (let round = 0; round < 40; round++) {
+			expect(await claims[0]!.claim(engine, spacing)).to.equal(undefined);
+		}
+
+		expect(performance.now() - startMs, '40 timeouts of 20 ms would take 800 ms').to.be.lessThan(400);
+	} finally {
+		for (const {datagrams} of gateways) {
+			datagrams.close();
+		}
+	}
+});
