Use the pace that instances report, with its age

The fourth figure of the load header was not read, so that calls went to instances that were slow at the moment. It is now a factor of the forecast of engines and of the cost of plain instances, counts less the older it is, and reaches other gateways in count and load datagrams, as does the cold time of a response.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -15,6 +15,7 @@
 import {changingDatagramSchema, type EngineDatagram, heldModelDatagramSchema} from '../messages/engine-datagram.ts';
 import {directoryGetMethod} from '../messages/peers-exchange.ts';
 import {directoryGetParamsSchema} from '../peers/directory-snapshot-schema.ts';
+import {createObservationExchange} from '../peers/engine-observation.ts';
 import {LoadQueries} from '../peers/load-queries.ts';
 import {StartClaims} from '../peers/start-claims.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
@@ -63,6 +64,7 @@
 		port: settings.listen.datagrams.port,
 		log,
 		clock: base.pauseDetector,
+		observations: createObservationExchange(tracker),
 	});
 	base.datagrams.on('held', heldModelDatagramSchema, state => {
 		applyEngineState(state, directory, tracker);
@@ -101,6 +103,7 @@
 		forwarder.endHeldCalls();
 	});
 	const bodies = new BodyBudget(bodyRoomFor(settings.limits.memory_mb));
+	metrics.gauge('cactusreach_slow_instances', 'Instances at which work takes at least 1.5 times as long as usual at this moment.', () => tracker.paces.countSlow(performance.now()));
 	metrics.gauge('cactusreach_body_bytes', 'Memory taken by the bodies of calls.', () => bodies.usedBytes);
 	const callers = new CallerListener({
 		forwarder, codec: adapter.codec, log, bodies, limits: () => directory.table?.configuration.limits, onFault(phase) {
--- a/src/peers/call-counter-listener.ts
+++ b/src/peers/call-counter-listener.ts
@@ -3,6 +3,7 @@
 import {askDatagramSchema, countDatagramSchema, type LoadDatagram} from '../messages/load-datagram.ts';
 import type {ListeningClock} from '../runtime/pause-detector.ts';
 import {CallCounter} from './call-counter.ts';
+import {asTrailing, ObservationRelay} from './engine-observation.ts';
 
 /**
  * Counts the calls that gateways report, and answers their questions.
@@ -12,11 +13,15 @@
  */
 export function serveCallCounter(datagrams: DatagramPort, clock: ListeningClock): void {
 	const counter = new CallCounter(clock);
-	datagrams.on('count', countDatagramSchema, ([, gateway, sequence, [calls, unreadTokens]]) => {
+	const relay = new ObservationRelay();
+	datagrams.on('count', countDatagramSchema, ([, gateway, sequence, [calls, unreadTokens], observation]) => {
 		counter.report(gateway, sequence, {calls, unreadTokens});
+		if (observation) {
+			relay.record(observation, performance.now());
+		}
 	});
 	datagrams.on('ask', askDatagramSchema, ([, gateway, instance], from) => {
 		const {calls, unreadTokens} = counter.othersThan(gateway);
-		datagrams.send(['load', instance, [calls, unreadTokens]] satisfies LoadDatagram, from);
+		datagrams.send(['load', instance, [calls, unreadTokens], ...asTrailing(relay.current(performance.now()))] satisfies LoadDatagram, from);
 	});
 }
--- a/src/peers/load-queries.ts
+++ b/src/peers/load-queries.ts
@@ -9,10 +9,11 @@
 import type {LoadSource} from '../placement/load-source.ts';
 import type {DatagramPort} from '../links/datagram-port.ts';
 import {type ListenAddress, parseAddress} from '../links/http-listener.ts';
-import {loadDatagramSchema, type LoadDatagram} from '../messages/load-datagram.ts';
+import {type EngineObservation, loadDatagramSchema, type LoadDatagram} from '../messages/load-datagram.ts';
 import {setInputTimeout} from '../runtime/input-timeout.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {ListeningClock} from '../runtime/pause-detector.ts';
+import {asTrailing, type ObservationExchange} from './engine-observation.ts';
 
 /** Interval at which the counts of all calls in flight are reported again, in milliseconds; corrects counts after lost datagrams and keeps them from expiring. */
 const refreshIntervalMs = 700;
@@ -57,6 +58,8 @@
 	readonly log: Logger;
 	/** Tells for how long this process could hear the stagers. */
 	readonly clock: ListeningClock;
+	/** Passes on what engines say of themselves. */
+	readonly observations?: ObservationExchange;
 };
 
 /** Reports and asks by datagram. */
@@ -170,12 +173,13 @@
 	}
 
 	/** Takes an answer, also one that arrives too late for the call that asked: it helps the next one. */
-	private handleAnswer([, instance, [calls, unreadTokens]]: LoadDatagram): void {
+	private handleAnswer([, instance, [calls, unreadTokens], observation]: LoadDatagram): void {
 		const counter = this.counters.get(instance);
 		if (!counter) {
 			return;
 		}
 
+		this.takeObservation(instance, observation);
 		counter.counts = {calls, unreadTokens};
 		counter.countedAtMs = performance.now();
 		counter.unansweredSinceMs = undefined;
@@ -211,7 +215,15 @@
 		const instance = directory.instance(id);
 		if (instance && directory.table?.findService(instance.service)?.engine) {
 			const {calls, unreadTokens} = inFlight.countsAt(id);
-			datagrams.send(['count', vm, ++this.sequence, [calls, unreadTokens]], this.counterAddress(instance.address));
+			const observation = asTrailing(this.options.observations?.own(instance));
+			datagrams.send(['count', vm, ++this.sequence, [calls, unreadTokens], ...observation], this.counterAddress(instance.address));
+		}
+	}
+
+	private takeObservation(id: string, observation: EngineObservation | undefined): void {
+		const instance = observation && this.options.directory.instance(id);
+		if (instance) {
+			this.options.observations?.take(instance, observation);
 		}
 	}
 }
--- a/src/placement/cold-starts.ts
+++ b/src/placement/cold-starts.ts
@@ -50,6 +50,8 @@
 	readonly startedAtMs: number;
 	/** Until when the run is cold according to its last response that told so, in milliseconds of the monotonic clock. */
 	saidUntilMs: number;
+	/** The same, according to what it said to other gateways. */
+	toldUntilMs: number;
 	/** Until when the run gets no calls because no start is left, in milliseconds of the monotonic clock. */
 	closedUntilMs: number;
 	readonly share: EvenShare;
@@ -73,7 +75,8 @@
 		const startMs = service?.cold?.startMs ?? 0;
 		// The clock of the VM that noted the start may run ahead.
 		const startLeftMs = startMs > 0 ? Math.min(startMs, instance.startedAtMs + startMs - Date.now()) : 0;
-		return Math.max(instance.coldUntilMs ?? 0, this.runOf(instance)?.saidUntilMs ?? 0, startLeftMs > 0 ? nowMs + startLeftMs : 0);
+		const run = this.runOf(instance);
+		return Math.max(instance.coldUntilMs ?? 0, run?.saidUntilMs ?? 0, run?.toldUntilMs ?? 0, startLeftMs > 0 ? nowMs + startLeftMs : 0);
 	}
 
 	/**
@@ -141,6 +144,26 @@
 		run.saidUntilMs = coldMs > 0 ? nowMs + Math.min(maxColdMs, coldMs) : 0;
 	}
 
+	/**
+	 * Returns until when an instance is cold according to its last response to this gateway, in milliseconds of the monotonic clock.
+	 *
+	 * @param instance - its entry in the directory
+	 */
+	saidColdUntilMs(instance: Instance): number {
+		return this.runOf(instance)?.saidUntilMs ?? 0;
+	}
+
+	/**
+	 * Records what an instance said of its cold time to another gateway.
+	 *
+	 * @param instance - its entry in the directory
+	 * @param coldMs - how much longer it is cold, in milliseconds
+	 */
+	recordTold(instance: Instance, coldMs: number): void {
+		const run = this.getOrCreateRun(instance);
+		run.toldUntilMs = Math.max(run.toldUntilMs, performance.now() + Math.min(maxColdMs, coldMs));
+	}
+
 	/**
 	 * Discards what is known of other instances.
 	 *
@@ -167,7 +190,7 @@
 		}
 
 		const run: ColdRun = {
-			startedAtMs: instance.startedAtMs, saidUntilMs: 0, closedUntilMs: 0, share: new EvenShare(startedAtMs, random()),
+			startedAtMs: instance.startedAtMs, saidUntilMs: 0, toldUntilMs: 0, closedUntilMs: 0, share: new EvenShare(startedAtMs, random()),
 		};
 		this.runs.set(instance.id, run);
 		return run;
--- a/src/placement/engine-forecast.ts
+++ b/src/placement/engine-forecast.ts
@@ -12,8 +12,13 @@
 export type EngineLoad = InFlightCounts & {
 	/** Smoothed ratio of measured to predicted time to first event; 1 if the engine is as fast as published. */
 	readonly slowness: number;
+	/** How long work takes at the engine at this moment; 1, the default, is as usual. */
+	readonly pace?: number;
 };
 
+/** The time in which a momentary pace returns to the usual one by about two thirds, in milliseconds. */
+const paceDecayMs = 150;
+
 const tokensPerKilotoken = 1000;
 
 /**
@@ -52,5 +57,12 @@
 	const queueMs = queuedAhead > 0 ? queuedAhead * meanSlotTimeMs(timing) / timing.slots : 0;
 	// The first event is sent at the end of the pass that follows the prefill.
 	const decodeMs = (timing.stepsPerPass + 1) * decodeStepMs(timing, decodingCalls + 1);
-	return load.slowness * (prefillMs + remainingPassMs + queueMs + decodeMs);
+	const usualMs = load.slowness * (prefillMs + remainingPassMs + queueMs + decodeMs);
+	return load.pace === undefined || load.pace === 1 ? usualMs : usualMs * meanPace(load.pace, usualMs);
+}
+
+/** Returns the mean pace that is expected over a time from now on, in milliseconds: close to the usual one over a long time. */
+function meanPace(pace: number, durationMs: number): number {
+	const decays = Math.max(Number.MIN_VALUE, durationMs / paceDecayMs);
+	return 1 + ((pace - 1) * (1 - Math.exp(-decays)) / decays);
 }
--- a/src/placement/instance-tracker.ts
+++ b/src/placement/instance-tracker.ts
@@ -5,6 +5,7 @@
 import {type ConnectionProbe, probeConnection} from '../links/probe-connection.ts';
 import {ColdStarts} from './cold-starts.ts';
 import {InFlightCalls} from './in-flight-calls.ts';
+import {PaceRecords} from './pace-records.ts';
 import type {EngineLoad, InFlightCounts} from './engine-forecast.ts';
 import {type Barrier, findBarrier} from './instance-availability.ts';
 import {type InstanceSignals, isFrom, type ResponseHead} from './instance-signals.ts';
@@ -55,6 +56,8 @@
 export class InstanceTracker {
 	/** Calls in flight at each instance. */
 	readonly inFlight = new InFlightCalls();
+	/** How long work takes at each instance at this moment. */
+	readonly paces = new PaceRecords();
 	private readonly health = new Map<string, Health>();
 
 	/**
@@ -73,7 +76,7 @@
 	getLoad(id: string, others: InFlightCounts = this.reportedLoadAt(id)): EngineLoad {
 		const own = this.inFlight.countsAt(id);
 		return {
-			calls: own.calls + others.calls, unreadTokens: own.unreadTokens + others.unreadTokens, slowness: this.health.get(id)?.slowness ?? 1,
+			calls: own.calls + others.calls, unreadTokens: own.unreadTokens + others.unreadTokens, slowness: this.health.get(id)?.slowness ?? 1, pace: this.paces.paceAt(id, performance.now()),
 		};
 	}
 
@@ -186,9 +189,17 @@
 			this.recordReportedLoad(instance.id, load.calls);
 		}
 
-		if (coldMs !== undefined && isFrom(instance, head)) {
+		if (!isFrom(instance, head)) {
+			return;
+		}
+
+		if (coldMs !== undefined) {
 			this.coldStarts.recordCold(instance, coldMs);
 		}
+
+		if (load?.pace !== undefined) {
+			this.paces.recordOwn(instance.id, load.pace, performance.now());
+		}
 	}
 
 	/**
@@ -227,6 +238,7 @@
 	retainOnly(present: ReadonlySet<string>): void {
 		this.signals.retainOnly(present);
 		this.coldStarts.retainOnly(present);
+		this.paces.retainOnly(present);
 		for (const id of this.health.keys()) {
 			if (!present.has(id)) {
 				this.health.delete(id);
--- a/src/placement/select-instance.ts
+++ b/src/placement/select-instance.ts
@@ -45,6 +45,9 @@
 /** Cost added to an instance in another zone, in milliseconds, because its traffic crosses a narrow link. */
 const crossZonePenaltyMs = 45;
 
+/** Usual time of a call to a plain service, in milliseconds, by which the pace of an instance is weighed against its distance and its load. */
+const plainWorkMs = 60;
+
 /** Cost added to an instance with recent failures, in milliseconds. */
 const suspectPenaltyMs = 300;
 
@@ -161,7 +164,8 @@
 export function selectPlainInstance(candidates: readonly Candidate[], randomBelow: (bound: number) => number): Placement {
 	const ranked = candidates.map(candidate => {
 		const perSlot = candidate.load.calls / Math.max(1, usableSlots(candidate));
-		return {candidate, predictedMs: 0, costMs: (perSlot * 100) + penaltyMs(candidate)};
+		const {pace = 1} = candidate.load;
+		return {candidate, predictedMs: 0, costMs: (pace * perSlot * 100) + ((pace - 1) * plainWorkMs) + penaltyMs(candidate)};
 	});
 	const best = pickLowestCost(ranked, randomBelow);
 	if (!best) {
--- a/test/cold-instances.test.ts
+++ b/test/cold-instances.test.ts
@@ -120,6 +120,33 @@
 	expect(warm.cold).to.be.greaterThan(5);
 });
 
+it('guards against a start that is used too late: a call whose start has lapsed is not written, and is served elsewhere', async () => {
+	const upstreams = await Promise.all(['cold', 'warm'].map(async body => startUpstream((req, res) => {
+		sendSignedResponse(req, res, 200, body);
+	})));
+	const gateway = await startTestGateway(withCold(testConfiguration(1), 0, 2), upstreams.map(({address}, at) => testInstance({id: `i-${at}`, address, ...(at === 0 ? {coldLeftMs: 60_000} : {})})));
+	let claims = 0;
+	Object.assign(gateway.tracker.coldStarts, {
+		async claim() {
+			claims++;
+			return {isValid: () => false};
+		},
+	});
+	try {
+		for (let call = 0; call < 10; call++) {
+			const {status, body} = await callGateway(gateway.url);
+			expect([status, body]).to.deep.equal([200, 'warm']);
+		}
+
+		expect(upstreams[0]!.requests).to.have.length(0);
+		expect(claims).to.be.greaterThan(0);
+	} finally {
+		for (const item of [gateway, ...upstreams]) {
+			item.close();
+		}
+	}
+});
+
 it('guards against a zone that is cold as a whole: each of its engines gets what it can take, the other zone the rest, and callers of an all-cold service learn when to return', async () => {
 	const clock = install();
 	try {
--- a/test/load-queries.test.ts
+++ b/test/load-queries.test.ts
@@ -7,7 +7,9 @@
 import {InFlightCalls} from '../src/placement/in-flight-calls.ts';
 import {createServiceId} from '../src/ids/service-id.ts';
 import {DatagramPort} from '../src/links/datagram-port.ts';
-import {askDatagramSchema} from '../src/messages/load-datagram.ts';
+import {
+	askDatagramSchema, countDatagramSchema, type EngineObservation, loadDatagramSchema,
+} from '../src/messages/load-datagram.ts';
 import {CallCounter, reportTtlMs} from '../src/peers/call-counter.ts';
 import {serveCallCounter} from '../src/peers/call-counter-listener.ts';
 import {LoadQueries} from '../src/peers/load-queries.ts';
@@ -37,11 +39,16 @@
 		directory.replaceInstances({revision: 2, changes: instances.map(instance => ({revision: 2, change: {kind: 'instance', instance}}))});
 		const inFlight = new InFlightCalls();
 		const datagrams = new DatagramPort(log);
+		const observations = {said: undefined as EngineObservation | undefined, taken: [] as EngineObservation[]};
 		const queries = new LoadQueries({
-			vm: host, inFlight, directory, datagrams, port, log, clock: monotonicClock,
+			vm: host, inFlight, directory, datagrams, port, log, clock: monotonicClock, observations: {
+				own: () => observations.said, take(_, observation) {
+					observations.taken.push(observation);
+				},
+			},
 		});
 		return {
-			host, inFlight, datagrams, queries,
+			host, inFlight, datagrams, queries, observations,
 		};
 	});
 	for (const {host, datagrams, queries} of gateways) {
@@ -193,3 +200,25 @@
 		counterPort.close();
 	}
 });
+
+it('guards against a gateway that does not learn what an engine said to another one, and against messages of other versions that are refused', async () => {
+	const fleet = await startFleet(1, 1);
+	const {instances, first, second} = fleet;
+	try {
+		first.observations.said = {pace: [2, 5], coldMs: 800};
+		first.inFlight.add('i-1', 10);
+		await waitUntil(async () => {
+			await second.queries.ask(instances);
+			return second.observations.taken.length > 0;
+		});
+		const {pace, coldMs} = second.observations.taken[0]!;
+		expect(pace?.[0]).to.equal(2);
+		expect(pace?.[1]).to.be.within(5, 300);
+		expect(coldMs).to.be.within(500, 800);
+		expect(countDatagramSchema.parse(['count', 'g', 1, [1, 2]])).to.have.length.at.least(4);
+		expect(loadDatagramSchema.parse(['load', 'i', [1, 2], {later: 1}, 'further'])[3]).to.deep.equal({});
+		expect(countDatagramSchema.safeParse(['count', 'g', 1, [1, 2], {pace: [0, 1]}]).success).to.equal(false);
+	} finally {
+		fleet.stop();
+	}
+});
