--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -17,11 +17,14 @@
 import {changingDatagramSchema, type EngineDatagram, heldModelDatagramSchema} from '../messages/engine-datagram.ts';
 import {directoryGetMethod} from '../messages/peers-exchange.ts';
 import {directoryGetParamsSchema} from '../peers/directory-snapshot-schema.ts';
+import {createObservationExchange} from '../peers/engine-observation.ts';
 import {LoadQueries} from '../peers/load-queries.ts';
+import {StartClaims} from '../peers/start-claims.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {EvacuationReport} from '../reports/evacuation-report.ts';
 import {ForwardingMetrics} from '../reports/forwarding-metrics.ts';
 import type {GatewaySettings} from '../settings/direct-settings.ts';
+import {createColdStarts} from './create-cold-starts.ts';
 import {createCrashProtection} from './crash-protection.ts';
 import type {RunningProcess} from './entry-agent-base.ts';
 import {type CreateSource, GatewayStagerBase, type SettingsSource} from './gateway-stager-base.ts';
@@ -53,7 +56,9 @@
 	}), adapter.createSource);
 	const {directory, log, random, peers, metrics, rpc, settings} = base;
 	const gatewayCount = () => peers.knownGateways.size;
-	const tracker = new InstanceTracker(log, new InstanceSignals({log, random, gatewayCount}), directory.evacuations);
+	const claims = new StartClaims({datagrams: base.datagrams, port: settings.listen.datagrams.port});
+	const coldStarts = createColdStarts({base, claims, metrics});
+	const tracker = new InstanceTracker(log, new InstanceSignals({log, random, gatewayCount}), {coldStarts, evacuations: directory.evacuations});
 	const loads = new LoadQueries({
 		vm: settings.process.vm,
 		inFlight: tracker.inFlight,
@@ -62,6 +67,7 @@
 		port: settings.listen.datagrams.port,
 		log,
 		clock: base.pauseDetector,
+		observations: createObservationExchange(tracker),
 	});
 	base.datagrams.on('held', heldModelDatagramSchema, state => {
 		applyEngineState(state, directory, tracker);
@@ -107,6 +113,7 @@
 		forwarder.endHeldCalls();
 	});
 	const bodies = new BodyBudget(bodyRoomFor(settings.limits.memory_mb));
+	metrics.gauge('cactusreach_slow_instances', 'Instances at which work takes at least 1.5 times as long as usual at this moment.', () => tracker.paces.countSlow(performance.now()));
 	metrics.gauge('cactusreach_body_bytes', 'Memory taken by the bodies of calls.', () => bodies.usedBytes);
 	const callers = new CallerListener({
 		forwarder, codec: adapter.codec, log, bodies, limits: () => directory.table?.configuration.limits, onFault(phase) {
@@ -124,6 +131,7 @@
 		const present = new Set(directory.instances.map(({id}) => id));
 		tracker.retainOnly(present);
 		loads.retainOnly(present);
+		claims.retainOnly(present);
 	});
 	const isReady = () => !drain.isDraining && directory.configurationVersion > 0 && directory.instancesRevision > 0 && directory.evacuations.isKnown;
 	const drain = new Drain({
--- a/src/placement/instance-tracker.ts
+++ b/src/placement/instance-tracker.ts
@@ -4,10 +4,12 @@
 import type {Logger} from '../runtime/logger.ts';
 import {misdirectedStatus} from '../forwarding/response-status.ts';
 import {type ConnectionProbe, probeConnection} from '../links/probe-connection.ts';
+import {ColdStarts} from './cold-starts.ts';
 import {InFlightCalls} from './in-flight-calls.ts';
+import {PaceRecords} from './pace-records.ts';
 import type {EngineLoad, InFlightCounts} from './engine-forecast.ts';
 import {type Barrier, findBarrier} from './instance-availability.ts';
-import type {InstanceSignals} from './instance-signals.ts';
+import {type InstanceSignals, isFrom, type ResponseHead} from './instance-signals.ts';
 
 /** How long the load reported in a response is used, in milliseconds. */
 const reportedLoadTtlMs = 600;
@@ -53,18 +55,32 @@
 	reported: {readonly others: number; readonly atMs: number} | undefined;
 };
 
+/** What closes instances beside their own health. */
+type InstanceLimits = {
+	/** The limit on calls that start at cold instances. */
+	readonly coldStarts?: ColdStarts;
+	readonly evacuations?: EvacuationView;
+};
+
 /** Holds load and health by instance ID. */
 export class InstanceTracker {
 	/** Calls in flight at each instance. */
 	readonly inFlight = new InFlightCalls();
+	/** How long work takes at each instance at this moment. */
+	readonly paces = new PaceRecords();
+	readonly coldStarts: ColdStarts;
+	private readonly evacuations: EvacuationView;
 	private readonly health = new Map<string, Health>();
 
 	/**
 	 * @param log - receives changes in the assessed health of an instance
 	 * @param signals - what instances say of themselves
-	 * @param evacuations - the evacuated zones
+	 * @param limits - what closes instances beside their own health; by default, nothing does
 	 */
-	constructor(private readonly log: Logger, readonly signals: InstanceSignals, private readonly evacuations = noEvacuations) {}
+	constructor(private readonly log: Logger, readonly signals: InstanceSignals, limits: InstanceLimits = {}) {
+		this.coldStarts = limits.coldStarts ?? new ColdStarts();
+		this.evacuations = limits.evacuations ?? noEvacuations;
+	}
 
 	/**
 	 * Returns the known load of an instance, including the calls of other gateways.
@@ -75,7 +91,7 @@
 	getLoad(id: string, others: InFlightCounts = this.reportedLoadAt(id)): EngineLoad {
 		const own = this.inFlight.countsAt(id);
 		return {
-			calls: own.calls + others.calls, unreadTokens: own.unreadTokens + others.unreadTokens, slowness: this.health.get(id)?.slowness ?? 1,
+			calls: own.calls + others.calls, unreadTokens: own.unreadTokens + others.unreadTokens, slowness: this.health.get(id)?.slowness ?? 1, pace: this.paces.paceAt(id, performance.now()),
 		};
 	}
 
@@ -92,6 +108,7 @@
 			unreachableSinceMs: outage?.sinceMs,
 			pausedUntilMs: health?.pausedUntilMs ?? 0,
 			evacuatedSinceMs: this.evacuations.evacuatedSinceMs(instance.zone),
+			coldUntilMs: this.coldStarts.closedUntilMs(instance),
 		}, performance.now());
 	}
 
@@ -184,6 +201,31 @@
 		this.getOrCreateHealth(id).pausedUntilMs = 0;
 	}
 
+	/**
+	 * Records what the head of a response tells of its instance.
+	 *
+	 * @param instance - the instance that the call was sent to
+	 * @param head - the head of the response
+	 */
+	recordHead(instance: Instance, head: ResponseHead): void {
+		const {load, coldMs} = head.headers;
+		if (load) {
+			this.recordReportedLoad(instance.id, load.calls);
+		}
+
+		if (!isFrom(instance, head)) {
+			return;
+		}
+
+		if (coldMs !== undefined) {
+			this.coldStarts.recordCold(instance, coldMs);
+		}
+
+		if (load?.pace !== undefined) {
+			this.paces.recordOwn(instance.id, load.pace, performance.now());
+		}
+	}
+
 	/**
 	 * Records the load that an instance reported in a response.
 	 *
@@ -219,6 +261,8 @@
 	 */
 	retainOnly(present: ReadonlySet<string>): void {
 		this.signals.retainOnly(present);
+		this.coldStarts.retainOnly(present);
+		this.paces.retainOnly(present);
 		for (const id of this.health.keys()) {
 			if (!present.has(id)) {
 				this.health.delete(id);
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -119,7 +119,7 @@
 	const directory = new Directory(log);
 	directory.apply({revision: 1, changes: configuration ? [{revision: 1, change: {kind: 'configuration', configuration}}] : []});
 	directory.replaceInstances({revision: 2, changes: instances.map(instance => ({revision: 2, change: {kind: 'instance', instance}}))});
-	const tracker = new InstanceTracker(log, new InstanceSignals({log, random: new RandomSource(8), gatewayCount: () => 1}), directory.evacuations);
+	const tracker = new InstanceTracker(log, new InstanceSignals({log, random: new RandomSource(8), gatewayCount: () => 1}), {evacuations: directory.evacuations});
 	const crashList: Crash[] = [];
 	const faults = {count: 0};
 	const ends: CallEnd[] = [];
