Shed load by urgency, decided from the refusals of all gateways

Cause: priority decided nothing at a gateway, so that under overload the most urgent calls (with the longest prompts and the tightest targets) were refused more often than the least urgent ones: served 0.43, 0.48 and 1.00 of the three kinds at load 2.

Change: a question to the counter beside an engine carries the urgency of the call and the refusals since the last one; the counter raises the share of the less urgent calls that give way, the least urgent first, and tells it in its answer. A call that gives way uses only engines with a quarter of the slots free; a third of each urgency never does. Refused callers get return times in the order of urgency, evenly spread within a third of the time left, and more room when they are back. Stagers of an earlier version drop the longer question; they are asked without it while they do. Without refusals of more urgent calls nothing changes.

--- a/bench/placement-cost.ts
+++ b/bench/placement-cost.ts
@@ -58,7 +58,7 @@
 		loads: {ask: async instances => new Map(instances.map(({id}, at) => [id, {calls: at, unreadTokens: 500 * at}]))},
 	});
 	const place = async () => selector.select({
-		route, service, aimLeftMs: 400, deadlineLeftMs: 6000, tried: new Set(), isResponseStarted: false, requiredVersion: undefined,
+		route, service, priority: 0, isReturning: false, aimLeftMs: 400, deadlineLeftMs: 6000, tried: new Set(), isResponseStarted: false, requiredVersion: undefined,
 		headers: {
 			attemptId: '1', host: route.host, key: undefined, deadlineMs: 6000, lastEventId: undefined, model, promptTokens: 800, promptParts: [],
 		},
--- a/bench/placing-model.ts
+++ b/bench/placing-model.ts
@@ -6,9 +6,12 @@
  */
 import {BatchingEngine} from '../standins/batching-engine.ts';
 import type {EngineLoad} from '../src/placement/engine-forecast.ts';
+import type {CallShedding} from '../src/placement/load-shedding.ts';
 import {type Candidate, shouldAskMore} from '../src/placement/select-instance.ts';
+import type {YieldShares} from '../src/placement/urgency-pressure.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
 import {EventQueue} from './event-queue.ts';
+import {PressureExchange} from './pressure-exchange.ts';
 import type {CallKind, CallResult, PlacingScenario} from './placing-types.ts';
 
 /** The load that one entry causes at each engine, and the last counts received from the other entries. */
@@ -18,19 +21,28 @@
 type Load = {calls: number; unreadTokens: number};
 
 /** What the counter beside an engine has answered. */
-type Answer = {readonly index: number; readonly load: Load};
+type Answer = {readonly index: number; readonly load: Load; readonly yields: YieldShares};
 
 type Call = {
 	readonly kind: CallKind; readonly promptTokens: number; readonly answerTokens: number; readonly valueFactor: number; readonly arrivedAtMs: number; readonly deadlineAtMs: number;
 	retries: number;
 };
 
+/** A call whose entry asks counters. */
+type Asking = {readonly call: Call; readonly entry: Entry; readonly shedding: CallShedding};
+
+/** What an entry places a call by; `shedding` is undefined if it asks no counters. */
+type Choice = {readonly call: Call; readonly entry: Entry; readonly candidates: readonly Candidate[]; readonly shedding: CallShedding | undefined};
+
 const msPerSecond = 1000;
 
 /** One-way network latency between caller and entry, and between entry and engine, in milliseconds. */
 const callerLatencyMs = 3;
 const engineLatencyMs = 1.5;
 
+/** Share of the time left that callers wait at most before they return. */
+const honouredShare = 1 / 3;
+
 /** Tokens per event of a stream. */
 const tokensPerEvent = 5;
 
@@ -58,6 +70,7 @@
 	private readonly entries: Entry[];
 	/** The calls that the counter beside each engine has been told of. */
 	private readonly counterLoads: Load[];
+	private readonly pressure: PressureExchange;
 	private readonly results: CallResult[] = [];
 
 	constructor(private readonly scenario: PlacingScenario) {
@@ -70,6 +83,7 @@
 		}));
 		this.entries = Array.from({length: scenario.entries}, () => ({ownLoads: this.createLoads(), remoteLoads: []}));
 		this.counterLoads = this.createLoads();
+		this.pressure = new PressureExchange(scenario);
 	}
 
 	/** Runs the simulation to its end and returns the results of the calls that arrived after the warm-up. */
@@ -100,7 +114,7 @@
 	}
 
 	private scheduleArrival(): void {
-		this.scheduleAfter(this.drawExponential(msPerSecond / this.scenario.callsPerSecond), () => {
+		this.scheduleAfter(this.drawExponential(msPerSecond / this.scenario.callsPerSecond / (this.scenario.demandAt?.(this.nowMs) ?? 1)), () => {
 			if (!this.isOver) {
 				this.sendToRandomEntry(this.createCall());
 				this.scheduleArrival();
@@ -171,35 +185,49 @@
 		const entry = this.entries[this.random.nextInt(this.entries.length)]!;
 		this.scheduleAfter(callerLatencyMs, () => {
 			if (this.scenario.askedEngines.length > 0) {
-				this.askCounters(call, entry);
+				this.askCounters({call, entry, shedding: this.pressure.startCall(this.entries.indexOf(entry), call.kind.priority, call.retries > 0)});
 			} else {
-				this.place(call, entry, this.engines.map((item, index) => this.createCandidate(entry, index)));
+				this.place({
+					call, entry, candidates: this.engines.map((item, index) => this.createCandidate(entry, index)), shedding: undefined,
+				});
 			}
 		});
 	}
 
 	/** Asks the counters of random engines, and places the call once they have answered; asks others if that is worth it. */
-	private askCounters(call: Call, entry: Entry, known: readonly Answer[] = [], round = 0): void {
+	private askCounters({call, entry, shedding}: Asking, known: readonly Answer[] = [], round = 0): void {
 		const {askedEngines, broadcastDelayMs} = this.scenario;
-		const unasked = [...this.engines.keys()].filter(index => known.every(answer => answer.index !== index));
+		const unasked = [...this.engines.keys()].filter(index => this.isUp(index) && known.every(answer => answer.index !== index));
 		const asked = this.random.sample(unasked, askedEngines[round]!);
 		this.askedCount += asked.length;
+		const report = shedding.createReport();
 		this.scheduleAfter(broadcastDelayMs, () => {
-			const answers = [...known, ...asked.map(index => ({index, load: {...this.counterLoads[index]!}}))];
+			const answers = [...known, ...asked.map(index => ({index, load: {...this.counterLoads[index]!}, yields: this.pressure.ask(index, report, this.nowMs)}))];
 			this.scheduleAfter(broadcastDelayMs, () => {
 				const mayAskMore = round + 1 < askedEngines.length && answers.length < this.engines.length;
 				const candidates = answers.map(({index, load}) => this.createCandidateOf(index, load));
-				this.place(call, entry, candidates, mayAskMore
+				for (const {yields} of answers.slice(known.length)) {
+					shedding.addAnswer(yields);
+				}
+
+				this.place({
+					call, entry, candidates, shedding,
+				}, mayAskMore
 					? () => {
-						this.askCounters(call, entry, answers, round + 1);
+						this.askCounters({call, entry, shedding}, answers, round + 1);
 					}
 					: undefined);
 			});
 		});
 	}
 
+	private isUp(index: number): boolean {
+		const {outage} = this.scenario;
+		return !outage || index >= outage.engines || this.nowMs < outage.fromMs || this.nowMs >= outage.toMs;
+	}
+
 	/** @param askMore - asks further engines; absent if there are none */
-	private place(call: Call, entry: Entry, candidates: readonly Candidate[], askMore?: () => void): void {
+	private place({call, entry, candidates, shedding}: Choice, askMore?: () => void): void {
 		const {policy, timing} = this.scenario;
 		const placement = policy({
 			timing,
@@ -208,12 +236,14 @@
 			answerTokens: call.answerTokens,
 			aimLeftMs: call.arrivedAtMs + call.kind.aimMs - this.nowMs,
 			deadlineLeftMs: call.deadlineAtMs - this.nowMs,
+			urgencyLimit: shedding?.limit(),
 			randomBelow: bound => this.random.nextInt(bound),
 		});
 		if (askMore && shouldAskMore(placement, candidates)) {
 			askMore();
 		} else if (placement.kind === 'refuse') {
-			this.handleRefusal(call, placement.retryAfterMs);
+			const settled = shedding?.settle(placement, call.deadlineAtMs - this.nowMs) ?? placement;
+			this.handleRefusal(call, settled.kind === 'refuse' ? settled.retryAfterMs : 0);
 		} else {
 			this.send(call, entry, Number(placement.id));
 		}
@@ -270,14 +300,15 @@
 	}
 
 	private handleRefusal(call: Call, retryAfterMs: number): void {
-		const retryAtMs = this.nowMs + callerLatencyMs + retryAfterMs;
-		if (call.retries > 0 || retryAtMs >= call.deadlineAtMs) {
+		const leftMs = call.deadlineAtMs - this.nowMs - callerLatencyMs;
+		const waitMs = Math.min(retryAfterMs, leftMs * honouredShare);
+		if (call.retries > 0 || leftMs <= 0) {
 			this.recordResult(call, call.retries > 0 ? 'refused again' : 'refused', 0);
 			return;
 		}
 
 		call.retries++;
-		this.scheduleAfter(callerLatencyMs + retryAfterMs, () => {
+		this.scheduleAfter(callerLatencyMs + waitMs, () => {
 			this.sendToRandomEntry(call);
 		});
 	}
@@ -291,7 +322,7 @@
 			'on time': kind.onTimeValue, late: kind.lateValue, refused: 0, 'refused again': 0,
 		};
 		this.results.push({
-			kind: kind.name, maxValue: valueFactor * kind.onTimeValue, value: valueFactor * valueByOutcome[outcome], outcome, answerMs,
+			kind: kind.name, arrivedAtMs, maxValue: valueFactor * kind.onTimeValue, value: valueFactor * valueByOutcome[outcome], outcome, answerMs,
 		});
 	}
 }
--- a/bench/placing-scenarios.ts
+++ b/bench/placing-scenarios.ts
@@ -1,13 +1,14 @@
 /** Selection policies and scenarios of the simulation in `placing-model.ts`. */
 import type {EngineTiming} from '../src/directory/directory-types.ts';
+import {meanSlotTimeMs} from '../src/placement/engine-forecast.ts';
 import {engineSamples} from '../src/placement/instance-selector.ts';
 import {selectEngineInstance} from '../src/placement/select-instance.ts';
 import type {CallKind, PlacementPolicy, PlacingScenario} from './placing-types.ts';
 
 /** The selection that the gateway uses. */
-export const currentPolicy: PlacementPolicy = ({timing, candidates, promptTokens, aimLeftMs, deadlineLeftMs, randomBelow}) =>
+export const currentPolicy: PlacementPolicy = ({timing, candidates, promptTokens, aimLeftMs, deadlineLeftMs, urgencyLimit, randomBelow}) =>
 	selectEngineInstance(timing, candidates, {
-		promptTokens, aimLeftMs, deadlineLeftMs, isResponseStarted: false,
+		promptTokens, aimLeftMs, deadlineLeftMs, isResponseStarted: false, urgencyLimit,
 	}, randomBelow);
 
 /** Selects a random engine regardless of load; never refuses. */
@@ -23,13 +24,13 @@
 /** The call kinds of a deployment with three kinds of streams. */
 export const defaultCallKinds: readonly CallKind[] = [
 	{
-		name: 'long', share: 55.2, promptTokens: 1330, answerTokens: 105, aimMs: 503, onTimeValue: 2.4, lateValue: 0.6,
+		name: 'long', priority: 0, share: 55.2, promptTokens: 1330, answerTokens: 105, aimMs: 503, onTimeValue: 2.4, lateValue: 0.6,
 	},
 	{
-		name: 'middle', share: 42.1, promptTokens: 827, answerTokens: 105, aimMs: 402, onTimeValue: 2, lateValue: 0.49,
+		name: 'middle', priority: 1, share: 42.1, promptTokens: 827, answerTokens: 105, aimMs: 402, onTimeValue: 2, lateValue: 0.49,
 	},
 	{
-		name: 'short', share: 39.7, promptTokens: 647, answerTokens: 70, aimMs: 402, onTimeValue: 1.5, lateValue: 0.37,
+		name: 'short', priority: 2, share: 39.7, promptTokens: 647, answerTokens: 70, aimMs: 402, onTimeValue: 1.5, lateValue: 0.37,
 	},
 ];
 
@@ -47,13 +48,13 @@
 /** The call kinds of that deployment. */
 const largeFleetCallKinds: readonly CallKind[] = [
 	{
-		name: 'long', share: 341, promptTokens: 1330, answerTokens: 75, aimMs: 803, onTimeValue: 2.2, lateValue: 0.56,
+		name: 'long', priority: 0, share: 341, promptTokens: 1330, answerTokens: 75, aimMs: 803, onTimeValue: 2.2, lateValue: 0.56,
 	},
 	{
-		name: 'middle', share: 250, promptTokens: 827, answerTokens: 75, aimMs: 602, onTimeValue: 1.9, lateValue: 0.47,
+		name: 'middle', priority: 1, share: 250, promptTokens: 827, answerTokens: 75, aimMs: 602, onTimeValue: 1.9, lateValue: 0.47,
 	},
 	{
-		name: 'short', share: 189, promptTokens: 647, answerTokens: 70, aimMs: 502, onTimeValue: 1.7, lateValue: 0.43,
+		name: 'short', priority: 2, share: 189, promptTokens: 647, answerTokens: 70, aimMs: 502, onTimeValue: 1.7, lateValue: 0.43,
 	},
 ];
 
@@ -65,10 +66,59 @@
 	entries: 99, engines: 109, timing: largeFleetTiming, kinds: largeFleetCallKinds, maxPauseMs: 600, seconds: 10,
 };
 
+/** Published timing of engines whose calls of three kinds differ widely in value. */
+const steepTiming: EngineTiming = {
+	...defaultTiming, slots: 12, stepMs: 6.73, perCallMs: 0.0294, contextMsPerKilotoken: 0.0172, readTokensPerMs: 30.6, usualPromptTokens: 942, usualAnswerTokens: 90,
+};
+
+/** Published timing of engines whose calls of three kinds are of similar value. */
+const flatTiming: EngineTiming = {
+	...defaultTiming, slots: 12, usualPromptTokens: 980, usualAnswerTokens: 98,
+};
+
+/** A fleet whose more urgent calls are worth several times as much as the less urgent ones. */
+export const steepFleet: Partial<PlacingScenario> = {
+	engines: 36, entries: 36, timing: steepTiming, maxPauseMs: 300, deadlineMs: 6000, kinds: [
+		{
+			name: 'first', priority: 0, share: 155, promptTokens: 1330, answerTokens: 105, aimMs: 403, onTimeValue: 3.7, lateValue: 0.37,
+		},
+		{
+			name: 'second', priority: 1, share: 186, promptTokens: 827, answerTokens: 105, aimMs: 402, onTimeValue: 1.7, lateValue: 0.42,
+		},
+		{
+			name: 'third', priority: 2, share: 132, promptTokens: 647, answerTokens: 50, aimMs: 802, onTimeValue: 0.51, lateValue: 0.19,
+		},
+	],
+};
+
+/** A fleet whose calls are of similar value. */
+export const flatFleet: Partial<PlacingScenario> = {
+	engines: 36, entries: 14, timing: flatTiming, maxPauseMs: 400, deadlineMs: 6000, kinds: [
+		{
+			name: 'first', priority: 0, share: 171, promptTokens: 1330, answerTokens: 110, aimMs: 503, onTimeValue: 2.4, lateValue: 0.6,
+		},
+		{
+			name: 'second', priority: 1, share: 125, promptTokens: 827, answerTokens: 105, aimMs: 402, onTimeValue: 2, lateValue: 0.5,
+		},
+		{
+			name: 'third', priority: 2, share: 122, promptTokens: 647, answerTokens: 70, aimMs: 402, onTimeValue: 1.5, lateValue: 0.36,
+		},
+	],
+};
+
+/**
+ * Returns the calls per second that a fleet is offered at a load.
+ *
+ * @param load - multiple of what the engines can serve
+ */
+export function callsAtLoad(load: number, {engines, timing}: Pick<PlacingScenario, 'engines' | 'timing'>): number {
+	return load * engines * timing.slots * 1000 / meanSlotTimeMs(timing);
+}
+
 /** Creates a scenario of the first deployment, with overrides. */
 export function createScenario(overrides: Partial<PlacingScenario> = {}): PlacingScenario {
 	return {
 		seed: 1, policy: currentPolicy, timing: defaultTiming, kinds: defaultCallKinds, callsPerSecond: 137, entries: 6, engines: 11, slowEngines: 0, slowness: 1,
-		seconds: 20, broadcastIntervalMs: 480, broadcastsChanges: true, broadcastDelayMs: 4, askedEngines: [], deadlineMs: 6033, maxPauseMs: 400, ...overrides,
+		seconds: 20, broadcastIntervalMs: 480, broadcastsChanges: true, broadcastDelayMs: 4, askedEngines: [], givesWay: false, deadlineMs: 6033, maxPauseMs: 400, ...overrides,
 	};
 }
--- a/bench/placing-types.ts
+++ b/bench/placing-types.ts
@@ -1,10 +1,13 @@
 /** Types of the simulation in `placing-model.ts`. */
 import type {EngineTiming} from '../src/directory/directory-types.ts';
+import type {UrgencyLimit} from '../src/placement/limit-by-urgency.ts';
 import type {Candidate, Placement} from '../src/placement/select-instance.ts';
 
 /** A kind of call. */
 export type CallKind = {
 	readonly name: string;
+	/** Urgency; 0 is the most urgent. */
+	readonly priority: number;
 	/** Relative share of the calls; the shares need not add up to 1. */
 	readonly share: number;
 	/** Mean length of the prompt and of the response, in tokens. */
@@ -25,6 +28,8 @@
 	readonly answerTokens: number;
 	readonly aimLeftMs: number;
 	readonly deadlineLeftMs: number;
+	/** What the call may use of an instance while more urgent calls are refused. */
+	readonly urgencyLimit: UrgencyLimit | undefined;
 	readonly randomBelow: (bound: number) => number;
 }) => Placement;
 
@@ -36,6 +41,12 @@
 	readonly kinds: readonly CallKind[];
 	/** Calls per second that arrive at all entries together. */
 	readonly callsPerSecond: number;
+	/** Factor of `callsPerSecond` at a time; absent if it stays the same. */
+	readonly demandAt?: (ms: number) => number;
+	/** A part of the engines that takes no calls for a time. */
+	readonly outage?: {readonly engines: number; readonly fromMs: number; readonly toMs: number};
+	/** Whether less urgent calls give way to more urgent ones; only with `askedEngines`. */
+	readonly givesWay: boolean;
 	readonly entries: number;
 	readonly engines: number;
 	/** Number of engines that are slower than their published timing, and the factor by which they are slower. */
@@ -59,4 +70,4 @@
 };
 
 /** The result of a call, including its retry. `maxValue` is the value of an on-time response, `answerMs` the time to first byte (0 if refused). */
-export type CallResult = {readonly kind: string; readonly value: number; readonly maxValue: number; readonly outcome: 'on time' | 'late' | 'refused' | 'refused again'; readonly answerMs: number};
+export type CallResult = {readonly kind: string; readonly arrivedAtMs: number; readonly value: number; readonly maxValue: number; readonly outcome: 'on time' | 'late' | 'refused' | 'refused again'; readonly answerMs: number};
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -161,6 +161,7 @@
 		const service = chooseTargetService(route, random);
 		const budget = this.getRetryBudget(service);
 		budget.recordCall();
+		const elapsedMs = this.deadlineHistory.estimateElapsedMs(route.prefix, receivedCall.headers.deadlineMs);
 		const call: ForwardedCall = new ForwardedCall({
 			call: receivedCall,
 			boundary,
@@ -168,7 +169,7 @@
 			configurationVersion: directory.configurationVersion,
 			service,
 			holder: route.isPublic && !holder ? undefined : holder,
-			aimLeftMs: route.aimMs - this.deadlineHistory.estimateElapsedMs(route.prefix, receivedCall.headers.deadlineMs),
+			aimLeftMs: route.aimMs - elapsedMs,
 			writer,
 			codec,
 			tracker,
@@ -177,7 +178,7 @@
 			crashes: this.options.crashes,
 			quarantine: this.options.quarantine,
 			log,
-			selectInstance: async query => this.selector.select(query),
+			selectInstance: async query => this.selector.select({...query, isReturning: elapsedMs > 0}),
 			retryBudget: budget,
 			onSilence: result => {
 				this.options.onSilence?.(service, result);
--- a/src/forwarding/forwarded-call-options.ts
+++ b/src/forwarding/forwarded-call-options.ts
@@ -35,7 +35,7 @@
 	readonly crashes: CrashDetector;
 	readonly quarantine: PromptQuarantine;
 	readonly log: Logger;
-	readonly selectInstance: (query: InstanceQuery) => Promise<SelectedInstance | Exclude<Placement, {kind: 'place'}>>;
+	readonly selectInstance: (query: Omit<InstanceQuery, 'isReturning'>) => Promise<SelectedInstance | Exclude<Placement, {kind: 'place'}>>;
 	/** The retries of the service. */
 	readonly retryBudget: WindowedRetryBudget;
 	/** Called when an instance has sent nothing for too long, with what was done about it. */
@@ -43,3 +43,12 @@
 	/** Called once when the call has ended; the reason is undefined if the outcome tells enough. */
 	readonly onEnd: (outcome: string, ms: number, reason: string | undefined) => void;
 };
+
+/**
+ * Returns the priority of a call: that of the workspace if it has one, else that of the route. The rest of a stream goes before all others.
+ *
+ * @param lastEventId - the last event that the caller got; undefined if it got none
+ */
+export function callPriority({holder, route}: Pick<ForwardedCallOptions, 'holder' | 'route'>, lastEventId: string | undefined): number {
+	return lastEventId === undefined ? (holder?.priority ?? route.priority) : 0;
+}
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -6,7 +6,7 @@
 import {type AttemptOutcome, decideNextStep, maxRefusals} from './decide-next-step.ts';
 import {findStallTimeouts, Hedge} from './hedge.ts';
 import {describeOutcome, endOnTimeout, endSteps} from './end-steps.ts';
-import type {ForwardedCallOptions} from './forwarded-call-options.ts';
+import {callPriority, type ForwardedCallOptions} from './forwarded-call-options.ts';
 import {PromptCheck} from './prompt-check.ts';
 import {UpstreamAttempt} from './upstream-attempt.ts';
 import type {AnswerProgress, BufferedResponse} from './upstream-attempt-options.ts';
@@ -204,6 +204,7 @@
 			route,
 			service,
 			headers: call.headers,
+			priority: callPriority(this.options, this.progress.lastEventId),
 			aimLeftMs: aimLeftMs - (nowMs - call.receivedAtMs),
 			deadlineLeftMs: this.expiresAtMs - nowMs,
 			tried: this.tried,
@@ -261,7 +262,7 @@
 				instance: instance.id,
 				version,
 				workspace: holder?.workspace,
-				priority: this.progress.lastEventId === undefined ? (holder?.priority ?? route.priority) : 0,
+				priority: callPriority(this.options, this.progress.lastEventId),
 				lastEventId: this.progress.lastEventId ?? call.headers.lastEventId,
 				bodyBytes: call.body.length,
 				hasBody: call.body.length > 0,
--- a/src/peers/load-queries.ts
+++ b/src/peers/load-queries.ts
@@ -4,15 +4,16 @@
  */
 import type {Directory} from '../directory/directory.ts';
 import type {Instance} from '../directory/directory-types.ts';
-import type {InFlightCounts} from '../placement/engine-forecast.ts';
 import type {InFlightCalls} from '../placement/in-flight-calls.ts';
-import type {LoadSource} from '../placement/load-source.ts';
+import type {CounterAnswer, LoadSource} from '../placement/load-source.ts';
+import type {UrgencyReport} from '../placement/urgency-pressure.ts';
 import type {DatagramPort} from '../links/datagram-port.ts';
 import {type ListenAddress, parseAddress} from '../links/http-listener.ts';
-import {loadDatagramSchema, type LoadDatagram} from '../messages/load-datagram.ts';
+import {type AskDatagram, loadDatagramSchema, type LoadDatagram} from '../messages/load-datagram.ts';
 import {setInputTimeout} from '../runtime/input-timeout.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {ListeningClock} from '../runtime/pause-detector.ts';
+import {decodeYields, encodeReport} from './urgency-wire.ts';
 
 /** Interval at which the counts of all calls in flight are reported again, in milliseconds; corrects counts after lost datagrams and keeps them from expiring. */
 const refreshIntervalMs = 700;
@@ -32,13 +33,20 @@
 /** Minimum interval between two questions to a stager that is not waited for, in milliseconds. */
 const silentAskIntervalMs = 250;
 
+/** How long a stager gets questions without an urgency after it answered only such a one, in milliseconds; one of an earlier version drops others. */
+const plainQuestionsMs = 5000;
+
 /** What is known of the stager beside one instance. */
 type Counter = {
-	counts: InFlightCounts;
+	counts: CounterAnswer;
 	countedAtMs: number;
 	lastAskedMs: number;
 	/** When the first question after the last answer was sent, by the listening clock; undefined if none was. */
 	unansweredSinceMs: number | undefined;
+	/** Whether the last question carried no urgency because the stager was silent. */
+	isAskedPlainly: boolean;
+	/** Until when questions carry no urgency. */
+	plainUntilMs: number;
 	/** The queries that wait for the answer. */
 	readonly waiting: Set<Query>;
 };
@@ -99,9 +107,10 @@
 		this.options.inFlight.setListener(undefined);
 	}
 
-	async ask(instances: readonly Instance[]): Promise<ReadonlyMap<string, InFlightCounts>> {
+	async ask(instances: readonly Instance[], report?: UrgencyReport): Promise<ReadonlyMap<string, CounterAnswer>> {
 		const nowMs = performance.now();
-		const responsive = instances.filter(instance => this.sendQuestion(instance, nowMs));
+		const urgency = report && encodeReport(report);
+		const responsive = instances.filter(instance => this.sendQuestion(instance, nowMs, urgency));
 		if (responsive.length > 0) {
 			await this.waitForAnswers(responsive);
 		}
@@ -127,9 +136,9 @@
 	}
 
 	/** Asks the stager beside an instance; returns whether an answer can be expected soon. */
-	private sendQuestion({id, address}: Instance, nowMs: number): boolean {
+	private sendQuestion({id, address}: Instance, nowMs: number, urgency: AskDatagram[3]): boolean {
 		const counter = this.counters.get(id) ?? {
-			counts: {calls: 0, unreadTokens: 0}, countedAtMs: Number.NEGATIVE_INFINITY, lastAskedMs: Number.NEGATIVE_INFINITY, unansweredSinceMs: undefined, waiting: new Set<Query>(),
+			counts: {calls: 0, unreadTokens: 0}, countedAtMs: Number.NEGATIVE_INFINITY, lastAskedMs: Number.NEGATIVE_INFINITY, unansweredSinceMs: undefined, isAskedPlainly: false, plainUntilMs: Number.NEGATIVE_INFINITY, waiting: new Set<Query>(),
 		};
 		this.counters.set(id, counter);
 		const {listeningMs} = this.options.clock;
@@ -144,7 +153,10 @@
 
 		counter.lastAskedMs = nowMs;
 		counter.unansweredSinceMs ??= listeningMs;
-		this.options.datagrams.send(['ask', this.options.vm, id], this.counterAddress(address));
+		counter.isAskedPlainly = isSilent;
+		const question: AskDatagram = ['ask', this.options.vm, id];
+		const isPlain = urgency === undefined || isSilent || nowMs < counter.plainUntilMs;
+		this.options.datagrams.send(isPlain ? question : [...question, urgency], this.counterAddress(address));
 		return !isSilent;
 	}
 
@@ -170,14 +182,19 @@
 	}
 
 	/** Takes an answer, also one that arrives too late for the call that asked: it helps the next one. */
-	private handleAnswer([, instance, [calls, unreadTokens]]: LoadDatagram): void {
+	private handleAnswer([, instance, [calls, unreadTokens], extras]: LoadDatagram): void {
 		const counter = this.counters.get(instance);
 		if (!counter) {
 			return;
 		}
 
-		counter.counts = {calls, unreadTokens};
+		const yields = decodeYields(extras);
+		counter.counts = yields ? {calls, unreadTokens, yields} : {calls, unreadTokens};
 		counter.countedAtMs = performance.now();
+		if (counter.isAskedPlainly) {
+			counter.plainUntilMs = counter.countedAtMs + plainQuestionsMs;
+		}
+
 		counter.unansweredSinceMs = undefined;
 		for (const query of counter.waiting) {
 			query.unanswered--;
--- a/src/placement/instance-query.ts
+++ b/src/placement/instance-query.ts
@@ -8,6 +8,10 @@
 	readonly route: Route;
 	readonly service: ServiceId;
 	readonly headers: CallHeaders;
+	/** Priority of the workspace, else of the route; 0 is the most urgent, also for the rest of a stream. */
+	readonly priority: number;
+	/** Whether the caller probably returns after a refusal. */
+	readonly isReturning: boolean;
 	/** Time left to meet the target time to first byte of the route, in milliseconds; negative if the call is late. */
 	readonly aimLeftMs: number;
 	/** Time left until the call expires, in milliseconds. */
--- a/src/placement/instance-selector.ts
+++ b/src/placement/instance-selector.ts
@@ -3,11 +3,11 @@
 import type {HeldModel, Instance, ServiceInfo} from '../directory/directory-types.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
-import type {InFlightCounts} from './engine-forecast.ts';
 import {type Barrier, barrierDescriptions, findReopeningMs} from './instance-availability.ts';
 import type {InstanceQuery, SelectedInstance} from './instance-query.ts';
 import type {InstanceTracker} from './instance-tracker.ts';
-import type {LoadSource} from './load-source.ts';
+import {type CallShedding, LoadShedding} from './load-shedding.ts';
+import type {CounterAnswer, LoadSource} from './load-source.ts';
 import {sampleInstances, type SampleSizes} from './sample-instances.ts';
 import {
 	type Candidate, type Placement, selectEngineInstance, selectPlainInstance, shouldAskMore,
@@ -47,7 +47,9 @@
 type Sample = {
 	readonly ids: Set<string>;
 	/** The calls of other gateways at them, where they are known. */
-	readonly counts: Map<string, InFlightCounts>;
+	readonly counts: Map<string, CounterAnswer>;
+	/** Tells whether the call gives way to more urgent ones. */
+	readonly shedding: CallShedding;
 	/** Instances that would suit the call, but may get none now. */
 	readonly barriers: Map<string, Barrier>;
 };
@@ -57,8 +59,12 @@
 
 /** Selects instances for the calls of this gateway. */
 export class InstanceSelector {
+	private readonly shedding: LoadShedding;
+
 	/** @param options - dependencies */
-	constructor(private readonly options: InstanceSelectorOptions) {}
+	constructor(private readonly options: InstanceSelectorOptions) {
+		this.shedding = new LoadShedding(options.random);
+	}
 
 	/**
 	 * Selects the instance for an attempt, or refuses it.
@@ -66,8 +72,16 @@
 	 * @param query - what the instance must satisfy
 	 */
 	async select(query: InstanceQuery): Promise<SelectedInstance | Refusal> {
-		const sample: Sample = {ids: new Set(), counts: new Map(), barriers: new Map()};
 		const service = this.options.directory.table?.findService(query.service);
+		const {priority, isReturning, tried, isResponseStarted} = query;
+		const shedding = this.shedding.startCall(query.service, {priority, isReturning, isFirstAttempt: tried.size === 0 && !isResponseStarted});
+		const sample: Sample = {
+			ids: new Set(), counts: new Map(), barriers: new Map(), shedding,
+		};
+		if (!service?.engine) {
+			shedding.addOwnAnswer(performance.now());
+		}
+
 		let choice = this.choose(query, service, sample);
 		for (const sizes of service?.engine ? engineSamples : plainSamples) {
 			const hasGrown = await this.extendSample(query, service, sample, sizes);
@@ -90,9 +104,10 @@
 	}
 
 	/** Reserves what the chosen instance needs, or tells the caller when an instance is expected to open again. */
-	private settle(choice: Choice, query: InstanceQuery, {counts, barriers}: Sample): SelectedInstance | Refusal {
+	private settle(choice: Choice, query: InstanceQuery, {counts, barriers, shedding}: Sample): SelectedInstance | Refusal {
 		const {tracker, random} = this.options;
-		const {placement, instances, candidates} = choice;
+		const {instances, candidates} = choice;
+		const placement = shedding.settle(choice.placement, query.deadlineLeftMs);
 		this.logPlacement(choice, query, counts.size, barriers);
 		if (placement.kind === 'place') {
 			const selection = this.createSelection(placement, instances, query.headers.model);
@@ -105,7 +120,7 @@
 	}
 
 	/** Draws further eligible instances and asks for their load; returns whether there were any. */
-	private async extendSample(query: InstanceQuery, service: ServiceInfo | undefined, {ids, counts, barriers}: Sample, sizes: SampleSizes): Promise<boolean> {
+	private async extendSample(query: InstanceQuery, service: ServiceInfo | undefined, {ids, counts, barriers, shedding}: Sample, sizes: SampleSizes): Promise<boolean> {
 		const {directory, random, loads, zone} = this.options;
 		const isNew = (instance: Instance) => !ids.has(instance.id) && this.isEligible(instance, query, service, barriers);
 		const sampled = sampleInstances(directory.availableInstances(query.service, zone), sizes, isNew, bound => random.nextInt(bound));
@@ -114,8 +129,9 @@
 		}
 
 		if (service?.engine && sampled.length > 0) {
-			for (const [id, found] of await loads.ask(sampled)) {
+			for (const [id, found] of await loads.ask(sampled, shedding.createReport())) {
 				counts.set(id, found);
+				shedding.addAnswer(found.yields);
 			}
 		}
 
@@ -128,14 +144,16 @@
 		// An instance may have changed or left while its load was asked for.
 		const instances = [...sample.ids].flatMap(id => directory.instance(id) ?? []).filter(instance => this.isEligible(instance, query, service, sample.barriers));
 		const candidates = instances.map(instance => this.createCandidate(instance, query.headers.model, sample.counts.get(instance.id)));
+		const urgencyLimit = sample.shedding.limit();
 		const placement = service?.engine
 			? selectEngineInstance(service.engine, candidates, {
 				promptTokens: query.headers.promptTokens || service.engine.usualPromptTokens,
 				aimLeftMs: query.aimLeftMs,
 				deadlineLeftMs: query.deadlineLeftMs,
 				isResponseStarted: query.isResponseStarted,
+				urgencyLimit,
 			}, randomBelow)
-			: selectPlainInstance(candidates, randomBelow);
+			: selectPlainInstance(candidates, randomBelow, urgencyLimit);
 		return {placement, instances, candidates};
 	}
 
@@ -164,7 +182,7 @@
 			&& this.options.versionExpiry.mayStart(held) && (requiredVersion === undefined || held.version === requiredVersion);
 	}
 
-	private createCandidate(instance: Instance, model: string | undefined, others: InFlightCounts | undefined): Candidate {
+	private createCandidate(instance: Instance, model: string | undefined, others: CounterAnswer | undefined): Candidate {
 		const {tracker, zone, versionExpiry} = this.options;
 		const held = findHeldModel(instance, model);
 		return {
@@ -186,10 +204,10 @@
 		};
 	}
 
-	private logPlacement({placement, candidates}: Choice, {service, headers, aimLeftMs, requiredVersion}: InstanceQuery, answers: number, barriers: ReadonlyMap<string, Barrier>): void {
+	private logPlacement({placement, candidates}: Choice, {service, headers, priority, aimLeftMs, requiredVersion}: InstanceQuery, answers: number, barriers: ReadonlyMap<string, Barrier>): void {
 		const {log, directory} = this.options;
 		const common = {
-			id: headers.attemptId, aimLeftMs: Math.round(aimLeftMs), deadlineMs: headers.deadlineMs, candidates: candidates.length, answers,
+			id: headers.attemptId, priority, aimLeftMs: Math.round(aimLeftMs), deadlineMs: headers.deadlineMs, candidates: candidates.length, answers,
 		};
 		if (placement.kind === 'refuse') {
 			log.info({
--- a/src/placement/select-instance.ts
+++ b/src/placement/select-instance.ts
@@ -6,6 +6,7 @@
  */
 import type {EngineTiming} from '../directory/directory-types.ts';
 import {type EngineLoad, meanSlotTimeMs, predictFirstEventMs} from './engine-forecast.ts';
+import type {UrgencyLimit} from './limit-by-urgency.ts';
 
 /** An instance that is eligible for the call. */
 export type Candidate = {
@@ -30,12 +31,14 @@
 	readonly deadlineLeftMs: number;
 	/** Whether a part of the response has been sent to the caller; that part is useless without the rest. */
 	readonly isResponseStarted: boolean;
+	/** What the call may use of an instance while more urgent calls are refused; absent if they are not. */
+	readonly urgencyLimit?: UrgencyLimit | undefined;
 };
 
 /** The selected instance, or a refusal. */
 export type Placement =
 	| {readonly kind: 'place'; readonly id: string; readonly predictedMs: number}
-	| {readonly kind: 'refuse'; readonly reason: 'no_upstream' | 'overloaded'; readonly retryAfterMs: number};
+	| {readonly kind: 'refuse'; readonly reason: 'no_upstream' | 'overloaded' | 'gives_way'; readonly retryAfterMs: number};
 
 /** Costs within this range count as equal, in milliseconds. The instance is then drawn at random, because several gateways choose at the same time. */
 const tieToleranceMs = 12;
@@ -100,19 +103,20 @@
 	}
 
 	const limitMs = onTimeLimitMs(timing, call);
-	const beforeDeadline = ranked.filter(({predictedMs}) => predictedMs < call.deadlineLeftMs);
+	const beforeDeadline = ranked.filter(({predictedMs, candidate}) => predictedMs < call.deadlineLeftMs && hasRoomFor(candidate, call.urgencyLimit));
 	const onTime = beforeDeadline.filter(({predictedMs}) => call.isResponseStarted || predictedMs <= limitMs);
-	const belowLateShare = beforeDeadline.filter(({candidate}) => candidate.load.calls < candidate.slots * lateCallSlotShare);
+	const belowLateShare = beforeDeadline.filter(({candidate}) => candidate.load.calls < candidate.slots * (call.urgencyLimit?.lateSlotShare ?? lateCallSlotShare));
 	const best = pickLowestCost(onTime, randomBelow) ?? pickLowestCost(belowLateShare, randomBelow);
 	return best
 		? {kind: 'place', id: best.candidate.id, predictedMs: best.predictedMs}
-		: {kind: 'refuse', reason: 'overloaded', retryAfterMs: overloadRetryAfterMs(timing, candidates, randomBelow)};
+		: {kind: 'refuse', reason: refusalReason(call.urgencyLimit), retryAfterMs: overloadRetryAfterMs(timing, candidates, randomBelow)};
 }
 
 /**
  * Returns whether further instances are worth asking before the placement is used.
  *
- * Not if the selected instance has a free slot, so that the call starts there without waiting for another one to end. Nor if the
+ * Not if the selected instance has a free slot, so that the call starts there without waiting for another one to end. Nor if a call that
+ * gives way has found no room at as many as show that. Nor if the
  * candidates are enough to show that the service is full: the last free slots are then found by so many gateways at once that calls wait
  * there, and make others late.
  *
@@ -124,6 +128,10 @@
 		return false;
 	}
 
+	if (placement.kind === 'refuse' && placement.reason === 'gives_way' && candidates.length >= fullService.minCandidates) {
+		return false;
+	}
+
 	let calls = 0;
 	let slots = 0;
 	for (const candidate of candidates) {
@@ -152,8 +160,9 @@
  *
  * @param candidates - the eligible instances
  * @param randomBelow - returns a random integer from 0 up to, but not including, its argument
+ * @param urgencyLimit - as in {@link CallRequirements}
  */
-export function selectPlainInstance(candidates: readonly Candidate[], randomBelow: (bound: number) => number): Placement {
+export function selectPlainInstance(candidates: readonly Candidate[], randomBelow: (bound: number) => number, urgencyLimit?: UrgencyLimit): Placement {
 	const ranked = candidates.map(candidate => {
 		const perSlot = candidate.load.calls / Math.max(1, candidate.slots);
 		return {candidate, predictedMs: 0, costMs: (perSlot * 100) + penaltyMs(candidate)};
@@ -163,13 +172,21 @@
 		return {kind: 'refuse', reason: 'no_upstream', retryAfterMs: plainRetryAfterMs};
 	}
 
-	if (best.candidate.load.calls >= best.candidate.slots * maxPlainCallsPerSlot) {
-		return {kind: 'refuse', reason: 'overloaded', retryAfterMs: plainRetryAfterMs};
+	if (best.candidate.load.calls >= best.candidate.slots * Math.min(maxPlainCallsPerSlot, urgencyLimit?.slotShare ?? maxPlainCallsPerSlot)) {
+		return {kind: 'refuse', reason: refusalReason(urgencyLimit), retryAfterMs: plainRetryAfterMs};
 	}
 
 	return {kind: 'place', id: best.candidate.id, predictedMs: 0};
 }
 
+function hasRoomFor({load, slots}: Candidate, limit: UrgencyLimit | undefined): boolean {
+	return limit === undefined || load.calls < slots * limit.slotShare;
+}
+
+function refusalReason(limit: UrgencyLimit | undefined): 'overloaded' | 'gives_way' {
+	return limit?.givesWay ? 'gives_way' : 'overloaded';
+}
+
 function penaltyMs({isLocal, isSuspect}: Candidate): number {
 	return (isLocal ? 0 : crossZonePenaltyMs) + (isSuspect ? suspectPenaltyMs : 0);
 }
--- a/test/load-queries.test.ts
+++ b/test/load-queries.test.ts
@@ -1,6 +1,7 @@
 /** How gateways learn each other's calls: reports to the counter beside each engine, and questions to it, over datagrams on loopback. */
 import {install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
+import {z} from 'zod';
 import {Directory} from '../src/directory/directory.ts';
 import type {Instance} from '../src/directory/directory-types.ts';
 import type {InFlightCounts} from '../src/placement/engine-forecast.ts';
@@ -193,3 +194,50 @@
 		counterPort.close();
 	}
 });
+
+it('guards against gateways that shed only by their own refusals: what one gateway refuses makes less urgent calls of another one give way', async () => {
+	const fleet = await startFleet(1, 1);
+	const {instances, first, second} = fleet;
+	const yieldsSeenBy = async ({queries}: typeof first, urgency: number) => {
+		const answers = await queries.ask(instances, {urgency, isNewCall: true, refused: []});
+		return answers.get('i-1')?.yields;
+	};
+
+	try {
+		expect(await yieldsSeenBy(second, 5)).to.equal(undefined);
+		await first.queries.ask(instances, {urgency: 0, isNewCall: true, refused: [[0, 4]]});
+		const yields = await yieldsSeenBy(second, 5);
+		expect(yields).to.have.lengthOf(1);
+		expect(yields![0]![0]).to.equal(5);
+		expect(yields![0]![1]).to.be.within(0.3, 0.4);
+	} finally {
+		fleet.stop();
+	}
+});
+
+it('guards against stagers of an earlier version that are given up: they drop questions that carry an urgency, and are asked without one', async () => {
+	const counterPort = new DatagramPort(log);
+	counterPort.on('ask', z.tuple([z.literal('ask'), z.string(), z.string()]), (message, from) => {
+		counterPort.send(['load', message[2], [3, 70]], from);
+	});
+	await counterPort.start({host: '127.0.1.1', port});
+	const fleet = await startFleet(1, 0);
+	const countsSeen = async () => {
+		const answers = await fleet.first.queries.ask(fleet.instances, {urgency: 1, isNewCall: true, refused: []});
+		return answers.get('i-1');
+	};
+
+	try {
+		await waitUntil(async () => {
+			const counts = await countsSeen();
+			return counts?.calls === 3;
+		});
+		for (let round = 0; round < 30; round++) {
+			expect(await countsSeen()).to.deep.equal({calls: 3, unreadTokens: 70});
+			await sleep(30);
+		}
+	} finally {
+		fleet.stop();
+		counterPort.close();
+	}
+});
