--- a/bench/placement-cost.ts
+++ b/bench/placement-cost.ts
@@ -62,7 +62,7 @@
 		loads: {ask: async instances => new Map(instances.map(({id}, at) => [id, {calls: at, unreadTokens: 500 * at}]))},
 	});
 	const place = async (permittedRegions?: readonly RegionId[]) => selector.select({
-		route, service, permittedRegions, aimLeftMs: 400, deadlineLeftMs: 6000, tried: new Set(), isResponseStarted: false, requiredVersion: undefined,
+		route, service, permittedRegions, priority: 0, isReturning: false, aimLeftMs: 400, deadlineLeftMs: 6000, tried: new Set(), isResponseStarted: false, requiredVersion: undefined,
 		headers: {
 			attemptId: '1', host: route.host, key: undefined, deadlineMs: 6000, lastEventId: undefined, model, promptTokens: 800, promptParts: [],
 		},
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -173,6 +173,7 @@
 		const service = chooseTargetService(route, random);
 		const budget = this.getRetryBudget(service);
 		budget.recordCall();
+		const elapsedMs = this.deadlineHistory.estimateElapsedMs(route.prefix, receivedCall.headers.deadlineMs);
 		const call: ForwardedCall = new ForwardedCall({
 			call: receivedCall,
 			boundary,
@@ -181,7 +182,7 @@
 			service,
 			holder: route.isPublic && !holder ? undefined : holder,
 			permittedRegions,
-			aimLeftMs: route.aimMs - this.deadlineHistory.estimateElapsedMs(route.prefix, receivedCall.headers.deadlineMs),
+			aimLeftMs: route.aimMs - elapsedMs,
 			writer,
 			codec,
 			tracker,
@@ -190,7 +191,7 @@
 			crashes: this.options.crashes,
 			quarantine: this.options.quarantine,
 			log,
-			selectInstance: async query => this.selector.select(query),
+			selectInstance: async query => this.selector.select({...query, isReturning: elapsedMs > 0}),
 			retryBudget: budget,
 			onSilence: result => {
 				this.options.onSilence?.(service, result);
--- a/src/peers/call-counter-listener.ts
+++ b/src/peers/call-counter-listener.ts
@@ -1,9 +1,13 @@
 /** The stager's side of the load counts: receives the reports of gateways about the engine on the same VM, and answers their questions. */
 import type {DatagramPort} from '../links/datagram-port.ts';
-import {askDatagramSchema, countDatagramSchema, type LoadDatagram} from '../messages/load-datagram.ts';
+import {
+	type AskDatagram, askDatagramSchema, countDatagramSchema, type LoadDatagram,
+} from '../messages/load-datagram.ts';
+import {UrgencyPressure} from '../placement/urgency-pressure.ts';
 import type {ListeningClock} from '../runtime/pause-detector.ts';
 import {CallCounter} from './call-counter.ts';
 import {asTrailing, ObservationRelay} from './engine-observation.ts';
+import {decodeReport, encodeYields} from './urgency-wire.ts';
 
 /**
  * Counts the calls that gateways report, and answers their questions.
@@ -14,14 +18,22 @@
 export function serveCallCounter(datagrams: DatagramPort, clock: ListeningClock): void {
 	const counter = new CallCounter(clock);
 	const relay = new ObservationRelay();
+	const pressure = new UrgencyPressure();
+	const takeReport = (urgency: NonNullable<AskDatagram[3]>) => {
+		pressure.record(decodeReport(urgency), clock.listeningMs);
+		return pressure.yields(clock.listeningMs);
+	};
+
 	datagrams.on('count', countDatagramSchema, ([, gateway, sequence, [calls, unreadTokens], observation]) => {
 		counter.report(gateway, sequence, {calls, unreadTokens});
 		if (observation) {
 			relay.record(observation, performance.now());
 		}
 	});
-	datagrams.on('ask', askDatagramSchema, ([, gateway, instance], from) => {
+	datagrams.on('ask', askDatagramSchema, ([, gateway, instance, urgency], from) => {
 		const {calls, unreadTokens} = counter.othersThan(gateway);
-		datagrams.send(['load', instance, [calls, unreadTokens], ...asTrailing(relay.current(performance.now()))] satisfies LoadDatagram, from);
+		const yields = urgency && takeReport(urgency);
+		const extras = {...relay.current(performance.now()), ...(yields?.length ? encodeYields(yields) : {})};
+		datagrams.send(['load', instance, [calls, unreadTokens], ...asTrailing(extras)] satisfies LoadDatagram, from);
 	});
 }
--- a/src/peers/engine-observation.ts
+++ b/src/peers/engine-observation.ts
@@ -62,9 +62,9 @@
 	};
 }
 
-/** Returns an observation as the trailing elements of a datagram: none if there is nothing to tell. */
-export function asTrailing(observation: EngineObservation | undefined): [EngineObservation] | [] {
-	return observation ? [observation] : [];
+/** Returns extras as the trailing elements of a datagram: none if there is nothing to tell, since earlier versions refuse a further element. */
+export function asTrailing<Extras extends object>(extras: Extras | undefined): [Extras] | [] {
+	return extras && Object.keys(extras).length > 0 ? [extras] : [];
 }
 
 function createObservation(report: PaceReport | undefined, coldMs: number): EngineObservation | undefined {
--- a/src/placement/instance-selector.ts
+++ b/src/placement/instance-selector.ts
@@ -3,13 +3,13 @@
 import type {HeldModel, Instance, ServiceInfo} from '../directory/directory-types.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
-import type {InFlightCounts} from './engine-forecast.ts';
 import type {HomeRegions} from './home-regions.ts';
 import type {StartPermit} from './cold-starts.ts';
 import {type Barrier, barrierDescriptions, findReopeningMs} from './instance-availability.ts';
 import type {InstanceQuery, SelectedInstance} from './instance-query.ts';
 import type {InstanceTracker} from './instance-tracker.ts';
-import type {LoadSource} from './load-source.ts';
+import {type CallShedding, LoadShedding} from './load-shedding.ts';
+import type {CounterAnswer, LoadSource} from './load-source.ts';
 import {nameRefusal} from './refusal-cause.ts';
 import {sampleInstances, type SampleSizes} from './sample-instances.ts';
 import {
@@ -59,7 +59,9 @@
 type Sample = {
 	readonly ids: Set<string>;
 	/** The calls of other gateways at them, where they are known. */
-	readonly counts: Map<string, InFlightCounts>;
+	readonly counts: Map<string, CounterAnswer>;
+	/** Tells whether the call gives way to more urgent ones. */
+	readonly shedding: CallShedding;
 	/** Instances that would suit the call, but may get none now. */
 	readonly barriers: Map<string, Barrier>;
 	/** The samples that have not been drawn yet. */
@@ -71,8 +73,12 @@
 
 /** Selects instances for the calls of this gateway. */
 export class InstanceSelector {
+	private readonly shedding: LoadShedding;
+
 	/** @param options - dependencies */
-	constructor(private readonly options: InstanceSelectorOptions) {}
+	constructor(private readonly options: InstanceSelectorOptions) {
+		this.shedding = new LoadShedding(options.random);
+	}
 
 	/**
 	 * Selects the instance for an attempt, or refuses it.
@@ -81,9 +87,15 @@
 	 */
 	async select(query: InstanceQuery): Promise<SelectedInstance | Refusal> {
 		const service = this.options.directory.table?.findService(query.service);
+		const {priority, isReturning, tried, isResponseStarted} = query;
+		const shedding = this.shedding.startCall(query.service, {priority, isReturning, isFirstAttempt: tried.size === 0 && !isResponseStarted});
 		const sample: Sample = {
-			ids: new Set(), counts: new Map(), barriers: new Map(), furtherSizes: [...(service?.engine ? engineSamples : plainSamples)],
+			ids: new Set(), counts: new Map(), barriers: new Map(), shedding, furtherSizes: [...(service?.engine ? engineSamples : plainSamples)],
 		};
+		if (!service?.engine) {
+			shedding.addOwnAnswer(performance.now());
+		}
+
 		let choice = await this.search(query, service, sample);
 		const chosen = findChosen(choice);
 		if (chosen && service && this.options.tracker.coldStarts.needsClaim(chosen, service)) {
@@ -132,9 +144,10 @@
 	}
 
 	/** Reserves what the chosen instance needs, or tells the caller when an instance is expected to open again. */
-	private settle(choice: Choice, query: InstanceQuery, {counts, barriers}: Sample): SelectedInstance | Refusal {
+	private settle(choice: Choice, query: InstanceQuery, {counts, barriers, shedding}: Sample): SelectedInstance | Refusal {
 		const {tracker, homes, random} = this.options;
-		const {placement, candidates} = choice;
+		const {candidates} = choice;
+		const placement = shedding.settle(choice.placement, query.deadlineLeftMs);
 		this.logPlacement(choice, query, counts.size, barriers);
 		if (placement.kind === 'place') {
 			const selection = this.createSelection(placement, choice, query.headers.model);
@@ -148,7 +161,7 @@
 	}
 
 	/** Draws further eligible instances and asks for their load; returns whether there were any. */
-	private async extendSample(query: InstanceQuery, service: ServiceInfo | undefined, {ids, counts, barriers}: Sample, sizes: SampleSizes): Promise<boolean> {
+	private async extendSample(query: InstanceQuery, service: ServiceInfo | undefined, {ids, counts, barriers, shedding}: Sample, sizes: SampleSizes): Promise<boolean> {
 		const {directory, random, loads, homes, zone} = this.options;
 		const isNew = (instance: Instance) => !ids.has(instance.id) && this.isEligible(instance, query, service, barriers);
 		const available = homes.narrow(directory.availableInstances(query.service, zone), query.permittedRegions);
@@ -158,8 +171,9 @@
 		}
 
 		if (service?.engine && sampled.length > 0) {
-			for (const [id, found] of await loads.ask(sampled)) {
+			for (const [id, found] of await loads.ask(sampled, shedding.createReport())) {
 				counts.set(id, found);
+				shedding.addAnswer(found.yields);
 			}
 		}
 
@@ -172,14 +186,16 @@
 		// An instance may have changed or left while its load was asked for.
 		const instances = [...sample.ids].flatMap(id => directory.instance(id) ?? []).filter(instance => this.isEligible(instance, query, service, sample.barriers));
 		const candidates = instances.map(instance => this.createCandidate(instance, query, service, sample.counts.get(instance.id)));
+		const urgencyLimit = sample.shedding.limit();
 		const placement = service?.engine
 			? selectEngineInstance(service.engine, candidates, {
 				promptTokens: query.headers.promptTokens || service.engine.usualPromptTokens,
 				aimLeftMs: query.aimLeftMs,
 				deadlineLeftMs: query.deadlineLeftMs,
 				isResponseStarted: query.isResponseStarted,
+				urgencyLimit,
 			}, randomBelow)
-			: selectPlainInstance(candidates, randomBelow);
+			: selectPlainInstance(candidates, randomBelow, urgencyLimit);
 		return {placement, instances, candidates};
 	}
 
@@ -219,7 +235,7 @@
 			&& this.options.versionExpiry.mayStart(held) && (requiredVersion === undefined || held.version === requiredVersion);
 	}
 
-	private createCandidate(instance: Instance, {headers, permittedRegions}: InstanceQuery, service: ServiceInfo | undefined, others: InFlightCounts | undefined): Candidate {
+	private createCandidate(instance: Instance, {headers, permittedRegions}: InstanceQuery, service: ServiceInfo | undefined, others: CounterAnswer | undefined): Candidate {
 		const {tracker, homes, zone, versionExpiry} = this.options;
 		const held = findHeldModel(instance, headers.model);
 		const load = tracker.getLoad(instance.id, others);
@@ -263,9 +279,9 @@
 
 	private logPlacement({placement, candidates}: Choice, query: InstanceQuery, answers: number, barriers: ReadonlyMap<string, Barrier>): void {
 		const {log, directory} = this.options;
-		const {service, headers, aimLeftMs, permittedRegions, requiredVersion} = query;
+		const {service, headers, priority, aimLeftMs, permittedRegions, requiredVersion} = query;
 		const common = {
-			id: headers.attemptId, aimLeftMs: Math.round(aimLeftMs), deadlineMs: headers.deadlineMs, candidates: candidates.length, answers,
+			id: headers.attemptId, priority, aimLeftMs: Math.round(aimLeftMs), deadlineMs: headers.deadlineMs, candidates: candidates.length, answers,
 		};
 		if (placement.kind === 'refuse') {
 			const evacuatedZones = directory.evacuations.zones;
--- a/test/cold-instances.test.ts
+++ b/test/cold-instances.test.ts
@@ -179,7 +179,7 @@
 		});
 		const headers = platformCodec.readCallHeaders(['model', 'm', 'token-usage', '100,5']);
 		const place = async () => selector.select({
-			route: testRoute({kind: 'stream'}), service, headers, aimLeftMs: 400, deadlineLeftMs: 6000, tried: new Set(), isResponseStarted: false, requiredVersion: undefined,
+			route: testRoute({kind: 'stream'}), service, headers, priority: 0, isReturning: false, aimLeftMs: 400, deadlineLeftMs: 6000, tried: new Set(), isResponseStarted: false, requiredVersion: undefined,
 		});
 		const starts = new Map<string, number>();
 		for (let call = 0; call < 1000; call++) {
--- a/test/home-regions.test.ts
+++ b/test/home-regions.test.ts
@@ -206,7 +206,7 @@
 	});
 	const select = async (tried: readonly string[]) => {
 		const selected = await selector.select({
-			route, service: route.targets[0]!.service, permittedRegions: [west], aimLeftMs: 100, deadlineLeftMs: 900, tried: new Set(tried), isResponseStarted: false, requiredVersion: undefined,
+			route, service: route.targets[0]!.service, permittedRegions: [west], priority: 0, isReturning: false, aimLeftMs: 100, deadlineLeftMs: 900, tried: new Set(tried), isResponseStarted: false, requiredVersion: undefined,
 			headers: {
 				attemptId: '1', host: route.host, key: undefined, deadlineMs: 900, lastEventId: undefined, model: undefined, promptTokens: 0, promptParts: [],
 			},
