Move calls out of evacuated zones without a retry of the budget

A call that was placed in a zone before its evacuation, and not written, was refused when the retry budget was used up. No instance got it, so moving it takes no retry.

--- a/src/forwarding/call-attempts.ts
+++ b/src/forwarding/call-attempts.ts
@@ -76,7 +76,7 @@
 		for (const attempt of this.underWay) {
 			attempt.startDeadline.check();
 			if (isEvacuated(attempt.instance)) {
-				attempt.handleInstanceClosed('zone_evacuated');
+				attempt.handleInstanceClosed('zone_evacuated', true);
 			}
 		}
 	}
--- a/src/forwarding/decide-next-step.ts
+++ b/src/forwarding/decide-next-step.ts
@@ -3,8 +3,8 @@
 
 /** How an attempt ended without a usable response. */
 export type AttemptOutcome =
-	/** The upstream certainly did not run the call. */
-	| {readonly kind: 'not-run'; readonly reason: string}
+	/** The upstream certainly did not run the call; `isMoved` if it has to leave although nothing of it was written, which takes no retry of the budget. */
+	| {readonly kind: 'not-run'; readonly reason: string; readonly isMoved?: boolean}
 	/** The call was sent and no usable response arrived; the upstream may have run it. */
 	| {readonly kind: 'failed'; readonly reason: string}
 	/** The upstream sent something that it cannot have meant, so that what it sent before is in doubt, too; it may have run the call. */
@@ -55,7 +55,8 @@
 
 const stepDeciders: Readonly<Record<AttemptOutcome['kind'], (input: NextStepInput) => NextStep>> = {
 	'not-run'(input) {
-		if (input.refusals < maxRefusals && input.hasTime && !input.hasOtherAttempt && input.tryTakeRetry()) {
+		const isMoved = input.outcome.kind === 'not-run' && input.outcome.isMoved === true;
+		if (input.refusals < maxRefusals && input.hasTime && !input.hasOtherAttempt && (isMoved || input.tryTakeRetry())) {
 			return 'repeat';
 		}
 
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -121,9 +121,9 @@
 	}
 
 	/** Moves the call elsewhere if its instance may get no further calls and this one has not been sent. */
-	handleInstanceClosed(reason = 'instance_closed'): void {
+	handleInstanceClosed(reason = 'instance_closed', isMoved = false): void {
 		if (this.isUnsent) {
-			this.report({kind: 'not-run', reason});
+			this.report({kind: 'not-run', reason, isMoved});
 		}
 	}
 
--- a/test/evacuations.test.ts
+++ b/test/evacuations.test.ts
@@ -156,7 +156,7 @@
 		id: zone, zone, address: upstreams[zone].address, service, held,
 	}));
 	const homes = new HomeRegions(new RegionMap({z: createRegionId('east'), w: createRegionId('west')}));
-	const gateway = await startTestGateway(testConfiguration(1, {targets: [{service, weight: 1}], ...route}), instances, {homes});
+	const gateway = await startTestGateway(testConfiguration(1, {targets: [{service, weight: 1}], ...route}), instances, {homes, retrySlack: 0});
 	open.push(upstreams.z, upstreams.w, gateway);
 	return {gateway, upstreams};
 }
@@ -214,7 +214,7 @@
 	}
 });
 
-it('guards against a call that is sent although its zone was evacuated after it was placed: it moves, also if it may run only once', async () => {
+it('guards against a call that is sent although its zone was evacuated after it was placed: it moves, also if it may run only once and no retry is left', async () => {
 	const {gateway, upstreams} = await start({kind: 'once'});
 	// The other instance looks busier, so that the call is placed in the zone of the gateway.
 	gateway.tracker.recordReportedLoad('w', 6);
--- a/test/home-regions.test.ts
+++ b/test/home-regions.test.ts
@@ -193,7 +193,12 @@
 });
 
 it('guards against home instances that a sample misses: the only two among 330 are found for each call, also after one has been tried', async () => {
-	const log = createSilentLogger();
+	const refusals: Array<Record<string, unknown>> = [];
+	const log = Object.assign(createSilentLogger(), {
+		info(fields: Record<string, unknown>) {
+			refusals.push(fields);
+		},
+	});
 	const random = new RandomSource(3);
 	const directory = new Directory(log);
 	const route = testRoute();
@@ -220,6 +225,7 @@
 	}
 
 	expect(await select(['i-100', 'i-200'])).to.equal('no_home_instance');
+	expect(refusals.at(-1)).to.include({event: 'no_place', reason: 'no_home_instance'}).and.to.have.deep.property('permittedRegions', [west]);
 });
 
 it('guards against bound calls without a place: calls without restriction avoid a region that bound calls fill, and no other, and not for long', () => {
