--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -31,6 +31,9 @@
 /** How long before the end of the grace period the remaining calls are aborted, in milliseconds. At its end, the process is killed. */
 const killMarginMs = 300;
 
+/** How long an evacuation takes to reach all gateways, in milliseconds. What a gateway knew before a pause may be too old if the pause takes the rest of the bound. */
+const evacuationSpreadMs = 2000;
+
 /** The share of the memory limit that responses may take until they are complete. */
 const responseMemoryShare = 0.1;
 
@@ -75,6 +78,11 @@
 		directory, regions, inFlight: tracker.inFlight, boundMs: settings.limits.evacuate_ms, directoryAgeMs: () => base.directoryAgeMs, log,
 	});
 	evacuationReport.addMetrics(metrics);
+	base.pauseDetector.onResume(gapMs => {
+		if (gapMs >= (settings.limits.evacuate_ms ?? Number.POSITIVE_INFINITY) - evacuationSpreadMs) {
+			directory.evacuations.confirmation.require();
+		}
+	});
 	const forwardingMetrics = new ForwardingMetrics(metrics);
 	const {crashes, quarantine, gossip} = createCrashProtection({
 		...settings.process, tracker, peers, datagrams: base.datagrams, port: settings.listen.datagrams.port, random, log, clock: base.pauseDetector, metrics, forwardingMetrics,
@@ -93,6 +101,9 @@
 		retryBudget: {ratio: settings.limits.retry_ratio, slack: settings.limits.retry_slack, windowMs: settings.limits.retry_window_s * msPerSecond},
 		versionBoundMs: settings.limits.version_bound_ms,
 		clock: base.pauseDetector,
+		checkPause() {
+			base.pauseDetector.check();
+		},
 		eventLoopDelayMs: () => base.pauseDetector.recentDelayMs,
 		gatewayCount,
 		responseBytes: Math.min(maxBufferedBytes, settings.limits.memory_mb * bytesPerMegabyte * responseMemoryShare),
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -187,6 +187,10 @@
 			directory.apply(changes, context);
 		}
 
+		if (isFullRead && part === 'published') {
+			directory.evacuations.confirmation.confirm();
+		}
+
 		this.hasReadOnce = true;
 
 		if (part === 'instances') {
--- a/src/directory/evacuations.ts
+++ b/src/directory/evacuations.ts
@@ -5,6 +5,7 @@
  * whatever order they arrive, and that it is also in force where the source is out of reach.
  */
 import type {Logger} from '../runtime/logger.ts';
+import {Confirmation} from './confirmation.ts';
 import type {DirectoryChanges} from './directory-types.ts';
 
 /** The place of a change in the order of changes of the source. */
@@ -41,6 +42,8 @@
 export class Evacuations {
 	/** Increases with each change of a zone. */
 	changes = 0;
+	/** Whether calls wait until the evacuations are confirmed. */
+	readonly confirmation = new Confirmation();
 	private completeUntil: EvacuationRevision | undefined;
 	private readonly entries = new Map<string, Entry>();
 
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -9,6 +9,7 @@
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import {findPermittedRegions, type HomeRegions} from '../placement/home-regions.ts';
+import type {InstanceQuery} from '../placement/instance-query.ts';
 import {InstanceSelector} from '../placement/instance-selector.ts';
 import type {InstanceTracker} from '../placement/instance-tracker.ts';
 import type {LoadSource} from '../placement/load-source.ts';
@@ -47,6 +48,8 @@
 	readonly versionBoundMs: number;
 	/** Measures the silence of instances. */
 	readonly clock: ListeningClock;
+	/** Called before a call is placed, to find out that this process stood still before the timer for it has run. */
+	readonly checkPause?: () => void;
 	/** Returns how late a timer of this process may run now, in milliseconds. */
 	readonly eventLoopDelayMs: () => number;
 	/** Returns the number of gateways that share the retry budget. */
@@ -190,7 +193,7 @@
 			crashes: this.options.crashes,
 			quarantine: this.options.quarantine,
 			log,
-			selectInstance: async query => this.selector.select(query),
+			selectInstance: async query => this.selectInstance(query),
 			retryBudget: budget,
 			onSilence: result => {
 				this.options.onSilence?.(service, result);
@@ -208,6 +211,17 @@
 		return call;
 	}
 
+	/** Selects an instance, once the evacuations are confirmed that this process knew before it stood still. */
+	private async selectInstance(query: InstanceQuery): ReturnType<InstanceSelector['select']> {
+		const {confirmation} = this.options.directory.evacuations;
+		this.options.checkPause?.();
+		if (confirmation.isPending) {
+			await confirmation.wait();
+		}
+
+		return this.selector.select(query);
+	}
+
 	private findRefusal(table: RouteTable | undefined, route: Route | undefined, holder: KeyHolder | undefined, {headers}: ReceivedCall): Refusal | undefined {
 		if (this.isShuttingDown) {
 			return {status: 503, reason: 'leaving', retryAfterMs: shutdownRetryAfterMs};
--- a/src/peers/directory-checks.ts
+++ b/src/peers/directory-checks.ts
@@ -226,6 +226,7 @@
 
 	private confirm(atMs: number, address: string): void {
 		this.confirmedAtMs = Math.max(this.confirmedAtMs, atMs);
+		this.options.directory.evacuations.confirmation.confirm();
 		if (!this.isConfirmed && this.ageMs <= this.limitMs) {
 			this.isConfirmed = true;
 			this.options.log.info({event: 'directory_confirmed', from: address, ageMs: Math.round(this.ageMs)}, 'another process confirms the directory again');
--- a/src/reports/evacuation-report.ts
+++ b/src/reports/evacuation-report.ts
@@ -14,8 +14,8 @@
 	/** The zones of the settings. */
 	readonly regions: RegionMap;
 	readonly inFlight: InFlightCalls;
-	/** Within what time an evacuation has to be in force, in milliseconds. */
-	readonly boundMs: number;
+	/** Within what time an evacuation has to be in force, in milliseconds; undefined if there is no such bound. */
+	readonly boundMs: number | undefined;
 	/** Returns how long ago it was last known that the directory lacks nothing, in milliseconds. */
 	readonly directoryAgeMs: () => number;
 	readonly log: Logger;
@@ -71,7 +71,7 @@
 			zones: evacuations.described.map((described: DescribedZone) => ({...described, openCalls: this.callsIn([described.zone])})),
 			directoryAgeMs: ageMs,
 			boundMs,
-			isWithinBound: evacuations.isKnown && ageMs <= boundMs,
+			isWithinBound: evacuations.isKnown && ageMs <= (boundMs ?? Number.POSITIVE_INFINITY),
 		};
 	}
 
--- a/src/settings/direct-settings.ts
+++ b/src/settings/direct-settings.ts
@@ -21,6 +21,9 @@
 	return amount(defaultValue).refine(number => number > 0, 'must be more than 0');
 }
 
+/** A number of more than 0; undefined if it is absent or empty. */
+const optionalPositiveAmount = z.preprocess(text => (text === '' ? undefined : text), decimalNumber.refine(number => number > 0, 'must be more than 0').optional());
+
 const peersSection = z.strictObject({
 	/** Addresses of the control listeners of a few gateways, `ip:port`, through which the other gateways are discovered. */
 	seeds: addressList,
@@ -65,8 +68,8 @@
 		drain_notice_ms: amount(2500),
 		/** Time from SIGTERM until the process is killed, in seconds. */
 		grace_s: positiveAmount(8),
-		/** Within what time after its publication the evacuation of a zone has to be in force, in milliseconds; for operators only. */
-		evacuate_ms: positiveAmount(5000),
+		/** Within what time after its publication the evacuation of a zone has to be in force, in milliseconds; none if it is absent or empty. */
+		evacuate_ms: optionalPositiveAmount,
 		/** Memory limit of the process, in megabytes; the memory for bodies and answers is a share of it. */
 		memory_mb: positiveAmount(350),
 	}).prefault({}),
--- a/test/evacuations.test.ts
+++ b/test/evacuations.test.ts
@@ -231,6 +231,22 @@
 	expect([placedAt, response.status, response.body, upstreams.z.requests.length]).to.deep.equal(['z', 200, 'w', 0]);
 });
 
+it('guards against a call that is sent by what was known before the process stood still: it waits until that is confirmed, but not for long', async () => {
+	const {gateway, upstreams} = await start();
+	const {confirmation} = gateway.directory.evacuations;
+	confirmation.require();
+	const call = callGateway(gateway.url);
+	await sleep(80);
+	expect(upstreams.z.requests.length + upstreams.w.requests.length).to.equal(0);
+	apply(gateway, 3, begin('z'));
+	confirmation.confirm();
+	const moved = await call;
+	expect(moved.body).to.equal('w');
+	confirmation.require();
+	const late = await callGateway(gateway.url);
+	expect(late.status).to.equal(200);
+});
+
 it('guards against work that an evacuation breaks off: a stream under way ends as usual', async () => {
 	const {gateway, upstreams} = await start({kind: 'stream', timeoutMs: 3000}, (req, res) => {
 		res.writeHead(200, {
@@ -325,6 +341,37 @@
 	});
 }).timeout(60_000);
 
+it('guards against a process that stood still and counts as confirmed before it has heard of an evacuation', async () => {
+	await withReplicas(9, size, async fleet => {
+		const stopped = [...fleet.chooseOrdinary()].map(vm => fleet.gateways.find(({info}) => info.vm === vm)!);
+		for (const item of stopped) {
+			item.isDown = true;
+			fleet.source.silent.add(item.info.vm);
+		}
+
+		evacuate(fleet, 'z-a');
+		await fleet.pass(spreadMs.unstable);
+		const confirmed: Array<{isEvacuated: boolean; afterMs: number}> = [];
+		const resumedAtMs = performance.now();
+		const resume = async ({directory: {evacuations}, replica}: ReplicaFleet['gateways'][number]) => {
+			expect(evacuations.isEvacuated('z-a')).to.equal(false);
+			evacuations.confirmation.require();
+			replica.catchUp();
+			await evacuations.confirmation.wait();
+			confirmed.push({isEvacuated: evacuations.isEvacuated('z-a'), afterMs: performance.now() - resumedAtMs});
+		};
+
+		for (const item of stopped) {
+			item.isDown = false;
+			void resume(item);
+		}
+
+		await fleet.pass(spreadMs.usual);
+		expect(confirmed.map(({isEvacuated}) => isEvacuated)).to.deep.equal(stopped.map(() => true));
+		expect(confirmed.every(({afterMs}) => afterMs < 200)).to.equal(true);
+	});
+}).timeout(60_000);
+
 it('guards against an evacuation that a real gateway does not follow, or does not show: it is in force when the gateway is ready, and until its key is removed', async () => {
 	const processes = new Processes();
 	const store = new DirectoryStore();
