Let calls wait for the next start if all instances are cold

A call was refused although a start was due within its time, and the start was lost: callers retry once, and a turn lapses after 200 ms. It now waits up to a quarter of the time until it expires, at most 600 ms. One claim at a time is under way per instance and gateway, and the turns of a gateway at several instances come at different times.

--- a/src/placement/cold-starts.ts
+++ b/src/placement/cold-starts.ts
@@ -6,6 +6,7 @@
  */
 import type {Instance, ServiceInfo} from '../directory/directory-types.ts';
 import {maxColdMs} from '../directory/cold-entry.ts';
+import {digestOf} from '../ids/digest.ts';
 import {createSilentLogger, type Logger} from '../runtime/logger.ts';
 import {
 	type ColdLimits, defaultColdLimits, type GrantSpacing, splitColdRate, startValidityMs,
@@ -37,8 +38,12 @@
 	readonly onDecision?: (source: StartSource, isAllowed: boolean) => void;
 };
 
-/** Minimum time for which an instance gets no calls after a refused start, in milliseconds. */
+/** Minimum time between two claims at an instance, in milliseconds, and how long others wait for the answer to one that is under way. */
 const minClosedMs = 5;
+const claimTimeoutMs = 30;
+
+/** Number of hexadecimal digits that an offset is derived from. */
+const offsetDigits = 8;
 
 /** Options of a gateway that is alone and reaches no stager. */
 const aloneOptions: ColdStartsOptions = {
@@ -95,7 +100,7 @@
 	}
 
 	/**
-	 * Claims a start at a cold instance. A refusal closes the instance to this gateway until the next start is expected.
+	 * Claims a start at a cold instance, and closes the instance to other calls of this gateway until the next start is expected.
 	 *
 	 * @param instance - the instance that a call was placed at
 	 * @param service - its service
@@ -106,9 +111,11 @@
 		const {log, limits, onDecision} = this.options;
 		const claimedAtMs = performance.now();
 		const quota = splitColdRate(service.cold!.callsPerSecond, limits);
-		const answer = service.engine ? await this.options.authority.claim(instance, quota.granted) : undefined;
 		const run = this.getOrCreateRun(instance);
+		run.closedUntilMs = claimedAtMs + claimTimeoutMs;
+		const answer = service.engine ? await this.options.authority.claim(instance, quota.granted) : undefined;
 		const {isAllowed, waitMs} = answer ?? run.share.tryStart(Date.now(), this.options.share(), service.engine ? quota.unansweredPerSecond : quota.alonePerSecond);
+		run.closedUntilMs = performance.now() + Math.max(minClosedMs, waitMs);
 		const source = answer ? 'stager' : 'share';
 		onDecision?.(source, isAllowed);
 		const fields = {
@@ -119,7 +126,6 @@
 			return {isValid: () => performance.now() - claimedAtMs < startValidityMs};
 		}
 
-		run.closedUntilMs = performance.now() + Math.max(minClosedMs, waitMs);
 		log.info({event: 'cold_start_refused', ...fields}, 'no start is left at a cold instance');
 		return undefined;
 	}
@@ -190,9 +196,14 @@
 		}
 
 		const run: ColdRun = {
-			startedAtMs: instance.startedAtMs, saidUntilMs: 0, toldUntilMs: 0, closedUntilMs: 0, share: new EvenShare(startedAtMs, random()),
+			startedAtMs: instance.startedAtMs, saidUntilMs: 0, toldUntilMs: 0, closedUntilMs: 0, share: new EvenShare(startedAtMs, random(), cycleOffsetOf(instance.id)),
 		};
 		this.runs.set(instance.id, run);
 		return run;
 	}
 }
+
+/** Returns a number from 0 to 1 that all gateways derive from the ID of an instance. */
+function cycleOffsetOf(id: string): number {
+	return Number.parseInt(digestOf(id).slice(0, offsetDigits), 16) / (16 ** offsetDigits);
+}
--- a/src/placement/even-share.ts
+++ b/src/placement/even-share.ts
@@ -35,8 +35,9 @@
 	/**
 	 * @param startedAtMs - when this process started, by the wall clock
 	 * @param offset - where in its part of the cycle the turn of this process is; random, from 0 to 1
+	 * @param cycleOffset - where the cycle of the instance begins, the same in all gateways, so that a gateway has its turns at several instances at different times; from 0 to 1
 	 */
-	constructor(private readonly startedAtMs: number, private readonly offset: number) {}
+	constructor(private readonly startedAtMs: number, private readonly offset: number, private readonly cycleOffset = 0) {}
 
 	/**
 	 * Returns whether a call may start now, and takes the turn if so.
@@ -51,7 +52,7 @@
 		}
 
 		const cycleMs = count * msPerSecond / perSecond;
-		const cycles = (nowMs / cycleMs) - ((rank + this.offset) / known);
+		const cycles = (nowMs / cycleMs) - ((rank + this.offset) / known) - this.cycleOffset;
 		const turn = Math.floor(cycles);
 		const sinceTurnMs = (cycles - turn) * cycleMs;
 		// Turns move when the number of gateways changes or the clock is set.
@@ -60,7 +61,7 @@
 		if (hasSettled && isSpaced && turn !== this.lastTurn && sinceTurnMs < turnMs) {
 			this.lastTurn = turn;
 			this.lastStartMs = nowMs;
-			return {isAllowed: true, waitMs: 0};
+			return {isAllowed: true, waitMs: cycleMs - sinceTurnMs};
 		}
 
 		return {isAllowed: false, waitMs: cycleMs - sinceTurnMs};
--- a/src/placement/instance-selector.ts
+++ b/src/placement/instance-selector.ts
@@ -1,4 +1,5 @@
 /** Finds the instance for an attempt: a few random eligible ones, their load, and the choice among them. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {Directory} from '../directory/directory.ts';
 import type {HeldModel, Instance, ServiceInfo} from '../directory/directory-types.ts';
 import type {Logger} from '../runtime/logger.ts';
@@ -44,6 +45,9 @@
 /** Maximum number of cold instances that one call claims a start at. */
 const maxClaims = 4;
 
+/** How long a call waits for the next start if all instances are cold: a share of the time until it expires, with an upper bound in milliseconds. */
+const startWait = {deadlineShare: 0.25, maxMs: 600};
+
 /** When callers may return that got no start at any of these, in milliseconds. */
 const noStartRetryAfterMs = 400;
 
@@ -79,16 +83,30 @@
 	 */
 	async select(query: InstanceQuery): Promise<SelectedInstance | Refusal> {
 		const service = this.options.directory.table?.findService(query.service);
-		const sample: Sample = {
-			ids: new Set(), counts: new Map(), barriers: new Map(), furtherSizes: [...(service?.engine ? engineSamples : plainSamples)],
-		};
-		let choice = await this.search(query, service, sample);
-		const chosen = findChosen(choice);
-		if (chosen && service && this.options.tracker.coldStarts.needsClaim(chosen, service)) {
-			choice = await this.claimStart(choice, query, service, sample);
+		const startedAtMs = performance.now();
+		const giveUpAtMs = startedAtMs + Math.min(startWait.maxMs, query.deadlineLeftMs * startWait.deadlineShare);
+		let late = query;
+		for (;;) {
+			const sample = createSample(service);
+			const choice = await this.place(late, service, sample);
+			const nextStartMs = findNextStartMs(choice, sample);
+			if (nextStartMs > giveUpAtMs) {
+				return this.settle(choice, late, sample);
+			}
+
+			await sleep(nextStartMs - performance.now());
+			const waitedMs = performance.now() - startedAtMs;
+			late = {...query, aimLeftMs: query.aimLeftMs - waitedMs, deadlineLeftMs: query.deadlineLeftMs - waitedMs};
 		}
+	}
 
-		return this.settle(choice, query, sample);
+	/** Chooses an instance, and claims the start there if it is cold. */
+	private async place(query: InstanceQuery, service: ServiceInfo | undefined, sample: Sample): Promise<Choice> {
+		const choice = await this.search(query, service, sample);
+		const chosen = findChosen(choice);
+		return chosen && service && this.options.tracker.coldStarts.needsClaim(chosen, service)
+			? this.claimStart(choice, query, service, sample)
+			: choice;
 	}
 
 	/** Draws samples until one of them has an instance that is good enough. */
@@ -119,7 +137,9 @@
 			}
 
 			const permit = await coldStarts.claim(chosen, service, query.headers.attemptId);
-			if (permit && this.isEligible(chosen, query, service, sample.barriers)) {
+			// What the claim itself closes is open to this call.
+			const barrier = this.options.tracker.barrierAt(chosen);
+			if (permit && (!barrier || barrier.reason === 'cold') && this.holdsRequired(chosen, query, service)) {
 				return {...choice, permit};
 			}
 
@@ -265,6 +285,18 @@
 	}
 }
 
+function createSample(service: ServiceInfo | undefined): Sample {
+	return {
+		ids: new Set(), counts: new Map(), barriers: new Map(), furtherSizes: [...(service?.engine ? engineSamples : plainSamples)],
+	};
+}
+
+/** Returns when the next start is expected at an instance that only lacks one; infinite if the call was placed or needs no start. */
+function findNextStartMs({placement, candidates}: Choice, {barriers}: Sample): number {
+	const isWaiting = placement.kind === 'refuse' && candidates.length === 0;
+	return isWaiting ? Math.min(...[...barriers.values()].filter(({reason}) => reason === 'cold').map(({untilMs}) => untilMs)) : Number.POSITIVE_INFINITY;
+}
+
 function findChosen({placement, instances}: Choice): Instance | undefined {
 	return placement.kind === 'place' ? instances.find(({id}) => id === placement.id) : undefined;
 }
--- a/src/placement/start-limiter.ts
+++ b/src/placement/start-limiter.ts
@@ -35,6 +35,6 @@
 
 		this.refused = 0;
 		this.dueMs = Math.max(dueMs, nowMs) + intervalMs;
-		return {isAllowed: true, waitMs: 0};
+		return {isAllowed: true, waitMs: Math.max(0, this.dueMs - toleranceMs - nowMs)};
 	}
 }
