--- a/src/placement/instance-selector.ts
+++ b/src/placement/instance-selector.ts
@@ -1,15 +1,17 @@
 /** Finds the instance for an attempt: a few random eligible ones, their load, and the choice among them. */
+import {setTimeout as sleep} from 'node:timers/promises';
 import type {Directory} from '../directory/directory.ts';
 import type {HeldModel, Instance, ServiceInfo} from '../directory/directory-types.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import type {HomeRegions} from './home-regions.ts';
 import type {StartPermit} from './cold-starts.ts';
-import {type Barrier, barrierDescriptions, findReopeningMs} from './instance-availability.ts';
+import {type Barrier, findReopeningMs} from './instance-availability.ts';
 import type {InstanceQuery, SelectedInstance} from './instance-query.ts';
 import type {InstanceTracker} from './instance-tracker.ts';
 import {type CallShedding, LoadShedding} from './load-shedding.ts';
 import type {CounterAnswer, LoadSource} from './load-source.ts';
+import {logPlacement} from './placement-log.ts';
 import {nameRefusal} from './refusal-cause.ts';
 import {sampleInstances, type SampleSizes} from './sample-instances.ts';
 import {
@@ -46,15 +48,15 @@
 /** Maximum number of cold instances that one call claims a start at. */
 const maxClaims = 4;
 
+/** How long a call waits for the next start if all instances are cold: a share of the time until it expires, with an upper bound in milliseconds. */
+const startWait = {deadlineShare: 0.25, maxMs: 600};
+
 /** When callers may return that got no start at any of these, in milliseconds. */
 const noStartRetryAfterMs = 400;
 
 /** Upper bound of the random delay of callers that are told when an instance opens again, in milliseconds. */
 const reopeningJitterMs = 300;
 
-/** Maximum number of instances that are logged as passed over for a call. */
-const maxLoggedBarriers = 12;
-
 /** The instances sampled for a call so far. */
 type Sample = {
 	readonly ids: Set<string>;
@@ -89,20 +91,34 @@
 		const service = this.options.directory.table?.findService(query.service);
 		const {priority, isReturning, tried, isResponseStarted} = query;
 		const shedding = this.shedding.startCall(query.service, {priority, isReturning, isFirstAttempt: tried.size === 0 && !isResponseStarted});
-		const sample: Sample = {
-			ids: new Set(), counts: new Map(), barriers: new Map(), shedding, furtherSizes: [...(service?.engine ? engineSamples : plainSamples)],
-		};
 		if (!service?.engine) {
 			shedding.addOwnAnswer(performance.now());
 		}
 
-		let choice = await this.search(query, service, sample);
-		const chosen = findChosen(choice);
-		if (chosen && service && this.options.tracker.coldStarts.needsClaim(chosen, service)) {
-			choice = await this.claimStart(choice, query, service, sample);
+		const startedAtMs = performance.now();
+		const giveUpAtMs = startedAtMs + Math.min(startWait.maxMs, query.deadlineLeftMs * startWait.deadlineShare);
+		let late = query;
+		for (;;) {
+			const sample = createSample(service, shedding);
+			const choice = await this.place(late, service, sample);
+			const nextStartMs = findNextStartMs(choice, sample);
+			if (nextStartMs > giveUpAtMs) {
+				return this.settle({...choice, placement: this.nameCause(choice.placement, late)}, late, sample);
+			}
+
+			await sleep(nextStartMs - performance.now());
+			const waitedMs = performance.now() - startedAtMs;
+			late = {...query, aimLeftMs: query.aimLeftMs - waitedMs, deadlineLeftMs: query.deadlineLeftMs - waitedMs};
 		}
+	}
 
-		return this.settle({...choice, placement: this.nameCause(choice.placement, query)}, query, sample);
+	/** Chooses an instance, and claims the start there if it is cold. */
+	private async place(query: InstanceQuery, service: ServiceInfo | undefined, sample: Sample): Promise<Choice> {
+		const choice = await this.search(query, service, sample);
+		const chosen = findChosen(choice);
+		return chosen && service && this.options.tracker.coldStarts.needsClaim(chosen, service)
+			? this.claimStart(choice, query, service, sample)
+			: choice;
 	}
 
 	/** Draws samples until one of them has an instance that is good enough. */
@@ -133,7 +149,9 @@
 			}
 
 			const permit = await coldStarts.claim(chosen, service, query.headers.attemptId);
-			if (permit && this.isEligible(chosen, query, service, sample.barriers)) {
+			// What the claim itself closes is open to this call.
+			const barrier = this.options.tracker.barrierAt(chosen);
+			if (permit && (!barrier || barrier.reason === 'cold') && this.holdsRequired(chosen, query, service)) {
 				return {...choice, permit};
 			}
 
@@ -148,7 +166,7 @@
 		const {tracker, homes, random} = this.options;
 		const {candidates} = choice;
 		const placement = shedding.settle(choice.placement, query.deadlineLeftMs);
-		this.logPlacement(choice, query, counts.size, barriers);
+		logPlacement(this.options, query, {...choice, answers: counts.size, barriers});
 		if (placement.kind === 'place') {
 			const selection = this.createSelection(placement, choice, query.headers.model);
 			tracker.signals.reserveTrial(selection.instance);
@@ -276,53 +294,24 @@
 			isStartPermitted: () => permit?.isValid() ?? true,
 		};
 	}
+}
 
-	private logPlacement({placement, candidates}: Choice, query: InstanceQuery, answers: number, barriers: ReadonlyMap<string, Barrier>): void {
-		const {log, directory} = this.options;
-		const {service, headers, priority, aimLeftMs, permittedRegions, requiredVersion} = query;
-		const common = {
-			id: headers.attemptId, priority, aimLeftMs: Math.round(aimLeftMs), deadlineMs: headers.deadlineMs, candidates: candidates.length, answers,
-		};
-		if (placement.kind === 'refuse') {
-			const evacuatedZones = directory.evacuations.zones;
-			log.info({
-				...common,
-				event: 'no_place',
-				service,
-				model: headers.model,
-				requiredVersion,
-				permittedRegions,
-				...(evacuatedZones.length > 0 ? {evacuatedZones} : {}),
-				reason: placement.reason,
-				leastCalls: Math.min(...candidates.map(({load}) => load.calls)),
-				instancesRevision: directory.instancesRevision,
-				passedOver: describeBarriers(barriers),
-			}, 'no instance available for a call');
-			return;
-		}
+function createSample(service: ServiceInfo | undefined, shedding: CallShedding): Sample {
+	return {
+		ids: new Set(), counts: new Map(), barriers: new Map(), shedding, furtherSizes: [...(service?.engine ? engineSamples : plainSamples)],
+	};
+}
 
-		log.debug({
-			...common, event: 'call_placed', instance: placement.id, predictedMs: Math.round(placement.predictedMs), load: candidates.find(({id}) => id === placement.id)?.load,
-		}, 'instance selected for a call');
-	}
+/** Returns when the next start is expected at an instance that only lacks one; infinite if the call was placed or needs no start. */
+function findNextStartMs({placement, candidates}: Choice, {barriers}: Sample): number {
+	const isWaiting = placement.kind === 'refuse' && candidates.length === 0;
+	return isWaiting ? Math.min(...[...barriers.values()].filter(({reason}) => reason === 'cold').map(({untilMs}) => untilMs)) : Number.POSITIVE_INFINITY;
 }
 
 function findChosen({placement, instances}: Choice): Instance | undefined {
 	return placement.kind === 'place' ? instances.find(({id}) => id === placement.id) : undefined;
 }
 
-/** Describes for the log why instances were passed over. */
-function describeBarriers(barriers: ReadonlyMap<string, Barrier>): object[] {
-	const nowMs = performance.now();
-	return [...barriers].slice(0, maxLoggedBarriers).map(([instance, {reason, sinceMs, untilMs}]) => ({
-		instance,
-		reason,
-		...barrierDescriptions[reason],
-		ageMs: sinceMs === undefined ? undefined : Math.round(nowMs - sinceMs),
-		leftMs: Number.isFinite(untilMs) ? Math.round(untilMs - nowMs) : undefined,
-	}));
-}
-
 function findHeldModel(instance: Instance, model: string | undefined): HeldModel | undefined {
 	return instance.held.find(held => held.model === model);
 }
