--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -130,8 +130,8 @@
 			await base.stop();
 		},
 	});
-	rpc.method(directoryGetMethod, directoryGetParamsSchema, ({configurationVersion, instancesRevision, servicesOnly}) =>
-		(servicesOnly ? directory.servicesSnapshot(configurationVersion) : directory.snapshot(configurationVersion, instancesRevision)));
+	rpc.method(directoryGetMethod, directoryGetParamsSchema, ({configurationVersion, instancesRevision, era, servicesOnly}) =>
+		(servicesOnly ? directory.servicesSnapshot(configurationVersion) : directory.snapshot(configurationVersion, instancesRevision, era)));
 	const control = new HttpListener(createControlRoutes({
 		rpc, metrics, isReady, dump: () => ({
 			role: 'gateway', ...base.dump(), openCalls: forwarder.openCalls, heldParts: quarantine.holds,
--- a/src/cli/gateway-stager-base.ts
+++ b/src/cli/gateway-stager-base.ts
@@ -11,7 +11,7 @@
 import {ElapsedClock} from '../runtime/elapsed-clock.ts';
 import {addResourceMetrics} from '../reports/process-metrics.ts';
 import {onSignal} from '../runtime/held-signals.ts';
-import {logSink} from '../runtime/logger.ts';
+import {type Logger, logSink} from '../runtime/logger.ts';
 import type {GatewaySettings, StagerSettings} from '../settings/direct-settings.ts';
 import {InvalidSettingsError} from '../settings/parse-settings.ts';
 import {ProcessBase} from './process-base.ts';
@@ -38,7 +38,7 @@
 };
 
 /** Creates the platform's adapter of the directory source. `address` returns the address in the current settings. */
-export type CreateSource = (links: PeerClient, address: () => string) => DirectorySource;
+export type CreateSource = (links: PeerClient, address: () => string, log: Logger) => DirectorySource;
 
 /** The settings file, and the function that reads and validates it. */
 export type SettingsSource<Settings> = {readonly file: string; readonly read: () => Settings};
@@ -65,7 +65,7 @@
 		this.settings = settings;
 		this.directory = new Directory(this.log, new ElapsedClock(() => this.pauseDetector.maxMessageDelayMs));
 		const {links, directory, random, log} = this;
-		this.source = createSource(links, () => formatAddress(this.settings.directory.address));
+		this.source = createSource(links, () => formatAddress(this.settings.directory.address), this.log);
 		const {role: name, control, datagrams: datagramAddress, service, parts, pulledParts} = role(this.settings);
 		this.datagramAddress = datagramAddress;
 		const self: PeerInfo = {
@@ -128,6 +128,7 @@
 			incarnation: this.identity.incarnation,
 			configurationVersion: directory.configurationVersion,
 			instancesRevision: directory.instancesRevision,
+			storeEra: directory.era,
 			versions: Object.fromEntries(directory.versions),
 			instances: directory.instances,
 			peers: peers.others,
@@ -150,6 +151,7 @@
 		const {metrics, directory, peers} = this;
 		addResourceMetrics(metrics);
 		metrics.gauge('cactusreach_configuration_version', 'Version of the configuration in force.', () => directory.configurationVersion);
+		metrics.gauge('cactusreach_store_era', 'Highest era of the directory source that this process has learned of.', () => directory.era);
 		metrics.gauge('cactusreach_instances', 'Instances that may be alive.', () => directory.instances.length);
 		metrics.gauge('cactusreach_watches_source', '1 while this process watches the directory source.', () => Number(this.isWatching));
 		metrics.gauge('cactusreach_directory_age_seconds', 'How long ago another process last confirmed that the directory lacks nothing.', () => this.replica.ageMs / msPerSecond);
--- a/src/directory/available-instances.ts
+++ b/src/directory/available-instances.ts
@@ -33,3 +33,17 @@
 		return this.byService.get(service) ?? noInstances;
 	}
 }
+
+/** Keeps the index of the last list of instances. */
+export class AvailableInstancesCache {
+	private last: {readonly instances: readonly Instance[]; readonly zone: string; readonly index: AvailableInstancesIndex} | undefined;
+
+	/** Returns the index of a list, which is the same array until an instance changes. */
+	indexOf(instances: readonly Instance[], zone: string): AvailableInstancesIndex {
+		if (this.last?.instances !== instances || this.last.zone !== zone) {
+			this.last = {instances, zone, index: new AvailableInstancesIndex(instances, zone)};
+		}
+
+		return this.last.index;
+	}
+}
--- a/src/directory/configuration-delta.ts
+++ b/src/directory/configuration-delta.ts
@@ -10,6 +10,26 @@
 	readonly removedRoutes: readonly string[];
 };
 
+/** Number of earlier configurations that are kept, to send the difference to processes that have one of them. */
+const maxRecentConfigurations = 6;
+
+/** The latest configurations that were in force. */
+export class RecentConfigurations {
+	private readonly items: PublishedConfiguration[] = [];
+
+	/** Adds a configuration that another one replaces. */
+	add(configuration: PublishedConfiguration): void {
+		this.items.push(configuration);
+		this.items.splice(0, this.items.length - maxRecentConfigurations);
+	}
+
+	/** Returns the difference from a version to a configuration; undefined if the version is not kept. */
+	createDelta(version: number, to: PublishedConfiguration): ConfigurationDelta | undefined {
+		const base = this.items.find(item => item.version === version);
+		return base && createDelta(base, to);
+	}
+}
+
 /**
  * Returns the difference between two configurations; undefined if route names are not unique, so that a route cannot be told by its name.
  *
--- a/src/directory/directory-types.ts
+++ b/src/directory/directory-types.ts
@@ -1,6 +1,9 @@
 /** The types of the directory: the published configuration (routes, services, keys), the versions of weights and the upstream instances. */
 import type {ServiceId} from '../ids/service-id.ts';
+import type {StoreEra} from '../ids/store-era.ts';
 import type {WorkspaceId} from '../ids/workspace-id.ts';
+import type {EraRecord} from './era-history.ts';
+import type {StoreRevision} from './store-revision.ts';
 
 /** The kind of call: safe to repeat, executed at most once, or answered with a stream of events. */
 export type RouteKind = 'idempotent' | 'once' | 'stream';
@@ -107,18 +110,20 @@
 };
 
 /** An instance, and the revision of the source at which its entry was written. */
-export type RevisedInstance = Instance & {readonly revision: number};
+export type RevisedInstance = Instance & StoreRevision;
 
-/** What changed in the list of instances. */
-export type InstanceChanges = {
-	/** The revision after which the changes were made; undefined if `instances` is the whole list. */
+/** What changed in the list of instances, and the revision up to which the changes are complete. */
+export type InstanceChanges = StoreRevision & {
+	/** The revision after which the changes were made, in the era of the message; undefined if `instances` is the whole list. */
 	readonly since: number | undefined;
-	/** The revision up to which the changes are complete. */
-	readonly revision: number;
 	readonly instances: readonly RevisedInstance[];
-	readonly gone: ReadonlyArray<{readonly id: string; readonly revision: number}>;
+	readonly gone: ReadonlyArray<{readonly id: string} & StoreRevision>;
 	/** Instances that a read after an outage lacked, its revision and how long ago it was, in milliseconds; they are kept for a short time only. */
-	readonly unconfirmed: ReadonlyArray<{readonly id: string; readonly revision: number; readonly ageMs: number}>;
+	readonly unconfirmed: ReadonlyArray<{readonly id: string; readonly ageMs: number} & StoreRevision>;
+	/** The revision up to which entries of the era may have come with the copy that it began with; 0 if absent. */
+	readonly copyRevision?: number | undefined;
+	/** What the sender knows of earlier eras; nothing if absent. */
+	readonly earlier?: readonly EraRecord[] | undefined;
 };
 
 /** One change of the directory. */
@@ -130,14 +135,27 @@
 	| {readonly kind: 'instance-gone'; readonly id: string}
 	| {readonly kind: 'unreadable'; readonly key: string; readonly reason: string};
 
-/** A change and the revision of the source at which it was made. */
+/** A change and the revision of the source at which it was made, in the era of the response. */
 export type RevisedChange = {readonly revision: number; readonly change: DirectoryChange};
 
 /** Changes, and the revision up to which they are complete. */
-export type DirectoryChanges = {readonly revision: number; readonly changes: readonly RevisedChange[]};
+export type DirectoryChanges = {
+	readonly revision: number;
+	/** The era of the source; undefined if its response does not tell. */
+	readonly era?: StoreEra | undefined;
+	readonly changes: readonly RevisedChange[];
+};
+
+/** Thrown when the source responds with an error; the response tells its era. */
+export class SourceError extends Error {
+	/** @param era - the era of the source; undefined if its response does not tell */
+	constructor(message: string, readonly era?: StoreEra) {
+		super(message);
+	}
+}
 
 /** Thrown when the source no longer has the changes since the requested revision. */
-export class HistoryLostError extends Error {}
+export class HistoryLostError extends SourceError {}
 
 /** The parts of the directory, each of which is read and watched separately. */
 export type DirectoryPart = 'published' | 'versions' | 'instances';
--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -2,9 +2,10 @@
 import {setInputTimeout} from '../runtime/input-timeout.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
+import {noEra, type StoreEra} from '../ids/store-era.ts';
 import type {Directory} from './directory.ts';
 import {
-	type DirectoryPart, type DirectoryChanges, type DirectorySource, HistoryLostError,
+	type DirectoryPart, type DirectoryChanges, type DirectorySource, HistoryLostError, SourceError,
 } from './directory-types.ts';
 
 /** Timeout of a read, and of a watch beyond its wait, in milliseconds. */
@@ -25,6 +26,12 @@
 /** How long a request may be under way to a source that works, in milliseconds. A watch that is answered sooner may tell changes from before it. */
 const maxRequestMs = 250;
 
+/**
+ * How long after a rise of the era writers may still repeat what the source has lost, in milliseconds. Versions that are named then may have
+ * been named before the rise.
+ */
+const rewriteMs = 5000;
+
 /** Failures of the source that last longer than this count as an outage, in milliseconds. */
 const minOutageMs = 800;
 
@@ -54,6 +61,10 @@
 /** Reads and watches one part of the directory, and applies the changes. */
 export class DirectoryWatcher {
 	private revision: number | undefined;
+	/** The era of the last response. */
+	private era: StoreEra = noEra;
+	/** Until when versions count as named before the last rise of the era, and the time from which they may have been lost. */
+	private rewrite = {untilMs: Number.NEGATIVE_INFINITY, lostAfterMs: Number.POSITIVE_INFINITY};
 	private hasReadOnce = false;
 	/** The latest time up to which this process has learned of all changes, also from before a restart; versions that it learns of next were named later. */
 	private completeUntilMs = Number.NEGATIVE_INFINITY;
@@ -105,10 +116,17 @@
 		this.cancelSleep?.();
 	}
 
-	/** The revision to watch from; undefined before a read. A watch from an earlier one would be answered at once with instances that other processes have told of. */
+	/**
+	 * The revision to watch from; undefined before a read of the present era. A watch from an earlier one would be answered at once with
+	 * instances that other processes have told of.
+	 */
 	private get knownRevision(): number | undefined {
 		const {part, directory} = this.options;
-		return this.revision !== undefined && part === 'instances' ? Math.max(this.revision, directory.instancesRevision) : this.revision;
+		if (this.revision === undefined || directory.era > this.era) {
+			return undefined;
+		}
+
+		return part === 'instances' && directory.instancesEra === this.era ? Math.max(this.revision, directory.instancesRevision) : this.revision;
 	}
 
 	private async watchUntilStopped(run: number): Promise<void> {
@@ -167,29 +185,61 @@
 	}
 
 	private applyResponse(run: number, changes: DirectoryChanges, response: ResponseInfo): void {
-		if (run === this.run) {
-			this.applyChanges(changes, response, this.recordSuccess());
-			this.completeUntilMs = Math.max(this.completeUntilMs, response.completeUntilMs);
+		if (run !== this.run) {
+			return;
+		}
+
+		const {directory} = this.options;
+		const {era = directory.era} = changes;
+		if (era < directory.era) {
+			throw new SourceError(`the response is of era ${era}, and era ${directory.era} is known`);
+		}
+
+		if (era > this.era && !response.isFullRead) {
+			throw new HistoryLostError(`the changes are those since a revision of era ${this.era}`, era);
 		}
+
+		const wasOutage = this.recordSuccess();
+		directory.observeEra(era, 'source');
+		this.enterEra(era);
+		this.applyChanges(changes, this.boundNaming(response), wasOutage);
+		this.completeUntilMs = Math.max(this.completeUntilMs, response.completeUntilMs);
+	}
+
+	/** Records the era of a full read. What was named before it and is named again counts as named since the last response of the earlier era. */
+	private enterEra(era: StoreEra): void {
+		if (era > this.era && this.hasReadOnce) {
+			const nowMs = performance.now();
+			const lostAfterMs = nowMs < this.rewrite.untilMs ? this.rewrite.lostAfterMs : Number.POSITIVE_INFINITY;
+			this.rewrite = {untilMs: nowMs + rewriteMs, lostAfterMs: Math.min(lostAfterMs, this.completeUntilMs)};
+		}
+
+		this.era = era;
+	}
+
+	private boundNaming(response: ResponseInfo): ResponseInfo {
+		const isRewriting = performance.now() < this.rewrite.untilMs;
+		return isRewriting ? {...response, namedAfterMs: Math.min(response.namedAfterMs, this.rewrite.lostAfterMs)} : response;
 	}
 
 	private applyChanges(changes: DirectoryChanges, {isFullRead, namedAfterMs}: ResponseInfo, isAfterOutage: boolean): void {
 		const {part, directory} = this.options;
 		// Before the first read, other processes may have had an outage of the source that this one did not notice.
 		const context = {isAfterOutage: isAfterOutage || !this.hasReadOnce, namedAfterMs};
+		const ofEra = {...changes, era: this.era};
 		if (isFullRead && part === 'instances') {
-			directory.replaceInstances(changes, context);
+			directory.replaceInstances(ofEra, context);
 		} else {
-			directory.apply(changes, context);
+			directory.apply(ofEra, context);
 		}
 
 		this.hasReadOnce = true;
 
 		if (part === 'instances') {
-			directory.advanceInstancesRevision(changes.revision);
+			directory.advanceInstancesRevision(changes.revision, this.era);
 		}
 
-		this.revision = Math.max(this.revision ?? 0, changes.revision);
+		this.revision = isFullRead ? changes.revision : Math.max(this.revision ?? 0, changes.revision);
 	}
 
 	/** Resets the failure state; returns whether an outage has just ended. */
@@ -211,7 +261,11 @@
 	}
 
 	private async handleFailure(err: Error): Promise<void> {
-		const {log, part, random} = this.options;
+		const {log, part, random, directory} = this.options;
+		if (err instanceof SourceError && err.era !== undefined) {
+			directory.observeEra(err.era, 'source');
+		}
+
 		if (err instanceof HistoryLostError) {
 			log.info({event: 'history_lost', part, revision: this.revision}, 'the directory source no longer has the requested history; reading the part in full');
 			this.revision = undefined;
--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -1,16 +1,21 @@
 /** This process's copy of the directory: the published configuration, the versions of weights and the instances. */
-import {RouteTable} from '../forwarding/route-table.ts';
+import type {RouteTable} from '../forwarding/route-table.ts';
 import type {ServiceId} from '../ids/service-id.ts';
-import type {DirectoryState} from '../messages/peers-exchange.ts';
+import {noEra, type StoreEra} from '../ids/store-era.ts';
+import type {DirectoryRevisions, DirectoryState} from '../messages/peers-exchange.ts';
 import {ElapsedClock} from '../runtime/elapsed-clock.ts';
 import type {Logger} from '../runtime/logger.ts';
-import {applyDelta, type ConfigurationDelta, createDelta} from './configuration-delta.ts';
+import {ConfigurationInForce, type ConfigurationPart} from './configuration-in-force.ts';
 import type {
-	DirectoryChange, DirectoryChanges, HeldModel, Instance, InstanceChanges, PublishedConfiguration,
+	DirectoryChange, DirectoryChanges, HeldModel, Instance, InstanceChanges,
 } from './directory-types.ts';
-import {type AvailableInstances, AvailableInstancesIndex} from './available-instances.ts';
+import {type AvailableInstances, AvailableInstancesCache} from './available-instances.ts';
+import {chooseRevisions, describeState, lacksChanges} from './directory-state.ts';
 import {InstanceTable} from './instance-table.ts';
 import {type KnownVersion, NamedVersions, type NamedVersion} from './named-versions.ts';
+import {
+	compareRevisions, createStoreRevision, eraOf, type StoreRevision,
+} from './store-revision.ts';
 
 /** The circumstances in which changes were received. */
 export type ChangeContext = {
@@ -24,29 +29,21 @@
 const unknownContext: ChangeContext = {namedAfterMs: Number.NEGATIVE_INFINITY, isAfterOutage: false};
 
 /** The parts of the directory that one process sends to another. */
-export type DirectorySnapshot = {
-	/** The whole configuration, if the requesting process does not have a recent one. */
-	readonly configuration?: PublishedConfiguration;
-	/** Otherwise what changed since the one that it has. */
-	readonly configurationDelta?: ConfigurationDelta;
+export type DirectorySnapshot = ConfigurationPart & {
 	readonly versions: readonly NamedVersion[];
 	readonly instances?: InstanceChanges;
 };
 
-/** Number of earlier configurations that are kept, to send the difference to processes that have one of them. */
-const maxRecentConfigurations = 6;
-
 /** Holds the newest known state. No part of it ever reverts to an older version or revision. */
 export class Directory {
-	private routeTable: RouteTable | undefined;
+	private readonly configurations: ConfigurationInForce;
 	private readonly namedVersions: NamedVersions;
 	private readonly instanceTable: InstanceTable;
 	private readonly listeners = new Set<() => void>();
-	private readonly recentConfigurations: PublishedConfiguration[] = [];
+	private knownEra = noEra;
 	/** The state that the listeners were last called for. */
 	private notifiedState: readonly unknown[] = [];
-	/** The index of the last list of instances. */
-	private available: {readonly instances: readonly Instance[]; readonly zone: string; readonly index: AvailableInstancesIndex} | undefined;
+	private readonly available = new AvailableInstancesCache();
 
 	/**
 	 * @param log - logs changes
@@ -57,33 +54,45 @@
 		clock.onJump(jumpMs => {
 			this.namedVersions.moveBack(jumpMs);
 		});
-		this.instanceTable = new InstanceTable(log, service => this.routeTable === undefined || this.routeTable.findService(service) !== undefined);
+		this.instanceTable = new InstanceTable(log, service => this.table === undefined || this.table.findService(service) !== undefined);
+		this.configurations = new ConfigurationInForce(log, () => {
+			this.instanceTable.refresh();
+		});
 	}
 
 	/** The route table of the current configuration; undefined before the first one. */
 	get table(): RouteTable | undefined {
-		return this.routeTable;
+		return this.configurations.table;
 	}
 
 	/** The version of the current configuration; 0 before the first one. */
 	get configurationVersion(): number {
-		return this.routeTable?.configuration.version ?? 0;
+		return this.configurations.version;
+	}
+
+	/** The highest era of the source that this process has learned of. */
+	get era(): StoreEra {
+		return this.knownEra;
 	}
 
-	/** The revision up to which the instances are known. */
+	/** The revision up to which the instances are known, in the era {@link instancesEra}. */
 	get instancesRevision(): number {
-		return this.instanceTable.revision;
+		return this.instanceTable.eras.revision.revision;
 	}
 
-	/** The revision of the last change of the instances. */
+	/** The era in which the instances are known. */
+	get instancesEra(): StoreEra {
+		return this.instanceTable.eras.era;
+	}
+
+	/** The revision of the last change of the instances, in the era {@link instancesEra}. */
 	get lastInstanceChange(): number {
-		return this.instanceTable.lastChange;
+		return this.instanceTable.eras.lastChange.revision;
 	}
 
 	/** What other processes compare with theirs, to know whether they lack a change. */
 	get state(): DirectoryState {
-		const {configurationVersion, lastInstanceChange} = this;
-		return {configurationVersion, lastInstanceChange};
+		return describeState(this.configurationVersion, this.instanceTable.eras);
 	}
 
 	/** Increases whenever a version of weights is named, or the bounds of the time when it was named change. */
@@ -114,6 +123,26 @@
 		return this.namedVersions.versionsOf(model);
 	}
 
+	/** Returns whether another process knows a change of the instances, in the present era of the source or in an earlier one, that this one lacks. */
+	lacksInstances(state: DirectoryState): boolean {
+		return lacksChanges(this.instanceTable.eras, state);
+	}
+
+	/** Returns what to request from another process: the differences, or all if it knows of an earlier era what this one lacks. */
+	revisionsToRequest(state: DirectoryState): DirectoryRevisions {
+		return chooseRevisions(this.configurationVersion, this.instanceTable.eras, state);
+	}
+
+	/** Records an era of the source. From then on, responses of earlier ones are ignored. */
+	observeEra(era: StoreEra, from: string): void {
+		if (era > this.knownEra) {
+			this.log.info({
+				event: 'store_era_risen', era, before: this.knownEra, from, instancesRevision: this.instancesRevision, configuration: this.configurationVersion,
+			}, 'the directory source came back from an older copy; keeping what is known until it is written again');
+			this.knownEra = era;
+		}
+	}
+
 	/** Adds a listener that is called after each update. */
 	onChange(listener: () => void): void {
 		this.listeners.add(listener);
@@ -130,12 +159,7 @@
 	 * @param zone - the zone whose instances are listed as local ones
 	 */
 	availableInstances(service: ServiceId, zone: string): AvailableInstances {
-		const {instances} = this;
-		if (this.available?.instances !== instances || this.available.zone !== zone) {
-			this.available = {instances, zone, index: new AvailableInstancesIndex(instances, zone)};
-		}
-
-		return this.available.index.of(service);
+		return this.available.indexOf(this.instances, zone).of(service);
 	}
 
 	/**
@@ -143,41 +167,53 @@
 	 *
 	 * @param context - the circumstances; by default it is unknown when versions were named
 	 */
-	apply({changes}: DirectoryChanges, context: ChangeContext = unknownContext): void {
+	apply({changes, era = this.knownEra}: DirectoryChanges, context: ChangeContext = unknownContext): void {
 		for (const {revision, change} of changes) {
-			this.applyChange(revision, change, context);
+			this.applyChange(createStoreRevision(era, revision), change, context);
 		}
 
 		this.notifyListeners();
 	}
 
 	/**
-	 * Applies a full read of the instances. Instances that it lacks are removed, or become unconfirmed right after an outage.
+	 * Applies a full read of the instances. Instances that it lacks are removed, or become unconfirmed right after an outage or a rise of the era.
 	 *
 	 * @param snapshot - all instances, and the revision of the read
 	 * @param context - the circumstances; by default it is unknown when versions were named
 	 */
 	replaceInstances(snapshot: DirectoryChanges, context: ChangeContext = unknownContext): void {
+		const {era = this.knownEra} = snapshot;
+		const {eras} = this.instanceTable;
+		const at = createStoreRevision(era, snapshot.revision);
+		this.observeEra(era, 'source');
+		const isRise = era > eras.era && eras.revision.revision > 0;
+		// Whatever the source lists at first, its copy may have held.
+		eras.enter(era, era === noEra ? 0 : snapshot.revision);
 		const presentIds = new Set<string>();
 		for (const {revision, change} of snapshot.changes) {
-			this.applyChange(revision, change, context);
+			this.applyChange(createStoreRevision(era, revision), change, context);
 			if (change.kind === 'instance') {
 				presentIds.add(change.instance.id);
 			}
 		}
 
-		this.instanceTable.removeMissing(presentIds, snapshot.revision, context.isAfterOutage);
-		this.advanceInstancesRevision(snapshot.revision);
+		this.instanceTable.removeMissing(presentIds, at, context.isAfterOutage);
+		eras.advance(at);
+		if (isRise) {
+			// The other processes are to learn of the era even if no entry has changed.
+			eras.recordChange(at);
+		}
+
 		this.notifyListeners();
 	}
 
 	/**
-	 * Raises the revision up to which the instances are known; a lower one has no effect.
+	 * Raises the revision up to which the instances are known; a lower one, or one of another era, has no effect.
 	 *
 	 * @param revision - the revision of the newest response
 	 */
-	advanceInstancesRevision(revision: number): void {
-		this.instanceTable.revision = Math.max(this.instanceTable.revision, revision);
+	advanceInstancesRevision(revision: number, era: StoreEra = this.knownEra): void {
+		this.instanceTable.eras.advance(createStoreRevision(era, revision));
 	}
 
 	/**
@@ -196,13 +232,17 @@
 	 * Returns the parts of the directory that are newer than those of another process, and all named versions.
 	 *
 	 * @param configurationVersion - the configuration version of the other process
-	 * @param instancesRevision - the revision up to which the other process knows the instances
+	 * @param instancesRevision - the revision up to which the other process knows the instances; 0 requests all of them
+	 * @param era - the era of that revision
 	 */
-	snapshot(configurationVersion: number, instancesRevision: number): DirectorySnapshot {
+	snapshot(configurationVersion: number, instancesRevision: number, era: StoreEra = noEra): DirectorySnapshot {
+		const since = createStoreRevision(era, instancesRevision);
+		const {revision} = this.instanceTable.eras;
+		const hasNews = revision.revision > 0 && (instancesRevision === 0 || compareRevisions(revision, since) > 0);
 		return {
-			...this.configurationSince(configurationVersion),
+			...this.configurations.since(configurationVersion),
 			versions: this.shareableVersions,
-			...(this.instancesRevision > instancesRevision ? {instances: this.instanceTable.changesSince(instancesRevision)} : {}),
+			...(hasNews ? {instances: this.instanceTable.changesSince(since)} : {}),
 		};
 	}
 
@@ -212,18 +252,7 @@
 	 * @param configurationVersion - the configuration version of the requesting process
 	 */
 	servicesSnapshot(configurationVersion: number): DirectorySnapshot {
-		const versions = this.shareableVersions;
-		const configuration = this.routeTable?.configuration;
-		if (!configuration || configuration.version <= configurationVersion) {
-			return {versions};
-		}
-
-		const {version, limits, services} = configuration;
-		return {
-			versions, configuration: {
-				version, limits, services, routes: [],
-			},
-		};
+		return {versions: this.shareableVersions, ...this.configurations.servicesSince(configurationVersion)};
 	}
 
 	/**
@@ -234,11 +263,7 @@
 	 */
 	mergeFromPeer(snapshot: DirectorySnapshot, createdAfterMs: number): void {
 		const {configuration, configurationDelta} = snapshot;
-		if (configuration) {
-			this.setConfiguration(configuration, 'peer');
-		} else if (configurationDelta?.base === this.configurationVersion) {
-			this.setConfiguration(applyDelta(this.routeTable!.configuration, configurationDelta), 'peer');
-		}
+		this.configurations.merge({configuration, configurationDelta});
 
 		this.clock.check();
 		const nowMs = performance.now();
@@ -248,16 +273,17 @@
 		}
 
 		if (snapshot.instances) {
+			this.observeEra(eraOf(snapshot.instances), 'peer');
 			this.instanceTable.applyChanges(snapshot.instances, createdMs);
 		}
 
 		this.notifyListeners();
 	}
 
-	private applyChange(revision: number, change: DirectoryChange, context: ChangeContext): void {
+	private applyChange(revision: StoreRevision, change: DirectoryChange, context: ChangeContext): void {
 		switch (change.kind) {
 			case 'configuration': {
-				this.setConfiguration(change.configuration, 'source');
+				this.configurations.set(change.configuration, 'source');
 				if (change.leftOut && change.leftOut.length > 0) {
 					this.log.warn({
 						event: 'configuration_parts_left_out', version: change.configuration.version, reasons: change.leftOut,
@@ -285,47 +311,15 @@
 
 			case 'unreadable': {
 				this.log.warn({
-					event: 'entry_unreadable', key: change.key, reason: change.reason, revision,
+					event: 'entry_unreadable', key: change.key, reason: change.reason, ...revision,
 				}, 'ignoring a directory entry that cannot be read');
 			}
 		}
 	}
 
-	private setConfiguration(configuration: PublishedConfiguration, from: string): void {
-		const before = this.configurationVersion;
-		if (configuration.version > before) {
-			if (this.routeTable) {
-				this.recentConfigurations.push(this.routeTable.configuration);
-				this.recentConfigurations.splice(0, this.recentConfigurations.length - maxRecentConfigurations);
-			}
-
-			this.routeTable = new RouteTable(configuration);
-			this.instanceTable.refresh();
-			this.log.info({
-				event: 'configuration_taken', version: configuration.version, before, from, routes: configuration.routes.length,
-			}, 'applied a new configuration');
-		} else if (configuration.version < before) {
-			this.log.warn({
-				event: 'configuration_refused', version: configuration.version, inForce: before, from,
-			}, 'ignoring an older configuration');
-		}
-	}
-
-	/** Returns the configuration if it is newer than a version: what changed since, or the whole. */
-	private configurationSince(version: number): Pick<DirectorySnapshot, 'configuration' | 'configurationDelta'> {
-		const current = this.routeTable?.configuration;
-		if (!current || current.version <= version) {
-			return {};
-		}
-
-		const base = this.recentConfigurations.find(item => item.version === version);
-		const delta = base && createDelta(base, current);
-		return delta ? {configurationDelta: delta} : {configuration: current};
-	}
-
 	/** Calls the listeners if anything has changed since the last time. */
 	private notifyListeners(): void {
-		const state = [this.routeTable, this.instances, this.namedVersions.changes] as const;
+		const state = [this.table, this.instances, this.namedVersions.changes] as const;
 		if (state.every((part, index) => part === this.notifiedState[index])) {
 			return;
 		}
--- a/src/directory/instance-table.ts
+++ b/src/directory/instance-table.ts
@@ -3,40 +3,24 @@
 import type {ServiceId} from '../ids/service-id.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {HeldModel, Instance, InstanceChanges} from './directory-types.ts';
+import {EraHistory} from './era-history.ts';
+import {type KnownInstance, mayBeAlive, timesOutAtMs} from './known-instance.ts';
+import {type ReportedModel, withReportedModel} from './instance-states.ts';
 import {RemovalLog} from './removal-log.ts';
-
-/**
- * How long an instance is kept after its entry was missing at the end of an outage of the source, in milliseconds.
- *
- * Running instances soon register again. The limit bounds how long an instance that has left is still sent calls, to no longer than a leaving one may be.
- */
-export const confirmationTimeoutMs = 1600;
-
-/** Maximum number of instances whose last revision is stored. */
-const maxRevisions = 20_000;
-
-type ReportedModel = {readonly startedAtMs: number; readonly held: HeldModel};
-
-type KnownInstance = {
-	readonly instance: Instance;
-	readonly revision: number;
-	/** When a read after an outage first lacked the entry, and the revision of the read. */
-	missing?: {readonly sinceMs: number; readonly revision: number};
-};
+import {
+	compareRevisions, eraOf, noStoreRevision, type StoreRevision,
+} from './store-revision.ts';
+import {WrittenRevisions} from './written-revisions.ts';
 
 /** Holds each instance at its newest revision and ignores changes with an older one. */
 export class InstanceTable {
-	/** The revision up to which the instances are known. */
-	revision = 0;
-	/** The revision of the last change. */
-	lastChange = 0;
+	/** How far the instances are known. */
+	readonly eras = new EraHistory();
 	private readonly removals = new RemovalLog();
 	private readonly known = new Map<string, KnownInstance>();
-	private readonly revisions = new Map<string, number>();
+	private readonly written = new WrittenRevisions(this.eras);
 	/** Loaded models that stagers reported, by address of the engine. */
 	private readonly reportedByAddress = new Map<string, ReportedModel>();
-	/** Changes up to this revision are ignored, since the table already contains them. */
-	private revisionFloor = 0;
 	/** The list of running instances, until an entry changes or an unconfirmed one times out. */
 	private running: {readonly untilMs: number; readonly list: readonly Instance[]} | undefined;
 
@@ -73,8 +57,8 @@
 	 * @param revision - the revision at which the entry was written
 	 * @param from - who told of the entry, for the log
 	 */
-	put(instance: Instance, revision: number, from = 'source'): void {
-		if (!this.acceptRevision(instance.id, revision)) {
+	put(instance: Instance, revision: StoreRevision, from = 'source'): void {
+		if (!this.accept(instance.id, revision, instance)) {
 			return;
 		}
 
@@ -87,7 +71,7 @@
 			return;
 		}
 
-		this.lastChange = Math.max(this.lastChange, revision);
+		this.eras.recordChange(revision);
 		this.store(merged, revision, from);
 	}
 
@@ -99,76 +83,89 @@
 	 * @param isAfterOutage - whether the entry may have expired although the instance still runs
 	 * @param from - who told of the removal, for the log
 	 */
-	remove(id: string, revision: number, isAfterOutage: boolean, from = 'source'): void {
-		if (this.acceptRevision(id, revision)) {
+	remove(id: string, revision: StoreRevision, isAfterOutage: boolean, from = 'source'): void {
+		if (this.accept(id, revision)) {
 			this.drop(id, revision, isAfterOutage, from);
 		}
 	}
 
 	/**
-	 * Removes the instances that a full read lacks.
+	 * Removes the instances that a full read lacks. Those that were last written in an earlier era become unconfirmed, since the source
+	 * may have lost their entries.
 	 *
 	 * @param presentIds - the ids of the instances in the read
 	 * @param revision - the revision of the read
 	 * @param isAfterOutage - whether entries may have expired although their instances still run
 	 */
-	removeMissing(presentIds: ReadonlySet<string>, revision: number, isAfterOutage: boolean): void {
+	removeMissing(presentIds: ReadonlySet<string>, revision: StoreRevision, isAfterOutage: boolean): void {
 		this.removals.startAt(revision);
+		const nowMs = performance.now();
 		for (const [id, known] of this.known) {
-			if (!presentIds.has(id) && known.revision <= revision) {
-				this.drop(id, revision, isAfterOutage);
+			if (presentIds.has(id)) {
+				this.confirm(id, revision);
+			} else if (compareRevisions(known.revision, revision) <= 0) {
+				const mayBeLost = eraOf(known.revision) < eraOf(revision) && mayBeAlive(known, nowMs);
+				this.drop(id, revision, isAfterOutage || mayBeLost);
 			}
 		}
 	}
 
 	/**
-	 * Returns what changed after a revision; the whole list if that is not known any more.
+	 * Returns what changed after a revision; the whole list if that is not known any more, or if it is of another era.
 	 *
 	 * @param since - the revision up to which the requesting process knows the instances; 0 if it knows none
 	 */
-	changesSince(since: number): InstanceChanges {
-		const removed = since === 0 ? undefined : this.removals.since(since);
-		const after = removed ? since : 0;
+	changesSince(since: StoreRevision): InstanceChanges {
+		const {era, revision, copyRevision, earlier} = this.eras;
+		const isOtherEra = eraOf(since) !== era;
+		const removed = since.revision === 0 || isOtherEra ? undefined : this.removals.since(since);
+		const after = removed ? since : noStoreRevision;
+		const isAfter = (at: StoreRevision) => compareRevisions(at, after) > 0;
 		const nowMs = performance.now();
 		const known = [...this.known.values()];
 		const alive = known.filter(item => mayBeAlive(item, nowMs));
-		const timedOut = known.filter(item => !mayBeAlive(item, nowMs) && item.missing!.revision > after);
+		const timedOut = known.filter(item => !mayBeAlive(item, nowMs) && isAfter(item.missing!.revision));
+		// The copy that a source came back from may list instances that have left.
+		const listed = removed ?? (isOtherEra || earlier.length > 0 ? this.removals.latest : []);
 		return {
-			since: removed ? since : undefined,
-			revision: this.revision,
-			instances: alive.filter(({revision}) => revision > after).map(({instance, revision}) => ({...instance, revision})),
-			gone: [...removed ?? [], ...timedOut.map(({instance, missing}) => ({id: instance.id, revision: missing!.revision}))],
-			unconfirmed: alive.flatMap(({instance, missing}) => (missing && missing.revision > after ? [{id: instance.id, revision: missing.revision, ageMs: nowMs - missing.sinceMs}] : [])),
+			since: removed ? since.revision : undefined,
+			...revision,
+			instances: alive.filter(item => isAfter(item.revision)).map(({instance, revision}) => ({...instance, ...revision})),
+			gone: [...listed, ...timedOut.map(({instance, missing}) => ({id: instance.id, ...missing!.revision}))],
+			unconfirmed: alive.flatMap(({instance, missing}) => (missing && isAfter(missing.revision) ? [{id: instance.id, ...missing.revision, ageMs: nowMs - missing.sinceMs}] : [])),
+			...(copyRevision > 0 ? {copyRevision} : {}),
+			...(earlier.length > 0 ? {earlier} : {}),
 		};
 	}
 
 	/**
-	 * Applies the changes that a peer knows, unless they leave a gap to what this process knows.
+	 * Applies the changes that a peer knows, unless they leave a gap to what this process knows. Of a list that is not newer, only what
+	 * this process does not know of earlier eras is applied.
 	 *
 	 * @param createdAfterMs - the earliest monotonic time at which the peer may have created the message, since ages in it count from then
 	 */
 	applyChanges(changes: InstanceChanges, createdAfterMs: number): void {
-		if (changes.revision <= this.revision || (changes.since ?? 0) > this.revision) {
+		const {eras} = this;
+		const {since, revision, era} = changes;
+		const isNewer = compareRevisions(changes, eras.revision) > 0;
+		if (since !== undefined && (!isNewer || eraOf(changes) !== eras.era || since > eras.revision.revision)) {
 			return;
 		}
 
-		if (changes.since === undefined) {
-			this.removeUnlisted(changes);
-		}
-
-		for (const {revision, ...instance} of changes.instances) {
-			this.put(instance, revision, 'peer');
-		}
-
-		for (const {id, revision} of changes.gone) {
-			this.remove(id, revision, false, 'peer');
+		const isNews = (at: StoreRevision) => isNewer || !eras.covers(at);
+		const news = {
+			instances: changes.instances.filter(item => isNews(item)), gone: changes.gone.filter(item => isNews(item)), unconfirmed: changes.unconfirmed.filter(item => isNews(item)),
+		};
+		this.enterEraOf(changes);
+		if (isNewer && since === undefined) {
+			this.removeUnlisted(changes, createdAfterMs);
 		}
 
-		for (const {id, revision, ageMs} of changes.unconfirmed) {
-			this.markMissing(id, revision, createdAfterMs - ageMs);
+		if (isNewer) {
+			eras.advance({era, revision});
 		}
 
-		this.revision = changes.revision;
+		this.applyNews(news, isNewer, createdAfterMs);
 	}
 
 	/**
@@ -189,7 +186,7 @@
 
 	/** Returns when the next unconfirmed instance times out, in milliseconds of the monotonic clock; infinite if there is none. */
 	private nextTimeoutMs(nowMs: number): number {
-		const timeouts = [...this.known.values()].flatMap(({missing}) => (missing ? [missing.sinceMs + confirmationTimeoutMs] : []));
+		const timeouts = [...this.known.values()].map(known => timesOutAtMs(known));
 		return Math.min(...timeouts.filter(atMs => atMs > nowMs));
 	}
 
@@ -203,36 +200,64 @@
 		return candidates.filter(({address, startedAtMs}) => latestStarts.get(address) === startedAtMs);
 	}
 
-	/** Returns whether a change is newer than the last one of the instance, and stores its revision if so. */
-	private acceptRevision(id: string, revision: number): boolean {
-		if (revision <= Math.max(this.revisionFloor, this.revisions.get(id) ?? 0)) {
-			return false;
+	/** Takes the era of a message, and what it tells of earlier ones. */
+	private enterEraOf({era, revision, copyRevision = 0, earlier = [], since}: InstanceChanges): void {
+		const {eras} = this;
+		const its = eraOf({era, revision});
+		const isRise = its > eras.era && eras.revision.revision > 0;
+		eras.enter(its, copyRevision);
+		if (since === undefined) {
+			eras.addEarlier([...earlier, {
+				era: its, copyRevision, revision, lastChange: revision,
+			}]);
+		}
+
+		if (isRise) {
+			eras.recordChange({era, revision});
+		}
+	}
+
+	private applyNews({instances, gone, unconfirmed}: Pick<InstanceChanges, 'instances' | 'gone' | 'unconfirmed'>, isNewer: boolean, createdAfterMs: number): void {
+		const unconfirmedIds = new Set(unconfirmed.map(({id}) => id));
+		for (const {revision, era, ...instance} of instances) {
+			const isUnlisted = eraOf({era, revision}) < this.eras.era && !this.known.has(instance.id);
+			this.put(instance, {era, revision}, 'peer');
+			if (isNewer && !unconfirmedIds.has(instance.id)) {
+				this.confirm(instance.id, this.eras.revision);
+			} else if (isUnlisted && !isNewer) {
+				// The source has not listed it in the present era.
+				this.markMissing(instance.id, this.eras.revision, this.eras.enteredAtMs);
+			}
 		}
 
-		if (this.revisions.size >= maxRevisions) {
-			this.revisionFloor = Math.max(this.revisionFloor, ...this.revisions.values());
-			this.revisions.clear();
+		for (const {id, revision, era} of gone) {
+			this.remove(id, {era, revision}, false, 'peer');
 		}
 
-		this.revisions.set(id, revision);
-		return true;
+		for (const {id, revision, era, ageMs} of unconfirmed) {
+			this.markMissing(id, {era, revision}, createdAfterMs - ageMs);
+		}
 	}
 
-	private store(instance: Instance, revision: number, from: string, missing?: KnownInstance['missing']): void {
+	private accept(id: string, revision: StoreRevision, instance?: Instance): boolean {
+		return this.written.accept({id, revision, instance}, this.known.get(id)?.instance);
+	}
+
+	private store(instance: Instance, revision: StoreRevision, from: string, missing?: KnownInstance['missing']): void {
 		const before = this.known.get(instance.id)?.instance;
 		this.known.set(instance.id, {instance, revision, ...(missing ? {missing} : {})});
 		this.running = undefined;
 		if (before?.isDraining !== instance.isDraining || before.startedAtMs !== instance.startedAtMs || JSON.stringify(before.held) !== JSON.stringify(instance.held)) {
 			const {id, service, address, zone, isDraining, held} = instance;
 			this.log.info({
-				event: 'instance_seen', instance: id, service, address, zone, isDraining, held, revision, from,
+				event: 'instance_seen', instance: id, service, address, zone, isDraining, held, ...revision, from,
 			}, 'instance registered or changed');
 		}
 	}
 
-	private drop(id: string, revision: number, isAfterOutage: boolean, from = 'source'): void {
+	private drop(id: string, revision: StoreRevision, isAfterOutage: boolean, from = 'source'): void {
 		const known = this.known.get(id);
-		this.lastChange = Math.max(this.lastChange, revision);
+		this.eras.recordChange(revision);
 		if (isAfterOutage && known && !known.instance.isDraining) {
 			this.markMissing(id, revision, performance.now());
 			return;
@@ -242,47 +267,52 @@
 		this.delete(id, revision, from);
 	}
 
-	private markMissing(id: string, revision: number, sinceMs: number): void {
+	private markMissing(id: string, revision: StoreRevision, sinceMs: number): void {
 		const known = this.known.get(id);
-		if (known === undefined || known.missing !== undefined || known.revision >= revision) {
+		if (known === undefined || known.missing !== undefined || compareRevisions(known.revision, revision) >= 0) {
 			return;
 		}
 
 		known.missing = {sinceMs, revision};
-		this.lastChange = Math.max(this.lastChange, revision);
+		this.eras.recordChange(revision);
 		this.running = undefined;
-		this.log.info({event: 'instance_unconfirmed', instance: id, revision}, 'instance not listed after an outage; keeping it until confirmed or timed out');
+		this.log.info({event: 'instance_unconfirmed', instance: id, ...revision}, 'instance not listed after an outage; keeping it until confirmed or timed out');
+	}
+
+	/** Records that an entry which was missing is listed again, at whatever revision it was written. */
+	private confirm(id: string, revision: StoreRevision): void {
+		const known = this.known.get(id);
+		if (known?.missing && compareRevisions(known.missing.revision, revision) < 0) {
+			this.eras.recordChange(revision);
+			this.store(known.instance, known.revision, 'confirmed');
+		}
 	}
 
-	/** Removes the instances that the whole list of a peer lacks. */
-	private removeUnlisted({instances, revision}: InstanceChanges): void {
+	/** Removes the instances that the whole list of a peer lacks; those of an earlier era may be unknown to it, and become unconfirmed. */
+	private removeUnlisted({instances, gone, revision, era}: InstanceChanges, createdAfterMs: number): void {
+		const at = {era, revision};
 		const listed = new Set(instances.map(({id}) => id));
-		for (const id of [...this.known.keys()].filter(known => !listed.has(known))) {
-			this.delete(id, revision, 'peer');
+		const goneEras = new Map(gone.map(removal => [removal.id, eraOf(removal)]));
+		for (const [id, known] of [...this.known].filter(([id]) => !listed.has(id))) {
+			const its = eraOf(known.revision);
+			const isKnownToBeGone = (goneEras.get(id) ?? its) > its;
+			if (its < eraOf(at) && !isKnownToBeGone && !known.instance.isDraining && mayBeAlive(known, createdAfterMs)) {
+				this.markMissing(id, at, createdAfterMs);
+			} else {
+				this.delete(id, at, 'peer');
+			}
 		}
 
-		this.removals.restart(revision);
+		this.removals.restart(at);
 	}
 
-	private delete(id: string, revision: number, from: string): void {
+	private delete(id: string, revision: StoreRevision, from: string): void {
 		if (this.known.delete(id)) {
+			this.accept(id, revision);
 			this.running = undefined;
 			this.log.info({
-				event: 'instance_gone', instance: id, revision, from,
+				event: 'instance_gone', instance: id, ...revision, from,
 			}, 'instance removed');
 		}
 	}
 }
-
-/** Merges the reported model into the published instance. Versions only increase during one run of an engine, so the higher version is the newer one. */
-function withReportedModel(instance: Instance, reported: ReportedModel | undefined): Instance {
-	const isSameRun = reported?.startedAtMs === instance.startedAtMs;
-	const publishedVersion = instance.held.find(({model}) => model === reported?.held.model)?.version ?? 0;
-	return reported && isSameRun && reported.held.version > publishedVersion
-		? {...instance, held: [...instance.held.filter(({model}) => model !== reported.held.model), reported.held]}
-		: instance;
-}
-
-function mayBeAlive({missing}: KnownInstance, nowMs: number): boolean {
-	return missing === undefined || nowMs - missing.sinceMs < confirmationTimeoutMs;
-}
--- a/src/links/peer-client.ts
+++ b/src/links/peer-client.ts
@@ -132,7 +132,7 @@
 	 * @param req - method and body
 	 * @throws PeerRequestError when the response does not arrive completely in time or is too large
 	 */
-	async bytes(url: string, req: {method: Dispatcher.HttpMethod; body?: string | Buffer}, options: PeerRequestOptions): Promise<{status: number; bytes: Buffer}> {
+	async bytes(url: string, req: {method: Dispatcher.HttpMethod; body?: string | Buffer}, options: PeerRequestOptions): Promise<{status: number; headers: PeerResponse['headers']; bytes: Buffer}> {
 		let socket: net.Socket | undefined;
 		const deadline = new RequestDeadline(this.clock, options, () => {
 			if (options.resetOnTimeout) {
@@ -146,7 +146,7 @@
 					socket = connected;
 				},
 			});
-			return {status: res.status, bytes: await readBytes(res.body, options.maxBytes)};
+			return {status: res.status, headers: res.headers, bytes: await readBytes(res.body, options.maxBytes)};
 		} catch (err) {
 			throw err instanceof PeerRequestError ? err : new PeerRequestError(err as Error, true, `${req.method} ${url}`);
 		} finally {
--- a/src/messages/peers-exchange.ts
+++ b/src/messages/peers-exchange.ts
@@ -1,5 +1,6 @@
 /** Messages for peer discovery and directory exchange, for deployments whose platform does not list the project's processes. */
 import {z} from 'zod';
+import {isStoreEra, type StoreEra} from '../ids/store-era.ts';
 import {addressSchema} from '../links/address.ts';
 
 /** JSON-RPC method by which two processes exchange the processes they know and the revisions of their directories. */
@@ -22,11 +23,19 @@
 	service: z.string().optional(),
 });
 
+/** An era of the directory's source. A revision without one is of era 0. */
+export const storeEraSchema = z.custom<StoreEra>(isStoreEra);
+
 /** What a process knows, as the start of the differences that it requests. */
-export const directoryRevisionsSchema = z.object({configurationVersion: z.number(), instancesRevision: z.number()});
+export const directoryRevisionsSchema = z.object({configurationVersion: z.number(), instancesRevision: z.number(), era: storeEraSchema.optional()});
 
-/** The state of a process's directory: another process that knows the instances up to `lastInstanceChange` lacks none of its changes. */
-export const directoryStateSchema = z.object({configurationVersion: z.number(), lastInstanceChange: z.number()});
+/**
+ * The state of a process's directory: another process that knows the instances up to `lastInstanceChange` of `era` lacks none of its changes,
+ * if it also knows those of the earlier eras up to the last change that is given for each.
+ */
+export const directoryStateSchema = z.object({
+	configurationVersion: z.number(), lastInstanceChange: z.number(), era: storeEraSchema.optional(), earlier: z.array(z.tuple([storeEraSchema, z.number()])).optional(),
+});
 
 /**
  * A version of model weights and bounds of the time since it was announced. The upper bound is absent if the version was already
@@ -58,6 +67,9 @@
 /** A process of the deployment. */
 export type PeerInfo = z.infer<typeof peerInfoSchema>;
 
+/** What a process knows, as the start of the differences that it requests. */
+export type DirectoryRevisions = z.infer<typeof directoryRevisionsSchema>;
+
 /** The state of a process's directory. */
 export type DirectoryState = z.infer<typeof directoryStateSchema>;
 
--- a/src/peers/directory-puller.ts
+++ b/src/peers/directory-puller.ts
@@ -1,5 +1,6 @@
 /** Fetches the newer parts of the directory from a gateway that has them. */
 import type {Directory, DirectorySnapshot} from '../directory/directory.ts';
+import {compareRevisions, type StoreRevision} from '../directory/store-revision.ts';
 import type {PeerClient} from '../links/peer-client.ts';
 import {directoryGetMethod, type DirectoryState} from '../messages/peers-exchange.ts';
 import type {Logger} from '../runtime/logger.ts';
@@ -56,9 +57,9 @@
 		return !this.isNewer(state);
 	}
 
-	private isNewer({configurationVersion, lastInstanceChange}: DirectoryState): boolean {
+	private isNewer(state: DirectoryState): boolean {
 		const {directory, pulledParts} = this.options;
-		return configurationVersion > directory.configurationVersion || (pulledParts === 'directory' && lastInstanceChange > directory.instancesRevision);
+		return state.configurationVersion > directory.configurationVersion || (pulledParts === 'directory' && directory.lacksInstances(state));
 	}
 
 	private canRequest(address: string): boolean {
@@ -85,10 +86,10 @@
 			this.requestNextOffer();
 		}, hedgeDelayMs).unref();
 		try {
-			await this.fetch(address);
+			await this.fetch(address, state);
 			if (this.isNewer(state)) {
 				// The answer was a difference to what another request has replaced meanwhile.
-				await this.fetch(address);
+				await this.fetch(address, state);
 			}
 		} catch (err) {
 			// The checks and exchanges that follow offer the newer parts again.
@@ -105,19 +106,22 @@
 	/** Turns to the newest offer that still has something new, of a gateway that is not being asked. */
 	private requestNextOffer(): void {
 		const newest = [...this.offers].filter(([address, state]) => this.isNewer(state) && this.canRequest(address))
-			.toSorted(([, a], [, b]) => b.configurationVersion - a.configurationVersion || b.lastInstanceChange - a.lastInstanceChange)[0];
+			.toSorted(([, a], [, b]) => b.configurationVersion - a.configurationVersion || compareRevisions(lastChangeOf(b), lastChangeOf(a)))[0];
 		if (newest) {
 			this.offers.delete(newest[0]);
 			void this.request(...newest);
 		}
 	}
 
-	private async fetch(address: string): Promise<void> {
+	private async fetch(address: string, state: DirectoryState): Promise<void> {
 		const {directory, links, pulledParts} = this.options;
-		const {configurationVersion, instancesRevision} = directory;
-		const params = {configurationVersion, instancesRevision, servicesOnly: pulledParts === 'services'};
+		const params = {...directory.revisionsToRequest(state), servicesOnly: pulledParts === 'services'};
 		const requestedAtMs = directory.clock.nowMs;
 		const snapshot = await links.rpc(address, {method: directoryGetMethod, params}, directorySnapshotSchema, {timeoutMs: pullTimeoutMs});
 		directory.mergeFromPeer(snapshot as DirectorySnapshot, requestedAtMs);
 	}
 }
+
+function lastChangeOf({lastInstanceChange: revision, era}: DirectoryState): StoreRevision {
+	return {revision, era};
+}
--- a/src/peers/directory-snapshot-schema.ts
+++ b/src/peers/directory-snapshot-schema.ts
@@ -1,7 +1,7 @@
 /** The wire format in which processes send their directory to each other. */
 import {z} from 'zod';
 import {addressSchema} from '../links/address.ts';
-import {directoryRevisionsSchema, announcedVersionSchema} from '../messages/peers-exchange.ts';
+import {announcedVersionSchema, directoryRevisionsSchema, storeEraSchema} from '../messages/peers-exchange.ts';
 
 /** The state of the requesting process, and whether it needs only the services. */
 export const directoryGetParamsSchema = directoryRevisionsSchema.extend({servicesOnly: z.boolean().default(false)});
@@ -58,9 +58,14 @@
 	removedRoutes: z.array(z.string()),
 });
 
-const instanceSchema = z.object({
+const revisionSchema = z.object({revision: z.number(), era: storeEraSchema.optional()});
+
+const eraRecordSchema = z.object({
+	era: storeEraSchema, copyRevision: z.number(), revision: z.number(), lastChange: z.number(),
+});
+
+const instanceSchema = revisionSchema.extend({
 	id: z.string(),
-	revision: z.number(),
 	service: z.string(),
 	address: addressSchema,
 	zone: z.string(),
@@ -77,11 +82,12 @@
 	configuration: configurationSchema.optional(),
 	versions: z.array(announcedVersionSchema),
 	configurationDelta: configurationDeltaSchema.optional(),
-	instances: z.object({
+	instances: revisionSchema.extend({
 		since: z.number().optional(),
-		revision: z.number(),
 		instances: z.array(instanceSchema),
-		gone: z.array(z.object({id: z.string(), revision: z.number()})),
-		unconfirmed: z.array(z.object({id: z.string(), revision: z.number(), ageMs: z.number()})),
+		gone: z.array(revisionSchema.extend({id: z.string()})),
+		unconfirmed: z.array(revisionSchema.extend({id: z.string(), ageMs: z.number()})),
+		copyRevision: z.number().optional(),
+		earlier: z.array(eraRecordSchema).optional(),
 	}).optional(),
 });
--- a/src/peers/news-spreader.ts
+++ b/src/peers/news-spreader.ts
@@ -5,6 +5,9 @@
  * reach this way get it with the periodic exchanges of {@link PeerGroup}.
  */
 import type {Directory} from '../directory/directory.ts';
+import {
+	compareRevisions, createStoreRevision, noStoreRevision, type StoreRevision,
+} from '../directory/store-revision.ts';
 import type {DatagramPort} from '../links/datagram-port.ts';
 import {parseAddress} from '../links/http-listener.ts';
 import {type NewsDatagram, newsDatagramSchema} from '../messages/news-datagram.ts';
@@ -38,7 +41,7 @@
 export class NewsSpreader {
 	private sentVersionChanges = 0;
 	private sentConfiguration = 0;
-	private sentInstanceChange = 0;
+	private sentInstanceChange: StoreRevision = noStoreRevision;
 	private lastSentMs = Number.NEGATIVE_INFINITY;
 	private timer: NodeJS.Timeout | undefined;
 
@@ -69,10 +72,11 @@
 	private spread(): void {
 		const {directory, self} = this.options;
 		const hasNewVersion = directory.versionChanges !== this.sentVersionChanges;
-		const hasNewEntries = directory.configurationVersion !== this.sentConfiguration || directory.lastInstanceChange !== this.sentInstanceChange;
+		const instanceChange = createStoreRevision(directory.instancesEra, directory.lastInstanceChange);
+		const hasNewEntries = directory.configurationVersion !== this.sentConfiguration || compareRevisions(instanceChange, this.sentInstanceChange) !== 0;
 		this.sentVersionChanges = directory.versionChanges;
 		this.sentConfiguration = directory.configurationVersion;
-		this.sentInstanceChange = directory.lastInstanceChange;
+		this.sentInstanceChange = instanceChange;
 		if (hasNewVersion) {
 			this.tell(() => true);
 		} else if (hasNewEntries && self.role === 'gateway') {
--- a/standins/watched-store.ts
+++ b/standins/watched-store.ts
@@ -2,11 +2,15 @@
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {storeEraHeader} from '../platform/store-source.ts';
 import {sendJson} from '../src/links/http-listener.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
 
 type Item = {readonly key: string; readonly value?: string; readonly revision: number; readonly tombstone?: true};
 
+/** What a store held at one time. */
+export type StoreCopy = {readonly revision: number; readonly items: readonly Item[]; readonly history: readonly Item[]};
+
 /** A request that waits, for a change or for the end of a silence. */
 type Waiting = {readonly answer: () => boolean};
 
@@ -21,6 +25,7 @@
 	/** Called with the number of turned away requests so far. */
 	turnedAway = 0;
 	private revision = 1;
+	private era = 0;
 	private forgottenUntil = 0;
 	private isSilent = false;
 	private readonly items = new Map<string, Item>();
@@ -67,6 +72,24 @@
 		this.answerWaiting();
 	}
 
+	/** Returns what the store holds now. */
+	copy(): StoreCopy {
+		return {revision: this.revision, items: [...this.items.values()], history: [...this.history]};
+	}
+
+	/** Comes back from a copy: what was written since is gone, its revisions are given out again, and the era rises. */
+	comeBackFrom({revision, items, history}: StoreCopy): void {
+		this.era++;
+		this.revision = revision;
+		this.items.clear();
+		for (const item of items) {
+			this.items.set(item.key, item);
+		}
+
+		this.history = [...history];
+		this.answerWaiting();
+	}
+
 	/** Answers no request until it is called with false; those that came until then are answered at that time. */
 	setSilent(isSilent: boolean): void {
 		this.isSilent = isSilent;
@@ -99,6 +122,7 @@
 	}
 
 	private handle(req: http.IncomingMessage, res: http.ServerResponse): void {
+		res.setHeader(storeEraHeader, this.era);
 		if (this.random.nextInt(percent) < this.turnedAwayPercent) {
 			this.turnedAway++;
 			sendJson(res, turnAwayStatuses[this.random.nextInt(turnAwayStatuses.length)]!, {});
@@ -128,12 +152,14 @@
 	}
 
 	private answerRange(res: http.ServerResponse, prefix: string): boolean {
+		res.setHeader(storeEraHeader, this.era);
 		sendJson(res, 200, {items: [...this.items.values()].filter(({key}) => key.startsWith(prefix)), more_pages: false, store_revision: this.revision});
 		return true;
 	}
 
 	private answerWatch(res: http.ServerResponse, prefix: string, {after, endsAtMs}: {readonly after: number; readonly endsAtMs: number}): boolean {
-		if (after < this.forgottenUntil) {
+		res.setHeader(storeEraHeader, this.era);
+		if (after < this.forgottenUntil || after > this.revision) {
 			sendJson(res, historyGoneStatus, {});
 			return true;
 		}
--- a/test/directory-spread.test.ts
+++ b/test/directory-spread.test.ts
@@ -7,7 +7,7 @@
 import {Directory} from '../src/directory/directory.ts';
 import type {PublishedConfiguration} from '../src/directory/directory-types.ts';
 import {DirectoryWatcher} from '../src/directory/directory-watcher.ts';
-import {confirmationTimeoutMs} from '../src/directory/instance-table.ts';
+import {confirmationTimeoutMs} from '../src/directory/known-instance.ts';
 import {rankForWatch, shouldWatch, watchersPerZone as watchersPerZoneOf} from '../src/peers/watch-duty.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
--- a/test/endless-answers.test.ts
+++ b/test/endless-answers.test.ts
@@ -9,6 +9,7 @@
 import {PeerClient} from '../src/links/peer-client.ts';
 import {downloadChunk} from '../src/rollout/chunk-download.ts';
 import {TransferPacer} from '../src/rollout/transfer-pacer.ts';
+import {createSilentLogger} from '../src/runtime/logger.ts';
 import {
 	callGateway, startTestGateway, startUpstream, sendSignedResponse, testConfiguration, testInstance,
 } from './support/direct-fixtures.ts';
@@ -158,8 +159,8 @@
 	'staging a chunk': async (links, address) => new EngineClient(links, address).putChunk('m', 1, new Uint8Array(10)),
 	order: async (links, address) => new EngineClient(links, address).loadStaged('m', 2, 0, () => undefined),
 	manifest: async (links, address) => new PlatformWeightOrigin(links).fetchManifest(address, 'm', 2),
-	'store read': async (links, address) => new StoreSource(links, () => address).read('published', AbortSignal.timeout(1500)),
-	'store watch': async (links, address) => new StoreSource(links, () => address).watch('instances', 1, 500, AbortSignal.timeout(1500)),
+	'store read': async (links, address) => new StoreSource(links, () => address, createSilentLogger()).read('published', AbortSignal.timeout(1500)),
+	'store watch': async (links, address) => new StoreSource(links, () => address, createSilentLogger()).watch('instances', 1, 500, AbortSignal.timeout(1500)),
 	chunk: async (links, address) => downloadChunk({
 		links, url: `http://${address}/c`, pacer: new TransferPacer(() => Number.POSITIVE_INFINITY), stallMs: 300, chunkBytes: 24_576, freshConnection: false,
 		controller: new AbortController(), onBytes: () => undefined, onNotice: () => undefined,
--- a/test/naming-times.test.ts
+++ b/test/naming-times.test.ts
@@ -48,8 +48,8 @@
 			event('op/version/m', 5, {model: 'm', version: 2}), event('op/other', 6, 1), event('op/version/m', 7, {model: 'm', version: 3}), event('op/other', 8, 2),
 		],
 	};
-	const links = {bytes: async () => ({status: 200, bytes: Buffer.from(JSON.stringify(response))})} as unknown as PeerClient;
-	const {changes} = await new StoreSource(links, () => 'a:1').watch('published', 4, 5000, AbortSignal.timeout(1000));
+	const links = {bytes: async () => ({status: 200, headers: {}, bytes: Buffer.from(JSON.stringify(response))})} as unknown as PeerClient;
+	const {changes} = await new StoreSource(links, () => 'a:1', createSilentLogger()).watch('published', 4, 5000, AbortSignal.timeout(1000));
 	expect(changes.map(({revision, change}) => [revision, change.kind === 'version' ? change.version : change.kind])).to.deep.equal([[5, 2], [7, 3], [8, 'unreadable']]);
 });
 
--- a/test/support/directory-fleet.ts
+++ b/test/support/directory-fleet.ts
@@ -1,9 +1,10 @@
 /** Gateways in one process that get their directory from one fake source and from each other, over loopback. */
 import {HttpListener} from '../../src/links/http-listener.ts';
 import {GatewayStagerBase, type GatewayStagerSettings} from '../../src/cli/gateway-stager-base.ts';
-import type {
-	DirectoryChange, DirectoryPart, DirectorySource, RevisedChange,
+import {
+	type DirectoryChange, type DirectoryChanges, type DirectoryPart, type DirectorySource, HistoryLostError, type RevisedChange,
 } from '../../src/directory/directory-types.ts';
+import {createStoreEra, noEra} from '../../src/ids/store-era.ts';
 import {createRegionId} from '../../src/ids/region-id.ts';
 import {createVmId} from '../../src/ids/vm-id.ts';
 import {createZoneId} from '../../src/ids/zone-id.ts';
@@ -14,8 +15,15 @@
 const controlPort = 17_941;
 const datagramPort = 17_942;
 
+/** What a source held at one time. */
+type SourceCopy = {readonly revision: number; readonly items: ReadonlyMap<string, SourceItem>};
+
+type SourceItem = {readonly part: DirectoryPart; readonly revised: RevisedChange};
+
 /** A source that counts the calls to it, and may turn some processes away. */
 export class FakeSource {
+	/** Rises with each return from a copy. */
+	era = noEra;
 	/** Reads and watches by VM. */
 	readonly calls = new Map<string, number>();
 	/** VMs whose calls fail. */
@@ -25,7 +33,7 @@
 	private lostCalls = new Set<symbol>();
 	private readonly openCalls = new Set<symbol>();
 	private revision = 1;
-	private readonly items = new Map<string, {part: DirectoryPart; revised: RevisedChange}>();
+	private readonly items = new Map<string, SourceItem>();
 	private readonly waiting = new Set<() => void>();
 
 	/** Number of calls so far. */
@@ -44,6 +52,21 @@
 		this.waiting.clear();
 	}
 
+	/** Returns what the source holds now, for {@link comeBackFrom}. */
+	copy(): SourceCopy {
+		return {revision: this.revision, items: new Map(this.items)};
+	}
+
+	/** Comes back from a copy: what was published since is gone, its revisions are given out again, and the era rises. */
+	comeBackFrom({revision, items}: SourceCopy): void {
+		this.era = createStoreEra(this.era + 1);
+		this.revision = revision;
+		this.items.clear();
+		for (const [key, item] of items) {
+			this.items.set(key, item);
+		}
+	}
+
 	/** Makes all open connections go silent for good, while new ones work. */
 	loseOpenCalls(): void {
 		this.lostCalls = new Set([...this.lostCalls, ...this.openCalls]);
@@ -58,7 +81,13 @@
 			}
 		};
 
-		const currentRevision = () => this.revision;
+		const describe = (changes: RevisedChange[]): DirectoryChanges => ({revision: this.revision, ...(this.era === noEra ? {} : {era: this.era}), changes});
+		const requireHistory = (after: number) => {
+			if (after > this.revision) {
+				throw new HistoryLostError('the revision is not known', this.era);
+			}
+		};
+
 		const changesAfter = (part: DirectoryPart, after: number) => [...this.items.values()].filter(item => item.part === part && item.revised.revision > after).map(({revised}) => revised);
 		const answer = async <Answer>(signal: AbortSignal, create: () => Answer | undefined): Promise<Answer> => {
 			enter();
@@ -81,12 +110,13 @@
 		};
 
 		return {
-			read: async (part, signal) => answer(signal, () => ({revision: this.revision, changes: changesAfter(part, 0).filter(({change}) => change.kind !== 'instance-gone')})),
+			read: async (part, signal) => answer(signal, () => describe(changesAfter(part, 0).filter(({change}) => change.kind !== 'instance-gone'))),
 			async watch(part, after, waitMs, signal) {
 				const untilMs = performance.now() + waitMs;
 				return answer(signal, () => {
+					requireHistory(after);
 					const changes = changesAfter(part, after);
-					return changes.length > 0 || performance.now() >= untilMs ? {revision: currentRevision(), changes} : undefined;
+					return changes.length > 0 || performance.now() >= untilMs ? describe(changes) : undefined;
 				});
 			},
 		};
@@ -123,7 +153,7 @@
 	const base: Base = new GatewayStagerBase({file: '/dev/null', read: () => settings}, () => ({
 		role: 'gateway', control: {host, port: controlPort}, datagrams: {host, port: datagramPort}, parts: ['published', 'instances'], pulledParts: 'directory',
 	}), () => source.of(vm));
-	base.rpc.method(directoryGetMethod, directoryGetParamsSchema, ({configurationVersion, instancesRevision}) => base.directory.snapshot(configurationVersion, instancesRevision));
+	base.rpc.method(directoryGetMethod, directoryGetParamsSchema, ({configurationVersion, instancesRevision, era}) => base.directory.snapshot(configurationVersion, instancesRevision, era));
 	const control = new HttpListener(createControlRoutes({
 		rpc: base.rpc, metrics: base.metrics, isReady: () => true, dump: () => ({}),
 	}), base.log);
--- a/test/support/directory-store.ts
+++ b/test/support/directory-store.ts
@@ -2,6 +2,7 @@
 import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {storeEraHeader} from '../../platform/store-source.ts';
 import {sendJson} from '../../src/links/http-listener.ts';
 
 /** How long a watch waits, in milliseconds. */
@@ -9,15 +10,19 @@
 
 type Item = {readonly key: string; readonly value?: string; readonly tombstone?: true; readonly revision: number};
 
+const historyGoneStatus = 410;
+
 /** Whether the store answers, turns its callers away with 503, or leaves them without an answer. */
 type StoreMode = 'answering' | 'refusing' | 'silent';
 
 /** A store on a free port of 127.0.0.1. */
 export class DirectoryStore {
 	mode: StoreMode = 'answering';
+	era = 0;
 	private readonly items = new Map<string, Item>();
 	private revision = 1;
 	private readonly server = http.createServer((req, res) => {
+		res.setHeader(storeEraHeader, this.era);
 		if (this.mode === 'refusing') {
 			sendJson(res, 503, {});
 		} else if (this.mode === 'answering') {
@@ -49,6 +54,21 @@
 		this.items.set(key, {key, tombstone: true, revision: this.revision});
 	}
 
+	/** Returns what the store holds now, for {@link comeBackFrom}. */
+	copy(): {readonly revision: number; readonly items: ReadonlyMap<string, Item>} {
+		return {revision: this.revision, items: new Map(this.items)};
+	}
+
+	/** Comes back from a copy: what was written since is gone, its revisions are given out again, and the era rises. */
+	comeBackFrom({revision, items}: ReturnType<DirectoryStore['copy']>): void {
+		this.era++;
+		this.revision = revision;
+		this.items.clear();
+		for (const [key, item] of items) {
+			this.items.set(key, item);
+		}
+	}
+
 	/** Stops. */
 	close(): void {
 		this.server.close();
@@ -64,6 +84,11 @@
 		}
 
 		const after = Number(searchParams.get('after'));
+		if (after > this.revision) {
+			sendJson(res, historyGoneStatus, {});
+			return;
+		}
+
 		const events = items.filter(({revision}) => revision > after);
 		const {revision} = this;
 		setTimeout(() => {
--- a/test/support/replica-fleet.ts
+++ b/test/support/replica-fleet.ts
@@ -4,7 +4,7 @@
 import type {DatagramPort} from '../../src/links/datagram-port.ts';
 import type {PeerClient} from '../../src/links/peer-client.ts';
 import {
-	directoryGetMethod, type PeerInfo, peersExchangeMethod, type PeersExchange,
+	directoryGetMethod, type DirectoryRevisions, type PeerInfo, peersExchangeMethod, type PeersExchange,
 } from '../../src/messages/peers-exchange.ts';
 import {DirectoryReplica} from '../../src/peers/directory-replica.ts';
 import {ElapsedClock} from '../../src/runtime/elapsed-clock.ts';
@@ -36,7 +36,7 @@
 	stager: {parts: ['versions'], pulledParts: 'services'},
 } as const;
 
-type GetParams = {readonly configurationVersion: number; readonly instancesRevision: number; readonly servicesOnly: boolean};
+type GetParams = DirectoryRevisions & {readonly servicesOnly: boolean};
 
 type RpcCall = {readonly method: string; readonly params: unknown};
 
@@ -90,8 +90,8 @@
 		return this.handlers[method]!(params);
 	}
 
-	private answerGet({configurationVersion, instancesRevision, servicesOnly}: GetParams): unknown {
-		return servicesOnly ? this.directory.servicesSnapshot(configurationVersion) : this.directory.snapshot(configurationVersion, instancesRevision);
+	private answerGet({configurationVersion, instancesRevision, era, servicesOnly}: GetParams): unknown {
+		return servicesOnly ? this.directory.servicesSnapshot(configurationVersion) : this.directory.snapshot(configurationVersion, instancesRevision, era);
 	}
 }
 
@@ -152,6 +152,14 @@
 		await this.pass(discoveryMs);
 	}
 
+	/** Starts one more process, which knows nothing yet. */
+	join(role: PeerInfo['role'], index: number, zone: string): ReplicaProcess {
+		this.add(role, index, zone);
+		const joined = this.processes.at(-1)!;
+		joined.replica.start();
+		return joined;
+	}
+
 	/** Lets time pass. */
 	async pass(ms: number): Promise<void> {
 		await this.clock.tickAsync(ms);
