Play the return of the store from an older copy in the soak

The stand-in store goes back to a copy of itself, gives its revisions out again, raises the era, and its writers repeat what was lost. The test of a version that is named again now has the watch fail in the way that it meant: before, it also passed without the bound.

--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -218,7 +218,25 @@
 				}
 			});
 		},
-	},	links: {
+	},	returns: {
+		async comeBack(context) {
+			const {store} = context.fleet;
+			await context.withOne([{name: 'store'}], async () => {
+				const copy = store.copy();
+				await sleep(context.between(1000, 4000));
+				await context.disturb('store', 'comes back from a copy', async () => {
+					store.setSilent(true);
+					await sleep(context.between(50, 800));
+					const before = store.copy();
+					store.comeBackFrom(copy);
+					store.setSilent(false);
+					await sleep(context.between(100, 1500));
+					store.writeAgain(before, copy);
+				});
+			});
+		},
+	},
+	links: {
 		silent: async context => silence(context, ['up', 'down']),
 		oneWay: async context => silence(context, [context.random.nextInt(2) === 0 ? 'up' : 'down']),
 		async delay(context) {
--- a/standins/watched-store.ts
+++ b/standins/watched-store.ts
@@ -90,6 +90,19 @@
 		this.answerWaiting();
 	}
 
+	/** Writes again what the store held before it came back from a copy, as its writers do, unless they have written the key since. */
+	writeAgain(before: StoreCopy, copy: StoreCopy): void {
+		const written = new Set(this.history.filter(({revision}) => revision > copy.revision).map(({key}) => key));
+		const held = new Set(before.items.map(({key}) => key));
+		for (const item of before.items.filter(({key}) => !written.has(key))) {
+			this.change({...item, revision: ++this.revision});
+		}
+
+		for (const {key} of copy.items.filter(({key}) => !held.has(key) && !written.has(key))) {
+			this.remove(key);
+		}
+	}
+
 	/** Answers no request until it is called with false; those that came until then are answered at that time. */
 	setSilent(isSilent: boolean): void {
 		this.isSilent = isSilent;
--- a/test/store-era.test.ts
+++ b/test/store-era.test.ts
@@ -554,10 +554,11 @@
 		await read.answer(responseOf(0, 10, [named(1)]));
 		const watch = await nextCall();
 		const knownUntilMs = performance.now();
-		await watch.fail(new SourceError('no response'));
+		await watch.fail(new SourceError('status 503', createStoreEra(1)));
 		const again = await nextCall();
 		await again.answer(responseOf(1, 5, [named(1)]));
 		const next = await nextCall();
+		expect([again.kind, next.kind]).to.deep.equal(['read', 'watch']);
 		await next.answer(responseOf(1, 6, [named(2)]));
 		expect(directory.versionsOf('m').map(({version, earliestMs}) => [version, earliestMs <= knownUntilMs])).to.deep.equal([[1, true], [2, true]]);
 	});
