--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -51,6 +51,9 @@
 	}
 }
 
+/** Interval in which entries are renewed before the store comes back from a copy, in milliseconds. */
+const renewalIntervalMs = 200;
+
 /** The most busy processes at once. */
 const maxBusyProcesses = 16;
 
@@ -223,7 +226,11 @@
 			const {store} = context.fleet;
 			await context.withOne([{name: 'store'}], async () => {
 				const copy = store.copy();
-				await sleep(context.between(1000, 4000));
+				for (let renewals = context.between(5, 20); renewals > 0; renewals--) {
+					await sleep(renewalIntervalMs);
+					store.renew();
+				}
+
 				await context.disturb('store', 'comes back from a copy', async () => {
 					store.setSilent(true);
 					await sleep(context.between(50, 800));
--- a/standins/watched-store.ts
+++ b/standins/watched-store.ts
@@ -90,6 +90,13 @@
 		this.answerWaiting();
 	}
 
+	/** Writes all entries again with the values that they have, as heartbeats do. */
+	renew(): void {
+		for (const item of this.items.values()) {
+			this.change({...item, revision: ++this.revision});
+		}
+	}
+
 	/** Writes again what the store held before it came back from a copy, as its writers do, unless they have written the key since. */
 	writeAgain(before: StoreCopy, copy: StoreCopy): void {
 		const written = new Set(this.history.filter(({revision}) => revision > copy.revision).map(({key}) => key));
