--- a/test/endless-answers.test.ts
+++ b/test/endless-answers.test.ts
@@ -3,17 +3,13 @@
 import v8 from 'node:v8';
 import vm from 'node:vm';
 import {expect} from 'chai';
-import {EngineClient, PlatformWeightOrigin} from '../platform/engine-client.ts';
-import {StoreSource} from '../platform/store-source.ts';
 import type {Route} from '../src/directory/directory-types.ts';
 import {PeerClient} from '../src/links/peer-client.ts';
-import {downloadChunk} from '../src/rollout/chunk-download.ts';
-import {TransferPacer} from '../src/rollout/transfer-pacer.ts';
-import {createSilentLogger} from '../src/runtime/logger.ts';
 import {
 	callGateway, startTestGateway, startUpstream, sendSignedResponse, testConfiguration, testInstance,
 } from './support/direct-fixtures.ts';
 import {type EndlessAnswer, endlessAnswers, startEndlessServer} from './support/endless-server.ts';
+import {outgoingRequests} from './support/outgoing-requests.ts';
 
 /** Twice what the gateway may keep of all answers together. */
 const maxGrowthBytes = 2 * 32 * 1024 * 1024;
@@ -152,22 +148,7 @@
 	}
 });
 
-/** What a stager or a gateway asks of servers other than upstreams. */
-const requests: Readonly<Record<string, (links: PeerClient, address: string) => Promise<unknown>>> = {
-	'engine report': async (links, address) => new EngineClient(links, address).fetchReport('m', 16),
-	'staged chunk': async (links, address) => new EngineClient(links, address).getChunk('m', 1),
-	'staging a chunk': async (links, address) => new EngineClient(links, address).putChunk('m', 1, new Uint8Array(10)),
-	order: async (links, address) => new EngineClient(links, address).loadStaged('m', 2, 0, () => undefined),
-	manifest: async (links, address) => new PlatformWeightOrigin(links).fetchManifest(address, 'm', 2),
-	'store read': async (links, address) => new StoreSource(links, () => address, createSilentLogger()).read('published', AbortSignal.timeout(1500)),
-	'store watch': async (links, address) => new StoreSource(links, () => address, createSilentLogger()).watch('instances', 1, 500, AbortSignal.timeout(1500)),
-	chunk: async (links, address) => downloadChunk({
-		links, url: `http://${address}/c`, pacer: new TransferPacer(() => Number.POSITIVE_INFINITY), stallMs: 300, chunkBytes: 24_576, freshConnection: false,
-		controller: new AbortController(), onBytes: () => undefined, onNotice: () => undefined,
-	}),
-};
-
-for (const [name, send] of Object.entries(requests)) {
+for (const [name, send] of Object.entries(outgoingRequests)) {
 	it(`guards against a request for control or weights (${name}) that keeps an endless answer: it fails in time, closes the connection and keeps little`, async () => {
 		for (const kind of plainAnswers) {
 			const server = await startEndlessServer(kind);
