--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -51,6 +51,9 @@
 	}
 }
 
+/** Interval in which entries are renewed before the store comes back from a copy, in milliseconds. */
+const renewalIntervalMs = 200;
+
 /** The most busy processes at once. */
 const maxBusyProcesses = 16;
 
@@ -218,7 +221,29 @@
 				}
 			});
 		},
-	},	links: {
+	},	returns: {
+		async comeBack(context) {
+			const {store} = context.fleet;
+			await context.withOne([{name: 'store'}], async () => {
+				const copy = store.copy();
+				for (let renewals = context.between(5, 20); renewals > 0; renewals--) {
+					await sleep(renewalIntervalMs);
+					store.renew();
+				}
+
+				await context.disturb('store', 'comes back from a copy', async () => {
+					store.setSilent(true);
+					await sleep(context.between(50, 800));
+					const before = store.copy();
+					store.comeBackFrom(copy);
+					store.setSilent(false);
+					await sleep(context.between(100, 1500));
+					store.writeAgain(before, copy);
+				});
+			});
+		},
+	},
+	links: {
 		silent: async context => silence(context, ['up', 'down']),
 		oneWay: async context => silence(context, [context.random.nextInt(2) === 0 ? 'up' : 'down']),
 		async delay(context) {
--- a/src/directory/available-instances.ts
+++ b/src/directory/available-instances.ts
@@ -33,3 +33,21 @@
 		return this.byService.get(service) ?? noInstances;
 	}
 }
+
+/** The zones whose instances accept no calls, and the number of changes of that list. */
+export type ClosedZones = {readonly changes: number; readonly isEvacuated: (zone: string) => boolean};
+
+/** Keeps the index of the last list of instances. */
+export class AvailableInstancesCache {
+	private last: {readonly key: readonly unknown[]; readonly index: AvailableInstancesIndex} | undefined;
+
+	/** Returns the index of a list, which is the same array until an instance changes, without the instances of closed zones. */
+	indexOf(instances: readonly Instance[], zone: string, closed: ClosedZones): AvailableInstancesIndex {
+		const key = [instances, zone, closed.changes];
+		if (!this.last || key.some((part, index) => part !== this.last!.key[index])) {
+			this.last = {key, index: new AvailableInstancesIndex(instances.filter(instance => !closed.isEvacuated(instance.zone)), zone)};
+		}
+
+		return this.last.index;
+	}
+}
--- a/src/directory/configuration-delta.ts
+++ b/src/directory/configuration-delta.ts
@@ -10,6 +10,26 @@
 	readonly removedRoutes: readonly string[];
 };
 
+/** Number of earlier configurations that are kept, to send the difference to processes that have one of them. */
+const maxRecentConfigurations = 6;
+
+/** The latest configurations that were in force. */
+export class RecentConfigurations {
+	private readonly items: PublishedConfiguration[] = [];
+
+	/** Adds a configuration that another one replaces. */
+	add(configuration: PublishedConfiguration): void {
+		this.items.push(configuration);
+		this.items.splice(0, this.items.length - maxRecentConfigurations);
+	}
+
+	/** Returns the difference from a version to a configuration; undefined if the version is not kept. */
+	createDelta(version: number, to: PublishedConfiguration): ConfigurationDelta | undefined {
+		const base = this.items.find(item => item.version === version);
+		return base && createDelta(base, to);
+	}
+}
+
 /**
  * Returns the difference between two configurations; undefined if route names are not unique, so that a route cannot be told by its name.
  *
@@ -31,26 +51,6 @@
 	};
 }
 
-/** Number of earlier configurations that are kept, to send the difference to processes that have one of them. */
-const maxRecent = 6;
-
-/** The last configurations before the one in force. */
-export class RecentConfigurations {
-	private readonly recent: PublishedConfiguration[] = [];
-
-	/** Keeps a configuration that is replaced. */
-	add(configuration: PublishedConfiguration): void {
-		this.recent.push(configuration);
-		this.recent.splice(0, this.recent.length - maxRecent);
-	}
-
-	/** Returns what changed since the configuration with a version; undefined if that one is no longer known. */
-	changesSince(version: number, current: PublishedConfiguration): ConfigurationDelta | undefined {
-		const base = this.recent.find(item => item.version === version);
-		return base && createDelta(base, current);
-	}
-}
-
 /** Returns the configuration that results from a difference; the routes that it does not name stay the same objects. */
 export function applyDelta(base: PublishedConfiguration, {base: _, changedRoutes, removedRoutes, ...rest}: ConfigurationDelta): PublishedConfiguration {
 	const replaced = new Set([...removedRoutes, ...changedRoutes.map(({name}) => name)]);
--- a/src/directory/evacuations.ts
+++ b/src/directory/evacuations.ts
@@ -4,12 +4,16 @@
  * An evacuation begins and ends at a revision of the source. Processes pass both on with their revisions, so that the later one wins in
  * whatever order they arrive, and that it is also in force where the source is out of reach.
  */
+import {noEra} from '../ids/store-era.ts';
 import type {Logger} from '../runtime/logger.ts';
 import {Confirmation} from './confirmation.ts';
 import type {DirectoryChanges} from './directory-types.ts';
+import {
+	compareRevisions, createStoreRevision, eraOf, maxRevision, noStoreRevision, type StoreRevision,
+} from './store-revision.ts';
 
-/** The place of a change in the order of changes of the source. */
-export type EvacuationRevision = number;
+/** How long an evacuation is kept that the source lacks after it came back from an older copy, in milliseconds; operators publish it again. */
+const republishMs = 5000;
 
 /** Number of zones whose ended evacuations are kept. */
 const maxEnded = 64;
@@ -18,7 +22,7 @@
 type Entry = {
 	readonly isEvacuated: boolean;
 	/** The revision at which the evacuation began or ended, or of the read that no longer had it. */
-	readonly revision: EvacuationRevision;
+	readonly revision: StoreRevision;
 	/** When this or another process learned of it, in milliseconds of the monotonic clock. */
 	readonly atMs: number;
 };
@@ -27,13 +31,10 @@
 type Origin = 'source' | 'peer';
 
 /** The state of one zone in the form that processes send to each other. */
-export type SharedZone = {readonly zone: string; readonly isEvacuated: boolean; readonly revision: EvacuationRevision; readonly ageMs: number};
+export type SharedZone = StoreRevision & {readonly zone: string; readonly isEvacuated: boolean; readonly ageMs: number};
 
 /** All evacuations, and the revision up to which they are complete. */
-export type SharedEvacuations = {readonly revision: EvacuationRevision; readonly zones: readonly SharedZone[]};
-
-/** A zone for operators. */
-export type DescribedZone = Readonly<Pick<SharedZone, 'zone' | 'isEvacuated' | 'revision' | 'ageMs'>>;
+export type SharedEvacuations = StoreRevision & {readonly zones: readonly SharedZone[]};
 
 /** The part that placement needs. */
 export type EvacuationView = Pick<Evacuations, 'evacuatedSinceMs'>;
@@ -44,7 +45,7 @@
 	changes = 0;
 	/** Whether calls wait until the evacuations are confirmed. */
 	readonly confirmation = new Confirmation();
-	private completeUntil: EvacuationRevision | undefined;
+	private completeUntil: StoreRevision | undefined;
 	private readonly entries = new Map<string, Entry>();
 
 	constructor(private readonly log: Logger) {}
@@ -55,8 +56,17 @@
 	}
 
 	/** The revision of the last change, 0 if there was none; undefined while they are not known. */
-	get lastChange(): EvacuationRevision | undefined {
-		return this.isKnown ? Math.max(0, ...[...this.entries.values()].map(({revision}) => revision)) : undefined;
+	get lastChange(): StoreRevision | undefined {
+		if (!this.isKnown) {
+			return undefined;
+		}
+
+		let last = noStoreRevision;
+		for (const {revision} of this.entries.values()) {
+			last = maxRevision(last, revision);
+		}
+
+		return last;
 	}
 
 	/** The evacuated zones. */
@@ -65,16 +75,16 @@
 	}
 
 	/** The zones that are or were evacuated. */
-	get described(): DescribedZone[] {
+	get described(): SharedZone[] {
 		const nowMs = performance.now();
 		return [...this.entries].map(([zone, {isEvacuated, revision, atMs}]) => ({
-			zone, isEvacuated, revision, ageMs: Math.max(0, Math.round(nowMs - atMs)),
+			zone, isEvacuated, ...revision, ageMs: Math.max(0, Math.round(nowMs - atMs)),
 		}));
 	}
 
 	/** All evacuations in the form that is sent to other processes; undefined while they are not known. */
 	get shareable(): SharedEvacuations | undefined {
-		return this.completeUntil === undefined ? undefined : {revision: this.completeUntil, zones: this.described};
+		return this.completeUntil === undefined ? undefined : {...this.completeUntil, zones: this.described};
 	}
 
 	/** Returns whether a zone is evacuated. */
@@ -99,12 +109,12 @@
 	 *
 	 * @param theirLastChange - as in {@link lastChange}
 	 */
-	lacks(theirLastChange: EvacuationRevision | undefined): boolean {
-		return theirLastChange !== undefined && (this.completeUntil === undefined || isLater(theirLastChange, this.completeUntil));
+	lacks(theirLastChange: StoreRevision): boolean {
+		return this.completeUntil === undefined || isLater(theirLastChange, this.completeUntil);
 	}
 
 	/** Records that the source has an evacuation of a zone, or has removed it. */
-	record(zone: string, isEvacuated: boolean, revision: EvacuationRevision): void {
+	record(zone: string, isEvacuated: boolean, revision: StoreRevision): void {
 		this.put(zone, {isEvacuated, revision, atMs: performance.now()}, 'source');
 	}
 
@@ -114,7 +124,8 @@
 	 * @param changes - the changes, which are recorded one by one with {@link record}
 	 * @param isFullRead - whether they are all entries of the source
 	 */
-	recordComplete({revision, changes}: DirectoryChanges, isFullRead: boolean): void {
+	recordComplete({revision: number, era, changes}: DirectoryChanges, isFullRead: boolean): void {
+		const revision = createStoreRevision(era ?? noEra, number);
 		if (isFullRead) {
 			const present = new Set(changes.flatMap(({change}) => (change.kind === 'evacuation' ? [change.zone] : [])));
 			this.endMissing(present, revision, {atMs: performance.now(), origin: 'source'});
@@ -128,9 +139,10 @@
 	 *
 	 * @param createdMs - the earliest time at which it may have created the message, in milliseconds of the monotonic clock
 	 */
-	merge({revision, zones}: SharedEvacuations, createdMs: number): void {
-		for (const {zone, isEvacuated, revision: changedAt, ageMs} of zones) {
-			this.put(zone, {isEvacuated, revision: changedAt, atMs: createdMs - ageMs}, 'peer');
+	merge({zones, ...complete}: SharedEvacuations, createdMs: number): void {
+		const revision = createStoreRevision(eraOf(complete), complete.revision);
+		for (const {zone, isEvacuated, ageMs, ...changed} of zones) {
+			this.put(zone, {isEvacuated, revision: createStoreRevision(eraOf(changed), changed.revision), atMs: createdMs - ageMs}, 'peer');
 		}
 
 		this.endMissing(new Set(zones.map(({zone}) => zone)), revision, {atMs: createdMs, origin: 'peer'});
@@ -138,15 +150,30 @@
 	}
 
 	/** Ends the evacuations that a complete list does not have, unless they are later than the list. */
-	private endMissing(present: ReadonlySet<string>, revision: EvacuationRevision, {atMs, origin}: {readonly atMs: number; readonly origin: Origin}): void {
+	private endMissing(present: ReadonlySet<string>, revision: StoreRevision, {atMs, origin}: {readonly atMs: number; readonly origin: Origin}): void {
 		for (const zone of this.zones) {
 			if (!present.has(zone)) {
-				this.put(zone, {isEvacuated: false, revision, atMs}, origin);
+				this.endLater(zone, {isEvacuated: false, revision, atMs}, origin);
 			}
 		}
 	}
 
-	private advance(revision: EvacuationRevision): void {
+	/** Ends an evacuation; one of an earlier era only if it is not published again in time, since the source may have lost it. */
+	private endLater(zone: string, end: Entry, origin: Origin): void {
+		const known = this.entries.get(zone)!;
+		if (eraOf(known.revision) >= eraOf(end.revision)) {
+			this.put(zone, end, origin);
+			return;
+		}
+
+		setTimeout(() => {
+			if (this.entries.get(zone) === known) {
+				this.put(zone, {...end, atMs: performance.now()}, origin);
+			}
+		}, republishMs).unref();
+	}
+
+	private advance(revision: StoreRevision): void {
 		if (this.completeUntil === undefined || isLater(revision, this.completeUntil)) {
 			this.completeUntil = revision;
 		}
@@ -173,11 +200,11 @@
 		const ageMs = Math.round(performance.now() - atMs);
 		if (isEvacuated) {
 			this.log.warn({
-				event: 'zone_evacuated', zone, revision, from, ageMs,
+				event: 'zone_evacuated', zone, ...revision, from, ageMs,
 			}, 'a zone is evacuated; no call starts at its instances');
 		} else {
 			this.log.info({
-				event: 'evacuation_ended', zone, revision, from, ageMs, lastedMs: known && Math.round(atMs - known.atMs),
+				event: 'evacuation_ended', zone, ...revision, from, ageMs, lastedMs: known && Math.round(atMs - known.atMs),
 			}, 'the evacuation of a zone has ended');
 		}
 	}
@@ -191,6 +218,6 @@
 }
 
 /** The order of the revisions of evacuations, also between processes; all comparisons use it. */
-function isLater(revision: EvacuationRevision, than: EvacuationRevision): boolean {
-	return revision > than;
+function isLater(revision: StoreRevision, than: StoreRevision): boolean {
+	return compareRevisions(revision, than) > 0;
 }
--- a/src/reports/evacuation-report.ts
+++ b/src/reports/evacuation-report.ts
@@ -1,6 +1,6 @@
 /** Shows operators how far evacuations are in force at a gateway. */
 import type {Directory} from '../directory/directory.ts';
-import type {DescribedZone} from '../directory/evacuations.ts';
+import type {SharedZone} from '../directory/evacuations.ts';
 import type {InFlightCalls} from '../placement/in-flight-calls.ts';
 import type {RegionMap} from '../placement/region-map.ts';
 import type {Logger} from '../runtime/logger.ts';
@@ -24,7 +24,7 @@
 /** Logs evacuations of unknown zones, and describes all of them. */
 export class EvacuationReport {
 	/** The evacuations that were checked, by zone. */
-	private readonly checked = new Map<string, number>();
+	private readonly checked = new Map<string, string>();
 
 	/** @param options - dependencies */
 	constructor(private readonly options: EvacuationReportOptions) {}
@@ -34,7 +34,7 @@
 		const {directory: {evacuations}} = this.options;
 		metrics.gauge('cactusreach_evacuations_known', '1 while it is known which zones are evacuated.', () => Number(evacuations.isKnown));
 		metrics.gauge('cactusreach_evacuated_zones', 'Zones that are evacuated.', () => evacuations.zones.length);
-		metrics.gauge('cactusreach_evacuations_revision', 'Revision of the last begin or end of an evacuation.', () => evacuations.lastChange ?? 0);
+		metrics.gauge('cactusreach_evacuations_revision', 'Revision of the last begin or end of an evacuation.', () => evacuations.lastChange?.revision ?? 0);
 		metrics.gauge('cactusreach_evacuation_age_seconds', 'Time since the last evacuation that is in force began, 0 without one.', () => {
 			const ages = evacuations.described.filter(({isEvacuated}) => isEvacuated).map(({ageMs}) => ageMs);
 			return ages.length === 0 ? 0 : Math.min(...ages) / msPerSecond;
@@ -49,14 +49,15 @@
 			return;
 		}
 
-		for (const {zone, isEvacuated, revision} of directory.evacuations.described) {
-			if (!isEvacuated || this.checked.get(zone) === revision) {
+		for (const {zone, isEvacuated, ageMs, ...revision} of directory.evacuations.described) {
+			const change = JSON.stringify(revision);
+			if (!isEvacuated || this.checked.get(zone) === change) {
 				continue;
 			}
 
-			this.checked.set(zone, revision);
+			this.checked.set(zone, change);
 			if (regions.regionOf(zone) === undefined && !directory.instances.some(instance => instance.zone === zone)) {
-				log.warn({event: 'evacuation_zone_unknown', zone, revision}, 'an evacuated zone is neither in the settings nor that of an instance; the other evacuations are in force');
+				log.warn({event: 'evacuation_zone_unknown', zone, ...revision}, 'an evacuated zone is neither in the settings nor that of an instance; the other evacuations are in force');
 			}
 		}
 	}
@@ -68,7 +69,7 @@
 		return {
 			isKnown: evacuations.isKnown,
 			revision: evacuations.lastChange,
-			zones: evacuations.described.map((described: DescribedZone) => ({...described, openCalls: this.callsIn([described.zone])})),
+			zones: evacuations.described.map((described: SharedZone) => ({...described, openCalls: this.callsIn([described.zone])})),
 			directoryAgeMs: ageMs,
 			boundMs,
 			isWithinBound: evacuations.isKnown && ageMs <= (boundMs ?? Number.POSITIVE_INFINITY),
--- a/test/evacuations.test.ts
+++ b/test/evacuations.test.ts
@@ -1,14 +1,17 @@
 /** Evacuation of zones: what is decoded and known, how it reaches every process, and what becomes of calls. */
 import {Buffer} from 'node:buffer';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {decodeItem, decodeRemoval} from '../platform/decode-published.ts';
+import {lacksEvacuations} from '../src/directory/directory-state.ts';
 import {Directory, type DirectorySnapshot} from '../src/directory/directory.ts';
 import type {DirectoryChange, Route} from '../src/directory/directory-types.ts';
 import {Evacuations} from '../src/directory/evacuations.ts';
 import {createRegionId} from '../src/ids/region-id.ts';
 import {createServiceId} from '../src/ids/service-id.ts';
+import {createStoreEra} from '../src/ids/store-era.ts';
 import {directorySnapshotSchema} from '../src/peers/directory-snapshot-schema.ts';
 import {HomeRegions} from '../src/placement/home-regions.ts';
 import {InFlightCalls} from '../src/placement/in-flight-calls.ts';
@@ -41,7 +44,7 @@
 	const changes = begun.map(([zone, begunAt]) => ({revision: begunAt, change: begin(zone)}));
 	evacuations.recordComplete({revision, changes}, true);
 	for (const [zone, begunAt] of begun) {
-		evacuations.record(zone, true, begunAt);
+		evacuations.record(zone, true, {revision: begunAt});
 	}
 }
 
@@ -59,11 +62,11 @@
 it('guards against an older message that begins or ends an evacuation again: the later revision wins, whatever the order', () => {
 	const evacuations = createEvacuations();
 	read(evacuations, 10, [['z', 8]]);
-	evacuations.record('z', false, 7);
+	evacuations.record('z', false, {revision: 7});
 	expect(evacuations.isEvacuated('z')).to.equal(true);
 	expect(evacuations.endedAtMs('z')).to.equal(undefined);
-	evacuations.record('z', false, 12);
-	evacuations.record('z', true, 8);
+	evacuations.record('z', false, {revision: 12});
+	evacuations.record('z', true, {revision: 8});
 	expect(evacuations.isEvacuated('z')).to.equal(false);
 	expect(evacuations.endedAtMs('z')).to.be.a('number');
 });
@@ -71,7 +74,7 @@
 it('guards against an evacuation whose end was missed: a full read that lacks it ends it, an earlier read or one without its revision does not', () => {
 	const evacuations = createEvacuations();
 	read(evacuations, 10, [['z', 8], ['w', 9]]);
-	evacuations.record('late', true, 30);
+	evacuations.record('late', true, {revision: 30});
 	evacuations.recordComplete({revision: 20, changes: []}, false);
 	expect(evacuations.zones).to.have.members(['z', 'w', 'late']);
 	read(evacuations, 21, [['w', 9]]);
@@ -115,11 +118,31 @@
 		send(1, 2);
 		for (const evacuations of processes) {
 			expect(evacuations.zones.toSorted()).to.deep.equal([...source.keys()].toSorted());
-			expect(processes.some(other => evacuations.lacks(other.lastChange))).to.equal(false);
+			expect(processes.some(other => evacuations.lacks(other.lastChange!))).to.equal(false);
 		}
 	}), {seed: 63, numRuns: 500});
 });
 
+it('guards against an evacuation that ends because the source came back from an older copy: it lasts until there was time to publish it again', () => {
+	const clock = install({toFake: ['setTimeout', 'clearTimeout', 'performance']});
+	try {
+		const evacuations = createEvacuations();
+		read(evacuations, 150, [['kept', 140], ['lost', 141], ['written', 142]]);
+		const copy = {era: createStoreEra(1), revision: 47, changes: []};
+		evacuations.recordComplete(copy, true);
+		expect(evacuations.zones).to.have.members(['kept', 'lost', 'written']);
+		evacuations.record('written', true, {era: createStoreEra(1), revision: 48});
+		evacuations.record('kept', true, {era: createStoreEra(1), revision: 49});
+		evacuations.record('kept', false, {revision: 151});
+		clock.tick(20_000);
+		expect(evacuations.zones).to.have.members(['kept', 'written']);
+		evacuations.record('kept', false, {era: createStoreEra(1), revision: 60});
+		expect(evacuations.zones).to.deep.equal(['written']);
+	} finally {
+		clock.uninstall();
+	}
+});
+
 it('guards against evacuations that are lost between processes: a snapshot tells them to one that knows none, with the time of an end', () => {
 	const [sender, receiver] = [new Directory(createSilentLogger()), new Directory(createSilentLogger())];
 	read(sender.evacuations, 10, [['z', 8], ['w', 9]]);
@@ -127,7 +150,7 @@
 	sender.evacuations.recordComplete(ended, false);
 	sender.apply(ended);
 	expect(receiver.evacuations.isKnown).to.equal(false);
-	expect(receiver.evacuations.lacks(sender.state.lastEvacuationChange)).to.equal(true);
+	expect(lacksEvacuations(receiver.evacuations, sender.state)).to.equal(true);
 	let notified = 0;
 	receiver.onChange(() => {
 		notified++;
@@ -137,7 +160,7 @@
 	const {evacuations} = receiver;
 	expect([evacuations.isKnown, evacuations.zones, notified]).to.deep.equal([true, ['z'], 1]);
 	expect(evacuations.endedAtMs('w')).to.be.closeTo(performance.now(), 200);
-	expect(evacuations.lacks(sender.state.lastEvacuationChange)).to.equal(false);
+	expect(lacksEvacuations(receiver.evacuations, sender.state)).to.equal(false);
 	receiver.mergeFromPeer({versions: []}, receiver.clock.nowMs);
 	expect(evacuations.zones).to.deep.equal(['z']);
 });
