End a call on an upgrade, and a request on an invalid status, at once

An engine's response with status 600 or 999 counted as 'chunk not staged' or as a refused order, and a call whose instance answered 101 with an upgrade waited for its deadline, since Node.js closes such a connection without a report if nobody listens for upgrades. PeerClient now rejects a response whose status is not final, and UpstreamExchange ends the attempt on an upgrade.

--- a/src/forwarding/upstream-exchange.ts
+++ b/src/forwarding/upstream-exchange.ts
@@ -79,6 +79,11 @@
 		this.req.on('response', boundary.wrap('answer', (res: http.IncomingMessage) => {
 			this.handleResponse(res);
 		}));
+		this.req.on('upgrade', boundary.wrap('answer', (res: http.IncomingMessage, socket: net.Socket) => {
+			// Without a listener, Node.js closes the connection and reports nothing.
+			socket.destroy();
+			this.fail('answer_head_invalid');
+		}));
 		this.req.on('error', boundary.wrap('answer', (err: NodeJS.ErrnoException) => {
 			this.fail(err.code ?? err.message);
 		}));
--- a/src/links/peer-client.ts
+++ b/src/links/peer-client.ts
@@ -15,6 +15,7 @@
 import {setInputTimeout} from '../runtime/input-timeout.ts';
 import {type ListeningClock, monotonicClock} from '../runtime/pause-detector.ts';
 import {createPool, type StartCallbackOptions, type TrackedPool} from './connection-pool.ts';
+import {isFinalStatus} from './http-syntax.ts';
 import {RequestDeadline} from './request-deadline.ts';
 import {rpcPath} from './rpc-dispatcher.ts';
 
@@ -225,6 +226,11 @@
 				headersTimeout: 0,
 				bodyTimeout: options.bodyIdleTimeoutMs ?? 0,
 			});
+			if (!isFinalStatus(res.statusCode)) {
+				res.body.on('error', () => undefined).destroy();
+				throw new VError('response with the invalid status %d', res.statusCode);
+			}
+
 			if (options.freshConnection) {
 				res.body.once('close', () => {
 					void pool.destroy();
