Tests of untrusted clients, which end a gateway or exceed its memory and descriptors

Each test starts a gateway with a heap of 40 MB, memory_mb of 200 and max_descriptors of 700 (a setting that nothing obeys so far), and a crowd in a process of its own.

Seen on the code as it stands, 8 of 11 red: the process runs out of heap with 40 bodies in chunks of one byte (callers and control listener), with 40 responses in chunks of one byte, with 20 connections of 4,000 pipelined requests, and with all kinds at once; 470 MB with 100 callers that do not read their responses of 4 MB; 1,016 and 1,069 descriptors instead of 500 with 1,500 connections to either listener. Green: chunks of 700 bytes (141 MB) and 256 kB (141 MB), heads of small fields (101 MB).

--- a/src/settings/direct-settings.ts
+++ b/src/settings/direct-settings.ts
@@ -62,6 +62,8 @@
 		grace_s: positiveAmount(8),
 		/** Memory limit of the process, in megabytes; the memory for bodies and answers is a share of it. */
 		memory_mb: positiveAmount(350),
+		/** Descriptors that the process may have open, of which some are kept for files. */
+		max_descriptors: positiveAmount(4096),
 	}).prefault({}),
 });
 
--- a/test/body-memory.test.ts
+++ b/test/body-memory.test.ts
@@ -1,17 +1,16 @@
 /** The memory that bodies of calls may take: a gateway, its workers and its callers as processes of their own. */
-import type {ChildProcess} from 'node:child_process';
-import {readFileSync} from 'node:fs';
 import net from 'node:net';
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {BodyBudget, bodyRoomFor, smallBodyBytes} from '../src/limits/body-budget.ts';
+import {startBodyService} from './support/body-service.ts';
 import {
 	sendSignedResponse, startTestGateway, startUpstream, testConfiguration, testInstance,
 } from './support/direct-fixtures.ts';
-import {DirectoryStore} from './support/directory-store.ts';
 import {waitFor} from './support/fleet.ts';
 import {Processes} from './support/processes.ts';
+import {peakMemoryMb} from './support/process-usage.ts';
 
 const support = path.join(import.meta.dirname, 'support');
 
@@ -21,42 +20,15 @@
 /** The memory limit of a deployed gateway, and how much it may use, in megabytes. */
 const memoryMb = 350;
 
-const kilobytesPerMegabyte = 1000;
-
 const processes = new Processes();
 
 after(() => {
 	processes.stop();
 });
 
-/** Returns the largest resident memory that a process has had, in megabytes. */
-function peakMemoryMb({pid}: ChildProcess): number {
-	return Number(/^VmHWM:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))![1]) / kilobytesPerMegabyte;
-}
-
 for (const calls of [20, 120]) {
 	it(`guards against bodies that take all memory: with ${calls} of 4 MB at once the gateway stays below its limit, small calls are served, and each large one is served or refused`, async () => {
-		const store = new DirectoryStore();
-		await store.start();
-		store.put('op/config', {
-			version: 1,
-			routes: [{
-				name: 'r', host: 'a.example', prefix: '/p/', kind: 'non_idempotent', timeout_ms: 5000, service: 'desk',
-			}],
-			services: [{name: 'desk', max_conns: 500}],
-			limits: {
-				max_header_bytes: 16_384, max_body_bytes: 4_194_304, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
-			},
-			tenants: [{name: 't', api_keys: ['k1']}],
-		});
-		for (const id of ['i-1', 'i-2']) {
-			const {out} = processes.start(['--import', 'tsx', path.join(support, 'body-worker.ts')]);
-			await waitFor('a worker listens', () => out().includes('\n'));
-			store.put(`servers/${id}`, {
-				service: 'desk', address: `127.0.0.1:${out().trim()}`, zone: 'z', slots: 100, state: 'ready', born: 1,
-			});
-		}
-
+		const store = await startBodyService(processes);
 		const {child: gateway, url} = await processes.startGateway(store, `memory_mb = ${memoryMb}\n`, {nodeOptions: gatewayOptions});
 		const {child, out} = processes.start(['--import', 'tsx', path.join(support, 'body-callers.ts'), new URL(url).port, String(calls), '4000000']);
 		await new Promise(resolve => {
--- /dev/null
+++ b/test/support/crowd.ts
@@ -0,0 +1,127 @@
+/**
+ * Untrusted clients in a process of their own: `crowd.ts PORT KIND[,KIND] COUNT` opens that many connections of each kind, prints `done` once
+ * each of them has sent what it wanted, was closed or cannot go on, and keeps its connections open until it is killed.
+ */
+import {Buffer} from 'node:buffer';
+import net from 'node:net';
+import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {rpcPath} from '../../src/links/rpc-dispatcher.ts';
+
+/** Most time that the crowd takes until it prints `done`, and after which it ends, in milliseconds. */
+const maxSendMs = 8000;
+const maxLifeMs = 40_000;
+
+const [portText = '', kinds = '', countText = ''] = process.argv.slice(2);
+const port = Number(portText);
+const count = Number(countText);
+const startedAtMs = performance.now();
+let id = 0;
+
+const head = (path: string, more: string) => `POST ${path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: c-${id++}\r\nApi-Key: k1\r\nDeadline-Ms: 5000\r\n${more}\r\n`;
+
+type Client = {readonly socket: net.Socket; isClosed: boolean};
+
+async function connect(): Promise<Client> {
+	return new Promise(resolve => {
+		const socket = net.connect({host: '127.0.0.1', port});
+		const client: Client = {socket, isClosed: false};
+		socket.on('connect', () => {
+			resolve(client);
+		});
+		socket.on('error', () => undefined);
+		socket.on('close', () => {
+			client.isClosed = true;
+			resolve(client);
+		});
+	});
+}
+
+/** Writes and waits until the system has taken it. */
+async function write({socket}: Client, data: Buffer | string): Promise<void> {
+	return new Promise(resolve => {
+		socket.once('close', resolve);
+		socket.write(data, () => {
+			socket.off('close', resolve);
+			resolve();
+		});
+	});
+}
+
+const mayGoOn = ({isClosed}: Client) => !isClosed && performance.now() - startedAtMs < maxSendMs;
+
+/** Sends a chunked body without its end. */
+function chunkedSender(chunkBytes: number, bodyBytes: number, path = '/p/x') {
+	const chunk = `${chunkBytes.toString(16)}\r\n${'x'.repeat(chunkBytes)}\r\n`;
+	const perWrite = Math.ceil(16_384 / chunk.length);
+	const block = Buffer.from(chunk.repeat(perWrite));
+	return async (client: Client) => {
+		client.socket.resume();
+		await write(client, head(path, 'Transfer-Encoding: chunked\r\n'));
+		for (let sent = 0; sent < bodyBytes - (perWrite * chunkBytes) && mayGoOn(client); sent += perWrite * chunkBytes) {
+			await write(client, block);
+		}
+	};
+}
+
+/** Sends text a few bytes at a time. */
+async function trickle(client: Client, text: string): Promise<void> {
+	for (let at = 0; at < text.length && mayGoOn(client); at += 4) {
+		await write(client, text.slice(at, at + 4));
+		await sleep(50);
+	}
+}
+
+const senders: Readonly<Record<string, (client: Client, at: number) => Promise<void>>> = {
+	tiny: chunkedSender(1, 100_000),
+	tinyToPeers: chunkedSender(1, 100_000, rpcPath),
+	small: chunkedSender(700, 4_000_000),
+	large: chunkedSender(262_144, 4_000_000),
+	async leaving(client, at) {
+		client.socket.resume();
+		if (at % 2 === 0) {
+			await sleep(200);
+			client.socket.destroy();
+		} else {
+			await write(client, 'POST /p/x HTTP/1.1\r\n');
+		}
+	},
+	async trickling(client, at) {
+		if (at % 3 === 0) {
+			await trickle(client, head('/p/x', `Padding: ${'x'.repeat(8000)}\r\n`));
+		} else if (at % 3 === 1) {
+			await write(client, head('/p/x', 'Content-Length: 4000000\r\n'));
+			await trickle(client, 'x'.repeat(8000));
+		} else {
+			client.socket.pause();
+			await write(client, head('/p/large', 'Content-Length: 0\r\n'));
+		}
+	},
+	async pipelining(client) {
+		client.socket.pause();
+		for (let sent = 0; sent < 4000 && mayGoOn(client); sent += 50) {
+			await write(client, Array.from({length: 50}, () => head('/p/x', 'Content-Length: 0\r\n')).join(''));
+		}
+	},
+	/** Asks for responses of which each byte comes in a chunk of its own. */
+	async asking(client) {
+		client.socket.resume();
+		await write(client, head('/p/tiny', 'Content-Length: 0\r\n'));
+		await sleep(2000);
+	},
+	/** Small fields in heads that do not end. */
+	async heads(client) {
+		client.socket.resume();
+		await write(client, head('/p/x', 'a:\r\n'.repeat(14_000)).slice(0, -2));
+	},
+};
+
+setTimeout(() => {
+	process.kill(process.pid, 'SIGKILL');
+}, maxLifeMs);
+await Promise.race([sleep(maxSendMs), Promise.all(kinds.split(',').flatMap(kind => Array.from({length: count}, async (_, at) => {
+	// The connections come over half a second, like those of several clients.
+	await sleep((at % 50) * 10);
+	await senders[kind]!(await connect(), at);
+})))]);
+console.log('done');
