Bound what the clients of a gateway take

Cause: a body was kept as a list of its chunks, so that a chunk of one byte cost some hundred bytes of the heap; connections, requests on one connection and incomplete heads had no bound, and a body that stopped short of its end kept its room for 30 s. Bodies and responses are now copied into blocks, calls take room for their heads too, connections have a bound from max_descriptors (the longest idle one is closed first), and when room is short the slowest bodies get 408.

The list of findings in test/published-values.test.ts has the new key.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -11,11 +11,13 @@
 import {logSink} from '../runtime/logger.ts';
 import {setFailureHooks} from '../runtime/process-failure.ts';
 import {BodyBudget, bodyRoomFor} from '../limits/body-budget.ts';
+import {processLimitsFor} from '../limits/process-limits.ts';
 import {formatAddress, HttpListener, sendJson} from '../links/http-listener.ts';
 import {changingDatagramSchema, type EngineDatagram, heldModelDatagramSchema} from '../messages/engine-datagram.ts';
 import {directoryGetMethod} from '../messages/peers-exchange.ts';
 import {directoryGetParamsSchema} from '../peers/directory-snapshot-schema.ts';
 import {LoadQueries} from '../peers/load-queries.ts';
+import {addClientMetrics} from '../reports/client-metrics.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {ForwardingMetrics} from '../reports/forwarding-metrics.ts';
 import type {GatewaySettings} from '../settings/direct-settings.ts';
@@ -98,8 +100,9 @@
 	});
 	const bodies = new BodyBudget(bodyRoomFor(settings.limits.memory_mb));
 	metrics.gauge('cactusreach_body_bytes', 'Memory taken by the bodies of calls.', () => bodies.usedBytes);
+	const limits = processLimitsFor(settings.limits.memory_mb, settings.limits.max_descriptors);
 	const callers = new CallerListener({
-		forwarder, codec: adapter.codec, log, bodies, limits: () => directory.table?.configuration.limits, onFault(phase) {
+		forwarder, codec: adapter.codec, log, bodies, connections: limits.callers, maxOpenCalls: limits.openCalls, limits: () => directory.table?.configuration.limits, onFault(phase) {
 			forwardingMetrics.recordFault(phase);
 		}, onRefused(reason) {
 			forwardingMetrics.recordEnd({
@@ -136,12 +139,13 @@
 		rpc, metrics, isReady, dump: () => ({
 			role: 'gateway', ...base.dump(), openCalls: forwarder.openCalls, heldParts: quarantine.holds,
 		}),
-	}), log);
+	}), log, limits.control);
 	const readiness = new HttpListener({
 		[`GET ${settings.listen.readiness_path}`](req, res) {
 			sendJson(res, isReady() ? 200 : 503, {ready: isReady()});
 		},
-	}, log);
+	}, log, limits.readiness);
+	addClientMetrics(metrics, callers, forwarder.buffers);
 	metrics.gauge('cactusreach_open_calls', 'Calls without a whole answer.', () => forwarder.openCalls);
 
 	setFailureHooks({
--- /dev/null
+++ b/src/forwarding/body-receiver.ts
@@ -0,0 +1,207 @@
+/** Reads the bodies of calls into the memory that there is for them, and ends those that arrive too slowly. */
+import type {Buffer} from 'node:buffer';
+import type http from 'node:http';
+import type {BodyBudget, BodyLease} from '../limits/body-budget.ts';
+import {
+	type BodyProgress, IncompleteBodies, progressCheckMs, type SlowBodyReason,
+} from '../limits/incomplete-bodies.ts';
+import {ByteCollector} from '../links/byte-collector.ts';
+import type {Logger} from '../runtime/logger.ts';
+import type {CallBoundary} from './call-boundary.ts';
+import type {ResponseWriter} from './response-writer.ts';
+import type {WireCodec} from './wire-codec.ts';
+
+/** When callers may return for whose bodies there was no memory, in milliseconds. */
+const noMemoryRetryAfterMs = 500;
+
+/** Memory that a call takes beside its body: for itself, and for each byte of its head. */
+const callBytes = 1024;
+const bytesPerHeadByte = 2;
+
+/** How a call that is being read is answered, and what runs its code. */
+export type Receiver = {readonly writer: ResponseWriter; readonly boundary: CallBoundary};
+
+/** Dependencies of a {@link BodyReceiver}. */
+export type BodyReceiverOptions = {
+	readonly codec: WireCodec;
+	readonly log: Logger;
+	/** The memory for bodies. */
+	readonly bodies: BodyBudget;
+	/** Returns the largest size of a body, in bytes. */
+	readonly maxBytes: () => number;
+	/** Returns whether each response closes its connection. */
+	readonly isClosing: () => boolean;
+	/** Refuses a call whose body is larger than the limit. */
+	readonly onTooLarge: (req: http.IncomingMessage, writer: ResponseWriter) => void;
+	/** Called for each call that was refused. */
+	readonly onRefused?: (reason: string) => void;
+};
+
+/** Reads bodies. */
+export class BodyReceiver {
+	/** The bodies that have room and are arriving. */
+	readonly incomplete = new IncompleteBodies();
+	private timer: NodeJS.Timeout | undefined;
+
+	/** @param options - dependencies */
+	constructor(private readonly options: BodyReceiverOptions) {}
+
+	/** Starts to watch the progress of bodies. */
+	start(): void {
+		this.timer = setInterval(() => {
+			this.incomplete.check(performance.now());
+		}, progressCheckMs).unref();
+	}
+
+	/** Stops. */
+	stop(): void {
+		clearInterval(this.timer);
+	}
+
+	/** Ends the slowest body; returns false if none is slow. */
+	endSlowest(): boolean {
+		return this.incomplete.endSlowest(performance.now());
+	}
+
+	/** Reads the body of a call once there is memory for it, or refuses the call. */
+	receive(req: http.IncomingMessage, receiver: Receiver, onComplete: (body: Buffer) => void): void {
+		const {writer, boundary} = receiver;
+		const ownBytes = estimateCallBytes(req.rawHeaders);
+		const bytes = ownBytes + Number(req.headers['content-length'] ?? 0);
+		const read = (lease: BodyLease) => {
+			writer.onceClosed(() => {
+				lease.release();
+			});
+			this.read(req, {...receiver, lease, ownBytes}, onComplete);
+		};
+
+		const lease = this.tryTake(bytes);
+		if (lease) {
+			read(lease);
+			return;
+		}
+
+		void boundary.runAsync('receive', async () => {
+			const late = await this.options.bodies.take(bytes);
+			if (!late) {
+				this.refuse(req, receiver, 'no_memory_for_body');
+			} else if (writer.isClosed) {
+				late.release();
+			} else {
+				read(late);
+			}
+		});
+	}
+
+	/**
+	 * Refuses a call that has not run. What is left of its body is read and dropped: the caller, which is still sending, would lose the
+	 * response if its connection were closed meanwhile.
+	 */
+	refuse(req: http.IncomingMessage, {writer, boundary}: Receiver, reason: string): void {
+		const {log, codec, bodies, isClosing, onRefused} = this.options;
+		log.warn({
+			event: 'call_refused', id: boundary.attemptId, status: 503, reason, bodyBytes: bodies.usedBytes,
+		}, 'call refused');
+		onRefused?.(reason);
+		const respond = () => {
+			writer.sendError(503, 'not run; return later', codec.writeRefusalHeaders(noMemoryRetryAfterMs));
+		};
+
+		if (isClosing() && !req.complete) {
+			// The response closes the connection.
+			req.once('end', boundary.wrap('receive', respond));
+		} else {
+			const isLast = !isClosing() && writer.keepConnection();
+			respond();
+			req.once('end', () => {
+				if (isLast) {
+					req.socket.end();
+				}
+			});
+		}
+
+		req.resume();
+	}
+
+	private read(req: http.IncomingMessage, {writer, boundary, lease, ownBytes}: Receiver & {readonly lease: BodyLease; readonly ownBytes: number}, onComplete: (body: Buffer) => void): void {
+		const hasLength = req.headers['content-length'] !== undefined;
+		const collector = new ByteCollector();
+		let isDropped = false;
+		const drop = () => {
+			isDropped = true;
+			collector.clear();
+			this.incomplete.remove(progress);
+			lease.release();
+		};
+
+		const progress = this.incomplete.add(boundary.wrap('receive', reason => {
+			drop();
+			this.endSlow({writer, boundary}, reason);
+		}), performance.now());
+		progress.isLarge = lease.isLarge;
+		writer.onceClosed(drop);
+		req.on('data', boundary.wrap('receive', (chunk: Buffer) => {
+			const bytes = collector.length + chunk.length;
+			if (isDropped) {
+				return;
+			}
+
+			if (bytes > this.options.maxBytes()) {
+				drop();
+				this.options.onTooLarge(req, writer);
+			} else if (hasLength || this.grow(lease, ownBytes + bytes, progress)) {
+				collector.push(chunk);
+				progress.record(chunk.length, performance.now());
+			} else if (!writer.isClosed) {
+				drop();
+				this.refuse(req, {writer, boundary}, 'no_memory_for_body');
+			}
+		}));
+		req.once('end', boundary.wrap('forward', () => {
+			this.incomplete.remove(progress);
+			if (!isDropped && !writer.isClosed) {
+				onComplete(collector.take());
+			}
+		}));
+		req.on('error', () => {
+			// The caller disconnected before its call was complete; the `close` event of the response follows.
+		});
+	}
+
+	/** Ends a body that arrives too slowly, and closes its connection after the response. */
+	private endSlow({writer, boundary}: Receiver, reason: SlowBodyReason): void {
+		const {log, codec, bodies, onRefused} = this.options;
+		log.warn({
+			event: 'call_refused', id: boundary.attemptId, status: 408, reason, bodyBytes: bodies.usedBytes,
+		}, 'call refused');
+		onRefused?.(reason);
+		writer.sendError(408, 'the body arrived too slowly; not run', ['connection', 'close', ...codec.writeRefusalHeaders(noMemoryRetryAfterMs)]);
+	}
+
+	private tryTake(bytes: number): BodyLease | undefined {
+		const {bodies} = this.options;
+		let lease = bodies.tryTake(bytes);
+		while (!lease && bodies.canHold(bytes) && this.incomplete.endSlowest(performance.now(), bodies.isLarge(bytes))) {
+			lease = bodies.tryTake(bytes);
+		}
+
+		return lease;
+	}
+
+	/** Takes room for a body that has become longer; returns false if there is none. */
+	private grow(lease: BodyLease, bytes: number, progress: BodyProgress): boolean {
+		const {bodies} = this.options;
+		let isGrown = lease.growTo(bytes);
+		while (!isGrown && !lease.isReleased && bodies.canHold(bytes) && this.incomplete.endSlowest(performance.now(), bodies.isLarge(bytes))) {
+			isGrown = lease.growTo(bytes);
+		}
+
+		progress.isLarge = lease.isLarge;
+		return isGrown;
+	}
+}
+
+/** Returns the memory that a call takes beside its body, in bytes. */
+function estimateCallBytes(rawHeaders: readonly string[]): number {
+	return callBytes + (bytesPerHeadByte * rawHeaders.reduce((sum, item) => sum + item.length, 0));
+}
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -85,11 +85,12 @@
 
 /** Forwards calls to upstreams, with one retry budget per service. */
 export class CallForwarder {
+	/** The memory for responses. */
+	readonly buffers: ResponseBuffers;
 	private readonly inFlight = new Set<ForwardedCall>();
 	private readonly retryBudgets = new Map<string, WindowedRetryBudget>();
 	private readonly deadlineHistory = new DeadlineHistory();
 	private readonly selector: InstanceSelector;
-	private readonly buffers: ResponseBuffers;
 	private isShuttingDown = false;
 
 	/** @param options - dependencies and settings */
--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -3,11 +3,13 @@
 import http from 'node:http';
 import type {Duplex} from 'node:stream';
 import type {CallerLimits} from '../directory/directory-types.ts';
-import type {BodyBudget, BodyLease} from '../limits/body-budget.ts';
+import type {BodyBudget} from '../limits/body-budget.ts';
+import {ConnectionLimit, type ConnectionLimits} from '../links/connection-limit.ts';
 import type {ListenAddress} from '../links/http-listener.ts';
 import {ServerConnections} from '../links/server-connections.ts';
 import type {Logger} from '../runtime/logger.ts';
 import {areHeadersValid, isTargetValid} from '../links/http-syntax.ts';
+import {BodyReceiver} from './body-receiver.ts';
 import {CallBoundary, type CallPhase} from './call-boundary.ts';
 import {ResponseWriter} from './response-writer.ts';
 import type {CallForwarder} from './call-forwarder.ts';
@@ -26,9 +28,6 @@
 /** When callers may return after an exception before their call was forwarded, in milliseconds. */
 const faultRetryAfterMs = 300;
 
-/** When callers may return for whose bodies there was no memory, in milliseconds. */
-const noMemoryRetryAfterMs = 500;
-
 /** How long a malformed call may still send, and how many bytes of it are read meanwhile; a connection that is closed earlier loses the response. */
 const refusedCallMs = 2000;
 const maxRefusedBytes = 33_554_432;
@@ -44,6 +43,8 @@
 	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
 };
 
+const bodyTooLarge = {status: 413, reason: 'body is too large'};
+
 /** Dependencies of a {@link CallerListener}. */
 export type CallerListenerOptions = {
 	readonly forwarder: CallForwarder;
@@ -53,19 +54,22 @@
 	readonly limits: () => CallerLimits | undefined;
 	/** The memory for bodies. */
 	readonly bodies: BodyBudget;
+	/** Limits for connections; without them, there is none. */
+	readonly connections?: ConnectionLimits;
+	/** How many calls may be forwarded at a time; unlimited if absent. */
+	readonly maxOpenCalls?: number;
 	/** Called for each exception in the code of a call. */
 	readonly onFault: (phase: CallPhase) => void;
 	/** Called for each call that was refused before it could be forwarded. */
 	readonly onRefused?: (reason: string) => void;
 };
 
-/** How a call that is being read is answered, and what runs its code. */
-type Receiver = {readonly writer: ResponseWriter; readonly boundary: CallBoundary};
-
 /** Accepts connections from callers and reads their calls. */
 export class CallerListener {
 	private readonly server: http.Server;
 	private readonly connections: ServerConnections;
+	private readonly bodyReceiver: BodyReceiver;
+	private readonly connectionLimit: ConnectionLimit | undefined;
 	private isClosing = false;
 
 	/** @param options - dependencies */
@@ -76,6 +80,14 @@
 			this.accept(req, res);
 		});
 		this.connections = new ServerConnections(this.server);
+		this.bodyReceiver = new BodyReceiver({
+			...options, maxBytes: () => this.limits.bodyBytes, isClosing: () => this.isClosing, onTooLarge: (req, writer) => {
+				this.refuse(req, writer, bodyTooLarge);
+			},
+		});
+		this.connectionLimit = options.connections && new ConnectionLimit(this.server, {
+			...options.connections, log: options.log, closeSlow: () => this.bodyReceiver.endSlowest(),
+		}).watch();
 		this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
 			this.respondToParseError(err, socket);
 		});
@@ -99,6 +111,7 @@
 	 * @param address - host and port to bind
 	 */
 	async start(address: ListenAddress): Promise<void> {
+		this.bodyReceiver.start();
 		return new Promise((resolve, reject) => {
 			this.server.once('error', reject);
 			this.server.listen(address.port, address.host, resolve);
@@ -110,6 +123,21 @@
 		return this.connections.unwrittenResponses;
 	}
 
+	/** Number of open connections of callers. */
+	get connectionCount(): number {
+		return this.connectionLimit?.count ?? 0;
+	}
+
+	/** Number of connections that were closed or refused because there were too many, or because they sent too much. */
+	get closedConnections(): number {
+		return this.connectionLimit?.closedCount ?? 0;
+	}
+
+	/** Number of calls whose body is arriving. */
+	get incompleteBodies(): number {
+		return this.bodyReceiver.incomplete.count;
+	}
+
 	/** Sends `Connection: close` with every further response, so that each connection ends after its next call. */
 	disableKeepAlive(): void {
 		this.isClosing = true;
@@ -119,10 +147,12 @@
 	async drain(): Promise<void> {
 		this.isClosing = true;
 		await this.connections.drain();
+		this.bodyReceiver.stop();
 	}
 
 	/** Closes all connections immediately. */
 	destroy(): void {
+		this.bodyReceiver.stop();
 		this.server.close();
 		this.server.closeAllConnections();
 	}
@@ -132,6 +162,11 @@
 	}
 
 	private accept(req: http.IncomingMessage, res: http.ServerResponse): void {
+		if (req.socket.destroyed) {
+			// The parser goes on with what it has read of a connection that was closed meanwhile.
+			return;
+		}
+
 		const boundary = new CallBoundary({
 			log: this.options.log, onFault: this.options.onFault, disconnect() {
 				req.socket.destroy();
@@ -149,9 +184,14 @@
 		}
 
 		let call: ForwardedCall | undefined;
-		const writer = new ResponseWriter(res, boundary.wrap('disconnect', () => {
-			call?.handleDisconnect();
-		}));
+		const writer = new ResponseWriter(res, {
+			onDisconnect: boundary.wrap('disconnect', () => {
+				call?.handleDisconnect();
+			}),
+			onTooSlow: unreadBytes => {
+				this.options.log.warn({event: 'reader_too_slow', id: boundary.attemptId, unreadBytes}, 'the caller reads too slowly; its connection is closed');
+			},
+		}, this.options.forwarder.buffers);
 		boundary.endCall = () => {
 			writer.sendError(503, 'an internal error; not run', this.options.codec.writeRefusalHeaders(faultRetryAfterMs));
 		};
@@ -164,7 +204,13 @@
 
 		const headers = this.options.codec.readCallHeaders(req.rawHeaders);
 		boundary.attemptId = headers.attemptId;
-		this.receiveBody(req, {writer, boundary}, body => {
+		const receiver = {writer, boundary};
+		this.bodyReceiver.receive(req, receiver, body => {
+			if (this.options.forwarder.openCalls >= (this.options.maxOpenCalls ?? Number.POSITIVE_INFINITY)) {
+				this.bodyReceiver.refuse(req, receiver, 'too_many_calls');
+				return;
+			}
+
 			call = this.options.forwarder.forward({
 				method: req.method ?? 'GET', target: req.url ?? '/', rawHeaders: req.rawHeaders, headers, body, receivedAtMs,
 			}, writer, boundary);
@@ -182,7 +228,7 @@
 		}
 
 		if (Number(req.headers['content-length'] ?? 0) > this.limits.bodyBytes) {
-			return {status: 413, reason: 'body is too large'};
+			return bodyTooLarge;
 		}
 
 		if (!areHeadersValid(req.rawHeaders)) {
@@ -226,103 +272,6 @@
 		});
 	}
 
-	/**
-	 * Rejects a call for whose body there is no memory. What is left of the body is read and dropped: the caller, which is still sending, would
-	 * lose the response if its connection were closed meanwhile.
-	 */
-	private refuseBody(req: http.IncomingMessage, {writer, boundary}: Receiver): void {
-		const {log, codec, bodies} = this.options;
-		log.warn({
-			event: 'call_refused', id: boundary.attemptId, status: 503, reason: 'no_memory_for_body', bodyBytes: bodies.usedBytes,
-		}, 'call refused');
-		this.options.onRefused?.('no_memory_for_body');
-		const respond = () => {
-			writer.sendError(503, 'not run; return later', codec.writeRefusalHeaders(noMemoryRetryAfterMs));
-		};
-
-		if (this.isClosing) {
-			// The response closes the connection.
-			req.once('end', boundary.wrap('receive', respond));
-		} else {
-			const isLast = writer.keepConnection();
-			respond();
-			req.once('end', () => {
-				if (isLast) {
-					req.socket.end();
-				}
-			});
-		}
-
-		req.resume();
-	}
-
-	/** Reads the body once there is memory for it. */
-	private receiveBody(req: http.IncomingMessage, receiver: Receiver, onComplete: (body: Buffer) => void): void {
-		const {bodies} = this.options;
-		const {writer, boundary} = receiver;
-		const bytes = Number(req.headers['content-length'] ?? 0);
-		const read = (lease: BodyLease) => {
-			writer.onceClosed(() => {
-				lease.release();
-			});
-			this.readBody(req, {...receiver, lease}, onComplete);
-		};
-
-		const lease = bodies.tryTake(bytes);
-		if (lease) {
-			read(lease);
-			return;
-		}
-
-		void boundary.runAsync('receive', async () => {
-			const late = await bodies.take(bytes);
-			if (!late) {
-				this.refuseBody(req, receiver);
-			} else if (writer.isClosed) {
-				late.release();
-			} else {
-				read(late);
-			}
-		});
-	}
-
-	private readBody(req: http.IncomingMessage, {writer, boundary, lease}: Receiver & {readonly lease: BodyLease}, onComplete: (body: Buffer) => void): void {
-		const hasLength = req.headers['content-length'] !== undefined;
-		let chunks: Buffer[] = [];
-		let bytes = 0;
-		let isRefused = false;
-		const drop = () => {
-			isRefused = true;
-			chunks = [];
-		};
-
-		req.on('data', boundary.wrap('receive', (chunk: Buffer) => {
-			bytes += chunk.length;
-			if (isRefused || writer.isClosed) {
-				drop();
-			} else if (bytes > this.limits.bodyBytes) {
-				drop();
-				lease.release();
-				this.refuse(req, writer, {status: 413, reason: 'body is too large'});
-			} else if (hasLength || lease.growTo(bytes)) {
-				chunks.push(chunk);
-			} else {
-				drop();
-				this.refuseBody(req, {writer, boundary});
-			}
-		}));
-		req.once('end', boundary.wrap('forward', () => {
-			if (!isRefused && !writer.isClosed) {
-				const [first] = chunks;
-				onComplete(chunks.length === 1 ? first! : Buffer.concat(chunks));
-				chunks = [];
-			}
-		}));
-		req.on('error', () => {
-			// The caller disconnected before its call was complete; the `close` event of the response follows.
-		});
-	}
-
 	private respondToParseError(err: NodeJS.ErrnoException, socket: Duplex): void {
 		if (err.code === 'ECONNRESET' || !socket.writable) {
 			socket.destroy();
--- a/src/limits/body-budget.ts
+++ b/src/limits/body-budget.ts
@@ -1,5 +1,5 @@
 /**
- * The memory for the bodies of calls, which are kept whole until their calls have ended.
+ * The memory for calls with their heads and bodies, which are kept whole until their calls have ended.
  *
  * Large bodies wait for room in the order of their arrival: the caller's connection is not read meanwhile. Small ones have room of their
  * own, so that a few large calls do not hold up many small ones.
@@ -34,14 +34,20 @@
 
 /** Room that a body has taken. */
 export class BodyLease {
-	private isReleased = false;
+	/** Whether the room was given back. */
+	isReleased = false;
 
 	/** @param bytes - the bytes taken so far */
 	constructor(private readonly budget: BodyBudget, private pool: Pool, private bytes: number) {}
 
+	/** Whether it is room for large bodies. */
+	get isLarge(): boolean {
+		return this.pool === 'large';
+	}
+
 	/** Takes room for a body of unknown length that has become longer; returns false if there is none. */
 	growTo(bytes: number): boolean {
-		const pool: Pool = bytes > smallBodyBytes ? 'large' : 'small';
+		const pool = findPool(bytes);
 		const added = pool === this.pool ? bytes - this.bytes : bytes;
 		if (this.isReleased || !this.budget.tryTakeBytes(pool, added)) {
 			return false;
@@ -105,7 +111,7 @@
 
 	/** Takes room for a body if there is some now and no other call waits for it. */
 	tryTake(bytes: number): BodyLease | undefined {
-		const pool: Pool = bytes > smallBodyBytes ? 'large' : 'small';
+		const pool = findPool(bytes);
 		if (pool === 'large' && this.waiting.length > 0) {
 			return undefined;
 		}
@@ -113,6 +119,16 @@
 		return this.tryTakeBytes(pool, bytes) ? new BodyLease(this, pool, bytes) : undefined;
 	}
 
+	/** Returns whether a body takes room of the large ones. */
+	isLarge(bytes: number): boolean {
+		return findPool(bytes) === 'large';
+	}
+
+	/** Returns whether there is room for a body while there is no other one. */
+	canHold(bytes: number): boolean {
+		return bytes <= this.room[findPool(bytes)];
+	}
+
 	/** Takes bytes of a pool for a lease. */
 	tryTakeBytes(pool: Pool, bytes: number): boolean {
 		if (this.used[pool] + bytes > this.room[pool]) {
@@ -137,3 +153,7 @@
 		}
 	}
 }
+
+function findPool(bytes: number): Pool {
+	return bytes > smallBodyBytes ? 'large' : 'small';
+}
--- /dev/null
+++ b/src/links/connection-limit.ts
@@ -0,0 +1,171 @@
+/**
+ * Bounds what the connections of one server take: their number, the requests on one of them that wait for a response, and the heads
+ * that are incomplete. Closes the connections that have been idle for the longest time first.
+ */
+import type http from 'node:http';
+import type net from 'node:net';
+import type {Logger} from '../runtime/logger.ts';
+
+/** How many requests may wait for a response on one connection. Clients that wait for each response have one. */
+const maxPipelinedRequests = 16;
+
+/** How often incomplete heads are counted, in milliseconds. */
+const headCheckIntervalMs = 200;
+
+/** Longest head that the parser takes, in bytes. */
+const maxHeadBytes = 65_536;
+
+/** Memory that a byte of an incomplete head takes at most, in bytes: its fields are kept as separate strings. */
+const bytesPerHeadByte = 4;
+
+/** At most one line is logged in this time, in milliseconds. */
+const logIntervalMs = 1000;
+
+/** Limits for the connections of a server. */
+export type ConnectionLimits = {
+	readonly maxConnections: number;
+	/** Memory for incomplete heads, in bytes. */
+	readonly headBytes: number;
+};
+
+/** Dependencies of a {@link ConnectionLimit}. */
+export type ConnectionLimitOptions = ConnectionLimits & {
+	readonly log: Logger;
+	/** Closes a connection that is not idle, but slow; returns false if there is none. */
+	readonly closeSlow?: () => boolean;
+};
+
+/** A connection: its requests without a whole response, and what it had received when it was last idle. */
+type Connection = {openRequests: number; bytesWhenIdle: number};
+
+/** Watches the connections of one server. */
+export class ConnectionLimit {
+	/** Connections that were closed or refused. */
+	closedCount = 0;
+	private readonly connections = new Map<net.Socket, Connection>();
+	/** The connections without an open request, the longest idle one first. */
+	private readonly idle = new Set<net.Socket>();
+	private headTimer: NodeJS.Timeout | undefined;
+	private lastLogMs = Number.NEGATIVE_INFINITY;
+
+	/** @param server - the server, before it listens */
+	constructor(private readonly server: http.Server, private readonly options: ConnectionLimitOptions) {}
+
+	/** Starts to watch the connections. */
+	watch(): this {
+		const {server} = this;
+		server.prependListener('request', (req: http.IncomingMessage, res: http.ServerResponse) => {
+			this.addRequest(req, res);
+		});
+		server.on('connection', socket => {
+			this.add(socket);
+		});
+		server.on('listening', () => {
+			this.headTimer = setInterval(() => {
+				this.closeLargestHeads();
+			}, headCheckIntervalMs).unref();
+		});
+		server.on('close', () => {
+			clearInterval(this.headTimer);
+		});
+		return this;
+	}
+
+	/** Number of open connections. */
+	get count(): number {
+		return this.connections.size;
+	}
+
+	private add(socket: net.Socket): void {
+		if (this.connections.size >= this.options.maxConnections && !this.makeRoom()) {
+			this.close(socket, 'no_room');
+			return;
+		}
+
+		this.connections.set(socket, {openRequests: 0, bytesWhenIdle: 0});
+		this.idle.add(socket);
+		socket.once('close', () => {
+			this.forget(socket);
+		});
+	}
+
+	private makeRoom(): boolean {
+		const [longestIdle] = this.idle;
+		if (longestIdle) {
+			this.close(longestIdle, 'longest_idle');
+		} else {
+			this.options.closeSlow?.();
+		}
+
+		return this.connections.size < this.options.maxConnections;
+	}
+
+	private addRequest(req: http.IncomingMessage, res: http.ServerResponse): void {
+		const {socket} = req;
+		const connection = this.connections.get(socket);
+		if (!connection) {
+			return;
+		}
+
+		this.idle.delete(socket);
+		connection.openRequests++;
+		if (connection.openRequests > maxPipelinedRequests) {
+			this.close(socket, 'too_many_requests');
+			return;
+		}
+
+		const end = () => {
+			connection.openRequests--;
+			if (connection.openRequests === 0 && this.connections.has(socket)) {
+				connection.bytesWhenIdle = socket.bytesRead;
+				this.idle.add(socket);
+			}
+		};
+
+		res.once('close', () => {
+			if (req.complete) {
+				end();
+			} else {
+				// The rest of the body of a refused request is still arriving.
+				req.once('close', end);
+			}
+		});
+	}
+
+	private closeLargestHeads(): void {
+		const heads = [...this.idle].map(socket => ({socket, bytes: bytesPerHeadByte * Math.min(maxHeadBytes, socket.bytesRead - this.connections.get(socket)!.bytesWhenIdle)}));
+		let total = heads.reduce((sum, {bytes}) => sum + bytes, 0);
+		if (total <= this.options.headBytes) {
+			return;
+		}
+
+		for (const {socket, bytes} of heads.toSorted((a, b) => b.bytes - a.bytes)) {
+			if (total <= this.options.headBytes) {
+				return;
+			}
+
+			total -= bytes;
+			this.close(socket, 'head_too_large');
+		}
+	}
+
+	/** Closes a connection; its descriptor is free when this returns. */
+	private close(socket: net.Socket, reason: string): void {
+		this.closedCount++;
+		this.forget(socket);
+		socket.destroy();
+		const nowMs = performance.now();
+		if (nowMs - this.lastLogMs > logIntervalMs) {
+			this.lastLogMs = nowMs;
+			const {log, maxConnections} = this.options;
+			log.warn({
+				event: 'connection_closed', reason, open: this.connections.size, maxConnections, closed: this.closedCount,
+			}, 'connections of clients are closed or refused');
+		}
+	}
+
+	private forget(socket: net.Socket): void {
+		this.connections.delete(socket);
+		this.idle.delete(socket);
+	}
+}
--- a/src/links/http-listener.ts
+++ b/src/links/http-listener.ts
@@ -3,6 +3,10 @@
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {Logger} from '../runtime/logger.ts';
+import {BodyBudget} from '../limits/body-budget.ts';
+import {IncompleteBodies, progressCheckMs} from '../limits/incomplete-bodies.ts';
+import {ByteCollector} from './byte-collector.ts';
+import {ConnectionLimit, type ConnectionLimits} from './connection-limit.ts';
 import {ServerConnections} from './server-connections.ts';
 
 /** Handles one request; `params` holds the path segments that matched `*`, in order. */
@@ -17,9 +21,27 @@
 /** Maximum size of a request body, in bytes. */
 export const maxBodyBytes = 4 * 1024 * 1024;
 
+/** Memory for the request bodies of a listener with limits, in bytes: for two of the largest and some small ones. */
+const bodyRoom = {large: 2 * maxBodyBytes, small: 1_048_576};
+
+/** How long the head and the whole of a request may take to arrive at a listener with limits, in milliseconds. */
+const arrivalLimits = {headersTimeout: 10_000, requestTimeout: 30_000};
+
 /** Thrown when a request body exceeds {@link maxBodyBytes}. */
 export class BodyTooLargeError extends Error {}
 
+/** Thrown when there is no memory for a request body, or it arrives too slowly. */
+export class BodyRefusedError extends Error {}
+
+/** What bodies of requests to a listener with limits may take. */
+type BodyLimits = {readonly budget: BodyBudget; readonly incomplete: IncompleteBodies};
+
+/** The limits of the listener that received a request. */
+const limitsByRequest = new WeakMap<http.IncomingMessage, BodyLimits>();
+
+/** Statuses of responses to requests whose body could not be read. */
+const bodyErrorStatuses: ReadonlyArray<readonly [new (message: string) => Error, number]> = [[BodyTooLargeError, 413], [BodyRefusedError, 503]];
+
 type CompiledRoute = {readonly method: string; readonly pattern: RegExp; readonly handler: HttpHandler};
 
 /** Serves HTTP routes on one address. */
@@ -27,18 +49,32 @@
 	private readonly server: http.Server;
 	private readonly connections: ServerConnections;
 	private readonly routes: readonly CompiledRoute[];
+	private readonly bodyLimits: BodyLimits | undefined;
+	private readonly timer: NodeJS.Timeout | undefined;
 	private isClosing = false;
 
 	/**
 	 * @param routes - handlers by `METHOD /path`
 	 * @param log - logs errors that handlers throw
+	 * @param limits - limits for connections, with which the memory for bodies is limited too; without them, there are none
 	 */
-	constructor(routes: HttpRoutes, private readonly log: Logger) {
+	constructor(routes: HttpRoutes, private readonly log: Logger, limits?: ConnectionLimits) {
 		this.routes = Object.entries(routes).map(([name, handler]) => compileRoute(name, handler));
-		this.server = http.createServer((req, res) => {
-			void this.serve(req, res);
+		this.server = http.createServer(limits ? arrivalLimits : {}, (req, res) => {
+			if (!req.socket.destroyed) {
+				void this.serve(req, res);
+			}
 		});
 		this.connections = new ServerConnections(this.server);
+		if (limits) {
+			const incomplete = new IncompleteBodies();
+			this.bodyLimits = {budget: new BodyBudget(bodyRoom), incomplete};
+			new ConnectionLimit(this.server, {...limits, log, closeSlow: () => incomplete.endSlowest(performance.now())}).watch();
+			this.timer = setInterval(() => {
+				incomplete.check(performance.now());
+			}, progressCheckMs).unref();
+		}
+
 		// Peers and load balancers keep idle connections open. With the default of 5 s, the server could close one just as a request arrives.
 		this.server.keepAliveTimeout = 75_000;
 		this.server.on('error', err => {
@@ -72,10 +108,12 @@
 	async drain(): Promise<void> {
 		this.isClosing = true;
 		await this.connections.drain();
+		clearInterval(this.timer);
 	}
 
 	/** Stops listening and closes all connections immediately, aborting open requests. */
 	destroy(): void {
+		clearInterval(this.timer);
 		this.server.close();
 		this.server.closeAllConnections();
 	}
@@ -85,6 +123,10 @@
 			res.setHeader('connection', 'close');
 		}
 
+		if (this.bodyLimits) {
+			limitsByRequest.set(req, this.bodyLimits);
+		}
+
 		try {
 			const path = (req.url ?? '/').split('?')[0] ?? '/';
 			for (const route of this.routes) {
@@ -103,7 +145,7 @@
 			if (res.headersSent) {
 				res.destroy();
 			} else {
-				sendJson(res, err instanceof BodyTooLargeError ? 413 : 500, {error: {code: 'internal', outcome: 'unknown', message: (err as Error).message}});
+				sendJson(res, bodyErrorStatuses.find(([type]) => err instanceof type)?.[1] ?? 500, {error: {code: 'internal', outcome: 'unknown', message: (err as Error).message}});
 			}
 		}
 	}
@@ -129,21 +171,56 @@
  * Reads a request body as UTF-8 text.
  *
  * @throws BodyTooLargeError when the body exceeds {@link maxBodyBytes}
+ * @throws BodyRefusedError when its listener has limits, and the body has no room or arrives too slowly
  */
 export async function readBody(req: http.IncomingMessage): Promise<string> {
-	const parts: Buffer[] = [];
-	let bytes = 0;
-	for await (const part of req) {
-		const chunk = part as Buffer;
-		bytes += chunk.length;
-		if (bytes > maxBodyBytes) {
-			throw new BodyTooLargeError(`request body is larger than ${maxBodyBytes} bytes`);
-		}
-
-		parts.push(chunk);
-	}
+	const body = new ByteCollector();
+	const limits = limitsByRequest.get(req);
+	const lease = limits?.budget.tryTake(0);
+	return new Promise((resolve, reject) => {
+		const fail = (err: Error) => {
+			body.clear();
+			end();
+			reject(err);
+		};
+
+		const progress = limits?.incomplete.add(() => {
+			fail(new BodyRefusedError('request body is not read any more'));
+			// The response would wait for the rest of the body.
+			req.destroy();
+		}, performance.now());
+		const end = () => {
+			lease?.release();
+			req.off('data', add);
+			req.resume();
+			if (progress) {
+				limits?.incomplete.remove(progress);
+			}
+		};
+
+		const add = (chunk: Buffer) => {
+			const bytes = body.length + chunk.length;
+			if (bytes > maxBodyBytes) {
+				fail(new BodyTooLargeError(`request body is larger than ${maxBodyBytes} bytes`));
+			} else if (lease && !lease.growTo(bytes)) {
+				limits?.incomplete.endSlowest(performance.now());
+				fail(new BodyRefusedError('no memory for the request body'));
+			} else {
+				body.push(chunk);
+				progress?.record(chunk.length, performance.now());
+			}
+		};
 
-	return Buffer.concat(parts).toString('utf8');
+		req.on('data', add);
+		req.once('end', () => {
+			end();
+			resolve(body.take().toString('utf8'));
+		});
+		req.once('error', fail);
+		req.once('close', () => {
+			fail(new Error('the client disconnected'));
+		});
+	});
 }
 
 /**
--- a/src/links/peer-client.ts
+++ b/src/links/peer-client.ts
@@ -3,7 +3,7 @@
  *
  * It never retries a request, because only the code that sends the request knows whether a retry is safe.
  */
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type net from 'node:net';
 import type {Readable} from 'node:stream';
 import {createJSONRPCRequest, type JSONRPCResponse} from 'json-rpc-2.0';
@@ -14,6 +14,7 @@
 import type {ZodType} from 'zod';
 import {setInputTimeout} from '../runtime/input-timeout.ts';
 import {type ListeningClock, monotonicClock} from '../runtime/pause-detector.ts';
+import {ByteCollector} from './byte-collector.ts';
 import {createPool, type StartCallbackOptions, type TrackedPool} from './connection-pool.ts';
 import {RequestDeadline} from './request-deadline.ts';
 import {rpcPath} from './rpc-dispatcher.ts';
@@ -297,18 +298,16 @@
  * @throws BodyTooLargeError when the body exceeds the limit; its connection is closed
  */
 export async function readBytes(body: Readable, maxBytes = defaultMaxBodyBytes): Promise<Buffer> {
-	const parts: Buffer[] = [];
-	let bytes = 0;
+	const bytes = new ByteCollector();
 	for await (const part of body) {
-		bytes += (part as Buffer).length;
-		if (bytes > maxBytes) {
+		if (bytes.length + (part as Buffer).length > maxBytes) {
 			throw new BodyTooLargeError('response body is larger than %d bytes', maxBytes);
 		}
 
-		parts.push(part as Buffer);
+		bytes.push(part as Buffer);
 	}
 
-	return Buffer.concat(parts);
+	return bytes.take();
 }
 
 /**
--- /dev/null
+++ b/src/reports/client-metrics.ts
@@ -0,0 +1,13 @@
+/** Metrics of what clients take: connections, bodies that are arriving, and responses that are kept. */
+import type {CallerListener} from '../forwarding/caller-listener.ts';
+import type {ResponseBuffers} from '../forwarding/response-buffers.ts';
+import type {Metrics} from './metrics.ts';
+
+/** Adds the metrics to a registry. */
+export function addClientMetrics(metrics: Metrics, callers: CallerListener, buffers: ResponseBuffers): void {
+	metrics.gauge('cactusreach_caller_connections', 'Open connections of callers.', () => callers.connectionCount);
+	metrics.gauge('cactusreach_caller_connections_closed_total', 'Connections of callers that were closed or refused because of a limit.', () => callers.closedConnections);
+	metrics.gauge('cactusreach_incomplete_bodies', 'Calls whose body is arriving.', () => callers.incompleteBodies);
+	metrics.gauge('cactusreach_response_bytes', 'Memory taken by responses that are not complete or not read.', () => buffers.usedBytes);
+	metrics.gauge('cactusreach_slow_readers_total', 'Callers that were disconnected because they read too slowly.', () => buffers.slowReaderCount);
+}
--- a/test/published-values.test.ts
+++ b/test/published-values.test.ts
@@ -47,7 +47,7 @@
 	}
 
 	const parsed = parseSettings<unknown>(renderTemplate('deploy/gateway.ini.template', '0'), 'g.ini', gatewaySettingsSchema);
-	expect(parsed.ok ? [] : parsed.findings.map(({key}) => key)).to.have.members(['limits.version_bound_ms', 'limits.retry_window_s', 'limits.grace_s', 'limits.memory_mb']);
+	expect(parsed.ok ? [] : parsed.findings.map(({key}) => key)).to.have.members(['limits.version_bound_ms', 'limits.retry_window_s', 'limits.grace_s', 'limits.memory_mb', 'limits.max_descriptors']);
 });
 
 const encodeValue = (value: unknown) => Buffer.from(JSON.stringify(value)).toString('base64');
