Go on reading a response while its caller reads slowly, within a bound

What a caller has not read waits in the writer instead of the queues of the connection, and counts in the budget of the responses that are kept. When it is used up, the caller that has read nothing for the longest time is disconnected. The upstream is not paused any more, since an instance aborts a response that stays unread.

test/endless-answers.test.ts asserts the same as before; its title said that the upstream waits.

--- a/src/forwarding/response-buffers.ts
+++ b/src/forwarding/response-buffers.ts
@@ -1,8 +1,8 @@
 /**
- * Limits the memory of the responses that a gateway keeps until they are complete.
+ * Limits the memory of the responses that a gateway keeps, because they are not complete or their callers read slowly.
  *
- * An upstream in trouble may send bytes without end. Its responses are the largest ones, so that they are discarded first and
- * others go on.
+ * The callers that read most slowly are disconnected first. An upstream in trouble may send bytes without end: its responses are the
+ * largest ones, so that they are discarded next and others go on.
  */
 
 /** Maximum size of one response that is kept, in bytes; the same as the default limit of a call's body. */
@@ -14,22 +14,34 @@
 /** Maximum size of one event of a stream, in bytes. */
 export const maxEventBytes = 262_144;
 
+/** How long a caller may read nothing before it counts as slow, in milliseconds. */
+const slowReaderMs = 100;
+
 /** The keeper of a response. */
 export type BufferOwner = {
-	/** Discards the response and ends the attempt. */
+	/** Since when the caller has read nothing although the response waits for it; undefined if nothing waits. */
+	readonly waitingSinceMs?: number | undefined;
+	/** Discards the response, and ends the attempt or closes the connection of the caller. */
 	readonly discardResponse: () => void;
 };
 
 /** Counts the bytes that each owner keeps. */
 export class ResponseBuffers {
+	/** Responses that were discarded since their callers read too slowly. */
+	slowReaderCount = 0;
 	private readonly bytesByOwner = new Map<BufferOwner, number>();
 	private totalBytes = 0;
 
+	/** Number of bytes that are kept. */
+	get usedBytes(): number {
+		return this.totalBytes;
+	}
+
 	/** @param maxTotalBytes - maximum size of all responses that are kept */
 	constructor(private readonly maxTotalBytes = maxBufferedBytes) {}
 
 	/**
-	 * Counts further bytes of a response. Discards the largest response if they are too many, which may be the one that they belong to.
+	 * Counts further bytes of a response. Discards responses if they are too many, among them perhaps the one that they belong to.
 	 *
 	 * @param bytes - number of bytes received
 	 */
@@ -38,8 +50,20 @@
 		this.totalBytes += bytes;
 		if (this.bytesByOwner.get(owner)! > maxResponseBytes) {
 			this.discard(owner);
-		} else if (this.totalBytes > this.maxTotalBytes) {
-			this.discard(this.findLargest());
+		}
+
+		while (this.totalBytes > this.maxTotalBytes) {
+			this.discard(this.findSlowest(performance.now()) ?? this.findLargest());
+		}
+	}
+
+	/** Forgets bytes of a response that have been sent. */
+	subtract(owner: BufferOwner, bytes: number): void {
+		const counted = this.bytesByOwner.get(owner);
+		if (counted !== undefined) {
+			const sent = Math.min(bytes, counted);
+			this.totalBytes -= sent;
+			this.bytesByOwner.set(owner, counted - sent);
 		}
 	}
 
@@ -50,10 +74,24 @@
 	}
 
 	private discard(owner: BufferOwner): void {
+		this.slowReaderCount += Number(owner.waitingSinceMs !== undefined);
 		this.release(owner);
 		owner.discardResponse();
 	}
 
+	/** Returns the keeper whose caller has read nothing for the longest time; undefined if no caller is slow. */
+	private findSlowest(nowMs: number): BufferOwner | undefined {
+		let slowest: BufferOwner | undefined;
+		let sinceMs = nowMs - slowReaderMs;
+		for (const owner of this.bytesByOwner.keys()) {
+			if (owner.waitingSinceMs !== undefined && owner.waitingSinceMs < sinceMs) {
+				[slowest, sinceMs] = [owner, owner.waitingSinceMs];
+			}
+		}
+
+		return slowest;
+	}
+
 	private findLargest(): BufferOwner {
 		let [largest, largestBytes] = [...this.bytesByOwner][0]!;
 		for (const [owner, bytes] of this.bytesByOwner) {
--- a/src/forwarding/response-writer.ts
+++ b/src/forwarding/response-writer.ts
@@ -3,32 +3,61 @@
  *
  * Each response has a length or is chunked, so that the caller can tell a complete one from one that was cut off, however this process
  * ends: the kernel closes the connections of a killed process in order, as it does at the end of a response that has neither.
+ *
+ * What the caller has not read so far is kept here, not in the queues of the connection, and counted.
  */
 import {Buffer} from 'node:buffer';
 import type http from 'node:http';
+import {ByteCollector} from '../links/byte-collector.ts';
+import {type BufferOwner, ResponseBuffers} from './response-buffers.ts';
 
 /** Maximum size of a response that is held until its length is known, in bytes. */
 const maxHeldBytes = 1_048_576;
 
+/** Maximum size of what is handed to the connection at once, in bytes. */
+const maxPartBytes = 65_536;
+
+/** Listeners of a {@link ResponseWriter}. */
+export type ResponseWriterEvents = {
+	/** Called once if the caller closes the connection before the response is complete, or reads it too slowly. */
+	readonly onDisconnect: () => void;
+	/** Called if the caller is disconnected because it reads too slowly, with what it has not read, in bytes. */
+	readonly onTooSlow?: (unreadBytes: number) => void;
+};
+
 /** Writes at most one response; calls after it has ended do nothing. */
-export class ResponseWriter {
+export class ResponseWriter implements BufferOwner {
 	/** Whether the response headers have been written. */
 	hasStarted = false;
+	/** Since when the caller has read nothing although something waits for it; undefined if nothing does. */
+	waitingSinceMs: number | undefined;
 	private isFinished = false;
+	/** Whether the response ends once everything that waits is written. */
+	private isEnding = false;
+	/** What was taken from {@link waiting} and is written part by part. */
+	private parts: Buffer = Buffer.alloc(0);
+	/** Size of the whole buffer that {@link parts} is the rest of; it is in memory until all of it is written. */
+	private partsBytes = 0;
+	private readonly waiting = new ByteCollector();
 	/** The response to a caller that does not understand chunks; it is held until its length is known. */
 	private held: {readonly status: number; readonly headers: readonly string[]; readonly chunks: Buffer[]; bytes: number} | undefined;
 
 	/**
 	 * @param res - the response, with no headers sent yet
-	 * @param onDisconnect - called once if the caller closes the connection before the response is complete
+	 * @param events - listeners
+	 * @param buffers - counts what the caller has not read
 	 */
-	constructor(private readonly res: http.ServerResponse, onDisconnect: () => void) {
+	constructor(private readonly res: http.ServerResponse, private readonly events: ResponseWriterEvents, private readonly buffers = new ResponseBuffers()) {
 		res.once('close', () => {
+			this.dropWaiting();
 			if (!this.isFinished) {
 				this.isFinished = true;
-				onDisconnect();
+				events.onDisconnect();
 			}
 		});
+		res.on('drain', () => {
+			this.writeWaiting();
+		});
 		res.on('error', () => {
 			// A write failed because the caller disconnected; `close` follows.
 		});
@@ -70,7 +99,17 @@
 		this.res.writeHead(status, ['content-length', String(body.length), ...headers]);
 		this.hasStarted = true;
 		this.isFinished = true;
-		this.res.end(body);
+		if (body.length <= maxPartBytes) {
+			this.res.end(body);
+			return;
+		}
+
+		this.isEnding = true;
+		this.waitingSinceMs = performance.now();
+		this.parts = body;
+		this.partsBytes = body.length;
+		this.buffers.add(this, body.length);
+		this.writeWaiting();
 	}
 
 	/**
@@ -119,7 +158,7 @@
 		}
 
 		if (!this.held) {
-			this.res.write(chunk);
+			this.writeOrWait(chunk);
 			return;
 		}
 
@@ -130,23 +169,16 @@
 		}
 	}
 
-	/** Whether the caller reads more slowly than the response is written. */
-	get isBackedUp(): boolean {
-		return !this.isFinished && this.res.writableNeedDrain;
-	}
-
-	/** Calls a listener once when the caller has read what was written. */
-	onceDrained(listener: () => void): void {
-		this.res.once('drain', listener);
-	}
-
 	/** Ends a response whose body has been written completely. */
 	end(): void {
 		if (this.held) {
 			this.send(this.held.status, this.held.headers, Buffer.concat(this.held.chunks));
 		} else if (!this.isFinished) {
 			this.isFinished = true;
-			this.res.end();
+			this.isEnding = true;
+			if (this.unreadBytes === 0) {
+				this.res.end();
+			}
 		}
 	}
 
@@ -165,6 +197,69 @@
 		this.res.destroy();
 	}
 
+	/** Closes the connection of a caller that reads too slowly. */
+	discardResponse(): void {
+		this.events.onTooSlow?.(this.unreadBytes);
+		this.dropWaiting();
+		this.res.destroy();
+	}
+
+	/** What waits for the caller, in bytes. */
+	private get unreadBytes(): number {
+		return this.parts.length + this.waiting.length;
+	}
+
+	private writeOrWait(chunk: Buffer): void {
+		if (this.res.destroyed) {
+			return;
+		}
+
+		if (this.unreadBytes === 0 && !this.res.writableNeedDrain) {
+			this.res.write(chunk);
+			return;
+		}
+
+		this.waiting.push(chunk);
+		this.waitingSinceMs ??= performance.now();
+		this.buffers.add(this, chunk.length);
+	}
+
+	/** Writes what waits until the connection takes no more. */
+	private writeWaiting(): void {
+		let mayWrite = true;
+		while (mayWrite && this.unreadBytes > 0 && !this.res.destroyed) {
+			if (this.parts.length === 0) {
+				this.parts = this.waiting.take();
+				this.partsBytes = this.parts.length;
+			}
+
+			const part = this.parts.subarray(0, maxPartBytes);
+			this.parts = this.parts.subarray(part.length);
+			mayWrite = this.res.write(part);
+			this.recordWritten();
+		}
+
+		if (this.unreadBytes === 0 && this.isEnding && !this.res.writableEnded) {
+			this.res.end();
+		}
+	}
+
+	private recordWritten(): void {
+		if (this.parts.length === 0) {
+			this.parts = Buffer.alloc(0);
+			this.buffers.subtract(this, this.partsBytes);
+		}
+
+		this.waitingSinceMs = this.unreadBytes === 0 ? undefined : performance.now();
+	}
+
+	private dropWaiting(): void {
+		this.parts = Buffer.alloc(0);
+		this.waiting.clear();
+		this.waitingSinceMs = undefined;
+		this.buffers.release(this);
+	}
+
 	/** Drops what is left of a head that could not be written, so that an error response does not carry headers of another one. */
 	private dropHeaders(): void {
 		for (const name of this.res.getHeaderNames().filter(name => name !== 'connection')) {
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt of a call at one instance: forwards events as they arrive, buffers other responses until they are complete, and reports the outcome. */
-import {Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
 import type {Instance} from '../directory/directory-types.ts';
+import {ByteCollector} from '../links/byte-collector.ts';
 import {parseAddress} from '../links/http-listener.ts';
 import type {Silence} from '../runtime/silence-timer.ts';
 import type {InFlightCall} from '../placement/in-flight-calls.ts';
@@ -37,7 +38,7 @@
 	private readonly silenceWatch: SilenceWatch;
 	private readonly splitter = new EventSplitter();
 	private readonly order: EventOrder;
-	private bodyChunks: Buffer[] = [];
+	private readonly body = new ByteCollector();
 	private head: {readonly status: number; readonly headers: ResponseHeaders} | undefined;
 	private firstEventAtMs = Number.POSITIVE_INFINITY;
 	private hasSurvived = false;
@@ -151,7 +152,7 @@
 		if (this.isEventStream()) {
 			this.forwardEvents(this.splitter.push(chunk));
 		} else {
-			this.bodyChunks.push(chunk);
+			this.body.push(chunk);
 			this.options.buffers.add(this, chunk.length);
 		}
 	}
@@ -165,23 +166,9 @@
 
 		if (this.splitter.pendingBytes > maxEventBytes) {
 			this.fail('event_too_large');
-		} else if (!this.isFinished && this.options.writer.isBackedUp) {
-			this.waitForCaller();
 		}
 	}
 
-	/** Stops reading from the upstream until the caller has read what was written. */
-	private waitForCaller(): void {
-		this.silenceWatch.stop();
-		this.exchange?.pause();
-		this.options.writer.onceDrained(this.options.boundary.wrap('answer', () => {
-			if (!this.isFinished) {
-				this.silenceWatch.restart();
-				this.exchange?.resume();
-			}
-		}));
-	}
-
 	private isEventStream(): boolean {
 		return this.options.isStream && this.head?.status === 200;
 	}
@@ -249,7 +236,7 @@
 		}
 
 		this.buffered = {
-			status: head.status, headers: head.headers.forwardedHeaders, body: Buffer.concat(this.bodyChunks),
+			status: head.status, headers: head.headers.forwardedHeaders, body: this.body.take(),
 		};
 		if (head.status >= firstServerError) {
 			tracker.recordOutcome(instance.id, false);
@@ -345,6 +332,6 @@
 		this.options.tracker.inFlight.remove(this.inFlightCall);
 		this.signals.end();
 		this.options.buffers.release(this);
-		this.bodyChunks = [];
+		this.body.clear();
 	}
 }
--- a/src/forwarding/upstream-exchange.ts
+++ b/src/forwarding/upstream-exchange.ts
@@ -48,7 +48,6 @@
 export class UpstreamExchange {
 	private readonly req: http.ClientRequest;
 	private readonly connectTimeout: InputTimeout;
-	private res: http.IncomingMessage | undefined;
 	private isConnected = false;
 	private hasWritten = false;
 	private isFinished = false;
@@ -94,16 +93,6 @@
 		this.finish();
 	}
 
-	/** Stops reading the response body until {@link resume}. */
-	pause(): void {
-		this.res?.pause();
-	}
-
-	/** Continues to read the response body. */
-	resume(): void {
-		this.res?.resume();
-	}
-
 	private watchSocket(socket: net.Socket, body: Buffer | undefined): void {
 		socket.once('connect', this.boundary.wrap('send', () => {
 			this.isConnected = true;
@@ -142,7 +131,6 @@
 			return;
 		}
 
-		this.res = res;
 		this.events.onHeaders(status, res.rawHeaders);
 		res.on('data', this.boundary.wrap('answer', (chunk: Buffer) => {
 			if (!this.isFinished) {
--- a/test/endless-answers.test.ts
+++ b/test/endless-answers.test.ts
@@ -135,7 +135,7 @@
 	}
 });
 
-it('guards against memory that a flood of events fills while the caller reads slowly: the upstream waits for the caller', async () => {
+it('guards against memory that a flood of events fills while the caller reads slowly: the slowest readers are disconnected', async () => {
 	const {server, gateway, close} = await startEndlessGateway('events', {kind: 'stream', timeoutMs: 1500, isPublic: true});
 	try {
 		const callers: Array<Promise<unknown>> = [];
