Read connections that send tiny chunks in turns

Cause: a read of 64 KiB holds ten thousand chunks of one byte, and the event loop read all such connections before it served anything else. An incomplete event was copied for each chunk.

--- a/src/forwarding/body-receiver.ts
+++ b/src/forwarding/body-receiver.ts
@@ -6,6 +6,7 @@
 	type BodyProgress, IncompleteBodies, progressCheckMs, type SlowBodyReason,
 } from '../limits/incomplete-bodies.ts';
 import {ByteCollector} from '../links/byte-collector.ts';
+import {chunkPacer} from '../links/chunk-pacer.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {CallBoundary} from './call-boundary.ts';
 import type {ResponseWriter} from './response-writer.ts';
@@ -120,6 +121,7 @@
 			});
 		}
 
+		chunkPacer.watch(req);
 		req.resume();
 	}
 
@@ -157,6 +159,7 @@
 				this.refuse(req, {writer, boundary}, 'no_memory_for_body');
 			}
 		}));
+		chunkPacer.watch(req);
 		req.once('end', boundary.wrap('forward', () => {
 			this.incomplete.remove(progress);
 			if (!isDropped && !writer.isClosed) {
--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -4,6 +4,7 @@
 import type {Duplex} from 'node:stream';
 import type {CallerLimits} from '../directory/directory-types.ts';
 import type {BodyBudget} from '../limits/body-budget.ts';
+import {chunkPacer} from '../links/chunk-pacer.ts';
 import {ConnectionLimit, type ConnectionLimits} from '../links/connection-limit.ts';
 import type {ListenAddress} from '../links/http-listener.ts';
 import {ServerConnections} from '../links/server-connections.ts';
@@ -261,6 +262,7 @@
 			clearTimeout(timer);
 		});
 		let bytes = 0;
+		chunkPacer.watch(req);
 		req.on('data', (chunk: Buffer) => {
 			bytes += chunk.length;
 			if (bytes > maxRefusedBytes) {
--- a/src/forwarding/event-splitter.ts
+++ b/src/forwarding/event-splitter.ts
@@ -12,13 +12,18 @@
 const lineFeed = 0x0A;
 const carriageReturn = 0x0D;
 
+/** How many bytes before new ones may begin the end of an event. */
+const maxEndBytes = 3;
+
 /** Buffers incoming bytes until they form complete events. */
 export class EventSplitter {
-	private buffered: Buffer = Buffer.alloc(0);
+	/** The incomplete event, perhaps with room behind it. No event that was returned is in it. */
+	private storage: Buffer = Buffer.alloc(0);
+	private pending = 0;
 
 	/** Number of buffered bytes of an incomplete event. */
 	get pendingBytes(): number {
-		return this.buffered.length;
+		return this.pending;
 	}
 
 	/**
@@ -27,18 +32,36 @@
 	 * @param chunk - bytes, split anywhere
 	 */
 	push(chunk: Buffer): StreamEvent[] {
-		const data = this.buffered.length > 0 ? Buffer.concat([this.buffered, chunk]) : chunk;
+		const searchFrom = Math.max(0, this.pending - maxEndBytes);
+		const data = this.pending > 0 ? this.append(chunk) : chunk;
 		const events: StreamEvent[] = [];
 		let start = 0;
-		for (let end = findEventEnd(data, start); end > 0; end = findEventEnd(data, start)) {
+		for (let end = findEventEnd(data, searchFrom); end > 0; end = findEventEnd(data, start)) {
 			const bytes = data.subarray(start, end);
 			events.push({bytes, id: parseEventId(bytes)});
 			start = end;
 		}
 
-		this.buffered = data.subarray(start);
+		this.pending = data.length - start;
+		if (start > 0 || data === chunk) {
+			this.storage = data.subarray(start);
+		}
+
 		return events;
 	}
+
+	/** Adds bytes to the incomplete event. The room doubles, so that chunks of one byte do not copy the event each time. */
+	private append(chunk: Buffer): Buffer {
+		const bytes = this.pending + chunk.length;
+		if (bytes > this.storage.length) {
+			const larger = Buffer.allocUnsafeSlow(2 * bytes);
+			this.storage.copy(larger, 0, 0, this.pending);
+			this.storage = larger;
+		}
+
+		chunk.copy(this.storage, this.pending);
+		return this.storage.subarray(0, bytes);
+	}
 }
 
 /** Returns the offset after the empty line that ends the event at `from`, or 0 if the event is incomplete. */
--- a/src/forwarding/upstream-exchange.ts
+++ b/src/forwarding/upstream-exchange.ts
@@ -7,6 +7,7 @@
 import type {Buffer} from 'node:buffer';
 import http from 'node:http';
 import type net from 'node:net';
+import {chunkPacer} from '../links/chunk-pacer.ts';
 import {formatAddress} from '../links/http-listener.ts';
 import {areHeadersValid, isFinalStatus} from '../links/http-syntax.ts';
 import {connectTimeoutMs, probeConnection} from '../links/probe-connection.ts';
@@ -137,6 +138,7 @@
 				this.events.onData(chunk);
 			}
 		}));
+		chunkPacer.watch(res);
 		res.on('end', this.boundary.wrap('answer', () => {
 			if (res.complete && marksEnd(this.req.method, res)) {
 				this.end();
--- a/src/links/http-listener.ts
+++ b/src/links/http-listener.ts
@@ -6,6 +6,7 @@
 import {BodyBudget} from '../limits/body-budget.ts';
 import {IncompleteBodies, progressCheckMs} from '../limits/incomplete-bodies.ts';
 import {ByteCollector} from './byte-collector.ts';
+import {chunkPacer} from './chunk-pacer.ts';
 import {ConnectionLimit, type ConnectionLimits} from './connection-limit.ts';
 import {ServerConnections} from './server-connections.ts';
 
@@ -212,6 +213,7 @@
 		};
 
 		req.on('data', add);
+		chunkPacer.watch(req);
 		req.once('end', () => {
 			end();
 			resolve(body.take().toString('utf8'));
--- /dev/null
+++ b/test/client-limits.test.ts
@@ -0,0 +1,117 @@
+/** The decisions about clients that send or read slowly, and requests that stay within the limits. */
+import {Buffer} from 'node:buffer';
+import net from 'node:net';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {EventSplitter} from '../src/forwarding/event-splitter.ts';
+import {ResponseBuffers} from '../src/forwarding/response-buffers.ts';
+import {IncompleteBodies, progressCheckMs} from '../src/limits/incomplete-bodies.ts';
+import {processLimitsFor} from '../src/limits/process-limits.ts';
+import {ByteCollector} from '../src/links/byte-collector.ts';
+import {
+	sendSignedResponse, startTestGateway, startUpstream, testConfiguration, testInstance,
+} from './support/direct-fixtures.ts';
+import {waitFor} from './support/fleet.ts';
+
+it('guards against bytes that are lost or mixed up when chunks are copied into blocks', () => {
+	fc.assert(fc.property(fc.array(fc.uint8Array({maxLength: 3000})), parts => {
+		const collector = new ByteCollector();
+		for (const part of parts) {
+			collector.push(part);
+		}
+
+		const whole = Buffer.concat(parts);
+		expect(collector.length).to.equal(whole.length);
+		expect(collector.take().equals(whole)).to.equal(true);
+		expect(collector.length).to.equal(0);
+	}));
+});
+
+it('guards against events that are overwritten by later ones, or not found, when a stream comes byte by byte', () => {
+	const splitter = new EventSplitter();
+	const text = 'id: 1\ndata: a\n\n\r\nid: 2\n\r\ndata: b\n\nrest';
+	const events = [...Buffer.from(text)].flatMap(byte => splitter.push(Buffer.from([byte])));
+	const whole = new EventSplitter().push(Buffer.from(text));
+	expect(events.map(({bytes, id}) => [bytes.toString(), id])).to.deep.equal(whole.map(({bytes, id}) => [bytes.toString(), id]));
+	expect(splitter.pendingBytes).to.equal(4);
+});
+
+it('guards against bodies that stop short of their end: they end after the idle time, when they are too slow, or for others, the slowest first', () => {
+	const bodies = new IncompleteBodies({idleMs: 3000, minBytesPerSecond: 100, graceMs: 5000});
+	const ended: string[] = [];
+	const add = (name: string) => bodies.add(reason => {
+		ended.push(`${name} ${reason}`);
+	}, 0);
+	const [stopped, trickling, slow, fast] = [add('stopped'), add('trickling'), add('slow'), add('fast')];
+	stopped.record(5000, 0);
+	for (let nowMs = progressCheckMs; nowMs <= 7000; nowMs += progressCheckMs) {
+		trickling.record(1, nowMs);
+		slow.record(200, nowMs);
+		fast.record(50_000, nowMs);
+		bodies.check(nowMs);
+	}
+
+	expect(ended).to.deep.equal(['stopped body_stalled', 'trickling body_too_slow']);
+	expect([bodies.endSlowest(7000), bodies.endSlowest(7000), bodies.count]).to.deep.equal([true, false, 1]);
+	expect(ended.at(-1)).to.equal('slow room_needed');
+	const early = add('early');
+	early.record(1, 0);
+	expect(bodies.endSlowest(progressCheckMs)).to.equal(false);
+});
+
+it('guards against a large response that is dropped for a caller that reads nothing: the one that has waited for the longest time goes first', () => {
+	const buffers = new ResponseBuffers(100);
+	const discarded: string[] = [];
+	const owner = (name: string, waitingSinceMs?: number) => ({
+		waitingSinceMs, discardResponse() {
+			discarded.push(name);
+		},
+	});
+	const nowMs = performance.now();
+	const large = owner('large');
+	const shortWait = owner('short wait', nowMs - 1000);
+	const longWait = owner('long wait', nowMs - 2000);
+	const reading = owner('reading', nowMs);
+	buffers.add(large, 60);
+	buffers.add(shortWait, 10);
+	buffers.add(longWait, 10);
+	buffers.add(reading, 20);
+	buffers.add(large, 15);
+	expect([discarded, buffers.usedBytes, buffers.slowReaderCount]).to.deep.equal([['long wait', 'short wait'], 95, 2]);
+	buffers.subtract(reading, 10);
+	buffers.add(large, 20);
+	expect([discarded.at(-1), buffers.usedBytes, buffers.slowReaderCount]).to.deep.equal(['large', 10, 2]);
+});
+
+it('guards against shares that exceed the descriptors of a process, or that are zero', () => {
+	for (const [memoryMb, descriptors] of [[250, 4100], [602, 10_250], [1, 1], [350, 700]] as const) {
+		const {callers, control, readiness, openCalls} = processLimitsFor(memoryMb, descriptors);
+		const sum = callers.maxConnections + control.maxConnections + readiness.maxConnections + openCalls;
+		expect(sum).to.be.at.most(Math.max(200, descriptors - 200));
+		expect(Math.min(callers.maxConnections, control.maxConnections, readiness.maxConnections, openCalls)).to.be.at.least(1);
+	}
+});
+
+it('guards against requests in chunks of one byte that are refused or get stuck while nothing else happens: two on one connection are served', async () => {
+	const upstream = await startUpstream((req, res, body) => {
+		sendSignedResponse(req, res, 200, `length ${body.length}.`);
+	});
+	const gateway = await startTestGateway(testConfiguration(1), [testInstance({id: 'i-0', address: upstream.address})]);
+	const socket = net.connect({host: '127.0.0.1', port: Number(new URL(gateway.url).port)});
+	try {
+		let received = '';
+		socket.on('data', part => {
+			received += part.toString('latin1');
+		});
+		const request = `POST /p/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: id-1\r\nApi-Key: k1\r\nDeadline-Ms: 5000\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(9000)}0\r\n\r\n`;
+		const responses = () => received.split('length 9000.').length - 1;
+		socket.write(request);
+		await waitFor('the first response', () => responses() === 1);
+		socket.write(request);
+		await waitFor('the second response', () => responses() === 2);
+	} finally {
+		socket.destroy();
+		gateway.close();
+		upstream.close();
+	}
+});
