--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -99,11 +99,12 @@
 
 /** Forwards calls to upstreams, with one retry budget per service. */
 export class CallForwarder {
+	/** The memory for responses. */
+	readonly buffers: ResponseBuffers;
 	private readonly inFlight = new Set<ForwardedCall>();
 	private readonly retryBudgets = new Map<string, WindowedRetryBudget>();
 	private readonly deadlineHistory = new DeadlineHistory();
 	private readonly selector: InstanceSelector;
-	private readonly buffers: ResponseBuffers;
 	private isShuttingDown = false;
 
 	/** @param options - dependencies and settings */
--- a/src/forwarding/upstream-exchange.ts
+++ b/src/forwarding/upstream-exchange.ts
@@ -7,6 +7,7 @@
 import type {Buffer} from 'node:buffer';
 import http from 'node:http';
 import type net from 'node:net';
+import {chunkPacer} from '../links/chunk-pacer.ts';
 import {formatAddress} from '../links/http-listener.ts';
 import {areHeadersValid, isFinalStatus} from '../links/http-syntax.ts';
 import {connectTimeoutMs, probeConnection} from '../links/probe-connection.ts';
@@ -48,10 +49,11 @@
 export class UpstreamExchange {
 	private readonly req: http.ClientRequest;
 	private readonly connectTimeout: InputTimeout;
-	private res: http.IncomingMessage | undefined;
 	private isConnected = false;
 	private hasWritten = false;
 	private isFinished = false;
+	/** Whether the whole response has arrived. */
+	private isComplete = false;
 	/** Whether the upstream closed the connection with a FIN rather than a reset. */
 	private hasReceivedFin = false;
 	/** Whether the response has ended with its connection, and a probe of the upstream is under way. */
@@ -99,16 +101,6 @@
 		this.finish();
 	}
 
-	/** Stops reading the response body until {@link resume}. */
-	pause(): void {
-		this.res?.pause();
-	}
-
-	/** Continues to read the response body. */
-	resume(): void {
-		this.res?.resume();
-	}
-
 	private watchSocket(socket: net.Socket, body: Buffer | undefined): void {
 		socket.once('connect', this.boundary.wrap('send', () => {
 			this.isConnected = true;
@@ -147,13 +139,13 @@
 			return;
 		}
 
-		this.res = res;
 		this.events.onHeaders(status, res.rawHeaders);
 		res.on('data', this.boundary.wrap('answer', (chunk: Buffer) => {
 			if (!this.isFinished) {
 				this.events.onData(chunk);
 			}
 		}));
+		chunkPacer.watch(res);
 		res.on('end', this.boundary.wrap('answer', () => {
 			if (res.complete && marksEnd(this.req.method, res)) {
 				this.end();
@@ -189,6 +181,7 @@
 
 	private end(): void {
 		if (!this.isFinished) {
+			this.isComplete = true;
 			this.finish();
 			this.events.onEnd();
 		}
@@ -204,7 +197,7 @@
 	private finish(): void {
 		this.isFinished = true;
 		this.connectTimeout.clear();
-		if (this.hasWritten && !this.res?.complete) {
+		if (this.hasWritten && !this.isComplete) {
 			// A reset drops what the connection still holds. After a normal close, the system would go on delivering it, and a call that waits
 			// on a busy link would begin after it was given up.
 			this.req.socket?.resetAndDestroy();
--- a/src/settings/direct-settings.ts
+++ b/src/settings/direct-settings.ts
@@ -76,6 +76,8 @@
 		evacuate_ms: optionalPositiveAmount,
 		/** Memory limit of the process, in megabytes; the memory for bodies and answers is a share of it. */
 		memory_mb: positiveAmount(350),
+		/** Descriptors that the process may have open, of which some are kept for files. */
+		max_descriptors: positiveAmount(4096),
 	}).prefault({}),
 });
 
