Late calls get a second attempt within a limit set by the operator

A call waited for its instance until that was silent for 400 ms (plain) or 1300 ms (streams), however short its kind usually is. The second attempt (Hedge) now has a second trigger: a first byte later than about the slowest 3 in 100 of recent calls of the same route, size and forecast. It is off unless hedge_ratio is set, and while the service refuses calls, changes versions or has few retries left. test/hedge.test.ts passes, as do the forwarding, decisions, silence, log-events, metrics and settings tests.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -81,6 +81,7 @@
 		log,
 		zone: settings.process.zone,
 		retryBudget: {ratio: settings.limits.retry_ratio, slack: settings.limits.retry_slack, windowMs: settings.limits.retry_window_s * msPerSecond},
+		hedgeRatio: () => base.settings.limits.hedge_ratio,
 		versionBoundMs: settings.limits.version_bound_ms,
 		clock: base.pauseDetector,
 		eventLoopDelayMs: () => base.pauseDetector.recentDelayMs,
@@ -89,6 +90,9 @@
 		onSilence(service, result) {
 			forwardingMetrics.recordSilence(service, result);
 		},
+		onHedge(service, result) {
+			forwardingMetrics.recordHedge(service, result);
+		},
 		onEnd(end) {
 			forwardingMetrics.recordEnd(end);
 		},
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -19,6 +19,8 @@
 import {type RetryBudgetOptions, WindowedRetryBudget} from './windowed-retry-budget.ts';
 import type {RouteTable} from './route-table.ts';
 import {DeadlineHistory} from './deadline-history.ts';
+import {LatencyHistory} from './latency-history.ts';
+import {ServiceHedging} from './service-hedging.ts';
 import type {WireCodec} from './wire-codec.ts';
 
 /** Retry delay given to callers until a configuration has been received, in milliseconds. */
@@ -39,6 +41,8 @@
 	readonly log: Logger;
 	readonly zone: string;
 	readonly retryBudget: RetryBudgetOptions;
+	/** Returns the second attempts of late calls that are allowed per call of a service; none if absent. */
+	readonly hedgeRatio?: () => number;
 	/** How long calls may still start on an older version of a model after a newer one was announced, in milliseconds. */
 	readonly versionBoundMs: number;
 	/** Measures the silence of instances. */
@@ -51,6 +55,8 @@
 	readonly responseBytes?: number;
 	/** Called when an instance of a service has sent nothing for too long, with what was done about it. */
 	readonly onSilence?: (service: ServiceId, result: string) => void;
+	/** Called when a call of a service is late, with what was done about it, and when one of its two attempts answers. */
+	readonly onHedge?: (service: ServiceId, result: string) => void;
 	/** Called when a call has ended. */
 	readonly onEnd: (end: CallEnd) => void;
 };
@@ -76,6 +82,9 @@
 	readonly holder: KeyHolder | undefined;
 };
 
+/** What limits the further attempts of the calls of one service. */
+type ServiceLimits = {readonly retryBudget: WindowedRetryBudget; readonly hedging: ServiceHedging};
+
 type Refusal = {readonly status: number; readonly reason: string; readonly retryAfterMs?: number};
 
 const noRoute: Refusal = {status: 404, reason: 'no_route'};
@@ -86,7 +95,9 @@
 /** Forwards calls to upstreams, with one retry budget per service. */
 export class CallForwarder {
 	private readonly inFlight = new Set<ForwardedCall>();
-	private readonly retryBudgets = new Map<string, WindowedRetryBudget>();
+	private readonly serviceLimits = new Map<string, ServiceLimits>();
+	private readonly latencies = new LatencyHistory();
+	private readonly versionExpiry: VersionExpiry;
 	private readonly deadlineHistory = new DeadlineHistory();
 	private readonly selector: InstanceSelector;
 	private readonly buffers: ResponseBuffers;
@@ -96,8 +107,9 @@
 	constructor(private readonly options: CallForwarderOptions) {
 		const {directory, tracker, loads, random, zone, log} = options;
 		this.buffers = new ResponseBuffers(options.responseBytes);
+		this.versionExpiry = new VersionExpiry(directory, options.versionBoundMs, options.eventLoopDelayMs);
 		this.selector = new InstanceSelector({
-			directory, tracker, loads, random, zone, log, versionExpiry: new VersionExpiry(directory, options.versionBoundMs, options.eventLoopDelayMs),
+			directory, tracker, loads, random, zone, log, versionExpiry: this.versionExpiry,
 		});
 		directory.onChange(() => {
 			for (const call of this.inFlight) {
@@ -158,9 +170,11 @@
 		const {
 			codec, tracker, log, random, directory,
 		} = this.options;
+		const {selector} = this;
 		const service = chooseTargetService(route, random);
-		const budget = this.getRetryBudget(service);
-		budget.recordCall();
+		const {retryBudget, hedging} = this.getLimits(service);
+		retryBudget.recordCall();
+		hedging.recordCall(performance.now());
 		const call: ForwardedCall = new ForwardedCall({
 			call: receivedCall,
 			boundary,
@@ -177,11 +191,22 @@
 			crashes: this.options.crashes,
 			quarantine: this.options.quarantine,
 			log,
-			selectInstance: async query => this.selector.select(query),
-			retryBudget: budget,
+			async selectInstance(query) {
+				const selection = await selector.select(query);
+				if ('reason' in selection && selection.reason === 'overloaded') {
+					hedging.recordRefusal(performance.now());
+				}
+
+				return selection;
+			},
+			retryBudget,
+			hedging,
 			onSilence: result => {
 				this.options.onSilence?.(service, result);
 			},
+			onHedge: result => {
+				this.options.onHedge?.(service, result);
+			},
 			onEnd: (outcome, ms, reason) => {
 				this.inFlight.delete(call);
 				this.options.onEnd({
@@ -229,14 +254,20 @@
 		});
 	}
 
-	private getRetryBudget(service: string): WindowedRetryBudget {
-		let budget = this.retryBudgets.get(service);
-		if (!budget) {
-			budget = new WindowedRetryBudget(this.options.retryBudget, this.options.gatewayCount);
-			this.retryBudgets.set(service, budget);
+	private getLimits(service: string): ServiceLimits {
+		let limits = this.serviceLimits.get(service);
+		if (!limits) {
+			const {retryBudget: budgetOptions, gatewayCount, hedgeRatio = () => 0} = this.options;
+			const retryBudget = new WindowedRetryBudget(budgetOptions, gatewayCount);
+			const hedging = new ServiceHedging({
+				service, history: this.latencies, retryBudget, windowMs: budgetOptions.windowMs, ratio: hedgeRatio,
+				isChangingVersion: model => this.versionExpiry.isChanging(model),
+			});
+			limits = {retryBudget, hedging};
+			this.serviceLimits.set(service, limits);
 		}
 
-		return budget;
+		return limits;
 	}
 }
 
--- a/src/forwarding/forwarded-call-options.ts
+++ b/src/forwarding/forwarded-call-options.ts
@@ -12,6 +12,7 @@
 import type {ReceivedCall} from './received-call.ts';
 import type {ResponseBuffers} from './response-buffers.ts';
 import type {ResponseWriter} from './response-writer.ts';
+import type {ServiceHedging} from './service-hedging.ts';
 import type {WindowedRetryBudget} from './windowed-retry-budget.ts';
 import type {WireCodec} from './wire-codec.ts';
 
@@ -38,8 +39,12 @@
 	readonly selectInstance: (query: InstanceQuery) => Promise<SelectedInstance | Exclude<Placement, {kind: 'place'}>>;
 	/** The retries of the service. */
 	readonly retryBudget: WindowedRetryBudget;
+	/** Decides on second attempts of late calls of the service. */
+	readonly hedging: ServiceHedging;
 	/** Called when an instance has sent nothing for too long, with what was done about it. */
 	readonly onSilence?: (result: string) => void;
+	/** Called when a call is late, with what was done about it, and when one of two attempts of a late call answers. */
+	readonly onHedge?: (result: string) => void;
 	/** Called once when the call has ended; the reason is undefined if the outcome tells enough. */
 	readonly onEnd: (outcome: string, ms: number, reason: string | undefined) => void;
 };
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -56,9 +56,8 @@
 			mayRepeat: () => this.canRetryElsewhere() && !this.promptCheck.isHeld,
 			selectInstance: async () => this.selectInstance(),
 			isUnderWay: attempt => this.attempts.has(attempt),
-			startAttempt: selection => {
-				this.startAttempt(selection);
-			},
+			isAlone: () => this.attempts.isAlone,
+			startAttempt: selection => this.startAttempt(selection),
 		});
 		this.expiresAtMs = call.receivedAtMs + Math.min(route.timeoutMs, call.headers.deadlineMs ?? route.timeoutMs);
 		this.timeout = new CallTimeout({
@@ -244,7 +243,7 @@
 		}
 	}
 
-	private startAttempt({instance, predictedMs, version, startTimeLeftMs}: SelectedInstance): void {
+	private startAttempt({instance, predictedMs, version, startTimeLeftMs}: SelectedInstance): UpstreamAttempt {
 		const {call, boundary, route, holder, writer, codec, tracker, buffers, clock} = this.options;
 		this.tried.add(instance.id);
 		this.version = version;
@@ -272,12 +271,14 @@
 			tracker,
 			buffers,
 			clock,
+			firstByte: this.hedge.watchFirstByte(predictedMs, () => attempt),
 			stallTimeoutsMs: findStallTimeouts(route.kind),
 			onSilent: isFirstReport => {
 				this.hedge.handleSilence(attempt, isFirstReport);
 			},
 			isAlone: () => this.attempts.isAlone,
 			onAnswering: () => {
+				this.hedge.handleAnswering(attempt);
 				this.attempts.keepOnly(attempt);
 			},
 			onBroken: () => {
@@ -296,6 +297,7 @@
 		});
 		this.attempts.add(attempt);
 		attempt.start();
+		return attempt;
 	}
 
 	/** Whether the call may be sent to another instance although the current one may still respond. */
@@ -315,10 +317,11 @@
 			return;
 		}
 
-		const {route, writer, retryBudget} = this.options;
+		const {route, writer, retryBudget, hedging} = this.options;
 		if (outcome.kind === 'not-run') {
 			this.possibleRuns--;
 			this.refusals++;
+			hedging.recordRefusal(performance.now());
 		}
 
 		this.upstreamError = attempt.buffered ?? this.upstreamError;
--- a/src/forwarding/hedge.ts
+++ b/src/forwarding/hedge.ts
@@ -1,7 +1,12 @@
-/** Sends a call to a second instance while the first one is silent. The call leaves neither before one of them answers. */
+/**
+ * Sends a call to a second instance while the first one is silent, or later than almost all answers of its kind. The call leaves neither
+ * before one of them answers.
+ */
 import type {RouteKind} from '../directory/directory-types.ts';
 import type {SelectedInstance} from '../placement/instance-query.ts';
+import {FirstByteWatch} from './first-byte-watch.ts';
 import type {ForwardedCallOptions} from './forwarded-call-options.ts';
+import type {AttemptClass} from './service-hedging.ts';
 import type {UpstreamAttempt} from './upstream-attempt.ts';
 import type {AnswerProgress} from './upstream-attempt-options.ts';
 
@@ -18,14 +23,28 @@
 }
 
 /** The call, and the functions that it supplies. */
-export type HedgeOptions = Pick<ForwardedCallOptions, 'call' | 'boundary' | 'tracker' | 'crashes' | 'retryBudget' | 'log' | 'onSilence'> & {
+export type HedgeOptions = Pick<ForwardedCallOptions, 'call' | 'route' | 'boundary' | 'clock' | 'writer' | 'tracker' | 'crashes' | 'retryBudget' | 'hedging' | 'log' | 'onSilence' | 'onHedge'> & {
 	readonly progress: AnswerProgress;
 	/** Returns whether the call may run once more. */
 	readonly mayRepeat: () => boolean;
 	readonly selectInstance: () => ReturnType<ForwardedCallOptions['selectInstance']>;
 	/** Returns whether an attempt is under way. */
 	readonly isUnderWay: (attempt: UpstreamAttempt) => boolean;
-	readonly startAttempt: (selection: SelectedInstance) => void;
+	/** Returns whether no other attempt is under way. */
+	readonly isAlone: () => boolean;
+	readonly startAttempt: (selection: SelectedInstance) => UpstreamAttempt;
+};
+
+/** Why another instance is looked for, and what that depends on. */
+type Trigger = {
+	/** Returns whether the reason still applies. */
+	readonly applies: () => boolean;
+	/** Returns what speaks against the selected instance; undefined if nothing does. */
+	readonly findObstacle: (selection: SelectedInstance) => string | undefined;
+	/** Takes what the second attempt costs; returns false if it is exhausted. */
+	readonly tryTake: () => boolean;
+	readonly onSent: (second: UpstreamAttempt) => void;
+	readonly report: (result: string, selected?: string) => void;
 };
 
 /** Looks for further instances for one call. */
@@ -33,10 +52,29 @@
 	private isLooking = false;
 	/** What was reported last of the silence of each attempt. */
 	private readonly lastResults = new WeakMap<UpstreamAttempt, string>();
+	/** The second attempt of a late call, until one of its attempts answers. */
+	private second: UpstreamAttempt | undefined;
 
 	/** @param options - the call and its functions */
 	constructor(private readonly options: HedgeOptions) {}
 
+	/**
+	 * Starts to watch whether the first byte of an attempt is late.
+	 *
+	 * @param predictedMs - the forecast of the attempt, in milliseconds; 0 if there is none
+	 * @param getAttempt - returns the attempt; not called before this method has returned
+	 */
+	watchFirstByte(predictedMs: number, getAttempt: () => UpstreamAttempt): FirstByteWatch {
+		const {hedging, call, route, clock, boundary} = this.options;
+		const attemptClass = {route, promptTokens: call.headers.promptTokens, predictedMs};
+		const watch: FirstByteWatch = new FirstByteWatch({
+			hedging, attemptClass, clock, boundary, onLate: () => {
+				this.handleLate(getAttempt(), watch, attemptClass);
+			},
+		});
+		return watch;
+	}
+
 	/**
 	 * Sends the call to another instance, too, if that is allowed and one has a place.
 	 *
@@ -44,13 +82,13 @@
 	 * @param isFirstReport - whether this silence was not reported before
 	 */
 	handleSilence(silent: UpstreamAttempt, isFirstReport: boolean): void {
-		const {tracker, crashes, call, boundary, retryBudget, mayRepeat} = this.options;
+		const {tracker, crashes, call, retryBudget, mayRepeat} = this.options;
 		if (isFirstReport) {
 			this.lastResults.delete(silent);
 		}
 
 		if (!mayRepeat()) {
-			this.report(silent, 'may_not_run_again');
+			this.reportSilence(silent, 'may_not_run_again');
 			return;
 		}
 
@@ -64,15 +102,67 @@
 		}
 
 		if (!retryBudget.hasRetry) {
-			this.report(silent, 'no_retry_left');
+			this.reportSilence(silent, 'no_retry_left');
+			return;
+		}
+
+		this.look(silent, {
+			applies: () => silent.isSilent,
+			findObstacle: () => undefined,
+			tryTake: () => retryBudget.tryTake(),
+			onSent: () => undefined,
+			report: (result, selected) => {
+				this.reportSilence(silent, result, selected);
+			},
+		});
+	}
+
+	/** Counts which attempt of a late call answers it. */
+	handleAnswering(answering: UpstreamAttempt): void {
+		if (this.second && this.options.isUnderWay(this.second)) {
+			this.options.onHedge?.(answering === this.second ? 'won' : 'cancelled');
+		}
+
+		this.second = undefined;
+	}
+
+	/** Sends a call whose first byte is late to another instance, too, if it is likely to be answered earlier there. */
+	private handleLate(late: UpstreamAttempt, watch: FirstByteWatch, attemptClass: AttemptClass): void {
+		const {hedging, call, mayRepeat, isAlone, writer} = this.options;
+		const applies = () => watch.isLate && isAlone() && !writer.hasStarted;
+		if (this.isLooking || !applies() || !mayRepeat()) {
+			return;
+		}
+
+		const report = (result: string, selected?: string) => {
+			this.reportLate(late, watch, result, selected);
+		};
+
+		const findObstacle = () => hedging.findObstacle(call.headers.model, performance.now());
+		const obstacle = findObstacle();
+		if (obstacle) {
+			report(obstacle);
 			return;
 		}
 
+		this.look(late, {
+			applies,
+			// Other calls may have been sent a second time during the selection.
+			findObstacle: selection => findObstacle() ?? hedging.findSelectionObstacle(attemptClass, watch.waitedMs, selection, performance.now()),
+			tryTake: () => hedging.tryTake(performance.now()),
+			onSent: second => {
+				this.second = second;
+			},
+			report,
+		});
+	}
+
+	private look(first: UpstreamAttempt, trigger: Trigger): void {
 		this.isLooking = true;
-		void boundary.runAsync('select', async () => {
+		void this.options.boundary.runAsync('select', async () => {
 			try {
-				const {result, selected} = await this.trySecond(silent);
-				this.report(silent, result, selected);
+				const {result, selected} = await this.trySecond(first, trigger);
+				trigger.report(result, selected);
 			} finally {
 				this.isLooking = false;
 			}
@@ -80,11 +170,11 @@
 	}
 
 	/** Returns what came of it, for the log, and the ID of the second instance. */
-	private async trySecond(silent: UpstreamAttempt): Promise<{result: string; selected?: string}> {
-		const {progress, mayRepeat, selectInstance, isUnderWay, retryBudget, startAttempt} = this.options;
+	private async trySecond(first: UpstreamAttempt, trigger: Trigger): Promise<{result: string; selected?: string}> {
+		const {progress, mayRepeat, selectInstance, isUnderWay, startAttempt} = this.options;
 		const {version} = progress;
 		const selection = await selectInstance();
-		if (!isUnderWay(silent) || !silent.isSilent || progress.version !== version || !mayRepeat()) {
+		if (!isUnderWay(first) || !trigger.applies() || progress.version !== version || !mayRepeat()) {
 			return {result: 'not_wanted_any_more'};
 		}
 
@@ -92,16 +182,21 @@
 			return {result: selection.reason};
 		}
 
-		if (!retryBudget.tryTake()) {
+		const obstacle = trigger.findObstacle(selection);
+		if (obstacle) {
+			return {result: obstacle};
+		}
+
+		if (!trigger.tryTake()) {
 			return {result: 'no_retry_left'};
 		}
 
-		startAttempt(selection);
+		trigger.onSent(startAttempt(selection));
 		return {result: 'sent', selected: selection.instance.id};
 	}
 
 	/** Reports what was done about a silence, unless that is the same as before. */
-	private report(silent: UpstreamAttempt, result: string, selected?: string): void {
+	private reportSilence(silent: UpstreamAttempt, result: string, selected?: string): void {
 		const {log, call, onSilence} = this.options;
 		if (this.lastResults.get(silent) === result) {
 			return;
@@ -113,4 +208,13 @@
 			event: 'send_silent', id: call.headers.attemptId, instance: silent.instance.id, result, selected, ...silent.timing,
 		}, 'an instance has sent nothing for too long');
 	}
+
+	/** Reports what was done about a late first byte. */
+	private reportLate(late: UpstreamAttempt, watch: FirstByteWatch, result: string, selected?: string): void {
+		const {log, call, onHedge} = this.options;
+		onHedge?.(result);
+		log.info({
+			event: 'send_late', id: call.headers.attemptId, instance: late.instance.id, result, selected, lateAfterMs: Math.round(watch.lateAfterMs), ...late.timing,
+		}, 'the first byte of an answer takes longer than almost all others');
+	}
 }
--- a/src/forwarding/start-deadline.ts
+++ b/src/forwarding/start-deadline.ts
@@ -8,6 +8,8 @@
 
 /** The time until which one call may start; it depends on the announced versions and on how late this process runs. */
 export class StartDeadline {
+	/** How long the call could start when it was sent, in milliseconds. */
+	readonly windowMs: number;
 	private timeout: InputTimeout | undefined;
 	private isStopped = false;
 
@@ -17,6 +19,7 @@
 	 * @param boundary - runs the timers
 	 */
 	constructor(private readonly timeLeftMs: () => number, private readonly onPassed: () => void, private readonly boundary: CallBoundary) {
+		this.windowMs = timeLeftMs();
 		this.check();
 	}
 
--- a/src/forwarding/upstream-attempt-options.ts
+++ b/src/forwarding/upstream-attempt-options.ts
@@ -5,6 +5,7 @@
 import type {InstanceTracker} from '../placement/instance-tracker.ts';
 import type {CallBoundary} from './call-boundary.ts';
 import type {AttemptOutcome} from './decide-next-step.ts';
+import type {FirstByteWatch} from './first-byte-watch.ts';
 import type {ReceivedCall} from './received-call.ts';
 import type {ResponseBuffers} from './response-buffers.ts';
 import type {ResponseWriter} from './response-writer.ts';
@@ -42,6 +43,8 @@
 	readonly buffers: ResponseBuffers;
 	/** Stall timeouts before the first byte and between further bytes, in milliseconds. */
 	readonly stallTimeoutsMs: {readonly first: number; readonly next: number};
+	/** Measures the time to the first byte. */
+	readonly firstByte: FirstByteWatch;
 	/** Called when the instance has sent nothing for too long, and again from time to time until it sends something. */
 	readonly onSilent: (isFirstReport: boolean) => void;
 	/** Called when the connection broke after the call was sent, before its outcome is reported. */
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -33,7 +33,6 @@
 	private readonly inFlightCall: InFlightCall;
 	private readonly signals: AttemptSignals;
 	private readonly startedAtMs = performance.now();
-	private readonly startWindowMs: number;
 	private readonly silenceWatch: SilenceWatch;
 	private readonly splitter = new EventSplitter();
 	private readonly order: EventOrder;
@@ -51,11 +50,9 @@
 		this.signals = tracker.signals.addAttempt(instance, boundary.wrap('signal', () => {
 			this.handleInstanceClosed();
 		}));
-		const {first, next} = options.stallTimeoutsMs;
 		this.silenceWatch = new SilenceWatch({
-			clock: options.clock, boundary, limitsMs: {first: first + options.predictedMs, next}, onSilent: options.onSilent,
+			clock: options.clock, boundary, limitsMs: {...options.stallTimeoutsMs, first: options.stallTimeoutsMs.first + options.predictedMs}, onSilent: options.onSilent,
 		});
-		this.startWindowMs = options.startTimeLeftMs();
 		this.startDeadline = new StartDeadline(options.startTimeLeftMs, () => {
 			this.report({kind: this.exchange?.isWritten ? 'failed' : 'not-run', reason: 'version_expired'});
 		}, boundary);
@@ -103,8 +100,7 @@
 
 	/** How long the attempt took to begin, beside what was predicted and allowed, and how long the instance has sent nothing. */
 	get timing(): AttemptTiming & Silence {
-		const waitedMs = Math.min(this.firstEventAtMs, performance.now()) - this.startedAtMs;
-		return {...describeAttemptTiming(waitedMs, this.options.predictedMs, this.startWindowMs), ...this.silenceWatch.silence};
+		return {...describeAttemptTiming(Math.min(this.firstEventAtMs, performance.now()) - this.startedAtMs, this.options.predictedMs, this.startDeadline.windowMs), ...this.silenceWatch.silence};
 	}
 
 	/** Aborts the attempt; no outcome is reported afterwards. */
@@ -132,6 +128,8 @@
 		const fault = findHeadFault(status, headers, call.headers.attemptId);
 		if (fault) {
 			this.fail(fault);
+		} else if (!this.isEventStream() && status < firstServerError && !headers.isNotRun) {
+			this.options.firstByte.recordFirstByte();
 		}
 	}
 
@@ -192,6 +190,7 @@
 		if (!this.inFlightCall.hasStarted) {
 			this.firstEventAtMs = nowMs;
 			this.startDeadline.stop();
+			this.options.firstByte.recordFirstByte();
 			tracker.inFlight.markStarted(this.inFlightCall);
 			tracker.recordFirstEvent(instance.id, nowMs - this.startedAtMs, predictedMs);
 		} else if (nowMs - this.firstEventAtMs >= survivedAfterMs) {
@@ -341,6 +340,7 @@
 	private close(): void {
 		this.isFinished = true;
 		this.silenceWatch.stop();
+		this.options.firstByte.stop();
 		this.startDeadline.stop();
 		this.options.tracker.inFlight.remove(this.inFlightCall);
 		this.signals.end();
--- a/src/forwarding/windowed-retry-budget.ts
+++ b/src/forwarding/windowed-retry-budget.ts
@@ -5,6 +5,8 @@
  * ever known, so that gateways that are partitioned from each other also stay within the limit.
  */
 
+import {dropBefore} from './hedge-limit.ts';
+
 /** The configured limit. */
 export type RetryBudgetOptions = {
 	/** Retries allowed per call. */
@@ -17,6 +19,9 @@
 /** Share of the limit that is used, as a margin: gateways do not see each other's calls. */
 const usableShare = 0.7;
 
+/** Share of the retries that attempts may use which no failure requires, so that the rest is left for calls that fail. */
+const spareShare = 0.5;
+
 /**
  * Returns how many retries the limit allows one gateway per window; only whole ones are made.
  *
@@ -50,6 +55,12 @@
 		return this.retries.length + 1 <= allowedRetries(this.options, this.calls.length, this.gatewayCount());
 	}
 
+	/** Whether more retries are left than failed calls may need. */
+	get hasSpareRetry(): boolean {
+		this.dropExpired();
+		return this.retries.length + 1 <= spareShare * allowedRetries(this.options, this.calls.length, this.gatewayCount());
+	}
+
 	/** Takes one retry; returns false if the budget is exhausted. */
 	tryTake(): boolean {
 		const {hasRetry} = this;
@@ -62,9 +73,7 @@
 
 	private dropExpired(): void {
 		const fromMs = performance.now() - this.options.windowMs;
-		for (const times of [this.calls, this.retries]) {
-			const firstKept = times.findIndex(time => time >= fromMs);
-			times.splice(0, firstKept === -1 ? times.length : firstKept);
-		}
+		dropBefore(this.calls, fromMs);
+		dropBefore(this.retries, fromMs);
 	}
 }
--- a/src/placement/instance-query.ts
+++ b/src/placement/instance-query.ts
@@ -25,6 +25,8 @@
 	readonly instance: Instance;
 	/** Predicted time to the first event, in milliseconds. */
 	readonly predictedMs: number;
+	/** Whether the instance can begin the call at once, as far as its load is known. */
+	readonly hasFreeSlot: boolean;
 	/** Version of the model that the instance holds. */
 	readonly version: number | undefined;
 	/** Returns how long calls may still start on this version, in milliseconds; infinite unless a newer version was announced. */
--- a/src/placement/instance-selector.ts
+++ b/src/placement/instance-selector.ts
@@ -92,10 +92,10 @@
 	/** Reserves what the chosen instance needs, or tells the caller when an instance is expected to open again. */
 	private settle(choice: Choice, query: InstanceQuery, {counts, barriers}: Sample): SelectedInstance | Refusal {
 		const {tracker, random} = this.options;
-		const {placement, instances, candidates} = choice;
+		const {placement, candidates} = choice;
 		this.logPlacement(choice, query, counts.size, barriers);
 		if (placement.kind === 'place') {
-			const selection = this.createSelection(placement, instances, query.headers.model);
+			const selection = this.createSelection(placement, choice, query.headers.model);
 			tracker.signals.reserveTrial(selection.instance);
 			return selection;
 		}
@@ -177,12 +177,13 @@
 		};
 	}
 
-	private createSelection({id, predictedMs}: Extract<Placement, {kind: 'place'}>, instances: readonly Instance[], model: string | undefined): SelectedInstance {
+	private createSelection({id, predictedMs}: Extract<Placement, {kind: 'place'}>, {instances, candidates}: Choice, model: string | undefined): SelectedInstance {
 		const {versionExpiry} = this.options;
 		const instance = instances.find(item => item.id === id)!;
 		const held = findHeldModel(instance, model);
+		const hasFreeSlot = candidates.some(candidate => candidate.id === id && candidate.load.calls < candidate.slots);
 		return {
-			instance, predictedMs, version: held?.version, startTimeLeftMs: () => (held ? versionExpiry.timeLeftMs(held) : Number.POSITIVE_INFINITY),
+			instance, predictedMs, hasFreeSlot, version: held?.version, startTimeLeftMs: () => (held ? versionExpiry.timeLeftMs(held) : Number.POSITIVE_INFINITY),
 		};
 	}
 
--- a/src/placement/version-expiry.ts
+++ b/src/placement/version-expiry.ts
@@ -26,6 +26,16 @@
 		return this.timeLeftMs(held) > 0;
 	}
 
+	/**
+	 * Returns whether instances may be changing the version of a model, because its newest one was announced a short time ago.
+	 *
+	 * @param model - the model
+	 */
+	isChanging(model: string): boolean {
+		const newest = this.directory.versionsOf(model).at(-1);
+		return newest !== undefined && performance.now() - newest.latestMs < this.versionBoundMs;
+	}
+
 	/**
 	 * Returns how long calls may still start on a version, in milliseconds: infinite if no newer version was announced, and minus infinity
 	 * if it is unknown when, since the version may have expired.
--- a/src/reports/forwarding-metrics.ts
+++ b/src/reports/forwarding-metrics.ts
@@ -6,7 +6,9 @@
 import type {LatencyRecorder, Metrics} from './metrics.ts';
 
 /** How many combinations of labels a metric has at most: services are published, and reasons hold codes of the system. */
-const maxSeries = {ends: 500, latencies: 200, silences: 100};
+const maxSeries = {
+	ends: 500, latencies: 200, silences: 100, hedges: 200,
+};
 
 /** What a reason may consist of; it excludes addresses and texts of errors. */
 const reasonPattern = /^[\w ]{1,40}$/;
@@ -19,6 +21,7 @@
 	private readonly countEnd: (labels: Readonly<Record<'service' | 'kind' | 'outcome' | 'reason', string>>) => void;
 	private readonly observeMs: (labels: Readonly<Record<'service' | 'kind' | 'outcome', string>>, ms: number) => void;
 	private readonly countSilence: (labels: Readonly<Record<'service' | 'result', string>>) => void;
+	private readonly countHedge: (labels: Readonly<Record<'service' | 'result', string>>) => void;
 	private readonly incrementCrashes: (service: string) => void;
 	private readonly incrementFaults: (phase: string) => void;
 	private readonly latencies: Readonly<Record<RouteKind, LatencyRecorder>>;
@@ -28,6 +31,7 @@
 		this.countEnd = metrics.labelledCounter('cactusreach_forwarded_calls_total', 'Forwarded calls by their end.', ['service', 'kind', 'outcome', 'reason'], maxSeries.ends);
 		this.observeMs = metrics.latencyHistogram('cactusreach_call_ms', 'Time of calls from their headers to the end of their answer.', ['service', 'kind', 'outcome'], maxSeries.latencies);
 		this.countSilence = metrics.labelledCounter('cactusreach_silent_sends_total', 'Silences of upstreams by what was done about them.', ['service', 'result'], maxSeries.silences);
+		this.countHedge = metrics.labelledCounter('cactusreach_late_sends_total', 'Late calls by what was done about them, and second attempts by how they ended.', ['service', 'result'], maxSeries.hedges);
 		this.incrementCrashes = metrics.counter('cactusreach_upstream_crashes_total', 'Crashes of upstreams that broke off calls of this process.', 'service');
 		this.incrementFaults = metrics.counter('cactusreach_call_faults_total', 'Exceptions in the code of calls, each of which ended one call.', 'phase');
 		this.latencies = {
@@ -56,6 +60,15 @@
 		this.countSilence({service, result: boundReason(result)});
 	}
 
+	/**
+	 * Records what was done about a late call, or how its second attempt ended.
+	 *
+	 * @param result - `sent`, `won`, `cancelled`, or why no second attempt was made
+	 */
+	recordHedge(service: ServiceId, result: string): void {
+		this.countHedge({service, result: boundReason(result)});
+	}
+
 	/** Records an exception in the code of a call. */
 	recordFault(phase: CallPhase): void {
 		this.incrementFaults(phase);
--- a/src/settings/direct-settings.ts
+++ b/src/settings/direct-settings.ts
@@ -35,6 +35,9 @@
 	version_bound_ms: positiveAmount(8000),
 };
 
+/** The largest share of calls that may be sent a second time because they are late. */
+const maxHedgeRatio = 0.2;
+
 /** Settings of a gateway process. */
 export const gatewaySettingsSchema = z.strictObject({
 	process: processSection,
@@ -55,6 +58,8 @@
 		retry_ratio: amount(0.1),
 		/** Additional retries allowed per window, over all gateways. */
 		retry_slack: amount(50),
+		/** Second attempts of late calls that are allowed per call of a service, over all gateways; 0 turns them off. */
+		hedge_ratio: amount(0).refine(ratio => ratio <= maxHedgeRatio, `must be at most ${maxHedgeRatio}`),
 		retry_window_s: positiveAmount(10),
 		/** How long new calls are still accepted after SIGTERM, so that load balancers can notice the shutdown, in milliseconds. */
 		drain_notice_ms: amount(2500),
--- /dev/null
+++ b/test/hedge.test.ts
@@ -0,0 +1,374 @@
+/** Second attempts of late calls: when they are made, that they stay within their limit, and what callers and instances see of them. */
+import type http from 'node:http';
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {
+	findObstacle, findSelectionObstacle, type HedgeConditions, type HedgeSelection,
+} from '../src/forwarding/decide-hedge.ts';
+import {HedgeLimit} from '../src/forwarding/hedge-limit.ts';
+import {LatencyHistory} from '../src/forwarding/latency-history.ts';
+import {ServiceHedging} from '../src/forwarding/service-hedging.ts';
+import {WindowedRetryBudget} from '../src/forwarding/windowed-retry-budget.ts';
+import type {Route} from '../src/directory/directory-types.ts';
+import {createServiceId} from '../src/ids/service-id.ts';
+import {
+	callGateway, sendSignedResponse, startTestGateway, startUpstream, testConfiguration, type TestGateway, testInstance, testRoute, type TestUpstream, type UpstreamHandler,
+} from './support/direct-fixtures.ts';
+import {waitFor} from './support/fleet.ts';
+
+const windowMs = 10_000;
+
+/** Calls that are sent before one is late, so that the usual times are known. */
+const primingCalls = 48;
+
+const closers: Array<() => void> = [];
+
+afterEach(() => {
+	for (const close of closers.splice(0)) {
+		close();
+	}
+});
+
+function createHedging(ratio = 0.05): ServiceHedging {
+	const retryBudget = new WindowedRetryBudget({ratio: 0.2, slack: 100, windowMs}, () => 1);
+	return new ServiceHedging({
+		service: 'desk', history: new LatencyHistory(), retryBudget, windowMs, ratio: () => ratio, isChangingVersion: () => false,
+	});
+}
+
+const plainClass = {route: testRoute({kind: 'idempotent'}), promptTokens: 0, predictedMs: 0};
+
+/** Records times as measured at calls that arrive every 20 ms, and returns how many of them were late. */
+function countLate(hedging: ServiceHedging, times: readonly number[], fromMs = 0): number {
+	let late = 0;
+	for (const [at, ms] of times.entries()) {
+		const nowMs = fromMs + (at * 20);
+		late += Number(ms > (hedging.findLateAfterMs(plainClass, nowMs) ?? Number.POSITIVE_INFINITY));
+		hedging.recordFirstByte(plainClass, ms, nowMs);
+	}
+
+	return late;
+}
+
+/** Times that vary evenly between 80 and 120 ms. */
+const evenTimes = Array.from({length: 1000}, (_, at) => 80 + (at * 17 % 41));
+
+const quietConditions: HedgeConditions = {
+	refusedBeforeMs: Number.POSITIVE_INFINITY, isChangingVersion: false, isWithinLimit: true, hasSpareRetry: true,
+};
+
+const goodSelection: HedgeSelection = {
+	waitedMs: 300, usualMs: 100, secondMs: 100, hasFreeSlot: true, instanceAgeMs: 60_000,
+};
+
+it('guards against extra work where it helps nobody: while all calls take about as long, none counts as late', () => {
+	expect(countLate(createHedging(), evenTimes)).to.equal(0);
+});
+
+it('guards against a tail that is left alone: while a few calls in a hundred take far longer, these count as late and no others', () => {
+	const hedging = createHedging();
+	const times = evenTimes.map((ms, at) => (at % 50 === 49 ? 1000 : ms));
+	expect(countLate(hedging, times)).to.be.within(18, 20);
+});
+
+it('guards against a flood of second attempts when everything becomes slow: the delay follows', () => {
+	const hedging = createHedging();
+	countLate(hedging, evenTimes);
+	const fromMs = evenTimes.length * 20;
+	const slowTimes = evenTimes.map(ms => ms * 8);
+	expect(countLate(hedging, slowTimes.slice(0, 200), fromMs)).to.be.below(60);
+	expect(countLate(hedging, slowTimes.slice(200), fromMs + (200 * 20))).to.be.below(800 * 0.03);
+});
+
+it('guards against an estimate that its own effect lowers: late attempts that were cancelled count with the time that they have taken', () => {
+	const hedging = createHedging();
+	countLate(hedging, evenTimes);
+	const before = hedging.findLateAfterMs(plainClass, 20_000)!;
+	for (let at = 0; at < 200; at++) {
+		const nowMs = 20_000 + (at * 20);
+		hedging.recordFirstByte(plainClass, at % 5 === 0 ? hedging.findLateAfterMs(plainClass, nowMs)! : 100, nowMs);
+	}
+
+	expect(hedging.findLateAfterMs(plainClass, 24_000)).to.be.at.least(before);
+});
+
+it('guards against a delay that is taken from another kind, size or forecast: classes are separate, and unknown ones have none', () => {
+	const hedging = createHedging();
+	const streamClass = {route: testRoute({kind: 'stream', prefix: '/s/'}), promptTokens: 1000, predictedMs: 200};
+	countLate(hedging, evenTimes);
+	expect(hedging.findLateAfterMs(streamClass, 0)).to.equal(undefined);
+	for (let at = 0; at < 100; at++) {
+		hedging.recordFirstByte(streamClass, 200, at);
+	}
+
+	expect(hedging.findLateAfterMs({...streamClass, predictedMs: 400}, 100)! / hedging.findLateAfterMs(streamClass, 100)!).to.be.closeTo(2, 0.01);
+	expect(hedging.findLateAfterMs({...streamClass, promptTokens: 5000}, 100)).to.equal(hedging.findLateAfterMs(streamClass, 100));
+	expect(hedging.findLateAfterMs({...streamClass, route: testRoute({prefix: '/t/'})}, 100)).to.equal(undefined);
+});
+
+it('guards against memory that grows with routes, and times of the past: classes are bounded, and a class without calls is forgotten', () => {
+	const history = new LatencyHistory();
+	for (let at = 0; at < 5000; at++) {
+		history.record(`route-${at}`, at, at);
+	}
+
+	expect(history.size).to.equal(256);
+	for (let at = 0; at < 100; at++) {
+		history.record('route', 100, 5000);
+	}
+
+	expect(history.quantilesOf('route', 5000)?.usual).to.be.within(100, 116);
+	expect(history.quantilesOf('route', 305_000)).to.equal(undefined);
+});
+
+it('guards against second attempts that make an overload or a rollout worse: each condition turns them off by itself', () => {
+	expect(findObstacle(quietConditions)).to.equal(undefined);
+	expect(findObstacle({...quietConditions, refusedBeforeMs: 500})).to.equal('overloaded');
+	expect(findObstacle({...quietConditions, isChangingVersion: true})).to.equal('version_changing');
+	expect(findObstacle({...quietConditions, isWithinLimit: false})).to.equal('hedge_limit');
+	expect(findObstacle({...quietConditions, hasSpareRetry: false})).to.equal('retries_short');
+	expect(findSelectionObstacle(goodSelection)).to.equal(undefined);
+	expect(findSelectionObstacle({...goodSelection, hasFreeSlot: false})).to.equal('no_free_slot');
+	expect(findSelectionObstacle({...goodSelection, instanceAgeMs: 1000})).to.equal('instance_new');
+	expect(findSelectionObstacle({...goodSelection, secondMs: 190})).to.equal('not_earlier');
+});
+
+it('guards against second attempts after a refusal: the service counts as overloaded for a while, and not for longer', () => {
+	const hedging = createHedging();
+	for (let at = 0; at < 100; at++) {
+		hedging.recordCall(at);
+	}
+
+	expect(hedging.findObstacle(undefined, 100)).to.equal(undefined);
+	hedging.recordRefusal(100);
+	expect(hedging.findObstacle(undefined, 2000)).to.equal('overloaded');
+	expect(hedging.findObstacle(undefined, 2200)).to.equal(undefined);
+});
+
+it('guards against second attempts that take the retries of failed calls: half of the budget is left for these', () => {
+	const hedging = createHedging(0.2);
+	for (let at = 0; at < 1000; at++) {
+		hedging.recordCall(at);
+	}
+
+	let taken = 0;
+	while (hedging.findObstacle(undefined, 1000) === undefined) {
+		expect(hedging.tryTake(1000)).to.equal(true);
+		taken++;
+	}
+
+	// The retry budget allows 70 retries: 0.7 of its slack, since it counts no calls here.
+	expect(taken).to.equal(35);
+	expect(hedging.findObstacle(undefined, 1000)).to.equal('retries_short');
+});
+
+it('guards against extra work beyond the limit: for any sequence of calls, all gateways together stay within the share, in total and in each window that ends with a second attempt', () => {
+	const step = fc.record({
+		gateway: fc.nat({max: 4}), elapsedMs: fc.nat({max: 4000}), calls: fc.nat({max: 30}), late: fc.nat({max: 30}),
+	});
+	fc.assert(fc.property(fc.array(step, {maxLength: 80}), fc.double({min: 0, max: 0.2, noNaN: true}), (steps, ratio) => {
+		const gateways = Array.from({length: 5}, () => ({limit: new HedgeLimit(windowMs), calls: [] as number[], sent: [] as number[]}));
+		let nowMs = 0;
+		for (const {gateway, elapsedMs, calls: callCount, late} of steps) {
+			const {limit, calls, sent} = gateways[gateway]!;
+			nowMs += elapsedMs;
+			const fromMs = nowMs - windowMs;
+			for (let at = 0; at < callCount; at++) {
+				limit.recordCall(nowMs);
+				calls.push(nowMs);
+			}
+
+			for (let at = 0; at < late && limit.allows(ratio, nowMs); at++) {
+				limit.recordSent(nowMs);
+				sent.push(nowMs);
+				expect(countSince(sent, fromMs)).to.be.at.most(countSince(calls, fromMs) * ratio);
+			}
+
+			const total = (name: 'calls' | 'sent') => gateways.reduce((sum, item) => sum + item[name].length, 0);
+			expect(total('sent')).to.be.at.most(total('calls') * ratio);
+		}
+	}));
+});
+
+function countSince(times: readonly number[], fromMs: number): number {
+	return times.filter(time => time >= fromMs).length;
+}
+
+/** `cancelled` has the instances whose requests were closed before their response. */
+type Fleet = {readonly gateway: TestGateway; readonly upstreams: readonly TestUpstream[]; readonly results: string[]; readonly cancelled: readonly number[]};
+
+type FleetOptions = {readonly route?: Partial<Route>; readonly hedgeRatio?: number};
+
+/** Starts a gateway and two instances of a plain service or of engines. */
+async function startFleet(handlers: readonly UpstreamHandler[], cancelled: readonly number[], {route = {}, hedgeRatio = 0.1}: FleetOptions): Promise<Fleet> {
+	const results: string[] = [];
+	const upstreams = await Promise.all(handlers.map(async handler => startUpstream(handler)));
+	const service = createServiceId(route.kind === 'stream' ? 'models' : 'desk');
+	const held = route.kind === 'stream'
+		? [{
+			model: 'm', version: 1, fromLayer: 0, toLayer: 16,
+		}]
+		: [];
+	const instances = upstreams.map(({address}, at) => testInstance({
+		id: `i-${at}`, address, service, slots: 16, held,
+	}));
+	const gateway = await startTestGateway(testConfiguration(1, {
+		kind: 'idempotent', timeoutMs: 4000, aimMs: 1000, targets: [{service, weight: 1}], ...route,
+	}), instances, {
+		hedgeRatio, onHedge(result) {
+			results.push(result);
+		},
+	});
+	closers.push(() => {
+		gateway.close();
+		for (const upstream of upstreams) {
+			upstream.close();
+		}
+	});
+	return {
+		gateway, upstreams, results, cancelled,
+	};
+}
+
+async function call({gateway}: Fleet, path: string, headers: Record<string, string> = {}) {
+	return callGateway(gateway.url, {path, headers: {'attempt-id': path, 'deadline-ms': '4000', ...headers}});
+}
+
+/** Sends calls that take the usual time, one after another. */
+async function prime(fleet: Fleet, headers: Record<string, string> = {}): Promise<void> {
+	for (let at = 0; at < primingCalls; at++) {
+		await call(fleet, '/p/usual', headers);
+	}
+
+	fleet.results.splice(0);
+}
+
+type Respond = (req: http.IncomingMessage, res: http.ServerResponse, at: number) => void;
+
+/** Starts two instances of which the one that gets the first attempt of a late call takes `firstMs`, and the other one `secondMs`. */
+async function startLateFleet({firstMs, secondMs, respond}: {firstMs: number; secondMs: number; respond: Respond}, options: FleetOptions = {}): Promise<Fleet> {
+	let lateAttempts = 0;
+	const cancelled: number[] = [];
+	const handlers = [0, 1].map((at): UpstreamHandler => (req, res) => {
+		const isLate = req.url === '/p/late';
+		lateAttempts += Number(isLate);
+		res.on('close', () => {
+			if (!res.writableFinished) {
+				cancelled.push(at);
+			}
+		});
+		setTimeout(() => {
+			if (!res.destroyed) {
+				respond(req, res, at);
+			}
+		}, isLate ? (lateAttempts === 1 ? firstMs : secondMs) : 10);
+	});
+	return startFleet(handlers, cancelled, options);
+}
+
+const respondPlain: Respond = (req, res, at) => {
+	sendSignedResponse(req, res, 200, `answer of ${at}`);
+};
+
+function lateRequests({upstreams}: Fleet) {
+	return upstreams.flatMap(({requests}) => requests.filter(({url}) => url === '/p/late'));
+}
+
+function countInFlight({gateway}: Fleet): number {
+	return ['i-0', 'i-1'].reduce((sum, id) => sum + gateway.tracker.inFlight.countsAt(id).calls, 0);
+}
+
+it('guards against two answers, and work that goes on for nobody: the slower attempt of a late call is cancelled at once, and the caller gets one whole answer', async () => {
+	const fleet = await startLateFleet({firstMs: 350, secondMs: 10, respond: respondPlain});
+	await prime(fleet);
+	const startedAtMs = performance.now();
+	const response = await call(fleet, '/p/late');
+	const elapsedMs = performance.now() - startedAtMs;
+	expect(lateRequests(fleet)).to.have.lengthOf(2);
+	expect(response).to.include({status: 200, complete: true});
+	expect(elapsedMs).to.be.below(350);
+	expect(countInFlight(fleet)).to.equal(0);
+	expect(fleet.results).to.deep.equal(['sent', 'won']);
+	await waitFor('the slower attempt is closed', () => fleet.cancelled.length > 0);
+	expect(fleet.cancelled).to.deep.equal([response.body === 'answer of 0' ? 1 : 0]);
+});
+
+it('guards against a second attempt that replaces an answer: the first one answers if it is earlier, and the second one is cancelled', async () => {
+	const fleet = await startLateFleet({firstMs: 200, secondMs: 350, respond: respondPlain});
+	await prime(fleet);
+	const response = await call(fleet, '/p/late');
+	expect(lateRequests(fleet)).to.have.lengthOf(2);
+	expect(response).to.include({status: 200, complete: true});
+	expect(countInFlight(fleet)).to.equal(0);
+	expect(fleet.results).to.deep.equal(['sent', 'cancelled']);
+});
+
+it('guards against an error that hides an answer: if the second attempt fails, the caller gets the answer of the first one', async () => {
+	const fleet = await startLateFleet({
+		firstMs: 300, secondMs: 10, respond(req, res, at) {
+			const isSecond = req.url === '/p/late' && countInFlight(fleet) === 2;
+			sendSignedResponse(req, res, isSecond ? 500 : 200, `answer of ${at}`);
+		},
+	});
+	await prime(fleet);
+	const response = await call(fleet, '/p/late');
+	expect(lateRequests(fleet)).to.have.lengthOf(2);
+	expect(response).to.include({status: 200, complete: true});
+	expect(fleet.results).to.deep.equal(['sent']);
+});
+
+it('guards against a silent instance that is waited for: without known times, the silence itself leads to a second attempt, and is not limited with those of late calls', async () => {
+	const fleet = await startLateFleet({firstMs: 2000, secondMs: 10, respond: respondPlain}, {hedgeRatio: 0});
+	const startedAtMs = performance.now();
+	expect(await call(fleet, '/p/late')).to.include({status: 200, complete: true});
+	expect(performance.now() - startedAtMs).to.be.within(400, 1500);
+	expect(lateRequests(fleet)).to.have.lengthOf(2);
+	expect(fleet.results).to.deep.equal([]);
+});
+
+for (const {title, route, hedgeRatio} of [
+	{title: 'a call that may run only once', route: {kind: 'once'} as const, hedgeRatio: 0.2},
+	{title: 'a call without an attempt left', route: {attempts: 1}, hedgeRatio: 0.2},
+	{title: 'any call unless the operator allows it', route: {}, hedgeRatio: 0},
+	{title: 'a call beyond the limit', route: {}, hedgeRatio: 0.01},
+]) {
+	it(`guards against a second attempt of ${title}`, async () => {
+		const fleet = await startLateFleet({firstMs: 350, secondMs: 10, respond: respondPlain}, {route, hedgeRatio});
+		await prime(fleet);
+		expect(await call(fleet, '/p/late')).to.include({status: 200, complete: true});
+		expect(lateRequests(fleet)).to.have.lengthOf(1);
+		expect(fleet.results).to.deep.equal(hedgeRatio === 0.01 ? ['hedge_limit'] : []);
+	});
+}
+
+const streamRoute: Partial<Route> = {kind: 'stream', isResumable: true};
+const streamHeaders = {model: 'm', 'token-usage': '100,50'};
+
+/** Responds with two events; the second one comes after a pause that is shorter than the stall timeout. */
+function respondStream(pauseMs: number): Respond {
+	return (req, res, at) => {
+		res.writeHead(200, {'attempt-id': req.headers['attempt-id'] as string, 'response-seal': 's.1', 'content-type': 'text/event-stream'});
+		res.write(`id: 1\ndata: t1 of ${at}\n\n`);
+		setTimeout(() => {
+			res.end(`id: 2\ndata: t2 of ${at}\n\n`);
+		}, req.url === '/p/late' ? pauseMs : 0);
+	};
+}
+
+it('guards against a stream of two instances: one that is late before its first event is replaced as a whole', async () => {
+	const fleet = await startLateFleet({firstMs: 800, secondMs: 10, respond: respondStream(50)}, {route: streamRoute});
+	await prime(fleet, streamHeaders);
+	const response = await call(fleet, '/p/late', streamHeaders);
+	expect(fleet.results).to.deep.equal(['sent', 'won']);
+	expect(response).to.include({status: 200, complete: true});
+	expect(response.body.match(/of \d/g)).to.deep.equal(response.body.startsWith('id: 1\ndata: t1 of 0') ? ['of 0', 'of 0'] : ['of 1', 'of 1']);
+});
+
+it('guards against a stream that is replaced after its first event was passed on: a pause in it is not lateness', async () => {
+	const fleet = await startLateFleet({firstMs: 10, secondMs: 10, respond: respondStream(700)}, {route: streamRoute});
+	await prime(fleet, streamHeaders);
+	const response = await call(fleet, '/p/late', streamHeaders);
+	expect(response).to.include({status: 200, complete: true});
+	expect(lateRequests(fleet)).to.have.lengthOf(1);
+	expect(fleet.results).to.deep.equal([]);
+});
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -112,7 +112,7 @@
 export type TestGateway = {readonly directory: Directory; readonly tracker: InstanceTracker; readonly forwarder: CallForwarder; readonly listener: CallerListener; readonly bodies: BodyBudget; readonly quarantine: PromptQuarantine; readonly crashes: readonly Crash[]; readonly faults: {count: number}; readonly url: string; readonly close: () => void};
 
 /** Starts the caller listener of a gateway with the given configuration, instances and header codec. */
-export async function startTestGateway(configuration: PublishedConfiguration | undefined, instances: readonly Instance[], {codec = platformCodec, retrySlack = 100}: {codec?: WireCodec; retrySlack?: number} = {}): Promise<TestGateway> {
+export async function startTestGateway(configuration: PublishedConfiguration | undefined, instances: readonly Instance[], {codec = platformCodec, retrySlack = 100, hedgeRatio = 0, onHedge}: {codec?: WireCodec; retrySlack?: number; hedgeRatio?: number; onHedge?: (result: string) => void} = {}): Promise<TestGateway> {
 	const log = createSilentLogger();
 	const directory = new Directory(log);
 	directory.apply({revision: 1, changes: configuration ? [{revision: 1, change: {kind: 'configuration', configuration}}] : []});
@@ -131,6 +131,9 @@
 	const forwarder = new CallForwarder({
 		directory, codec, tracker, crashes, quarantine, loads: {ask: async () => new Map()}, random: new RandomSource(7), log, zone: 'z',
 		retryBudget: {ratio: 0.2, slack: retrySlack, windowMs: 10_000}, versionBoundMs: 8000, clock: pauses, eventLoopDelayMs: () => 0, gatewayCount: () => 1, onEnd: () => undefined,
+		hedgeRatio: () => hedgeRatio, onHedge(_, result) {
+			onHedge?.(result);
+		},
 	});
 	quarantine.onHeld(() => {
 		forwarder.endHeldCalls();
