--- a/src/forwarding/decide-hedge.ts
+++ b/src/forwarding/decide-hedge.ts
@@ -5,8 +5,11 @@
  */
 import type {LatencyQuantiles} from './latency-history.ts';
 
-/** How much longer than a usual answer of the second instance the first one must be overdue, as a factor. */
-const clearlyEarlierFactor = 1.25;
+/**
+ * For how long a call must be overdue before it counts as late, as a multiple of the usual time of its class. A second attempt that takes the
+ * usual time, or up to a quarter more, then still comes earlier than what is expected of the first one.
+ */
+const overdueFactor = 1.25;
 
 /** How long no late call is sent again after a refusal for lack of capacity, in milliseconds. */
 const refusalMemoryMs = 2000;
@@ -49,7 +52,7 @@
  * The slowest calls count as late, and of them only those that are overdue for longer than a second attempt takes.
  */
 export function findLateAfter({usual, slow}: LatencyQuantiles): number {
-	return Math.max(slow, usual * (1 + clearlyEarlierFactor));
+	return Math.max(slow, usual * (1 + overdueFactor));
 }
 
 /** Returns what speaks against a second attempt of any late call of the service; undefined if nothing does. */
@@ -79,5 +82,5 @@
 		return 'instance_new';
 	}
 
-	return waitedMs - usualMs < secondMs * clearlyEarlierFactor ? 'not_earlier' : undefined;
+	return waitedMs - usualMs < secondMs ? 'not_earlier' : undefined;
 }
--- a/src/forwarding/hedge.ts
+++ b/src/forwarding/hedge.ts
@@ -148,7 +148,8 @@
 		this.look(late, {
 			applies,
 			// Other calls may have been sent a second time during the selection.
-			findObstacle: selection => findObstacle() ?? hedging.findSelectionObstacle(attemptClass, watch.waitedMs, selection, performance.now()),
+			findObstacle: ({instance, predictedMs, hasFreeSlot}) => findObstacle()
+				?? hedging.findSelectionObstacle(attemptClass, watch.waitedMs, {startedAtMs: instance.startedAtMs, predictedMs, hasFreeSlot}, performance.now()),
 			tryTake: () => hedging.tryTake(performance.now()),
 			onSent: second => {
 				this.second = second;
--- a/src/forwarding/service-hedging.ts
+++ b/src/forwarding/service-hedging.ts
@@ -13,7 +13,7 @@
 	readonly service: string;
 	/** Shared by all services, so that its size is bounded. */
 	readonly history: LatencyHistory;
-	readonly retryBudget: WindowedRetryBudget;
+	readonly retryBudget: Pick<WindowedRetryBudget, 'hasSpareRetry' | 'tryTake'>;
 	readonly windowMs: number;
 	/** Returns the second attempts of late calls that are allowed per call; 0 turns them off. */
 	readonly ratio: () => number;
@@ -29,6 +29,9 @@
 	readonly predictedMs: number;
 };
 
+/** The instance that was selected for a second attempt: its wall-clock start, in milliseconds since 1970, and the selection. */
+export type SecondInstance = Pick<Instance, 'startedAtMs'> & Pick<SelectedInstance, 'predictedMs' | 'hasFreeSlot'>;
+
 /** Decides on second attempts of late calls. */
 export class ServiceHedging {
 	private readonly limit: HedgeLimit;
@@ -90,17 +93,17 @@
 	 *
 	 * @param first - the class of the attempt that is late
 	 * @param waitedMs - how long it has waited, in milliseconds
-	 * @param selection - the selected instance
+	 * @param second - the selected instance
 	 * @param nowMs - the time, in milliseconds of the monotonic clock
 	 */
-	findSelectionObstacle(first: AttemptClass, waitedMs: number, {instance, predictedMs, hasFreeSlot}: SelectedInstance, nowMs: number): HedgeObstacle | undefined {
-		const second = {...first, predictedMs};
+	findSelectionObstacle(first: AttemptClass, waitedMs: number, second: SecondInstance, nowMs: number): HedgeObstacle | undefined {
 		return findSelectionObstacle({
 			waitedMs,
 			usualMs: this.findUsualMs(first, nowMs),
-			secondMs: this.findUsualMs(second, nowMs),
-			hasFreeSlot,
-			instanceAgeMs: findAgeMs(instance),
+			secondMs: this.findUsualMs({...first, predictedMs: second.predictedMs}, nowMs),
+			hasFreeSlot: second.hasFreeSlot,
+			// The clocks of two VMs may differ by seconds.
+			instanceAgeMs: Date.now() - second.startedAtMs,
 		});
 	}
 
@@ -140,8 +143,3 @@
 function unitMs({predictedMs}: AttemptClass): number {
 	return predictedMs > 0 ? predictedMs : 1;
 }
-
-/** Returns how long ago an instance started, in milliseconds; clocks of two VMs may differ by seconds. */
-function findAgeMs({startedAtMs}: Instance): number {
-	return Date.now() - startedAtMs;
-}
