--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -55,8 +55,7 @@
 			progress: this.progress,
 			mayRepeat: () => this.canRetryElsewhere() && !this.promptCheck.isHeld,
 			selectInstance: async () => this.selectInstance(),
-			isUnderWay: attempt => this.attempts.has(attempt),
-			isAlone: () => this.attempts.isAlone,
+			attempts: this.attempts,
 			startAttempt: selection => this.startAttempt(selection),
 		});
 		this.expiresAtMs = call.receivedAtMs + Math.min(route.timeoutMs, call.headers.deadlineMs ?? route.timeoutMs);
--- a/src/forwarding/hedge.ts
+++ b/src/forwarding/hedge.ts
@@ -4,6 +4,7 @@
  */
 import type {RouteKind} from '../directory/directory-types.ts';
 import type {SelectedInstance} from '../placement/instance-query.ts';
+import type {CallAttempts} from './call-attempts.ts';
 import {FirstByteWatch} from './first-byte-watch.ts';
 import type {ForwardedCallOptions} from './forwarded-call-options.ts';
 import type {AttemptClass} from './service-hedging.ts';
@@ -28,10 +29,7 @@
 	/** Returns whether the call may run once more. */
 	readonly mayRepeat: () => boolean;
 	readonly selectInstance: () => ReturnType<ForwardedCallOptions['selectInstance']>;
-	/** Returns whether an attempt is under way. */
-	readonly isUnderWay: (attempt: UpstreamAttempt) => boolean;
-	/** Returns whether no other attempt is under way. */
-	readonly isAlone: () => boolean;
+	readonly attempts: Pick<CallAttempts, 'has' | 'isAlone'>;
 	readonly startAttempt: (selection: SelectedInstance) => UpstreamAttempt;
 };
 
@@ -119,7 +117,7 @@
 
 	/** Counts which attempt of a late call answers it. */
 	handleAnswering(answering: UpstreamAttempt): void {
-		if (this.second && this.options.isUnderWay(this.second)) {
+		if (this.second && this.options.attempts.has(this.second)) {
 			this.options.onHedge?.(answering === this.second ? 'won' : 'cancelled');
 		}
 
@@ -128,8 +126,8 @@
 
 	/** Sends a call whose first byte is late to another instance, too, if it is likely to be answered earlier there. */
 	private handleLate(late: UpstreamAttempt, watch: FirstByteWatch, attemptClass: AttemptClass): void {
-		const {hedging, call, mayRepeat, isAlone, writer} = this.options;
-		const applies = () => watch.isLate && isAlone() && !writer.hasStarted;
+		const {hedging, call, mayRepeat, attempts, writer} = this.options;
+		const applies = () => watch.isLate && attempts.isAlone && !writer.hasStarted;
 		if (this.isLooking || !applies() || !mayRepeat()) {
 			return;
 		}
@@ -172,10 +170,10 @@
 
 	/** Returns what came of it, for the log, and the ID of the second instance. */
 	private async trySecond(first: UpstreamAttempt, trigger: Trigger): Promise<{result: string; selected?: string}> {
-		const {progress, mayRepeat, selectInstance, isUnderWay, startAttempt} = this.options;
+		const {progress, mayRepeat, selectInstance, attempts, startAttempt} = this.options;
 		const {version} = progress;
 		const selection = await selectInstance();
-		if (!isUnderWay(first) || !trigger.applies() || progress.version !== version || !mayRepeat()) {
+		if (!attempts.has(first) || !trigger.applies() || progress.version !== version || !mayRepeat()) {
 			return {result: 'not_wanted_any_more'};
 		}
 
