--- a/src/forwarding/first-byte-watch.ts
+++ b/src/forwarding/first-byte-watch.ts
@@ -15,7 +15,7 @@
 	readonly onLate: () => void;
 };
 
-/** The watch of one attempt; it runs from the beginning, but only while second attempts of late calls are turned on. */
+/** The watch of one attempt; it runs from the beginning, but only for calls that may run again, and while second attempts of late calls are turned on. */
 export class FirstByteWatch {
 	/** Whether the first byte is late and has not arrived. */
 	isLate = false;
@@ -27,8 +27,8 @@
 
 	constructor(private readonly options: FirstByteWatchOptions) {
 		const {hedging, attemptClass, clock, boundary, onLate} = options;
-		this.isEnded = !hedging.isOn;
-		this.lateAfterMs = hedging.findLateAfterMs(attemptClass, this.startedAtMs) ?? Number.POSITIVE_INFINITY;
+		this.isEnded = !hedging.isOn || attemptClass.route.kind === 'once';
+		this.lateAfterMs = (this.isEnded ? undefined : hedging.findLateAfterMs(attemptClass, this.startedAtMs)) ?? Number.POSITIVE_INFINITY;
 		if (Number.isFinite(this.lateAfterMs)) {
 			this.timer = new SilenceTimer(clock, boundary.wrap('timer', () => {
 				this.isLate = true;
