--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -1,5 +1,6 @@
 /** Forwards one call: sends it to an upstream, retries it where that is safe, and gives the caller at most one response. */
 import type {SelectedInstance} from '../placement/instance-query.ts';
+import {createInstructions} from './attempt-instructions.ts';
 import {CallAttempts} from './call-attempts.ts';
 import {CallLog} from './call-log.ts';
 import {CallTimeout} from './call-timeout.ts';
@@ -55,10 +56,8 @@
 			progress: this.progress,
 			mayRepeat: () => this.canRetryElsewhere() && !this.promptCheck.isHeld,
 			selectInstance: async () => this.selectInstance(),
-			isUnderWay: attempt => this.attempts.has(attempt),
-			startAttempt: selection => {
-				this.startAttempt(selection);
-			},
+			attempts: this.attempts,
+			startAttempt: selection => this.startAttempt(selection),
 		});
 		this.expiresAtMs = call.receivedAtMs + Math.min(route.timeoutMs, call.headers.deadlineMs ?? route.timeoutMs);
 		this.timeout = new CallTimeout({
@@ -246,7 +245,7 @@
 		}
 	}
 
-	private startAttempt({instance, predictedMs, version, startTimeLeftMs, isStartPermitted}: SelectedInstance): void {
+	private startAttempt({instance, predictedMs, version, startTimeLeftMs, isStartPermitted}: SelectedInstance): UpstreamAttempt {
 		const {call, boundary, route, holder, writer, codec, tracker, buffers, clock} = this.options;
 		this.tried.add(instance.id);
 		this.version = version;
@@ -259,28 +258,23 @@
 			predictedMs,
 			startTimeLeftMs,
 			isStartPermitted,
-			instructions: {
-				deadlineMs: Math.max(1, Math.floor(this.expiresAtMs - performance.now())),
-				instance: instance.id,
-				version,
-				workspace: holder?.workspace,
-				priority: callPriority(this.options, this.progress.lastEventId),
-				lastEventId: this.progress.lastEventId ?? call.headers.lastEventId,
-				bodyBytes: call.body.length,
-				hasBody: call.body.length > 0,
-			},
+			instructions: createInstructions(this.options, {
+				instance: instance.id, version, expiresAtMs: this.expiresAtMs, lastEventId: this.progress.lastEventId,
+			}),
 			progress: this.progress,
 			writer,
 			codec,
 			tracker,
 			buffers,
 			clock,
+			firstByte: this.hedge.watchFirstByte(predictedMs, () => attempt),
 			stallTimeoutsMs: findStallTimeouts(route.kind),
 			onSilent: isFirstReport => {
 				this.hedge.handleSilence(attempt, isFirstReport);
 			},
 			isAlone: () => this.attempts.isAlone,
 			onAnswering: () => {
+				this.hedge.handleAnswering(attempt);
 				this.attempts.keepOnly(attempt);
 			},
 			onBroken: () => {
@@ -299,6 +293,7 @@
 		});
 		this.attempts.add(attempt);
 		attempt.start();
+		return attempt;
 	}
 
 	/** Whether the call may be sent to another instance although the current one may still respond. */
@@ -318,10 +313,11 @@
 			return;
 		}
 
-		const {route, writer, retryBudget} = this.options;
+		const {route, writer, retryBudget, hedging} = this.options;
 		if (outcome.kind === 'not-run') {
 			this.possibleRuns--;
 			this.refusals++;
+			hedging.recordRefusal(performance.now());
 		}
 
 		this.upstreamError = attempt.buffered ?? this.upstreamError;
--- a/src/placement/instance-selector.ts
+++ b/src/placement/instance-selector.ts
@@ -282,13 +282,15 @@
 		return warmShare(nowMs, startedAtMs, tracker.coldStarts.coldUntilMs(instance, service, nowMs), returnedAtMs);
 	}
 
-	private createSelection({id, predictedMs}: Extract<Placement, {kind: 'place'}>, {instances, permit}: Choice, model: string | undefined): SelectedInstance {
+	private createSelection({id, predictedMs}: Extract<Placement, {kind: 'place'}>, {instances, candidates, permit}: Choice, model: string | undefined): SelectedInstance {
 		const {versionExpiry} = this.options;
 		const instance = instances.find(item => item.id === id)!;
 		const held = findHeldModel(instance, model);
+		const hasFreeSlot = candidates.some(candidate => candidate.id === id && candidate.load.calls < candidate.slots);
 		return {
 			instance,
 			predictedMs,
+			hasFreeSlot,
 			version: held?.version,
 			startTimeLeftMs: () => (held ? versionExpiry.timeLeftMs(held) : Number.POSITIVE_INFINITY),
 			isStartPermitted: () => permit?.isValid() ?? true,
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -113,8 +113,12 @@
 /** A gateway in the test process, without its control listeners. */
 export type TestGateway = {readonly directory: Directory; readonly tracker: InstanceTracker; readonly forwarder: CallForwarder; readonly listener: CallerListener; readonly bodies: BodyBudget; readonly quarantine: PromptQuarantine; readonly homes: HomeRegions; readonly crashes: readonly Crash[]; readonly ends: readonly CallEnd[]; readonly faults: {count: number}; readonly url: string; readonly close: () => void};
 
-/** Starts the caller listener of a gateway with the given configuration, instances and header codec. */
-export async function startTestGateway(configuration: PublishedConfiguration | undefined, instances: readonly Instance[], {codec = platformCodec, retrySlack = 100, homes = new HomeRegions(new RegionMap({}))}: {codec?: WireCodec; retrySlack?: number; homes?: HomeRegions} = {}): Promise<TestGateway> {
+/** What a test changes of a gateway. */
+type TestGatewayOptions = {readonly codec?: WireCodec; readonly retrySlack?: number; readonly homes?: HomeRegions; readonly hedgeRatio?: number; readonly onHedge?: (result: string) => void};
+
+/** Starts the caller listener of a gateway with the given configuration and instances. */
+export async function startTestGateway(configuration: PublishedConfiguration | undefined, instances: readonly Instance[], options: TestGatewayOptions = {}): Promise<TestGateway> {
+	const {codec = platformCodec, retrySlack = 100, homes = new HomeRegions(new RegionMap({})), hedgeRatio = 0, onHedge} = options;
 	const log = createSilentLogger();
 	const directory = new Directory(log);
 	directory.apply({revision: 1, changes: configuration ? [{revision: 1, change: {kind: 'configuration', configuration}}] : []});
@@ -136,6 +140,9 @@
 		retryBudget: {ratio: 0.2, slack: retrySlack, windowMs: 10_000}, versionBoundMs: 8000, clock: pauses, eventLoopDelayMs: () => 0, gatewayCount: () => 1, onEnd(end) {
 			ends.push(end);
 		},
+		hedgeRatio: () => hedgeRatio, onHedge(_, result) {
+			onHedge?.(result);
+		},
 	});
 	quarantine.onHeld(() => {
 		forwarder.endHeldCalls();
