--- a/bench/shedding.ts
+++ b/bench/shedding.ts
@@ -6,7 +6,7 @@
 import type {CallResult, PlacingScenario} from './placing-types.ts';
 import {writeDocPart} from './support/doc-part.ts';
 
-const seeds = [1, 2, 3];
+const seeds = [1, 2, 3, 4, 5, 6];
 const kinds = ['first', 'second', 'third'];
 
 function runModel(load: number, overrides: Partial<PlacingScenario>): CallResult[] {
--- a/src/placement/limit-by-urgency.ts
+++ b/src/placement/limit-by-urgency.ts
@@ -26,8 +26,8 @@
 /** A call that gives way may still use instances with fewer calls than this share of their slots. */
 const yieldingSlotShare = 0.75;
 
-/** Under pressure, calls that return after a refusal may use this share of the slots, so that fewer of them are refused twice. */
-const returningSlotShare = 0.65;
+/** Under pressure, late calls may use this share of the slots, more than otherwise: most of them return after a refusal, and should not be refused twice. */
+const returningSlotShare = 0.58;
 
 /** Returns the limit of a call at a service where calls give way. */
 export function limitByUrgency({yieldShare, isReturning, rank}: UrgencyInput): UrgencyLimit {
--- a/test/load-shedding.test.ts
+++ b/test/load-shedding.test.ts
@@ -5,12 +5,21 @@
 	asksCounters, callsAtLoad, createScenario, flatFleet, steepFleet,
 } from '../bench/placing-scenarios.ts';
 import type {CallResult, PlacingScenario} from '../bench/placing-types.ts';
+import {Directory} from '../src/directory/directory.ts';
 import {createServiceId} from '../src/ids/service-id.ts';
+import {InstanceSelector} from '../src/placement/instance-selector.ts';
+import {InstanceSignals} from '../src/placement/instance-signals.ts';
+import {InstanceTracker} from '../src/placement/instance-tracker.ts';
 import {LoadShedding} from '../src/placement/load-shedding.ts';
 import {RetrySchedule} from '../src/placement/retry-schedule.ts';
 import {type Candidate, type Placement, selectPlainInstance} from '../src/placement/select-instance.ts';
 import {maxYieldShare, UrgencyPressure} from '../src/placement/urgency-pressure.ts';
+import {VersionExpiry} from '../src/placement/version-expiry.ts';
+import {createSilentLogger} from '../src/runtime/logger.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
+import {
+	testConfiguration, testEngineTiming, testInstance, testRoute,
+} from './support/direct-fixtures.ts';
 
 const seeds = [1, 2];
 const service = createServiceId('models');
@@ -142,3 +151,47 @@
 	expect(place(0)).to.equal('place');
 	expect(Array.from({length: 20}, () => place(5, true))).to.not.include('refuse');
 });
+
+/** A selector with two engines that each use all but two slots, and whose counters let calls of urgency 5 give way. */
+function createBusySelector(): InstanceSelector {
+	const log = createSilentLogger();
+	const random = new RandomSource(3);
+	const directory = new Directory(log);
+	const held = [{
+		model: 'm', version: 1, fromLayer: 0, toLayer: testEngineTiming.layers,
+	}];
+	const instances = ['i-1', 'i-2'].map(id => testInstance({
+		id, service, address: `127.0.0.1:${id.slice(2)}`, held, slots: testEngineTiming.slots,
+	}));
+	directory.apply({revision: 1, changes: [{revision: 1, change: {kind: 'configuration', configuration: testConfiguration(1)}}, {revision: 1, change: {kind: 'version', model: 'm', version: 1}}]});
+	directory.replaceInstances({revision: 2, changes: instances.map(instance => ({revision: 2, change: {kind: 'instance', instance}}))});
+	return new InstanceSelector({
+		directory, random, log, zone: 'z', versionExpiry: new VersionExpiry(directory, 8000, () => 0),
+		tracker: new InstanceTracker(log, new InstanceSignals({log, random, gatewayCount: () => 1})),
+		loads: {ask: async asked => new Map(asked.map(({id}) => [id, {calls: testEngineTiming.slots - 2, unreadTokens: 0, yields: [[5, 0.5]]}]))},
+	});
+}
+
+it('guards against a priority that decides nothing at a gateway: when calls of its urgency give way, half of them are refused for that reason, others never', async () => {
+	const selector = createBusySelector();
+	const reasonsOf = async (priority: number, isReturning = false) => {
+		const reasons: string[] = [];
+		for (let count = 0; count < 100; count++) {
+			const found = await selector.select({
+				route: testRoute({}), service, priority, isReturning, aimLeftMs: 400, deadlineLeftMs: 6000, tried: new Set(), isResponseStarted: false, requiredVersion: undefined,
+				headers: {
+					attemptId: '1', host: 'h', key: undefined, deadlineMs: 6000, lastEventId: undefined, model: 'm', promptTokens: 100, promptParts: [],
+				},
+			});
+			reasons.push('instance' in found ? 'placed' : found.reason);
+		}
+
+		return reasons;
+	};
+
+	expect(new Set(await reasonsOf(0))).to.deep.equal(new Set(['placed']));
+	const reasons = await reasonsOf(5);
+	expect(reasons.filter(reason => reason === 'gives_way').length).to.be.within(35, 65);
+	expect(reasons.every(reason => reason === 'placed' || reason === 'gives_way')).to.equal(true);
+	expect(new Set(await reasonsOf(5, true))).to.deep.equal(new Set(['placed']));
+});
