Look for engines elsewhere while the own zone is full, and weigh regions

Cause: a gateway whose zone was full asked its engines again for each call, and calls that left their zone went to another region twice as often as to the zone beside theirs, although bytes between regions cost more.

Change: the answers of the counters tell whether engines are full here more often than elsewhere; then one engine here and two elsewhere are asked. The penalty for another zone is 30 ms within the region and 60 ms to another one where regions are known, 45 ms as before where they are not.

--- a/bench/placing-model.ts
+++ b/bench/placing-model.ts
@@ -11,6 +11,7 @@
 import type {YieldShares} from '../src/placement/urgency-pressure.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
 import {EventQueue} from './event-queue.ts';
+import {ModelZones} from './model-zones.ts';
 import {PressureExchange} from './pressure-exchange.ts';
 import type {CallKind, CallResult, PlacingScenario} from './placing-types.ts';
 
@@ -63,6 +64,8 @@
 export class PlacingModel {
 	/** Number of questions to counters so far. */
 	askedCount = 0;
+	/** Where the calls arrive and how far their engines are. */
+	readonly zones: ModelZones;
 	private nowMs = 0;
 	private readonly events = new EventQueue();
 	private readonly random: RandomSource;
@@ -84,6 +87,7 @@
 		this.entries = Array.from({length: scenario.entries}, () => ({ownLoads: this.createLoads(), remoteLoads: []}));
 		this.counterLoads = this.createLoads();
 		this.pressure = new PressureExchange(scenario);
+		this.zones = new ModelZones(scenario, this.random);
 	}
 
 	/** Runs the simulation to its end and returns the results of the calls that arrived after the warm-up. */
@@ -182,7 +186,7 @@
 	}
 
 	private sendToRandomEntry(call: Call): void {
-		const entry = this.entries[this.random.nextInt(this.entries.length)]!;
+		const entry = this.entries[this.zones.drawEntry(this.nowMs)]!;
 		this.scheduleAfter(callerLatencyMs, () => {
 			if (this.scenario.askedEngines.length > 0) {
 				this.askCounters({call, entry, shedding: this.pressure.startCall(this.entries.indexOf(entry), call.kind.priority, call.retries > 0)});
@@ -198,16 +202,17 @@
 	private askCounters({call, entry, shedding}: Asking, known: readonly Answer[] = [], round = 0): void {
 		const {askedEngines, broadcastDelayMs} = this.scenario;
 		const unasked = [...this.engines.keys()].filter(index => this.isUp(index) && known.every(answer => answer.index !== index));
-		const asked = this.random.sample(unasked, askedEngines[round]!);
+		const asked = this.zones.sample(this.entries.indexOf(entry), unasked, round);
 		this.askedCount += asked.length;
 		const report = shedding.createReport();
 		this.scheduleAfter(broadcastDelayMs, () => {
 			const answers = [...known, ...asked.map(index => ({index, load: {...this.counterLoads[index]!}, yields: this.pressure.ask(index, report, this.nowMs)}))];
 			this.scheduleAfter(broadcastDelayMs, () => {
 				const mayAskMore = round + 1 < askedEngines.length && answers.length < this.engines.length;
-				const candidates = answers.map(({index, load}) => this.createCandidateOf(index, load));
-				for (const {yields} of answers.slice(known.length)) {
+				const candidates = answers.map(({index, load}) => this.createCandidateOf(entry, index, load));
+				for (const {yields, index, load} of answers.slice(known.length)) {
 					shedding.addAnswer(yields);
+					this.zones.recordAnswer(this.entries.indexOf(entry), index, load.calls);
 				}
 
 				this.place({
@@ -250,16 +255,17 @@
 	}
 
 	private createCandidate(entry: Entry, index: number): Candidate {
-		return this.createCandidateOf(index, {
+		return this.createCandidateOf(entry, index, {
 			calls: entry.ownLoads[index]!.calls + entry.remoteLoads.reduce((sum, loads) => sum + loads[index]!.calls, 0),
 			unreadTokens: entry.ownLoads[index]!.unreadTokens + entry.remoteLoads.reduce((sum, loads) => sum + loads[index]!.unreadTokens, 0),
 		});
 	}
 
-	private createCandidateOf(index: number, counts: Load): Candidate {
+	private createCandidateOf(entry: Entry, index: number, counts: Load): Candidate {
+		const entryIndex = this.entries.indexOf(entry);
 		const load: EngineLoad = {...counts, slowness: index < this.scenario.slowEngines ? this.scenario.slowness : 1};
 		return {
-			id: String(index), isLocal: true, load, slots: this.scenario.timing.slots, isSuspect: false, startWindowMs: Number.POSITIVE_INFINITY,
+			id: String(index), isLocal: this.zones.distance(entryIndex, index) === 'zone', isSameRegion: this.zones.isSameRegion(entryIndex, index), load, slots: this.scenario.timing.slots, isSuspect: false, startWindowMs: Number.POSITIVE_INFINITY,
 		};
 	}
 
@@ -269,6 +275,7 @@
 		let longestPauseMs = 0;
 		let firstTokenAtMs = 0;
 		this.changeLoad(entry, index, 1, promptTokens);
+		this.zones.placed[this.zones.distance(this.entries.indexOf(entry), index)]++;
 		this.scheduleAfter(engineLatencyMs, () => {
 			const cancel = this.engines[index]!.submit({
 				promptTokens, answerTokens, onTokens: written => {
--- a/bench/placing-scenarios.ts
+++ b/bench/placing-scenarios.ts
@@ -106,6 +106,14 @@
 	],
 };
 
+/** Demand of a fleet over four zones in two regions: how much arrives at each entry. */
+export const unevenDemands: Readonly<Record<string, Partial<PlacingScenario>>> = {
+	even: {},
+	swinging: {entryWeight: (entry, ms) => 1 + (0.8 * Math.sin((ms / 700) + ((entry % 4) * Math.PI / 2)))},
+	moving: {entryWeight: (entry, ms) => (Math.floor(ms / 3000) % 4 === entry % 4 ? 6 : 1)},
+	'one gateway gets 3 of 5 calls': {entryWeight: entry => (entry === 0 ? 54 : 1)},
+};
+
 /**
  * Returns the calls per second that a fleet is offered at a load.
  *
--- a/bench/placing-types.ts
+++ b/bench/placing-types.ts
@@ -43,6 +43,13 @@
 	readonly callsPerSecond: number;
 	/** Factor of `callsPerSecond` at a time; absent if it stays the same. */
 	readonly demandAt?: (ms: number) => number;
+	/**
+	 * Entries and engines are spread over this many zones, so many of which are in one region; absent if all are in one zone. Entries know
+	 * the regions and ask more engines elsewhere while their zone is crowded, unless `isUnaware`.
+	 */
+	readonly zones?: {readonly count: number; readonly perRegion: number; readonly isUnaware?: boolean};
+	/** Relative share of the calls that arrive at an entry at a time; absent if it is the same for all. */
+	readonly entryWeight?: (entry: number, ms: number) => number;
 	/** A part of the engines that takes no calls for a time. */
 	readonly outage?: {readonly engines: number; readonly fromMs: number; readonly toMs: number};
 	/** Whether less urgent calls give way to more urgent ones; only with `askedEngines`. */
--- a/src/placement/instance-selector.ts
+++ b/src/placement/instance-selector.ts
@@ -1,6 +1,7 @@
 /** Finds the instance for an attempt: a few random eligible ones, their load, and the choice among them. */
 import type {Directory} from '../directory/directory.ts';
 import type {HeldModel, Instance, ServiceInfo} from '../directory/directory-types.ts';
+import type {ServiceId} from '../ids/service-id.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import {type Barrier, barrierDescriptions, findReopeningMs} from './instance-availability.ts';
@@ -9,6 +10,7 @@
 import {type CallShedding, LoadShedding} from './load-shedding.ts';
 import type {CounterAnswer, LoadSource} from './load-source.ts';
 import {sampleInstances, type SampleSizes} from './sample-instances.ts';
+import {ZoneCrowding} from './zone-crowding.ts';
 import {
 	type Candidate, type Placement, selectEngineInstance, selectPlainInstance, shouldAskMore,
 } from './select-instance.ts';
@@ -25,6 +27,8 @@
 	readonly versionExpiry: VersionExpiry;
 	readonly random: RandomSource;
 	readonly zone: string;
+	/** Whether a zone is in the region of this gateway; undefined if that is not known. Absent if no regions are known. */
+	readonly isSameRegion?: (zone: string) => boolean | undefined;
 	readonly log: Logger;
 };
 
@@ -60,6 +64,7 @@
 /** Selects instances for the calls of this gateway. */
 export class InstanceSelector {
 	private readonly shedding: LoadShedding;
+	private readonly crowdings = new Map<ServiceId, ZoneCrowding>();
 
 	/** @param options - dependencies */
 	constructor(private readonly options: InstanceSelectorOptions) {
@@ -121,23 +126,48 @@
 
 	/** Draws further eligible instances and asks for their load; returns whether there were any. */
 	private async extendSample(query: InstanceQuery, service: ServiceInfo | undefined, {ids, counts, barriers, shedding}: Sample, sizes: SampleSizes): Promise<boolean> {
-		const {directory, random, loads, zone} = this.options;
+		const {directory, random, loads, zone, tracker} = this.options;
+		const crowding = service?.engine && this.crowdingOf(query.service);
 		const isNew = (instance: Instance) => !ids.has(instance.id) && this.isEligible(instance, query, service, barriers);
-		const sampled = sampleInstances(directory.availableInstances(query.service, zone), sizes, isNew, bound => random.nextInt(bound));
+		const sampled = sampleInstances(directory.availableInstances(query.service, zone), crowding?.adjust(sizes) ?? sizes, isNew, bound => random.nextInt(bound));
 		for (const {id} of sampled) {
 			ids.add(id);
 		}
 
-		if (service?.engine && sampled.length > 0) {
-			for (const [id, found] of await loads.ask(sampled, shedding.createReport())) {
-				counts.set(id, found);
-				shedding.addAnswer(found.yields);
+		if (crowding && sampled.length > 0) {
+			const answers = await loads.ask(sampled, shedding.createReport());
+			for (const instance of sampled) {
+				const answer = answers.get(instance.id);
+				if (answer) {
+					counts.set(instance.id, answer);
+					shedding.addAnswer(answer.yields);
+					this.recordFullness(crowding, instance, tracker.getLoad(instance.id, answer).calls);
+				}
 			}
 		}
 
 		return sampled.length > 0;
 	}
 
+	private recordFullness(crowding: ZoneCrowding, {zone, service, slots}: Instance, calls: number): void {
+		const {log, zone: ownZone} = this.options;
+		if (crowding.record(zone === ownZone, calls >= slots)) {
+			log.info({
+				event: 'zone_crowded', service, zone: ownZone, isCrowded: crowding.isCrowded,
+			}, 'the engines of this zone are full more often than others, or no longer');
+		}
+	}
+
+	private crowdingOf(service: ServiceId): ZoneCrowding {
+		let crowding = this.crowdings.get(service);
+		if (!crowding) {
+			crowding = new ZoneCrowding();
+			this.crowdings.set(service, crowding);
+		}
+
+		return crowding;
+	}
+
 	private choose(query: InstanceQuery, service: ServiceInfo | undefined, sample: Sample): Choice {
 		const {directory, random} = this.options;
 		const randomBelow = (bound: number) => random.nextInt(bound);
@@ -188,6 +218,7 @@
 		return {
 			id: instance.id,
 			isLocal: instance.zone === zone,
+			isSameRegion: this.options.isSameRegion?.(instance.zone),
 			load: tracker.getLoad(instance.id, others),
 			slots: instance.slots,
 			isSuspect: tracker.isSuspect(instance.id),
--- a/src/placement/select-instance.ts
+++ b/src/placement/select-instance.ts
@@ -13,6 +13,8 @@
 	readonly id: string;
 	/** Whether the instance is in the zone of this gateway. */
 	readonly isLocal: boolean;
+	/** Whether the instance is in the region of this gateway; undefined if that is not known. */
+	readonly isSameRegion?: boolean | undefined;
 	readonly load: EngineLoad;
 	/** Number of calls that the instance runs concurrently. */
 	readonly slots: number;
@@ -43,8 +45,11 @@
 /** Costs within this range count as equal, in milliseconds. The instance is then drawn at random, because several gateways choose at the same time. */
 const tieToleranceMs = 12;
 
-/** Cost added to an instance in another zone, in milliseconds, because its traffic crosses a narrow link. */
-const crossZonePenaltyMs = 45;
+/**
+ * Cost added to an instance in another zone, in milliseconds, because its traffic crosses a narrow link: in the same region, in another one,
+ * and where regions are not known. Traffic between regions costs more, so that it is left to waits that are longer.
+ */
+const zonePenaltiesMs = {sameRegion: 30, otherRegion: 60, unknown: 45};
 
 /** Cost added to an instance with recent failures, in milliseconds. */
 const suspectPenaltyMs = 300;
@@ -187,8 +192,12 @@
 	return limit?.givesWay ? 'gives_way' : 'overloaded';
 }
 
-function penaltyMs({isLocal, isSuspect}: Candidate): number {
-	return (isLocal ? 0 : crossZonePenaltyMs) + (isSuspect ? suspectPenaltyMs : 0);
+function crossZonePenaltyMs(isSameRegion: boolean | undefined): number {
+	return isSameRegion === undefined ? zonePenaltiesMs.unknown : (isSameRegion ? zonePenaltiesMs.sameRegion : zonePenaltiesMs.otherRegion);
+}
+
+function penaltyMs({isLocal, isSameRegion, isSuspect}: Candidate): number {
+	return (isLocal ? 0 : crossZonePenaltyMs(isSameRegion)) + (isSuspect ? suspectPenaltyMs : 0);
 }
 
 function pickLowestCost<Item extends {readonly costMs: number}>(items: readonly Item[], randomBelow: (bound: number) => number): Item | undefined {
