Make the test of crowded zones fail without the change of samples

Change: at least 5 in 100 fewer questions are required, which fails without the swap and passes with it.

--- a/test/uneven-demand.test.ts
+++ b/test/uneven-demand.test.ts
@@ -52,7 +52,7 @@
 	const gathering = {...flatFleet, ...unevenDemands['one gateway gets 3 of 5 calls']};
 	const [without, withCrowding] = [true, false].map(isUnaware => runModel(0.9, gathering, isUnaware));
 	expect(withCrowding!.value).to.be.at.least(without!.value);
-	expect(withCrowding!.asked).to.be.lessThan(without!.asked);
+	expect(withCrowding!.asked).to.be.lessThan(0.95 * without!.asked);
 });
 
 it('guards against traffic between regions that gains nothing: with slots free everywhere, fewer calls leave their region, and most stay in their zone', () => {
