--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -246,7 +246,7 @@
 	}
 
 	private startAttempt({instance, predictedMs, version, startTimeLeftMs, isStartPermitted}: SelectedInstance): UpstreamAttempt {
-		const {call, boundary, route, holder, writer, codec, tracker, buffers, clock} = this.options;
+		const {call, boundary, route, writer, codec, tracker, buffers, clock} = this.options;
 		this.tried.add(instance.id);
 		this.version = version;
 		this.possibleRuns++;
--- a/src/placement/home-regions.ts
+++ b/src/placement/home-regions.ts
@@ -39,6 +39,12 @@
 		return this.regions.permits(zone, permittedRegions);
 	}
 
+	/** Returns whether two zones are in the same region; undefined if the region of one of them is not known. */
+	areInSameRegion(zone: string, otherZone: string): boolean | undefined {
+		const [region, otherRegion] = [this.regions.regionOf(zone), this.regions.regionOf(otherZone)];
+		return region === undefined || otherRegion === undefined ? undefined : region === otherRegion;
+	}
+
 	/**
 	 * Returns the instances at which a call may run. They are found once for each list of instances, so that the cost of a call does not
 	 * grow with the number of instances in other regions.
--- a/src/placement/instance-selector.ts
+++ b/src/placement/instance-selector.ts
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Directory} from '../directory/directory.ts';
 import type {HeldModel, Instance, ServiceInfo} from '../directory/directory-types.ts';
+import type {ServiceId} from '../ids/service-id.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import type {HomeRegions} from './home-regions.ts';
@@ -14,6 +15,7 @@
 import {logPlacement} from './placement-log.ts';
 import {nameRefusal} from './refusal-cause.ts';
 import {sampleInstances, type SampleSizes} from './sample-instances.ts';
+import {ZoneCrowding} from './zone-crowding.ts';
 import {
 	type Candidate, type Placement, selectEngineInstance, selectPlainInstance, shouldAskMore,
 } from './select-instance.ts';
@@ -76,6 +78,7 @@
 /** Selects instances for the calls of this gateway. */
 export class InstanceSelector {
 	private readonly shedding: LoadShedding;
+	private readonly crowdings = new Map<ServiceId, ZoneCrowding>();
 
 	/** @param options - dependencies */
 	constructor(private readonly options: InstanceSelectorOptions) {
@@ -180,24 +183,49 @@
 
 	/** Draws further eligible instances and asks for their load; returns whether there were any. */
 	private async extendSample(query: InstanceQuery, service: ServiceInfo | undefined, {ids, counts, barriers, shedding}: Sample, sizes: SampleSizes): Promise<boolean> {
-		const {directory, random, loads, homes, zone} = this.options;
+		const {directory, random, loads, homes, zone, tracker} = this.options;
+		const crowding = service?.engine && this.crowdingOf(query.service);
 		const isNew = (instance: Instance) => !ids.has(instance.id) && this.isEligible(instance, query, service, barriers);
 		const available = homes.narrow(directory.availableInstances(query.service, zone), query.permittedRegions);
-		const sampled = sampleInstances(available, sizes, isNew, bound => random.nextInt(bound));
+		const sampled = sampleInstances(available, crowding?.adjust(sizes) ?? sizes, isNew, bound => random.nextInt(bound));
 		for (const {id} of sampled) {
 			ids.add(id);
 		}
 
-		if (service?.engine && sampled.length > 0) {
-			for (const [id, found] of await loads.ask(sampled, shedding.createReport())) {
-				counts.set(id, found);
-				shedding.addAnswer(found.yields);
+		if (crowding && sampled.length > 0) {
+			const answers = await loads.ask(sampled, shedding.createReport());
+			for (const instance of sampled) {
+				const answer = answers.get(instance.id);
+				if (answer) {
+					counts.set(instance.id, answer);
+					shedding.addAnswer(answer.yields);
+					this.recordFullness(crowding, instance, tracker.getLoad(instance.id, answer).calls);
+				}
 			}
 		}
 
 		return sampled.length > 0;
 	}
 
+	private recordFullness(crowding: ZoneCrowding, {zone, service, slots}: Instance, calls: number): void {
+		const {log, zone: ownZone} = this.options;
+		if (crowding.record(zone === ownZone, calls >= slots)) {
+			log.info({
+				event: 'zone_crowded', service, zone: ownZone, isCrowded: crowding.isCrowded,
+			}, 'the engines of this zone are full more often than others, or no longer');
+		}
+	}
+
+	private crowdingOf(service: ServiceId): ZoneCrowding {
+		let crowding = this.crowdings.get(service);
+		if (!crowding) {
+			crowding = new ZoneCrowding();
+			this.crowdings.set(service, crowding);
+		}
+
+		return crowding;
+	}
+
 	private choose(query: InstanceQuery, service: ServiceInfo | undefined, sample: Sample): Choice {
 		const {directory, random} = this.options;
 		const randomBelow = (bound: number) => random.nextInt(bound);
@@ -260,6 +288,7 @@
 		return {
 			id: instance.id,
 			isLocal: instance.zone === zone,
+			isSameRegion: homes.areInSameRegion(instance.zone, zone),
 			load,
 			slots: instance.slots,
 			homeReserveMs: homes.reserveMs(instance, {calls: load.calls, slots: instance.slots}, permittedRegions),
--- a/src/placement/select-instance.ts
+++ b/src/placement/select-instance.ts
@@ -13,6 +13,8 @@
 	readonly id: string;
 	/** Whether the instance is in the zone of this gateway. */
 	readonly isLocal: boolean;
+	/** Whether the instance is in the region of this gateway; undefined if that is not known. */
+	readonly isSameRegion?: boolean | undefined;
 	readonly load: EngineLoad;
 	/** Number of calls that the instance runs concurrently. */
 	readonly slots: number;
@@ -50,8 +52,8 @@
 /** Costs within this range count as equal, in milliseconds. The instance is then drawn at random, because several gateways choose at the same time. */
 const tieToleranceMs = 12;
 
-/** Cost added to an instance in another zone, in milliseconds, because its traffic crosses a narrow link. */
-const crossZonePenaltyMs = 45;
+/** Cost added to an instance in another zone, in milliseconds, because its traffic crosses a narrow link, and a narrower one in another region. */
+const zonePenaltiesMs = {sameRegion: 30, otherRegion: 45};
 
 /** Usual time of a call to a plain service, in milliseconds, by which the pace of an instance is weighed against its distance and its load. */
 const plainWorkMs = 60;
@@ -201,8 +203,12 @@
 	return limit?.givesWay ? 'gives_way' : 'overloaded';
 }
 
-function penaltyMs({isLocal, isSuspect, homeReserveMs = 0}: Candidate): number {
-	return (isLocal ? 0 : crossZonePenaltyMs) + (isSuspect ? suspectPenaltyMs : 0) + homeReserveMs;
+function zonePenaltyMs(isSameRegion: boolean | undefined): number {
+	return isSameRegion ? zonePenaltiesMs.sameRegion : zonePenaltiesMs.otherRegion;
+}
+
+function penaltyMs({isLocal, isSameRegion, isSuspect, homeReserveMs = 0}: Candidate): number {
+	return (isLocal ? 0 : zonePenaltyMs(isSameRegion)) + (isSuspect ? suspectPenaltyMs : 0) + homeReserveMs;
 }
 
 function usableSlots({slots, warmShare = 1}: Candidate): number {
