--- a/src/placement/home-regions.ts
+++ b/src/placement/home-regions.ts
@@ -39,10 +39,10 @@
 		return this.regions.permits(zone, permittedRegions);
 	}
 
-	/** Returns whether two zones are in the same region; undefined if the region of one of them is not known. */
+	/** Returns whether two zones are in the same region; undefined if that is not known, or if each region has a single zone. */
 	areInSameRegion(zone: string, otherZone: string): boolean | undefined {
 		const [region, otherRegion] = [this.regions.regionOf(zone), this.regions.regionOf(otherZone)];
-		return region === undefined || otherRegion === undefined ? undefined : region === otherRegion;
+		return !this.regions.hasSharedRegion || region === undefined || otherRegion === undefined ? undefined : region === otherRegion;
 	}
 
 	/**
--- a/src/placement/region-map.ts
+++ b/src/placement/region-map.ts
@@ -6,10 +6,13 @@
 	private readonly byZone: ReadonlyMap<string, RegionId>;
 	private readonly regions: ReadonlySet<string>;
 
+	/** Whether a region has several zones. */
+	readonly hasSharedRegion: boolean;
 	/** @param zones - the region of each zone, by the name of the zone */
 	constructor(zones: Readonly<Record<string, RegionId>>) {
 		this.byZone = new Map(Object.entries(zones));
 		this.regions = new Set(this.byZone.values());
+		this.hasSharedRegion = this.regions.size < this.byZone.size;
 	}
 
 	/** Returns the region of a zone; undefined if it is not known. */
--- a/src/placement/select-instance.ts
+++ b/src/placement/select-instance.ts
@@ -52,8 +52,11 @@
 /** Costs within this range count as equal, in milliseconds. The instance is then drawn at random, because several gateways choose at the same time. */
 const tieToleranceMs = 12;
 
-/** Cost added to an instance in another zone, in milliseconds, because its traffic crosses a narrow link, and a narrower one in another region. */
-const zonePenaltiesMs = {sameRegion: 30, otherRegion: 45};
+/**
+ * Cost added to an instance in another zone, in milliseconds, because its traffic crosses a narrow link: in the same region, in another one,
+ * and where regions tell no more than zones. Traffic between regions costs more, so that it is left to waits that are longer.
+ */
+const zonePenaltiesMs = {sameRegion: 30, otherRegion: 60, unknown: 45};
 
 /** Usual time of a call to a plain service, in milliseconds, by which the pace of an instance is weighed against its distance and its load. */
 const plainWorkMs = 60;
@@ -204,6 +207,10 @@
 }
 
 function zonePenaltyMs(isSameRegion: boolean | undefined): number {
+	if (isSameRegion === undefined) {
+		return zonePenaltiesMs.unknown;
+	}
+
 	return isSameRegion ? zonePenaltiesMs.sameRegion : zonePenaltiesMs.otherRegion;
 }
 
--- a/test/load-shedding.test.ts
+++ b/test/load-shedding.test.ts
@@ -7,9 +7,11 @@
 import type {CallResult, PlacingScenario} from '../bench/placing-types.ts';
 import {Directory} from '../src/directory/directory.ts';
 import {createServiceId} from '../src/ids/service-id.ts';
+import {HomeRegions} from '../src/placement/home-regions.ts';
 import {InstanceSelector} from '../src/placement/instance-selector.ts';
 import {InstanceSignals} from '../src/placement/instance-signals.ts';
 import {InstanceTracker} from '../src/placement/instance-tracker.ts';
+import {RegionMap} from '../src/placement/region-map.ts';
 import {LoadShedding} from '../src/placement/load-shedding.ts';
 import {RetrySchedule} from '../src/placement/retry-schedule.ts';
 import {type Candidate, type Placement, selectPlainInstance} from '../src/placement/select-instance.ts';
@@ -166,7 +168,7 @@
 	directory.apply({revision: 1, changes: [{revision: 1, change: {kind: 'configuration', configuration: testConfiguration(1)}}, {revision: 1, change: {kind: 'version', model: 'm', version: 1}}]});
 	directory.replaceInstances({revision: 2, changes: instances.map(instance => ({revision: 2, change: {kind: 'instance', instance}}))});
 	return new InstanceSelector({
-		directory, random, log, zone: 'z', versionExpiry: new VersionExpiry(directory, 8000, () => 0),
+		directory, random, log, zone: 'z', homes: new HomeRegions(new RegionMap({})), versionExpiry: new VersionExpiry(directory, 8000, () => 0),
 		tracker: new InstanceTracker(log, new InstanceSignals({log, random, gatewayCount: () => 1})),
 		loads: {ask: async asked => new Map(asked.map(({id}) => [id, {calls: testEngineTiming.slots - 2, unreadTokens: 0, yields: [[5, 0.5]]}]))},
 	});
