--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -208,7 +208,7 @@
 
 	/** Records the era of a full read. What was named before it and is named again counts as named since the last response of the earlier era. */
 	private enterEra(era: StoreEra): void {
-		if (era > this.era && this.hasReadOnce) {
+		if (era > this.era && Number.isFinite(this.completeUntilMs)) {
 			const nowMs = performance.now();
 			const lostAfterMs = nowMs < this.rewrite.untilMs ? this.rewrite.lostAfterMs : Number.POSITIVE_INFINITY;
 			this.rewrite = {untilMs: nowMs + rewriteMs, lostAfterMs: Math.min(lostAfterMs, this.completeUntilMs)};
