Use one raw server and one set of entries in tests

The tests of invalid responses and of the returned store had copies of the server of endless-server.ts and of the entries of leaving-processes.test.ts. The fuzzed messages now carry an era.

--- a/test/invalid-responses.test.ts
+++ b/test/invalid-responses.test.ts
@@ -7,9 +7,10 @@
 	callGateway, sendSignedResponse, startTestGateway, startUpstream, testConfiguration, testInstance,
 } from './support/direct-fixtures.ts';
 import {
-	forgedBody, type InvalidResponder, invalidResponses, signature, startInvalidResponder,
-} from './support/invalid-responder.ts';
+	forgedBody, invalidResponses, signature,
+} from './support/invalid-response-bytes.ts';
 import {outgoingRequests} from './support/outgoing-requests.ts';
+import {type RawServer, startRawServer} from './support/raw-server.ts';
 
 /** The deadline of a call, and by when it has to have ended, in milliseconds. */
 const deadlineMs = 500;
@@ -28,7 +29,7 @@
 	}
 });
 
-async function waitUntilClosed({open}: InvalidResponder): Promise<void> {
+async function waitUntilClosed({open}: RawServer): Promise<void> {
 	for (let round = 0; round < 200 && open() > 0; round++) {
 		await new Promise(resolve => {
 			setTimeout(resolve, 10);
@@ -59,7 +60,7 @@
 
 it('guards against a call that waits for its deadline although its instance has switched to another protocol', async () => {
 	for (const [name, send] of Object.entries(invalidResponses).filter(([name]) => name.includes('101'))) {
-		const server = await startInvalidResponder(socket => {
+		const server = await startRawServer(socket => {
 			send(socket, signature);
 		});
 		closing.push(server);
@@ -76,7 +77,7 @@
 	for (const [kind, route] of Object.entries(kinds)) {
 		it(`guards against ${name} that reaches the caller as a response, or a call that it keeps: ${kind}, with and without a signature`, async () => {
 			for (const signed of [signature, '']) {
-				const server = await startInvalidResponder(socket => {
+				const server = await startRawServer(socket => {
 					send(socket, signed);
 				});
 				closing.push(server);
@@ -89,7 +90,7 @@
 				expect(response.headers['response-seal']).to.equal(undefined);
 				expect(gateway.faults.count).to.equal(0);
 				if (kind === 'once call') {
-					expect(server.accepted()).to.equal(1);
+					expect(server.asked()).to.equal(1);
 				}
 
 				await waitUntilClosed(server);
@@ -99,7 +100,7 @@
 	}
 
 	it(`guards against a repeatable call that ${name} of one instance loses: another instance answers it`, async () => {
-		const server = await startInvalidResponder(socket => {
+		const server = await startRawServer(socket => {
 			send(socket, signature);
 		});
 		const healthy = await startUpstream((req, res) => {
@@ -117,7 +118,7 @@
 		for (const signed of [signature, '']) {
 			const events = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
 			let answered = 0;
-			const servers = await Promise.all([0, 1].map(async () => startInvalidResponder(socket => {
+			const servers = await Promise.all([0, 1].map(async () => startRawServer(socket => {
 				if (answered++ > 0) {
 					send(socket, `${signed}Content-Type: text/event-stream\r\n`);
 					return;
@@ -147,7 +148,7 @@
 			json: async (links: PeerClient, address: string) => links.json(`http://${address}/j`, {method: 'GET'}, {timeoutMs: deadlineMs}),
 		};
 		for (const [what, request] of Object.entries({...outgoingRequests, ...peerRequests})) {
-			const server = await startInvalidResponder(socket => {
+			const server = await startRawServer(socket => {
 				send(socket, '');
 			});
 			closing.push(server);
--- a/test/leaving-processes.test.ts
+++ b/test/leaving-processes.test.ts
@@ -3,6 +3,7 @@
 import {expect} from 'chai';
 import {SignallingUpstream} from '../standins/signalling-upstream.ts';
 import {callGateway} from './support/direct-fixtures.ts';
+import {deskConfiguration, deskEntry} from './support/desk-entries.ts';
 import {DirectoryStore} from './support/directory-store.ts';
 import {waitFor} from './support/fleet.ts';
 import {Processes} from './support/processes.ts';
@@ -12,29 +13,15 @@
 /** How long after an instance has said that it is leaving calls may still reach it, in milliseconds. */
 const leavingGraceMs = 2000;
 
-const configuration = {
-	version: 1,
-	routes: [{
-		name: 'r', host: 'a.example', prefix: '/p/', kind: 'idempotent', timeout_ms: 900, service: 'desk', attempts: 2,
-	}],
-	services: [{name: 'desk', max_conns: 50}],
-	limits: {
-		max_header_bytes: 16_384, max_body_bytes: 10_000, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
-	},
-	tenants: [{name: 't', api_keys: ['k1']}],
-};
-
 for (const mode of ['refusing', 'silent'] as const) {
 	it(`guards against calls to an instance that says it is leaving while the store is ${mode}: no call reaches it after 2 s, also when its entry lapses and comes back`, async () => {
 		const processes = new Processes();
 		const store = new DirectoryStore();
 		const upstreams = ['i-1', 'i-2'].map(id => new SignallingUpstream(id));
 		const [leaving] = upstreams as [SignallingUpstream, SignallingUpstream];
-		const entryOf = ({address}: SignallingUpstream) => ({
-			service: 'desk', address, zone: 'z', slots: 50, state: 'ready', born: 1,
-		});
+		const entryOf = ({address}: SignallingUpstream) => deskEntry(address);
 		await store.start();
-		store.put('op/config', configuration);
+		store.put('op/config', deskConfiguration);
 		for (const upstream of upstreams) {
 			await upstream.start();
 			store.put(`servers/${upstream.id}`, entryOf(upstream));
--- a/test/returned-store.test.ts
+++ b/test/returned-store.test.ts
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {callGateway, sendSignedResponse, startUpstream} from './support/direct-fixtures.ts';
+import {deskConfiguration, deskEntry} from './support/desk-entries.ts';
 import {DirectoryStore} from './support/directory-store.ts';
 import {waitFor} from './support/fleet.ts';
 import {Processes} from './support/processes.ts';
@@ -13,18 +14,6 @@
 
 const renewals = 50;
 
-const configuration = {
-	version: 1,
-	routes: [{
-		name: 'r', host: 'a.example', prefix: '/p/', kind: 'idempotent', timeout_ms: 900, service: 'desk', attempts: 2,
-	}],
-	services: [{name: 'desk', max_conns: 50}],
-	limits: {
-		max_header_bytes: 16_384, max_body_bytes: 10_000, header_timeout_ms: 3000, idle_timeout_ms: 15_000,
-	},
-	tenants: [{name: 't', api_keys: ['k1']}],
-};
-
 it('guards against calls to an instance that leaves right after the store came back from a copy, whose revisions have not caught up', async () => {
 	const processes = new Processes();
 	const store = new DirectoryStore();
@@ -36,10 +25,8 @@
 		});
 		return {id, ...upstream};
 	}));
-	const list = ({id, address}: {readonly id: string; readonly address: string}, state = 'ready') => {
-		store.put(`servers/${id}`, {
-			service: 'desk', address, zone: 'z', slots: 50, state, born: 1,
-		});
+	const list = ({id, address}: {readonly id: string; readonly address: string}, state: 'ready' | 'draining' = 'ready') => {
+		store.put(`servers/${id}`, deskEntry(address, state));
 	};
 
 	const renew = () => {
@@ -49,7 +36,7 @@
 	};
 
 	await store.start();
-	store.put('op/config', configuration);
+	store.put('op/config', deskConfiguration);
 	renew();
 	const {url} = await processes.startGateway(store);
 	const statuses: number[] = [];
--- a/test/support/endless-server.ts
+++ b/test/support/endless-server.ts
@@ -1,6 +1,7 @@
 /** A server in trouble: it answers every connection with bytes that do not end until the client closes. */
 import {Buffer} from 'node:buffer';
-import net, {type AddressInfo} from 'node:net';
+import type net from 'node:net';
+import {type RawServer, startRawServer} from './raw-server.ts';
 
 const blockBytes = 16_384;
 const filler = 'x'.repeat(blockBytes);
@@ -29,53 +30,18 @@
 /** All kinds of answers without end. */
 export const endlessAnswers = Object.keys(answers) as EndlessAnswer[];
 
-/** The server, and what it has seen. */
-export type EndlessServer = {
-	readonly address: string;
-	/** Connections that are open now. */
-	readonly open: () => number;
-	/** Connections accepted so far. */
-	readonly accepted: () => number;
-	readonly close: () => void;
-};
-
 /**
  * Starts a server that sends one kind of answer as fast as the client reads it.
  *
  * @param pauseMs - waits this long between two blocks instead
  */
-export async function startEndlessServer(kind: EndlessAnswer, pauseMs = 0): Promise<EndlessServer> {
-	const sockets = new Set<net.Socket>();
+export async function startEndlessServer(kind: EndlessAnswer, pauseMs = 0): Promise<RawServer> {
 	const {begin, block} = answers[kind];
 	const bytes = Buffer.from(block);
-	let accepted = 0;
-	const server = net.createServer(socket => {
-		accepted++;
-		sockets.add(socket);
-		socket.on('error', () => undefined);
-		socket.once('close', () => {
-			sockets.delete(socket);
-		});
-		socket.once('data', () => {
-			socket.resume();
-			socket.write(begin);
-			sendBlocks(socket, bytes, pauseMs);
-		});
-	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
+	return startRawServer(socket => {
+		socket.write(begin);
+		sendBlocks(socket, bytes, pauseMs);
 	});
-	return {
-		address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-		open: () => sockets.size,
-		accepted: () => accepted,
-		close() {
-			server.close();
-			for (const socket of sockets) {
-				socket.destroy();
-			}
-		},
-	};
 }
 
 function sendBlocks(socket: net.Socket, bytes: Buffer, pauseMs: number): void {
--- a/test/support/fuzz-messages.ts
+++ b/test/support/fuzz-messages.ts
@@ -23,7 +23,9 @@
 import {syncDatagramSchema, syncedDatagramSchema} from '../../src/messages/sync-datagram.ts';
 
 const address = '127.0.0.1:8000';
-const state = {configurationVersion: 3, lastInstanceChange: 40};
+const state = {
+	configurationVersion: 3, lastInstanceChange: 40, era: 1, earlier: [[0, 150]],
+};
 const notice = {
 	vm: 'v', bitmap: Buffer.from([255, 1]).toString('base64'), reading: '', imported: 100, uploaded: 0.5,
 };
--- a/test/support/invalid-responder.ts
+++ b/test/support/invalid-response-bytes.ts
@@ -1,6 +1,5 @@
-/** A server in trouble that answers with a response that no server may send. */
+/** Responses that no server may send. */
 import type net from 'node:net';
-import {createServer, type AddressInfo} from 'node:net';
 
 /** Headers with which an upstream signs the answer to a call. */
 export const signature = 'Attempt-Id: id-1\r\nResponse-Seal: s.1\r\n';
@@ -46,48 +45,3 @@
 		});
 	},
 };
-
-/** The server, and what it has seen. */
-export type InvalidResponder = {
-	readonly address: string;
-	/** Connections that are open now. */
-	readonly open: () => number;
-	/** Requests received so far, each on a connection of its own. */
-	readonly accepted: () => number;
-	readonly close: () => void;
-};
-
-/**
- * Starts a server on a free port of 127.0.0.1.
- *
- * @param answer - answers the first bytes of a connection, given the number of the connection from 0
- */
-export async function startInvalidResponder(answer: (socket: net.Socket, number: number) => void): Promise<InvalidResponder> {
-	const sockets = new Set<net.Socket>();
-	let accepted = 0;
-	const server = createServer(socket => {
-		sockets.add(socket);
-		socket.on('error', () => undefined);
-		socket.once('close', () => {
-			sockets.delete(socket);
-		});
-		socket.once('data', () => {
-			answer(socket, accepted++);
-		});
-		socket.resume();
-	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	return {
-		address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-		open: () => sockets.size,
-		accepted: () => accepted,
-		close() {
-			server.close();
-			for (const socket of sockets) {
-				socket.destroy();
-			}
-		},
-	};
-}
