--- a/src/placement/region-map.ts
+++ b/src/placement/region-map.ts
@@ -3,11 +3,11 @@
 
 /** Tells in which region an instance runs. */
 export class RegionMap {
+	/** Whether a region has several zones. */
+	readonly hasSharedRegion: boolean;
 	private readonly byZone: ReadonlyMap<string, RegionId>;
 	private readonly regions: ReadonlySet<string>;
 
-	/** Whether a region has several zones. */
-	readonly hasSharedRegion: boolean;
 	/** @param zones - the region of each zone, by the name of the zone */
 	constructor(zones: Readonly<Record<string, RegionId>>) {
 		this.byZone = new Map(Object.entries(zones));
