Stop waiting for the chunks of peers that no longer answer

A peer that was cut off counted as a provider of its chunks until two downloads from it had failed, each after the chunk timeout, and every importer found that out by itself, one peer after the other. Attempts to reach it were announced as reads in progress, for which the other importers waited.

A peer that has not answered for step_in_ms is now silent: it is no provider, it does not hold back lower ranks, downloads from it are aborted, and at most one probes it.

--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -167,7 +167,7 @@
 	}
 
 	private transferOptions(): TransferOptions {
-		const {store, links, random, log, membership} = this.base;
+		const {store, links, random, log, membership, pauseDetector} = this.base;
 		const {process, transfer, platform, upstream} = this.settings;
 		return {
 			self: {vm: process.vm, region: process.region},
@@ -178,6 +178,7 @@
 			downPacer: this.downPacer,
 			originUrl: platform.origin,
 			random,
+			clock: pauseDetector,
 			log,
 			limits: () => store.transferLimits(),
 			memoryBytes: transfer.memory_bytes,
--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -22,6 +22,9 @@
 import type {StagerSettings} from '../settings/direct-settings.ts';
 import type {LocalEngine, WeightOrigin} from '../staging/local-engine.ts';
 import {ManifestFetcher, type ManifestQuery} from '../staging/manifest-fetcher.ts';
+import {
+	downloadLimits, maxOriginBackoffMs, maxSourceBackoffMs, noticeLimits, transferLimits, uploadBurstMs,
+} from '../staging/stager-limits.ts';
 import {StagingManager} from '../staging/staging-manager.ts';
 import type {RunningProcess} from './entry-agent-base.ts';
 import {type CreateSource, GatewayStagerBase, type SettingsSource} from './gateway-stager-base.ts';
@@ -29,24 +32,6 @@
 /** Bytes per second in one megabit per second. */
 const bytesPerMegabit = 125_000;
 
-/** Transfer limits for weights of a few megabytes that have to arrive within seconds; times in milliseconds. */
-const transferLimits = {chunk_timeout_ms: 1500, step_in_ms: 900, upload_copies: 4};
-
-/** The maximum backoff after failures of a source, in milliseconds. It is short because a whole rollout has only a few seconds. */
-const maxSourceBackoffMs = 200;
-
-/** The maximum backoff after failures of the origin, in milliseconds. With several importers in each region, one of them notices the return of the origin much sooner. */
-const maxOriginBackoffMs = 1000;
-
-/** Limits of the notices between stagers: the minimum interval between two notices about common chunks, in milliseconds, and the bandwidth budget. */
-const noticeLimits = {noticeIntervalMs: 100, noticeBytesPerSecond: 40_000};
-
-/** The maximum burst of uploads after idle time, in milliseconds at the full rate. A longer burst would delay live responses. */
-const uploadBurstMs = 12;
-
-/** The maximum number of concurrent downloads: `early` at importers and at stagers whose engines change to the new version in the first half, `late` at the others. */
-const downloadLimits = {early: 6, late: 2};
-
 /** The share of the link that transfers may use while the engine sends no responses. Headers take the rest. */
 const idleLinkShare = 0.97;
 
@@ -178,7 +163,7 @@
 	}
 
 	private transferOptions(): TransferOptions {
-		const {links, random, log, settings} = this.base;
+		const {links, random, log, settings, pauseDetector} = this.base;
 		const {process, transfer} = settings;
 		// An engine that serves no version sends no responses over the link.
 		const rate = () => transfer.link_mbps * bytesPerMegabit * (this.staging.isServing ? transfer.link_share : idleLinkShare);
@@ -193,6 +178,7 @@
 			originChunkUrl: chunk => this.originChunkUrl(chunk),
 			sendNotice: (peer, manifest, notice) => this.notices.send(peer.address, manifest, notice),
 			random,
+			clock: pauseDetector,
 			log,
 			limits: () => transferLimits,
 			maxOpenDownloads: isImporter => (isImporter || this.staging.hasDownloadPriority ? downloadLimits.early : downloadLimits.late),
--- a/src/rollout/chunk-fetcher.ts
+++ b/src/rollout/chunk-fetcher.ts
@@ -36,7 +36,7 @@
 	readonly onEnd: () => void;
 };
 
-type OpenDownload = OpenTransfer & {receivedBytes: number; readonly controller: AbortController};
+type OpenDownload = OpenTransfer & {receivedBytes: number; readonly wasReachable: boolean; readonly controller: AbortController};
 
 /** Downloads planned chunks, verifies and stores them, and backs off from sources that fail. */
 export class ChunkFetcher {
@@ -59,9 +59,9 @@
 		return [...this.downloads.values()];
 	}
 
-	/** The chunks that are being read from outside the region. */
+	/** The chunks that are being read from outside the region, without those from a source that may not work: other importers would wait for them. */
 	get importingChunks(): number[] {
-		return this.open.filter(({source}) => this.isOutsideRegion(source)).map(({chunk}) => chunk);
+		return this.open.filter(({source}) => this.isOutsideRegion(source) && !this.options.neighbourhood.isDoubtful(source)).map(({chunk}) => chunk);
 	}
 
 	/** Starts a planned download, unless its source has no known address or the fetcher was stopped. */
@@ -82,6 +82,16 @@
 		}
 	}
 
+	/** Aborts the downloads from peers that have become unreachable, so that their chunks are fetched elsewhere before the timeout. */
+	abandonSilent(): void {
+		for (const open of this.downloads.values()) {
+			// A download that began in the silence finds out whether a connection works.
+			if (open.wasReachable && this.options.neighbourhood.isSilent(open.source)) {
+				open.controller.abort();
+			}
+		}
+	}
+
 	/** Aborts all downloads. */
 	stop(): void {
 		this.stopped = true;
@@ -97,7 +107,7 @@
 		const {agentOptions, neighbourhood, digestAt, onChunk, onEnd} = this.options;
 		const controller = new AbortController();
 		const open: OpenDownload = {
-			chunk, source, startedAtMs: performance.now(), receivedBytes: 0, controller,
+			chunk, source, startedAtMs: performance.now(), receivedBytes: 0, wasReachable: !neighbourhood.isSilent(source), controller,
 		};
 		const digest = digestAt(chunk);
 		this.downloads.set(chunk, open);
@@ -105,6 +115,7 @@
 			neighbourhood.announceImport();
 		}
 
+		neighbourhood.recordAsked(source);
 		try {
 			const bytes = await downloadChunk({
 				links: agentOptions.links,
--- a/src/rollout/neighbourhood.ts
+++ b/src/rollout/neighbourhood.ts
@@ -8,6 +8,7 @@
 import {
 	decodeNotice, rolloutHaveMethod, rolloutHaveResultSchema, type TransferNotice,
 } from '../messages/rollout-have.ts';
+import {monotonicClock} from '../runtime/pause-detector.ts';
 import {type ChunkOwners, rankOwners} from './chunk-owners.ts';
 import {chooseNeighbours} from './choose-neighbours.ts';
 import {NoticeSender} from './notice-sender.ts';
@@ -212,11 +213,30 @@
 		}
 	}
 
+	/** Records that a request was sent to a peer, which answers unless it is unreachable. */
+	recordAsked(vm: string): void {
+		this.peers.recordAsked(vm, this.listeningMs);
+	}
+
+	/** Returns whether a peer has not answered for `step_in_ms`. Time in which this process could not hear it does not count. */
+	isSilent(vm: string): boolean {
+		return this.peers.silentMs(vm, this.listeningMs) >= this.options.agentOptions.limits().step_in_ms;
+	}
+
+	/** Returns whether a peer is silent or its last downloads failed. */
+	isDoubtful(vm: string): boolean {
+		return this.isSilent(vm) || this.peers.isFailing(vm);
+	}
+
 	/** Stops sending notices. */
 	stop(): void {
 		this.noticeSender.stop();
 	}
 
+	private get listeningMs(): number {
+		return (this.options.agentOptions.clock ?? monotonicClock).listeningMs;
+	}
+
 	/** The importers whose progress decides when this agent takes over; empty unless this agent is an importer. */
 	private watchedImporters(): string[] {
 		const {self} = this.options.agentOptions;
@@ -232,7 +252,12 @@
 	private sendNotice(vm: string): boolean {
 		const {agentOptions, manifest, notice} = this.options;
 		const peer = this.groupByVm.get(vm);
-		return peer !== undefined && agentOptions.sendNotice?.(peer, manifest, notice()) === true;
+		const isSent = peer !== undefined && agentOptions.sendNotice?.(peer, manifest, notice()) === true;
+		if (isSent) {
+			this.recordAsked(vm);
+		}
+
+		return isSent;
 	}
 
 	/** Exchanges notices with one peer and returns whether it responded. A failure is only recorded: without a notice, the peer counts as making no progress. */
@@ -243,6 +268,7 @@
 		}
 
 		const {agentOptions, manifest, notice} = this.options;
+		this.recordAsked(vm);
 		try {
 			const call = {method: rolloutHaveMethod, params: {manifest, notice: notice()}};
 			const answer = await agentOptions.links.rpc(peer.address, call, rolloutHaveResultSchema, {timeoutMs: exchangeTimeoutMs, freshConnection: this.lastContactFailed(vm)});
--- a/src/rollout/peer-table.ts
+++ b/src/rollout/peer-table.ts
@@ -19,6 +19,8 @@
 	banned: boolean;
 	overBudget: boolean;
 	failures: number;
+	/** When the first message was sent that the peer has not answered, in milliseconds of the listening clock; undefined if it has answered since. */
+	unansweredSinceMs: number | undefined;
 };
 
 /** Stores each peer's latest notice, failures and backoff. */
@@ -56,7 +58,7 @@
 		const state = this.states.get(notice.vm);
 		if (!state) {
 			const added: PeerState = {
-				notice, holds: new ChunkBitmap(this.size), reading: new ChunkBitmap(this.size), progressAtMs: nowMs, contactAtMs: nowMs, notBeforeMs: 0, banned: false, overBudget: false, failures: 0,
+				notice, holds: new ChunkBitmap(this.size), reading: new ChunkBitmap(this.size), progressAtMs: nowMs, contactAtMs: nowMs, notBeforeMs: 0, banned: false, overBudget: false, failures: 0, unansweredSinceMs: undefined,
 			};
 			this.decode(added);
 			this.states.set(notice.vm, added);
@@ -76,6 +78,7 @@
 		}
 
 		state.contactAtMs = nowMs;
+		state.unansweredSinceMs = undefined;
 		return state.holds.count > before;
 	}
 
@@ -107,11 +110,30 @@
 		}
 	}
 
+	/**
+	 * Records that a message was sent to a peer, which answers unless it is unreachable.
+	 *
+	 * @param vm - the peer
+	 * @param listeningMs - the time of the listening clock, in milliseconds
+	 */
+	recordAsked(vm: string, listeningMs: number): void {
+		const state = this.states.get(vm);
+		if (state) {
+			state.unansweredSinceMs ??= listeningMs;
+		}
+	}
+
+	/** Returns for how long a peer has not answered, in milliseconds; 0 if no message to it is unanswered. */
+	silentMs(vm: string, listeningMs: number): number {
+		return listeningMs - (this.states.get(vm)?.unansweredSinceMs ?? listeningMs);
+	}
+
 	/** Resets a peer's count of consecutive failures. */
 	recordSuccess(vm: string): void {
 		const state = this.states.get(vm);
 		if (state) {
 			state.failures = 0;
+			state.unansweredSinceMs = undefined;
 		}
 	}
 
@@ -121,6 +143,11 @@
 		return state ? ++state.failures : 0;
 	}
 
+	/** Returns whether so many consecutive downloads from a peer failed that it no longer counts as a provider. */
+	isFailing(vm: string): boolean {
+		return (this.states.get(vm)?.failures ?? 0) >= failuresUntilFailing;
+	}
+
 	/** Excludes a peer for the rest of this version's transfer, because it sent corrupt data. */
 	ban(vm: string): void {
 		const state = this.states.get(vm);
@@ -151,8 +178,9 @@
 	 *
 	 * @param regions - the region of each VM of the group; peers that left the group are skipped
 	 * @param region - this agent's region
+	 * @param isSilent - returns whether a peer has not answered for so long that it counts as unreachable
 	 */
-	toPlanPeers(regions: ReadonlyMap<string, string>, region: string): PlanPeer[] {
+	toPlanPeers(regions: ReadonlyMap<string, string>, region: string, isSilent: (vm: string) => boolean): PlanPeer[] {
 		const peers: PlanPeer[] = [];
 		for (const [vm, state] of this.states) {
 			const peerRegion = regions.get(vm);
@@ -160,7 +188,7 @@
 				const {holds, reading, progressAtMs, contactAtMs, notBeforeMs, banned, overBudget} = state;
 				peers.push({
 					vm, local: peerRegion === region, holds, reading, progressAtMs, contactAtMs, notBeforeMs, banned, overBudget, uploaded: state.notice.uploaded,
-					failing: state.failures >= failuresUntilFailing,
+					failing: this.isFailing(vm), silent: isSilent(vm),
 				});
 			}
 		}
--- a/src/rollout/plan-transfers.ts
+++ b/src/rollout/plan-transfers.ts
@@ -24,6 +24,8 @@
 	readonly contactAtMs: number;
 	/** Whether several consecutive downloads from the peer failed. It may still answer notices. */
 	readonly failing: boolean;
+	/** Whether the peer has not answered for so long that it counts as unreachable. */
+	readonly silent: boolean;
 	/** Whether the peer reported that its upload budget is used up. */
 	readonly overBudget: boolean;
 };
@@ -71,6 +73,7 @@
 	readonly local: readonly PlanPeer[];
 	readonly remote: readonly PlanPeer[];
 	readonly sourceLoad: Map<string, number>;
+	readonly plannedChunks: Set<number>;
 	freeSlots: number;
 	originReads: number;
 };
@@ -94,6 +97,7 @@
 		local: input.peers.filter(({local}) => local),
 		remote: input.peers.filter(({local}) => !local),
 		sourceLoad,
+		plannedChunks: new Set(),
 		freeSlots: input.maxOpen - input.open.length,
 		originReads: sourceLoad.get(originSource) ?? 0,
 	};
@@ -168,9 +172,10 @@
 		.flatMap(chunks => chunks.slice(1).toReversed().filter(chunk => higherRanked(chunk).length === 1));
 }
 
-function chooseImportSource({input, remote, sourceLoad}: PlanState, chunk: number, isStolen: boolean): string | undefined {
+function chooseImportSource(state: PlanState, chunk: number, isStolen: boolean): string | undefined {
+	const {input, remote, sourceLoad} = state;
 	const holders = remote.filter(peer => isUsable(input, peer, chunk));
-	const workingHolders = holders.filter(({failing}) => !failing);
+	const workingHolders = holders.filter(({failing, silent}) => !failing && !silent);
 	const originReady = input.nowMs >= input.originNotBeforeMs;
 	if (workingHolders.length > 0 && (input.objective === 'origin-bytes' || !originReady)) {
 		return leastLoaded(workingHolders, sourceLoad);
@@ -183,12 +188,13 @@
 	}
 
 	// A holder that has failed may work again; the only one may also have left for good, so that it never keeps the origin from being read.
-	return holders.length > 0 ? leastLoaded(holders, sourceLoad) : undefined;
+	const tried = holders.filter(peer => mayAsk(state, peer));
+	return tried.length > 0 ? leastLoaded(tried, sourceLoad) : undefined;
 }
 
-/** Returns whether a peer holds or imports a chunk, so that it need not be imported again. A holder that does not answer and an importer without progress do not count. */
+/** Returns whether a peer holds or imports a chunk, so that it need not be imported again. A peer that does not answer and an importer without progress do not count. */
 function isProvider(input: Pick<PlanInput, 'nowMs' | 'stepInMs'>, peer: PlanPeer, chunk: number): boolean {
-	if (peer.banned || peer.failing) {
+	if (peer.banned || peer.failing || peer.silent) {
 		return false;
 	}
 
@@ -199,8 +205,9 @@
 	return peer.reading.has(chunk) && input.nowMs - peer.progressAtMs < input.stepInMs;
 }
 
-/** Returns whether it is this VM's turn to import a chunk. The VM of rank k, with the owner at rank 0, waits k times `stepInMs` after the last progress of any higher rank. */
-function isDue(input: PlanInput, higherRanked: readonly string[], chunk: number): boolean {
+/** Returns whether it is this VM's turn to import a chunk. The VM of rank k among those that are not silent, with the owner at rank 0, waits k times `stepInMs` after the last progress of any higher rank. */
+function isDue(input: PlanInput, ranked: readonly string[], chunk: number): boolean {
+	const higherRanked = ranked.length === 0 ? ranked : withoutSilent(input, ranked);
 	if (higherRanked.length === 0) {
 		return true;
 	}
@@ -216,13 +223,20 @@
 	return input.nowMs - waitingSinceMs >= higherRanked.length * input.stepInMs;
 }
 
+/** Removes the VMs that are known to be unreachable. */
+function withoutSilent(input: PlanInput, vms: readonly string[]): readonly string[] {
+	const silent = input.peers.filter(peer => peer.silent);
+	return silent.length === 0 ? vms : vms.filter(vm => silent.every(peer => peer.vm !== vm));
+}
+
 /** Plans downloads from peers of the region, rarest chunk first. */
 function planFromRegion(state: PlanState, missing: readonly number[]): PlannedTransfer[] {
 	const {input, local, sourceLoad} = state;
 	const planned: PlannedTransfer[] = [];
 	const taken = new Set(input.open.map(({chunk}) => chunk));
+	const reachable = local.filter(peer => !peer.silent);
 	const candidates = missing
-		.map(chunk => ({chunk, copies: local.filter(peer => peer.holds.has(chunk)).length, order: input.randomRank(chunk)}))
+		.map(chunk => ({chunk, copies: reachable.filter(peer => peer.holds.has(chunk)).length, order: input.randomRank(chunk)}))
 		.filter(({chunk, copies}) => copies > 0 && !taken.has(chunk))
 		.toSorted((a, b) => a.copies - b.copies || a.order - b.order);
 	for (const {chunk} of candidates) {
@@ -230,7 +244,7 @@
 			break;
 		}
 
-		const holders = local.filter(peer => isUsable(input, peer, chunk));
+		const holders = reachable.filter(peer => isUsable(input, peer, chunk));
 		const idle = holders.filter(peer => !peer.overBudget && !sourceLoad.has(peer.vm));
 		if (idle.length > 0) {
 			planned.push(assign(state, chunk, leastLoaded(idle, sourceLoad), false));
@@ -239,7 +253,25 @@
 		}
 	}
 
-	return planned;
+	return [...planned, ...planProbe(state, missing)];
+}
+
+/** Plans one download from a silent peer of the region when nothing better is left to do, since messages to it may be lost while connections work. */
+function planProbe(state: PlanState, missing: readonly number[]): PlannedTransfer[] {
+	const silent = state.freeSlots > 0 ? state.local.filter(peer => peer.silent && mayAsk(state, peer)) : [];
+	for (const peer of silent) {
+		const chunk = missing.find(item => isUsable(state.input, peer, item) && !state.plannedChunks.has(item));
+		if (chunk !== undefined) {
+			return [assign(state, chunk, peer.vm, false)];
+		}
+	}
+
+	return [];
+}
+
+/** Returns whether a download from a peer may be planned. One at a time may ask a silent peer, since it occupies a slot until its timeout. */
+function mayAsk({input, sourceLoad}: PlanState, peer: PlanPeer): boolean {
+	return !peer.silent || input.peers.every(({vm, silent}) => !silent || !sourceLoad.has(vm));
 }
 
 /** Returns whether a holder is to be asked beyond its upload budget. A peer that still lacks the chunk will become a holder with budget left, unless the transfer makes no progress. */
@@ -262,6 +294,7 @@
 /** Reserves a download slot for a planned download. */
 function assign(state: PlanState, chunk: number, source: string, lastResort: boolean): PlannedTransfer {
 	state.freeSlots--;
+	state.plannedChunks.add(chunk);
 	state.sourceLoad.set(source, (state.sourceLoad.get(source) ?? 0) + 1);
 	return {chunk, source, lastResort};
 }
--- a/src/rollout/transfer-options.ts
+++ b/src/rollout/transfer-options.ts
@@ -3,6 +3,7 @@
 import type {PeerClient} from '../links/peer-client.ts';
 import type {TransferNotice} from '../messages/rollout-have.ts';
 import type {Logger} from '../runtime/logger.ts';
+import type {ListeningClock} from '../runtime/pause-detector.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import type {ChunkStore} from './chunk-store.ts';
 import type {VmLocation} from './chunk-owners.ts';
@@ -46,6 +47,8 @@
 	 */
 	readonly sendNotice?: (peer: TransferPeer, manifest: Digest, notice: TransferNotice) => boolean;
 	readonly random: RandomSource;
+	/** Tells for how long this process could hear its peers; pauses count as such time without it. */
+	readonly clock?: ListeningClock;
 	readonly log: Logger;
 	readonly limits: () => TransferLimits;
 	/** Overrides the default number of concurrent downloads. With a lower number for other VMs than for importers, those VMs wait for the imported chunks. */
--- a/src/rollout/version-transfer.ts
+++ b/src/rollout/version-transfer.ts
@@ -208,6 +208,7 @@
 			this.machine.send('ROOM_CHECKED');
 			this.neighbourhood.refreshGroup();
 			this.neighbourhood.pollNeighbours();
+			this.fetcher.abandonSilent();
 			this.schedulePlan();
 			this.scheduleTick();
 		}, this.options.agentOptions.random.jitter(planIntervalMs));
@@ -239,7 +240,7 @@
 		const {neighbourhood, fetcher} = this;
 		const {owners} = neighbourhood;
 		const known = {
-			nowMs: performance.now(), peers: neighbourhood.peers.toPlanPeers(neighbourhood.regions, agentOptions.self.region), stepInMs: agentOptions.limits().step_in_ms,
+			nowMs: performance.now(), peers: neighbourhood.peers.toPlanPeers(neighbourhood.regions, agentOptions.self.region, vm => neighbourhood.isSilent(vm)), stepInMs: agentOptions.limits().step_in_ms,
 		};
 		this.unavailability.update(this.held.size, chunk => isAvailableInRegion(known, chunk), known.nowMs);
 		return planTransfers({
--- a/standins/transfer-agent.ts
+++ b/standins/transfer-agent.ts
@@ -8,6 +8,7 @@
 import {TransferNode} from '../src/rollout/transfer-node.ts';
 import {type TransferLimits, type TransferOptions, type TransferPeer} from '../src/rollout/transfer-options.ts';
 import {TransferPacer} from '../src/rollout/transfer-pacer.ts';
+import {PauseDetector} from '../src/runtime/pause-detector.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
 
@@ -42,6 +43,7 @@
 	/** Address that the agent listens on, set by {@link start}. */
 	address = '';
 	private peers: readonly TransferPeer[] = [];
+	private readonly pauseDetector = new PauseDetector();
 	private readonly listener: HttpListener;
 
 	constructor(readonly options: TransferAgentOptions) {
@@ -100,6 +102,7 @@
 	/** Stops without notifying peers, like a killed process. */
 	async stop(): Promise<void> {
 		this.node.stop();
+		this.pauseDetector.stop();
 		this.listener.destroy();
 		await this.links.close();
 	}
@@ -120,6 +123,7 @@
 			originUrl,
 			...(sendNotice && {sendNotice}),
 			random: new RandomSource(seed),
+			clock: this.pauseDetector,
 			log: createSilentLogger(),
 			limits: () => limits,
 			memoryBytes: memoryBytes ?? Number.POSITIVE_INFINITY,
--- a/test/origin-return.test.ts
+++ b/test/origin-return.test.ts
@@ -51,6 +51,9 @@
 	const neighbourhood = {
 		lastContactFailed: () => true,
 		announceImport: noop,
+		recordAsked: noop,
+		isSilent: () => false,
+		isDoubtful: () => false,
 		recordNoticeHeader: noop,
 		peer: noop,
 		recordContact: noop,
--- a/test/rollout-plan.test.ts
+++ b/test/rollout-plan.test.ts
@@ -86,7 +86,7 @@
 	const holds = new ChunkBitmap(1);
 	holds.add(0);
 	const holder = {
-		vm: 'gone', local: false, holds, reading: new ChunkBitmap(1), progressAtMs: 0, contactAtMs: 0, notBeforeMs: 0, banned: false, overBudget: false, uploaded: 0, failing: false,
+		vm: 'gone', local: false, holds, reading: new ChunkBitmap(1), progressAtMs: 0, contactAtMs: 0, notBeforeMs: 0, banned: false, overBudget: false, uploaded: 0, failing: false, silent: false,
 	};
 	const input: PlanInput = {
 		nowMs: 10_000, held: new ChunkBitmap(1), open: [], peers: [holder], unavailableSinceMs: () => 0, higherRankedInRegion: () => [], higherRankedGlobally: () => ['gone'],
--- a/test/support/transfer-simulation.ts
+++ b/test/support/transfer-simulation.ts
@@ -236,7 +236,7 @@
 			return;
 		}
 
-		const known = {nowMs: this.tick * tickMs, peers: node.peerTable.toPlanPeers(this.regions, node.region), stepInMs};
+		const known = {nowMs: this.tick * tickMs, peers: node.peerTable.toPlanPeers(this.regions, node.region, () => false), stepInMs};
 		node.unavailability.update(this.options.chunkCount, chunk => isAvailableInRegion(known, chunk), known.nowMs);
 		const digestAt = (chunk: number) => this.manifest.content.chunks[chunk]!;
 		const planned = planTransfers({
