Import from other regions while the origin is being read

An importer planned no import at all while it read a chunk from the origin, which takes half a second with twelve importers on the origin's link. The chunks that a region lacked arrived 0.8 s after another region held them.

Only reads of the origin count against their limit now.

--- a/src/rollout/plan-transfers.ts
+++ b/src/rollout/plan-transfers.ts
@@ -133,22 +133,24 @@
 	const {input} = state;
 	const planned: PlannedTransfer[] = [];
 	const mayImport = input.isImporter || input.nowMs - Math.max(input.startedAtMs, input.progressAtMs) >= input.stepInMs;
-	if (!input.surveyed || !mayImport || state.originReads >= input.maxOriginReads) {
+	if (!input.surveyed || !mayImport) {
 		return planned;
 	}
 
 	const unavailable = missing.filter(chunk => !state.local.some(peer => isProvider(input, peer, chunk)));
 	const due = unavailable.filter(chunk => isDue(input, input.higherRankedInRegion(chunk), chunk));
 	// An owner imports its chunks in manifest order; other importers take chunks from the end of its backlog.
-	for (const chunk of due.length > 0 ? due : stealChunks(state, unavailable)) {
-		if (state.freeSlots <= 0 || state.originReads >= input.maxOriginReads) {
+	const isStealing = due.length === 0 && state.originReads < input.maxOriginReads;
+	for (const chunk of isStealing ? stealChunks(state, unavailable).slice(0, 1) : due) {
+		if (state.freeSlots <= 0) {
 			break;
 		}
 
-		const source = chooseImportSource(state, chunk, due.length === 0);
-		if (source !== undefined) {
+		const source = chooseImportSource(state, chunk, isStealing);
+		// Reads from other regions go on while the origin, whose link is shared by all importers, is being read.
+		if (source !== undefined && (source !== originSource || state.originReads < input.maxOriginReads)) {
 			planned.push(assign(state, chunk, source, false));
-			state.originReads++;
+			state.originReads += source === originSource ? 1 : 0;
 		}
 	}
 
--- a/test/rollout-outage.test.ts
+++ b/test/rollout-outage.test.ts
@@ -55,3 +55,11 @@
 		});
 	}
 });
+
+it('guards against chunks of other regions that wait for a read of the origin: an importer imports them while it reads', () => {
+	const open = [{
+		chunk: 0, source: originSource, startedAtMs: 0, receivedBytes: 0,
+	}];
+	expect(planWith({open, peers: [holderOf(1, {})]})).to.deep.equal([{chunk: 1, source: 'holder', lastResort: false}]);
+	expect(planWith({open}), 'one read of the origin at a time').to.deep.equal([]);
+});
