Notice the return of the origin within a few tenths of a second

An outage ends the reads of all importers in the same moment, and the range of their backoff was so narrow that their next ones stayed together: of an origin that answered nothing while it was down, nobody read for 1.1 s after its return, and reads that had begun before it went on waiting for their timeout. Reads of the manifest waited 2.5 s each.

The backoff has a range from the shortest pause to twice the mean, an import by another importer also ends reads that began in the outage and got nothing, and a read of the manifest ends after 1 s.

--- a/src/rollout/chunk-fetcher.ts
+++ b/src/rollout/chunk-fetcher.ts
@@ -16,6 +16,9 @@
 /** The minimum time between a failed read of the origin and the next one, in milliseconds. */
 const minOriginPauseMs = 150;
 
+/** The time within which an origin that works sends the first bytes, in milliseconds, while all importers share its link. */
+const originAnswerMs = 300;
+
 /** The number of consecutive failures after which the backoff no longer doubles. */
 const maxBackoffDoublings = 6;
 
@@ -50,6 +53,8 @@
 	/** The pause after a failed read of the origin; undefined when there is none. */
 	private originPause: {readonly timer: NodeJS.Timeout; readonly failedAtMs: number} | undefined;
 	private stopped = false;
+	/** Whether the next failed read of the origin was ended because the origin works again. */
+	private isResuming = false;
 	private readonly downloads = new Map<number, OpenDownload>();
 
 	constructor(private readonly options: ChunkFetcherOptions) {}
@@ -72,8 +77,9 @@
 		}
 	}
 
-	/** Ends the pause after a failed read of the origin, because another importer has just imported a chunk. */
+	/** Reads the origin again after it has failed, because another importer has just imported a chunk. */
 	resumeOrigin(): void {
+		this.abandonStalledOriginReads();
 		if (this.originPause && performance.now() - this.originPause.failedAtMs >= minOriginPauseMs) {
 			clearTimeout(this.originPause.timer);
 			this.originPause = undefined;
@@ -103,6 +109,17 @@
 		this.downloads.clear();
 	}
 
+	/** Aborts reads of the origin that began in an outage and got nothing: what was sent to it then is lost, and they would only end with the timeout. */
+	private abandonStalledOriginReads(): void {
+		const startedBeforeMs = performance.now() - originAnswerMs;
+		for (const open of this.downloads.values()) {
+			if (open.source === originSource && this.originFailures > 0 && open.receivedBytes === 0 && open.startedAtMs < startedBeforeMs) {
+				this.isResuming = true;
+				open.controller.abort();
+			}
+		}
+	}
+
 	private async download({chunk, source}: PlannedTransfer, url: string): Promise<void> {
 		const {agentOptions, neighbourhood, digestAt, onChunk, onEnd} = this.options;
 		const controller = new AbortController();
@@ -192,6 +209,11 @@
 			return;
 		}
 
+		if (source === originSource && this.isResuming) {
+			this.isResuming = false;
+			return;
+		}
+
 		agentOptions.log.warn({event: 'chunk_failed', source, err}, 'chunk download failed; it will be retried');
 		if (err instanceof CorruptChunkError && source !== originSource) {
 			neighbourhood.peers.ban(source);
@@ -202,11 +224,12 @@
 		const failures = source === originSource ? ++this.originFailures : neighbourhood.peers.recordFailure(source);
 		const backoffMs = agentOptions.limits().chunk_timeout_ms * backoffBaseRatio * (2 ** Math.min(failures, maxBackoffDoublings));
 		const {maxBackoffMs = defaultMaxBackoffMs, maxOriginBackoffMs = maxBackoffMs} = agentOptions;
-		const jitteredMs = agentOptions.random.jitter(Math.min(source === originSource ? maxOriginBackoffMs : maxBackoffMs, backoffMs));
 		if (source === originSource) {
-			this.resumeOriginAfter(jitteredMs);
+			// An outage ends the reads of all importers in the same moment. The wide range spreads their next ones, so that one of them soon finds out when it is over.
+			const pauseMs = agentOptions.random.nextInt(Math.ceil(2 * Math.min(maxOriginBackoffMs, backoffMs)));
+			this.resumeOriginAfter(Math.max(minOriginPauseMs, pauseMs));
 		} else {
-			this.pause(source, jitteredMs);
+			this.pause(source, agentOptions.random.jitter(Math.min(maxBackoffMs, backoffMs)));
 		}
 	}
 
--- a/test/rollout-outage.test.ts
+++ b/test/rollout-outage.test.ts
@@ -4,7 +4,8 @@
 import {
 	originSource, type PlanInput, type PlanPeer, planTransfers,
 } from '../src/rollout/plan-transfers.ts';
-import {withStagerFleet} from './support/stager-fleet.ts';
+import {simulatedWeights} from './support/simulated-vm.ts';
+import {type StagerFleet, withStagerFleet} from './support/stager-fleet.ts';
 
 const returnedAtMs = 26_500;
 
@@ -63,3 +64,79 @@
 	expect(planWith({open, peers: [holderOf(1, {})]})).to.deep.equal([{chunk: 1, source: 'holder', lastResort: false}]);
 	expect(planWith({open}), 'one read of the origin at a time').to.deep.equal([]);
 });
+
+/** The times of the first and the last engine that serves a version, in milliseconds after a given time. */
+function servedAfter(fleet: StagerFleet, version: number, sinceMs: number): {readonly first: number; readonly last: number} {
+	const times = fleet.servedAtMs(version);
+	return {first: times[0]! - sinceMs, last: times.at(-1)! - sinceMs};
+}
+
+it('guards against importers that all wait for reads which were lost in an outage: one of them reads the origin within 0.6 s of its return, and then all do', async () => {
+	for (const laterMs of [0, 600, 1200]) {
+		await withStagerFleet({perZone: 12, seed: 1}, async (fleet, until) => {
+			fleet.network.isOriginSilent = true;
+			await until(18_000);
+			fleet.start(1);
+			fleet.name(2);
+			await until(19_000);
+			fleet.network.isOriginDown = true;
+			await until(returnedAtMs + laterMs);
+			const before = fleet.originCopies(2);
+			fleet.network.isOriginDown = false;
+			await until(returnedAtMs + laterMs + 600);
+			expect((fleet.originCopies(2) - before) * simulatedWeights.chunkCount, `${laterMs}`).to.be.at.least(12);
+		});
+	}
+});
+
+it('guards against a manifest that comes late after an outage and against reads for a superseded version: one copy is read, the engines follow within 6 and 8 s', async () => {
+	await withStagerFleet({perZone: 12, seed: 1}, async (fleet, until) => {
+		fleet.network.isOriginSilent = true;
+		await until(18_000);
+		fleet.start(1);
+		fleet.name(2);
+		await until(20_500);
+		fleet.network.isOriginDown = true;
+		await until(21_000);
+		fleet.name(3);
+		await until(returnedAtMs);
+		const superseded = fleet.originCopies(2);
+		fleet.network.isOriginDown = false;
+		await until(returnedAtMs + 8000);
+		const {first, last} = servedAfter(fleet, 3, returnedAtMs);
+		expect(first).to.be.below(6000);
+		expect(last).to.be.below(8000);
+		expect(fleet.originCopies(3)).to.be.at.most(1.05);
+		expect(fleet.originCopies(2)).to.equal(superseded);
+	});
+});
+
+it('guards against chunks that are read again for a newer version although both share them: only those that are missing are read', async () => {
+	await withStagerFleet({...outageFleet, seed: 3}, async (fleet, until) => {
+		await until(18_000);
+		fleet.start(1);
+		fleet.name(2);
+		await until(30_000);
+		fleet.name(3, 72);
+		await until(36_000);
+		// A quarter of the chunks differs.
+		expect(fleet.originCopies(3)).to.be.within(0.25, 0.26);
+		expect(fleet.vms.every(vm => vm.heldAtMs.has('3'))).to.equal(true);
+	});
+});
+
+it('guards against VMs that stay without weights after all of them lost power: the origin sends one copy and all engines serve again', async () => {
+	await withStagerFleet({...outageFleet, seed: 4}, async (fleet, until) => {
+		await until(18_000);
+		fleet.start(1);
+		fleet.name(2);
+		await until(20_000);
+		fleet.stop();
+		const before = fleet.originCopies(2);
+		await until(21_000);
+		fleet.start(undefined);
+		await until(29_000);
+		expect(servedAfter(fleet, 2, 21_000).last).to.be.below(8000);
+		expect(fleet.originCopies(2) - before).to.be.at.most(1.05);
+	});
+});
--- a/test/support/stager-fleet.ts
+++ b/test/support/stager-fleet.ts
@@ -1,5 +1,6 @@
 /** The stagers and engines of a model in three zones on a simulated network, with faked time. */
 import {Buffer} from 'node:buffer';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {type Clock, install} from '@sinonjs/fake-timers';
 import type {RolloutHaveParams} from '../../src/messages/rollout-have.ts';
 import {createManifest, type Manifest, parseManifest} from '../../src/rollout/manifest.ts';
@@ -19,7 +20,7 @@
 };
 
 /** The time limit of a request for a manifest, to another VM and to the origin, in milliseconds. */
-const manifestTimeoutMs = {peer: 700, origin: 2500};
+const manifestTimeoutMs = {peer: 700, origin: 1000};
 
 /** Options of a {@link StagerFleet}. */
 export type StagerFleetOptions = {
@@ -168,6 +169,7 @@
 	/** Reads a manifest from the origin; undefined if there is no such version. */
 	async readManifest(from: string, version: number): Promise<Manifest | undefined> {
 		if (this.network.isOriginDown) {
+			await sleep(this.network.isOriginSilent ? manifestTimeoutMs.origin : 1);
 			throw new Error('the origin is down');
 		}
 
