--- a/src/forwarding/body-receiver.ts
+++ b/src/forwarding/body-receiver.ts
@@ -142,6 +142,10 @@
 		}), performance.now());
 		progress.isLarge = lease.isLarge;
 		writer.onceClosed(drop);
+		chunkPacer.watch(req, () => {
+			progress.end('chunks_too_small');
+			req.socket.destroy();
+		});
 		req.on('data', boundary.wrap('receive', (chunk: Buffer) => {
 			const bytes = collector.length + chunk.length;
 			if (isDropped) {
@@ -159,7 +163,6 @@
 				this.refuse(req, {writer, boundary}, 'no_memory_for_body');
 			}
 		}));
-		chunkPacer.watch(req);
 		req.once('end', boundary.wrap('forward', () => {
 			this.incomplete.remove(progress);
 			if (!isDropped && !writer.isClosed) {
@@ -178,7 +181,7 @@
 			event: 'call_refused', id: boundary.attemptId, status: 408, reason, bodyBytes: bodies.usedBytes,
 		}, 'call refused');
 		onRefused?.(reason);
-		writer.sendError(408, 'the body arrived too slowly; not run', ['connection', 'close', ...codec.writeRefusalHeaders(noMemoryRetryAfterMs)]);
+		writer.sendError(408, 'the body arrived too slowly or in too small chunks; not run', ['connection', 'close', ...codec.writeRefusalHeaders(noMemoryRetryAfterMs)]);
 	}
 
 	private tryTake(bytes: number): BodyLease | undefined {
--- a/src/limits/incomplete-bodies.ts
+++ b/src/limits/incomplete-bodies.ts
@@ -6,7 +6,7 @@
  */
 
 /** Why a body was ended. */
-export type SlowBodyReason = 'body_stalled' | 'body_too_slow' | 'room_needed';
+export type SlowBodyReason = 'body_stalled' | 'body_too_slow' | 'room_needed' | 'chunks_too_small';
 
 /** Limits for bodies that arrive. */
 export type BodyProgressLimits = {
--- a/src/links/connection-limit.ts
+++ b/src/links/connection-limit.ts
@@ -5,6 +5,7 @@
 import type http from 'node:http';
 import type net from 'node:net';
 import type {Logger} from '../runtime/logger.ts';
+import {chunkPacer} from './chunk-pacer.ts';
 
 /** How many requests may wait for a response on one connection. Clients that wait for each response have one. */
 const maxPipelinedRequests = 16;
@@ -87,6 +88,7 @@
 		socket.once('close', () => {
 			this.forget(socket);
 		});
+		chunkPacer.admit(socket);
 	}
 
 	private makeRoom(): boolean {
--- a/src/links/http-listener.ts
+++ b/src/links/http-listener.ts
@@ -213,7 +213,9 @@
 		};
 
 		req.on('data', add);
-		chunkPacer.watch(req);
+		chunkPacer.watch(req, () => {
+			req.socket.destroy();
+		});
 		req.once('end', () => {
 			end();
 			resolve(body.take().toString('utf8'));
