Collect the garbage of large buffers before V8 does

A body of known length is collected in one block, and after 8 MiB of new buffers garbage is collected early.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -8,6 +8,7 @@
 import {InstanceTracker} from '../placement/instance-tracker.ts';
 import {maxBufferedBytes} from '../forwarding/response-buffers.ts';
 import type {WireCodec} from '../forwarding/wire-codec.ts';
+import {bufferGarbage} from '../runtime/buffer-garbage.ts';
 import {logSink} from '../runtime/logger.ts';
 import {setFailureHooks} from '../runtime/process-failure.ts';
 import {BodyBudget, bodyRoomFor} from '../limits/body-budget.ts';
@@ -98,6 +99,7 @@
 	quarantine.onHeld(() => {
 		forwarder.endHeldCalls();
 	});
+	bufferGarbage.enable();
 	const bodies = new BodyBudget(bodyRoomFor(settings.limits.memory_mb));
 	metrics.gauge('cactusreach_body_bytes', 'Memory taken by the bodies of calls.', () => bodies.usedBytes);
 	const limits = processLimitsFor(settings.limits.memory_mb, settings.limits.max_descriptors);
--- a/src/forwarding/body-receiver.ts
+++ b/src/forwarding/body-receiver.ts
@@ -127,7 +127,7 @@
 
 	private read(req: http.IncomingMessage, {writer, boundary, lease, ownBytes}: Receiver & {readonly lease: BodyLease; readonly ownBytes: number}, onComplete: (body: Buffer) => void): void {
 		const hasLength = req.headers['content-length'] !== undefined;
-		const collector = new ByteCollector();
+		const collector = new ByteCollector(Number(req.headers['content-length'] ?? 0));
 		let isDropped = false;
 		const drop = () => {
 			isDropped = true;
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -10,7 +10,7 @@
 import type {AttemptOutcome} from './decide-next-step.ts';
 import {EventOrder} from './event-order.ts';
 import {EventSplitter, type StreamEvent} from './event-splitter.ts';
-import {type BufferOwner, maxEventBytes} from './response-buffers.ts';
+import {type BufferOwner, maxEventBytes, maxResponseBytes} from './response-buffers.ts';
 import {findHeadFault, firstServerError, notRunStatuses} from './response-status.ts';
 import {SilenceWatch} from './silence-watch.ts';
 import {UpstreamExchange} from './upstream-exchange.ts';
@@ -38,7 +38,7 @@
 	private readonly silenceWatch: SilenceWatch;
 	private readonly splitter = new EventSplitter();
 	private readonly order: EventOrder;
-	private readonly body = new ByteCollector();
+	private body = new ByteCollector();
 	private head: {readonly status: number; readonly headers: ResponseHeaders} | undefined;
 	private firstEventAtMs = Number.POSITIVE_INFINITY;
 	private hasSurvived = false;
@@ -125,6 +125,7 @@
 		const {codec, call, tracker, instance} = this.options;
 		const headers = codec.readResponseHeaders(status, rawHeaders);
 		this.head = {status, headers};
+		this.body = new ByteCollector(findBodyLength(rawHeaders));
 		this.signals.recordHead(status, headers);
 		if (headers.load) {
 			tracker.recordReportedLoad(instance.id, headers.load.calls);
@@ -152,8 +153,10 @@
 		if (this.isEventStream()) {
 			this.forwardEvents(this.splitter.push(chunk));
 		} else {
-			this.body.push(chunk);
 			this.options.buffers.add(this, chunk.length);
+			if (!this.isFinished) {
+				this.body.push(chunk);
+			}
 		}
 	}
 
@@ -335,3 +338,10 @@
 		this.body.clear();
 	}
 }
+
+/** Returns the published length of a body that is kept, in bytes; 0 if it is not known, or too large to be kept. */
+function findBodyLength(rawHeaders: readonly string[]): number {
+	const at = rawHeaders.findIndex((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length');
+	const bytes = at === -1 ? 0 : Number(rawHeaders[at + 1]);
+	return bytes > 0 && bytes <= maxResponseBytes ? bytes : 0;
+}
--- a/src/links/byte-collector.ts
+++ b/src/links/byte-collector.ts
@@ -5,6 +5,7 @@
  * even if it holds a single byte.
  */
 import {Buffer} from 'node:buffer';
+import {bufferGarbage} from '../runtime/buffer-garbage.ts';
 
 /** Sizes of the first block and of the largest one, in bytes. */
 const minBlockBytes = 1024;
@@ -17,6 +18,9 @@
 	/** Bytes that the last block has left. */
 	private free = 0;
 
+	/** @param expectedBytes - length of the body if it is known; it is then collected in one block, without a copy at the end */
+	constructor(private readonly expectedBytes = 0) {}
+
 	/** Number of bytes collected so far. */
 	get length(): number {
 		return this.bytes;
@@ -28,7 +32,8 @@
 		this.append(chunk, 0, fitting);
 		if (fitting < chunk.length) {
 			const rest = chunk.length - fitting;
-			const block = Buffer.allocUnsafeSlow(Math.max(rest, Math.min(maxBlockBytes, Math.max(minBlockBytes, this.bytes))));
+			const block = Buffer.allocUnsafeSlow(this.blocks.length === 0 ? Math.max(rest, this.expectedBytes, minBlockBytes) : Math.max(rest, Math.min(maxBlockBytes, this.bytes)));
+			bufferGarbage.recordAllocation(block.length);
 			this.blocks.push(block);
 			this.free = block.length;
 			this.append(chunk, fitting, chunk.length);
--- a/src/reports/client-metrics.ts
+++ b/src/reports/client-metrics.ts
@@ -1,6 +1,7 @@
 /** Metrics of what clients take: connections, bodies that are arriving, and responses that are kept. */
 import type {CallerListener} from '../forwarding/caller-listener.ts';
 import type {ResponseBuffers} from '../forwarding/response-buffers.ts';
+import {bufferGarbage} from '../runtime/buffer-garbage.ts';
 import type {Metrics} from './metrics.ts';
 
 /** Adds the metrics to a registry. */
@@ -9,5 +10,6 @@
 	metrics.gauge('cactusreach_caller_connections_closed_total', 'Connections of callers that were closed or refused because of a limit.', () => callers.closedConnections);
 	metrics.gauge('cactusreach_incomplete_bodies', 'Calls whose body is arriving.', () => callers.incompleteBodies);
 	metrics.gauge('cactusreach_response_bytes', 'Memory taken by responses that are not complete or not read.', () => buffers.usedBytes);
+	metrics.gauge('cactusreach_early_collections_total', 'How often the garbage of large buffers was collected early.', () => bufferGarbage.collections);
 	metrics.gauge('cactusreach_slow_readers_total', 'Callers that were disconnected because they read too slowly.', () => buffers.slowReaderCount);
 }
