--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -88,6 +88,7 @@
 		clock: base.pauseDetector,
 		eventLoopDelayMs: () => base.pauseDetector.recentDelayMs,
 		gatewayCount,
+		instanceBodyMb: settings.limits.instance_body_mb,
 		responseBytes: Math.min(maxBufferedBytes, settings.limits.memory_mb * bytesPerMegabyte * responseMemoryShare),
 		onSilence(service, result) {
 			forwardingMetrics.recordSilence(service, result);
@@ -147,7 +148,7 @@
 			sendJson(res, isReady() ? 200 : 503, {ready: isReady()});
 		},
 	}, log, limits.readiness);
-	addClientMetrics(metrics, callers, forwarder.buffers);
+	addClientMetrics(metrics, callers, forwarder);
 	metrics.gauge('cactusreach_open_calls', 'Calls without a whole answer.', () => forwarder.openCalls);
 
 	setFailureHooks({
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -5,6 +5,7 @@
 import type {CrashDetector} from '../quarantine/crash-detector.ts';
 import type {PromptQuarantine} from '../quarantine/prompt-quarantine.ts';
 import type {ListeningClock} from '../runtime/pause-detector.ts';
+import {BodiesInFlight} from '../limits/bodies-in-flight.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import {InstanceSelector} from '../placement/instance-selector.ts';
@@ -49,6 +50,8 @@
 	readonly gatewayCount: () => number;
 	/** Maximum size of the responses that are kept until they are complete, in bytes. */
 	readonly responseBytes?: number;
+	/** Maximum size of the bodies in flight to one instance, in megabytes. */
+	readonly instanceBodyMb?: number;
 	/** Called when an instance of a service has sent nothing for too long, with what was done about it. */
 	readonly onSilence?: (service: ServiceId, result: string) => void;
 	/** Called when a call has ended. */
@@ -87,6 +90,8 @@
 export class CallForwarder {
 	/** The memory for responses. */
 	readonly buffers: ResponseBuffers;
+	/** The bodies that instances hold. */
+	readonly bodiesInFlight: BodiesInFlight;
 	private readonly inFlight = new Set<ForwardedCall>();
 	private readonly retryBudgets = new Map<string, WindowedRetryBudget>();
 	private readonly deadlineHistory = new DeadlineHistory();
@@ -97,6 +102,7 @@
 	constructor(private readonly options: CallForwarderOptions) {
 		const {directory, tracker, loads, random, zone, log} = options;
 		this.buffers = new ResponseBuffers(options.responseBytes);
+		this.bodiesInFlight = new BodiesInFlight(options.instanceBodyMb);
 		this.selector = new InstanceSelector({
 			directory, tracker, loads, random, zone, log, versionExpiry: new VersionExpiry(directory, options.versionBoundMs, options.eventLoopDelayMs),
 		});
@@ -174,6 +180,7 @@
 			codec,
 			tracker,
 			buffers: this.buffers,
+			bodiesInFlight: this.bodiesInFlight,
 			clock: this.options.clock,
 			crashes: this.options.crashes,
 			quarantine: this.options.quarantine,
--- a/src/forwarding/forwarded-call-options.ts
+++ b/src/forwarding/forwarded-call-options.ts
@@ -4,6 +4,7 @@
 import type {CrashDetector} from '../quarantine/crash-detector.ts';
 import type {PromptQuarantine} from '../quarantine/prompt-quarantine.ts';
 import type {ListeningClock} from '../runtime/pause-detector.ts';
+import type {BodiesInFlight} from '../limits/bodies-in-flight.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {InstanceQuery, SelectedInstance} from '../placement/instance-query.ts';
 import type {InstanceTracker} from '../placement/instance-tracker.ts';
@@ -31,6 +32,8 @@
 	readonly codec: WireCodec;
 	readonly tracker: InstanceTracker;
 	readonly buffers: ResponseBuffers;
+	/** The bodies that instances hold. */
+	readonly bodiesInFlight: BodiesInFlight;
 	readonly clock: ListeningClock;
 	readonly crashes: CrashDetector;
 	readonly quarantine: PromptQuarantine;
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -198,7 +198,7 @@
 	}
 
 	private async selectInstance(): ReturnType<ForwardedCallOptions['selectInstance']> {
-		const {call, route, service, aimLeftMs, writer, selectInstance} = this.options;
+		const {call, route, service, aimLeftMs, writer, selectInstance, bodiesInFlight} = this.options;
 		const nowMs = performance.now();
 		return selectInstance({
 			route,
@@ -206,7 +206,7 @@
 			headers: call.headers,
 			aimLeftMs: aimLeftMs - (nowMs - call.receivedAtMs),
 			deadlineLeftMs: this.expiresAtMs - nowMs,
-			tried: this.tried,
+			tried: new Set([...this.tried, ...bodiesInFlight.findFull(call.body.length)]),
 			isResponseStarted: writer.hasStarted,
 			requiredVersion: this.progress.version,
 		});
@@ -245,7 +245,7 @@
 	}
 
 	private startAttempt({instance, predictedMs, version, startTimeLeftMs}: SelectedInstance): void {
-		const {call, boundary, route, holder, writer, codec, tracker, buffers, clock} = this.options;
+		const {call, boundary, route, holder, writer, codec, tracker, buffers, bodiesInFlight, clock} = this.options;
 		this.tried.add(instance.id);
 		this.version = version;
 		this.possibleRuns++;
@@ -271,6 +271,7 @@
 			codec,
 			tracker,
 			buffers,
+			bodiesInFlight,
 			clock,
 			stallTimeoutsMs: findStallTimeouts(route.kind),
 			onSilent: isFirstReport => {
--- a/src/forwarding/upstream-attempt-options.ts
+++ b/src/forwarding/upstream-attempt-options.ts
@@ -1,6 +1,7 @@
 /** What an attempt is given by its call. */
 import type {Buffer} from 'node:buffer';
 import type {Instance} from '../directory/directory-types.ts';
+import type {BodiesInFlight} from '../limits/bodies-in-flight.ts';
 import type {ListeningClock} from '../runtime/pause-detector.ts';
 import type {InstanceTracker} from '../placement/instance-tracker.ts';
 import type {CallBoundary} from './call-boundary.ts';
@@ -40,6 +41,8 @@
 	readonly clock: ListeningClock;
 	/** Limits the memory of responses. */
 	readonly buffers: ResponseBuffers;
+	/** The bodies that instances hold. */
+	readonly bodiesInFlight: BodiesInFlight;
 	/** Stall timeouts before the first byte and between further bytes, in milliseconds. */
 	readonly stallTimeoutsMs: {readonly first: number; readonly next: number};
 	/** Called when the instance has sent nothing for too long, and again from time to time until it sends something. */
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -33,6 +33,7 @@
 	private exchange: UpstreamExchange | undefined;
 	private readonly inFlightCall: InFlightCall;
 	private readonly signals: AttemptSignals;
+	private readonly removeBody: () => void;
 	private readonly startedAtMs = performance.now();
 	private readonly startWindowMs: number;
 	private readonly silenceWatch: SilenceWatch;
@@ -49,6 +50,7 @@
 		const {call, boundary, instance, tracker, progress} = options;
 		this.order = new EventOrder(progress.lastEventId);
 		this.inFlightCall = tracker.inFlight.add(instance.id, call.headers.promptTokens);
+		this.removeBody = options.bodiesInFlight.add(instance.id, call.body.length);
 		this.signals = tracker.signals.addAttempt(instance, boundary.wrap('signal', () => {
 			this.handleInstanceClosed();
 		}));
@@ -334,6 +336,7 @@
 		this.startDeadline.stop();
 		this.options.tracker.inFlight.remove(this.inFlightCall);
 		this.signals.end();
+		this.removeBody();
 		this.options.buffers.release(this);
 		this.body.clear();
 	}
--- a/src/settings/direct-settings.ts
+++ b/src/settings/direct-settings.ts
@@ -1,5 +1,6 @@
 /** Settings of the roles `gateway` and `stager`, for deployments in which the gateways call upstreams directly instead of through agents. */
 import {z} from 'zod';
+import {defaultInstanceBodyMb} from '../limits/bodies-in-flight.ts';
 import {
 	address, nameText, positiveNumber, processSection,
 } from './settings-schema.ts';
@@ -64,6 +65,8 @@
 		memory_mb: positiveAmount(350),
 		/** Descriptors that the process may have open, of which some are kept for files. */
 		max_descriptors: positiveAmount(4096),
+		/** Bytes of bodies that the gateway has in flight to one instance, in megabytes. */
+		instance_body_mb: positiveAmount(defaultInstanceBodyMb),
 	}).prefault({}),
 });
 
--- a/test/client-limits.test.ts
+++ b/test/client-limits.test.ts
@@ -5,6 +5,7 @@
 import fc from 'fast-check';
 import {EventSplitter} from '../src/forwarding/event-splitter.ts';
 import {ResponseBuffers} from '../src/forwarding/response-buffers.ts';
+import {BodiesInFlight} from '../src/limits/bodies-in-flight.ts';
 import {IncompleteBodies, progressCheckMs} from '../src/limits/incomplete-bodies.ts';
 import {processLimitsFor} from '../src/limits/process-limits.ts';
 import {ByteCollector} from '../src/links/byte-collector.ts';
@@ -115,3 +116,15 @@
 		upstream.close();
 	}
 });
+
+it('guards against an instance that crashes under the bodies of one gateway: further ones go elsewhere until one has ended', () => {
+	const bodies = new BodiesInFlight(10);
+	const megabyte = 1_000_000;
+	expect(bodies.findFull(20 * megabyte)).to.deep.equal([]);
+	const remove = bodies.add('i-1', 6 * megabyte);
+	bodies.add('i-2', megabyte);
+	expect([bodies.findFull(5 * megabyte), bodies.findFull(0), bodies.largestBytes]).to.deep.equal([['i-1'], [], 6 * megabyte]);
+	remove();
+	remove();
+	expect([bodies.findFull(5 * megabyte), bodies.largestBytes, bodies.passedOverCount]).to.deep.equal([[], megabyte, 1]);
+});
