Refuse transfer codings that are not understood, and what follows a malformed request

Only 'chunked' is accepted; once a request of a connection is malformed, no later one is served, also if it was read together with it.

--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -71,6 +71,7 @@
 	private readonly connections: ServerConnections;
 	private readonly bodyReceiver: BodyReceiver;
 	private readonly connectionLimit: ConnectionLimit | undefined;
+	private readonly refusedConnections = new WeakSet<Duplex>();
 	private isClosing = false;
 
 	/** @param options - dependencies */
@@ -163,8 +164,8 @@
 	}
 
 	private accept(req: http.IncomingMessage, res: http.ServerResponse): void {
-		if (req.socket.destroyed) {
-			// The parser goes on with what it has read of a connection that was closed meanwhile.
+		if (req.socket.destroyed || this.refusedConnections.has(req.socket)) {
+			// The parser goes on with what it has read of a connection that was closed, or will be because of a malformed request.
 			return;
 		}
 
@@ -232,6 +233,10 @@
 			return bodyTooLarge;
 		}
 
+		if ((req.headers['transfer-encoding'] ?? 'chunked').toLowerCase() !== 'chunked') {
+			return {status: 400, reason: 'the transfer coding is not understood'};
+		}
+
 		if (!areHeadersValid(req.rawHeaders)) {
 			return {status: 400, reason: 'a header has a character that is not allowed'};
 		}
@@ -250,6 +255,7 @@
 	private refuse(req: http.IncomingMessage, writer: ResponseWriter, {status, reason}: {status: number; reason: string}): void {
 		this.options.log.warn({event: 'call_malformed', status, reason}, 'malformed call rejected');
 		this.options.onRefused?.(`status ${status}`);
+		this.refusedConnections.add(req.socket);
 		const body = Buffer.from(JSON.stringify({error: reason}));
 		// The writer adds the length of a response to a caller that does not understand chunks.
 		const length = req.httpVersion === '1.0' ? [] : ['content-length', String(body.length)];
--- a/test/client-limits.test.ts
+++ b/test/client-limits.test.ts
@@ -128,3 +128,33 @@
 	remove();
 	expect([bodies.findFull(5 * megabyte), bodies.largestBytes, bodies.passedOverCount]).to.deep.equal([[], megabyte, 1]);
 });
+
+for (const encoding of ['identity, chunked', 'gzip, chunked', 'identity\r\nTransfer-Encoding: chunked']) {
+	it(`guards against a request that hides behind a transfer coding which is not understood (${JSON.stringify(encoding)}): neither it nor the one before reaches an instance`, async () => {
+		const upstream = await startUpstream((req, res) => {
+			sendSignedResponse(req, res, 200, 'ok');
+		});
+		const gateway = await startTestGateway(testConfiguration(1), [testInstance({id: 'i-0', address: upstream.address})]);
+		const socket = net.connect({host: '127.0.0.1', port: Number(new URL(gateway.url).port)});
+		try {
+			let received = '';
+			let isClosed = false;
+			socket.on('data', part => {
+				received += part.toString('latin1');
+			});
+			socket.on('close', () => {
+				isClosed = true;
+			});
+			const head = 'POST /p/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: id-1\r\nApi-Key: k1\r\nDeadline-Ms: 900\r\n';
+			socket.write(`${head}Transfer-Encoding: ${encoding}\r\n\r\n0\r\n\r\n${head}Content-Length: 0\r\n\r\n`);
+			await waitFor('the connection is closed', () => isClosed);
+			expect(received).to.match(/^HTTP\/1\.1 400 /);
+			expect(received.split('HTTP/1.1 ')).to.have.lengthOf(2);
+			expect(upstream.requests).to.have.lengthOf(0);
+		} finally {
+			socket.destroy();
+			gateway.close();
+			upstream.close();
+		}
+	});
+}
