--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -10,6 +10,7 @@
 import {RegionMap} from '../placement/region-map.ts';
 import {maxBufferedBytes} from '../forwarding/response-buffers.ts';
 import type {WireCodec} from '../forwarding/wire-codec.ts';
+import {bufferGarbage} from '../runtime/buffer-garbage.ts';
 import {logSink} from '../runtime/logger.ts';
 import {setFailureHooks} from '../runtime/process-failure.ts';
 import {BodyBudget, bodyRoomFor} from '../limits/body-budget.ts';
@@ -115,6 +116,7 @@
 		},
 		eventLoopDelayMs: () => base.pauseDetector.recentDelayMs,
 		gatewayCount,
+		instanceBodyMb: settings.limits.instance_body_mb,
 		responseBytes: Math.min(maxBufferedBytes, settings.limits.memory_mb * bytesPerMegabyte * responseMemoryShare),
 		onSilence(service, result) {
 			forwardingMetrics.recordSilence(service, result);
@@ -129,6 +131,7 @@
 	quarantine.onHeld(() => {
 		forwarder.endHeldCalls();
 	});
+	bufferGarbage.enable();
 	const bodies = new BodyBudget(bodyRoomFor(settings.limits.memory_mb));
 	metrics.gauge('cactusreach_slow_instances', 'Instances at which work takes at least 1.5 times as long as usual at this moment.', () => tracker.paces.countSlow(performance.now()));
 	metrics.gauge('cactusreach_body_bytes', 'Memory taken by the bodies of calls.', () => bodies.usedBytes);
@@ -180,7 +183,7 @@
 			sendJson(res, isReady() ? 200 : 503, {ready: isReady()});
 		},
 	}, log, limits.readiness);
-	addClientMetrics(metrics, callers, forwarder.buffers);
+	addClientMetrics(metrics, callers, forwarder);
 	metrics.gauge('cactusreach_open_calls', 'Calls without a whole answer.', () => forwarder.openCalls);
 
 	setFailureHooks({
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -6,6 +6,7 @@
 import type {CrashDetector} from '../quarantine/crash-detector.ts';
 import type {PromptQuarantine} from '../quarantine/prompt-quarantine.ts';
 import type {ListeningClock} from '../runtime/pause-detector.ts';
+import {BodiesInFlight} from '../limits/bodies-in-flight.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
 import {findPermittedRegions, type HomeRegions} from '../placement/home-regions.ts';
@@ -60,6 +61,8 @@
 	readonly gatewayCount: () => number;
 	/** Maximum size of the responses that are kept until they are complete, in bytes. */
 	readonly responseBytes?: number;
+	/** Maximum size of the bodies in flight to one instance, in megabytes. */
+	readonly instanceBodyMb?: number;
 	/** Called when an instance of a service has sent nothing for too long, with what was done about it. */
 	readonly onSilence?: (service: ServiceId, result: string) => void;
 	/** Called when a call of a service is late, with what was done about it, and when one of its two attempts answers. */
@@ -110,6 +113,8 @@
 export class CallForwarder {
 	/** The memory for responses. */
 	readonly buffers: ResponseBuffers;
+	/** The bodies that instances hold. */
+	readonly bodiesInFlight: BodiesInFlight;
 	private readonly inFlight = new Set<ForwardedCall>();
 	private readonly serviceLimits = new Map<string, ServiceLimits>();
 	private readonly latencies = new LatencyHistory();
@@ -123,6 +128,7 @@
 		const {directory, tracker, loads, homes, random, zone, log} = options;
 		this.buffers = new ResponseBuffers(options.responseBytes);
 		this.versionExpiry = new VersionExpiry(directory, options.versionBoundMs, options.eventLoopDelayMs);
+		this.bodiesInFlight = new BodiesInFlight(options.instanceBodyMb);
 		this.selector = new InstanceSelector({
 			directory, tracker, loads, homes, random, zone, log, versionExpiry: this.versionExpiry,
 		});
@@ -205,6 +211,7 @@
 			codec,
 			tracker,
 			buffers: this.buffers,
+			bodiesInFlight: this.bodiesInFlight,
 			clock: this.options.clock,
 			crashes: this.options.crashes,
 			quarantine: this.options.quarantine,
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -197,7 +197,7 @@
 	}
 
 	private async selectInstance(): ReturnType<ForwardedCallOptions['selectInstance']> {
-		const {call, route, service, permittedRegions, aimLeftMs, writer, selectInstance} = this.options;
+		const {call, route, service, permittedRegions, aimLeftMs, writer, selectInstance, bodiesInFlight} = this.options;
 		const nowMs = performance.now();
 		return selectInstance({
 			route,
@@ -207,7 +207,7 @@
 			priority: callPriority(this.options, this.progress.lastEventId),
 			aimLeftMs: aimLeftMs - (nowMs - call.receivedAtMs),
 			deadlineLeftMs: this.expiresAtMs - nowMs,
-			tried: this.tried,
+			tried: new Set([...this.tried, ...bodiesInFlight.findFull(call.body.length)]),
 			isResponseStarted: writer.hasStarted,
 			requiredVersion: this.progress.version,
 		});
@@ -246,7 +246,7 @@
 	}
 
 	private startAttempt({instance, predictedMs, version, startTimeLeftMs, isStartPermitted}: SelectedInstance): UpstreamAttempt {
-		const {call, boundary, route, writer, codec, tracker, buffers, clock} = this.options;
+		const {call, boundary, route, writer, codec, tracker, buffers, bodiesInFlight, clock} = this.options;
 		this.tried.add(instance.id);
 		this.version = version;
 		this.possibleRuns++;
@@ -266,6 +266,7 @@
 			codec,
 			tracker,
 			buffers,
+			bodiesInFlight,
 			clock,
 			firstByte: this.hedge.watchFirstByte(predictedMs, () => attempt),
 			stallTimeoutsMs: findStallTimeouts(route.kind),
--- a/src/settings/direct-settings.ts
+++ b/src/settings/direct-settings.ts
@@ -2,6 +2,7 @@
 import {z} from 'zod';
 import {createRegionId, type RegionId} from '../ids/region-id.ts';
 import {defaultColdLimits} from '../placement/cold-quota.ts';
+import {defaultInstanceBodyMb} from '../limits/bodies-in-flight.ts';
 import {
 	address, idText, nameText, positiveNumber, processSection,
 } from './settings-schema.ts';
@@ -83,6 +84,8 @@
 		memory_mb: positiveAmount(350),
 		/** Descriptors that the process may have open, of which some are kept for files. */
 		max_descriptors: positiveAmount(4096),
+		/** Bytes of bodies that the gateway has in flight to one instance, in megabytes. */
+		instance_body_mb: positiveAmount(defaultInstanceBodyMb),
 	}).prefault({}),
 });
 
