--- a/src/placement/load-shedding.ts
+++ b/src/placement/load-shedding.ts
@@ -6,7 +6,7 @@
 import type {RandomSource} from '../runtime/random-source.ts';
 import {limitByUrgency, type UrgencyLimit} from './limit-by-urgency.ts';
 import {RetrySchedule} from './retry-schedule.ts';
-import type {Placement} from './select-instance.ts';
+import type {Placement, RefusalReason} from './select-instance.ts';
 import {
 	type CountByUrgency, maxReportedRefusals, toUrgency, UrgencyPressure, type UrgencyReport, type YieldShares,
 } from './urgency-pressure.ts';
@@ -34,6 +34,9 @@
 
 const noRefusals: readonly CountByUrgency[] = [];
 
+/** The refusals for lack of capacity. With any other one, capacity that becomes free does not help. */
+const capacityReasons: ReadonlySet<RefusalReason> = new Set<RefusalReason>(['overloaded', 'gives_way']);
+
 /** Sheds the calls of one gateway. */
 export class LoadShedding {
 	private readonly services = new Map<ServiceId, ServiceState>();
@@ -129,7 +132,7 @@
 	 * @param leftMs - time left until the call expires, in milliseconds
 	 */
 	settle(placement: Placement, leftMs: number): Placement {
-		if (placement.kind === 'place' || placement.reason === 'no_upstream') {
+		if (placement.kind === 'place' || !capacityReasons.has(placement.reason)) {
 			return placement;
 		}
 
