--- a/.mocharc.cjs
+++ b/.mocharc.cjs
@@ -10,7 +10,6 @@
 const escaped = titles.map(title => title.replaceAll(/[.*+?^${}()|[\]\\]/g, String.raw`\$&`));
 
 module.exports = {
-	spec: 'test/**/*.test.ts',
 	require: ['tsx', './test/setup.ts'],
 	timeout: 60_000,
 	reporter: './build/reporter.cjs',
--- a/test/cold-instances.test.ts
+++ b/test/cold-instances.test.ts
@@ -24,6 +24,7 @@
 import {
 	callGateway, sendSignedResponse, startTestGateway, startUpstream, testConfiguration, testInstance, testRoute,
 } from './support/direct-fixtures.ts';
+import {sharedPort} from './support/loopback-ports.ts';
 
 const log = createSilentLogger();
 const encodeValue = (value: unknown) => Buffer.from(JSON.stringify(value)).toString('base64');
@@ -223,7 +224,7 @@
 });
 
 it('guards against starts that two gateways are both granted, and calls that wait for a stager that is gone: it answers each claim once, and is soon not waited for', async () => {
-	const port = 17_937;
+	const port = sharedPort;
 	const stager = new DatagramPort(log);
 	serveStartClaims(stager, () => 7);
 	const gateways = ['127.0.0.21', '127.0.0.22'].map(host => ({host, datagrams: new DatagramPort(log)}));
--- a/test/load-queries.test.ts
+++ b/test/load-queries.test.ts
@@ -17,8 +17,9 @@
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {monotonicClock} from '../src/runtime/pause-detector.ts';
 import {testConfiguration, testInstance} from './support/direct-fixtures.ts';
+import {sharedPort} from './support/loopback-ports.ts';
 
-const port = 17_931;
+const port = sharedPort;
 const log = createSilentLogger();
 
 function engineAt(index: number): Instance {
--- a/test/notice-datagrams.test.ts
+++ b/test/notice-datagrams.test.ts
@@ -9,8 +9,9 @@
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
 import {TransferFleet, waitUntil} from './support/transfer-fleet.ts';
+import {sharedPort} from './support/loopback-ports.ts';
 
-const port = 17_951;
+const port = sharedPort;
 
 function noticeOf(vm: string, bitmap = 'AQ=='): TransferNotice {
 	return {
--- a/test/silence-directory.test.ts
+++ b/test/silence-directory.test.ts
@@ -18,8 +18,9 @@
 import {RandomSource} from '../src/runtime/random-source.ts';
 import {blockAfter} from './support/block-after.ts';
 import {Processes} from './support/processes.ts';
+import {sharedPort} from './support/loopback-ports.ts';
 
-const port = 17_952;
+const port = sharedPort;
 const log = createSilentLogger();
 const processes = new Processes();
 const puller = {pull: async () => true} as unknown as DirectoryPuller;
--- a/test/silence-elsewhere.test.ts
+++ b/test/silence-elsewhere.test.ts
@@ -31,9 +31,10 @@
 import {bookingCall, generateCall} from './support/call-samples.ts';
 import {testInstance} from './support/direct-fixtures.ts';
 import {Processes} from './support/processes.ts';
+import {sharedPort} from './support/loopback-ports.ts';
 
 /** The port on which the worker and the components under test receive datagrams, and the worker's host. */
-const datagramPort = 17_951;
+const datagramPort = sharedPort;
 const workerHost = '127.0.1.51';
 
 const processes = new Processes();
--- a/test/support/directory-fleet.ts
+++ b/test/support/directory-fleet.ts
@@ -11,9 +11,10 @@
 import {directoryGetMethod} from '../../src/messages/peers-exchange.ts';
 import {directoryGetParamsSchema} from '../../src/peers/directory-snapshot-schema.ts';
 import {createControlRoutes} from '../../src/reports/control-routes.ts';
+import {sharedPort} from './loopback-ports.ts';
 
-const controlPort = 17_941;
-const datagramPort = 17_942;
+const controlPort = sharedPort;
+const datagramPort = sharedPort;
 
 /** What a source held at one time. */
 type SourceCopy = {readonly revision: number; readonly items: ReadonlyMap<string, SourceItem>};
--- a/test/support/loopback-ports.ts
+++ b/test/support/loopback-ports.ts
@@ -8,6 +8,11 @@
 
 const firstPort = 20_000;
 
+const sharedPortCount = 10_000;
+
+/** A port for processes and sockets that share one port at several loopback addresses; test processes that run side by side have different ones. */
+export const sharedPort = firstPort + (process.pid % sharedPortCount);
+
 let reserved = 0;
 
 /** The loopback address that only this test process uses: its process ID in three numbers below 256. */
