--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -286,6 +286,12 @@
 			return;
 		}
 
+		if (this.refusedConnections.has(socket)) {
+			// The response to the malformed request is the last one.
+			socket.end();
+			return;
+		}
+
 		this.options.log.warn({event: 'call_unreadable', code: err.code}, 'request could not be parsed');
 		socket.end(`HTTP/1.1 ${parseErrorStatuses[err.code ?? ''] ?? '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
 	}
--- a/src/links/http-listener.ts
+++ b/src/links/http-listener.ts
@@ -213,9 +213,12 @@
 		};
 
 		req.on('data', add);
-		chunkPacer.watch(req, () => {
-			req.socket.destroy();
-		});
+		if (limits) {
+			chunkPacer.watch(req, () => {
+				req.socket.destroy();
+			});
+		}
+
 		req.once('end', () => {
 			end();
 			resolve(body.take().toString('utf8'));
