Heads with more than 2,000 fields are passed on whole

Cause: Node.js drops the fields of a head beyond a number of its own without notice, so that a call within the published size reached its instance without some of them, and without the deadline or key that followed. The size of heads stays bounded by 64 KiB in the parser and the published limit.

--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -82,6 +82,8 @@
 		}, (req, res) => {
 			this.accept(req, res);
 		});
+		// Node.js would drop further fields silently. Their size is bounded.
+		this.server.maxHeadersCount = 0;
 		this.connections = new ServerConnections(this.server);
 		this.bodyReceiver = new BodyReceiver({
 			...options, maxBytes: () => this.limits.bodyBytes, isClosing: () => this.isClosing, onTooLarge: (req, writer) => {
--- a/src/forwarding/upstream-exchange.ts
+++ b/src/forwarding/upstream-exchange.ts
@@ -72,6 +72,7 @@
 		this.req = http.request({
 			host, port, method, path: target, headers, agent,
 		});
+		this.req.maxHeadersCount = 0;
 		this.connectTimeout = setInputTimeout(boundary.wrap('send', () => {
 			this.fail('connect_timeout');
 		}), connectTimeoutMs);
--- a/test/hostile-bytes.test.ts
+++ b/test/hostile-bytes.test.ts
@@ -199,3 +199,34 @@
 		expect(upstreams.flatMap(({requests}) => requests)).to.have.lengthOf(1);
 	});
 }
+
+it('guards against fields of a head that are dropped silently: a call with more than 2,000 of them within the published size is passed on whole', async () => {
+	let received = '';
+	const server = net.createServer(socket => {
+		socket.on('error', () => undefined);
+		socket.on('data', part => {
+			received += part.toString('latin1');
+		});
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const configuration = testConfiguration(1);
+	const gateway = await startTestGateway({...configuration, limits: {...configuration.limits, headerBytes: 16_384}}, [
+		testInstance({id: 'i-0', address: `127.0.0.1:${(server.address() as AddressInfo).port}`}),
+	]);
+	const socket = net.connect({host: '127.0.0.1', port: Number(new URL(gateway.url).port)});
+	try {
+		const fields = 'a:\r\n'.repeat(2500);
+		socket.write(`POST /p/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: id-1\r\nApi-Key: k1\r\n${fields}Deadline-Ms: 900\r\nContent-Length: 0\r\n\r\n`);
+		while (!received.includes('\r\n\r\n')) {
+			await sleep(10);
+		}
+
+		expect(received.match(/^a:/gm)).to.have.lengthOf(2500);
+	} finally {
+		socket.destroy();
+		server.close();
+		gateway.close();
+	}
+});
