End lost evacuations at every process, and tell the listeners

Cause: after the source came back without an evacuation, only a process that had missed it in a list of its own ended it after 5 s, at the revision of that read. A process that was told of the evacuation by another one (every process that does not watch the source, and one that starts) had it in the list, so it started no wait; the end was not later than its own revision, so it did not fetch it either, and the evacuation stayed. The same held where a later revision of the earlier era was learned meanwhile. The listeners of the directory were not called at the end of the wait.

Change: whichever process knows an evacuation of an earlier era than its complete revision waits for the publication, once for each zone and era, and records the end at the revision that it knows by then.

--- a/src/directory/directory.ts
+++ b/src/directory/directory.ts
@@ -54,7 +54,9 @@
 	 */
 	constructor(private readonly log: Logger, readonly clock = new ElapsedClock()) {
 		this.namedVersions = new NamedVersions(log);
-		this.evacuations = new Evacuations(log);
+		this.evacuations = new Evacuations(log, () => {
+			this.notifyListeners();
+		});
 		clock.onJump(jumpMs => {
 			this.namedVersions.moveBack(jumpMs);
 		});
--- a/src/directory/evacuations.ts
+++ b/src/directory/evacuations.ts
@@ -4,7 +4,7 @@
  * An evacuation begins and ends at a revision of the source. Processes pass both on with their revisions, so that the later one wins in
  * whatever order they arrive, and that it is also in force where the source is out of reach.
  */
-import {noEra} from '../ids/store-era.ts';
+import {noEra, type StoreEra} from '../ids/store-era.ts';
 import type {Logger} from '../runtime/logger.ts';
 import {Confirmation} from './confirmation.ts';
 import type {DirectoryChanges} from './directory-types.ts';
@@ -47,8 +47,14 @@
 	readonly confirmation = new Confirmation();
 	private completeUntil: StoreRevision | undefined;
 	private readonly entries = new Map<string, Entry>();
+	/** The zones whose evacuations the source lacks after it came back, by the era of the evacuation. */
+	private readonly awaited = new Map<string, StoreEra>();
 
-	constructor(private readonly log: Logger) {}
+	/**
+	 * @param log - logs changes
+	 * @param onLateEnd - called after an evacuation has ended because it was not published again in time
+	 */
+	constructor(private readonly log: Logger, private readonly onLateEnd: () => void = () => undefined) {}
 
 	/** Whether all evacuations up to some revision are known; not before a full read of the source or an answer of a process that knows them. */
 	get isKnown(): boolean {
@@ -131,7 +137,7 @@
 			this.endMissing(present, revision, {atMs: performance.now(), origin: 'source'});
 		}
 
-		this.advance(revision);
+		this.advance(revision, 'source');
 	}
 
 	/**
@@ -146,37 +152,48 @@
 		}
 
 		this.endMissing(new Set(zones.map(({zone}) => zone)), revision, {atMs: createdMs, origin: 'peer'});
-		this.advance(revision);
+		this.advance(revision, 'peer');
 	}
 
-	/** Ends the evacuations that a complete list does not have, unless they are later than the list. */
+	/** Ends the evacuations of its era that a complete list does not have, unless they are later than the list. */
 	private endMissing(present: ReadonlySet<string>, revision: StoreRevision, {atMs, origin}: {readonly atMs: number; readonly origin: Origin}): void {
 		for (const zone of this.zones) {
-			if (!present.has(zone)) {
-				this.endLater(zone, {isEvacuated: false, revision, atMs}, origin);
+			if (!present.has(zone) && eraOf(this.entries.get(zone)!.revision) >= eraOf(revision)) {
+				this.put(zone, {isEvacuated: false, revision, atMs}, origin);
 			}
 		}
 	}
 
-	/** Ends an evacuation; one of an earlier era only if it is not published again in time, since the source may have lost it. */
-	private endLater(zone: string, end: Entry, origin: Origin): void {
-		const known = this.entries.get(zone)!;
-		if (eraOf(known.revision) >= eraOf(end.revision)) {
-			this.put(zone, end, origin);
-			return;
+	/** Raises the revision up to which the evacuations are known. Those of earlier eras end unless they are published again in time, since the source may have lost them. */
+	private advance(revision: StoreRevision, origin: Origin): void {
+		if (this.completeUntil === undefined || isLater(revision, this.completeUntil)) {
+			this.completeUntil = revision;
 		}
 
-		setTimeout(() => {
-			if (this.entries.get(zone) === known) {
-				this.put(zone, {...end, atMs: performance.now()}, origin);
+		for (const zone of this.zones) {
+			const era = eraOf(this.entries.get(zone)!.revision);
+			if (era < eraOf(this.completeUntil) && this.awaited.get(zone) !== era) {
+				this.awaitPublication(zone, era, origin);
 			}
-		}, republishMs).unref();
+		}
 	}
 
-	private advance(revision: StoreRevision): void {
-		if (this.completeUntil === undefined || isLater(revision, this.completeUntil)) {
-			this.completeUntil = revision;
-		}
+	/** Ends an evacuation of an earlier era if it is not published again in time. */
+	private awaitPublication(zone: string, era: StoreEra, origin: Origin): void {
+		this.awaited.set(zone, era);
+		setTimeout(() => {
+			if (this.awaited.get(zone) !== era) {
+				return;
+			}
+
+			this.awaited.delete(zone);
+			const known = this.entries.get(zone);
+			if (known?.isEvacuated && eraOf(known.revision) === era) {
+				// Other processes may have got the list up to this revision while the evacuation was still in it.
+				this.put(zone, {isEvacuated: false, revision: this.completeUntil!, atMs: performance.now()}, origin);
+				this.onLateEnd();
+			}
+		}, republishMs).unref();
 	}
 
 	private put(zone: string, entry: Entry, from: Origin): void {
--- a/test/evacuations.test.ts
+++ b/test/evacuations.test.ts
@@ -143,6 +143,66 @@
 	}
 });
 
+it('guards against evacuations that never end at processes that learn of them from others after the source came back without them', () => {
+	const clock = install({toFake: ['setTimeout', 'clearTimeout', 'performance']});
+	try {
+		const era = createStoreEra(1);
+		const [reader, relayed, started] = [createEvacuations(), createEvacuations(), createEvacuations()];
+		read(reader, 150, [['z', 140]]);
+		reader.recordComplete({era, revision: 47, changes: []}, true);
+		clock.tick(2000);
+		reader.recordComplete({era, revision: 60, changes: []}, false);
+		relayed.merge(reader.shareable!, performance.now());
+		started.recordComplete({era, revision: 60, changes: []}, true);
+		started.merge(reader.shareable!, performance.now());
+		expect([relayed.zones, started.zones]).to.deep.equal([['z'], ['z']]);
+		clock.tick(2900);
+		expect([reader.zones, relayed.zones, started.zones]).to.deep.equal([['z'], ['z'], ['z']]);
+		clock.tick(2100);
+		expect([reader.zones, relayed.zones, started.zones]).to.deep.equal([[], [], []]);
+		expect(relayed.lacks(reader.lastChange!)).to.equal(false);
+	} finally {
+		clock.uninstall();
+	}
+});
+
+it('guards against an evacuation that never ends since its revision in the earlier era was learned late, and one that ends early since the source came back twice', () => {
+	const clock = install({toFake: ['setTimeout', 'clearTimeout', 'performance']});
+	try {
+		const evacuations = createEvacuations();
+		read(evacuations, 150, [['again', 140], ['twice', 141]]);
+		evacuations.recordComplete({era: createStoreEra(1), revision: 47, changes: []}, true);
+		evacuations.record('again', true, {revision: 145});
+		evacuations.record('twice', true, {era: createStoreEra(1), revision: 48});
+		clock.tick(4000);
+		evacuations.recordComplete({era: createStoreEra(2), revision: 40, changes: []}, true);
+		clock.tick(1100);
+		expect(evacuations.zones).to.deep.equal(['twice']);
+		clock.tick(4000);
+		expect(evacuations.zones).to.deep.equal([]);
+	} finally {
+		clock.uninstall();
+	}
+});
+
+it('guards against processes that are not told of an evacuation that ends because it was not published again', () => {
+	const clock = install({toFake: ['setTimeout', 'clearTimeout', 'performance']});
+	try {
+		const directory = new Directory(createSilentLogger());
+		read(directory.evacuations, 150, [['z', 140]]);
+		directory.evacuations.recordComplete({era: createStoreEra(1), revision: 47, changes: []}, true);
+		directory.apply({revision: 47, changes: []});
+		let notified = 0;
+		directory.onChange(() => {
+			notified++;
+		});
+		clock.tick(5100);
+		expect([directory.evacuations.zones, notified]).to.deep.equal([[], 1]);
+	} finally {
+		clock.uninstall();
+	}
+});
+
 it('guards against evacuations that are lost between processes: a snapshot tells them to one that knows none, with the time of an end', () => {
 	const [sender, receiver] = [new Directory(createSilentLogger()), new Directory(createSilentLogger())];
 	read(sender.evacuations, 10, [['z', 8], ['w', 9]]);
