Send observations only to stagers and gateways that take them

Cause: what an engine said of itself is a further element of 'count' and 'load', which processes of the earlier version refuse. During an upgrade, gateways of the earlier version got no counts from new stagers, and their stagers dropped the reports of new gateways, whenever an engine had told its pace or that it is cold.

Change: a stager adds it only to answers to questions with an urgency, which the earlier version does not give; a gateway leaves it out while it asks a stager without an urgency.

Result: two tests in test/load-queries.test.ts fail before and pass after. The test of observations between two gateways now asks with an urgency, as gateways do.

--- a/src/messages/load-datagram.ts
+++ b/src/messages/load-datagram.ts
@@ -35,7 +35,7 @@
 /** What a `load` tells beside the counts: what the engine said of itself, and the calls that should give way to more urgent ones. */
 const loadExtrasSchema = observationSchema.extend({yields: byUrgencySchema.optional()});
 
-/** `['load', instance, counts, extras]`: the answer to an `ask`. The last element may be absent; only gateways that give an urgency are told which calls give way. */
+/** `['load', instance, counts, extras]`: the answer to an `ask`. The last element may be absent; only gateways that give an urgency get it, since those of earlier versions refuse it. */
 export const loadDatagramSchema = z.tuple([z.literal('load'), z.string(), countsSchema, loadExtrasSchema.optional()], z.unknown());
 
 /** A question to a stager. */
--- a/src/peers/call-counter-listener.ts
+++ b/src/peers/call-counter-listener.ts
@@ -19,9 +19,11 @@
 	const counter = new CallCounter(clock);
 	const relay = new ObservationRelay();
 	const pressure = new UrgencyPressure();
-	const takeReport = (urgency: NonNullable<AskDatagram[3]>) => {
+	/** Gateways of earlier versions give no urgency, and refuse answers with extras. */
+	const createExtras = (urgency: NonNullable<AskDatagram[3]>) => {
 		pressure.record(decodeReport(urgency), clock.listeningMs);
-		return pressure.yields(clock.listeningMs);
+		const yields = pressure.yields(clock.listeningMs);
+		return {...relay.current(performance.now()), ...(yields?.length ? encodeYields(yields) : {})};
 	};
 
 	datagrams.on('count', countDatagramSchema, ([, gateway, sequence, [calls, unreadTokens], observation]) => {
@@ -32,8 +34,7 @@
 	});
 	datagrams.on('ask', askDatagramSchema, ([, gateway, instance, urgency], from) => {
 		const {calls, unreadTokens} = counter.othersThan(gateway);
-		const yields = urgency && takeReport(urgency);
-		const extras = {...relay.current(performance.now()), ...(yields?.length ? encodeYields(yields) : {})};
+		const extras = urgency && createExtras(urgency);
 		datagrams.send(['load', instance, [calls, unreadTokens], ...asTrailing(extras)] satisfies LoadDatagram, from);
 	});
 }
--- a/src/peers/load-queries.ts
+++ b/src/peers/load-queries.ts
@@ -234,11 +234,17 @@
 		const instance = directory.instance(id);
 		if (instance && directory.table?.findService(instance.service)?.engine) {
 			const {calls, unreadTokens} = inFlight.countsAt(id);
-			const observation = asTrailing(this.options.observations?.own(instance));
-			datagrams.send(['count', vm, ++this.sequence, [calls, unreadTokens], ...observation], this.counterAddress(instance.address));
+			const observation = this.isToldPlainly(id) ? undefined : this.options.observations?.own(instance);
+			datagrams.send(['count', vm, ++this.sequence, [calls, unreadTokens], ...asTrailing(observation)], this.counterAddress(instance.address));
 		}
 	}
 
+	/** Returns whether the stager beside an instance may be of an earlier version, which drops reports with further elements. */
+	private isToldPlainly(id: string): boolean {
+		const counter = this.counters.get(id);
+		return counter !== undefined && (counter.isAskedPlainly || performance.now() < counter.plainUntilMs);
+	}
+
 	private takeObservation(id: string, observation: EngineObservation | undefined): void {
 		const instance = observation && this.options.directory.instance(id);
 		if (instance) {
--- a/test/load-queries.test.ts
+++ b/test/load-queries.test.ts
@@ -210,7 +210,7 @@
 		first.observations.said = {pace: [2, 5], coldMs: 800};
 		first.inFlight.add('i-1', 10);
 		await waitUntil(async () => {
-			await second.queries.ask(instances);
+			await second.queries.ask(instances, {urgency: 1, isNewCall: true, refused: []});
 			return second.observations.taken.length > 0;
 		});
 		const {pace, coldMs} = second.observations.taken[0]!;
@@ -225,6 +225,34 @@
 	}
 });
 
+it('guards against gateways of an earlier version that get no counts: they refuse an answer with what the engine said', async () => {
+	const fleet = await startFleet(1, 1);
+	const {first} = fleet;
+	const old = new DatagramPort(log);
+	const answers: unknown[] = [];
+	old.on('load', z.array(z.unknown()), message => {
+		answers.push(message);
+	});
+	await old.start({host: '127.0.0.13', port});
+	try {
+		first.observations.said = {pace: [2, 5], coldMs: 5000};
+		first.inFlight.add('i-1', 10);
+		await waitUntil(async () => {
+			await fleet.second.queries.ask(fleet.instances, {urgency: 1, isNewCall: true, refused: []});
+			return fleet.second.observations.taken.length > 0;
+		});
+		await waitUntil(async () => {
+			old.send(['ask', '127.0.0.13', 'i-1'], {host: '127.0.1.1', port});
+			await sleep(20);
+			return answers.length > 0;
+		});
+		expect(answers[0]).to.deep.equal(['load', 'i-1', [1, 10]]);
+	} finally {
+		fleet.stop();
+		old.close();
+	}
+});
+
 it('guards against gateways that shed only by their own refusals: what one gateway refuses makes less urgent calls of another one give way', async () => {
 	const fleet = await startFleet(1, 1);
 	const {instances, first, second} = fleet;
@@ -245,11 +273,15 @@
 	}
 });
 
-it('guards against stagers of an earlier version that are given up: they drop questions that carry an urgency, and are asked without one', async () => {
+it('guards against stagers of an earlier version that are given up: they drop questions that carry an urgency and reports with what the engine said, and get neither', async () => {
 	const counterPort = new DatagramPort(log);
 	counterPort.on('ask', z.tuple([z.literal('ask'), z.string(), z.string()]), (message, from) => {
 		counterPort.send(['load', message[2], [3, 70]], from);
 	});
+	const reports: unknown[] = [];
+	counterPort.on('count', z.tuple([z.literal('count'), z.string(), z.number(), z.tuple([z.number(), z.number()])]), message => {
+		reports.push(message[3]);
+	});
 	await counterPort.start({host: '127.0.1.1', port});
 	const fleet = await startFleet(1, 0);
 	const countsSeen = async () => {
@@ -266,6 +298,11 @@
 			expect(await countsSeen()).to.deep.equal({calls: 3, unreadTokens: 70});
 			await sleep(30);
 		}
+
+		fleet.first.observations.said = {pace: [2, 5]};
+		fleet.first.inFlight.add('i-1', 10);
+		await waitUntil(async () => reports.length > 0);
+		expect(reports[0], 'reports carry nothing that the stager refuses').to.deep.equal([1, 10]);
 	} finally {
 		fleet.stop();
 		counterPort.close();
