Name the platform's headers, paths and keys in platform/ only

Cause: stand-ins and a bench spelled them again, so that a change of the wire had to be made in several places.

Change: platform/wire-names.ts names those that both the adapter and the stand-ins need; no behaviour changes.

--- a/bench/log-cost.ts
+++ b/bench/log-cost.ts
@@ -7,6 +7,7 @@
 import os from 'node:os';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {headerNames, storeKeys} from '../platform/wire-names.ts';
 import {callGateway, startUpstream} from '../test/support/direct-fixtures.ts';
 import {DirectoryStore} from '../test/support/directory-store.ts';
 import {observedConfiguration, observedPlain} from '../test/support/observed-gateway.ts';
@@ -50,7 +51,7 @@
 }
 
 async function sendCall(url: string, id: string): Promise<boolean> {
-	const {status, complete} = await callGateway(url, {headers: {'attempt-id': id, 'deadline-ms': '6000'}});
+	const {status, complete} = await callGateway(url, {headers: {[headerNames.attemptId]: id, 'deadline-ms': '6000'}});
 	return status === 200 && complete;
 }
 
@@ -59,11 +60,11 @@
 const store = new DirectoryStore();
 await store.start();
 const upstream = await startUpstream((req, res) => {
-	res.writeHead(200, {'attempt-id': req.headers['attempt-id'] as string, 'response-seal': 's.1', 'content-length': 800});
+	res.writeHead(200, {[headerNames.attemptId]: req.headers[headerNames.attemptId] as string, [headerNames.seal]: 's.1', 'content-length': 800});
 	res.end('x'.repeat(800));
 });
-store.put('op/config', observedConfiguration);
-store.put('servers/i-desk', observedPlain('desk', upstream.address));
+store.put(storeKeys.configuration, observedConfiguration);
+store.put(`${storeKeys.instances}i-desk`, observedPlain('desk', upstream.address));
 const gateways: GatewayProcess[] = [];
 for (const level of levels) {
 	gateways.push(await processes.startGateway(store, '', {processSettings: `log_level = ${level}`}));
--- a/standins/fault-worker.ts
+++ b/standins/fault-worker.ts
@@ -5,6 +5,7 @@
  */
 import http from 'node:http';
 import process from 'node:process';
+import {headerNames} from '../platform/wire-names.ts';
 import {eventText, plainText} from './worker-answers.ts';
 
 /** How a worker is started. */
@@ -39,9 +40,6 @@
 	readonly holder: string;
 };
 
-const headers = {
-	id: 'attempt-id', signature: 'response-seal', notRun: 'not-executed', leaving: 'server-leaving',
-};
 const unavailableStatus = 503;
 const misdirectedStatus = 421;
 
@@ -93,11 +91,11 @@
 		return;
 	}
 
-	const id = String(req.headers[headers.id]);
-	const expected = req.headers['expect-version'];
-	const isMisdirected = req.headers['expect-instance'] !== instance || (version !== undefined && expected !== undefined && Number(expected) !== version);
+	const id = String(req.headers[headerNames.attemptId]);
+	const expected = req.headers[headerNames.expectedVersion];
+	const isMisdirected = req.headers[headerNames.expectedInstance] !== instance || (version !== undefined && expected !== undefined && Number(expected) !== version);
 	const refuses = performance.now() < refusal.untilMs;
-	const common = {[headers.id]: id, 'served-by': instance, ...(isLeaving ? {[headers.leaving]: '1'} : {})};
+	const common = {[headerNames.attemptId]: id, [headerNames.servedBy]: instance, ...(isLeaving ? {[headerNames.leaving]: '1'} : {})};
 	req.resume();
 	tell({
 		kind: 'arrival', id, instance, atMs: performance.timeOrigin + performance.now(), ran: !isMisdirected && !refuses, holder: String(req.headers.tenant),
@@ -106,15 +104,15 @@
 		res.writeHead(misdirectedStatus, common).end();
 	} else if (refuses) {
 		const {retryAfterS} = refusal;
-		res.writeHead(unavailableStatus, {...common, [headers.notRun]: '1', ...(retryAfterS === undefined ? {} : {'retry-after': String(retryAfterS)})}).end();
+		res.writeHead(unavailableStatus, {...common, [headerNames.notRun]: '1', ...(retryAfterS === undefined ? {} : {'retry-after': String(retryAfterS)})}).end();
 	} else if (version === undefined) {
 		const text = plainText(id, Number(searchParams.get('bytes')));
 		whenAwake(Number(searchParams.get('after')), () => {
-			res.writeHead(200, {...common, [headers.signature]: 's', 'content-length': text.length}).end(text);
+			res.writeHead(200, {...common, [headerNames.seal]: 's', 'content-length': text.length}).end(text);
 		});
 	} else {
 		res.writeHead(200, {
-			...common, [headers.signature]: 's', 'content-type': 'text/event-stream', 'weight-versions': String(version),
+			...common, [headerNames.seal]: 's', 'content-type': 'text/event-stream', [headerNames.version]: String(version),
 		});
 		sendEvents(res, {
 			id, version, event: Number(req.headers['last-event-id'] ?? 0) + 1, last: Number(searchParams.get('events')), gapMs: Number(searchParams.get('gap')),
--- a/standins/signalling-upstream.ts
+++ b/standins/signalling-upstream.ts
@@ -1,6 +1,7 @@
 /** Stand-in for an instance that says in its responses that it is leaving, or for how long it wants no calls. Answers every call it accepts at once. */
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {headerNames} from '../platform/wire-names.ts';
 
 /** How long calls may still arrive after a response has said that the instance is leaving or wants quiet, in milliseconds. */
 const graceMs = {leaving: 500, quiet: 500};
@@ -39,7 +40,7 @@
 	private quietTimes: QuietTime[] = [];
 	private readonly server = http.createServer((req, res) => {
 		this.arrivals.push(performance.now());
-		if (req.headers['expect-instance'] === this.id) {
+		if (req.headers[headerNames.expectedInstance] === this.id) {
 			this.checkArrival(performance.now());
 		}
 
@@ -98,16 +99,16 @@
 	}
 
 	private respond(req: http.IncomingMessage, res: http.ServerResponse): void {
-		const headers: Record<string, string> = {'attempt-id': String(req.headers['attempt-id'])};
+		const headers: Record<string, string> = {[headerNames.attemptId]: String(req.headers[headerNames.attemptId])};
 		if (this.isLeaving) {
-			headers['server-leaving'] = '1';
+			headers[headerNames.leaving] = '1';
 		}
 
 		if (this.namesItself) {
-			headers['served-by'] = this.id;
+			headers[headerNames.servedBy] = this.id;
 		}
 
-		if (this.checksId && req.headers['expect-instance'] !== this.id) {
+		if (this.checksId && req.headers[headerNames.expectedInstance] !== this.id) {
 			res.writeHead(421, headers).end();
 			return;
 		}
@@ -118,17 +119,17 @@
 
 		if (this.refusesCalls || this.retryAfter !== undefined) {
 			const retry = this.retryAfter === undefined ? {} : {'retry-after': this.retryAfter};
-			res.writeHead(503, {...headers, ...retry, 'not-executed': '1'}).end();
+			res.writeHead(503, {...headers, ...retry, [headerNames.notRun]: '1'}).end();
 			const nowMs = performance.now();
 			this.quietTimes.push({fromMs: nowMs, untilMs: nowMs + (Number(this.retryAfter ?? 0) * 1000), arrivals: 0});
 			return;
 		}
 
-		headers['response-seal'] = 's';
+		headers[headerNames.seal] = 's';
 		if (req.headers.model === undefined) {
 			res.writeHead(200, {...headers, 'content-length': '2'}).end('ok');
 		} else {
-			res.writeHead(200, {...headers, 'content-type': 'text/event-stream', 'weight-versions': '1'});
+			res.writeHead(200, {...headers, 'content-type': 'text/event-stream', [headerNames.version]: '1'});
 			res.flushHeaders();
 			this.sendEvents(res, 1);
 		}
--- a/standins/store-entries.ts
+++ b/standins/store-entries.ts
@@ -1,4 +1,5 @@
 /** The entries that a stand-in for the platform's store publishes for the routes and workers of a soak, in the platform's format. */
+import {headerNames, storeKeys} from '../platform/wire-names.ts';
 import type {WatchedStore} from './watched-store.ts';
 
 /** Timeout of each route, in milliseconds. */
@@ -19,7 +20,7 @@
 
 /** Publishes a configuration in which the callers' key belongs to the holder `c` and the version. */
 export function publishConfiguration(store: WatchedStore, version: number): void {
-	store.put('op/config', {
+	store.put(storeKeys.configuration, {
 		version,
 		routes: routes.map(route => ({
 			...route, host: 'a.example', prefix: `/${route.name}/`, timeout_ms: callTimeoutMs, goal_ms: 1000,
@@ -45,19 +46,19 @@
 /** Publishes the entry of a worker. */
 export function publishWorker(store: WatchedStore, instance: string, {address, version, state, startNumber}: WorkerEntry): void {
 	const isEngine = version !== undefined;
-	store.put(`servers/${instance}`, {
+	store.put(`${storeKeys.instances}${instance}`, {
 		service: isEngine ? 'models' : 'desk', address, zone: 'z', slots: 32, state, born: startNumber, ...(isEngine ? {models: [{name: 'm', version}], layers: {from: 0, to: 16}} : {}),
 	});
 }
 
 /** Removes the entry of a worker. */
 export function removeWorker(store: WatchedStore, instance: string): void {
-	store.remove(`servers/${instance}`);
+	store.remove(`${storeKeys.instances}${instance}`);
 }
 
 /** Returns the headers of a caller's call. */
 export function callHeaders(id: string, isStream: boolean): Record<string, string> {
 	return {
-		host: 'a.example', 'attempt-id': id, 'api-key': 'k1', 'deadline-ms': String(callTimeoutMs), ...(isStream ? {model: 'm', 'token-usage': '100,50'} : {}),
+		host: 'a.example', [headerNames.attemptId]: id, 'api-key': 'k1', 'deadline-ms': String(callTimeoutMs), ...(isStream ? {model: 'm', [headerNames.tokenUsage]: '100,50'} : {}),
 	};
 }
--- a/standins/watched-store.ts
+++ b/standins/watched-store.ts
@@ -3,6 +3,7 @@
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {storeEraHeader} from '../platform/store-source.ts';
+import {storePaths} from '../platform/wire-names.ts';
 import {sendJson} from '../src/links/http-listener.ts';
 import {RandomSource} from '../src/runtime/random-source.ts';
 
@@ -152,7 +153,7 @@
 		const {pathname, searchParams} = new URL(req.url ?? '/', 'http://store');
 		const prefix = searchParams.get('prefix') ?? '';
 		const endsAtMs = performance.now() + Number(searchParams.get('wait_ms') ?? 0);
-		const answer = pathname === '/v1/kv-range'
+		const answer = pathname === storePaths.range
 			? () => this.answerRange(res, prefix)
 			: () => this.answerWatch(res, prefix, {after: Number(searchParams.get('after')), endsAtMs});
 		const waiting = {answer};
