Wording and names in the directory, the checks and the claims

Cause: some doc comments did not say what a value is or in which unit, two types were named HomeRegions, and a private method's name said nothing more than the public one's.

Change: comments and names only; no behaviour changes.

--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -221,7 +221,8 @@
 				}
 			});
 		},
-	},	returns: {
+	},
+	returns: {
 		async comeBack(context) {
 			const {store} = context.fleet;
 			await context.withOne([{name: 'store'}], async () => {
--- a/src/checks/configuration-finding.ts
+++ b/src/checks/configuration-finding.ts
@@ -6,8 +6,8 @@
 import type {Finding} from '../runtime/finding.ts';
 import type {JsonPath} from './parse-json-with-lines.ts';
 
-/** What a route and the holder of a key have in common: the regions in which their calls may run. */
-export type HomeRegions = Pick<Route, 'homeRegions'>;
+/** The regions in which the calls of a route or of the holder of a key may run; all regions if there is none. */
+export type RegionRestriction = Pick<Route, 'homeRegions'>;
 
 /** A part of a configuration, and one field of it. */
 export type Place =
--- a/src/checks/find-region-contradictions.ts
+++ b/src/checks/find-region-contradictions.ts
@@ -1,7 +1,7 @@
 /** Finds home regions that leave calls no place to run. */
 import type {Instance, KeyHolder, Route} from '../directory/directory-types.ts';
 import type {ServiceId} from '../ids/service-id.ts';
-import type {CheckedConfiguration, GroupedFinding, HomeRegions} from './configuration-finding.ts';
+import type {CheckedConfiguration, GroupedFinding, RegionRestriction} from './configuration-finding.ts';
 
 /** Number of workspaces that a finding names. */
 const maxNamedWorkspaces = 3;
@@ -45,7 +45,7 @@
 	});
 }
 
-function groupRestrictions(items: ReadonlyArray<HomeRegions & {readonly name: string}>): Restriction[] {
+function groupRestrictions(items: ReadonlyArray<RegionRestriction & {readonly name: string}>): Restriction[] {
 	const restrictions = new Map<string, Restriction>();
 	for (const item of items) {
 		const key = restrictionKey(item);
@@ -60,7 +60,7 @@
 }
 
 /** Returns the same text for equal restrictions; undefined if there is none. */
-function restrictionKey({homeRegions}: HomeRegions): string | undefined {
+function restrictionKey({homeRegions}: RegionRestriction): string | undefined {
 	return homeRegions && JSON.stringify([...new Set(homeRegions)].toSorted());
 }
 
@@ -75,7 +75,7 @@
 	}
 
 	const known = new Set(regionByZone.values());
-	const reasons = ({homeRegions = []}: HomeRegions) => homeRegions.filter(region => !known.has(region)).map(region => `names region ${region} that no zone has; it permits nothing`);
+	const reasons = ({homeRegions = []}: RegionRestriction) => homeRegions.filter(region => !known.has(region)).map(region => `names region ${region} that no zone has; it permits nothing`);
 	const ofWorkspace = new Map<string, KeyHolder>(Object.values(configuration.keys ?? {}).map(holder => [holder.workspace, holder]));
 	return [
 		...configuration.routes.flatMap((route: Route, at) => reasons(route)
--- a/src/checks/route-index.ts
+++ b/src/checks/route-index.ts
@@ -46,7 +46,7 @@
 
 	constructor(routes: readonly Route[]) {
 		for (const route of routes) {
-			this.addTo(route);
+			this.add(route);
 		}
 	}
 
@@ -67,7 +67,7 @@
 		return this.findRoute(route.host, route.prefix) === route;
 	}
 
-	private addTo(route: Route): void {
+	private add(route: Route): void {
 		let routes = this.hosts.get(route.host);
 		if (!routes) {
 			routes = new HostRoutes();
--- a/src/directory/directory-state.ts
+++ b/src/directory/directory-state.ts
@@ -35,5 +35,5 @@
 
 /** The last change of each era that a state tells of. */
 function listChanges({lastInstanceChange, era = noEra, earlier = []}: DirectoryState): StoreRevision[] {
-	return [createStoreRevision(era, lastInstanceChange), ...earlier.map(([its, revision]) => createStoreRevision(its, revision))];
+	return [createStoreRevision(era, lastInstanceChange), ...earlier.map(([earlierEra, revision]) => createStoreRevision(earlierEra, revision))];
 }
--- a/src/directory/era-history.ts
+++ b/src/directory/era-history.ts
@@ -37,12 +37,12 @@
 		return this.present.copyRevision;
 	}
 
-	/** The revision up to which the instances are known. */
+	/** The revision up to which the instances are known in the present era. */
 	get revision(): StoreRevision {
 		return createStoreRevision(this.present.era, this.present.revision);
 	}
 
-	/** The revision of the last change. */
+	/** The revision of the last change in the present era. */
 	get lastChange(): StoreRevision {
 		return createStoreRevision(this.present.era, this.present.lastChange);
 	}
--- a/src/directory/instance-states.ts
+++ b/src/directory/instance-states.ts
@@ -1,4 +1,4 @@
-/** The states of one instance: what its entry and its stager tell together, and which of two entries is newer where their revisions do not tell. No I/O. */
+/** Merges what the entry and the stager of an instance tell, and decides by state which of two entries is newer where their revisions do not tell. No I/O. */
 import type {HeldModel, Instance} from './directory-types.ts';
 
 /** The model that an engine has loaded, as reported by its stager, and the start of the engine, in milliseconds since 1970. */
--- a/src/directory/written-revisions.ts
+++ b/src/directory/written-revisions.ts
@@ -14,7 +14,7 @@
 
 /** Keeps the last revision of each instance, also of those that are gone. */
 export class WrittenRevisions {
-	/** Of those that are gone, the start is that of the last run. */
+	/** By instance ID, the last revision, and when the instance last started, in milliseconds since 1970, also if it is gone. */
 	private readonly last = new Map<string, {readonly revision: StoreRevision; readonly startedAtMs: number}>();
 	/** Changes up to this revision are ignored, since they are known. */
 	private floor: StoreRevision = noStoreRevision;
--- a/src/peers/start-claims.ts
+++ b/src/peers/start-claims.ts
@@ -23,7 +23,7 @@
 
 /** Claims by datagram. */
 export class StartClaims implements StartAuthority {
-	/** The largest number of gateways that a stager knows. */
+	/** The largest number of gateways that any stager has told of; it never decreases. */
 	reportedGateways = 0;
 	private lastNumber = 0;
 	private readonly waiting = new Map<number, (decision: StartDecision) => void>();
