Disconnect slow readers when connections run out; count held responses

Connections whose callers read nothing count as busy, so that as many of them as a listener may have kept every further caller out: connection-limit.ts closes only idle ones and ends only slow bodies. The caller that has read nothing for the longest time (over 100 ms) is now disconnected, and its place is free for the connection that needs it.

Responses to callers without chunks (HTTP/1.0) are held up to 1 MB until their length is known, and were not counted among the memory of responses. They are counted now.

Both tests of test/client-limits.test.ts failed before (no bytes counted; the further caller timed out) and pass now.

--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -89,7 +89,7 @@
 			},
 		});
 		this.connectionLimit = options.connections && new ConnectionLimit(this.server, {
-			...options.connections, log: options.log, closeSlow: () => this.bodyReceiver.endSlowest(),
+			...options.connections, log: options.log, closeSlow: () => this.bodyReceiver.endSlowest() || options.forwarder.buffers.discardSlowest(),
 		}).watch();
 		this.server.on('clientError', (err: NodeJS.ErrnoException, socket) => {
 			this.respondToParseError(err, socket);
--- a/src/forwarding/response-buffers.ts
+++ b/src/forwarding/response-buffers.ts
@@ -73,6 +73,16 @@
 		this.bytesByOwner.delete(owner);
 	}
 
+	/** Disconnects the caller that has read nothing for the longest time; returns false if none is slow. */
+	discardSlowest(): boolean {
+		const slowest = this.findSlowest(performance.now());
+		if (slowest) {
+			this.discard(slowest);
+		}
+
+		return slowest !== undefined;
+	}
+
 	private discard(owner: BufferOwner): void {
 		this.slowReaderCount += Number(owner.waitingSinceMs !== undefined);
 		this.release(owner);
--- a/src/forwarding/response-writer.ts
+++ b/src/forwarding/response-writer.ts
@@ -153,7 +153,7 @@
 	 * @param chunk - the bytes to write
 	 */
 	write(chunk: Buffer): void {
-		if (this.isFinished) {
+		if (this.isFinished || this.res.destroyed) {
 			return;
 		}
 
@@ -166,12 +166,17 @@
 		this.held.bytes += chunk.length;
 		if (this.held.bytes > maxHeldBytes) {
 			this.abort();
+			return;
 		}
+
+		this.buffers.add(this, chunk.length);
 	}
 
 	/** Ends a response whose body has been written completely. */
 	end(): void {
 		if (this.held) {
+			// A large response is counted again when it is sent.
+			this.buffers.release(this);
 			this.send(this.held.status, this.held.headers, Buffer.concat(this.held.chunks));
 		} else if (!this.isFinished) {
 			this.isFinished = true;
@@ -210,10 +215,6 @@
 	}
 
 	private writeOrWait(chunk: Buffer): void {
-		if (this.res.destroyed) {
-			return;
-		}
-
 		if (this.unreadBytes === 0 && !this.res.writableNeedDrain) {
 			this.res.write(chunk);
 			return;
--- a/src/links/connection-limit.ts
+++ b/src/links/connection-limit.ts
@@ -32,7 +32,7 @@
 /** Dependencies of a {@link ConnectionLimit}. */
 export type ConnectionLimitOptions = ConnectionLimits & {
 	readonly log: Logger;
-	/** Closes a connection that is not idle, but slow; returns false if there is none. */
+	/** Closes a connection that is not idle, but slow, at once or after a last response; returns false if there is none. */
 	readonly closeSlow?: () => boolean;
 };
 
@@ -95,8 +95,8 @@
 		const [longestIdle] = this.idle;
 		if (longestIdle) {
 			this.close(longestIdle, 'longest_idle');
-		} else {
-			this.options.closeSlow?.();
+		} else if (this.options.closeSlow?.()) {
+			this.forgetDestroyed();
 		}
 
 		return this.connections.size < this.options.maxConnections;
@@ -166,6 +166,15 @@
 		}
 	}
 
+	/** Forgets the connections that have no descriptor any more and whose `close` event follows. */
+	private forgetDestroyed(): void {
+		for (const socket of this.connections.keys()) {
+			if (socket.destroyed) {
+				this.forget(socket);
+			}
+		}
+	}
+
 	private forget(socket: net.Socket): void {
 		this.connections.delete(socket);
 		this.idle.delete(socket);
--- a/test/client-limits.test.ts
+++ b/test/client-limits.test.ts
@@ -1,10 +1,13 @@
 /** The decisions about clients that send or read slowly, and requests that stay within the limits. */
 import {Buffer} from 'node:buffer';
+import http from 'node:http';
 import net from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {EventSplitter} from '../src/forwarding/event-splitter.ts';
 import {ResponseBuffers} from '../src/forwarding/response-buffers.ts';
+import {ResponseWriter} from '../src/forwarding/response-writer.ts';
 import {BodiesInFlight} from '../src/limits/bodies-in-flight.ts';
 import {IncompleteBodies, progressCheckMs} from '../src/limits/incomplete-bodies.ts';
 import {processLimitsFor} from '../src/limits/process-limits.ts';
@@ -84,6 +87,59 @@
 	expect([discarded.at(-1), buffers.usedBytes, buffers.slowReaderCount]).to.deep.equal(['large', 10, 2]);
 });
 
+it('guards against responses to callers without chunks that take memory which is not counted', () => {
+	const req = new http.IncomingMessage(new net.Socket());
+	req.httpVersionMajor = 1;
+	req.httpVersionMinor = 0;
+	const buffers = new ResponseBuffers();
+	const writer = new ResponseWriter(new http.ServerResponse(req), {onDisconnect: () => undefined}, buffers);
+	writer.start(200, []);
+	writer.write(Buffer.alloc(300_000));
+	writer.write(Buffer.alloc(300_000));
+	expect(buffers.usedBytes).to.equal(600_000);
+	writer.end();
+	expect(buffers.usedBytes).to.equal(600_000);
+	writer.discardResponse();
+	expect(buffers.usedBytes).to.equal(0);
+});
+
+it('guards against callers that read nothing and keep all connections: a further caller is served', async () => {
+	const upstream = await startUpstream((req, res, body) => {
+		sendSignedResponse(req, res, 200, 'x'.repeat(body.length > 0 ? 4_000_000 : 1));
+	});
+	const gateway = await startTestGateway(testConfiguration(1), [testInstance({id: 'i-0', address: upstream.address})], {connections: {maxConnections: 2, headBytes: 1_000_000}});
+	const connect = () => net.connect({host: '127.0.0.1', port: Number(new URL(gateway.url).port)});
+	const head = 'POST /p/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: id-1\r\nApi-Key: k1\r\nDeadline-Ms: 5000\r\n';
+	const silent = [connect(), connect()];
+	try {
+		for (const socket of silent) {
+			socket.on('error', () => undefined);
+			socket.pause();
+			socket.write(`${head}Content-Length: 1\r\n\r\nx`);
+		}
+
+		await waitFor('both responses wait', () => gateway.forwarder.buffers.usedBytes === 8_000_000);
+		await sleep(200);
+		const further = connect();
+		let received = '';
+		further.on('error', () => undefined);
+		further.on('data', part => {
+			received += part.toString('latin1');
+		});
+		further.write(`${head}Content-Length: 0\r\n\r\n`);
+		await waitFor('the further caller is served', () => received.startsWith('HTTP/1.1 200 '));
+		further.destroy();
+		expect(gateway.forwarder.buffers.slowReaderCount).to.equal(1);
+	} finally {
+		for (const socket of silent) {
+			socket.destroy();
+		}
+
+		gateway.close();
+		upstream.close();
+	}
+});
+
 it('guards against shares that exceed the descriptors of a process, or that are zero', () => {
 	for (const [memoryMb, descriptors] of [[250, 4100], [602, 10_250], [1, 1], [350, 700]] as const) {
 		const {callers, control, readiness, openCalls} = processLimitsFor(memoryMb, descriptors);
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -16,6 +16,7 @@
 import {RegionMap} from '../../src/placement/region-map.ts';
 import type {WireCodec} from '../../src/forwarding/wire-codec.ts';
 import {BodyBudget, bodyRoomFor} from '../../src/limits/body-budget.ts';
+import type {ConnectionLimits} from '../../src/links/connection-limit.ts';
 import {PromptQuarantine} from '../../src/quarantine/prompt-quarantine.ts';
 import {type Crash, CrashDetector} from '../../src/quarantine/crash-detector.ts';
 import {createServiceId} from '../../src/ids/service-id.ts';
@@ -114,11 +115,11 @@
 export type TestGateway = {readonly directory: Directory; readonly tracker: InstanceTracker; readonly forwarder: CallForwarder; readonly listener: CallerListener; readonly bodies: BodyBudget; readonly quarantine: PromptQuarantine; readonly homes: HomeRegions; readonly crashes: readonly Crash[]; readonly ends: readonly CallEnd[]; readonly faults: {count: number}; readonly url: string; readonly close: () => void};
 
 /** What a test changes of a gateway. */
-type TestGatewayOptions = {readonly codec?: WireCodec; readonly retrySlack?: number; readonly homes?: HomeRegions; readonly hedgeRatio?: number; readonly onHedge?: (result: string) => void};
+type TestGatewayOptions = {readonly codec?: WireCodec; readonly retrySlack?: number; readonly homes?: HomeRegions; readonly hedgeRatio?: number; readonly onHedge?: (result: string) => void; readonly connections?: ConnectionLimits};
 
 /** Starts the caller listener of a gateway with the given configuration and instances. */
 export async function startTestGateway(configuration: PublishedConfiguration | undefined, instances: readonly Instance[], options: TestGatewayOptions = {}): Promise<TestGateway> {
-	const {codec = platformCodec, retrySlack = 100, homes = new HomeRegions(new RegionMap({})), hedgeRatio = 0, onHedge} = options;
+	const {codec = platformCodec, retrySlack = 100, homes = new HomeRegions(new RegionMap({})), hedgeRatio = 0, onHedge, connections} = options;
 	const log = createSilentLogger();
 	const directory = new Directory(log);
 	directory.apply({revision: 1, changes: configuration ? [{revision: 1, change: {kind: 'configuration', configuration}}] : []});
@@ -149,7 +150,7 @@
 	});
 	const bodies = new BodyBudget(bodyRoomFor(350));
 	const listener = new CallerListener({
-		forwarder, codec, log, bodies, limits: () => directory.table?.configuration.limits, onFault() {
+		forwarder, codec, log, bodies, ...(connections && {connections}), limits: () => directory.table?.configuration.limits, onFault() {
 			faults.count++;
 		},
 	});
