Give the room of a slow body to the one that it was ended for, also at control and readiness

readBody ended the slowest body when there was no room, and refused the body that needed the room in any case; the pool of the slow one was not looked at either. Both readers of bodies now use growBody, which tries again.

--- a/src/forwarding/body-receiver.ts
+++ b/src/forwarding/body-receiver.ts
@@ -2,9 +2,8 @@
 import type {Buffer} from 'node:buffer';
 import type http from 'node:http';
 import type {BodyBudget, BodyLease} from '../limits/body-budget.ts';
-import {
-	type BodyProgress, IncompleteBodies, progressCheckMs, type SlowBodyReason,
-} from '../limits/incomplete-bodies.ts';
+import {growBody} from '../limits/grow-body.ts';
+import {IncompleteBodies, progressCheckMs, type SlowBodyReason} from '../limits/incomplete-bodies.ts';
 import {ByteCollector} from '../links/byte-collector.ts';
 import {chunkPacer} from '../links/chunk-pacer.ts';
 import type {Logger} from '../runtime/logger.ts';
@@ -141,6 +140,9 @@
 			this.endSlow({writer, boundary}, reason);
 		}), performance.now());
 		progress.isLarge = lease.isLarge;
+		const growing = {
+			budget: this.options.bodies, incomplete: this.incomplete, lease, progress,
+		};
 		writer.onceClosed(drop);
 		chunkPacer.watch(req, () => {
 			progress.end('chunks_too_small');
@@ -155,7 +157,7 @@
 			if (bytes > this.options.maxBytes()) {
 				drop();
 				this.options.onTooLarge(req, writer);
-			} else if (hasLength || this.grow(lease, ownBytes + bytes, progress)) {
+			} else if (hasLength || growBody(growing, ownBytes + bytes)) {
 				collector.push(chunk);
 				progress.record(chunk.length, performance.now());
 			} else if (!writer.isClosed) {
@@ -193,18 +195,6 @@
 
 		return lease;
 	}
-
-	/** Takes room for a body that has become longer; returns false if there is none. */
-	private grow(lease: BodyLease, bytes: number, progress: BodyProgress): boolean {
-		const {bodies} = this.options;
-		let isGrown = lease.growTo(bytes);
-		while (!isGrown && !lease.isReleased && bodies.canHold(bytes) && this.incomplete.endSlowest(performance.now(), bodies.isLarge(bytes))) {
-			isGrown = lease.growTo(bytes);
-		}
-
-		progress.isLarge = lease.isLarge;
-		return isGrown;
-	}
 }
 
 /** Returns the memory that a call takes beside its body, in bytes. */
--- a/src/links/http-listener.ts
+++ b/src/links/http-listener.ts
@@ -4,6 +4,7 @@
 import type {AddressInfo} from 'node:net';
 import type {Logger} from '../runtime/logger.ts';
 import {BodyBudget} from '../limits/body-budget.ts';
+import {growBody} from '../limits/grow-body.ts';
 import {IncompleteBodies, progressCheckMs} from '../limits/incomplete-bodies.ts';
 import {ByteCollector} from './byte-collector.ts';
 import {chunkPacer} from './chunk-pacer.ts';
@@ -203,8 +204,7 @@
 			const bytes = body.length + chunk.length;
 			if (bytes > maxBodyBytes) {
 				fail(new BodyTooLargeError(`request body is larger than ${maxBodyBytes} bytes`));
-			} else if (lease && !lease.growTo(bytes)) {
-				limits?.incomplete.endSlowest(performance.now());
+			} else if (limits && lease && progress && !growBody({...limits, lease, progress}, bytes)) {
 				fail(new BodyRefusedError('no memory for the request body'));
 			} else {
 				body.push(chunk);
--- a/test/client-limits.test.ts
+++ b/test/client-limits.test.ts
@@ -12,6 +12,10 @@
 import {IncompleteBodies, progressCheckMs} from '../src/limits/incomplete-bodies.ts';
 import {processLimitsFor} from '../src/limits/process-limits.ts';
 import {ByteCollector} from '../src/links/byte-collector.ts';
+import {
+	HttpListener, maxBodyBytes, readBody, sendJson,
+} from '../src/links/http-listener.ts';
+import {createSilentLogger} from '../src/runtime/logger.ts';
 import {
 	sendSignedResponse, startTestGateway, startUpstream, testConfiguration, testInstance,
 } from './support/direct-fixtures.ts';
@@ -140,6 +144,33 @@
 	}
 });
 
+it('guards against a body for a listener with limits that is refused although a slow one was ended for it', async () => {
+	const listener = new HttpListener({
+		async 'POST /length'(req, res) {
+			const body = await readBody(req);
+			sendJson(res, 200, {length: body.length});
+		},
+	}, createSilentLogger(), {maxConnections: 10, headBytes: 1_000_000});
+	const {host, port} = await listener.start({host: '127.0.0.1', port: 0});
+	const stalled = [1, 2].map(() => net.connect({host, port}).on('error', () => undefined));
+	try {
+		for (const socket of stalled) {
+			socket.write(`POST /length HTTP/1.1\r\nHost: a\r\nContent-Length: ${maxBodyBytes}\r\n\r\n`);
+			socket.write(Buffer.alloc(maxBodyBytes - 1));
+		}
+
+		await sleep(3 * progressCheckMs);
+		const res = await fetch(`http://${host}:${port}/length`, {method: 'POST', body: 'x'.repeat(1_000_000)});
+		expect([res.status, await res.json()]).to.deep.equal([200, {length: 1_000_000}]);
+	} finally {
+		for (const socket of stalled) {
+			socket.destroy();
+		}
+
+		listener.destroy();
+	}
+});
+
 it('guards against shares that exceed the descriptors of a process, or that are zero', () => {
 	for (const [memoryMb, descriptors] of [[250, 4100], [602, 10_250], [1, 1], [350, 700]] as const) {
 		const {callers, control, readiness, openCalls} = processLimitsFor(memoryMb, descriptors);
