Ignore imports of a peer that has left the group

A notice of a peer outside the group was not recorded, but compared with the last recorded one, so that each further notice counted as a new import and ended the pause of the origin.

--- a/src/rollout/neighbourhood.ts
+++ b/src/rollout/neighbourhood.ts
@@ -118,13 +118,17 @@
 
 	/** Records a peer's notice; notices from VMs outside the group are ignored. */
 	recordNotice(notice: TransferNotice): void {
-		// Accepting only members of the group also bounds the size of the table.
 		this.noticeSender.recordContact(notice.vm);
+		// Accepting only members of the group also bounds the size of the table.
+		if (!this.groupByVm.has(notice.vm)) {
+			return;
+		}
+
 		if (this.peers.importedBytes(notice.vm) < notice.imported) {
 			this.options.onImport();
 		}
 
-		if (this.groupByVm.has(notice.vm) && this.peers.record(notice, performance.now())) {
+		if (this.peers.record(notice, performance.now())) {
 			this.options.onNewChunks();
 		}
 	}
--- a/test/origin-return.test.ts
+++ b/test/origin-return.test.ts
@@ -181,3 +181,31 @@
 	});
 	expect(responded).to.deep.equal(['near-1']);
 });
+
+it('guards against pauses of the origin that end again and again because of a peer that has left the group', () => {
+	let imports = 0;
+	let group = ['a', 'b', 'c'].map(vm => ({vm, region: 'r', address: vm}));
+	const noticeOf = (vm: string, imported: number) => ({
+		vm, bitmap: '', reading: '', imported, uploaded: 0,
+	});
+	const neighbourhood = new Neighbourhood({
+		agentOptions: {
+			self: {vm: 'a', region: 'r'}, peers: () => group, random: new RandomSource(1), noticeBytesPerSecond: 1000,
+		} as unknown as TransferOptions,
+		manifest: digestOf(new Uint8Array()),
+		watchesAllRegions: true,
+		notice: () => noticeOf('a', 0),
+		onNewChunks: () => undefined,
+		onImport() {
+			imports++;
+		},
+	});
+	neighbourhood.recordNotice(noticeOf('b', 0));
+	neighbourhood.recordNotice(noticeOf('b', 1));
+	group = group.filter(({vm}) => vm !== 'b');
+	neighbourhood.refreshGroup();
+	neighbourhood.recordNotice(noticeOf('b', 2));
+	neighbourhood.recordNotice(noticeOf('b', 2));
+	neighbourhood.stop();
+	expect(imports).to.equal(1);
+});
