--- a/test/leaving-processes.test.ts
+++ b/test/leaving-processes.test.ts
@@ -2,14 +2,12 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {SignallingUpstream} from '../standins/signalling-upstream.ts';
-import {callGateway} from './support/direct-fixtures.ts';
+import {startCalling} from './support/continuous-calls.ts';
 import {deskConfiguration, deskEntry} from './support/desk-entries.ts';
 import {DirectoryStore} from './support/directory-store.ts';
 import {waitFor} from './support/fleet.ts';
 import {Processes} from './support/processes.ts';
 
-const callIntervalMs = 25;
-
 /** How long after an instance has said that it is leaving calls may still reach it, in milliseconds. */
 const leavingGraceMs = 2000;
 
@@ -28,15 +26,7 @@
 		}
 
 		const {url} = await processes.startGateway(store);
-		const statuses: number[] = [];
-		const stopCalling = new AbortController();
-		const calling = (async () => {
-			for (let number = 0; !stopCalling.signal.aborted; number++) {
-				const {status} = await callGateway(url, {headers: {'attempt-id': `id-${number}`}});
-				statuses.push(status);
-				await sleep(callIntervalMs);
-			}
-		})();
+		const calls = startCalling(url);
 		try {
 			await waitFor('the instance has had calls', () => leaving.arrivals.length > 5);
 			store.mode = mode;
@@ -53,15 +43,14 @@
 			await sleep(3000);
 			expect(leaving.arrivals.filter(atMs => atMs > saidAtMs + leavingGraceMs), 'late calls').to.deep.equal([]);
 			expect(leaving.violations).to.deep.equal([]);
-			expect(statuses.filter(status => status !== 200)).to.deep.equal([]);
+			expect(calls.statuses.filter(status => status !== 200)).to.deep.equal([]);
 			// Another run under the same ID gets calls: the store was heard again.
 			const last = leaving.arrivals.length;
 			leaving.isLeaving = false;
 			store.put('servers/i-1', {...entryOf(leaving), born: Date.now()});
 			await waitFor('the next run gets calls', () => leaving.arrivals.length > last);
 		} finally {
-			stopCalling.abort();
-			await calling;
+			await calls.stop();
 			processes.stop();
 			store.close();
 			for (const upstream of upstreams) {
--- a/test/returned-store.test.ts
+++ b/test/returned-store.test.ts
@@ -1,14 +1,13 @@
 /** A gateway as a process of its own, whose store comes back from an older copy. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import {callGateway, sendSignedResponse, startUpstream} from './support/direct-fixtures.ts';
+import {sendSignedResponse, startUpstream} from './support/direct-fixtures.ts';
+import {startCalling} from './support/continuous-calls.ts';
 import {deskConfiguration, deskEntry} from './support/desk-entries.ts';
 import {DirectoryStore} from './support/directory-store.ts';
 import {waitFor} from './support/fleet.ts';
 import {Processes} from './support/processes.ts';
 
-const callIntervalMs = 25;
-
 /** How long after an instance has said that it is leaving calls may still reach it, in milliseconds. */
 const leavingGraceMs = 2000;
 
@@ -39,15 +38,7 @@
 	store.put('op/config', deskConfiguration);
 	renew();
 	const {url} = await processes.startGateway(store);
-	const statuses: number[] = [];
-	const stopCalling = new AbortController();
-	const calling = (async () => {
-		for (let number = 0; !stopCalling.signal.aborted; number++) {
-			const {status} = await callGateway(url, {headers: {'attempt-id': `id-${number}`}});
-			statuses.push(status);
-			await sleep(callIntervalMs);
-		}
-	})();
+	const calls = startCalling(url);
 	try {
 		await waitFor('both instances have had calls', () => arrivals.get('i-1')!.length > 5 && arrivals.get('i-2')!.length > 5);
 		const copy = store.copy();
@@ -66,10 +57,9 @@
 		await sleep(2500);
 		expect(arrivals.get('i-1')!.filter(atMs => atMs > leftAtMs + leavingGraceMs), 'late calls').to.deep.equal([]);
 		expect(arrivals.get('i-3')!.filter(atMs => atMs > leftAtMs).length, 'calls to the instance that the copy lacks').to.be.greaterThan(5);
-		expect(statuses.filter(status => status !== 200)).to.deep.equal([]);
+		expect(calls.statuses.filter(status => status !== 200)).to.deep.equal([]);
 	} finally {
-		stopCalling.abort();
-		await calling;
+		await calls.stop();
 		processes.stop();
 		store.close();
 		for (const upstream of upstreams) {
