Late calls pass over cold instances, and trials that are not used are given back

Where another call ends during its selection, or a second attempt for a silent instance is not wanted any more, the trial is given back.

A second attempt also took the slots beyond the share that a warming instance may use for free ones; hasFreeSlot now counts that share.

--- a/bench/model-zones.ts
+++ b/bench/model-zones.ts
@@ -1,5 +1,5 @@
 /** Zones and regions of the simulation in `placing-model.ts`: where calls arrive, which engines an entry asks, and how far they are. */
-import {engineSamples} from '../src/placement/instance-selector.ts';
+import {engineSamples} from '../src/placement/sample-instances.ts';
 import {ZoneCrowding} from '../src/placement/zone-crowding.ts';
 import type {RandomSource} from '../src/runtime/random-source.ts';
 import type {PlacingScenario} from './placing-types.ts';
--- a/bench/placing-scenarios.ts
+++ b/bench/placing-scenarios.ts
@@ -1,7 +1,7 @@
 /** Selection policies and scenarios of the simulation in `placing-model.ts`. */
 import type {EngineTiming} from '../src/directory/directory-types.ts';
 import {meanSlotTimeMs} from '../src/placement/engine-forecast.ts';
-import {engineSamples} from '../src/placement/instance-selector.ts';
+import {engineSamples} from '../src/placement/sample-instances.ts';
 import {selectEngineInstance} from '../src/placement/select-instance.ts';
 import type {CallKind, PlacementPolicy, PlacingScenario} from './placing-types.ts';
 
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -55,7 +55,7 @@
 			...options,
 			progress: this.progress,
 			mayRepeat: () => this.canRetryElsewhere() && !this.promptCheck.isHeld,
-			selectInstance: async () => this.selectInstance(),
+			selectInstance: async onlyReady => this.selectInstance(onlyReady),
 			attempts: this.attempts,
 			startAttempt: selection => this.startAttempt(selection),
 		});
@@ -184,19 +184,19 @@
 		}
 
 		const selection = await this.selectInstance();
-		if (this.isFinished) {
-			return;
-		}
-
 		if (!('instance' in selection)) {
-			this.endWithoutInstance(selection.reason, selection.retryAfterMs);
-		} else if (this.promptCheck.isTrial || this.admit()) {
+			if (!this.isFinished) {
+				this.endWithoutInstance(selection.reason, selection.retryAfterMs);
+			}
+		} else if (!this.isFinished && (this.promptCheck.isTrial || this.admit())) {
 			// A part may have been held while the selection waited.
 			this.startAttempt(selection);
+		} else {
+			selection.release();
 		}
 	}
 
-	private async selectInstance(): ReturnType<ForwardedCallOptions['selectInstance']> {
+	private async selectInstance(onlyReady = false): ReturnType<ForwardedCallOptions['selectInstance']> {
 		const {call, route, service, permittedRegions, aimLeftMs, writer, selectInstance, bodiesInFlight} = this.options;
 		const nowMs = performance.now();
 		return selectInstance({
@@ -208,6 +208,7 @@
 			aimLeftMs: aimLeftMs - (nowMs - call.receivedAtMs),
 			deadlineLeftMs: this.expiresAtMs - nowMs,
 			tried: new Set([...this.tried, ...bodiesInFlight.findFull(call.body.length)]),
+			onlyReady,
 			isResponseStarted: writer.hasStarted,
 			requiredVersion: this.progress.version,
 		});
--- a/src/forwarding/hedge.ts
+++ b/src/forwarding/hedge.ts
@@ -23,18 +23,24 @@
 	return kind === 'stream' ? stallTimeoutsMs.stream : stallTimeoutsMs.plain;
 }
 
+/** The result if the call has ended or been answered while an instance was looked for. */
+const notWanted = 'not_wanted_any_more';
+
 /** The call, and the functions that it supplies. */
 export type HedgeOptions = Pick<ForwardedCallOptions, 'call' | 'route' | 'boundary' | 'clock' | 'writer' | 'tracker' | 'crashes' | 'retryBudget' | 'hedging' | 'log' | 'onSilence' | 'onHedge'> & {
 	readonly progress: AnswerProgress;
 	/** Returns whether the call may run once more. */
 	readonly mayRepeat: () => boolean;
-	readonly selectInstance: () => ReturnType<ForwardedCallOptions['selectInstance']>;
+	/** @param onlyReady - whether to pass over instances that limit their calls while they start or after a quiet time */
+	readonly selectInstance: (onlyReady: boolean) => ReturnType<ForwardedCallOptions['selectInstance']>;
 	readonly attempts: Pick<CallAttempts, 'has' | 'isAlone'>;
 	readonly startAttempt: (selection: SelectedInstance) => UpstreamAttempt;
 };
 
 /** Why another instance is looked for, and what that depends on. */
 type Trigger = {
+	/** Whether to pass over instances that limit their calls, because the first attempt is likely to be answered. */
+	readonly onlyReady: boolean;
 	/** Returns whether the reason still applies. */
 	readonly applies: () => boolean;
 	/** Returns what speaks against the selected instance; undefined if nothing does. */
@@ -105,6 +111,7 @@
 		}
 
 		this.look(silent, {
+			onlyReady: false,
 			applies: () => silent.isSilent,
 			findObstacle: () => undefined,
 			tryTake: () => retryBudget.tryTake(),
@@ -144,6 +151,7 @@
 		}
 
 		this.look(late, {
+			onlyReady: true,
 			applies,
 			// Other calls may have been sent a second time during the selection.
 			findObstacle: ({instance, predictedMs, hasFreeSlot}) => findObstacle()
@@ -172,22 +180,16 @@
 	private async trySecond(first: UpstreamAttempt, trigger: Trigger): Promise<{result: string; selected?: string}> {
 		const {progress, mayRepeat, selectInstance, attempts, startAttempt} = this.options;
 		const {version} = progress;
-		const selection = await selectInstance();
-		if (!attempts.has(first) || !trigger.applies() || progress.version !== version || !mayRepeat()) {
-			return {result: 'not_wanted_any_more'};
-		}
-
+		const selection = await selectInstance(trigger.onlyReady);
+		const isWanted = attempts.has(first) && trigger.applies() && progress.version === version && mayRepeat();
 		if (!('instance' in selection)) {
-			return {result: selection.reason};
-		}
-
-		const obstacle = trigger.findObstacle(selection);
-		if (obstacle) {
-			return {result: obstacle};
+			return {result: isWanted ? selection.reason : notWanted};
 		}
 
-		if (!trigger.tryTake()) {
-			return {result: 'no_retry_left'};
+		const obstacle = isWanted ? trigger.findObstacle(selection) : notWanted;
+		if (obstacle !== undefined || !trigger.tryTake()) {
+			selection.release();
+			return {result: obstacle ?? 'no_retry_left'};
 		}
 
 		trigger.onSent(startAttempt(selection));
--- a/src/placement/instance-query.ts
+++ b/src/placement/instance-query.ts
@@ -21,6 +21,8 @@
 	readonly permittedRegions?: readonly RegionId[] | undefined;
 	/** IDs of the instances that the call has been sent to. */
 	readonly tried: ReadonlySet<string>;
+	/** Whether the call is willing to do without an instance, and so takes no start at a cold one and no trial call. */
+	readonly onlyReady?: boolean;
 	/** Whether a part of the response has been sent to the caller. */
 	readonly isResponseStarted: boolean;
 	/** Version of the model that produced the part already sent, if its upstream reported one; the rest must come from the same. */
@@ -40,4 +42,6 @@
 	readonly startTimeLeftMs: () => number;
 	/** Returns whether the call may still be written; false some time after its start at a cold instance was allowed. */
 	readonly isStartPermitted: () => boolean;
+	/** Gives back the trial that is reserved at the instance, if the call is not sent there; does nothing otherwise. */
+	readonly release: () => void;
 };
--- a/src/placement/instance-selector.ts
+++ b/src/placement/instance-selector.ts
@@ -14,10 +14,12 @@
 import type {CounterAnswer, LoadSource} from './load-source.ts';
 import {logPlacement} from './placement-log.ts';
 import {nameRefusal} from './refusal-cause.ts';
-import {sampleInstances, type SampleSizes} from './sample-instances.ts';
+import {
+	engineSamples, plainSamples, sampleInstances, type SampleSizes,
+} from './sample-instances.ts';
 import {ZoneCrowding} from './zone-crowding.ts';
 import {
-	type Candidate, type Placement, selectEngineInstance, selectPlainInstance, shouldAskMore,
+	type Candidate, hasFreeSlot, type Placement, selectEngineInstance, selectPlainInstance, shouldAskMore,
 } from './select-instance.ts';
 import type {VersionExpiry} from './version-expiry.ts';
 import {warmShare} from './warm-share.ts';
@@ -38,15 +40,6 @@
 	readonly log: Logger;
 };
 
-/**
- * Samples of engines that are drawn one after the other, as long as {@link shouldAskMore} says so. Each engine costs a question to the
- * stager beside it, and a free slot is found among few engines as long as there are many.
- */
-export const engineSamples: readonly SampleSizes[] = [{local: 2, remote: 1}, {local: 2, remote: 2}, {local: 4, remote: 3}];
-
-/** The sample of instances of a plain service, whose load is known without a question. */
-const plainSamples: readonly SampleSizes[] = [{local: 4, remote: 3}];
-
 /** Maximum number of cold instances that one call claims a start at. */
 const maxClaims = 4;
 
@@ -166,13 +159,12 @@
 
 	/** Reserves what the chosen instance needs, or tells the caller when an instance is expected to open again. */
 	private settle(choice: Choice, query: InstanceQuery, {counts, barriers, shedding}: Sample): SelectedInstance | Refusal {
-		const {tracker, homes, random} = this.options;
+		const {homes, random} = this.options;
 		const {candidates} = choice;
 		const placement = shedding.settle(choice.placement, query.deadlineLeftMs);
 		logPlacement(this.options, query, {...choice, answers: counts.size, barriers});
 		if (placement.kind === 'place') {
 			const selection = this.createSelection(placement, choice, query.headers.model);
-			tracker.signals.reserveTrial(selection.instance);
 			homes.recordPlaced(selection.instance, query.permittedRegions);
 			return selection;
 		}
@@ -258,7 +250,7 @@
 
 	/** Whether an instance may take the call; if only a barrier speaks against it, that is added to `barriers`. */
 	private isEligible(instance: Instance, query: InstanceQuery, service: ServiceInfo | undefined, barriers: Map<string, Barrier>): boolean {
-		if (!this.options.homes.permits(instance, query.permittedRegions) || !this.holdsRequired(instance, query, service)) {
+		if (!this.options.homes.permits(instance, query.permittedRegions) || !this.holdsRequired(instance, query, service) || (query.onlyReady && this.isLimited(instance, service))) {
 			return false;
 		}
 
@@ -270,6 +262,12 @@
 		return !barrier && !query.tried.has(instance.id);
 	}
 
+	/** Whether a call at an instance takes one of few starts while it is cold, or the trial after its quiet time. */
+	private isLimited(instance: Instance, service: ServiceInfo | undefined): boolean {
+		const {coldStarts, signals} = this.options.tracker;
+		return coldStarts.needsClaim(instance, service) || signals.beliefAbout(instance)?.state === 'due';
+	}
+
 	/** Whether an instance holds the required model and version. */
 	private holdsRequired(instance: Instance, {headers, requiredVersion}: InstanceQuery, service: ServiceInfo | undefined): boolean {
 		if (!service?.engine) {
@@ -311,18 +309,19 @@
 		return warmShare(nowMs, startedAtMs, tracker.coldStarts.coldUntilMs(instance, service, nowMs), returnedAtMs);
 	}
 
+	/** Describes the chosen instance, and reserves the trial there if one is due. */
 	private createSelection({id, predictedMs}: Extract<Placement, {kind: 'place'}>, {instances, candidates, permit}: Choice, model: string | undefined): SelectedInstance {
-		const {versionExpiry} = this.options;
+		const {versionExpiry, tracker} = this.options;
 		const instance = instances.find(item => item.id === id)!;
 		const held = findHeldModel(instance, model);
-		const hasFreeSlot = candidates.some(candidate => candidate.id === id && candidate.load.calls < candidate.slots);
 		return {
 			instance,
 			predictedMs,
-			hasFreeSlot,
+			hasFreeSlot: candidates.some(candidate => candidate.id === id && hasFreeSlot(candidate)),
 			version: held?.version,
 			startTimeLeftMs: () => (held ? versionExpiry.timeLeftMs(held) : Number.POSITIVE_INFINITY),
 			isStartPermitted: () => permit?.isValid() ?? true,
+			release: tracker.signals.reserveTrial(instance),
 		};
 	}
 }
--- a/src/placement/instance-signals.ts
+++ b/src/placement/instance-signals.ts
@@ -97,12 +97,24 @@
 	 * Reserves the trial call at an instance if its quiet time is over, so that no other call starts there until it is answered.
 	 *
 	 * @param instance - the instance that was selected for a call
+	 * @returns a function that gives the trial back; it does nothing once an attempt has taken it
 	 */
-	reserveTrial(instance: Instance): void {
+	reserveTrial(instance: Instance): () => void {
 		const run = this.runOf(instance);
-		if (run?.state === 'due') {
-			this.change(run, 'TRIAL', trialTimeoutMs);
+		if (run?.state !== 'due') {
+			return () => undefined;
 		}
+
+		this.change(run, 'TRIAL', trialTimeoutMs);
+		const {sinceMs} = run;
+		let isReleased = false;
+		return () => {
+			const isReserved = !isReleased && run.state === 'trying' && run.sinceMs === sinceMs && !run.trial;
+			isReleased = true;
+			if (isReserved) {
+				this.change(run, 'TRIAL_OVER');
+			}
+		};
 	}
 
 	/**
--- a/src/placement/sample-instances.ts
+++ b/src/placement/sample-instances.ts
@@ -9,6 +9,15 @@
 /** Number of instances drawn in this gateway's zone and in other zones. A zone that has fewer is made up for by the others. */
 export type SampleSizes = {readonly local: number; readonly remote: number};
 
+/**
+ * Samples of engines that are drawn one after the other, as long as `shouldAskMore` says so. Each engine costs a question to the
+ * stager beside it, and a free slot is found among few engines as long as there are many.
+ */
+export const engineSamples: readonly SampleSizes[] = [{local: 2, remote: 1}, {local: 2, remote: 2}, {local: 4, remote: 3}];
+
+/** The sample of instances of a plain service, whose load is known without a question. */
+export const plainSamples: readonly SampleSizes[] = [{local: 4, remote: 3}];
+
 /** Random draws per wanted instance before all instances are searched in order. */
 const drawsPerInstance = 4;
 
--- a/src/placement/select-instance.ts
+++ b/src/placement/select-instance.ts
@@ -142,7 +142,7 @@
  */
 export function shouldAskMore(placement: Placement, candidates: readonly Candidate[]): boolean {
 	const selected = placement.kind === 'place' ? candidates.find(({id}) => id === placement.id) : undefined;
-	if (selected && selected.load.calls < usableSlots(selected)) {
+	if (selected && hasFreeSlot(selected)) {
 		return false;
 	}
 
@@ -218,12 +218,17 @@
 	return (isLocal ? 0 : zonePenaltyMs(isSameRegion)) + (isSuspect ? suspectPenaltyMs : 0) + homeReserveMs;
 }
 
+/** Returns whether an instance can begin a call at once, with the share of its slots that may be used. */
+export function hasFreeSlot(candidate: Candidate): boolean {
+	return candidate.load.calls < usableSlots(candidate);
+}
+
 function usableSlots({slots, warmShare = 1}: Candidate): number {
 	return slots * warmShare;
 }
 
 function warmingMs(candidate: Candidate): number {
-	return candidate.load.calls >= usableSlots(candidate) && usableSlots(candidate) < candidate.slots ? warmingPenaltyMs : 0;
+	return !hasFreeSlot(candidate) && usableSlots(candidate) < candidate.slots ? warmingPenaltyMs : 0;
 }
 
 function pickLowestCost<Item extends {readonly costMs: number}>(items: readonly Item[], randomBelow: (bound: number) => number): Item | undefined {
--- a/test/cold-instances.test.ts
+++ b/test/cold-instances.test.ts
@@ -13,6 +13,7 @@
 import {StartClaims} from '../src/peers/start-claims.ts';
 import {ColdStarts} from '../src/placement/cold-starts.ts';
 import {HomeRegions} from '../src/placement/home-regions.ts';
+import type {InstanceQuery} from '../src/placement/instance-query.ts';
 import {InstanceSelector} from '../src/placement/instance-selector.ts';
 import {InstanceSignals} from '../src/placement/instance-signals.ts';
 import {InstanceTracker} from '../src/placement/instance-tracker.ts';
@@ -168,17 +169,85 @@
 	}
 });
 
+const engineService = createServiceId('models');
+const held = [{
+	model: 'm', version: 1, fromLayer: 0, toLayer: 16,
+}];
+
+function createSelector(directory: Directory, tracker: InstanceTracker): InstanceSelector {
+	return new InstanceSelector({
+		directory, tracker, random: new RandomSource(3), log, zone: 'z', homes: new HomeRegions(new RegionMap({})), loads: {ask: async () => new Map()}, versionExpiry: new VersionExpiry(directory, 8000, () => 0),
+	});
+}
+
+function createQuery(overrides: Partial<InstanceQuery>): InstanceQuery {
+	return {
+		route: testRoute({kind: 'stream'}), service: engineService, headers: platformCodec.readCallHeaders(['model', 'm', 'token-usage', '100,5']),
+		priority: 0, isReturning: false, aimLeftMs: 400, deadlineLeftMs: 6000, tried: new Set(), isResponseStarted: false, requiredVersion: undefined, ...overrides,
+	};
+}
+
+/** Creates a selector with one engine. */
+function startSelector(instance: Parameters<typeof testInstance>[0]): {readonly selector: InstanceSelector; readonly tracker: InstanceTracker} {
+	const directory = new Directory(log);
+	directory.apply({revision: 1, changes: [{revision: 1, change: {kind: 'configuration', configuration: withCold(testConfiguration(1), 0, 14)}}]});
+	directory.replaceInstances({revision: 2, changes: [{revision: 2, change: {kind: 'instance', instance: testInstance({service: engineService, held, ...instance})}}]});
+	const tracker = new InstanceTracker(log, new InstanceSignals({log, random: new RandomSource(3), gatewayCount: () => 1}));
+	return {selector: createSelector(directory, tracker), tracker};
+}
+
+it('guards against late calls that are sent a second time to an instance that is warming up: it has no free slot once its share of slots is used', async () => {
+	const clock = install();
+	try {
+		const {selector, tracker} = startSelector({id: 'i-1', slots: 16, startedAtMs: Date.now()});
+		const calls = Array.from({length: 8}, () => tracker.inFlight.add('i-1', 0));
+		for (const call of calls) {
+			tracker.inFlight.markStarted(call);
+		}
+
+		expect(await selector.select(createQuery({aimLeftMs: 4000}))).to.deep.include({hasFreeSlot: false});
+		clock.tick(3000);
+		expect(await selector.select(createQuery({aimLeftMs: 4000}))).to.deep.include({hasFreeSlot: true});
+	} finally {
+		clock.uninstall();
+	}
+});
+
+it('guards against late calls that take the starts of a cold instance, or its trial call, from others: a second attempt passes such an instance over at once', async () => {
+	const clock = install();
+	try {
+		const cold = startSelector({
+			id: 'i-1', slots: 16, coldLeftMs: 60_000, startedAtMs: Date.now() - 60_000,
+		});
+		let claims = 0;
+		Object.assign(cold.tracker.coldStarts, {
+			async claim() {
+				claims++;
+				return {isValid: () => true};
+			},
+		});
+		expect(await cold.selector.select(createQuery({onlyReady: true}))).to.deep.include({reason: 'no_upstream'});
+		expect(claims).to.equal(0);
+		expect(await cold.selector.select(createQuery({})), 'the start is left').to.have.property('instance');
+		const due = startSelector({id: 'i-1', slots: 16, startedAtMs: Date.now() - 60_000});
+		const attempt = due.tracker.signals.addAttempt(testInstance({id: 'i-1', startedAtMs: Date.now() - 60_000}), () => undefined);
+		attempt.recordHead(503, platformCodec.readResponseHeaders(503, ['Retry-After', '1']));
+		attempt.end();
+		clock.tick(1100);
+		expect(await due.selector.select(createQuery({onlyReady: true}))).to.deep.include({reason: 'no_upstream'});
+		expect(await due.selector.select(createQuery({})), 'the trial is left').to.have.property('instance');
+	} finally {
+		clock.uninstall();
+	}
+});
+
 it('guards against a zone that is cold as a whole: each of its engines gets what it can take, the other zone the rest, and callers of an all-cold service learn when to return', async () => {
 	const clock = install();
 	try {
 		const directory = new Directory(log);
-		const service = createServiceId('models');
-		const held = [{
-			model: 'm', version: 1, fromLayer: 0, toLayer: 16,
-		}];
 		const change = (at: number): DirectoryChange => ({
 			kind: 'instance', instance: testInstance({
-				id: `i-${at}`, service, address: `127.0.0.1:${at + 1}`, zone: at < 4 ? 'z' : 'y', held, startedAtMs: Date.now() - 60_000, ...(at < 4 ? {coldLeftMs: 10_000} : {}),
+				id: `i-${at}`, service: engineService, address: `127.0.0.1:${at + 1}`, zone: at < 4 ? 'z' : 'y', held, startedAtMs: Date.now() - 60_000, ...(at < 4 ? {coldLeftMs: 10_000} : {}),
 			}),
 		});
 		directory.apply({revision: 1, changes: [{kind: 'configuration' as const, configuration: withCold(testConfiguration(1), 3000, 14)}, ...Array.from({length: 8}, (_, at) => change(at))].map(item => ({revision: 1, change: item}))});
@@ -193,13 +262,8 @@
 			},
 		});
 		const tracker = new InstanceTracker(log, new InstanceSignals({log, random, gatewayCount: () => 1}), {coldStarts});
-		const selector = new InstanceSelector({
-			directory, tracker, random, log, zone: 'z', homes: new HomeRegions(new RegionMap({})), loads: {ask: async () => new Map()}, versionExpiry: new VersionExpiry(directory, 8000, () => 0),
-		});
-		const headers = platformCodec.readCallHeaders(['model', 'm', 'token-usage', '100,5']);
-		const place = async (deadlineLeftMs = 6000) => selector.select({
-			route: testRoute({kind: 'stream'}), service, headers, priority: 0, isReturning: false, aimLeftMs: 400, deadlineLeftMs, tried: new Set(), isResponseStarted: false, requiredVersion: undefined,
-		});
+		const selector = createSelector(directory, tracker);
+		const place = async (deadlineLeftMs = 6000) => selector.select(createQuery({deadlineLeftMs}));
 		const starts = new Map<string, number>();
 		for (let call = 0; call < 1000; call++) {
 			clock.tick(5);
--- a/test/instance-signals.test.ts
+++ b/test/instance-signals.test.ts
@@ -302,6 +302,22 @@
 	});
 });
 
+it('guards against an instance that stays closed for a trial call that is never sent: one that is given back may start at once, one that was sent is not', () => {
+	withSignals((tracker, respond, clock) => {
+		respond(503, ['Retry-After', '1']);
+		clock.tick(1100);
+		const release = tracker.signals.reserveTrial(instance1);
+		expect(tracker.barrierAt(instance1)?.reason).to.equal('trial');
+		release();
+		expect(tracker.barrierAt(instance1)).to.equal(undefined);
+		const releaseSent = tracker.signals.reserveTrial(instance1);
+		release();
+		tracker.signals.addAttempt(instance1, () => undefined);
+		releaseSent();
+		expect(tracker.barrierAt(instance1)?.reason).to.equal('trial');
+	});
+});
+
 it('guards against an instance that stays closed after a trial call without an answer: the next trial may start', () => {
 	withSignals((tracker, respond, clock) => {
 		respond(503, ['Retry-After', '1']);
