Count new calls as new while an instance has too many bytes of bodies

Instances without room for a body were passed to the selection as tried ones. The first attempt of any call with a body then counted as a repeated one as long as one instance was full: its refusals were not reported, and it gave way to no more urgent call. They are now named separately. The test fails without the change.

--- a/src/placement/instance-query.ts
+++ b/src/placement/instance-query.ts
@@ -21,6 +21,8 @@
 	readonly permittedRegions?: readonly RegionId[] | undefined;
 	/** IDs of the instances that the call has been sent to. */
 	readonly tried: ReadonlySet<string>;
+	/** IDs of the instances that cannot hold the body of the call now; absent if there are none. */
+	readonly full?: ReadonlySet<string>;
 	/** Whether the call is willing to do without an instance, and so takes no start at a cold one and no trial call. */
 	readonly onlyReady?: boolean;
 	/** Whether a part of the response has been sent to the caller. */
--- a/src/placement/instance-selector.ts
+++ b/src/placement/instance-selector.ts
@@ -259,7 +259,7 @@
 			barriers.set(instance.id, barrier);
 		}
 
-		return !barrier && !query.tried.has(instance.id);
+		return !barrier && !query.tried.has(instance.id) && !query.full?.has(instance.id);
 	}
 
 	/** Whether a call at an instance takes one of few starts while it is cold, or the trial after its quiet time. */
--- a/test/client-limits.test.ts
+++ b/test/client-limits.test.ts
@@ -9,8 +9,10 @@
 import {IncompleteBodies, progressCheckMs} from '../src/limits/incomplete-bodies.ts';
 import {processLimitsFor} from '../src/limits/process-limits.ts';
 import {ByteCollector} from '../src/links/byte-collector.ts';
+import type {InstanceQuery} from '../src/placement/instance-query.ts';
+import {InstanceSelector} from '../src/placement/instance-selector.ts';
 import {
-	sendSignedResponse, startTestGateway, startUpstream, testConfiguration, testInstance,
+	callGateway, sendSignedResponse, startTestGateway, startUpstream, testConfiguration, testInstance,
 } from './support/direct-fixtures.ts';
 import {waitFor} from './support/fleet.ts';
 
@@ -129,6 +131,29 @@
 	expect([bodies.findFull(5 * megabyte), bodies.largestBytes, bodies.passedOverCount]).to.deep.equal([[], megabyte, 1]);
 });
 
+it('guards against new calls that count as repeated ones, so that they give way to none, while an instance has too many bytes of bodies', async () => {
+	const upstream = await startUpstream((req, res) => {
+		sendSignedResponse(req, res, 200, 'ok');
+	});
+	const gateway = await startTestGateway(testConfiguration(1), [testInstance({id: 'i-0', address: upstream.address}), testInstance({id: 'i-1', address: upstream.address})]);
+	const queries: InstanceQuery[] = [];
+	const {select} = InstanceSelector.prototype;
+	InstanceSelector.prototype.select = async function (query) {
+		queries.push(query);
+		return select.call(this, query);
+	};
+
+	try {
+		gateway.forwarder.bodiesInFlight.add('i-1', 1_000_000_000);
+		expect(await callGateway(gateway.url)).to.include({status: 200});
+		expect(queries.map(({tried, full}) => [[...tried], [...full ?? []]])).to.deep.equal([[[], ['i-1']]]);
+	} finally {
+		InstanceSelector.prototype.select = select;
+		gateway.close();
+		upstream.close();
+	}
+});
+
 for (const encoding of ['identity, chunked', 'gzip, chunked', 'identity\r\nTransfer-Encoding: chunked']) {
 	it(`guards against a request that hides behind a transfer coding which is not understood (${JSON.stringify(encoding)}): neither it nor the one before reaches an instance`, async () => {
 		const upstream = await startUpstream((req, res) => {
