Test of explained failures looks at all delays, not at the first one

Cause: beside a load of 20 the test was red twice with 284 and 230 ms instead of at least 1000: a shorter delay of the loaded process was logged before the pause that the test makes. It is as strict as before: a delay of at least a second has to stand beside the request.

--- a/test/explained-failures.test.ts
+++ b/test/explained-failures.test.ts
@@ -126,8 +126,9 @@
 	const {status} = await answer;
 	expect(status).to.equal(504);
 	const {beliefs, request} = await explain('stalled-1');
-	const delayMs = Number(/event_loop_delayed delayMs=(\d+)/.exec(beliefs)?.[1]);
+	// On a busy machine, shorter delays may stand there, too.
+	const delaysMs = [...beliefs.matchAll(/event_loop_delayed delayMs=(\d+)/g)].map(([, delayMs]) => Number(delayMs));
 	const [, silentMs, stalledMs] = /call_ended .*outcome=timed_out .*silentMs=(\d+) stalledMs=(\d+)/.exec(request) ?? [];
-	expect(delayMs).to.be.at.least(1000);
+	expect(Math.max(...delaysMs)).to.be.at.least(1000);
 	expect(Number(stalledMs)).to.be.at.least(1000).and.at.most(Number(silentMs));
 });
