--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -21,6 +21,9 @@
 /** Header size limit of the HTTP parser, in bytes; a lower published limit is checked for each call. */
 const maxParsedHeaderBytes = 65_536;
 
+/** Fields of a head that the parser keeps: more than fit into the published 16 KiB, so that a head of which it drops some is refused for its size. */
+const maxHeadFields = 4096;
+
 /** How often connections are checked for expired header and request timeouts, in milliseconds. */
 const connectionsCheckIntervalMs = 500;
 
@@ -82,8 +85,7 @@
 		}, (req, res) => {
 			this.accept(req, res);
 		});
-		// Node.js would drop further fields silently. Their size is bounded.
-		this.server.maxHeadersCount = 0;
+		this.server.maxHeadersCount = maxHeadFields;
 		this.connections = new ServerConnections(this.server);
 		this.bodyReceiver = new BodyReceiver({
 			...options, maxBytes: () => this.limits.bodyBytes, isClosing: () => this.isClosing, onTooLarge: (req, writer) => {
