--- a/review/lib-2/system.mjs
+++ b/review/lib-2/system.mjs
@@ -131,7 +131,7 @@
 			log.write(bytes);
 		});
 		child.stderr.on('data', bytes => {
-			errors = (errors + bytes).slice(-3000);
+			errors = (errors + bytes).slice(0, 20_000);
 		});
 		const started = {
 			child, fields, logFile: path.join(this.#folder, `${fields.node}.log`), errors: () => errors, hasEnded: () => child.exitCode !== null || child.signalCode !== null,
