Answer earlier requests before a connection closes that cannot be parsed

Callers saw: a booking that an instance runs was answered 408, 400 or 431, because the next bytes on its connection stalled in a head or could not be parsed. These statuses say that the booking has not run.

Cause: on each error of the parser, a gateway wrote a whole response to the connection, also while an earlier request had none. The listeners of the other roles did the same, by the default of Node.js.

Change: ServerConnections knows the responses of each connection that are not written. With an earlier whole request among them, the unreadable rest gets no response, and the connection closes after the earlier responses; without one, it is refused as before. Such a connection is closed after 2 s if the client keeps it open; before, it stayed.

--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -42,12 +42,6 @@
 	headerBytes: 16_384, bodyBytes: 4_194_304, headerTimeoutMs: 3000, idleTimeoutMs: 15_000,
 };
 
-/** Response statuses for requests that cannot be parsed, by error code of the HTTP parser. */
-const parseErrorStatuses: Readonly<Record<string, string | undefined>> = {
-	HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
-};
-
 const bodyTooLarge = {status: 413, reason: 'body is too large'};
 
 /** Dependencies of a {@link CallerListener}. */
@@ -172,7 +166,7 @@
 	}
 
 	private accept(req: http.IncomingMessage, res: http.ServerResponse): void {
-		if (req.socket.destroyed || this.refusedConnections.has(req.socket)) {
+		if (req.socket.destroyed || this.refusedConnections.has(req.socket) || this.connections.isEnding(req.socket)) {
 			// The parser goes on with what it has read of a connection that was closed, or will be because of a malformed request.
 			return;
 		}
@@ -289,18 +283,10 @@
 	}
 
 	private respondToParseError(err: NodeJS.ErrnoException, socket: Duplex): void {
-		if (err.code === 'ECONNRESET' || !socket.writable) {
-			socket.destroy();
-			return;
-		}
-
-		if (this.refusedConnections.has(socket)) {
-			// The response to the malformed request is the last one.
-			socket.end();
-			return;
+		if (!this.refusedConnections.has(socket)) {
+			this.options.log.warn({event: 'call_unreadable', code: err.code}, 'request could not be parsed');
 		}
 
-		this.options.log.warn({event: 'call_unreadable', code: err.code}, 'request could not be parsed');
-		socket.end(`HTTP/1.1 ${parseErrorStatuses[err.code ?? ''] ?? '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+		this.connections.endUnreadable(err, socket);
 	}
 }
--- a/src/links/http-listener.ts
+++ b/src/links/http-listener.ts
@@ -63,11 +63,14 @@
 	constructor(routes: HttpRoutes, private readonly log: Logger, limits?: ConnectionLimits) {
 		this.routes = Object.entries(routes).map(([name, handler]) => compileRoute(name, handler));
 		this.server = http.createServer(limits ? arrivalLimits : {}, (req, res) => {
-			if (!req.socket.destroyed) {
+			if (!req.socket.destroyed && !this.connections.isEnding(req.socket)) {
 				void this.serve(req, res);
 			}
 		});
 		this.connections = new ServerConnections(this.server);
+		this.server.on('clientError', (err, socket) => {
+			this.connections.endUnreadable(err, socket);
+		});
 		if (limits) {
 			const incomplete = new IncompleteBodies();
 			this.bodyLimits = {budget: new BodyBudget(bodyRoom), incomplete};
--- a/src/links/server-connections.ts
+++ b/src/links/server-connections.ts
@@ -1,6 +1,7 @@
 /** The connections of an HTTP server: closes idle ones, and drains the server without cutting a response that is still written. */
 import type http from 'node:http';
 import net from 'node:net';
+import type {Duplex} from 'node:stream';
 
 /** How often idle connections are closed while the server drains, in milliseconds. */
 const idleCheckIntervalMs = 50;
@@ -8,17 +9,32 @@
 /** How long a drain waits for peers that do not read their responses, in milliseconds. */
 const maxLastWritesMs = 30_000;
 
+/** How long a connection stays open after its last response for a client that still sends, in milliseconds. If it closed at once, the client could lose the response. */
+const lingerMs = 2000;
+
+/** Responses to requests that cannot be parsed, by error code of the HTTP parser. */
+const parseErrorStatuses: Readonly<Record<string, string | undefined>> = {
+	HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+	ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+};
+
 /** Watches the connections of one server. */
 export class ServerConnections {
-	/** The responses that have not been handed to the system completely, those without an answer so far included. */
-	private readonly unwritten = new Set<http.ServerResponse>();
+	/** The responses that have not been handed to the system completely, those without an answer so far included, by connection. */
+	private readonly unwritten = new Map<Duplex, Set<http.ServerResponse>>();
+	/** The connections that close after the responses to the requests before one that could not be parsed. */
+	private readonly ending = new WeakSet<Duplex>();
 
 	/** @param server - the server, before it listens */
 	constructor(private readonly server: http.Server) {
-		server.prependListener('request', (_, res: http.ServerResponse) => {
-			this.unwritten.add(res);
+		server.prependListener('request', ({socket}: http.IncomingMessage, res: http.ServerResponse) => {
+			const responses = this.unwritten.get(socket) ?? new Set();
+			this.unwritten.set(socket, responses.add(res));
 			res.once('close', () => {
-				this.unwritten.delete(res);
+				responses.delete(res);
+				if (responses.size === 0) {
+					this.unwritten.delete(socket);
+				}
 			});
 		});
 		server.on('connection', socket => {
@@ -33,7 +49,48 @@
 
 	/** Number of requests whose response has not been handed to the system completely. */
 	get unwrittenResponses(): number {
-		return this.unwritten.size;
+		return [...this.unwritten.values()].reduce((sum, responses) => sum + responses.size, 0);
+	}
+
+	/**
+	 * Ends a connection of which the rest cannot be parsed.
+	 *
+	 * The client would take a response for that to an earlier request, if there is one without a whole response: then the connection closes
+	 * after the responses to the earlier requests.
+	 */
+	endUnreadable(err: NodeJS.ErrnoException, socket: Duplex): void {
+		if (this.ending.has(socket)) {
+			return;
+		}
+
+		this.ending.add(socket);
+		if (err.code === 'ECONNRESET' || !socket.writable) {
+			socket.destroy();
+			return;
+		}
+
+		const responses = [...this.unwritten.get(socket) ?? []];
+		const earlier = responses.filter(({req}) => req.complete);
+		if (earlier.length === 0) {
+			const hasStarted = responses.some(({headersSent}) => headersSent);
+			this.endAfter(socket, hasStarted ? '' : `HTTP/1.1 ${parseErrorStatuses[err.code ?? ''] ?? '400 Bad Request'}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+			return;
+		}
+
+		let waiting = earlier.length;
+		for (const res of earlier) {
+			res.once('close', () => {
+				waiting--;
+				if (waiting === 0) {
+					this.endAfter(socket, '');
+				}
+			});
+		}
+	}
+
+	/** Whether a connection is about to close; a further request there would get no response. */
+	isEnding(socket: Duplex): boolean {
+		return this.ending.has(socket);
 	}
 
 	/** Stops accepting connections and waits until every response has been written, unless that takes too long, and every connection is closed. */
@@ -56,12 +113,21 @@
 		});
 	}
 
+	/** Writes the last bytes of a connection, and closes it once the client has closed it or after a short time. */
+	private endAfter(socket: Duplex, lastBytes: string): void {
+		socket.end(lastBytes);
+		const timer = setTimeout(() => {
+			socket.destroy();
+		}, lingerMs).unref();
+		socket.once('close', () => {
+			clearTimeout(timer);
+		});
+	}
+
 	/** Node.js emits `close` only for the first of several requests that a peer has sent on a connection before it left. */
 	private closeResponsesOf(socket: net.Socket): void {
-		for (const res of this.unwritten) {
-			if (res.req.socket === socket) {
-				res.emit('close');
-			}
+		for (const res of this.unwritten.get(socket) ?? []) {
+			res.emit('close');
 		}
 	}
 }
