Bound connections, heads, bodies and their chunks at every listener

Cause: HttpListener bounds what clients take only where it is given limits, and only gateways passed some. An entry's two listeners, an agent and a stager passed none.

A body keeps its room until its response has been sent, since an entry keeps what it parsed of it.

--- a/src/calls/call-manager.ts
+++ b/src/calls/call-manager.ts
@@ -2,7 +2,7 @@
 import type http from 'node:http';
 import type {ConfigurationStore} from '../configuration/configuration-store.ts';
 import {
-	type HttpHandler, type HttpRoutes, readBody, sendJson,
+	BodyRefusedError, type HttpHandler, type HttpRoutes, readBody, sendJson,
 } from '../links/http-listener.ts';
 import {type AdmissionManager, ShedError} from '../limits/admission-manager.ts';
 import type {CallMetrics} from '../reports/call-metrics.ts';
@@ -17,6 +17,9 @@
 
 const msPerSecond = 1000;
 
+/** When callers may return for whose bodies there was no room, in seconds. */
+const bodyRetryAfterS = 1;
+
 /** Dependencies and settings of the manager. */
 export type CallManagerOptions = {
 	readonly store: ConfigurationStore;
@@ -103,7 +106,7 @@
 
 	private async generate(req: http.IncomingMessage, res: http.ServerResponse, routeName: string): Promise<void> {
 		const caller = this.readRequest(req, routeName);
-		const body = generateBodySchema.safeParse(parseJson(await readBody(req)));
+		const body = generateBodySchema.safeParse(parseJson(await readCallerBody(req, res)));
 		if (!body.success) {
 			throw new CallerError('bad_request', 'not_run', body.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join('; '));
 		}
@@ -119,7 +122,7 @@
 
 	private async runOperation(req: http.IncomingMessage, res: http.ServerResponse, routeName: string, operation: string): Promise<OperationAnswer> {
 		const {operations} = this.options;
-		const prepared = await this.prepareOperation(req, routeName, operation);
+		const prepared = await this.prepareOperation(req, res, [routeName, operation]);
 		if ('staleTicket' in prepared) {
 			return operations.resolveTicket(prepared.staleTicket);
 		}
@@ -163,7 +166,7 @@
 	 *
 	 * Returns `staleTicket` when the request has a ticket but its route or operation no longer exists, so that the call cannot run.
 	 */
-	private async prepareOperation(req: http.IncomingMessage, routeName: string, operation: string): Promise<{caller: CallerRequest; operationCall: OperationCall} | {staleTicket: Ticket}> {
+	private async prepareOperation(req: http.IncomingMessage, res: http.ServerResponse, [routeName, operation]: readonly [string, string]): Promise<{caller: CallerRequest; operationCall: OperationCall} | {staleTicket: Ticket}> {
 		try {
 			const ticket = readTicket(req, routeName);
 			const isKnown = this.options.store.route(String(req.headers['x-workspace']), routeName) !== undefined;
@@ -181,7 +184,7 @@
 				throw new CallerError('operation_not_found', 'not_run', `service ${caller.route.service} has no operation ${operation}`);
 			}
 
-			const body = parseJson(await readBody(req));
+			const body = parseJson(await readCallerBody(req, res));
 			if (!ticket && !rule.repeatable) {
 				// Without a ticket, a load balancer that retries the request would cause a second run.
 				throw new CallerError('ticket_required', 'not_run', messageByCode.ticket_required, this.options.operations.issueTicket(caller));
@@ -199,6 +202,20 @@
 	}
 }
 
+/** Reads the body of a call; refuses the call if there is no room for it. */
+async function readCallerBody(req: http.IncomingMessage, res: http.ServerResponse): Promise<string> {
+	try {
+		return await readBody(req);
+	} catch (err) {
+		if (!(err instanceof BodyRefusedError)) {
+			throw err;
+		}
+
+		res.setHeader('retry-after', bodyRetryAfterS);
+		throw new CallerError('overloaded', 'not_run', err.message);
+	}
+}
+
 function parseJson(text: string): unknown {
 	try {
 		return JSON.parse(text) as unknown;
--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -13,6 +13,7 @@
 import {LeaveNotifier} from '../membership/leave-notifier.ts';
 import {OrderManager} from '../orders/order-manager.ts';
 import {isQueueFull} from '../limits/is-queue-full.ts';
+import {processLimitsFor} from '../limits/process-limits.ts';
 import {SelfCheck} from '../orders/self-check.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {addRolloutMetrics} from '../reports/rollout-metrics.ts';
@@ -22,6 +23,7 @@
 import {TransferNode} from '../rollout/transfer-node.ts';
 import {defaultNoticeBytesPerSecond, defaultNoticeIntervalMs, type TransferOptions} from '../rollout/transfer-options.ts';
 import {TransferPacer} from '../rollout/transfer-pacer.ts';
+import {bufferGarbage} from '../runtime/buffer-garbage.ts';
 import type {AgentSettings} from '../settings/settings-schema.ts';
 import {EntryAgentBase, type RunningProcess} from './entry-agent-base.ts';
 
@@ -57,6 +59,7 @@
 	private sweepTimer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly settings: AgentSettings) {
+		bufferGarbage.enable();
 		this.base = new EntryAgentBase(settings);
 		const {log, identity, pauseDetector} = this.base;
 		pauseDetector.onResume(() => {
@@ -90,7 +93,7 @@
 		this.base.membership.onLeaveRequest(() => {
 			void this.leaveNotifier.send();
 		});
-		this.control = new HttpListener(this.createRoutes(), log);
+		this.control = new HttpListener(this.createRoutes(), log, processLimitsFor(settings.limits.memory_mb, settings.limits.max_descriptors).agent);
 		this.shutdown = this.createDrain();
 	}
 
--- a/src/cli/entry-process.ts
+++ b/src/cli/entry-process.ts
@@ -7,10 +7,12 @@
 import {OperationHandler} from '../calls/operation-handler.ts';
 import {formatAddress, HttpListener} from '../links/http-listener.ts';
 import {AdmissionManager, admissionMetrics} from '../limits/admission-manager.ts';
+import {processLimitsFor} from '../limits/process-limits.ts';
 import {ReportPoller} from '../membership/report-poller.ts';
 import {CallMetrics} from '../reports/call-metrics.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {routingMetrics, UpstreamRouter} from '../routing/upstream-router.ts';
+import {bufferGarbage} from '../runtime/buffer-garbage.ts';
 import type {EntrySettings} from '../settings/settings-schema.ts';
 import {EntryAgentBase, type RunningProcess} from './entry-agent-base.ts';
 
@@ -20,6 +22,8 @@
  * @param settings - the validated settings
  */
 export async function startEntry(settings: EntrySettings): Promise<RunningProcess> {
+	bufferGarbage.enable();
+	const limits = processLimitsFor(settings.limits.memory_mb, settings.limits.max_descriptors);
 	const base = new EntryAgentBase(settings);
 	const {links, membership, store, random, log} = base;
 	const router = new UpstreamRouter({
@@ -51,7 +55,7 @@
 	});
 	let isStarted = false;
 	const poller = new ReportPoller({links, membership, random});
-	const callers = new HttpListener(calls.routes, log);
+	const callers = new HttpListener(calls.routes, log, limits.callers);
 	const drain = new Drain({
 		log,
 		// Within this time, load balancers notice that the readiness check fails. Until then, new calls are still accepted.
@@ -75,7 +79,7 @@
 			role: 'entry', ...base.dump(), calls: {open: calls.openCalls}, routing: router.dump(), admission: admission.dump(), draining: drain.isDraining,
 		}),
 		isReady: () => isStarted && !drain.isDraining && store.revision > 0,
-	}), log);
+	}), log, limits.control);
 	base.metrics.gauge('cactusreach_open_calls', 'Callers that wait for an answer.', () => calls.openCalls);
 	for (const [name, help, read] of [...admissionMetrics(admission), ...routingMetrics(router)]) {
 		base.metrics.gauge(name, help, read);
--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -5,6 +5,7 @@
 import {formatAddress, HttpListener} from '../links/http-listener.ts';
 import type {PeerClient} from '../links/peer-client.ts';
 import {RequestDeadline} from '../links/request-deadline.ts';
+import {processLimitsFor} from '../limits/process-limits.ts';
 import {manifestGetMethod, manifestGetParamsSchema, type PeerInfo} from '../messages/peers-exchange.ts';
 import {rolloutHaveMethod, rolloutHaveParamsSchema} from '../messages/rollout-have.ts';
 import {serveCallCounter} from '../peers/call-counter-listener.ts';
@@ -19,6 +20,7 @@
 import {TransferNode} from '../rollout/transfer-node.ts';
 import type {OriginChunk, TransferOptions} from '../rollout/transfer-options.ts';
 import {TransferPacer} from '../rollout/transfer-pacer.ts';
+import {bufferGarbage} from '../runtime/buffer-garbage.ts';
 import {monotonicClock} from '../runtime/pause-detector.ts';
 import type {StagerSettings} from '../settings/direct-settings.ts';
 import type {LocalEngine, WeightOrigin} from '../staging/local-engine.ts';
@@ -86,6 +88,7 @@
 	private serviceReadTimer: NodeJS.Timeout | undefined;
 
 	constructor(settingsSource: SettingsSource<StagerSettings>, adapter: StagerAdapter) {
+		bufferGarbage.enable();
 		this.base = new GatewayStagerBase(settingsSource, ({listen, engine, peers}) => ({
 			role: 'stager', control: listen.control, datagrams: {host: listen.control.host, port: peers.datagram_port}, service: engine.service, parts: ['versions'], pulledParts: 'services',
 		}), adapter.createSource);
@@ -129,7 +132,7 @@
 			random,
 			log,
 		});
-		this.control = new HttpListener(this.createRoutes(), log);
+		this.control = new HttpListener(this.createRoutes(), log, processLimitsFor(settings.limits.memory_mb, settings.limits.max_descriptors).stager);
 		serveCallCounter(this.base.datagrams, this.base.pauseDetector);
 		serveStartClaims(this.base.datagrams, () => peers.knownGateways.size);
 	}
--- a/src/limits/body-budget.ts
+++ b/src/limits/body-budget.ts
@@ -22,6 +22,9 @@
 
 const bytesPerMegabyte = 1_000_000;
 
+/** The room of a listener that receives only messages of other processes and of operators, in bytes: two of the largest bodies, and some small ones. */
+export const messageBodyRoom: BodyRoom = {large: 8_388_608, small: 1_048_576};
+
 /** Returns the room for a process with a memory limit in megabytes. */
 export function bodyRoomFor(memoryMb: number): BodyRoom {
 	const memoryBytes = memoryMb * bytesPerMegabyte;
--- a/src/limits/process-limits.ts
+++ b/src/limits/process-limits.ts
@@ -1,28 +1,60 @@
-/** Shares the descriptors and the memory of a gateway among its listeners and the calls that it forwards. */
+/** Shares the descriptors and the memory of a process among its listeners and the calls that it forwards. */
 import type {ConnectionLimits} from '../links/connection-limit.ts';
+import {type BodyRoom, bodyRoomFor, messageBodyRoom} from './body-budget.ts';
 
 /** Descriptors that are kept for files. */
 const fileDescriptors = 200;
 
-/** Shares of the other descriptors. What is left is for connections to peers, to the store and to probed instances. */
-const descriptorShares = {
-	callers: 0.5, control: 0.1, readiness: 0.02, calls: 0.25,
+/** What a listener may take. */
+type ListenerShares = {
+	/** Share of the other descriptors. */
+	readonly descriptors: number;
+	/** Share of the memory for incomplete heads. */
+	readonly heads: number;
+	/** Returns the room for bodies. */
+	readonly bodies: (memoryMb: number) => BodyRoom;
+	/** Connections for each megabyte of memory. */
+	readonly connectionsPerMegabyte: number;
 };
 
 /** Connections of callers, and forwarded calls, for each megabyte of memory. */
 const callersPerMegabyte = 8;
 const callsPerMegabyte = 4;
 
-/** Share of the memory that incomplete heads may take at the listener for callers and at each other one. */
-const headShares = {callers: 0.04, other: 0.01};
+/** The kinds of listeners. What their descriptors leave is for connections to peers, to the store and to upstreams. */
+const listenerShares = {
+	callers: {
+		descriptors: 0.5, heads: 0.04, bodies: bodyRoomFor, connectionsPerMegabyte: callersPerMegabyte,
+	},
+	control: {
+		descriptors: 0.1, heads: 0.01, bodies: () => messageBodyRoom, connectionsPerMegabyte: Number.POSITIVE_INFINITY,
+	},
+	readiness: {
+		descriptors: 0.02, heads: 0.01, bodies: () => messageBodyRoom, connectionsPerMegabyte: Number.POSITIVE_INFINITY,
+	},
+	/** The only listener of an agent, which takes calls from entries. */
+	agent: {
+		descriptors: 0.5, heads: 0.04, bodies: bodyRoomFor, connectionsPerMegabyte: callersPerMegabyte,
+	},
+	/** The only listener of a stager, which serves weights to other stagers. */
+	stager: {
+		descriptors: 0.5, heads: 0.04, bodies: () => messageBodyRoom, connectionsPerMegabyte: callersPerMegabyte,
+	},
+} satisfies Readonly<Record<string, ListenerShares>>;
+
+/** Share of the descriptors for calls that a gateway forwards. */
+const callDescriptorShare = 0.25;
 
 const bytesPerMegabyte = 1_000_000;
 
+/** The limits of one listener. */
+export type ListenerLimits = ConnectionLimits & {
+	/** The room for bodies. */
+	readonly bodies: BodyRoom;
+};
+
 /** What a process may have open. */
-export type ProcessLimits = {
-	readonly callers: ConnectionLimits;
-	readonly control: ConnectionLimits;
-	readonly readiness: ConnectionLimits;
+export type ProcessLimits = Readonly<Record<keyof typeof listenerShares, ListenerLimits>> & {
 	/** Calls that are forwarded at a time; each has a connection to an instance. */
 	readonly openCalls: number;
 };
@@ -30,12 +62,26 @@
 /** Returns the limits for a memory limit in megabytes and a number of descriptors. */
 export function processLimitsFor(memoryMb: number, maxDescriptors: number): ProcessLimits {
 	const descriptors = Math.max(fileDescriptors, maxDescriptors - fileDescriptors);
-	const share = (name: keyof typeof descriptorShares, most = Number.POSITIVE_INFINITY) => Math.max(1, Math.floor(Math.min(descriptors * descriptorShares[name], most)));
-	const headBytes = (name: keyof typeof headShares) => memoryMb * bytesPerMegabyte * headShares[name];
+	const limitsOf = (kind: keyof typeof listenerShares): ListenerLimits => {
+		const shares: ListenerShares = listenerShares[kind];
+		return {
+			maxConnections: wholeShare(descriptors * shares.descriptors, memoryMb * shares.connectionsPerMegabyte),
+			headBytes: memoryMb * bytesPerMegabyte * shares.heads,
+			bodies: shares.bodies(memoryMb),
+		};
+	};
+
 	return {
-		callers: {maxConnections: share('callers', memoryMb * callersPerMegabyte), headBytes: headBytes('callers')},
-		control: {maxConnections: share('control'), headBytes: headBytes('other')},
-		readiness: {maxConnections: share('readiness'), headBytes: headBytes('other')},
-		openCalls: share('calls', memoryMb * callsPerMegabyte),
+		callers: limitsOf('callers'),
+		control: limitsOf('control'),
+		readiness: limitsOf('readiness'),
+		agent: limitsOf('agent'),
+		stager: limitsOf('stager'),
+		openCalls: wholeShare(descriptors * callDescriptorShare, memoryMb * callsPerMegabyte),
 	};
 }
+
+/** Returns the smaller number, rounded down; at least 1. */
+function wholeShare(share: number, most: number): number {
+	return Math.max(1, Math.floor(Math.min(share, most)));
+}
--- a/src/links/http-listener.ts
+++ b/src/links/http-listener.ts
@@ -6,9 +6,10 @@
 import {BodyBudget} from '../limits/body-budget.ts';
 import {growBody} from '../limits/grow-body.ts';
 import {IncompleteBodies, progressCheckMs} from '../limits/incomplete-bodies.ts';
+import type {ListenerLimits} from '../limits/process-limits.ts';
 import {ByteCollector} from './byte-collector.ts';
 import {chunkPacer} from './chunk-pacer.ts';
-import {ConnectionLimit, type ConnectionLimits} from './connection-limit.ts';
+import {ConnectionLimit} from './connection-limit.ts';
 import {ServerConnections} from './server-connections.ts';
 
 /** Handles one request; `params` holds the path segments that matched `*`, in order. */
@@ -23,9 +24,6 @@
 /** Maximum size of a request body, in bytes. */
 export const maxBodyBytes = 4 * 1024 * 1024;
 
-/** Memory for the request bodies of a listener with limits, in bytes: for two of the largest and some small ones. */
-const bodyRoom = {large: 2 * maxBodyBytes, small: 1_048_576};
-
 /** How long the head and the whole of a request may take to arrive at a listener with limits, in milliseconds. */
 const arrivalLimits = {headersTimeout: 10_000, requestTimeout: 30_000};
 
@@ -38,8 +36,8 @@
 /** What bodies of requests to a listener with limits may take. */
 type BodyLimits = {readonly budget: BodyBudget; readonly incomplete: IncompleteBodies};
 
-/** The limits of the listener that received a request. */
-const limitsByRequest = new WeakMap<http.IncomingMessage, BodyLimits>();
+/** The limits of the listener that received a request, and the response, until whose end the body keeps its room. */
+const limitsByRequest = new WeakMap<http.IncomingMessage, BodyLimits & {readonly res: http.ServerResponse}>();
 
 /** Statuses of responses to requests whose body could not be read. */
 const bodyErrorStatuses: ReadonlyArray<readonly [new (message: string) => Error, number]> = [[BodyTooLargeError, 413], [BodyRefusedError, 503]];
@@ -58,9 +56,9 @@
 	/**
 	 * @param routes - handlers by `METHOD /path`
 	 * @param log - logs errors that handlers throw
-	 * @param limits - limits for connections, with which the memory for bodies is limited too; without them, there are none
+	 * @param limits - limits for connections, heads and bodies; without them, there are none
 	 */
-	constructor(routes: HttpRoutes, private readonly log: Logger, limits?: ConnectionLimits) {
+	constructor(routes: HttpRoutes, private readonly log: Logger, limits?: ListenerLimits) {
 		this.routes = Object.entries(routes).map(([name, handler]) => compileRoute(name, handler));
 		this.server = http.createServer(limits ? arrivalLimits : {}, (req, res) => {
 			if (!req.socket.destroyed && !this.connections.isEnding(req.socket)) {
@@ -73,7 +71,7 @@
 		});
 		if (limits) {
 			const incomplete = new IncompleteBodies();
-			this.bodyLimits = {budget: new BodyBudget(bodyRoom), incomplete};
+			this.bodyLimits = {budget: new BodyBudget(limits.bodies), incomplete};
 			new ConnectionLimit(this.server, {...limits, log, closeSlow: () => incomplete.endSlowest(performance.now())}).watch();
 			this.timer = setInterval(() => {
 				incomplete.check(performance.now());
@@ -129,7 +127,7 @@
 		}
 
 		if (this.bodyLimits) {
-			limitsByRequest.set(req, this.bodyLimits);
+			limitsByRequest.set(req, {...this.bodyLimits, res});
 		}
 
 		try {
@@ -182,11 +180,18 @@
 	const body = new ByteCollector();
 	const limits = limitsByRequest.get(req);
 	const lease = limits?.budget.tryTake(0);
+	limits?.res.once('close', () => {
+		lease?.release();
+	});
 	return new Promise((resolve, reject) => {
+		let isSettled = false;
 		const fail = (err: Error) => {
-			body.clear();
-			end();
-			reject(err);
+			if (!isSettled) {
+				body.clear();
+				lease?.release();
+				end();
+				reject(err);
+			}
 		};
 
 		const progress = limits?.incomplete.add(() => {
@@ -195,7 +200,7 @@
 			req.destroy();
 		}, performance.now());
 		const end = () => {
-			lease?.release();
+			isSettled = true;
 			req.off('data', add);
 			req.resume();
 			if (progress) {
--- a/src/settings/direct-settings.ts
+++ b/src/settings/direct-settings.ts
@@ -3,6 +3,8 @@
 import {createRegionId, type RegionId} from '../ids/region-id.ts';
 import {defaultColdLimits} from '../placement/cold-quota.ts';
 import {defaultInstanceBodyMb} from '../limits/bodies-in-flight.ts';
+import {amount, optionalPositiveAmount, positiveAmount} from './amounts.ts';
+import {machineLimits} from './machine-limits.ts';
 import {
 	address, idText, nameText, positiveNumber, processSection,
 } from './settings-schema.ts';
@@ -10,22 +12,6 @@
 /** A comma-separated list of addresses; may be empty. */
 const addressList = z.string().default('').transform(text => text.split(',').map(part => part.trim()).filter(part => part !== ''));
 
-/** A number with or without a fraction or an exponent. */
-const decimalNumber = z.string().regex(/^\d+(?:\.\d+)?(?:e[+-]?\d{1,2})?$/i, 'must be a number of at least 0, such as 8 or 0.25').transform(Number);
-
-/** A number of at least 0 that defaults to a value if it is absent or empty. */
-function amount(defaultValue: number) {
-	return z.preprocess(text => (text === '' ? undefined : text), decimalNumber.default(defaultValue));
-}
-
-/** A number of more than 0 that defaults to a value if it is absent or empty. */
-function positiveAmount(defaultValue: number) {
-	return amount(defaultValue).refine(number => number > 0, 'must be more than 0');
-}
-
-/** A number of more than 0; undefined if it is absent or empty. */
-const optionalPositiveAmount = z.preprocess(text => (text === '' ? undefined : text), decimalNumber.refine(number => number > 0, 'must be more than 0').optional());
-
 const peersSection = z.strictObject({
 	/** Addresses of the control listeners of a few gateways, `ip:port`, through which the other gateways are discovered. */
 	seeds: addressList,
@@ -64,6 +50,7 @@
 	zones: zonesSection,
 	limits: z.strictObject({
 		...versionLimits,
+		...machineLimits,
 		/** Retries allowed per call, over all gateways. */
 		retry_ratio: amount(0.1),
 		/** Additional retries allowed per window, over all gateways. */
@@ -80,10 +67,6 @@
 		grace_s: positiveAmount(8),
 		/** Within what time after its publication the evacuation of a zone has to be in force, in milliseconds; none if it is absent or empty. */
 		evacuate_ms: optionalPositiveAmount,
-		/** Memory limit of the process, in megabytes; the memory for bodies and answers is a share of it. */
-		memory_mb: positiveAmount(350),
-		/** Descriptors that the process may have open, of which some are kept for files. */
-		max_descriptors: positiveAmount(4096),
 		/** Bytes of bodies that the gateway has in flight to one instance, in megabytes. */
 		instance_body_mb: positiveAmount(defaultInstanceBodyMb),
 	}).prefault({}),
@@ -112,7 +95,7 @@
 		/** Memory limit for model weights, in bytes. */
 		memory_bytes: positiveNumber.default(64 * 1024 * 1024),
 	}).prefault({}),
-	limits: z.strictObject(versionLimits).prefault({}),
+	limits: z.strictObject({...versionLimits, ...machineLimits}).prefault({}),
 });
 
 /** Settings of a gateway process. */
--- a/src/settings/settings-schema.ts
+++ b/src/settings/settings-schema.ts
@@ -8,6 +8,7 @@
 import {createVmId, type VmId} from '../ids/vm-id.ts';
 import {createZoneId, type ZoneId} from '../ids/zone-id.ts';
 import {logLevels} from '../runtime/logger.ts';
+import {machineLimits} from './machine-limits.ts';
 
 const urlPrefix = 'http://';
 
@@ -53,6 +54,7 @@
 	listen: z.strictObject({callers: address, control: address}),
 	platform: platformSection,
 	limits: z.strictObject({
+		...machineLimits,
 		/** How long a new call may wait for admission, and for an upstream if none is available, in milliseconds. */
 		queue_wait_ms: wholeNumber.default(1000),
 		/** Deadline of calls that do not specify one, in milliseconds. */
@@ -81,6 +83,7 @@
 		link_bytes_per_second: positiveNumber.default(125_000_000),
 	}).prefault({}),
 	limits: z.strictObject({
+		...machineLimits,
 		/** Maximum number of call records of the agent. When the table is full, new calls are refused. */
 		call_records: positiveNumber.default(100_000),
 	}).prefault({}),
--- a/test/client-limits.test.ts
+++ b/test/client-limits.test.ts
@@ -9,6 +9,7 @@
 import {ResponseBuffers} from '../src/forwarding/response-buffers.ts';
 import {ResponseWriter} from '../src/forwarding/response-writer.ts';
 import {BodiesInFlight} from '../src/limits/bodies-in-flight.ts';
+import {messageBodyRoom} from '../src/limits/body-budget.ts';
 import {IncompleteBodies, progressCheckMs} from '../src/limits/incomplete-bodies.ts';
 import {processLimitsFor} from '../src/limits/process-limits.ts';
 import {ByteCollector} from '../src/links/byte-collector.ts';
@@ -152,7 +153,7 @@
 			const body = await readBody(req);
 			sendJson(res, 200, {length: body.length});
 		},
-	}, createSilentLogger(), {maxConnections: 10, headBytes: 1_000_000});
+	}, createSilentLogger(), {maxConnections: 10, headBytes: 1_000_000, bodies: messageBodyRoom});
 	const {host, port} = await listener.start({host: '127.0.0.1', port: 0});
 	const stalled = [1, 2].map(() => net.connect({host, port}).on('error', () => undefined));
 	try {
--- a/test/support/crowd.ts
+++ b/test/support/crowd.ts
@@ -1,24 +1,35 @@
 /**
- * Untrusted clients in a process of their own: `crowd.ts URL KIND[,KIND] COUNT` opens that many connections of each kind, prints `done` once
- * each of them has sent what it wanted, was closed or cannot go on, and keeps its connections open until it is killed.
+ * Untrusted clients in a process of their own: `crowd.ts URL KIND[,KIND] COUNT PATH` opens that many connections of each kind, prints `done`
+ * once each of them has sent what it wanted, was closed or cannot go on, and keeps its connections open until it is killed. Requests go to
+ * PATH unless their kind has a path of its own.
  */
 import {Buffer} from 'node:buffer';
 import net from 'node:net';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {rpcPath} from '../../src/links/rpc-dispatcher.ts';
+import {directoryGetMethod} from '../../src/messages/peers-exchange.ts';
 
 /** Most time that the crowd takes until it prints `done`, and after which it ends, in milliseconds. */
 const maxSendMs = 8000;
 const maxLifeMs = 40_000;
 
-const [url = '', kinds = '', countText = ''] = process.argv.slice(2);
+const [url = '', kinds = '', countText = '', defaultPath = ''] = process.argv.slice(2);
 const {hostname: host, port} = new URL(url);
 const count = Number(countText);
 const startedAtMs = performance.now();
 let id = 0;
 
-const head = (path: string, more: string) => `POST ${path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: c-${id++}\r\nApi-Key: k1\r\nDeadline-Ms: 5000\r\n${more}\r\n`;
+/** Text of 1600 short fields, about as many as fit into a head of 16 KiB. */
+const manyFields = Array.from({length: 1600}, (_, at) => at.toString(36).padStart(2, '0')).map(name => `${name}:${name}\r\n`).join('');
+
+/** Requests that wait behind the first one of their connection. */
+const waitingRequests = 15;
+
+/** A JSON body inside the published limits whose values take many times its size. */
+const nestedJson = '['.repeat(2_000_000) + ']'.repeat(2_000_000);
+
+const head = (path: string, more: string) => `POST ${path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: c-${id++}\r\nApi-Key: k1\r\nX-Workspace: desk\r\nDeadline-Ms: 5000\r\n${more}\r\n`;
 
 type Client = {readonly socket: net.Socket; isClosed: boolean};
 
@@ -51,7 +62,7 @@
 const mayGoOn = ({isClosed}: Client) => !isClosed && performance.now() - startedAtMs < maxSendMs;
 
 /** Sends a chunked body without its end. */
-function chunkedSender(chunkBytes: number, bodyBytes: number, path = '/p/x') {
+function chunkedSender(chunkBytes: number, bodyBytes: number, path = defaultPath) {
 	const chunk = `${chunkBytes.toString(16)}\r\n${'x'.repeat(chunkBytes)}\r\n`;
 	const perWrite = Math.ceil(16_384 / chunk.length);
 	const block = Buffer.from(chunk.repeat(perWrite));
@@ -83,14 +94,14 @@
 			await sleep(200);
 			client.socket.destroy();
 		} else {
-			await write(client, 'POST /p/x HTTP/1.1\r\n');
+			await write(client, `POST ${defaultPath} HTTP/1.1\r\n`);
 		}
 	},
 	async trickling(client, at) {
 		if (at % 3 === 0) {
-			await trickle(client, head('/p/x', `Padding: ${'x'.repeat(8000)}\r\n`));
+			await trickle(client, head(defaultPath, `Padding: ${'x'.repeat(8000)}\r\n`));
 		} else if (at % 3 === 1) {
-			await write(client, head('/p/x', 'Content-Length: 4000000\r\n'));
+			await write(client, head(defaultPath, 'Content-Length: 4000000\r\n'));
 			await trickle(client, 'x'.repeat(8000));
 		} else {
 			client.socket.pause();
@@ -100,7 +111,7 @@
 	async pipelining(client) {
 		client.socket.pause();
 		for (let sent = 0; sent < 4000 && mayGoOn(client); sent += 50) {
-			await write(client, Array.from({length: 50}, () => head('/p/x', 'Content-Length: 0\r\n')).join(''));
+			await write(client, Array.from({length: 50}, () => head(defaultPath, 'Content-Length: 0\r\n')).join(''));
 		}
 	},
 	/** Asks for responses of which each byte comes in a chunk of its own. */
@@ -109,10 +120,49 @@
 		await write(client, head('/p/tiny', 'Content-Length: 0\r\n'));
 		await sleep(2000);
 	},
+	/** Whole heads of many short fields, and half of a short body. */
+	async fields(client) {
+		client.socket.resume();
+		await write(client, head(defaultPath, `Content-Length: 100\r\n${manyFields}`) + 'x'.repeat(50));
+	},
+	/** Requests with many short fields that wait behind one without a response. */
+	async waiting(client) {
+		client.socket.resume();
+		await write(client, head('/p/slow', 'Content-Length: 0\r\n'));
+		await write(client, Array.from({length: waitingRequests}, () => head(defaultPath, `Content-Length: 0\r\n${manyFields}`)).join(''));
+	},
+	/** Requests whose responses wait behind one that comes later. */
+	async answers(client) {
+		client.socket.resume();
+		await write(client, head('/p/slow', 'Content-Length: 0\r\n'));
+		await write(client, Array.from({length: waitingRequests}, () => head('/p/medium', 'Content-Length: 0\r\n')).join(''));
+	},
+	/** Trailers of small fields that do not end. */
+	async trailers(client) {
+		client.socket.resume();
+		await write(client, head(defaultPath, 'Transfer-Encoding: chunked\r\n') + '1\r\nx\r\n0\r\n');
+		await write(client, 'a:\r\n'.repeat(14_000));
+	},
+	/** Whole bodies of deeply nested JSON. */
+	async nested(client) {
+		client.socket.resume();
+		await write(client, head(defaultPath, `Content-Length: ${nestedJson.length}\r\n`));
+		await write(client, nestedJson);
+	},
+	/** Requests for the whole directory whose responses are not read. */
+	async snapshots(client) {
+		client.socket.pause();
+		const body = JSON.stringify({
+			jsonrpc: '2.0', id: 1, method: directoryGetMethod, params: {configurationVersion: 0, instancesRevision: 0},
+		});
+		for (let sent = 0; sent < 100 && mayGoOn(client); sent += 10) {
+			await write(client, Array.from({length: 10}, () => head(rpcPath, `Content-Length: ${body.length}\r\n`) + body).join(''));
+		}
+	},
 	/** Small fields in heads that do not end. */
 	async heads(client) {
 		client.socket.resume();
-		await write(client, head('/p/x', 'a:\r\n'.repeat(14_000)).slice(0, -2));
+		await write(client, head(defaultPath, 'a:\r\n'.repeat(14_000)).slice(0, -2));
 	},
 };
 
--- a/test/support/fleet.ts
+++ b/test/support/fleet.ts
@@ -49,8 +49,9 @@
 	/**
 	 * @param origin - limits of the origin; unlimited by default
 	 * @param executable - path of the single executable application; by default, Node.js runs the bundle
+	 * @param nodeOptions - options of Node.js, if it runs the bundle
 	 */
-	constructor(origin?: OriginOptions, private readonly executable?: string) {
+	constructor(origin?: OriginOptions, private readonly executable?: string, private readonly nodeOptions: readonly string[] = []) {
 		this.platform = new PlatformStandin(origin);
 	}
 
@@ -164,7 +165,7 @@
 		};
 		const file = path.join(this.settingsDirectory, `${vm}.ini`);
 		writeFileSync(file, stringify({...sections, listen: {...listen, ...sections.listen}, platform}));
-		const command = this.executable === undefined ? [process.execPath, bundlePath] : [this.executable];
+		const command = this.executable === undefined ? [process.execPath, ...this.nodeOptions, bundlePath] : [this.executable];
 		const child = spawn(command[0] ?? '', [...command.slice(1), role, '--settings', file], {stdio: ['ignore', 'pipe', 'pipe']});
 		const log: string[] = [];
 		for (const input of [child.stdout, child.stderr]) {
--- a/test/support/processes.ts
+++ b/test/support/processes.ts
@@ -88,20 +88,29 @@
 		writeFileSync(settings, `[process]\nvm = g-${callers}\nzone = z\nregion = r\n${processSettings}\n[listen]\ncallers = ${loopbackHost}:${callers}\ncontrol = ${loopbackHost}:${control}\nreadiness = ${loopbackHost}:${readiness}\n`
 		+ `datagrams = ${loopbackHost}:${datagrams}\n[directory]\naddress = ${store.address}\n[limits]\n${limits}`);
 		const started = this.start([...nodeOptions, program, 'gateway', '--settings', settings], isOutputRead);
-		await waitFor('the gateway is ready', async () => {
-			try {
-				const res = await fetch(`http://${loopbackHost}:${readiness}/readyz`);
-				return res.status === 200;
-			} catch {
-				// It does not listen yet.
-				return false;
-			}
-		});
+		await waitFor('the gateway is ready', async () => isAnswered(`http://${loopbackHost}:${readiness}/readyz`));
 		return {
 			...started, url: `http://${loopbackHost}:${callers}`, controlUrl: `http://${loopbackHost}:${control}`, settingsFile: settings,
 		};
 	}
 
+	/**
+	 * Starts a stager beside an engine that does not answer, and waits until it listens.
+	 *
+	 * @param limits - further lines of the section `limits` of its settings
+	 * @param nodeOptions - options of Node.js
+	 */
+	async startStager(store: DirectoryStore, limits: string, nodeOptions: readonly string[]): Promise<Started & {readonly controlUrl: string}> {
+		const [control, datagrams, engine] = reservePorts(3) as [number, number, number];
+		const settings = path.join(this.folder, `stager-${control}.ini`);
+		writeFileSync(settings, `[process]\nvm = s-${control}\nzone = z\nregion = r\n[listen]\ncontrol = ${loopbackHost}:${control}\n[peers]\nseeds =\ndatagram_port = ${datagrams}\n`
+		+ `[directory]\naddress = ${store.address}\n[engine]\naddress = ${loopbackHost}:${engine}\nservice = desk\n[limits]\n${limits}`);
+		const started = this.start([...nodeOptions, program, 'stager', '--settings', settings]);
+		const controlUrl = `http://${loopbackHost}:${control}`;
+		await waitFor('the stager listens', async () => isAnswered(`${controlUrl}/healthz`));
+		return {...started, controlUrl};
+	}
+
 	/** Kills all processes. */
 	stop(): void {
 		for (const child of this.children.splice(0)) {
@@ -111,3 +120,14 @@
 		rmSync(this.folder, {recursive: true});
 	}
 }
+
+/** Returns whether a GET request is answered with 200. */
+export async function isAnswered(url: string): Promise<boolean> {
+	try {
+		const res = await fetch(url);
+		return res.status === 200;
+	} catch {
+		// Nothing listens there yet.
+		return false;
+	}
+}
