Count the heads of requests by what they take of the heap

Callers saw: 400 requests inside the published limits, with heads of 1,600 short fields, ended a gateway (heap out of memory), and bookings that ran were not answered.

Cause: a call counted as 1 KB and twice its head. A field takes some 130 bytes of the heap whatever its length (measured: 212,791 bytes for a head of 1,600 fields of two characters, 25 KB counted), and the room was a share of the memory, where the heap has a far lower limit. A refused call kept its head until the rest of its body had come.

Change: a request takes 4 KiB, and 128 bytes and its characters for each field, out of a share of the heap, until its response has been written. Large heads have room of their own, so that they leave some for ordinary ones. The slowest body whose head holds such room ends first; without room, the request is refused at once by 503. A refused request drops its head. All listeners.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -13,7 +13,7 @@
 import {bufferGarbage} from '../runtime/buffer-garbage.ts';
 import {logSink} from '../runtime/logger.ts';
 import {setFailureHooks} from '../runtime/process-failure.ts';
-import {BodyBudget, bodyRoomFor} from '../limits/body-budget.ts';
+import {BodyBudget} from '../limits/body-budget.ts';
 import {processLimitsFor} from '../limits/process-limits.ts';
 import {formatAddress, HttpListener, sendJson} from '../links/http-listener.ts';
 import {changingDatagramSchema, type EngineDatagram, heldModelDatagramSchema} from '../messages/engine-datagram.ts';
@@ -132,12 +132,14 @@
 		forwarder.endHeldCalls();
 	});
 	bufferGarbage.enable();
-	const bodies = new BodyBudget(bodyRoomFor(settings.limits.memory_mb));
+	const limits = processLimitsFor(settings.limits.memory_mb, settings.limits.max_descriptors);
+	const heads = new BodyBudget(limits.callers.heads);
+	const bodies = new BodyBudget(limits.callers.bodies);
 	metrics.gauge('cactusreach_slow_instances', 'Instances at which work takes at least 1.5 times as long as usual at this moment.', () => tracker.paces.countSlow(performance.now()));
 	metrics.gauge('cactusreach_body_bytes', 'Memory taken by the bodies of calls.', () => bodies.usedBytes);
-	const limits = processLimitsFor(settings.limits.memory_mb, settings.limits.max_descriptors);
+	metrics.gauge('cactusreach_head_bytes', 'Memory taken by calls and their heads, as estimated.', () => heads.usedBytes);
 	const callers = new CallerListener({
-		forwarder, codec: adapter.codec, log, bodies, connections: limits.callers, maxOpenCalls: limits.openCalls, limits: () => directory.table?.configuration.limits, onFault(phase) {
+		forwarder, codec: adapter.codec, log, heads, bodies, connections: limits.callers, maxOpenCalls: limits.openCalls, limits: () => directory.table?.configuration.limits, onFault(phase) {
 			forwardingMetrics.recordFault(phase);
 		}, onRefused(reason) {
 			forwardingMetrics.recordEnd({
--- a/src/forwarding/body-receiver.ts
+++ b/src/forwarding/body-receiver.ts
@@ -2,7 +2,8 @@
 import type {Buffer} from 'node:buffer';
 import type http from 'node:http';
 import type {BodyBudget, BodyLease} from '../limits/body-budget.ts';
-import {growBody} from '../limits/grow-body.ts';
+import {growBody, takeHead} from '../limits/grow-body.ts';
+import {dropHead, estimateHeadBytes} from '../limits/head-memory.ts';
 import {IncompleteBodies, progressCheckMs, type SlowBodyReason} from '../limits/incomplete-bodies.ts';
 import {ByteCollector} from '../links/byte-collector.ts';
 import {chunkPacer} from '../links/chunk-pacer.ts';
@@ -14,10 +15,6 @@
 /** When callers may return for whose bodies there was no memory, in milliseconds. */
 const noMemoryRetryAfterMs = 500;
 
-/** Memory that a call takes beside its body: for itself, and for each byte of its head. */
-const callBytes = 1024;
-const bytesPerHeadByte = 2;
-
 /** How a call that is being read is answered, and what runs its code. */
 export type Receiver = {readonly writer: ResponseWriter; readonly boundary: CallBoundary};
 
@@ -25,6 +22,8 @@
 export type BodyReceiverOptions = {
 	readonly codec: WireCodec;
 	readonly log: Logger;
+	/** The memory for heads. */
+	readonly heads: BodyBudget;
 	/** The memory for bodies. */
 	readonly bodies: BodyBudget;
 	/** Returns the largest size of a body, in bytes. */
@@ -66,13 +65,21 @@
 	/** Reads the body of a call once there is memory for it, or refuses the call. */
 	receive(req: http.IncomingMessage, receiver: Receiver, onComplete: (body: Buffer) => void): void {
 		const {writer, boundary} = receiver;
-		const ownBytes = estimateCallBytes(req.rawHeaders);
-		const bytes = ownBytes + Number(req.headers['content-length'] ?? 0);
+		const head = takeHead(this.options.heads, this.incomplete, estimateHeadBytes(req.rawHeaders));
+		if (!head) {
+			this.refuse(req, receiver, 'no_memory_for_head');
+			return;
+		}
+
+		writer.onceClosed(() => {
+			head.release();
+		});
+		const bytes = Number(req.headers['content-length'] ?? 0);
 		const read = (lease: BodyLease) => {
 			writer.onceClosed(() => {
 				lease.release();
 			});
-			this.read(req, {...receiver, lease, ownBytes}, onComplete);
+			this.read(req, {...receiver, head, lease}, onComplete);
 		};
 
 		const lease = this.tryTake(bytes);
@@ -120,11 +127,12 @@
 			});
 		}
 
+		dropHead(req);
 		chunkPacer.watch(req);
 		req.resume();
 	}
 
-	private read(req: http.IncomingMessage, {writer, boundary, lease, ownBytes}: Receiver & {readonly lease: BodyLease; readonly ownBytes: number}, onComplete: (body: Buffer) => void): void {
+	private read(req: http.IncomingMessage, {writer, boundary, head, lease}: Receiver & {readonly head: BodyLease; readonly lease: BodyLease}, onComplete: (body: Buffer) => void): void {
 		const hasLength = req.headers['content-length'] !== undefined;
 		const collector = new ByteCollector(Number(req.headers['content-length'] ?? 0));
 		let isDropped = false;
@@ -132,6 +140,8 @@
 			isDropped = true;
 			collector.clear();
 			this.incomplete.remove(progress);
+			dropHead(req);
+			head.release();
 			lease.release();
 		};
 
@@ -140,6 +150,7 @@
 			this.endSlow({writer, boundary}, reason);
 		}), performance.now());
 		progress.isLarge = lease.isLarge;
+		progress.isHeadLarge = head.isLarge;
 		const growing = {
 			budget: this.options.bodies, incomplete: this.incomplete, lease, progress,
 		};
@@ -157,7 +168,7 @@
 			if (bytes > this.options.maxBytes()) {
 				drop();
 				this.options.onTooLarge(req, writer);
-			} else if (hasLength || growBody(growing, ownBytes + bytes)) {
+			} else if (hasLength || growBody(growing, bytes)) {
 				collector.push(chunk);
 				progress.record(chunk.length, performance.now());
 			} else if (!writer.isClosed) {
@@ -189,15 +200,10 @@
 	private tryTake(bytes: number): BodyLease | undefined {
 		const {bodies} = this.options;
 		let lease = bodies.tryTake(bytes);
-		while (!lease && bodies.canHold(bytes) && this.incomplete.endSlowest(performance.now(), bodies.isLarge(bytes))) {
+		while (!lease && bodies.canHold(bytes) && this.incomplete.endSlowest(performance.now(), body => body.isLarge === bodies.isLarge(bytes))) {
 			lease = bodies.tryTake(bytes);
 		}
 
 		return lease;
 	}
 }
-
-/** Returns the memory that a call takes beside its body, in bytes. */
-function estimateCallBytes(rawHeaders: readonly string[]): number {
-	return callBytes + (bytesPerHeadByte * rawHeaders.reduce((sum, item) => sum + item.length, 0));
-}
--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -5,6 +5,7 @@
 import type {Duplex} from 'node:stream';
 import type {CallerLimits} from '../directory/directory-types.ts';
 import type {BodyBudget} from '../limits/body-budget.ts';
+import {dropHead} from '../limits/head-memory.ts';
 import {chunkPacer} from '../links/chunk-pacer.ts';
 import {ConnectionLimit, type ConnectionLimits} from '../links/connection-limit.ts';
 import type {ListenAddress} from '../links/http-listener.ts';
@@ -51,6 +52,8 @@
 	readonly log: Logger;
 	/** Returns the published limits; undefined until a configuration has been received. */
 	readonly limits: () => CallerLimits | undefined;
+	/** The memory for heads. */
+	readonly heads: BodyBudget;
 	/** The memory for bodies. */
 	readonly bodies: BodyBudget;
 	/** Limits for connections; without them, there is none. */
@@ -258,6 +261,7 @@
 		this.options.log.warn({event: 'call_malformed', status, reason}, 'malformed call rejected');
 		this.options.onRefused?.(`status ${status}`);
 		this.refusedConnections.add(req.socket);
+		dropHead(req);
 		const body = Buffer.from(JSON.stringify({error: reason}));
 		// The writer adds the length of a response to a caller that does not understand chunks.
 		const length = req.httpVersion === '1.0' ? [] : ['content-length', String(body.length)];
--- a/src/limits/grow-body.ts
+++ b/src/limits/grow-body.ts
@@ -1,4 +1,4 @@
-/** Takes room for bodies that become longer while they arrive. */
+/** Takes room for the heads of requests and for bodies that become longer while they arrive; ends slow ones if there is none. */
 import type {BodyBudget, BodyLease} from './body-budget.ts';
 import type {BodyProgress, IncompleteBodies} from './incomplete-bodies.ts';
 
@@ -12,11 +12,23 @@
 
 /** Takes room for a body that has become longer, and ends slow ones if there is none; returns false if that is not enough. */
 export function growBody({budget, incomplete, lease, progress}: GrowingBody, bytes: number): boolean {
+	const isLarge = budget.isLarge(bytes);
 	let isGrown = lease.growTo(bytes);
-	while (!isGrown && !lease.isReleased && budget.canHold(bytes) && incomplete.endSlowest(performance.now(), budget.isLarge(bytes))) {
+	while (!isGrown && !lease.isReleased && budget.canHold(bytes) && incomplete.endSlowest(performance.now(), body => body.isLarge === isLarge)) {
 		isGrown = lease.growTo(bytes);
 	}
 
 	progress.isLarge = lease.isLarge;
 	return isGrown;
 }
+
+/** Takes room for the head of a request, and ends slow bodies if there is none; returns undefined if that is not enough. */
+export function takeHead(heads: BodyBudget, incomplete: IncompleteBodies, bytes: number): BodyLease | undefined {
+	const isLarge = heads.isLarge(bytes);
+	let lease = heads.tryTake(bytes);
+	while (!lease && heads.canHold(bytes) && incomplete.endSlowest(performance.now(), body => body.isHeadLarge === isLarge)) {
+		lease = heads.tryTake(bytes);
+	}
+
+	return lease;
+}
--- /dev/null
+++ b/src/limits/head-memory.ts
@@ -0,0 +1,45 @@
+/**
+ * The memory of requests and their heads, which are kept until their responses are written.
+ *
+ * They are kept in the heap, whose limit is far below the memory limit of the process: a field of a few characters takes more than a
+ * hundred bytes there, once in the list of fields and once in their index.
+ */
+import type http from 'node:http';
+import v8 from 'node:v8';
+import type {BodyRoom} from './body-budget.ts';
+
+/** Memory of a request and its response without their fields, and of a field without its characters, in bytes. */
+const requestBytes = 4096;
+const fieldBytes = 128;
+
+/** Room that a process has whatever its heap, in bytes: for two of the largest heads, and for some ordinary ones. */
+const minRoom: BodyRoom = {large: 1_048_576, small: 1_048_576};
+
+const bytesPerMegabyte = 1_000_000;
+
+/** Returns the smaller of the limit of the heap and a memory limit in megabytes, in bytes. */
+export function heapBytesFor(memoryMb: number): number {
+	return Math.min(memoryMb * bytesPerMegabyte, v8.getHeapStatistics().heap_size_limit);
+}
+
+/**
+ * Returns the room for the requests of one listener. Large heads have room of their own, so that they leave some for ordinary ones.
+ *
+ * @param share - share of the heap for large heads, and for the others
+ */
+export function headRoomFor(memoryMb: number, share: number): BodyRoom {
+	const bytes = heapBytesFor(memoryMb) * share;
+	return {large: Math.max(minRoom.large, bytes), small: Math.max(minRoom.small, bytes)};
+}
+
+/** Returns the memory that a request takes beside its body, in bytes. */
+export function estimateHeadBytes(rawHeaders: readonly string[]): number {
+	const characters = rawHeaders.reduce((sum, item) => sum + item.length, 0);
+	return requestBytes + (fieldBytes * rawHeaders.length / 2) + characters;
+}
+
+/** Drops the head of a request that is refused, of which the body may still be arriving. */
+export function dropHead(req: http.IncomingMessage): void {
+	req.rawHeaders = [];
+	req.headers = {};
+}
--- a/src/limits/incomplete-bodies.ts
+++ b/src/limits/incomplete-bodies.ts
@@ -32,6 +32,8 @@
 export class BodyProgress {
 	/** Whether it takes room of the large bodies. */
 	isLarge = false;
+	/** Whether its head takes room of the large heads. */
+	isHeadLarge = false;
 	private bytes = 0;
 	private bytesAtCheck = 0;
 	private bytesAtCheckBefore = 0;
@@ -119,13 +121,13 @@
 	/**
 	 * Ends the slowest body because others need its room.
 	 *
-	 * @param isLarge - ends only a body that takes room of the large ones, or of the small ones
-	 * @returns false if none is slow
+	 * @param mayEnd - returns whether the end of a body would help
+	 * @returns false if none of these is slow
 	 */
-	endSlowest(nowMs: number, isLarge?: boolean): boolean {
+	endSlowest(nowMs: number, mayEnd: (body: BodyProgress) => boolean = () => true): boolean {
 		let slowest: BodyProgress | undefined;
 		for (const body of this.bodies) {
-			if ((isLarge === undefined || body.isLarge === isLarge) && body.isSlow(nowMs) && (!slowest || body.isSlowerThan(slowest))) {
+			if (mayEnd(body) && body.isSlow(nowMs) && (!slowest || body.isSlowerThan(slowest))) {
 				slowest = body;
 			}
 		}
--- a/src/limits/process-limits.ts
+++ b/src/limits/process-limits.ts
@@ -1,6 +1,7 @@
 /** Shares the descriptors and the memory of a process among its listeners and the calls that it forwards. */
 import type {ConnectionLimits} from '../links/connection-limit.ts';
 import {type BodyRoom, bodyRoomFor, messageBodyRoom} from './body-budget.ts';
+import {headRoomFor} from './head-memory.ts';
 
 /** Descriptors that are kept for files. */
 const fileDescriptors = 200;
@@ -11,6 +12,8 @@
 	readonly descriptors: number;
 	/** Share of the memory for incomplete heads. */
 	readonly heads: number;
+	/** Share of the heap for requests with large heads, and for the others. */
+	readonly requests: number;
 	/** Returns the room for bodies. */
 	readonly bodies: (memoryMb: number) => BodyRoom;
 	/** Connections for each megabyte of memory. */
@@ -24,21 +27,21 @@
 /** The kinds of listeners. What their descriptors leave is for connections to peers, to the store and to upstreams. */
 const listenerShares = {
 	callers: {
-		descriptors: 0.5, heads: 0.04, bodies: bodyRoomFor, connectionsPerMegabyte: callersPerMegabyte,
+		descriptors: 0.5, heads: 0.04, requests: 0.1, bodies: bodyRoomFor, connectionsPerMegabyte: callersPerMegabyte,
 	},
 	control: {
-		descriptors: 0.1, heads: 0.01, bodies: () => messageBodyRoom, connectionsPerMegabyte: Number.POSITIVE_INFINITY,
+		descriptors: 0.1, heads: 0.01, requests: 0.02, bodies: () => messageBodyRoom, connectionsPerMegabyte: Number.POSITIVE_INFINITY,
 	},
 	readiness: {
-		descriptors: 0.02, heads: 0.01, bodies: () => messageBodyRoom, connectionsPerMegabyte: Number.POSITIVE_INFINITY,
+		descriptors: 0.02, heads: 0.01, requests: 0.01, bodies: () => messageBodyRoom, connectionsPerMegabyte: Number.POSITIVE_INFINITY,
 	},
 	/** The only listener of an agent, which takes calls from entries. */
 	agent: {
-		descriptors: 0.5, heads: 0.04, bodies: bodyRoomFor, connectionsPerMegabyte: callersPerMegabyte,
+		descriptors: 0.5, heads: 0.04, requests: 0.1, bodies: bodyRoomFor, connectionsPerMegabyte: callersPerMegabyte,
 	},
 	/** The only listener of a stager, which serves weights to other stagers. */
 	stager: {
-		descriptors: 0.5, heads: 0.04, bodies: () => messageBodyRoom, connectionsPerMegabyte: callersPerMegabyte,
+		descriptors: 0.5, heads: 0.04, requests: 0.1, bodies: () => messageBodyRoom, connectionsPerMegabyte: callersPerMegabyte,
 	},
 } satisfies Readonly<Record<string, ListenerShares>>;
 
@@ -49,6 +52,8 @@
 
 /** The limits of one listener. */
 export type ListenerLimits = ConnectionLimits & {
+	/** The room for heads of requests without a response. */
+	readonly heads: BodyRoom;
 	/** The room for bodies. */
 	readonly bodies: BodyRoom;
 };
@@ -67,6 +72,7 @@
 		return {
 			maxConnections: wholeShare(descriptors * shares.descriptors, memoryMb * shares.connectionsPerMegabyte),
 			headBytes: memoryMb * bytesPerMegabyte * shares.heads,
+			heads: headRoomFor(memoryMb, shares.requests),
 			bodies: shares.bodies(memoryMb),
 		};
 	};
--- a/src/links/http-listener.ts
+++ b/src/links/http-listener.ts
@@ -3,8 +3,9 @@
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {Logger} from '../runtime/logger.ts';
-import {BodyBudget} from '../limits/body-budget.ts';
-import {growBody} from '../limits/grow-body.ts';
+import {BodyBudget, type BodyLease} from '../limits/body-budget.ts';
+import {growBody, takeHead} from '../limits/grow-body.ts';
+import {dropHead, estimateHeadBytes} from '../limits/head-memory.ts';
 import {IncompleteBodies, progressCheckMs} from '../limits/incomplete-bodies.ts';
 import type {ListenerLimits} from '../limits/process-limits.ts';
 import {ByteCollector} from './byte-collector.ts';
@@ -27,17 +28,20 @@
 /** How long the head and the whole of a request may take to arrive at a listener with limits, in milliseconds. */
 const arrivalLimits = {headersTimeout: 10_000, requestTimeout: 30_000};
 
+/** When clients may return whose requests were refused, in seconds. */
+const refusalRetryAfterS = 1;
+
 /** Thrown when a request body exceeds {@link maxBodyBytes}. */
 export class BodyTooLargeError extends Error {}
 
 /** Thrown when there is no memory for a request body, or it arrives too slowly. */
 export class BodyRefusedError extends Error {}
 
-/** What bodies of requests to a listener with limits may take. */
-type BodyLimits = {readonly budget: BodyBudget; readonly incomplete: IncompleteBodies};
+/** What requests to a listener with limits may take. */
+type RequestLimits = {readonly heads: BodyBudget; readonly budget: BodyBudget; readonly incomplete: IncompleteBodies};
 
-/** The limits of the listener that received a request, and the response, until whose end the body keeps its room. */
-const limitsByRequest = new WeakMap<http.IncomingMessage, BodyLimits & {readonly res: http.ServerResponse}>();
+/** The limits of the listener that received a request, the room of its head, and the response, until whose end the request keeps its room. */
+const limitsByRequest = new WeakMap<http.IncomingMessage, RequestLimits & {readonly head: BodyLease; readonly res: http.ServerResponse}>();
 
 /** Statuses of responses to requests whose body could not be read. */
 const bodyErrorStatuses: ReadonlyArray<readonly [new (message: string) => Error, number]> = [[BodyTooLargeError, 413], [BodyRefusedError, 503]];
@@ -49,7 +53,7 @@
 	private readonly server: http.Server;
 	private readonly connections: ServerConnections;
 	private readonly routes: readonly CompiledRoute[];
-	private readonly bodyLimits: BodyLimits | undefined;
+	private readonly requestLimits: RequestLimits | undefined;
 	private readonly timer: NodeJS.Timeout | undefined;
 	private isClosing = false;
 
@@ -71,7 +75,7 @@
 		});
 		if (limits) {
 			const incomplete = new IncompleteBodies();
-			this.bodyLimits = {budget: new BodyBudget(limits.bodies), incomplete};
+			this.requestLimits = {heads: new BodyBudget(limits.heads), budget: new BodyBudget(limits.bodies), incomplete};
 			new ConnectionLimit(this.server, {...limits, log, closeSlow: () => incomplete.endSlowest(performance.now())}).watch();
 			this.timer = setInterval(() => {
 				incomplete.check(performance.now());
@@ -126,8 +130,11 @@
 			res.setHeader('connection', 'close');
 		}
 
-		if (this.bodyLimits) {
-			limitsByRequest.set(req, {...this.bodyLimits, res});
+		if (this.requestLimits && !takeRequest(this.requestLimits, req, res)) {
+			dropHead(req);
+			res.setHeader('retry-after', refusalRetryAfterS);
+			sendJson(res, 503, {error: {code: 'overloaded', outcome: 'not_run', message: 'too many requests are open'}});
+			return;
 		}
 
 		try {
@@ -189,6 +196,7 @@
 			if (!isSettled) {
 				body.clear();
 				lease?.release();
+				limits?.head.release();
 				end();
 				reject(err);
 			}
@@ -199,6 +207,10 @@
 			// The response would wait for the rest of the body.
 			req.destroy();
 		}, performance.now());
+		if (limits && progress) {
+			progress.isHeadLarge = limits.head.isLarge;
+		}
+
 		const end = () => {
 			isSettled = true;
 			req.off('data', add);
@@ -253,6 +265,23 @@
 	return `${address.host}:${address.port}`;
 }
 
+/** Takes room for a request until its response has been sent; returns false if there is none. */
+function takeRequest(limits: RequestLimits, req: http.IncomingMessage, res: http.ServerResponse): boolean {
+	const head = takeHead(limits.heads, limits.incomplete, estimateHeadBytes(req.rawHeaders));
+	if (!head) {
+		return false;
+	}
+
+	res.once('finish', () => {
+		dropHead(req);
+	});
+	res.once('close', () => {
+		head.release();
+	});
+	limitsByRequest.set(req, {...limits, head, res});
+	return true;
+}
+
 function compileRoute(name: string, handler: HttpHandler): CompiledRoute {
 	const [method = '', path = ''] = name.split(' ');
 	const pattern = new RegExp(`^${path.replaceAll('*', '([^/]+)')}$`);
--- a/src/links/server-connections.ts
+++ b/src/links/server-connections.ts
@@ -77,11 +77,11 @@
 			return;
 		}
 
-		let waiting = earlier.length;
+		const waiting = new Set(earlier);
 		for (const res of earlier) {
 			res.once('close', () => {
-				waiting--;
-				if (waiting === 0) {
+				waiting.delete(res);
+				if (waiting.size === 0) {
 					this.endAfter(socket, '');
 				}
 			});
--- a/test/client-limits.test.ts
+++ b/test/client-limits.test.ts
@@ -153,7 +153,9 @@
 			const body = await readBody(req);
 			sendJson(res, 200, {length: body.length});
 		},
-	}, createSilentLogger(), {maxConnections: 10, headBytes: 1_000_000, bodies: messageBodyRoom});
+	}, createSilentLogger(), {
+		maxConnections: 10, headBytes: 1_000_000, heads: messageBodyRoom, bodies: messageBodyRoom,
+	});
 	const {host, port} = await listener.start({host: '127.0.0.1', port: 0});
 	const stalled = [1, 2].map(() => net.connect({host, port}).on('error', () => undefined));
 	try {
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -16,6 +16,7 @@
 import {RegionMap} from '../../src/placement/region-map.ts';
 import type {WireCodec} from '../../src/forwarding/wire-codec.ts';
 import {BodyBudget, bodyRoomFor} from '../../src/limits/body-budget.ts';
+import {processLimitsFor} from '../../src/limits/process-limits.ts';
 import type {ConnectionLimits} from '../../src/links/connection-limit.ts';
 import {PromptQuarantine} from '../../src/quarantine/prompt-quarantine.ts';
 import {type Crash, CrashDetector} from '../../src/quarantine/crash-detector.ts';
@@ -149,8 +150,9 @@
 		forwarder.endHeldCalls();
 	});
 	const bodies = new BodyBudget(bodyRoomFor(350));
+	const heads = new BodyBudget(processLimitsFor(350, 4096).callers.heads);
 	const listener = new CallerListener({
-		forwarder, codec, log, bodies, ...(connections && {connections}), limits: () => directory.table?.configuration.limits, onFault() {
+		forwarder, codec, log, heads, bodies, ...(connections && {connections}), limits: () => directory.table?.configuration.limits, onFault() {
 			faults.count++;
 		},
 	});
