Bound the requests that wait behind others on their connections

Callers saw nothing so far; by reading: responses come in the order of their requests, so that a refused request that waits behind a slow one stays with its response, up to 16 on each connection, and nothing counted them together.

Change: a listener bounds their number by a share of the heap. Beyond it, the connection with the most of them closes.

Evidence: the test of a listener in test/request-memory.test.ts is red on the commit before (all 7 responses came where the connection was to close) and green now.

--- a/src/limits/head-memory.ts
+++ b/src/limits/head-memory.ts
@@ -15,6 +15,9 @@
 /** Room that a process has whatever its heap, in bytes: for two of the largest heads, and for some ordinary ones. */
 const minRoom: BodyRoom = {large: 1_048_576, small: 1_048_576};
 
+/** Requests that may wait whatever the heap. */
+const minWaitingRequests = 64;
+
 const bytesPerMegabyte = 1_000_000;
 
 /** Returns the smaller of the limit of the heap and a memory limit in megabytes, in bytes. */
@@ -32,6 +35,16 @@
 	return {large: Math.max(minRoom.large, bytes), small: Math.max(minRoom.small, bytes)};
 }
 
+/**
+ * Returns how many requests may wait behind earlier ones on the connections of one listener. A refused request waits too, since responses
+ * are sent in the order of their requests.
+ *
+ * @param share - share of the heap for them
+ */
+export function maxWaitingRequestsFor(memoryMb: number, share: number): number {
+	return Math.max(minWaitingRequests, Math.floor(heapBytesFor(memoryMb) * share / requestBytes));
+}
+
 /** Returns the memory that a request takes beside its body, in bytes. */
 export function estimateHeadBytes(rawHeaders: readonly string[]): number {
 	const characters = rawHeaders.reduce((sum, item) => sum + item.length, 0);
--- a/src/limits/process-limits.ts
+++ b/src/limits/process-limits.ts
@@ -1,7 +1,7 @@
 /** Shares the descriptors and the memory of a process among its listeners and the calls that it forwards. */
 import type {ConnectionLimits} from '../links/connection-limit.ts';
 import {type BodyRoom, bodyRoomFor, messageBodyRoom} from './body-budget.ts';
-import {headRoomFor} from './head-memory.ts';
+import {headRoomFor, maxWaitingRequestsFor} from './head-memory.ts';
 
 /** Descriptors that are kept for files. */
 const fileDescriptors = 200;
@@ -12,7 +12,7 @@
 	readonly descriptors: number;
 	/** Share of the memory for incomplete heads. */
 	readonly heads: number;
-	/** Share of the heap for requests with large heads, and for the others. */
+	/** Share of the heap for requests with large heads, for the others, and for those that wait behind others on their connections. */
 	readonly requests: number;
 	/** Returns the room for bodies. */
 	readonly bodies: (memoryMb: number) => BodyRoom;
@@ -72,6 +72,7 @@
 		return {
 			maxConnections: wholeShare(descriptors * shares.descriptors, memoryMb * shares.connectionsPerMegabyte),
 			headBytes: memoryMb * bytesPerMegabyte * shares.heads,
+			maxWaitingRequests: maxWaitingRequestsFor(memoryMb, shares.requests),
 			heads: headRoomFor(memoryMb, shares.requests),
 			bodies: shares.bodies(memoryMb),
 		};
--- a/src/links/connection-limit.ts
+++ b/src/links/connection-limit.ts
@@ -27,6 +27,8 @@
 	readonly maxConnections: number;
 	/** Memory for incomplete heads, in bytes. */
 	readonly headBytes: number;
+	/** Requests that may wait behind earlier ones on their connections. */
+	readonly maxWaitingRequests: number;
 };
 
 /** Dependencies of a {@link ConnectionLimit}. */
@@ -46,6 +48,8 @@
 	private readonly connections = new Map<net.Socket, Connection>();
 	/** The connections without an open request, the longest idle one first. */
 	private readonly idle = new Set<net.Socket>();
+	/** Requests that wait behind an earlier one on their connection. */
+	private waitingRequests = 0;
 	private headTimer: NodeJS.Timeout | undefined;
 	private lastLogMs = Number.NEGATIVE_INFINITY;
 
@@ -111,14 +115,24 @@
 
 		this.idle.delete(socket);
 		connection.openRequests++;
+		this.waitingRequests += Number(connection.openRequests > 1);
 		if (connection.openRequests > maxPipelinedRequests) {
 			this.close(socket, 'too_many_requests');
 			return;
 		}
 
+		if (this.waitingRequests > this.options.maxWaitingRequests) {
+			this.closeLongestQueue();
+		}
+
 		const end = () => {
+			if (!this.connections.has(socket)) {
+				return;
+			}
+
+			this.waitingRequests -= Number(connection.openRequests > 1);
 			connection.openRequests--;
-			if (connection.openRequests === 0 && this.connections.has(socket)) {
+			if (connection.openRequests === 0) {
 				connection.bytesWhenIdle = socket.bytesRead;
 				this.idle.add(socket);
 			}
@@ -134,6 +148,22 @@
 		});
 	}
 
+	/** Closes the connection on which the most requests wait. */
+	private closeLongestQueue(): void {
+		let longest: net.Socket | undefined;
+		let mostRequests = 0;
+		for (const [socket, {openRequests}] of this.connections) {
+			if (openRequests > mostRequests) {
+				longest = socket;
+				mostRequests = openRequests;
+			}
+		}
+
+		if (longest) {
+			this.close(longest, 'too_many_waiting_requests');
+		}
+	}
+
 	private closeLargestHeads(): void {
 		const heads = [...this.idle].map(socket => ({socket, bytes: bytesPerHeadByte * Math.min(maxHeadBytes, socket.bytesRead - this.connections.get(socket)!.bytesWhenIdle)}));
 		let total = heads.reduce((sum, {bytes}) => sum + bytes, 0);
@@ -176,6 +206,7 @@
 	}
 
 	private forget(socket: net.Socket): void {
+		this.waitingRequests -= Math.max(0, (this.connections.get(socket)?.openRequests ?? 0) - 1);
 		this.connections.delete(socket);
 		this.idle.delete(socket);
 	}
--- a/test/request-memory.test.ts
+++ b/test/request-memory.test.ts
@@ -1,13 +1,27 @@
 /** What requests may make a listener keep: their heads, parsed bodies, places behind other requests, and responses that are not read. */
+import net from 'node:net';
 import {expect} from 'chai';
 import {BodyBudget, smallBodyBytes} from '../src/limits/body-budget.ts';
 import {takeHead} from '../src/limits/grow-body.ts';
 import {estimateHeadBytes} from '../src/limits/head-memory.ts';
 import {IncompleteBodies} from '../src/limits/incomplete-bodies.ts';
+import {type ListenerLimits, processLimitsFor} from '../src/limits/process-limits.ts';
+import {HttpListener, type HttpRoutes, sendJson} from '../src/links/http-listener.ts';
+import {createSilentLogger} from '../src/runtime/logger.ts';
 
 const manyFields = Array.from({length: 1600}, (_, at) => [at.toString(36).padStart(2, '0'), 'ab']).flat();
 const fewFields = ['host', 'a.example', 'attempt-id', 'id-1', 'api-key', 'k1'];
 
+async function withListener(routes: HttpRoutes, limits: Partial<ListenerLimits>, test: (url: string) => Promise<void>): Promise<void> {
+	const listener = new HttpListener(routes, createSilentLogger(), {...processLimitsFor(350, 4096).control, ...limits});
+	const {host, port} = await listener.start({host: '127.0.0.1', port: 0});
+	try {
+		await test(`http://${host}:${port}`);
+	} finally {
+		listener.destroy();
+	}
+}
+
 it('guards against large heads that take the room of ordinary ones: while they have used up theirs, ordinary requests get room', () => {
 	const heads = new BodyBudget({large: 1_000_000, small: 1_000_000});
 	const incomplete = new IncompleteBodies();
@@ -28,3 +42,32 @@
 	expect(takeHead(heads, incomplete, estimateHeadBytes(manyFields))).not.to.equal(undefined);
 	expect(ended).to.deep.equal(['room_needed']);
 });
+
+it('guards against requests that wait behind others without a bound: the connection with the most of them closes, and the others get their responses', async () => {
+	const routes: HttpRoutes = {
+		async 'GET /slow'(_, res) {
+			await sleep(300);
+			sendJson(res, 200, {});
+		},
+	};
+	await withListener(routes, {maxWaitingRequests: 6}, async url => {
+		const {hostname: host, port} = new URL(url);
+		const request = 'GET /slow HTTP/1.1\r\nHost: a\r\n\r\n';
+		const received = await Promise.all([3, 7, 2].map(async requests => new Promise<number>(resolve => {
+			let text = '';
+			const socket = net.connect({host, port: Number(port)});
+			socket.on('data', part => {
+				text += part.toString('latin1');
+				if (text.split('HTTP/1.1 200').length - 1 === requests) {
+					socket.destroy();
+				}
+			});
+			socket.on('error', () => undefined);
+			socket.on('close', () => {
+				resolve(text.split('HTTP/1.1 200').length - 1);
+			});
+			socket.write(request.repeat(requests));
+		})));
+		expect(received).to.deep.equal([3, 0, 2]);
+	});
+});
