Count responses that wait for those to earlier requests of their connection

Callers saw: a crowd whose requests wait behind a slow one, each for a response of 64,000 bytes, ended a gateway.

Cause: a response of up to 64 KiB was handed to Node.js at once. If an earlier request of its connection had no response, Node.js kept it, and nothing counted it.

Change: ResponseWriter keeps what it has until its turn comes, and counts it like what a caller has not read. The caller counts as slow only from then on.

The test of a gateway in test/request-memory.test.ts, by which ten responses of 50,000 bytes are counted while they wait and come in order, is red on the commit before (never counted) and green now.

--- a/src/forwarding/response-writer.ts
+++ b/src/forwarding/response-writer.ts
@@ -4,7 +4,8 @@
  * Each response has a length or is chunked, so that the caller can tell a complete one from one that was cut off, however this process
  * ends: the kernel closes the connections of a killed process in order, as it does at the end of a response that has neither.
  *
- * What the caller has not read so far is kept here, not in the queues of the connection, and counted.
+ * What the caller has not read so far is kept here, not in the queues of the connection, and counted. So is a response that waits for those
+ * to earlier requests of its connection.
  */
 import {Buffer} from 'node:buffer';
 import type http from 'node:http';
@@ -58,6 +59,10 @@
 		res.on('drain', () => {
 			this.writeWaiting();
 		});
+		res.on('socket', () => {
+			this.waitingSinceMs = this.unreadBytes === 0 ? undefined : performance.now();
+			this.writeWaiting();
+		});
 		res.on('error', () => {
 			// A write failed because the caller disconnected; `close` follows.
 		});
@@ -99,13 +104,13 @@
 		this.res.writeHead(status, ['content-length', String(body.length), ...headers]);
 		this.hasStarted = true;
 		this.isFinished = true;
-		if (body.length <= maxPartBytes) {
+		if (body.length <= maxPartBytes && this.isFirst) {
 			this.res.end(body);
 			return;
 		}
 
 		this.isEnding = true;
-		this.waitingSinceMs = performance.now();
+		this.waitingSinceMs = this.isFirst ? performance.now() : undefined;
 		this.parts = body;
 		this.partsBytes = body.length;
 		this.buffers.add(this, body.length);
@@ -207,6 +212,13 @@
 		this.events.onTooSlow?.(this.unreadBytes);
 		this.dropWaiting();
 		this.res.destroy();
+		// A response that waits for earlier ones has no connection of its own yet.
+		this.res.req.socket.destroy();
+	}
+
+	/** Whether the responses to earlier requests of the connection have been written. */
+	private get isFirst(): boolean {
+		return this.res.socket !== null;
 	}
 
 	/** What waits for the caller, in bytes. */
@@ -215,19 +227,19 @@
 	}
 
 	private writeOrWait(chunk: Buffer): void {
-		if (this.unreadBytes === 0 && !this.res.writableNeedDrain) {
+		if (this.isFirst && this.unreadBytes === 0 && !this.res.writableNeedDrain) {
 			this.res.write(chunk);
 			return;
 		}
 
 		this.waiting.push(chunk);
-		this.waitingSinceMs ??= performance.now();
+		this.waitingSinceMs ??= this.isFirst ? performance.now() : undefined;
 		this.buffers.add(this, chunk.length);
 	}
 
 	/** Writes what waits until the connection takes no more. */
 	private writeWaiting(): void {
-		let mayWrite = true;
+		let mayWrite = this.isFirst;
 		while (mayWrite && this.unreadBytes > 0 && !this.res.destroyed) {
 			if (this.parts.length === 0) {
 				this.parts = this.waiting.take();
--- a/test/request-memory.test.ts
+++ b/test/request-memory.test.ts
@@ -8,6 +8,10 @@
 import {type ListenerLimits, processLimitsFor} from '../src/limits/process-limits.ts';
 import {HttpListener, type HttpRoutes, sendJson} from '../src/links/http-listener.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
+import {
+	sendSignedResponse, startTestGateway, startUpstream, testConfiguration, testInstance,
+} from './support/direct-fixtures.ts';
+import {waitFor} from './support/fleet.ts';
 
 const manyFields = Array.from({length: 1600}, (_, at) => [at.toString(36).padStart(2, '0'), 'ab']).flat();
 const fewFields = ['host', 'a.example', 'attempt-id', 'id-1', 'api-key', 'k1'];
@@ -71,3 +75,39 @@
 		expect(received).to.deep.equal([3, 0, 2]);
 	});
 });
+
+it('guards against responses that wait behind an earlier one and are not counted: they are, and come in the order of the calls', async () => {
+	const waitingCalls = 10;
+	const responseBytes = 50_000;
+	let release: (() => void) | undefined;
+	const upstream = await startUpstream((req, res) => {
+		if (req.url === '/p/first') {
+			release = () => {
+				sendSignedResponse(req, res, 200, 'first.');
+			};
+		} else {
+			sendSignedResponse(req, res, 200, 'x'.repeat(responseBytes));
+		}
+	});
+	const gateway = await startTestGateway(testConfiguration(1, {timeoutMs: 5000}), [testInstance({id: 'i-0', address: upstream.address})]);
+	const socket = net.connect({host: '127.0.0.1', port: Number(new URL(gateway.url).port)});
+	let received = '';
+	socket.on('data', part => {
+		received += part.toString('latin1');
+	});
+	const call = (path: string, id: number) => `POST ${path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: id-${id}\r\nApi-Key: k1\r\nDeadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n`;
+	try {
+		socket.write([call('/p/first', 0), ...Array.from({length: waitingCalls}, (_, at) => call('/p/x', at + 1))].join(''));
+		const {buffers} = gateway.forwarder;
+		await waitFor('the responses are counted', () => buffers.usedBytes >= waitingCalls * responseBytes);
+		expect(received).to.equal('');
+		release!();
+		await waitFor('all responses', () => received.split('x'.repeat(responseBytes)).length - 1 === waitingCalls);
+		expect(received.indexOf('first.')).to.be.below(received.indexOf('xxx'));
+		await waitFor('nothing is counted any more', () => buffers.usedBytes === 0);
+	} finally {
+		socket.destroy();
+		gateway.close();
+		upstream.close();
+	}
+});
