Move what requests take of a listener, and the reading of bodies, to modules of their own

http-listener.ts had grown to hold the route table, the room for heads and bodies and the reading of bodies. request-limits.ts shares the room of one listener among its requests; read-body.ts reads a body within it.

--- a/src/calls/agent-call-handler.ts
+++ b/src/calls/agent-call-handler.ts
@@ -1,7 +1,7 @@
 /** The agent's call endpoint: records each call, forwards it to the upstream at most once, and streams the answer as frames. */
 import type http from 'node:http';
 import VError from 'verror';
-import {readBody} from '../links/http-listener.ts';
+import {readBody} from '../links/read-body.ts';
 import type {RefusalCode} from '../messages/call-frame.ts';
 import {type CallRequest, callRequestSchema} from '../messages/call-request.ts';
 import {setInputTimeout} from '../runtime/input-timeout.ts';
--- a/src/calls/call-manager.ts
+++ b/src/calls/call-manager.ts
@@ -1,9 +1,8 @@
 /** The entry's HTTP API for callers: parses requests, passes them to their handler, and sends error responses. */
 import type http from 'node:http';
 import type {ConfigurationStore} from '../configuration/configuration-store.ts';
-import {
-	BodyRefusedError, type HttpHandler, type HttpRoutes, readBody, sendJson,
-} from '../links/http-listener.ts';
+import {type HttpHandler, type HttpRoutes, sendJson} from '../links/http-listener.ts';
+import {BodyRefusedError, readBody} from '../links/read-body.ts';
 import {type AdmissionManager, ShedError} from '../limits/admission-manager.ts';
 import type {CallMetrics} from '../reports/call-metrics.ts';
 import type {Logger} from '../runtime/logger.ts';
--- a/src/links/http-listener.ts
+++ b/src/links/http-listener.ts
@@ -3,14 +3,10 @@
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {Logger} from '../runtime/logger.ts';
-import {BodyBudget, type BodyLease} from '../limits/body-budget.ts';
-import {growBody, takeHead} from '../limits/grow-body.ts';
-import {dropHead, estimateHeadBytes} from '../limits/head-memory.ts';
-import {IncompleteBodies, progressCheckMs} from '../limits/incomplete-bodies.ts';
 import type {ListenerLimits} from '../limits/process-limits.ts';
-import {ByteCollector} from './byte-collector.ts';
-import {chunkPacer} from './chunk-pacer.ts';
 import {ConnectionLimit} from './connection-limit.ts';
+import {BodyRefusedError, BodyTooLargeError} from './read-body.ts';
+import {RequestLimits} from './request-limits.ts';
 import {ServerConnections} from './server-connections.ts';
 
 /** Handles one request; `params` holds the path segments that matched `*`, in order. */
@@ -22,27 +18,12 @@
 /** Host and port of a listener. */
 export type ListenAddress = {readonly host: string; readonly port: number};
 
-/** Maximum size of a request body, in bytes. */
-export const maxBodyBytes = 4 * 1024 * 1024;
-
 /** How long the head and the whole of a request may take to arrive at a listener with limits, in milliseconds. */
 const arrivalLimits = {headersTimeout: 10_000, requestTimeout: 30_000};
 
 /** When clients may return whose requests were refused, in seconds. */
 const refusalRetryAfterS = 1;
 
-/** Thrown when a request body exceeds {@link maxBodyBytes}. */
-export class BodyTooLargeError extends Error {}
-
-/** Thrown when there is no memory for a request body, or it arrives too slowly. */
-export class BodyRefusedError extends Error {}
-
-/** What requests to a listener with limits may take. */
-type RequestLimits = {readonly heads: BodyBudget; readonly budget: BodyBudget; readonly incomplete: IncompleteBodies};
-
-/** The limits of the listener that received a request, the room of its head, and the response, until whose end the request keeps its room. */
-const limitsByRequest = new WeakMap<http.IncomingMessage, RequestLimits & {readonly head: BodyLease; readonly res: http.ServerResponse}>();
-
 /** Statuses of responses to requests whose body could not be read. */
 const bodyErrorStatuses: ReadonlyArray<readonly [new (message: string) => Error, number]> = [[BodyTooLargeError, 413], [BodyRefusedError, 503]];
 
@@ -54,7 +35,6 @@
 	private readonly connections: ServerConnections;
 	private readonly routes: readonly CompiledRoute[];
 	private readonly requestLimits: RequestLimits | undefined;
-	private readonly timer: NodeJS.Timeout | undefined;
 	private isClosing = false;
 
 	/**
@@ -74,12 +54,9 @@
 			this.connections.endUnreadable(err, socket);
 		});
 		if (limits) {
-			const incomplete = new IncompleteBodies();
-			this.requestLimits = {heads: new BodyBudget(limits.heads), budget: new BodyBudget(limits.bodies), incomplete};
-			new ConnectionLimit(this.server, {...limits, log, closeSlow: () => incomplete.endSlowest(performance.now())}).watch();
-			this.timer = setInterval(() => {
-				incomplete.check(performance.now());
-			}, progressCheckMs).unref();
+			const requestLimits = new RequestLimits(limits);
+			this.requestLimits = requestLimits;
+			new ConnectionLimit(this.server, {...limits, log, closeSlow: () => requestLimits.endSlowest()}).watch();
 		}
 
 		// Peers and load balancers keep idle connections open. With the default of 5 s, the server could close one just as a request arrives.
@@ -115,12 +92,12 @@
 	async drain(): Promise<void> {
 		this.isClosing = true;
 		await this.connections.drain();
-		clearInterval(this.timer);
+		this.requestLimits?.stop();
 	}
 
 	/** Stops listening and closes all connections immediately, aborting open requests. */
 	destroy(): void {
-		clearInterval(this.timer);
+		this.requestLimits?.stop();
 		this.server.close();
 		this.server.closeAllConnections();
 	}
@@ -130,8 +107,7 @@
 			res.setHeader('connection', 'close');
 		}
 
-		if (this.requestLimits && !takeRequest(this.requestLimits, req, res)) {
-			dropHead(req);
+		if (this.requestLimits?.take(req, res) === false) {
 			res.setHeader('retry-after', refusalRetryAfterS);
 			sendJson(res, 503, {error: {code: 'overloaded', outcome: 'not_run', message: 'too many requests are open'}});
 			return;
@@ -177,79 +153,6 @@
 	res.end(text);
 }
 
-/**
- * Reads a request body as UTF-8 text.
- *
- * @throws BodyTooLargeError when the body exceeds {@link maxBodyBytes}
- * @throws BodyRefusedError when its listener has limits, and the body has no room or arrives too slowly
- */
-export async function readBody(req: http.IncomingMessage): Promise<string> {
-	const body = new ByteCollector();
-	const limits = limitsByRequest.get(req);
-	const lease = limits?.budget.tryTake(0);
-	limits?.res.once('close', () => {
-		lease?.release();
-	});
-	return new Promise((resolve, reject) => {
-		let isSettled = false;
-		const fail = (err: Error) => {
-			if (!isSettled) {
-				body.clear();
-				lease?.release();
-				limits?.head.release();
-				end();
-				reject(err);
-			}
-		};
-
-		const progress = limits?.incomplete.add(() => {
-			fail(new BodyRefusedError('request body is not read any more'));
-			// The response would wait for the rest of the body.
-			req.destroy();
-		}, performance.now());
-		if (limits && progress) {
-			progress.isHeadLarge = limits.head.isLarge;
-		}
-
-		const end = () => {
-			isSettled = true;
-			req.off('data', add);
-			req.resume();
-			if (progress) {
-				limits?.incomplete.remove(progress);
-			}
-		};
-
-		const add = (chunk: Buffer) => {
-			const bytes = body.length + chunk.length;
-			if (bytes > maxBodyBytes) {
-				fail(new BodyTooLargeError(`request body is larger than ${maxBodyBytes} bytes`));
-			} else if (limits && lease && progress && !growBody({...limits, lease, progress}, bytes)) {
-				fail(new BodyRefusedError('no memory for the request body'));
-			} else {
-				body.push(chunk);
-				progress?.record(chunk.length, performance.now());
-			}
-		};
-
-		req.on('data', add);
-		if (limits) {
-			chunkPacer.watch(req, () => {
-				req.socket.destroy();
-			});
-		}
-
-		req.once('end', () => {
-			end();
-			resolve(body.take().toString('utf8'));
-		});
-		req.once('error', fail);
-		req.once('close', () => {
-			fail(new Error('the client disconnected'));
-		});
-	});
-}
-
 /**
  * Parses `host:port` without validation.
  *
@@ -265,23 +168,6 @@
 	return `${address.host}:${address.port}`;
 }
 
-/** Takes room for a request until its response has been sent; returns false if there is none. */
-function takeRequest(limits: RequestLimits, req: http.IncomingMessage, res: http.ServerResponse): boolean {
-	const head = takeHead(limits.heads, limits.incomplete, estimateHeadBytes(req.rawHeaders));
-	if (!head) {
-		return false;
-	}
-
-	res.once('finish', () => {
-		dropHead(req);
-	});
-	res.once('close', () => {
-		head.release();
-	});
-	limitsByRequest.set(req, {...limits, head, res});
-	return true;
-}
-
 function compileRoute(name: string, handler: HttpHandler): CompiledRoute {
 	const [method = '', path = ''] = name.split(' ');
 	const pattern = new RegExp(`^${path.replaceAll('*', '([^/]+)')}$`);
--- /dev/null
+++ b/src/links/read-body.ts
@@ -0,0 +1,91 @@
+/** Reads the bodies of requests, within the limits of their listener. */
+import type {Buffer} from 'node:buffer';
+import type http from 'node:http';
+import {growBody} from '../limits/grow-body.ts';
+import {ByteCollector} from './byte-collector.ts';
+import {chunkPacer} from './chunk-pacer.ts';
+import {findLimits} from './request-limits.ts';
+
+/** Maximum size of a request body, in bytes. */
+export const maxBodyBytes = 4 * 1024 * 1024;
+
+/** Thrown when a request body exceeds {@link maxBodyBytes}. */
+export class BodyTooLargeError extends Error {}
+
+/** Thrown when there is no memory for a request body, or it arrives too slowly. */
+export class BodyRefusedError extends Error {}
+
+/**
+ * Reads a request body as UTF-8 text.
+ *
+ * @throws BodyTooLargeError when the body exceeds {@link maxBodyBytes}
+ * @throws BodyRefusedError when its listener has limits, and the body has no room or arrives too slowly
+ */
+export async function readBody(req: http.IncomingMessage): Promise<string> {
+	const body = new ByteCollector();
+	const limits = findLimits(req);
+	const lease = limits?.bodies.tryTake(0);
+	limits?.res.once('close', () => {
+		lease?.release();
+	});
+	return new Promise((resolve, reject) => {
+		let isSettled = false;
+		const fail = (err: Error) => {
+			if (!isSettled) {
+				body.clear();
+				lease?.release();
+				limits?.head.release();
+				end();
+				reject(err);
+			}
+		};
+
+		const progress = limits?.incomplete.add(() => {
+			fail(new BodyRefusedError('request body is not read any more'));
+			// The response would wait for the rest of the body.
+			req.destroy();
+		}, performance.now());
+		if (limits && progress) {
+			progress.isHeadLarge = limits.head.isLarge;
+		}
+
+		const end = () => {
+			isSettled = true;
+			req.off('data', add);
+			req.resume();
+			if (progress) {
+				limits?.incomplete.remove(progress);
+			}
+		};
+
+		const add = (chunk: Buffer) => {
+			const bytes = body.length + chunk.length;
+			if (bytes > maxBodyBytes) {
+				fail(new BodyTooLargeError(`request body is larger than ${maxBodyBytes} bytes`));
+			} else if (limits && lease && progress && !growBody({
+				budget: limits.bodies, incomplete: limits.incomplete, lease, progress,
+			}, bytes)) {
+				fail(new BodyRefusedError('no memory for the request body'));
+			} else {
+				body.push(chunk);
+				progress?.record(chunk.length, performance.now());
+			}
+		};
+
+		req.on('data', add);
+		if (limits) {
+			chunkPacer.watch(req, () => {
+				req.socket.destroy();
+			});
+		}
+
+		req.once('end', () => {
+			end();
+			resolve(body.take().toString('utf8'));
+		});
+		req.once('error', fail);
+		req.once('close', () => {
+			fail(new Error('the client disconnected'));
+		});
+	});
+}
--- /dev/null
+++ b/src/links/request-limits.ts
@@ -0,0 +1,74 @@
+/** What the requests to one listener may take: room for their heads and for their bodies, until their responses have been sent. */
+import type http from 'node:http';
+import {BodyBudget, type BodyLease} from '../limits/body-budget.ts';
+import {takeHead} from '../limits/grow-body.ts';
+import {dropHead, estimateHeadBytes} from '../limits/head-memory.ts';
+import {IncompleteBodies, progressCheckMs} from '../limits/incomplete-bodies.ts';
+import type {ListenerLimits} from '../limits/process-limits.ts';
+
+/** What one request takes of its listener. */
+export type LimitedRequest = {
+	/** The room for bodies. */
+	readonly bodies: BodyBudget;
+	/** The bodies that are arriving. */
+	readonly incomplete: IncompleteBodies;
+	/** The room of the head. */
+	readonly head: BodyLease;
+	/** The response, until whose end the request keeps its room. */
+	readonly res: http.ServerResponse;
+};
+
+/** The requests to listeners with limits. */
+const limitedRequests = new WeakMap<http.IncomingMessage, LimitedRequest>();
+
+/** Shares the room of one listener among its requests. */
+export class RequestLimits {
+	private readonly incomplete = new IncompleteBodies();
+	private readonly heads: BodyBudget;
+	private readonly bodies: BodyBudget;
+	private readonly timer: NodeJS.Timeout;
+
+	/** @param limits - the limits of the listener */
+	constructor(limits: ListenerLimits) {
+		this.heads = new BodyBudget(limits.heads);
+		this.bodies = new BodyBudget(limits.bodies);
+		this.timer = setInterval(() => {
+			this.incomplete.check(performance.now());
+		}, progressCheckMs).unref();
+	}
+
+	/** Stops. */
+	stop(): void {
+		clearInterval(this.timer);
+	}
+
+	/** Takes room for a request until its response has been sent; returns false if there is none. */
+	take(req: http.IncomingMessage, res: http.ServerResponse): boolean {
+		const head = takeHead(this.heads, this.incomplete, estimateHeadBytes(req.rawHeaders));
+		if (!head) {
+			dropHead(req);
+			return false;
+		}
+
+		res.once('finish', () => {
+			dropHead(req);
+		});
+		res.once('close', () => {
+			head.release();
+		});
+		limitedRequests.set(req, {
+			bodies: this.bodies, incomplete: this.incomplete, head, res,
+		});
+		return true;
+	}
+
+	/** Ends the slowest body; returns false if none is slow. */
+	endSlowest(): boolean {
+		return this.incomplete.endSlowest(performance.now());
+	}
+}
+
+/** Returns what a request takes; undefined if its listener has no limits. */
+export function findLimits(req: http.IncomingMessage): LimitedRequest | undefined {
+	return limitedRequests.get(req);
+}
--- a/src/links/rpc-dispatcher.ts
+++ b/src/links/rpc-dispatcher.ts
@@ -1,7 +1,8 @@
 /** JSON-RPC 2.0 server over `POST /rpc`. */
 import {JSONRPCServer} from 'json-rpc-2.0';
 import type {ZodType} from 'zod';
-import {type HttpHandler, readBody, sendJson} from './http-listener.ts';
+import {type HttpHandler, sendJson} from './http-listener.ts';
+import {readBody} from './read-body.ts';
 
 /** Path of the JSON-RPC endpoint. */
 export const rpcPath = '/rpc';
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -4,8 +4,9 @@
 import {request} from 'undici';
 import {createDigest, digestOf} from '../src/ids/digest.ts';
 import {
-	formatAddress, type HttpHandler, HttpListener, type ListenAddress, readBody, sendJson,
+	formatAddress, type HttpHandler, HttpListener, type ListenAddress, sendJson,
 } from '../src/links/http-listener.ts';
+import {readBody} from '../src/links/read-body.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import type {EngineState} from '../src/orders/engine-state.ts';
 import {parseManifest} from '../src/rollout/manifest.ts';
--- a/standins/plain-service.ts
+++ b/standins/plain-service.ts
@@ -1,8 +1,7 @@
 /** Stand-in for a plain service: an HTTP server that simulates operations and counts the runs of each booking in a ledger. */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {
-	HttpListener, type ListenAddress, readBody, sendJson,
-} from '../src/links/http-listener.ts';
+import {HttpListener, type ListenAddress, sendJson} from '../src/links/http-listener.ts';
+import {readBody} from '../src/links/read-body.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 
 /** Options of a {@link PlainServiceStandin}. */
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -4,8 +4,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {createDigest, type Digest, digestOf} from '../src/ids/digest.ts';
 import {
-	type HttpHandler, HttpListener, type ListenAddress, readBody, sendJson,
+	type HttpHandler, HttpListener, type ListenAddress, sendJson,
 } from '../src/links/http-listener.ts';
+import {readBody} from '../src/links/read-body.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {createManifest} from '../src/rollout/manifest.ts';
 import type {ListedVm} from '../src/membership/member.ts';
--- a/test/client-limits.test.ts
+++ b/test/client-limits.test.ts
@@ -13,9 +13,8 @@
 import {IncompleteBodies, progressCheckMs} from '../src/limits/incomplete-bodies.ts';
 import {processLimitsFor} from '../src/limits/process-limits.ts';
 import {ByteCollector} from '../src/links/byte-collector.ts';
-import {
-	HttpListener, maxBodyBytes, readBody, sendJson,
-} from '../src/links/http-listener.ts';
+import {HttpListener, sendJson} from '../src/links/http-listener.ts';
+import {maxBodyBytes, readBody} from '../src/links/read-body.ts';
 import type {InstanceQuery} from '../src/placement/instance-query.ts';
 import {InstanceSelector} from '../src/placement/instance-selector.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
--- a/test/unreadable-requests.test.ts
+++ b/test/unreadable-requests.test.ts
@@ -2,7 +2,8 @@
 import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import {HttpListener, readBody, sendJson} from '../src/links/http-listener.ts';
+import {HttpListener, sendJson} from '../src/links/http-listener.ts';
+import {readBody} from '../src/links/read-body.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {isCallServed, startBodyService} from './support/body-service.ts';
 import {waitFor} from './support/fleet.ts';
