Take room for the values of JSON bodies before they are parsed

Callers saw: one body of 4 MB of nested lists, inside the published limits, ended each kind of process at each port that reads JSON.

Cause: a list takes some 50 bytes of the heap and two of the text. Only the bytes of the text were counted, and only until they had arrived.

Change: what a text takes is estimated from its length, its lists, objects and separators, and taken out of a share of the heap until the response has been sent. Without room the request gets 503, or 413 (400 `bad_request` at an entry) if its values need more than the whole room. With the default of 350 MB and no bound of the heap below, an entry and an agent take any 4 MB of JSON.

--- a/src/calls/call-manager.ts
+++ b/src/calls/call-manager.ts
@@ -2,7 +2,7 @@
 import type http from 'node:http';
 import type {ConfigurationStore} from '../configuration/configuration-store.ts';
 import {type HttpHandler, type HttpRoutes, sendJson} from '../links/http-listener.ts';
-import {BodyRefusedError, readBody} from '../links/read-body.ts';
+import {BodyRefusedError, BodyTooLargeError, readBody} from '../links/read-body.ts';
 import {type AdmissionManager, ShedError} from '../limits/admission-manager.ts';
 import type {CallMetrics} from '../reports/call-metrics.ts';
 import type {Logger} from '../runtime/logger.ts';
@@ -201,11 +201,15 @@
 	}
 }
 
-/** Reads the body of a call; refuses the call if there is no room for it. */
+/** Reads the body of a call; refuses the call if it is too large or there is no room for it. */
 async function readCallerBody(req: http.IncomingMessage, res: http.ServerResponse): Promise<string> {
 	try {
 		return await readBody(req);
 	} catch (err) {
+		if (err instanceof BodyTooLargeError) {
+			throw new CallerError('bad_request', 'not_run', err.message);
+		}
+
 		if (!(err instanceof BodyRefusedError)) {
 			throw err;
 		}
--- a/src/limits/head-memory.ts
+++ b/src/limits/head-memory.ts
@@ -18,11 +18,18 @@
 /** Requests that may wait whatever the heap. */
 const minWaitingRequests = 64;
 
+/** Heap that a process takes without any request, in bytes. */
+const programHeapBytes = 16_000_000;
+
 const bytesPerMegabyte = 1_000_000;
 
-/** Returns the smaller of the limit of the heap and a memory limit in megabytes, in bytes. */
+/**
+ * Returns how much of the heap requests may share, in bytes.
+ *
+ * @param memoryMb - memory limit of the process, in megabytes, if it is below that of the heap
+ */
 export function heapBytesFor(memoryMb: number): number {
-	return Math.min(memoryMb * bytesPerMegabyte, v8.getHeapStatistics().heap_size_limit);
+	return Math.max(0, Math.min(memoryMb * bytesPerMegabyte, v8.getHeapStatistics().heap_size_limit) - programHeapBytes);
 }
 
 /**
--- a/src/limits/process-limits.ts
+++ b/src/limits/process-limits.ts
@@ -2,6 +2,7 @@
 import type {ConnectionLimits} from '../links/connection-limit.ts';
 import {type BodyRoom, bodyRoomFor, messageBodyRoom} from './body-budget.ts';
 import {headRoomFor, maxWaitingRequestsFor} from './head-memory.ts';
+import {jsonRoomFor} from './json-memory.ts';
 
 /** Descriptors that are kept for files. */
 const fileDescriptors = 200;
@@ -14,6 +15,8 @@
 	readonly heads: number;
 	/** Share of the heap for requests with large heads, for the others, and for those that wait behind others on their connections. */
 	readonly requests: number;
+	/** Share of the heap for bodies that are parsed. */
+	readonly json: number;
 	/** Returns the room for bodies. */
 	readonly bodies: (memoryMb: number) => BodyRoom;
 	/** Connections for each megabyte of memory. */
@@ -27,21 +30,21 @@
 /** The kinds of listeners. What their descriptors leave is for connections to peers, to the store and to upstreams. */
 const listenerShares = {
 	callers: {
-		descriptors: 0.5, heads: 0.04, requests: 0.1, bodies: bodyRoomFor, connectionsPerMegabyte: callersPerMegabyte,
+		descriptors: 0.5, heads: 0.04, requests: 0.1, json: 0.4, bodies: bodyRoomFor, connectionsPerMegabyte: callersPerMegabyte,
 	},
 	control: {
-		descriptors: 0.1, heads: 0.01, requests: 0.02, bodies: () => messageBodyRoom, connectionsPerMegabyte: Number.POSITIVE_INFINITY,
+		descriptors: 0.1, heads: 0.01, requests: 0.02, json: 0.1, bodies: () => messageBodyRoom, connectionsPerMegabyte: Number.POSITIVE_INFINITY,
 	},
 	readiness: {
-		descriptors: 0.02, heads: 0.01, requests: 0.01, bodies: () => messageBodyRoom, connectionsPerMegabyte: Number.POSITIVE_INFINITY,
+		descriptors: 0.02, heads: 0.01, requests: 0.01, json: 0.02, bodies: () => messageBodyRoom, connectionsPerMegabyte: Number.POSITIVE_INFINITY,
 	},
 	/** The only listener of an agent, which takes calls from entries. */
 	agent: {
-		descriptors: 0.5, heads: 0.04, requests: 0.1, bodies: bodyRoomFor, connectionsPerMegabyte: callersPerMegabyte,
+		descriptors: 0.5, heads: 0.04, requests: 0.1, json: 0.4, bodies: bodyRoomFor, connectionsPerMegabyte: callersPerMegabyte,
 	},
 	/** The only listener of a stager, which serves weights to other stagers. */
 	stager: {
-		descriptors: 0.5, heads: 0.04, requests: 0.1, bodies: () => messageBodyRoom, connectionsPerMegabyte: callersPerMegabyte,
+		descriptors: 0.5, heads: 0.04, requests: 0.1, json: 0.1, bodies: () => messageBodyRoom, connectionsPerMegabyte: callersPerMegabyte,
 	},
 } satisfies Readonly<Record<string, ListenerShares>>;
 
@@ -54,6 +57,8 @@
 export type ListenerLimits = ConnectionLimits & {
 	/** The room for heads of requests without a response. */
 	readonly heads: BodyRoom;
+	/** The room for bodies that are parsed. */
+	readonly json: BodyRoom;
 	/** The room for bodies. */
 	readonly bodies: BodyRoom;
 };
@@ -74,6 +79,7 @@
 			headBytes: memoryMb * bytesPerMegabyte * shares.heads,
 			maxWaitingRequests: maxWaitingRequestsFor(memoryMb, shares.requests),
 			heads: headRoomFor(memoryMb, shares.requests),
+			json: jsonRoomFor(memoryMb, shares.json),
 			bodies: shares.bodies(memoryMb),
 		};
 	};
--- a/src/links/read-body.ts
+++ b/src/links/read-body.ts
@@ -2,23 +2,24 @@
 import type {Buffer} from 'node:buffer';
 import type http from 'node:http';
 import {growBody} from '../limits/grow-body.ts';
+import {estimateJsonBytes} from '../limits/json-memory.ts';
 import {ByteCollector} from './byte-collector.ts';
 import {chunkPacer} from './chunk-pacer.ts';
-import {findLimits} from './request-limits.ts';
+import {findLimits, type LimitedRequest} from './request-limits.ts';
 
 /** Maximum size of a request body, in bytes. */
 export const maxBodyBytes = 4 * 1024 * 1024;
 
-/** Thrown when a request body exceeds {@link maxBodyBytes}. */
+/** Thrown when a request body exceeds {@link maxBodyBytes}, or its values take more memory than there is. */
 export class BodyTooLargeError extends Error {}
 
 /** Thrown when there is no memory for a request body, or it arrives too slowly. */
 export class BodyRefusedError extends Error {}
 
 /**
- * Reads a request body as UTF-8 text.
+ * Reads the text of a request body that is to be parsed as JSON.
  *
- * @throws BodyTooLargeError when the body exceeds {@link maxBodyBytes}
+ * @throws BodyTooLargeError when the body exceeds {@link maxBodyBytes}, or its values take more memory than its listener ever has for them
  * @throws BodyRefusedError when its listener has limits, and the body has no room or arrives too slowly
  */
 export async function readBody(req: http.IncomingMessage): Promise<string> {
@@ -80,8 +81,15 @@
 		}
 
 		req.once('end', () => {
+			const whole = body.take();
+			const err = limits && takeJson(limits, whole);
+			if (err) {
+				fail(err);
+				return;
+			}
+
 			end();
-			resolve(body.take().toString('utf8'));
+			resolve(whole.toString('utf8'));
 		});
 		req.once('error', fail);
 		req.once('close', () => {
@@ -89,3 +97,17 @@
 		});
 	});
 }
+
+/** Takes room for the values of a JSON text until the response has been sent; returns an error if there is none. */
+function takeJson({json, res}: LimitedRequest, text: Buffer): Error | undefined {
+	const bytes = estimateJsonBytes(text);
+	const lease = json.tryTake(bytes);
+	if (!lease) {
+		return json.canHold(bytes) ? new BodyRefusedError('no memory for the values of the request body') : new BodyTooLargeError('the values of the request body take too much memory');
+	}
+
+	res.once('close', () => {
+		lease.release();
+	});
+	return undefined;
+}
--- a/src/links/request-limits.ts
+++ b/src/links/request-limits.ts
@@ -10,6 +10,8 @@
 export type LimitedRequest = {
 	/** The room for bodies. */
 	readonly bodies: BodyBudget;
+	/** The room for bodies that are parsed. */
+	readonly json: BodyBudget;
 	/** The bodies that are arriving. */
 	readonly incomplete: IncompleteBodies;
 	/** The room of the head. */
@@ -26,12 +28,14 @@
 	private readonly incomplete = new IncompleteBodies();
 	private readonly heads: BodyBudget;
 	private readonly bodies: BodyBudget;
+	private readonly json: BodyBudget;
 	private readonly timer: NodeJS.Timeout;
 
 	/** @param limits - the limits of the listener */
 	constructor(limits: ListenerLimits) {
 		this.heads = new BodyBudget(limits.heads);
 		this.bodies = new BodyBudget(limits.bodies);
+		this.json = new BodyBudget(limits.json);
 		this.timer = setInterval(() => {
 			this.incomplete.check(performance.now());
 		}, progressCheckMs).unref();
@@ -57,7 +61,7 @@
 			head.release();
 		});
 		limitedRequests.set(req, {
-			bodies: this.bodies, incomplete: this.incomplete, head, res,
+			bodies: this.bodies, json: this.json, incomplete: this.incomplete, head, res,
 		});
 		return true;
 	}
--- a/test/client-limits.test.ts
+++ b/test/client-limits.test.ts
@@ -153,7 +153,7 @@
 			sendJson(res, 200, {length: body.length});
 		},
 	}, createSilentLogger(), {
-		maxConnections: 10, headBytes: 1_000_000, maxWaitingRequests: 10, heads: messageBodyRoom, bodies: messageBodyRoom,
+		maxConnections: 10, headBytes: 1_000_000, maxWaitingRequests: 10, heads: messageBodyRoom, json: messageBodyRoom, bodies: messageBodyRoom,
 	});
 	const {host, port} = await listener.start({host: '127.0.0.1', port: 0});
 	const stalled = [1, 2].map(() => net.connect({host, port}).on('error', () => undefined));
--- a/test/request-memory.test.ts
+++ b/test/request-memory.test.ts
@@ -1,12 +1,15 @@
 /** What requests may make a listener keep: their heads, parsed bodies, places behind other requests, and responses that are not read. */
+import {Buffer} from 'node:buffer';
 import net from 'node:net';
 import {expect} from 'chai';
 import {BodyBudget, smallBodyBytes} from '../src/limits/body-budget.ts';
 import {takeHead} from '../src/limits/grow-body.ts';
 import {estimateHeadBytes} from '../src/limits/head-memory.ts';
 import {IncompleteBodies} from '../src/limits/incomplete-bodies.ts';
+import {estimateJsonBytes} from '../src/limits/json-memory.ts';
 import {type ListenerLimits, processLimitsFor} from '../src/limits/process-limits.ts';
 import {HttpListener, type HttpRoutes, sendJson} from '../src/links/http-listener.ts';
+import {readBody} from '../src/links/read-body.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
 import {
 	sendSignedResponse, startTestGateway, startUpstream, testConfiguration, testInstance,
@@ -47,6 +50,38 @@
 	expect(ended).to.deep.equal(['room_needed']);
 });
 
+it('guards against a body that takes many times its size once it is parsed: it is refused for its values, or while others hold the room, and served otherwise', async () => {
+	const body = JSON.stringify(Array.from({length: 5000}, () => []));
+	const bytes = estimateJsonBytes(Buffer.from(body));
+	let release: (() => void) | undefined;
+	const routes: HttpRoutes = {
+		async 'POST /held'(req, res) {
+			JSON.parse(await readBody(req));
+			await new Promise<void>(resolve => {
+				release = resolve;
+			});
+			sendJson(res, 200, {});
+		},
+		async 'POST /parsed'(req, res) {
+			sendJson(res, 200, {items: (JSON.parse(await readBody(req)) as unknown[]).length});
+		},
+	};
+	await withListener(routes, {json: {large: 1.5 * bytes, small: smallBodyBytes}}, async url => {
+		const post = async (path: string, text: string) => fetch(`${url}${path}`, {method: 'POST', body: text});
+		const held = post('/held', body);
+		await waitFor('the first body is held', () => release !== undefined);
+		const [refused, small, never] = await Promise.all([post('/parsed', body), post('/parsed', '[1]'), post('/parsed', `[${body},${body}]`)]);
+		expect([refused.status, small.status, never.status]).to.deep.equal([503, 200, 413]);
+		release!();
+		const first = await held;
+		expect(first.status).to.equal(200);
+		await waitFor('the room is free', async () => {
+			const res = await post('/parsed', body);
+			return res.status === 200;
+		});
+	});
+});
+
 it('guards against requests that wait behind others without a bound: the connection with the most of them closes, and the others get their responses', async () => {
 	const routes: HttpRoutes = {
 		async 'GET /slow'(_, res) {
