Bound responses that are not read at every listener

Callers saw nothing so far; by reading: dumps, metrics and copies of the directory that a client asks for and does not read stay in the process, up to 16 on each connection, and nothing counted them.

Change: RequestLimits counts what is unread of a complete response, by the class that gateways use for their callers (moved to limits/). Beyond a share of the memory, the connection that has read nothing for the longest time closes; so does it for a new connection when there are too many. Texts over 16 KiB are handed over as bytes, which are kept outside the heap.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -8,7 +8,7 @@
 import {InstanceSignals} from '../placement/instance-signals.ts';
 import {InstanceTracker} from '../placement/instance-tracker.ts';
 import {RegionMap} from '../placement/region-map.ts';
-import {maxBufferedBytes} from '../forwarding/response-buffers.ts';
+import {maxBufferedBytesFor} from '../limits/response-buffers.ts';
 import type {WireCodec} from '../forwarding/wire-codec.ts';
 import {bufferGarbage} from '../runtime/buffer-garbage.ts';
 import {logSink} from '../runtime/logger.ts';
@@ -40,11 +40,6 @@
 /** How long an evacuation takes to reach all gateways, in milliseconds. What a gateway knew before a pause may be too old if the pause takes the rest of the bound. */
 const evacuationSpreadMs = 2000;
 
-/** The share of the memory limit that responses may take until they are complete. */
-const responseMemoryShare = 0.1;
-
-const bytesPerMegabyte = 1_000_000;
-
 /** How long the last responses may take to be written before their connections are closed, in milliseconds. */
 const lastWritesMs = 200;
 
@@ -117,7 +112,7 @@
 		eventLoopDelayMs: () => base.pauseDetector.recentDelayMs,
 		gatewayCount,
 		instanceBodyMb: settings.limits.instance_body_mb,
-		responseBytes: Math.min(maxBufferedBytes, settings.limits.memory_mb * bytesPerMegabyte * responseMemoryShare),
+		responseBytes: maxBufferedBytesFor(settings.limits.memory_mb),
 		onSilence(service, result) {
 			forwardingMetrics.recordSilence(service, result);
 		},
--- a/src/forwarding/call-forwarder.ts
+++ b/src/forwarding/call-forwarder.ts
@@ -19,7 +19,7 @@
 import type {ResponseWriter} from './response-writer.ts';
 import {ForwardedCall} from './forwarded-call.ts';
 import type {ReceivedCall} from './received-call.ts';
-import {ResponseBuffers} from './response-buffers.ts';
+import {ResponseBuffers} from '../limits/response-buffers.ts';
 import {type RetryBudgetOptions, WindowedRetryBudget} from './windowed-retry-budget.ts';
 import type {RouteTable} from './route-table.ts';
 import {DeadlineHistory} from './deadline-history.ts';
--- a/src/forwarding/forwarded-call-options.ts
+++ b/src/forwarding/forwarded-call-options.ts
@@ -12,7 +12,7 @@
 import type {Placement} from '../placement/select-instance.ts';
 import type {CallBoundary} from './call-boundary.ts';
 import type {ReceivedCall} from './received-call.ts';
-import type {ResponseBuffers} from './response-buffers.ts';
+import type {ResponseBuffers} from '../limits/response-buffers.ts';
 import type {ResponseWriter} from './response-writer.ts';
 import type {ServiceHedging} from './service-hedging.ts';
 import type {WindowedRetryBudget} from './windowed-retry-budget.ts';
--- a/src/forwarding/response-writer.ts
+++ b/src/forwarding/response-writer.ts
@@ -10,7 +10,7 @@
 import {Buffer} from 'node:buffer';
 import type http from 'node:http';
 import {ByteCollector} from '../links/byte-collector.ts';
-import {type BufferOwner, ResponseBuffers} from './response-buffers.ts';
+import {type BufferOwner, ResponseBuffers} from '../limits/response-buffers.ts';
 
 /** Maximum size of a response that is held until its length is known, in bytes. */
 const maxHeldBytes = 1_048_576;
--- a/src/forwarding/upstream-attempt-options.ts
+++ b/src/forwarding/upstream-attempt-options.ts
@@ -8,7 +8,7 @@
 import type {AttemptOutcome} from './decide-next-step.ts';
 import type {FirstByteWatch} from './first-byte-watch.ts';
 import type {ReceivedCall} from './received-call.ts';
-import type {ResponseBuffers} from './response-buffers.ts';
+import type {ResponseBuffers} from '../limits/response-buffers.ts';
 import type {ResponseWriter} from './response-writer.ts';
 import type {AttemptInstructions, WireCodec} from './wire-codec.ts';
 
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -10,7 +10,7 @@
 import type {AttemptOutcome} from './decide-next-step.ts';
 import {EventOrder} from './event-order.ts';
 import {EventSplitter, type StreamEvent} from './event-splitter.ts';
-import {type BufferOwner, maxEventBytes, maxResponseBytes} from './response-buffers.ts';
+import {type BufferOwner, maxEventBytes, maxResponseBytes} from '../limits/response-buffers.ts';
 import {findHeadFault, firstServerError, notRunStatuses} from './response-status.ts';
 import {SilenceWatch} from './silence-watch.ts';
 import {UpstreamExchange} from './upstream-exchange.ts';
--- a/src/limits/process-limits.ts
+++ b/src/limits/process-limits.ts
@@ -3,6 +3,7 @@
 import {type BodyRoom, bodyRoomFor, messageBodyRoom} from './body-budget.ts';
 import {headRoomFor, maxWaitingRequestsFor} from './head-memory.ts';
 import {jsonRoomFor} from './json-memory.ts';
+import {maxBufferedBytesFor} from './response-buffers.ts';
 
 /** Descriptors that are kept for files. */
 const fileDescriptors = 200;
@@ -61,6 +62,8 @@
 	readonly json: BodyRoom;
 	/** The room for bodies. */
 	readonly bodies: BodyRoom;
+	/** Memory for responses that clients have not read, in bytes. */
+	readonly unreadBytes: number;
 };
 
 /** What a process may have open. */
@@ -81,6 +84,7 @@
 			heads: headRoomFor(memoryMb, shares.requests),
 			json: jsonRoomFor(memoryMb, shares.json),
 			bodies: shares.bodies(memoryMb),
+			unreadBytes: maxBufferedBytesFor(memoryMb),
 		};
 	};
 
--- a/src/forwarding/response-buffers.ts
+++ b/src/limits/response-buffers.ts
@@ -1,5 +1,5 @@
 /**
- * Limits the memory of the responses that a gateway keeps, because they are not complete or their callers read slowly.
+ * Limits the memory of the responses that a process keeps, because they are not complete or their callers read slowly.
  *
  * The callers that read most slowly are disconnected first. An upstream in trouble may send bytes without end: its responses are the
  * largest ones, so that they are discarded next and others go on.
@@ -9,7 +9,17 @@
 export const maxResponseBytes = 4_194_304;
 
 /** Maximum size of all responses that are kept, in bytes, unless the memory limit of the process is small. */
-export const maxBufferedBytes = 33_554_432;
+const maxBufferedBytes = 33_554_432;
+
+/** The share of the memory limit of the process that responses may take. */
+const memoryShare = 0.1;
+
+const bytesPerMegabyte = 1_000_000;
+
+/** Returns how many bytes of responses a listener may keep, for a memory limit in megabytes. */
+export function maxBufferedBytesFor(memoryMb: number): number {
+	return Math.min(maxBufferedBytes, memoryMb * bytesPerMegabyte * memoryShare);
+}
 
 /** Maximum size of one event of a stream, in bytes. */
 export const maxEventBytes = 262_144;
@@ -37,8 +47,11 @@
 		return this.totalBytes;
 	}
 
-	/** @param maxTotalBytes - maximum size of all responses that are kept */
-	constructor(private readonly maxTotalBytes = maxBufferedBytes) {}
+	/**
+	 * @param maxTotalBytes - maximum size of all responses that are kept
+	 * @param maxBytes - maximum size of one of them
+	 */
+	constructor(private readonly maxTotalBytes = maxBufferedBytes, private readonly maxBytes = maxResponseBytes) {}
 
 	/**
 	 * Counts further bytes of a response. Discards responses if they are too many, among them perhaps the one that they belong to.
@@ -48,7 +61,7 @@
 	add(owner: BufferOwner, bytes: number): void {
 		this.bytesByOwner.set(owner, (this.bytesByOwner.get(owner) ?? 0) + bytes);
 		this.totalBytes += bytes;
-		if (this.bytesByOwner.get(owner)! > maxResponseBytes) {
+		if (this.bytesByOwner.get(owner)! > this.maxBytes) {
 			this.discard(owner);
 		}
 
--- a/src/links/http-listener.ts
+++ b/src/links/http-listener.ts
@@ -27,6 +27,9 @@
 /** Statuses of responses to requests whose body could not be read. */
 const bodyErrorStatuses: ReadonlyArray<readonly [new (message: string) => Error, number]> = [[BodyTooLargeError, 413], [BodyRefusedError, 503]];
 
+/** Longest text that is handed to the connection as it is. A longer one would take room in the heap until the client has read it. */
+const maxTextLength = 16_384;
+
 type CompiledRoute = {readonly method: string; readonly pattern: RegExp; readonly handler: HttpHandler};
 
 /** Serves HTTP routes on one address. */
@@ -119,6 +122,7 @@
 				const match = route.method === req.method ? route.pattern.exec(path) : null;
 				if (match) {
 					await route.handler(req, res, match.slice(1).map(part => decodeURIComponent(part)));
+					this.requestLimits?.countUnread(req, res);
 					return;
 				}
 			}
@@ -150,7 +154,7 @@
 
 	const text = JSON.stringify(body);
 	res.writeHead(status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(text)});
-	res.end(text);
+	res.end(text.length > maxTextLength ? Buffer.from(text) : text);
 }
 
 /**
--- a/src/links/request-limits.ts
+++ b/src/links/request-limits.ts
@@ -1,10 +1,11 @@
-/** What the requests to one listener may take: room for their heads and for their bodies, until their responses have been sent. */
+/** What the requests to one listener may take: room for their heads and for their bodies, until their responses have been sent, and for responses that are not read. */
 import type http from 'node:http';
 import {BodyBudget, type BodyLease} from '../limits/body-budget.ts';
 import {takeHead} from '../limits/grow-body.ts';
 import {dropHead, estimateHeadBytes} from '../limits/head-memory.ts';
 import {IncompleteBodies, progressCheckMs} from '../limits/incomplete-bodies.ts';
 import type {ListenerLimits} from '../limits/process-limits.ts';
+import {ResponseBuffers} from '../limits/response-buffers.ts';
 
 /** What one request takes of its listener. */
 export type LimitedRequest = {
@@ -29,6 +30,7 @@
 	private readonly heads: BodyBudget;
 	private readonly bodies: BodyBudget;
 	private readonly json: BodyBudget;
+	private readonly unread: ResponseBuffers;
 	private readonly timer: NodeJS.Timeout;
 
 	/** @param limits - the limits of the listener */
@@ -36,6 +38,7 @@
 		this.heads = new BodyBudget(limits.heads);
 		this.bodies = new BodyBudget(limits.bodies);
 		this.json = new BodyBudget(limits.json);
+		this.unread = new ResponseBuffers(limits.unreadBytes, limits.unreadBytes);
 		this.timer = setInterval(() => {
 			this.incomplete.check(performance.now());
 		}, progressCheckMs).unref();
@@ -66,9 +69,26 @@
 		return true;
 	}
 
-	/** Ends the slowest body; returns false if none is slow. */
+	/** Counts what the client has not read of a response that is complete, until it has; closes the connections of slow clients if that is too much. */
+	countUnread(req: http.IncomingMessage, res: http.ServerResponse): void {
+		if (res.writableLength === 0 || res.destroyed) {
+			return;
+		}
+
+		const owner = {
+			waitingSinceMs: performance.now(), discardResponse() {
+				req.socket.destroy();
+			},
+		};
+		res.once('close', () => {
+			this.unread.release(owner);
+		});
+		this.unread.add(owner, res.writableLength);
+	}
+
+	/** Ends the slowest body, or closes the connection that has read nothing of its response for the longest time; returns false if none is slow. */
 	endSlowest(): boolean {
-		return this.incomplete.endSlowest(performance.now());
+		return this.incomplete.endSlowest(performance.now()) || this.unread.discardSlowest();
 	}
 }
 
--- a/test/client-limits.test.ts
+++ b/test/client-limits.test.ts
@@ -6,7 +6,7 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
 import {EventSplitter} from '../src/forwarding/event-splitter.ts';
-import {ResponseBuffers} from '../src/forwarding/response-buffers.ts';
+import {ResponseBuffers} from '../src/limits/response-buffers.ts';
 import {ResponseWriter} from '../src/forwarding/response-writer.ts';
 import {BodiesInFlight} from '../src/limits/bodies-in-flight.ts';
 import {messageBodyRoom} from '../src/limits/body-budget.ts';
@@ -153,7 +153,7 @@
 			sendJson(res, 200, {length: body.length});
 		},
 	}, createSilentLogger(), {
-		maxConnections: 10, headBytes: 1_000_000, maxWaitingRequests: 10, heads: messageBodyRoom, json: messageBodyRoom, bodies: messageBodyRoom,
+		maxConnections: 10, headBytes: 1_000_000, maxWaitingRequests: 10, heads: messageBodyRoom, json: messageBodyRoom, unreadBytes: 1_000_000, bodies: messageBodyRoom,
 	});
 	const {host, port} = await listener.start({host: '127.0.0.1', port: 0});
 	const stalled = [1, 2].map(() => net.connect({host, port}).on('error', () => undefined));
--- a/test/request-memory.test.ts
+++ b/test/request-memory.test.ts
@@ -1,6 +1,7 @@
 /** What requests may make a listener keep: their heads, parsed bodies, places behind other requests, and responses that are not read. */
 import {Buffer} from 'node:buffer';
 import net from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {BodyBudget, smallBodyBytes} from '../src/limits/body-budget.ts';
 import {takeHead} from '../src/limits/grow-body.ts';
@@ -111,6 +112,39 @@
 	});
 });
 
+it('guards against responses that are not read and take all memory: the connection that has read nothing for the longest time closes, others are served', async () => {
+	const text = 'x'.repeat(8_000_000);
+	const routes: HttpRoutes = {
+		'GET /large'(_, res) {
+			sendJson(res, 200, text);
+		},
+	};
+	await withListener(routes, {unreadBytes: 12_000_000}, async url => {
+		const {hostname: host, port} = new URL(url);
+		let closed = 0;
+		const sockets = Array.from({length: 8}, () => {
+			const socket = net.connect({host, port: Number(port)}).on('error', () => undefined).on('close', () => {
+				closed++;
+			});
+			socket.pause();
+			socket.write('GET /large HTTP/1.1\r\nHost: a\r\n\r\n'.repeat(3));
+			return socket;
+		});
+		await sleep(500);
+		const res = await fetch(`${url}/large`);
+		const received = await res.text();
+		expect([res.status, received.length]).to.deep.equal([200, text.length + 2]);
+		for (const socket of sockets) {
+			socket.resume();
+		}
+
+		await waitFor('connections are closed', () => closed > 0);
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+	});
+});
+
 it('guards against responses that wait behind an earlier one and are not counted: they are, and come in the order of the calls', async () => {
 	const waitingCalls = 10;
 	const responseBytes = 50_000;
