Answer 503, not 408, to a call whose body ends for want of room

Callers saw: one of 120 large calls got 408 now and then, where its caller had done nothing but pause for half a second on a busy machine.

Cause: a body that brings under 16 KiB in half a second to a second ends when another needs its room, and was answered like one that is too slow by itself.

Change: it gets 503 with Retry-After, as every call without room does. 408 is left for bodies that stall, are too slow, or come in too small chunks. Both say that the call has not run. Which body ends, and when, is unchanged.

Evidence: the new test in test/body-memory.test.ts, in which one body pauses while another needs its room, is red on (408 and 200) and green now (503 and 200).

--- a/src/forwarding/body-receiver.ts
+++ b/src/forwarding/body-receiver.ts
@@ -15,6 +15,14 @@
 /** When callers may return for whose bodies there was no memory, in milliseconds. */
 const noMemoryRetryAfterMs = 500;
 
+/** The responses to calls whose bodies are ended: 408 if the caller has to send in another way, 503 if others only need the room. */
+const slowBodyResponses: Readonly<Record<SlowBodyReason, {readonly status: number; readonly message: string}>> = {
+	body_stalled: {status: 408, message: 'the body stalled; not run'},
+	body_too_slow: {status: 408, message: 'the body arrived too slowly; not run'},
+	chunks_too_small: {status: 408, message: 'the body arrived in too small chunks; not run'},
+	room_needed: {status: 503, message: 'no memory for the body; not run'},
+};
+
 /** How a call that is being read is answered, and what runs its code. */
 export type Receiver = {readonly writer: ResponseWriter; readonly boundary: CallBoundary};
 
@@ -190,11 +198,12 @@
 	/** Ends a body that arrives too slowly, and closes its connection after the response. */
 	private endSlow({writer, boundary}: Receiver, reason: SlowBodyReason): void {
 		const {log, codec, bodies, onRefused} = this.options;
+		const {status, message} = slowBodyResponses[reason];
 		log.warn({
-			event: 'call_refused', id: boundary.attemptId, status: 408, reason, bodyBytes: bodies.usedBytes,
+			event: 'call_refused', id: boundary.attemptId, status, reason, bodyBytes: bodies.usedBytes,
 		}, 'call refused');
 		onRefused?.(reason);
-		writer.sendError(408, 'the body arrived too slowly or in too small chunks; not run', ['connection', 'close', ...codec.writeRefusalHeaders(noMemoryRetryAfterMs)]);
+		writer.sendError(status, message, ['connection', 'close', ...codec.writeRefusalHeaders(noMemoryRetryAfterMs)]);
 	}
 
 	private tryTake(bytes: number): BodyLease | undefined {
--- a/test/body-memory.test.ts
+++ b/test/body-memory.test.ts
@@ -126,3 +126,36 @@
 		}
 	});
 }
+
+it('guards against a caller that is blamed for a lack of room: a body that pauses while others need its room gets 503 and a time to return, and the other is served', async () => {
+	const bodyBytes = 4_000_000;
+	const upstream = await startUpstream((req, res) => {
+		sendSignedResponse(req, res, 200, 'ok');
+	});
+	const configuration = testConfiguration(1);
+	const limits = {...configuration.limits, bodyBytes: 4_194_304};
+	const gateway = await startTestGateway({...configuration, limits}, [testInstance({id: 'i-0', address: upstream.address})]);
+	gateway.bodies.tryTake(bodyRoomFor(memoryMb).large - (1.5 * bodyBytes));
+	const head = 'POST /p/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: id-1\r\nApi-Key: k1\r\nDeadline-Ms: 900\r\n';
+	const answers = ['', ''];
+	const sockets = answers.map((_, at) => net.connect({host: '127.0.0.1', port: Number(new URL(gateway.url).port)})
+		.on('error', () => undefined)
+		.on('data', part => {
+			answers[at] += part.toString('latin1');
+		}));
+	try {
+		sockets[0]!.write(`${head}Content-Length: ${bodyBytes}\r\n\r\n${'x'.repeat(100_000)}`);
+		await sleep(1700);
+		sockets[1]!.write(`${head}Content-Length: ${bodyBytes}\r\n\r\n${'x'.repeat(bodyBytes)}`);
+		await waitFor('both answers', () => answers.every(answer => answer !== ''));
+		expect(answers.map(answer => answer.slice(9, 12))).to.deep.equal(['503', '200']);
+		expect(answers[0]).to.match(/retry-after: \d/i);
+	} finally {
+		for (const socket of sockets) {
+			socket.destroy();
+		}
+
+		gateway.close();
+		upstream.close();
+	}
+});
