Show the limits of each listener, and keep the outcome of tickets in refusals

A refusal for want of room at an entry goes through CallManager, so that it has the form of the callers' API, and says `unknown` to a call with a ticket, since an earlier one may have run through another entry.

--- a/src/calls/call-manager.ts
+++ b/src/calls/call-manager.ts
@@ -60,6 +60,11 @@
 		this.refusing = true;
 	}
 
+	/** Refuses a call for which there is no room. */
+	refuseForRoom(req: http.IncomingMessage, res: http.ServerResponse): void {
+		this.sendError(req, res, this.toEntryRefusal(req, new CallerError('overloaded', 'not_run', 'too many calls are open')));
+	}
+
 	private wrapHandler(handler: HttpHandler): HttpHandler {
 		return async (req, res, params) => {
 			this.open++;
--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -15,6 +15,7 @@
 import {isQueueFull} from '../limits/is-queue-full.ts';
 import {processLimitsFor} from '../limits/process-limits.ts';
 import {SelfCheck} from '../orders/self-check.ts';
+import {addListenerMetrics} from '../reports/client-metrics.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {addRolloutMetrics} from '../reports/rollout-metrics.ts';
 import {ChunkStore} from '../rollout/chunk-store.ts';
@@ -94,6 +95,7 @@
 			void this.leaveNotifier.send();
 		});
 		this.control = new HttpListener(this.createRoutes(), log, processLimitsFor(settings.limits.memory_mb, settings.limits.max_descriptors).agent);
+		addListenerMetrics(this.base.metrics, {control: this.control});
 		this.shutdown = this.createDrain();
 	}
 
--- a/src/cli/entry-process.ts
+++ b/src/cli/entry-process.ts
@@ -10,6 +10,7 @@
 import {processLimitsFor} from '../limits/process-limits.ts';
 import {ReportPoller} from '../membership/report-poller.ts';
 import {CallMetrics} from '../reports/call-metrics.ts';
+import {addListenerMetrics} from '../reports/client-metrics.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {routingMetrics, UpstreamRouter} from '../routing/upstream-router.ts';
 import {bufferGarbage} from '../runtime/buffer-garbage.ts';
@@ -55,7 +56,9 @@
 	});
 	let isStarted = false;
 	const poller = new ReportPoller({links, membership, random});
-	const callers = new HttpListener(calls.routes, log, limits.callers);
+	const callers = new HttpListener(calls.routes, log, limits.callers, (req, res) => {
+		calls.refuseForRoom(req, res);
+	});
 	const drain = new Drain({
 		log,
 		// Within this time, load balancers notice that the readiness check fails. Until then, new calls are still accepted.
@@ -80,6 +83,7 @@
 		}),
 		isReady: () => isStarted && !drain.isDraining && store.revision > 0,
 	}), log, limits.control);
+	addListenerMetrics(base.metrics, {callers, control});
 	base.metrics.gauge('cactusreach_open_calls', 'Callers that wait for an answer.', () => calls.openCalls);
 	for (const [name, help, read] of [...admissionMetrics(admission), ...routingMetrics(router)]) {
 		base.metrics.gauge(name, help, read);
--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -22,7 +22,7 @@
 import {createObservationExchange} from '../peers/engine-observation.ts';
 import {LoadQueries} from '../peers/load-queries.ts';
 import {StartClaims} from '../peers/start-claims.ts';
-import {addClientMetrics} from '../reports/client-metrics.ts';
+import {addClientMetrics, addListenerMetrics} from '../reports/client-metrics.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {EvacuationReport} from '../reports/evacuation-report.ts';
 import {ForwardingMetrics} from '../reports/forwarding-metrics.ts';
@@ -181,6 +181,7 @@
 		},
 	}, log, limits.readiness);
 	addClientMetrics(metrics, callers, forwarder);
+	addListenerMetrics(metrics, {control, readiness});
 	metrics.gauge('cactusreach_open_calls', 'Calls without a whole answer.', () => forwarder.openCalls);
 
 	setFailureHooks({
--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -12,6 +12,7 @@
 import {serveStartClaims} from '../peers/start-claim-listener.ts';
 import {EngineStateSender} from '../peers/engine-state-sender.ts';
 import {NoticeDatagrams} from '../peers/notice-datagrams.ts';
+import {addListenerMetrics} from '../reports/client-metrics.ts';
 import {createControlRoutes} from '../reports/control-routes.ts';
 import {ChunkStore} from '../rollout/chunk-store.ts';
 import {
@@ -133,6 +134,7 @@
 			log,
 		});
 		this.control = new HttpListener(this.createRoutes(), log, processLimitsFor(settings.limits.memory_mb, settings.limits.max_descriptors).stager);
+		addListenerMetrics(this.base.metrics, {control: this.control});
 		serveCallCounter(this.base.datagrams, this.base.pauseDetector);
 		serveStartClaims(this.base.datagrams, () => peers.knownGateways.size);
 	}
--- a/src/links/http-listener.ts
+++ b/src/links/http-listener.ts
@@ -3,6 +3,7 @@
 import http from 'node:http';
 import type {AddressInfo} from 'node:net';
 import type {Logger} from '../runtime/logger.ts';
+import {dropHead} from '../limits/head-memory.ts';
 import type {ListenerLimits} from '../limits/process-limits.ts';
 import {ConnectionLimit} from './connection-limit.ts';
 import {BodyRefusedError, BodyTooLargeError} from './read-body.ts';
@@ -12,6 +13,9 @@
 /** Handles one request; `params` holds the path segments that matched `*`, in order. */
 export type HttpHandler = (req: http.IncomingMessage, res: http.ServerResponse, params: readonly string[]) => Promise<void> | void;
 
+/** Sends the response to a request for which there is no room. */
+export type RequestRefusal = (req: http.IncomingMessage, res: http.ServerResponse) => void;
+
 /** Handlers by `METHOD /path`; `*` matches one path segment. */
 export type HttpRoutes = Readonly<Record<string, HttpHandler>>;
 
@@ -38,14 +42,16 @@
 	private readonly connections: ServerConnections;
 	private readonly routes: readonly CompiledRoute[];
 	private readonly requestLimits: RequestLimits | undefined;
+	private readonly connectionLimit: ConnectionLimit | undefined;
 	private isClosing = false;
 
 	/**
 	 * @param routes - handlers by `METHOD /path`
 	 * @param log - logs errors that handlers throw
-	 * @param limits - limits for connections, heads and bodies; without them, there are none
+	 * @param limits - limits for connections, requests and unread responses; without them, there are none
+	 * @param refuse - answers a request for which there is no room
 	 */
-	constructor(routes: HttpRoutes, private readonly log: Logger, limits?: ListenerLimits) {
+	constructor(routes: HttpRoutes, private readonly log: Logger, limits?: ListenerLimits, private readonly refuse: RequestRefusal = refuseRequest) {
 		this.routes = Object.entries(routes).map(([name, handler]) => compileRoute(name, handler));
 		this.server = http.createServer(limits ? arrivalLimits : {}, (req, res) => {
 			if (!req.socket.destroyed && !this.connections.isEnding(req.socket)) {
@@ -57,9 +63,9 @@
 			this.connections.endUnreadable(err, socket);
 		});
 		if (limits) {
-			const requestLimits = new RequestLimits(limits);
+			const requestLimits = new RequestLimits(limits, log);
 			this.requestLimits = requestLimits;
-			new ConnectionLimit(this.server, {...limits, log, closeSlow: () => requestLimits.endSlowest()}).watch();
+			this.connectionLimit = new ConnectionLimit(this.server, {...limits, log, closeSlow: () => requestLimits.endSlowest()}).watch();
 		}
 
 		// Peers and load balancers keep idle connections open. With the default of 5 s, the server could close one just as a request arrives.
@@ -86,6 +92,21 @@
 		});
 	}
 
+	/** Number of open connections; 0 without limits. */
+	get connectionCount(): number {
+		return this.connectionLimit?.count ?? 0;
+	}
+
+	/** Number of connections that were closed or refused because of a limit. */
+	get closedConnections(): number {
+		return this.connectionLimit?.closedCount ?? 0;
+	}
+
+	/** Number of requests that were refused because there was no room for them. */
+	get refusedRequests(): number {
+		return this.requestLimits?.refusedCount ?? 0;
+	}
+
 	/** Closes each connection after its next response, so that clients move to other processes without an aborted request. */
 	closeConnectionsAfterUse(): void {
 		this.isClosing = true;
@@ -112,7 +133,8 @@
 
 		if (this.requestLimits?.take(req, res) === false) {
 			res.setHeader('retry-after', refusalRetryAfterS);
-			sendJson(res, 503, {error: {code: 'overloaded', outcome: 'not_run', message: 'too many requests are open'}});
+			this.refuse(req, res);
+			dropHead(req);
 			return;
 		}
 
@@ -172,6 +194,10 @@
 	return `${address.host}:${address.port}`;
 }
 
+function refuseRequest(_: http.IncomingMessage, res: http.ServerResponse): void {
+	sendJson(res, 503, {error: {code: 'overloaded', outcome: 'not_run', message: 'too many requests are open'}});
+}
+
 function compileRoute(name: string, handler: HttpHandler): CompiledRoute {
 	const [method = '', path = ''] = name.split(' ');
 	const pattern = new RegExp(`^${path.replaceAll('*', '([^/]+)')}$`);
--- a/src/links/request-limits.ts
+++ b/src/links/request-limits.ts
@@ -6,6 +6,10 @@
 import {IncompleteBodies, progressCheckMs} from '../limits/incomplete-bodies.ts';
 import type {ListenerLimits} from '../limits/process-limits.ts';
 import {ResponseBuffers} from '../limits/response-buffers.ts';
+import type {Logger} from '../runtime/logger.ts';
+
+/** At most one line is logged in this time, in milliseconds. */
+const logIntervalMs = 1000;
 
 /** What one request takes of its listener. */
 export type LimitedRequest = {
@@ -26,15 +30,21 @@
 
 /** Shares the room of one listener among its requests. */
 export class RequestLimits {
+	/** Requests that were refused because there was no room for their heads. */
+	refusedCount = 0;
 	private readonly incomplete = new IncompleteBodies();
 	private readonly heads: BodyBudget;
 	private readonly bodies: BodyBudget;
 	private readonly json: BodyBudget;
 	private readonly unread: ResponseBuffers;
 	private readonly timer: NodeJS.Timeout;
+	private lastLogMs = Number.NEGATIVE_INFINITY;
 
-	/** @param limits - the limits of the listener */
-	constructor(limits: ListenerLimits) {
+	/**
+	 * @param limits - the limits of the listener
+	 * @param log - logs that requests are refused
+	 */
+	constructor(limits: ListenerLimits, private readonly log: Logger) {
 		this.heads = new BodyBudget(limits.heads);
 		this.bodies = new BodyBudget(limits.bodies);
 		this.json = new BodyBudget(limits.json);
@@ -53,7 +63,7 @@
 	take(req: http.IncomingMessage, res: http.ServerResponse): boolean {
 		const head = takeHead(this.heads, this.incomplete, estimateHeadBytes(req.rawHeaders));
 		if (!head) {
-			dropHead(req);
+			this.recordRefusal();
 			return false;
 		}
 
@@ -90,6 +100,17 @@
 	endSlowest(): boolean {
 		return this.incomplete.endSlowest(performance.now()) || this.unread.discardSlowest();
 	}
+
+	private recordRefusal(): void {
+		this.refusedCount++;
+		const nowMs = performance.now();
+		if (nowMs - this.lastLogMs > logIntervalMs) {
+			this.lastLogMs = nowMs;
+			this.log.warn({
+				event: 'request_refused', reason: 'no_memory_for_head', refused: this.refusedCount, headBytes: this.heads.usedBytes,
+			}, 'requests are refused');
+		}
+	}
 }
 
 /** Returns what a request takes; undefined if its listener has no limits. */
