Soak: clients that stall, send without end or do not read

Group `clients`: 10 to 40 connections of one of six kinds at a gateway, half of which leave early. Nothing is excused by them: ordinary callers beside them must get what they get without.

--- a/soak/soak-faults.ts
+++ b/soak/soak-faults.ts
@@ -7,6 +7,7 @@
 import type {RandomSource} from '../src/runtime/random-source.ts';
 import type {FaultRelay} from '../standins/fault-relay.ts';
 import {removeWorker} from '../standins/store-entries.ts';
+import {callUntrusted} from './soak-clients.ts';
 import {type Evidence, nowMs} from './soak-evidence.ts';
 import type {Fleet, Gateway, Worker} from './soak-fleet.ts';
 
@@ -258,6 +259,9 @@
 			relay.reset();
 		}),
 	},
+	clients: {
+		untrusted: callUntrusted,
+	},
 	machine: {
 		// One set at a time: several at once kept a gateway from starting within 20 s.
 		busy: async context => context.withOne([{name: 'machine'}], async () => {
--- a/test/soak.test.ts
+++ b/test/soak.test.ts
@@ -13,6 +13,7 @@
 	'planned stops, kills and pauses of gateways while workers pause, crash and leave': {seed: 1, groups: ['signals', 'workers']},
 	'faults of the store and changes of the configuration in series': {seed: 2, groups: ['signals', 'workers', 'store']},
 	'a store that comes back from older copies of itself while workers and the configuration change': {seed: 5, groups: ['workers', 'store', 'returns']},
+	'clients that stall, send without end or do not read, beside planned stops and kills': {seed: 6, groups: ['signals', 'clients']},
 	'faults of the connections to workers and to the store': {seed: 3, groups: ['signals', 'workers', 'links']},
 };
 
