Give ordinary heads twice the share of large ones, and control less for responses

A gateway with 602 MB may forward 2,400 calls at a time, for which the room for ordinary heads was half of what is needed. Control and readiness listeners had the share of callers for responses that are not read; 10 % of the memory each was too much together. One value a line in the table of shares.

--- a/src/limits/head-memory.ts
+++ b/src/limits/head-memory.ts
@@ -35,11 +35,11 @@
 /**
  * Returns the room for the requests of one listener. Large heads have room of their own, so that they leave some for ordinary ones.
  *
- * @param share - share of the heap for large heads, and for the others
+ * @param share - share of the heap for large heads; the others have twice as much
  */
 export function headRoomFor(memoryMb: number, share: number): BodyRoom {
 	const bytes = heapBytesFor(memoryMb) * share;
-	return {large: Math.max(minRoom.large, bytes), small: Math.max(minRoom.small, bytes)};
+	return {large: Math.max(minRoom.large, bytes), small: Math.max(minRoom.small, 2 * bytes)};
 }
 
 /**
--- a/src/limits/process-limits.ts
+++ b/src/limits/process-limits.ts
@@ -14,10 +14,12 @@
 	readonly descriptors: number;
 	/** Share of the memory for incomplete heads. */
 	readonly heads: number;
-	/** Share of the heap for requests with large heads, for the others, and for those that wait behind others on their connections. */
+	/** Share of the heap for requests with large heads, and for those that wait behind others on their connections. */
 	readonly requests: number;
 	/** Share of the heap for bodies that are parsed. */
 	readonly json: number;
+	/** Share of the memory for responses that clients have not read. */
+	readonly unread: number;
 	/** Returns the room for bodies. */
 	readonly bodies: (memoryMb: number) => BodyRoom;
 	/** Connections for each megabyte of memory. */
@@ -31,21 +33,51 @@
 /** The kinds of listeners. What their descriptors leave is for connections to peers, to the store and to upstreams. */
 const listenerShares = {
 	callers: {
-		descriptors: 0.5, heads: 0.04, requests: 0.1, json: 0.4, bodies: bodyRoomFor, connectionsPerMegabyte: callersPerMegabyte,
+		descriptors: 0.5,
+		heads: 0.04,
+		requests: 0.1,
+		json: 0.4,
+		unread: 0.1,
+		bodies: bodyRoomFor,
+		connectionsPerMegabyte: callersPerMegabyte,
 	},
 	control: {
-		descriptors: 0.1, heads: 0.01, requests: 0.02, json: 0.1, bodies: () => messageBodyRoom, connectionsPerMegabyte: Number.POSITIVE_INFINITY,
+		descriptors: 0.1,
+		heads: 0.01,
+		requests: 0.02,
+		json: 0.1,
+		unread: 0.05,
+		bodies: () => messageBodyRoom,
+		connectionsPerMegabyte: Number.POSITIVE_INFINITY,
 	},
 	readiness: {
-		descriptors: 0.02, heads: 0.01, requests: 0.01, json: 0.02, bodies: () => messageBodyRoom, connectionsPerMegabyte: Number.POSITIVE_INFINITY,
+		descriptors: 0.02,
+		heads: 0.01,
+		requests: 0.01,
+		json: 0.02,
+		unread: 0.01,
+		bodies: () => messageBodyRoom,
+		connectionsPerMegabyte: Number.POSITIVE_INFINITY,
 	},
 	/** The only listener of an agent, which takes calls from entries. */
 	agent: {
-		descriptors: 0.5, heads: 0.04, requests: 0.1, json: 0.4, bodies: bodyRoomFor, connectionsPerMegabyte: callersPerMegabyte,
+		descriptors: 0.5,
+		heads: 0.04,
+		requests: 0.1,
+		json: 0.4,
+		unread: 0.1,
+		bodies: bodyRoomFor,
+		connectionsPerMegabyte: callersPerMegabyte,
 	},
 	/** The only listener of a stager, which serves weights to other stagers. */
 	stager: {
-		descriptors: 0.5, heads: 0.04, requests: 0.1, json: 0.1, bodies: () => messageBodyRoom, connectionsPerMegabyte: callersPerMegabyte,
+		descriptors: 0.5,
+		heads: 0.04,
+		requests: 0.1,
+		json: 0.1,
+		unread: 0.1,
+		bodies: () => messageBodyRoom,
+		connectionsPerMegabyte: callersPerMegabyte,
 	},
 } satisfies Readonly<Record<string, ListenerShares>>;
 
@@ -84,7 +116,7 @@
 			heads: headRoomFor(memoryMb, shares.requests),
 			json: jsonRoomFor(memoryMb, shares.json),
 			bodies: shares.bodies(memoryMb),
-			unreadBytes: maxBufferedBytesFor(memoryMb),
+			unreadBytes: maxBufferedBytesFor(memoryMb, shares.unread),
 		};
 	};
 
--- a/src/limits/response-buffers.ts
+++ b/src/limits/response-buffers.ts
@@ -11,14 +11,14 @@
 /** Maximum size of all responses that are kept, in bytes, unless the memory limit of the process is small. */
 const maxBufferedBytes = 33_554_432;
 
-/** The share of the memory limit of the process that responses may take. */
-const memoryShare = 0.1;
+/** The usual share of the memory limit of the process that responses may take. */
+const defaultMemoryShare = 0.1;
 
 const bytesPerMegabyte = 1_000_000;
 
 /** Returns how many bytes of responses a listener may keep, for a memory limit in megabytes. */
-export function maxBufferedBytesFor(memoryMb: number): number {
-	return Math.min(maxBufferedBytes, memoryMb * bytesPerMegabyte * memoryShare);
+export function maxBufferedBytesFor(memoryMb: number, share = defaultMemoryShare): number {
+	return Math.min(maxBufferedBytes, memoryMb * bytesPerMegabyte * share);
 }
 
 /** Maximum size of one event of a stream, in bytes. */
