Name the shared memory of requests for what it is, and estimate JSON names closer

BodyBudget shares the room of heads and of parsed values too: MemoryBudget, MemoryLease and MemoryRoom, in memory-budget.ts, with the rooms of bodies in body-room.ts; grow-body.ts takes room for heads too: take-memory.ts. A name of an object takes more than an item of a list, 24 bytes in place of 16.

--- a/src/forwarding/body-receiver.ts
+++ b/src/forwarding/body-receiver.ts
@@ -1,8 +1,8 @@
 /** Reads the bodies of calls into the memory that there is for them, and ends those that arrive too slowly. */
 import type {Buffer} from 'node:buffer';
 import type http from 'node:http';
-import type {BodyBudget, BodyLease} from '../limits/body-budget.ts';
-import {growBody, takeHead} from '../limits/grow-body.ts';
+import type {MemoryBudget, MemoryLease} from '../limits/memory-budget.ts';
+import {growBody, takeHead} from '../limits/take-memory.ts';
 import {dropHead, estimateHeadBytes} from '../limits/head-memory.ts';
 import {IncompleteBodies, progressCheckMs, type SlowBodyReason} from '../limits/incomplete-bodies.ts';
 import {ByteCollector} from '../links/byte-collector.ts';
@@ -31,9 +31,9 @@
 	readonly codec: WireCodec;
 	readonly log: Logger;
 	/** The memory for heads. */
-	readonly heads: BodyBudget;
+	readonly heads: MemoryBudget;
 	/** The memory for bodies. */
-	readonly bodies: BodyBudget;
+	readonly bodies: MemoryBudget;
 	/** Returns the largest size of a body, in bytes. */
 	readonly maxBytes: () => number;
 	/** Returns whether each response closes its connection. */
@@ -83,7 +83,7 @@
 			head.release();
 		});
 		const bytes = Number(req.headers['content-length'] ?? 0);
-		const read = (lease: BodyLease) => {
+		const read = (lease: MemoryLease) => {
 			writer.onceClosed(() => {
 				lease.release();
 			});
@@ -140,7 +140,7 @@
 		req.resume();
 	}
 
-	private read(req: http.IncomingMessage, {writer, boundary, head, lease}: Receiver & {readonly head: BodyLease; readonly lease: BodyLease}, onComplete: (body: Buffer) => void): void {
+	private read(req: http.IncomingMessage, {writer, boundary, head, lease}: Receiver & {readonly head: MemoryLease; readonly lease: MemoryLease}, onComplete: (body: Buffer) => void): void {
 		const hasLength = req.headers['content-length'] !== undefined;
 		const collector = new ByteCollector(Number(req.headers['content-length'] ?? 0));
 		let isDropped = false;
@@ -206,7 +206,7 @@
 		writer.sendError(status, message, ['connection', 'close', ...codec.writeRefusalHeaders(noMemoryRetryAfterMs)]);
 	}
 
-	private tryTake(bytes: number): BodyLease | undefined {
+	private tryTake(bytes: number): MemoryLease | undefined {
 		const {bodies} = this.options;
 		let lease = bodies.tryTake(bytes);
 		while (!lease && bodies.canHold(bytes) && this.incomplete.endSlowest(performance.now(), body => body.isLarge === bodies.isLarge(bytes))) {
--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -4,7 +4,7 @@
 import type {AddressInfo} from 'node:net';
 import type {Duplex} from 'node:stream';
 import type {CallerLimits} from '../directory/directory-types.ts';
-import type {BodyBudget} from '../limits/body-budget.ts';
+import type {MemoryBudget} from '../limits/memory-budget.ts';
 import {dropHead} from '../limits/head-memory.ts';
 import {chunkPacer} from '../links/chunk-pacer.ts';
 import {ConnectionLimit, type ConnectionLimits} from '../links/connection-limit.ts';
@@ -53,9 +53,9 @@
 	/** Returns the published limits; undefined until a configuration has been received. */
 	readonly limits: () => CallerLimits | undefined;
 	/** The memory for heads. */
-	readonly heads: BodyBudget;
+	readonly heads: MemoryBudget;
 	/** The memory for bodies. */
-	readonly bodies: BodyBudget;
+	readonly bodies: MemoryBudget;
 	/** Limits for connections; without them, there is none. */
 	readonly connections?: ConnectionLimits;
 	/** How many calls may be forwarded at a time; unlimited if absent. */
--- a/src/forwarding/upstream-attempt-options.ts
+++ b/src/forwarding/upstream-attempt-options.ts
@@ -4,11 +4,11 @@
 import type {BodiesInFlight} from '../limits/bodies-in-flight.ts';
 import type {ListeningClock} from '../runtime/pause-detector.ts';
 import type {InstanceTracker} from '../placement/instance-tracker.ts';
+import type {ResponseBuffers} from '../limits/response-buffers.ts';
 import type {CallBoundary} from './call-boundary.ts';
 import type {AttemptOutcome} from './decide-next-step.ts';
 import type {FirstByteWatch} from './first-byte-watch.ts';
 import type {ReceivedCall} from './received-call.ts';
-import type {ResponseBuffers} from '../limits/response-buffers.ts';
 import type {ResponseWriter} from './response-writer.ts';
 import type {AttemptInstructions, WireCodec} from './wire-codec.ts';
 
--- a/src/limits/head-memory.ts
+++ b/src/limits/head-memory.ts
@@ -6,14 +6,14 @@
  */
 import type http from 'node:http';
 import v8 from 'node:v8';
-import type {BodyRoom} from './body-budget.ts';
+import type {MemoryRoom} from './memory-budget.ts';
 
 /** Memory of a request and its response without their fields, and of a field without its characters, in bytes. */
 const requestBytes = 4096;
 const fieldBytes = 128;
 
 /** Room that a process has whatever its heap, in bytes: for two of the largest heads, and for some ordinary ones. */
-const minRoom: BodyRoom = {large: 1_048_576, small: 1_048_576};
+const minRoom: MemoryRoom = {large: 1_048_576, small: 1_048_576};
 
 /** Requests that may wait whatever the heap. */
 const minWaitingRequests = 64;
@@ -37,7 +37,7 @@
  *
  * @param share - share of the heap for large heads; the others have twice as much
  */
-export function headRoomFor(memoryMb: number, share: number): BodyRoom {
+export function headRoomFor(memoryMb: number, share: number): MemoryRoom {
 	const bytes = heapBytesFor(memoryMb) * share;
 	return {large: Math.max(minRoom.large, bytes), small: Math.max(minRoom.small, 2 * bytes)};
 }
--- a/src/limits/json-memory.ts
+++ b/src/limits/json-memory.ts
@@ -5,17 +5,17 @@
  */
 import type {Buffer} from 'node:buffer';
 import {heapBytesFor} from './head-memory.ts';
-import type {BodyRoom} from './body-budget.ts';
+import type {MemoryRoom} from './memory-budget.ts';
 
 /** Memory for a byte of the text, which is decoded and copied into the strings that it holds, in bytes. */
 const bytesPerTextByte = 3;
 
 /** Memory for a list or an object, and for a further item of one, in bytes. */
 const collectionBytes = 56;
-const itemBytes = 16;
+const itemBytes = 24;
 
 /** Room that a process has whatever its heap, in bytes. */
-const minRoom: BodyRoom = {large: 2_097_152, small: 524_288};
+const minRoom: MemoryRoom = {large: 2_097_152, small: 524_288};
 
 /** What texts that need little memory have in addition, as a part of the share of the others. */
 const smallPart = 0.25;
@@ -43,7 +43,7 @@
  *
  * @param share - share of the heap for large texts; the others have a part of it in addition
  */
-export function jsonRoomFor(memoryMb: number, share: number): BodyRoom {
+export function jsonRoomFor(memoryMb: number, share: number): MemoryRoom {
 	const bytes = heapBytesFor(memoryMb) * share;
 	return {large: Math.max(minRoom.large, bytes), small: Math.max(minRoom.small, bytes * smallPart)};
 }
--- a/src/limits/process-limits.ts
+++ b/src/limits/process-limits.ts
@@ -1,6 +1,7 @@
 /** Shares the descriptors and the memory of a process among its listeners and the calls that it forwards. */
 import type {ConnectionLimits} from '../links/connection-limit.ts';
-import {type BodyRoom, bodyRoomFor, messageBodyRoom} from './body-budget.ts';
+import {bodyRoomFor, messageBodyRoom} from './body-room.ts';
+import type {MemoryRoom} from './memory-budget.ts';
 import {headRoomFor, maxWaitingRequestsFor} from './head-memory.ts';
 import {jsonRoomFor} from './json-memory.ts';
 import {maxBufferedBytesFor} from './response-buffers.ts';
@@ -21,7 +22,7 @@
 	/** Share of the memory for responses that clients have not read. */
 	readonly unread: number;
 	/** Returns the room for bodies. */
-	readonly bodies: (memoryMb: number) => BodyRoom;
+	readonly bodies: (memoryMb: number) => MemoryRoom;
 	/** Connections for each megabyte of memory. */
 	readonly connectionsPerMegabyte: number;
 };
@@ -89,11 +90,11 @@
 /** The limits of one listener. */
 export type ListenerLimits = ConnectionLimits & {
 	/** The room for heads of requests without a response. */
-	readonly heads: BodyRoom;
+	readonly heads: MemoryRoom;
 	/** The room for bodies that are parsed. */
-	readonly json: BodyRoom;
+	readonly json: MemoryRoom;
 	/** The room for bodies. */
-	readonly bodies: BodyRoom;
+	readonly bodies: MemoryRoom;
 	/** Memory for responses that clients have not read, in bytes. */
 	readonly unreadBytes: number;
 };
--- a/src/limits/grow-body.ts
+++ b/src/limits/take-memory.ts
@@ -1,12 +1,12 @@
 /** Takes room for the heads of requests and for bodies that become longer while they arrive; ends slow ones if there is none. */
-import type {BodyBudget, BodyLease} from './body-budget.ts';
+import type {MemoryBudget, MemoryLease} from './memory-budget.ts';
 import type {BodyProgress, IncompleteBodies} from './incomplete-bodies.ts';
 
 /** A body that is arriving, and the others that arrive at the same listener. */
 export type GrowingBody = {
-	readonly budget: BodyBudget;
+	readonly budget: MemoryBudget;
 	readonly incomplete: IncompleteBodies;
-	readonly lease: BodyLease;
+	readonly lease: MemoryLease;
 	readonly progress: BodyProgress;
 };
 
@@ -23,7 +23,7 @@
 }
 
 /** Takes room for the head of a request, and ends slow bodies if there is none; returns undefined if that is not enough. */
-export function takeHead(heads: BodyBudget, incomplete: IncompleteBodies, bytes: number): BodyLease | undefined {
+export function takeHead(heads: MemoryBudget, incomplete: IncompleteBodies, bytes: number): MemoryLease | undefined {
 	const isLarge = heads.isLarge(bytes);
 	let lease = heads.tryTake(bytes);
 	while (!lease && heads.canHold(bytes) && incomplete.endSlowest(performance.now(), body => body.isHeadLarge === isLarge)) {
--- a/src/links/read-body.ts
+++ b/src/links/read-body.ts
@@ -1,7 +1,7 @@
 /** Reads the bodies of requests, within the limits of their listener. */
 import type {Buffer} from 'node:buffer';
 import type http from 'node:http';
-import {growBody} from '../limits/grow-body.ts';
+import {growBody} from '../limits/take-memory.ts';
 import {estimateJsonBytes} from '../limits/json-memory.ts';
 import {ByteCollector} from './byte-collector.ts';
 import {chunkPacer} from './chunk-pacer.ts';
--- a/src/links/request-limits.ts
+++ b/src/links/request-limits.ts
@@ -1,7 +1,7 @@
 /** What the requests to one listener may take: room for their heads and for their bodies, until their responses have been sent, and for responses that are not read. */
 import type http from 'node:http';
-import {BodyBudget, type BodyLease} from '../limits/body-budget.ts';
-import {takeHead} from '../limits/grow-body.ts';
+import {MemoryBudget, type MemoryLease} from '../limits/memory-budget.ts';
+import {takeHead} from '../limits/take-memory.ts';
 import {dropHead, estimateHeadBytes} from '../limits/head-memory.ts';
 import {IncompleteBodies, progressCheckMs} from '../limits/incomplete-bodies.ts';
 import type {ListenerLimits} from '../limits/process-limits.ts';
@@ -14,13 +14,13 @@
 /** What one request takes of its listener. */
 export type LimitedRequest = {
 	/** The room for bodies. */
-	readonly bodies: BodyBudget;
+	readonly bodies: MemoryBudget;
 	/** The room for bodies that are parsed. */
-	readonly json: BodyBudget;
+	readonly json: MemoryBudget;
 	/** The bodies that are arriving. */
 	readonly incomplete: IncompleteBodies;
 	/** The room of the head. */
-	readonly head: BodyLease;
+	readonly head: MemoryLease;
 	/** The response, until whose end the request keeps its room. */
 	readonly res: http.ServerResponse;
 };
@@ -33,9 +33,9 @@
 	/** Requests that were refused because there was no room for their heads. */
 	refusedCount = 0;
 	private readonly incomplete = new IncompleteBodies();
-	private readonly heads: BodyBudget;
-	private readonly bodies: BodyBudget;
-	private readonly json: BodyBudget;
+	private readonly heads: MemoryBudget;
+	private readonly bodies: MemoryBudget;
+	private readonly json: MemoryBudget;
 	private readonly unread: ResponseBuffers;
 	private readonly timer: NodeJS.Timeout;
 	private lastLogMs = Number.NEGATIVE_INFINITY;
@@ -45,9 +45,9 @@
 	 * @param log - logs that requests are refused
 	 */
 	constructor(limits: ListenerLimits, private readonly log: Logger) {
-		this.heads = new BodyBudget(limits.heads);
-		this.bodies = new BodyBudget(limits.bodies);
-		this.json = new BodyBudget(limits.json);
+		this.heads = new MemoryBudget(limits.heads);
+		this.bodies = new MemoryBudget(limits.bodies);
+		this.json = new MemoryBudget(limits.json);
 		this.unread = new ResponseBuffers(limits.unreadBytes, limits.unreadBytes);
 		this.timer = setInterval(() => {
 			this.incomplete.check(performance.now());
--- a/test/body-memory.test.ts
+++ b/test/body-memory.test.ts
@@ -3,7 +3,8 @@
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import {BodyBudget, bodyRoomFor, smallBodyBytes} from '../src/limits/body-budget.ts';
+import {bodyRoomFor} from '../src/limits/body-room.ts';
+import {MemoryBudget, maxSmallBytes} from '../src/limits/memory-budget.ts';
 import {startBodyService} from './support/body-service.ts';
 import {
 	sendSignedResponse, startTestGateway, startUpstream, testConfiguration, testInstance,
@@ -48,7 +49,7 @@
 
 it('guards against large bodies that overtake each other or wait for ever: they get room in their order, or none after a short time', async () => {
 	const megabyte = 1_000_000;
-	const budget = new BodyBudget({large: 10 * megabyte, small: 100_000});
+	const budget = new MemoryBudget({large: 10 * megabyte, small: 100_000});
 	const first = await budget.take(8 * megabyte);
 	const order: string[] = [];
 	const second = (async () => {
@@ -62,19 +63,19 @@
 		order.push('third');
 		return lease;
 	})();
-	expect(budget.tryTake(smallBodyBytes)).not.to.equal(undefined);
+	expect(budget.tryTake(maxSmallBytes)).not.to.equal(undefined);
 	first!.release();
 	first!.release();
 	const leases = await Promise.all([second, third]);
-	expect([order, leases.every(Boolean), budget.usedBytes]).to.deep.equal([['second', 'third'], true, (9 * megabyte) + smallBodyBytes]);
+	expect([order, leases.every(Boolean), budget.usedBytes]).to.deep.equal([['second', 'third'], true, (9 * megabyte) + maxSmallBytes]);
 	expect(await budget.take(8 * megabyte)).to.equal(undefined);
 	expect(await budget.take(11 * megabyte)).to.equal(undefined);
 });
 
 it('guards against a body of unknown length that is not counted: its room grows with it, and moves to that of the large ones', () => {
-	const budget = new BodyBudget({large: 100_000, small: smallBodyBytes});
+	const budget = new MemoryBudget({large: 100_000, small: maxSmallBytes});
 	const lease = budget.tryTake(0)!;
-	expect([lease.growTo(smallBodyBytes), budget.usedBytes]).to.deep.equal([true, smallBodyBytes]);
+	expect([lease.growTo(maxSmallBytes), budget.usedBytes]).to.deep.equal([true, maxSmallBytes]);
 	expect(budget.tryTake(1)).to.equal(undefined);
 	expect([lease.growTo(90_000), budget.usedBytes, lease.growTo(110_000)]).to.deep.equal([true, 90_000, false]);
 	lease.release();
--- a/test/client-limits.test.ts
+++ b/test/client-limits.test.ts
@@ -9,7 +9,7 @@
 import {ResponseBuffers} from '../src/limits/response-buffers.ts';
 import {ResponseWriter} from '../src/forwarding/response-writer.ts';
 import {BodiesInFlight} from '../src/limits/bodies-in-flight.ts';
-import {messageBodyRoom} from '../src/limits/body-budget.ts';
+import {messageBodyRoom} from '../src/limits/body-room.ts';
 import {IncompleteBodies, progressCheckMs} from '../src/limits/incomplete-bodies.ts';
 import {processLimitsFor} from '../src/limits/process-limits.ts';
 import {ByteCollector} from '../src/links/byte-collector.ts';
--- a/test/refused-bodies.test.ts
+++ b/test/refused-bodies.test.ts
@@ -4,7 +4,7 @@
 import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import {smallBodyBytes} from '../src/limits/body-budget.ts';
+import {maxSmallBytes} from '../src/limits/memory-budget.ts';
 import {
 	callGateway, sendSignedResponse, startTestGateway, startUpstream, testConfiguration, testInstance,
 } from './support/direct-fixtures.ts';
@@ -97,7 +97,7 @@
 		send();
 		await sleep(700);
 		expect(text).to.match(/^HTTP\/1.1 413 /);
-		expect(gateway.bodies.usedBytes).to.be.at.most(smallBodyBytes);
+		expect(gateway.bodies.usedBytes).to.be.at.most(maxSmallBytes);
 		for (let waitedMs = 0; !socket.destroyed && waitedMs < 8000; waitedMs += 100) {
 			await sleep(100);
 		}
--- a/test/request-memory.test.ts
+++ b/test/request-memory.test.ts
@@ -3,8 +3,8 @@
 import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
-import {BodyBudget, smallBodyBytes} from '../src/limits/body-budget.ts';
-import {takeHead} from '../src/limits/grow-body.ts';
+import {MemoryBudget, maxSmallBytes} from '../src/limits/memory-budget.ts';
+import {takeHead} from '../src/limits/take-memory.ts';
 import {estimateHeadBytes} from '../src/limits/head-memory.ts';
 import {IncompleteBodies} from '../src/limits/incomplete-bodies.ts';
 import {estimateJsonBytes} from '../src/limits/json-memory.ts';
@@ -31,7 +31,7 @@
 }
 
 it('guards against large heads that take the room of ordinary ones: while they have used up theirs, ordinary requests get room', () => {
-	const heads = new BodyBudget({large: 1_000_000, small: 1_000_000});
+	const heads = new MemoryBudget({large: 1_000_000, small: 1_000_000});
 	const incomplete = new IncompleteBodies();
 	const large = Array.from({length: 10}, () => takeHead(heads, incomplete, estimateHeadBytes(manyFields)));
 	expect(large.filter(Boolean).length).to.equal(4);
@@ -39,7 +39,7 @@
 });
 
 it('guards against heads whose room is held by bodies that do not end: the slowest such body ends for the next request', () => {
-	const heads = new BodyBudget({large: 300_000, small: smallBodyBytes});
+	const heads = new MemoryBudget({large: 300_000, small: maxSmallBytes});
 	const incomplete = new IncompleteBodies();
 	const first = takeHead(heads, incomplete, estimateHeadBytes(manyFields))!;
 	const ended: string[] = [];
@@ -67,7 +67,7 @@
 			sendJson(res, 200, {items: (JSON.parse(await readBody(req)) as unknown[]).length});
 		},
 	};
-	await withListener(routes, {json: {large: 1.5 * bytes, small: smallBodyBytes}}, async url => {
+	await withListener(routes, {json: {large: 1.5 * bytes, small: maxSmallBytes}}, async url => {
 		const post = async (path: string, text: string) => fetch(`${url}${path}`, {method: 'POST', body: text});
 		const held = post('/held', body);
 		await waitFor('the first body is held', () => release !== undefined);
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -15,7 +15,8 @@
 import {InstanceTracker} from '../../src/placement/instance-tracker.ts';
 import {RegionMap} from '../../src/placement/region-map.ts';
 import type {WireCodec} from '../../src/forwarding/wire-codec.ts';
-import {BodyBudget, bodyRoomFor} from '../../src/limits/body-budget.ts';
+import {bodyRoomFor} from '../../src/limits/body-room.ts';
+import {MemoryBudget} from '../../src/limits/memory-budget.ts';
 import {processLimitsFor} from '../../src/limits/process-limits.ts';
 import type {ConnectionLimits} from '../../src/links/connection-limit.ts';
 import {PromptQuarantine} from '../../src/quarantine/prompt-quarantine.ts';
@@ -113,7 +114,7 @@
 }
 
 /** A gateway in the test process, without its control listeners. */
-export type TestGateway = {readonly directory: Directory; readonly tracker: InstanceTracker; readonly forwarder: CallForwarder; readonly listener: CallerListener; readonly bodies: BodyBudget; readonly quarantine: PromptQuarantine; readonly homes: HomeRegions; readonly crashes: readonly Crash[]; readonly ends: readonly CallEnd[]; readonly faults: {count: number}; readonly url: string; readonly close: () => void};
+export type TestGateway = {readonly directory: Directory; readonly tracker: InstanceTracker; readonly forwarder: CallForwarder; readonly listener: CallerListener; readonly bodies: MemoryBudget; readonly quarantine: PromptQuarantine; readonly homes: HomeRegions; readonly crashes: readonly Crash[]; readonly ends: readonly CallEnd[]; readonly faults: {count: number}; readonly url: string; readonly close: () => void};
 
 /** What a test changes of a gateway. */
 type TestGatewayOptions = {readonly codec?: WireCodec; readonly retrySlack?: number; readonly homes?: HomeRegions; readonly hedgeRatio?: number; readonly onHedge?: (result: string) => void; readonly connections?: ConnectionLimits};
@@ -149,8 +150,8 @@
 	quarantine.onHeld(() => {
 		forwarder.endHeldCalls();
 	});
-	const bodies = new BodyBudget(bodyRoomFor(350));
-	const heads = new BodyBudget(processLimitsFor(350, 4096).callers.heads);
+	const bodies = new MemoryBudget(bodyRoomFor(350));
+	const heads = new MemoryBudget(processLimitsFor(350, 4096).callers.heads);
 	const listener = new CallerListener({
 		forwarder, codec, log, heads, bodies, ...(connections && {connections}), limits: () => directory.table?.configuration.limits, onFault() {
 			faults.count++;
