Bound the memory of an agent's call records and of the answers that they keep

Callers saw: 600 queries whose answers hold 200 kB each ended an agent, also after each of them had been answered.

Cause: the record of a call keeps its answer for 150 s at least, with a ticket for its ten minutes more. Only the number of records had a bound (100,000); an answer may have 4 MB, and so may the attempt ID that is its key.

Change: records and answers share a quarter of the heap. Beyond it, the answers of calls without a ticket are dropped, the oldest first: such a call may be sent again. The answers that a ticket may ask for stay, and new calls are refused with `table_full`, as when there are too many records.

--- a/src/calls/call-ledger.ts
+++ b/src/calls/call-ledger.ts
@@ -8,6 +8,7 @@
 import type {CallRequest} from '../messages/call-request.ts';
 import type {CallsCancelParams, CallsCancelResult} from '../messages/calls-cancel.ts';
 import type {RefusalCode} from '../messages/call-frame.ts';
+import {AnswerMemory} from './answer-memory.ts';
 import {type CallEvent, type CallState, nextCallState} from './call-states.ts';
 
 /** How long a record is retained after it is created or, with a ticket, after the ticket expires; in milliseconds. */
@@ -23,6 +24,8 @@
 export type CallRecord = {
 	readonly key: string;
 	readonly bodyDigest: Digest | undefined;
+	/** Whether the call may be repeated with its ticket, and then gets this answer. */
+	readonly hasTicket: boolean;
 	state: CallState;
 	answer: RecordedAnswer | undefined;
 	/** Monotonic time after which a settled record may be deleted, in milliseconds. */
@@ -47,14 +50,19 @@
 	readonly incarnation: string;
 	/** Largest number of records in the table. */
 	readonly maxRecords: number;
+	/** Memory for records and the answers that they keep, in bytes; unlimited if absent. */
+	readonly maxBytes?: number;
 };
 
 /** Records all calls at this agent, so that a call with a ticket runs at most once. */
 export class CallLedger {
 	private readonly records = new Map<string, CallRecord>();
+	private readonly memory: AnswerMemory;
 	private lastSweepAtMs = -Infinity;
 
-	constructor(private readonly options: CallLedgerOptions) {}
+	constructor(private readonly options: CallLedgerOptions) {
+		this.memory = new AnswerMemory(options.maxBytes ?? Infinity);
+	}
 
 	/** Current number of records. */
 	get size(): number {
@@ -76,7 +84,7 @@
 
 		const record = createRecord(key, req.ticket ? digestOf(JSON.stringify(req.work)) : undefined);
 		record.retainUntilMs = retentionEndMs(req.ticket?.expiresAtMs);
-		this.records.set(key, record);
+		this.add(record);
 		return {kind: 'run', record};
 	}
 
@@ -97,6 +105,10 @@
 	markFinished(record: CallRecord, answer: RecordedAnswer | undefined): void {
 		if (applyEvent(record, 'FINISH')) {
 			record.answer = answer;
+			if (answer) {
+				this.memory.addAnswer(record, answer);
+			}
+
 			record.abort = undefined;
 			record.settle();
 		}
@@ -150,6 +162,7 @@
 			const settled = record.state === 'finished' || record.state === 'tombstone';
 			if (settled && record.retainUntilMs < nowMs) {
 				this.records.delete(key);
+				this.memory.remove(record);
 			}
 		}
 	}
@@ -163,7 +176,7 @@
 		const record = createRecord(key, undefined);
 		record.retainUntilMs = retentionEndMs(expiresAtMs);
 		this.markNotRun(record);
-		this.records.set(key, record);
+		this.add(record);
 		return {state: 'not_started'};
 	}
 
@@ -185,12 +198,21 @@
 		return this.isFull() ? 'table_full' : undefined;
 	}
 
+	private add(record: CallRecord): void {
+		this.records.set(record.key, record);
+		this.memory.add(record);
+	}
+
 	private isFull(): boolean {
-		if (this.records.size >= this.options.maxRecords && performance.now() >= this.lastSweepAtMs + minSweepIntervalMs) {
+		if (this.hasNoRoom() && performance.now() >= this.lastSweepAtMs + minSweepIntervalMs) {
 			this.sweep();
 		}
 
-		return this.records.size >= this.options.maxRecords;
+		return this.hasNoRoom();
+	}
+
+	private hasNoRoom(): boolean {
+		return this.records.size >= this.options.maxRecords || this.memory.isFull;
 	}
 }
 
@@ -234,7 +256,7 @@
 function createRecord(key: string, bodyDigest: Digest | undefined): CallRecord {
 	const {promise, resolve} = withResolvers();
 	return {
-		key, bodyDigest, state: 'accepted', answer: undefined, retainUntilMs: 0, settled: promise, settle: resolve, cancelled: false, abort: undefined,
+		key, bodyDigest, hasTicket: bodyDigest !== undefined, state: 'accepted', answer: undefined, retainUntilMs: 0, settled: promise, settle: resolve, cancelled: false, abort: undefined,
 	};
 }
 
--- a/src/cli/agent-process.ts
+++ b/src/cli/agent-process.ts
@@ -66,7 +66,8 @@
 		pauseDetector.onResume(() => {
 			this.rollout?.node.wake();
 		});
-		this.ledger = new CallLedger({incarnation: identity.incarnation, maxRecords: settings.limits.call_records});
+		const limits = processLimitsFor(settings.limits.memory_mb, settings.limits.max_descriptors);
+		this.ledger = new CallLedger({incarnation: identity.incarnation, maxRecords: settings.limits.call_records, maxBytes: limits.recordBytes});
 		const linkRate = () => settings.transfer.link_bytes_per_second * this.base.store.transferLimits().link_share;
 		this.upPacer = new TransferPacer(linkRate);
 		this.downPacer = new TransferPacer(linkRate);
@@ -94,7 +95,7 @@
 		this.base.membership.onLeaveRequest(() => {
 			void this.leaveNotifier.send();
 		});
-		this.control = new HttpListener(this.createRoutes(), log, processLimitsFor(settings.limits.memory_mb, settings.limits.max_descriptors).agent);
+		this.control = new HttpListener(this.createRoutes(), log, limits.agent);
 		addListenerMetrics(this.base.metrics, {control: this.control});
 		this.shutdown = this.createDrain();
 	}
--- a/src/limits/process-limits.ts
+++ b/src/limits/process-limits.ts
@@ -2,7 +2,7 @@
 import type {ConnectionLimits} from '../links/connection-limit.ts';
 import {bodyRoomFor, messageBodyRoom} from './body-room.ts';
 import type {MemoryRoom} from './memory-budget.ts';
-import {headRoomFor, maxWaitingRequestsFor} from './head-memory.ts';
+import {headRoomFor, heapBytesFor, maxWaitingRequestsFor} from './head-memory.ts';
 import {jsonRoomFor} from './json-memory.ts';
 import {maxBufferedBytesFor} from './response-buffers.ts';
 
@@ -85,6 +85,9 @@
 /** Share of the descriptors for calls that a gateway forwards. */
 const callDescriptorShare = 0.25;
 
+/** Share of the heap for the call records of an agent. */
+const recordHeapShare = 0.25;
+
 const bytesPerMegabyte = 1_000_000;
 
 /** The limits of one listener. */
@@ -103,6 +106,8 @@
 export type ProcessLimits = Readonly<Record<keyof typeof listenerShares, ListenerLimits>> & {
 	/** Calls that are forwarded at a time; each has a connection to an instance. */
 	readonly openCalls: number;
+	/** Memory for the call records of an agent, in bytes. */
+	readonly recordBytes: number;
 };
 
 /** Returns the limits for a memory limit in megabytes and a number of descriptors. */
@@ -127,6 +132,7 @@
 		readiness: limitsOf('readiness'),
 		agent: limitsOf('agent'),
 		stager: limitsOf('stager'),
+		recordBytes: heapBytesFor(memoryMb) * recordHeapShare,
 		openCalls: wholeShare(descriptors * callDescriptorShare, memoryMb * callsPerMegabyte),
 	};
 }
--- a/test/call-ledger.test.ts
+++ b/test/call-ledger.test.ts
@@ -144,3 +144,26 @@
 	const other = bookingCall({ticket, work: {kind: 'operation', operation: 'book', body: {booking: 'b2'}}});
 	expect(ledger.accept(other)).to.deep.equal({kind: 'refuse', code: 'ticket_mismatch'});
 });
+
+// Guards against answers that take all memory, and against the loss of one that a ticket may still ask for.
+it('answers beyond the memory are dropped unless a ticket may ask for them, and then new calls are refused', () => {
+	const answerBytes = 10_000;
+	const ledger = new CallLedger({incarnation: 'i1', maxRecords: 100, maxBytes: 10 * answerBytes});
+	const finish = (call: CallRequest): CallRecord | undefined => {
+		const decision = ledger.accept(call);
+		if (decision.kind !== 'run') {
+			return undefined;
+		}
+
+		ledger.markForwarded(decision.record);
+		ledger.markFinished(decision.record, {status: 200, body: 'x'.repeat(answerBytes)});
+		return decision.record;
+	};
+
+	const repeatable = [1, 2, 3].map(at => finish(bookingCall({attempt: `a${at}`})));
+	const withTicket = ['n1', 'n2', 'n3', 'n4'].map(nonce => finish(bookingCall({ticket: {nonce, incarnation: 'i1', expiresAtMs: Date.now() + ticketMs}})));
+	expect(repeatable.map(record => record?.answer)).to.deep.equal([undefined, undefined, undefined]);
+	expect(withTicket.map(record => record?.answer !== undefined)).to.deep.equal([true, true, true, true]);
+	expect(ledger.accept(bookingCall({attempt: 'a4'}))).to.deep.equal({kind: 'refuse', code: 'table_full'});
+	expect(ledger.accept(bookingCall({ticket: {nonce: 'n1', incarnation: 'i1', expiresAtMs: Date.now() + ticketMs}})).kind).to.equal('duplicate');
+});
--- a/test/support/crowd.ts
+++ b/test/support/crowd.ts
@@ -149,6 +149,15 @@
 		await write(client, head(defaultPath, `Content-Length: ${nestedJson.length}\r\n`));
 		await write(client, nestedJson);
 	},
+	/** Queries whose answers are as long as their bodies. */
+	async queries(client) {
+		client.socket.resume();
+		const body = JSON.stringify({query: 'x'.repeat(200_000)});
+		for (let sent = 0; sent < 15 && mayGoOn(client); sent++) {
+			await write(client, head(defaultPath, `Content-Length: ${body.length}\r\n`) + body);
+			await sleep(50);
+		}
+	},
 	/** Requests for the whole directory whose responses are not read. */
 	async snapshots(client) {
 		client.socket.pause();
--- a/test/untrusted-clients-roles.test.ts
+++ b/test/untrusted-clients-roles.test.ts
@@ -75,6 +75,15 @@
 	}
 }
 
+it('guards an agent against answers that it keeps for repeated calls: the process lives within its memory, and an ordinary operation is served afterwards', async () => {
+	await withFleet(async (entry, {child}) => {
+		await waitFor('an operation is served before', async () => isOperationServed(entry));
+		await expectToOutlast({
+			processes, child, url: `http://${entry.callers}`, kinds: 'queries', count: 40, path: '/v1/operations/booking/status', isServed: async () => isOperationServed(entry),
+		});
+	});
+});
+
 for (const [what, kinds, count] of crowds) {
 	it(`guards the control of a stager against ${what}: the process lives within its memory and descriptors, and an ordinary request is served afterwards`, async () => {
 		const store = await startBodyService(processes);
