Tests: one client that keeps what it receives; shares of call listeners once

test/support/raw-client.ts takes the place of five copies of a socket that collects what it receives; each test checks as much as before (the connection with the most waiting requests: no response, and closed). Entries' callers and agents have one row of shares.

--- a/src/limits/process-limits.ts
+++ b/src/limits/process-limits.ts
@@ -31,17 +31,20 @@
 const callersPerMegabyte = 8;
 const callsPerMegabyte = 4;
 
+/** What a listener that takes calls may take. */
+const callShares: ListenerShares = {
+	descriptors: 0.5,
+	heads: 0.04,
+	requests: 0.1,
+	json: 0.4,
+	unread: 0.1,
+	bodies: bodyRoomFor,
+	connectionsPerMegabyte: callersPerMegabyte,
+};
+
 /** The kinds of listeners. What their descriptors leave is for connections to peers, to the store and to upstreams. */
 const listenerShares = {
-	callers: {
-		descriptors: 0.5,
-		heads: 0.04,
-		requests: 0.1,
-		json: 0.4,
-		unread: 0.1,
-		bodies: bodyRoomFor,
-		connectionsPerMegabyte: callersPerMegabyte,
-	},
+	callers: callShares,
 	control: {
 		descriptors: 0.1,
 		heads: 0.01,
@@ -61,15 +64,7 @@
 		connectionsPerMegabyte: Number.POSITIVE_INFINITY,
 	},
 	/** The only listener of an agent, which takes calls from entries. */
-	agent: {
-		descriptors: 0.5,
-		heads: 0.04,
-		requests: 0.1,
-		json: 0.4,
-		unread: 0.1,
-		bodies: bodyRoomFor,
-		connectionsPerMegabyte: callersPerMegabyte,
-	},
+	agent: callShares,
 	/** The only listener of a stager, which serves weights to other stagers. */
 	stager: {
 		descriptors: 0.5,
--- a/test/body-memory.test.ts
+++ b/test/body-memory.test.ts
@@ -12,6 +12,7 @@
 import {waitFor} from './support/fleet.ts';
 import {Processes} from './support/processes.ts';
 import {peakMemoryMb} from './support/process-usage.ts';
+import {connectRaw} from './support/raw-client.ts';
 
 const support = path.join(import.meta.dirname, 'support');
 
@@ -138,24 +139,17 @@
 	const gateway = await startTestGateway({...configuration, limits}, [testInstance({id: 'i-0', address: upstream.address})]);
 	gateway.bodies.tryTake(bodyRoomFor(memoryMb).large - (1.5 * bodyBytes));
 	const head = 'POST /p/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: id-1\r\nApi-Key: k1\r\nDeadline-Ms: 900\r\n';
-	const answers = ['', ''];
-	const sockets = answers.map((_, at) => net.connect({host: '127.0.0.1', port: Number(new URL(gateway.url).port)})
-		.on('error', () => undefined)
-		.on('data', part => {
-			answers[at] += part.toString('latin1');
-		}));
+	const [first, second] = [connectRaw(gateway.url), connectRaw(gateway.url)];
 	try {
-		sockets[0]!.write(`${head}Content-Length: ${bodyBytes}\r\n\r\n${'x'.repeat(100_000)}`);
+		first.socket.write(`${head}Content-Length: ${bodyBytes}\r\n\r\n${'x'.repeat(100_000)}`);
 		await sleep(1700);
-		sockets[1]!.write(`${head}Content-Length: ${bodyBytes}\r\n\r\n${'x'.repeat(bodyBytes)}`);
-		await waitFor('both answers', () => answers.every(answer => answer !== ''));
-		expect(answers.map(answer => answer.slice(9, 12))).to.deep.equal(['503', '200']);
-		expect(answers[0]).to.match(/retry-after: \d/i);
+		second.socket.write(`${head}Content-Length: ${bodyBytes}\r\n\r\n${'x'.repeat(bodyBytes)}`);
+		await waitFor('both answers', () => first.received() !== '' && second.received() !== '');
+		expect([first, second].map(({received}) => received().slice(9, 12))).to.deep.equal(['503', '200']);
+		expect(first.received()).to.match(/retry-after: \d/i);
 	} finally {
-		for (const socket of sockets) {
-			socket.destroy();
-		}
-
+		first.socket.destroy();
+		second.socket.destroy();
 		gateway.close();
 		upstream.close();
 	}
--- a/test/request-memory.test.ts
+++ b/test/request-memory.test.ts
@@ -1,6 +1,5 @@
 /** What requests may make a listener keep: their heads, parsed bodies, places behind other requests, and responses that are not read. */
 import {Buffer} from 'node:buffer';
-import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {MemoryBudget, maxSmallBytes} from '../src/limits/memory-budget.ts';
@@ -16,6 +15,7 @@
 	sendSignedResponse, startTestGateway, startUpstream, testConfiguration, testInstance,
 } from './support/direct-fixtures.ts';
 import {waitFor} from './support/fleet.ts';
+import {connectRaw} from './support/raw-client.ts';
 
 const manyFields = Array.from({length: 1600}, (_, at) => [at.toString(36).padStart(2, '0'), 'ab']).flat();
 const fewFields = ['host', 'a.example', 'attempt-id', 'id-1', 'api-key', 'k1'];
@@ -91,24 +91,17 @@
 		},
 	};
 	await withListener(routes, {maxWaitingRequests: 6}, async url => {
-		const {hostname: host, port} = new URL(url);
-		const request = 'GET /slow HTTP/1.1\r\nHost: a\r\n\r\n';
-		const received = await Promise.all([3, 7, 2].map(async requests => new Promise<number>(resolve => {
-			let text = '';
-			const socket = net.connect({host, port: Number(port)});
-			socket.on('data', part => {
-				text += part.toString('latin1');
-				if (text.split('HTTP/1.1 200').length - 1 === requests) {
-					socket.destroy();
-				}
-			});
-			socket.on('error', () => undefined);
-			socket.on('close', () => {
-				resolve(text.split('HTTP/1.1 200').length - 1);
-			});
-			socket.write(request.repeat(requests));
-		})));
-		expect(received).to.deep.equal([3, 0, 2]);
+		const clients = [3, 7, 2].map(requests => {
+			const client = connectRaw(url);
+			client.socket.write('GET /slow HTTP/1.1\r\nHost: a\r\n\r\n'.repeat(requests));
+			return client;
+		});
+		const served = () => clients.map(({received}) => received().split('HTTP/1.1 200').length - 1);
+		await waitFor('the responses', () => served()[0] === 3 && served()[2] === 2);
+		expect([served()[1], clients[1]!.isClosed()]).to.deep.equal([0, true]);
+		for (const {socket} of clients) {
+			socket.destroy();
+		}
 	});
 });
 
@@ -120,26 +113,22 @@
 		},
 	};
 	await withListener(routes, {unreadBytes: 12_000_000}, async url => {
-		const {hostname: host, port} = new URL(url);
-		let closed = 0;
-		const sockets = Array.from({length: 8}, () => {
-			const socket = net.connect({host, port: Number(port)}).on('error', () => undefined).on('close', () => {
-				closed++;
-			});
-			socket.pause();
-			socket.write('GET /large HTTP/1.1\r\nHost: a\r\n\r\n'.repeat(3));
-			return socket;
+		const clients = Array.from({length: 8}, () => {
+			const client = connectRaw(url);
+			client.socket.pause();
+			client.socket.write('GET /large HTTP/1.1\r\nHost: a\r\n\r\n'.repeat(3));
+			return client;
 		});
 		await sleep(500);
 		const res = await fetch(`${url}/large`);
 		const received = await res.text();
 		expect([res.status, received.length]).to.deep.equal([200, text.length + 2]);
-		for (const socket of sockets) {
+		for (const {socket} of clients) {
 			socket.resume();
 		}
 
-		await waitFor('connections are closed', () => closed > 0);
-		for (const socket of sockets) {
+		await waitFor('connections are closed', () => clients.some(({isClosed}) => isClosed()));
+		for (const {socket} of clients) {
 			socket.destroy();
 		}
 	});
@@ -159,20 +148,16 @@
 		}
 	});
 	const gateway = await startTestGateway(testConfiguration(1, {timeoutMs: 5000}), [testInstance({id: 'i-0', address: upstream.address})]);
-	const socket = net.connect({host: '127.0.0.1', port: Number(new URL(gateway.url).port)});
-	let received = '';
-	socket.on('data', part => {
-		received += part.toString('latin1');
-	});
+	const {socket, received} = connectRaw(gateway.url);
 	const call = (path: string, id: number) => `POST ${path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: id-${id}\r\nApi-Key: k1\r\nDeadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n`;
 	try {
 		socket.write([call('/p/first', 0), ...Array.from({length: waitingCalls}, (_, at) => call('/p/x', at + 1))].join(''));
 		const {buffers} = gateway.forwarder;
 		await waitFor('the responses are counted', () => buffers.usedBytes >= waitingCalls * responseBytes);
-		expect(received).to.equal('');
+		expect(received()).to.equal('');
 		release!();
-		await waitFor('all responses', () => received.split('x'.repeat(responseBytes)).length - 1 === waitingCalls);
-		expect(received.indexOf('first.')).to.be.below(received.indexOf('xxx'));
+		await waitFor('all responses', () => received().split('x'.repeat(responseBytes)).length - 1 === waitingCalls);
+		expect(received().indexOf('first.')).to.be.below(received().indexOf('xxx'));
 		await waitFor('nothing is counted any more', () => buffers.usedBytes === 0);
 	} finally {
 		socket.destroy();
--- a/test/unreadable-requests.test.ts
+++ b/test/unreadable-requests.test.ts
@@ -1,5 +1,4 @@
 /** Requests that cannot be parsed, on a connection on which an earlier request has no response so far. */
-import net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {expect} from 'chai';
 import {HttpListener, sendJson} from '../src/links/http-listener.ts';
@@ -8,6 +7,7 @@
 import {isCallServed, startBodyService} from './support/body-service.ts';
 import {waitFor} from './support/fleet.ts';
 import {Processes} from './support/processes.ts';
+import {connectRaw} from './support/raw-client.ts';
 
 const processes = new Processes();
 
@@ -25,22 +25,12 @@
 
 /** Sends a request and, a little later, further bytes; returns all that is received until the connection closes. */
 async function receiveAll(url: string, request: string, more: string): Promise<string> {
-	const {hostname: host, port} = new URL(url);
-	const socket = net.connect({host, port: Number(port)});
-	let received = '';
-	let isClosed = false;
-	socket.on('data', part => {
-		received += part.toString('latin1');
-	});
-	socket.on('error', () => undefined);
-	socket.on('close', () => {
-		isClosed = true;
-	});
+	const {socket, received, isClosed} = connectRaw(url);
 	socket.write(request);
 	await sleep(200);
 	socket.write(more);
-	await waitFor('the connection closes', () => isClosed);
-	return received;
+	await waitFor('the connection closes', isClosed);
+	return received();
 }
 
 it('guards against the refusal of a call that runs: after a call of which the response comes later, its gateway gets bytes that it cannot parse', async () => {
