Close a connection after its last request while a process drains, not its first

Callers saw: of two lookups sent without waiting, after SIGTERM, the second was passed on to an instance, ran, and had no answer: 10 of 10 connections.

Cause: while it drains, a gateway sets `Connection: close` on each response, and Node.js closes the connection after the first one that has it, also if a further request of it has been read and passed on.

Change: the header moves to the response of the last request that was read. A request that comes after a response with the header was sent is not handled, so that it does not run. Listeners of the other roles do the same.

--- a/src/forwarding/caller-listener.ts
+++ b/src/forwarding/caller-listener.ts
@@ -186,8 +186,8 @@
 
 	private serve(req: http.IncomingMessage, res: http.ServerResponse, boundary: CallBoundary): void {
 		const receivedAtMs = performance.now();
-		if (this.isClosing) {
-			res.setHeader('connection', 'close');
+		if (this.isClosing && !this.connections.closeAfter(res)) {
+			return;
 		}
 
 		let call: ForwardedCall | undefined;
--- a/src/links/http-listener.ts
+++ b/src/links/http-listener.ts
@@ -127,8 +127,8 @@
 	}
 
 	private async serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
-		if (this.isClosing) {
-			res.setHeader('connection', 'close');
+		if (this.isClosing && !this.connections.closeAfter(res)) {
+			return;
 		}
 
 		if (this.requestLimits?.take(req, res) === false) {
--- a/src/links/server-connections.ts
+++ b/src/links/server-connections.ts
@@ -88,6 +88,25 @@
 		}
 	}
 
+	/**
+	 * Lets a connection close after a response, and no longer after those to earlier requests.
+	 *
+	 * @returns false if an earlier response has announced the end of the connection already, so that this one could not be sent
+	 */
+	closeAfter(res: http.ServerResponse): boolean {
+		const earlier = [...this.unwritten.get(res.req.socket) ?? []].filter(other => other !== res);
+		if (earlier.some(other => other.headersSent && other.getHeader('connection') === 'close')) {
+			return false;
+		}
+
+		for (const other of earlier.filter(({headersSent}) => !headersSent)) {
+			other.removeHeader('connection');
+		}
+
+		res.setHeader('connection', 'close');
+		return true;
+	}
+
 	/** Whether a connection is about to close; a further request there would get no response. */
 	isEnding(socket: Duplex): boolean {
 		return this.ending.has(socket);
--- a/test/planned-stop.test.ts
+++ b/test/planned-stop.test.ts
@@ -12,6 +12,7 @@
 import {DirectoryStore} from './support/directory-store.ts';
 import {waitFor} from './support/fleet.ts';
 import {type GatewayProcess, Processes, type StreamWorker} from './support/processes.ts';
+import {connectRaw} from './support/raw-client.ts';
 
 /** How long a process gets no processor time, in milliseconds. */
 const pauseMs = 1300;
@@ -259,3 +260,22 @@
 	expect(gateway.bodies.usedBytes).to.equal(0);
 	expect(drainMs).to.be.lessThan(1000);
 });
+
+it('guards against a call that runs and has no answer: two calls are sent without a wait to a gateway that closes its connections, and both are answered', async () => {
+	const upstream = await startUpstream(async (req, res) => {
+		await sleep(100);
+		sendSignedResponse(req, res, 200, `answer to ${String(req.headers['attempt-id'])}.`);
+	});
+	const gateway = await startTestGateway(testConfiguration(1), [testInstance({id: 'i-0', address: upstream.address})]);
+	gateway.listener.disableKeepAlive();
+	const {socket, received, isClosed} = connectRaw(gateway.url);
+	const call = (id: string) => `POST /p/x HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: ${id}\r\nApi-Key: k1\r\nDeadline-Ms: 900\r\nContent-Length: 0\r\n\r\n`;
+	try {
+		socket.write(`${call('id-1')}${call('id-2')}`);
+		await waitFor('the connection closes', isClosed);
+		expect(received()).to.include('answer to id-1.').and.include('answer to id-2.');
+	} finally {
+		gateway.close();
+		upstream.close();
+	}
+});
