--- a/src/links/connection-limit.ts
+++ b/src/links/connection-limit.ts
@@ -20,6 +20,9 @@
 /** Memory that a byte of an incomplete head takes at most, in bytes: its fields are kept as separate strings. */
 const bytesPerHeadByte = 4;
 
+/** Memory that a field of an incomplete head takes, in bytes. */
+const bytesPerField = 96;
+
 /** At most one line is logged in this time, in milliseconds. */
 const logIntervalMs = 1000;
 
@@ -41,9 +44,6 @@
 	readonly closeSlow?: () => boolean;
 };
 
-/** Memory that a field of an incomplete head takes, in bytes. */
-const bytesPerField = 96;
-
 /** A connection. */
 type Connection = {
 	/** Requests without a whole response. */
