End an exchange with more than 16 interim heads

Cause: nothing limited the interim heads of a response. A read holds some 2,500 of them, and the attempt went on until the call's timeout, by which the instance was not held for failing.

Change: the 17th interim head ends the attempt as failed after it was sent, so that the call has its 502 at once, and the instance counts as failing.

--- a/src/forwarding/upstream-exchange.ts
+++ b/src/forwarding/upstream-exchange.ts
@@ -18,6 +18,9 @@
 const noContentStatus = 204;
 const notModifiedStatus = 304;
 
+/** How many interim heads a response may have. A server in trouble may send them without end, some thousand in each read. */
+const maxInterimHeads = 16;
+
 /** The request to send. */
 export type ExchangeRequest = {
 	readonly host: string;
@@ -52,6 +55,7 @@
 	private isConnected = false;
 	private hasWritten = false;
 	private isFinished = false;
+	private interimHeads = 0;
 	/** Whether the whole response has arrived. */
 	private isComplete = false;
 	/** Whether the upstream closed the connection with a FIN rather than a reset. */
@@ -82,6 +86,12 @@
 		this.req.on('response', boundary.wrap('answer', (res: http.IncomingMessage) => {
 			this.handleResponse(res);
 		}));
+		this.req.on('information', boundary.wrap('answer', () => {
+			this.interimHeads++;
+			if (this.interimHeads > maxInterimHeads) {
+				this.fail('too_many_interim_heads');
+			}
+		}));
 		this.req.on('upgrade', boundary.wrap('answer', (res: http.IncomingMessage, socket: net.Socket) => {
 			// Without a listener, Node.js closes the connection and reports nothing.
 			socket.destroy();
--- a/test/endless-answers.test.ts
+++ b/test/endless-answers.test.ts
@@ -99,6 +99,17 @@
 	});
 }
 
+it('guards against interim heads without end that keep a gateway busy: the call ends long before its timeout, as possibly run', async () => {
+	const {gateway, server, close} = await startEndlessGateway('informational heads', {kind: 'once', timeoutMs: 20_000});
+	try {
+		const {status} = await callGateway(gateway.url, {headers: {'deadline-ms': '20000'}});
+		expect(status).to.equal(502);
+		await waitUntilClosed(server.open);
+	} finally {
+		close();
+	}
+});
+
 it('guards against slow bytes without end: heads that never become an answer do not hold a call that may be repeated', async () => {
 	const healthy = await startUpstream((req, res) => {
 		sendSignedResponse(req, res, 200, 'ok');
