Leave some room for fields and call records whatever the heap

With a memory limit below the 16 MB of the program, the room for fields of incomplete heads and for call records was 0, so that each head of 32 fields closed its connection and an agent refused all calls. At least 1 MiB and 2 MiB now, like the other rooms.

--- a/src/limits/process-limits.ts
+++ b/src/limits/process-limits.ts
@@ -83,6 +83,9 @@
 /** Share of the heap for the call records of an agent. */
 const recordHeapShare = 0.25;
 
+/** Memory for call records whatever the heap, in bytes. */
+const minRecordBytes = 2_097_152;
+
 const bytesPerMegabyte = 1_000_000;
 
 /** The limits of one listener. */
@@ -110,12 +113,13 @@
 	const descriptors = Math.max(fileDescriptors, maxDescriptors - fileDescriptors);
 	const limitsOf = (kind: keyof typeof listenerShares): ListenerLimits => {
 		const shares: ListenerShares = listenerShares[kind];
+		const requestRoom = headRoomFor(memoryMb, shares.requests);
 		return {
 			maxConnections: wholeShare(descriptors * shares.descriptors, memoryMb * shares.connectionsPerMegabyte),
 			headBytes: memoryMb * bytesPerMegabyte * shares.heads,
-			fieldBytes: heapBytesFor(memoryMb) * shares.requests,
+			fieldBytes: requestRoom.large,
 			maxWaitingRequests: maxWaitingRequestsFor(memoryMb, shares.requests),
-			heads: headRoomFor(memoryMb, shares.requests),
+			heads: requestRoom,
 			json: jsonRoomFor(memoryMb, shares.json),
 			bodies: shares.bodies(memoryMb),
 			unreadBytes: maxBufferedBytesFor(memoryMb, shares.unread),
@@ -128,7 +132,7 @@
 		readiness: limitsOf('readiness'),
 		agent: limitsOf('agent'),
 		stager: limitsOf('stager'),
-		recordBytes: heapBytesFor(memoryMb) * recordHeapShare,
+		recordBytes: Math.max(minRecordBytes, heapBytesFor(memoryMb) * recordHeapShare),
 		openCalls: wholeShare(descriptors * callDescriptorShare, memoryMb * callsPerMegabyte),
 	};
 }
