--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -93,7 +93,7 @@
 
 /** The `ini` package throws a TypeError on the key `'null'`, which it unquotes and parses as null. */
 it('a line on which the ini package throws is reported as a finding', () => {
-	expect(formatFindings(checkSettings(`${entryText}'null' = 1\n`, 'e.ini'))).to.deep.equal(['24 (line) cannot be read as INI']);
+	expect(formatFindings(checkSettings(`${entryText}'null' = 1\n`, 'e.ini'))).to.deep.equal(['27 (line) cannot be read as INI']);
 });
 
 it('a JSON syntax error is reported with its line', () => {
