Hold neither a request nor a connection longer than needed to count heads

Beside it, the function that was wrapped for each connection stayed on its parser, which Node.js uses again, and held the connection of before.

Change: a weak reference to the request; one function for all parsers, which finds the connection by the parser.

--- a/src/links/connection-limit.ts
+++ b/src/links/connection-limit.ts
@@ -48,7 +48,8 @@
 type Connection = {
 	/** Requests without a whole response. */
 	openRequests: number;
-	lastRequest?: http.IncomingMessage;
+	/** The last request. Its listeners hold its body and its response, which may be dropped long before the connection closes. */
+	lastRequest?: WeakRef<http.IncomingMessage>;
 	/** What had been received when the last request began, or when the connection was last idle, in bytes. */
 	bytesBefore: number;
 	/** Fields of an incomplete head or of incomplete trailers. */
@@ -134,7 +135,7 @@
 
 		this.idle.delete(socket);
 		this.setFields(socket, 0);
-		connection.lastRequest = req;
+		connection.lastRequest = new WeakRef(req);
 		connection.bytesBefore = socket.bytesRead;
 		connection.openRequests++;
 		this.waitingRequests += Number(connection.openRequests > 1);
@@ -254,7 +255,7 @@
 /** Returns the bytes of a connection that belong to an incomplete head or to incomplete trailers. */
 function countHeadBytes(socket: net.Socket, {openRequests, lastRequest, bytesBefore}: Connection): number {
 	const bytesAtBody = chunkPacer.findBytesAtBody(socket);
-	if (openRequests > 0 && lastRequest?.complete === false && (bytesAtBody ?? 0) <= bytesBefore) {
+	if (openRequests > 0 && lastRequest?.deref()?.complete === false && (bytesAtBody ?? 0) <= bytesBefore) {
 		// Nothing of the body has been read so far: what has arrived may be its beginning.
 		return 0;
 	}
--- a/src/links/header-fields.ts
+++ b/src/links/header-fields.ts
@@ -12,11 +12,22 @@
 type OnFields = (this: FieldParser, fields: string[], url: string) => void;
 
 /** The part of a parser of Node.js that this module uses. `_headers` holds names and values by turns. */
-type FieldParser = {[onFieldsIndex]?: OnFields; _headers: string[]};
+type FieldParser = {[onFieldsIndex]?: OnFields; _headers: string[]; readonly socket?: net.Socket | null};
 
-/** The function of the parsers, which are used again for further connections. */
+/** What is called with the number of fields of a connection. */
+const listeners = new WeakMap<net.Socket, (count: number) => void>();
+
+/** The function of the parsers. */
 let parserOnFields: OnFields | undefined;
 
+/** Takes the place of the function of the parsers. They are used again for further connections, so that it must not hold on to one. */
+function handleFields(this: FieldParser, fields: string[], url: string): void {
+	parserOnFields?.call(this, fields, url);
+	if (this.socket) {
+		listeners.get(this.socket)?.(this._headers.length / 2);
+	}
+}
+
 /**
  * Watches the fields of a connection.
  *
@@ -24,15 +35,11 @@
  */
 export function watchFields(socket: net.Socket, onFields: (count: number) => void): void {
 	const parser = findParser(socket);
-	parserOnFields ??= parser?.[onFieldsIndex];
-	const original = parserOnFields;
+	const original = parser?.[onFieldsIndex];
 	if (parser && original) {
-		parser[onFieldsIndex] = function (fields, url) {
-			original.call(this, fields, url);
-			if (findParser(socket) === this) {
-				onFields(this._headers.length / 2);
-			}
-		};
+		parserOnFields ??= original;
+		parser[onFieldsIndex] = handleFields;
+		listeners.set(socket, onFields);
 	}
 }
 
