Remember a delay of the event loop after the tick that found it

Callers saw nothing of it, but engines could begin calls on expired weights: the margin before the expiry is to grow with the recent delay of the event loop, up to 1 s, and on real clocks it never did. Cause: a delay was kept only if it was no less than recentDelayMs, which contains the delay of the same tick, read a moment later and thus larger; with the faked clock of the tests both are equal.

Test: start-expiry.test, in real time, red before (0 instead of at least 200).

--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -55,8 +55,7 @@
 
 	/** The largest recent delay of the event loop, less the older it is, in milliseconds: how late a timer may run now. */
 	get recentDelayMs(): number {
-		const decayedMs = this.largestDelay.ms * (0.5 ** ((performance.now() - this.largestDelay.atMs) / delayHalfLifeMs));
-		return Math.max(decayedMs, this.tickDelayMs);
+		return Math.max(this.decayedDelayMs, this.tickDelayMs);
 	}
 
 	get listeningMs(): number {
@@ -73,6 +72,11 @@
 		return unnoticedMessageDelayMs + this.messageWaitMs + this.tickDelayMs;
 	}
 
+	/** What is left of the largest delay of an earlier tick, in milliseconds. */
+	private get decayedDelayMs(): number {
+		return this.largestDelay.ms * (0.5 ** ((performance.now() - this.largestDelay.atMs) / delayHalfLifeMs));
+	}
+
 	/** How late the next tick is, in milliseconds. */
 	private get tickDelayMs(): number {
 		return Math.max(0, performance.now() - this.lastTickAtMs - pauseCheckIntervalMs);
@@ -130,7 +134,7 @@
 
 	private recordDelay(): void {
 		const delayMs = this.tickDelayMs;
-		if (delayMs >= this.recentDelayMs) {
+		if (delayMs >= this.decayedDelayMs) {
 			this.largestDelay = {ms: delayMs, atMs: performance.now()};
 		}
 
--- a/test/start-expiry.test.ts
+++ b/test/start-expiry.test.ts
@@ -1,6 +1,7 @@
 /** Calls that have not begun when the version of weights that they were sent to expires, while the event loop is busy. */
 import {expect} from 'chai';
 import {StartDeadline} from '../src/forwarding/start-deadline.ts';
+import {PauseDetector} from '../src/runtime/pause-detector.ts';
 import {createServiceId} from '../src/ids/service-id.ts';
 import {
 	callGateway, observedNow, startTestGateway, startUpstream, testBoundary, testConfiguration, testInstance,
@@ -10,13 +11,17 @@
 /** How long each round of the event loop takes, in milliseconds. */
 const roundMs = 60;
 
+function block(ms: number): void {
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+}
+
 /** Runs rounds of the event loop that each take long; returns what `observe` returns in each of them, before it blocks. */
 async function runLongRounds<Value>(count: number, observe: () => Value): Promise<Value[]> {
 	const seen: Value[] = [];
 	return new Promise(resolve => {
 		const runRound = () => {
 			seen.push(observe());
-			Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, roundMs);
+			block(roundMs);
 			if (seen.length < count) {
 				setImmediate(runRound);
 			} else {
@@ -77,3 +82,22 @@
 		upstream.close();
 	}
 });
+
+it('guards against a late event loop that is forgotten with its next tick: in real time, the delay still counts after it', async () => {
+	const detector = new PauseDetector();
+	try {
+		const delaysMs = await new Promise<number[]>(resolve => {
+			const seen: number[] = [];
+			detector.onTick(() => {
+				seen.push(detector.recentDelayMs);
+				if (seen.length === 3) {
+					resolve(seen);
+				}
+			});
+			block(500);
+		});
+		expect(Math.min(...delaysMs)).to.be.at.least(200);
+	} finally {
+		detector.stop();
+	}
+});
