Count ages in messages from own requests; other messages bound provisionally

What callers saw: calls may begin on older weights after their expiry in a zone whose links are held up.

Cause: a message that answers no request of the reader ('sync', 'news', the request of an exchange) counted as sent 250 ms before it was read at the earliest. Links that carry weights hold packets up for about a second. An answer to an own datagram also counted as unasked if the next request was sent before it arrived, which is so with a round trip of over a second. The numbers of requests began at 1 after each restart, so that an answer to a request from before it could count as one to a request since.

Other messages count as sent up to 3 s before they arrived, which is a provisional bound: whoever believes something new by one asks its sender at once by a 'sync' datagram, so the 3 s don't add up from process to process. Formats of messages are unchanged; processes of earlier versions answer.

--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -174,10 +174,10 @@
 		const {part, source, directory: {clock}} = this.options;
 		if (watch) {
 			const changes = await source.watch(part, watch.after, watch.waitMs, signal);
-			const {sentAfterMs} = clock;
+			const {arrivedAfterMs} = clock;
 			// The source answers a watch as soon as there is a change, so one that is answered late tells what has just changed.
-			const namedAfterMs = sentAfterMs > requestedAtMs + maxRequestMs ? sentAfterMs : this.completeUntilMs;
-			this.applyResponse(run, changes, {isFullRead: false, namedAfterMs, completeUntilMs: Math.max(requestedAtMs, sentAfterMs)});
+			const namedAfterMs = arrivedAfterMs > requestedAtMs + maxRequestMs ? arrivedAfterMs : this.completeUntilMs;
+			this.applyResponse(run, changes, {isFullRead: false, namedAfterMs, completeUntilMs: Math.max(requestedAtMs, arrivedAfterMs)});
 		} else {
 			const snapshot = await source.read(part, signal);
 			this.applyResponse(run, snapshot, {isFullRead: true, namedAfterMs: this.completeUntilMs, completeUntilMs: requestedAtMs});
--- a/src/peers/directory-replica.ts
+++ b/src/peers/directory-replica.ts
@@ -63,7 +63,16 @@
 			self, others, coverage, watchers, log, clock,
 		});
 		this.news = new NewsSpreader({
-			self, others, directory, puller, random, datagrams, port,
+			self,
+			others,
+			directory,
+			puller,
+			random,
+			datagrams,
+			port,
+			ask: address => {
+				this.group.ask(address);
+			},
 		});
 		const checks = new DirectoryChecks({
 			self,
--- a/src/peers/news-spreader.ts
+++ b/src/peers/news-spreader.ts
@@ -35,6 +35,8 @@
 	/** The number of the port on which all processes receive datagrams. */
 	readonly port: number;
 	readonly random: RandomSource;
+	/** Asks the process with a control address for its message. */
+	readonly ask: (address: string) => void;
 };
 
 /** Tells other processes of changes, and takes news from them. */
@@ -52,7 +54,12 @@
 	start(): void {
 		const {datagrams, directory, puller} = this.options;
 		datagrams.on('news', newsDatagramSchema, ([, address, state, versions]) => {
+			const {versionChanges} = directory;
 			directory.mergeFromPeer({versions}, directory.clock.sentAfterMs);
+			if (directory.versionChanges !== versionChanges) {
+				this.options.ask(address);
+			}
+
 			if (this.options.self.role === 'gateway') {
 				void puller.pull(address, state);
 			}
--- a/src/peers/peer-group.ts
+++ b/src/peers/peer-group.ts
@@ -12,6 +12,7 @@
 import type {RandomSource} from '../runtime/random-source.ts';
 import type {DirectoryPuller} from './directory-puller.ts';
 import type {PeerList} from './peer-list.ts';
+import {SyncRequests} from './sync-requests.ts';
 import type {WatchCoverage} from './watch-duty.ts';
 
 /** Mean interval between the exchanges that a process starts, in milliseconds: during discovery, and afterwards. */
@@ -57,28 +58,28 @@
 export class PeerGroup {
 	private discoveryUntilMs = performance.now() + discoveryMs;
 	private round = 0;
-	private sentDatagrams = 0;
+	private readonly requests: SyncRequests;
 	/** The peer whose response to a datagram is awaited. */
-	private awaited: {readonly vm: string; readonly number: number; readonly sentAtMs: number; readonly resolve: (theirs: PeersExchange) => void} | undefined;
+	private awaited: {readonly vm: string; readonly number: number; readonly resolve: (theirs: PeersExchange) => void} | undefined;
 	private timer: NodeJS.Timeout | undefined;
 	private stopped = false;
 
-	constructor(private readonly options: PeerGroupOptions) {}
+	constructor(private readonly options: PeerGroupOptions) {
+		this.requests = new SyncRequests(options.random);
+	}
 
 	/** Starts to exchange with peers periodically. */
 	start(): void {
 		const {datagrams, directory} = this.options;
 		datagrams.on('sync', syncDatagramSchema, ([, theirs, number]) => {
-			this.applyMessage(theirs, directory.clock.sentAfterMs);
+			this.applyUnasked(theirs, directory.clock.sentAfterMs);
 			this.pullFrom(theirs);
 			this.sendDatagram(['synced', this.createMessage(undefined), number], theirs.self.address);
 		});
 		datagrams.on('synced', syncedDatagramSchema, ([, theirs, number]) => {
+			this.applyMessage(theirs, this.requests.findSentMs(theirs.self.address, number) ?? directory.clock.sentAfterMs);
 			if (this.awaited?.vm === theirs.self.vm && this.awaited.number === number) {
-				this.applyMessage(theirs, this.awaited.sentAtMs);
 				this.awaited.resolve(theirs);
-			} else {
-				this.applyMessage(theirs, directory.clock.sentAfterMs);
 			}
 		});
 		this.schedule(0);
@@ -99,11 +100,21 @@
 	/** Handles an exchange that another process started, and returns the response. */
 	handleExchange(theirs: PeersExchange): PeersExchange {
 		// A request that its sender has given up may still be delivered, so it may be older than its timeout.
-		this.applyMessage(theirs, this.options.directory.clock.sentAfterMs - exchangeTimeoutMs);
+		this.applyUnasked(theirs, this.options.directory.clock.sentAfterMs - exchangeTimeoutMs);
 		this.pullFrom(theirs);
 		return this.createMessage(theirs.groupDigest);
 	}
 
+	/**
+	 * Asks a process for its message by datagram, since it has told something without being asked: an answer counts from the time of the
+	 * request, and so bounds when versions were named.
+	 *
+	 * @param address - the control address of the process
+	 */
+	ask(address: string): void {
+		this.sendDatagram(['sync', this.createMessage(undefined), this.requests.add(address, this.options.directory.clock.nowMs)], address);
+	}
+
 	/** Replaces the next round, so that a round in progress when another one is scheduled does not leave two series of rounds. */
 	private schedule(waitMs: number): void {
 		clearTimeout(this.timer);
@@ -158,9 +169,9 @@
 			const timeout = setInputTimeout(() => {
 				resolve(undefined);
 			}, datagramTimeoutMs);
-			const number = ++this.sentDatagrams;
+			const number = this.requests.add(address, this.options.directory.clock.nowMs);
 			this.awaited = {
-				vm, number, sentAtMs: this.options.directory.clock.nowMs, resolve(theirs) {
+				vm, number, resolve(theirs) {
 					timeout.clear();
 					resolve(theirs);
 				},
@@ -198,6 +209,16 @@
 		}
 	}
 
+	/** Applies a message that answers no request. */
+	private applyUnasked(theirs: PeersExchange, createdAfterMs: number): void {
+		const {directory} = this.options;
+		const {versionChanges} = directory;
+		this.applyMessage(theirs, createdAfterMs);
+		if (directory.versionChanges !== versionChanges) {
+			this.ask(theirs.self.address);
+		}
+	}
+
 	private applyMessage({self, group, versions, watchers}: PeersExchange, createdAfterMs: number): void {
 		const {list, directory} = this.options;
 		list.recordAlive(self);
--- a/src/runtime/elapsed-clock.ts
+++ b/src/runtime/elapsed-clock.ts
@@ -8,6 +8,9 @@
 /** The minimum jump that counts as one, in milliseconds; smaller ones between two checks come from the adjustment of the wall clock. */
 const minJumpMs = 100;
 
+/** How long a message may be under way, in milliseconds: links that carry weights hold messages up for about a second. */
+const maxUnderWayMs = 3000;
+
 /** Tells the time, and when a message that is read now may have been sent. */
 export class ElapsedClock {
 	/** The sum of the jumps so far, in milliseconds. */
@@ -16,7 +19,7 @@
 	private offsetMs = readOffsetMs();
 	private readonly listeners = new Set<(jumpMs: number) => void>();
 
-	/** @param maxDelayMs - returns how long a message that is read now may have been under way or waited in a socket, in milliseconds */
+	/** @param maxDelayMs - returns how long a message that is read now may have waited in a socket, in milliseconds */
 	constructor(private readonly maxDelayMs: () => number = () => 0) {}
 
 	/** The time, in milliseconds. */
@@ -25,12 +28,17 @@
 		return performance.now() + this.jumpedMs;
 	}
 
-	/** The earliest time at which a message that is read now was sent, if its sender does not answer a request whose time is known. */
+	/**
+	 * The earliest time at which a message that is read now was sent, if its sender does not answer a request whose time is known. It lies
+	 * seconds back, so bounds that count from it are provisional, and answers to own requests replace them.
+	 */
 	get sentAfterMs(): number {
-		const {nowMs} = this;
-		const maxDelayMs = this.maxDelayMs();
-		const {atMs, jumpMs} = this.lastJump;
-		return nowMs - maxDelayMs - (performance.now() - atMs <= maxDelayMs ? jumpMs : 0);
+		return this.arrivedAfter(maxUnderWayMs);
+	}
+
+	/** The earliest time at which a message that is read now has arrived. */
+	get arrivedAfterMs(): number {
+		return this.arrivedAfter(0);
 	}
 
 	/** Adds a listener that is called with the length of each jump, in milliseconds. */
@@ -58,6 +66,13 @@
 	toMonotonicMs(timeMs: number): number {
 		return timeMs - this.jumpedMs;
 	}
+
+	private arrivedAfter(underWayMs: number): number {
+		const {nowMs} = this;
+		const maxDelayMs = underWayMs + this.maxDelayMs();
+		const {atMs, jumpMs} = this.lastJump;
+		return nowMs - maxDelayMs - (performance.now() - atMs <= maxDelayMs ? jumpMs : 0);
+	}
 }
 
 function readOffsetMs(): number {
--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -9,7 +9,7 @@
 /** The minimum delay of a check that {@link PauseDetector.onDelay} reports, in milliseconds; shorter ones are common on a busy VM. */
 const reportedDelayMs = 200;
 
-/** How long a message may be under way, or wait in its socket without a delay of the event loop that is noticed, in milliseconds. */
+/** How long a message may wait in its socket without a delay of the event loop that is noticed, in milliseconds. */
 const unnoticedMessageDelayMs = 250;
 
 /** The time after which {@link PauseDetector.recentDelayMs} counts a delay by half, in milliseconds. */
@@ -67,7 +67,7 @@
 		return this.stalledMs + this.tickDelayMs;
 	}
 
-	/** How long a message that is read now may have been under way or waited in its socket, in milliseconds. */
+	/** How long a message that is read now may have waited in its socket, in milliseconds. */
 	get maxMessageDelayMs(): number {
 		return unnoticedMessageDelayMs + this.messageWaitMs + this.tickDelayMs;
 	}
--- a/test/naming-times.test.ts
+++ b/test/naming-times.test.ts
@@ -35,8 +35,8 @@
 	model: 'm', version: 1, fromLayer: 0, toLayer: 16,
 };
 
-/** How long messages without a request may be under way, in milliseconds. */
-const maxDelayMs = 700;
+/** How long messages may wait in a socket, and how long those without a request may be under way besides, in milliseconds. */
+const [maxDelayMs, maxUnderWayMs] = [700, 3000];
 
 /** The earliest time at which a process believes that version 2 was named. */
 const earliestOf = (directory: Directory) => directory.versionsOf('m').find(({version}) => version === 2)?.earliestMs;
@@ -93,7 +93,7 @@
 const processCount = 4;
 const stepSchema = fc.record({
 	kind: fc.constantFrom('answer', 'news', 'read', 'restart'), from: fc.nat(processCount - 1), to: fc.nat(processCount - 1),
-	requestMs: fc.nat(2000), answerMs: fc.nat(2000), newsMs: fc.nat(maxDelayMs), pauseMs: fc.nat(3000),
+	requestMs: fc.nat(2000), answerMs: fc.nat(2000), newsMs: fc.nat(maxDelayMs + maxUnderWayMs), pauseMs: fc.nat(3000),
 });
 
 it('guards against old weights whatever happens to messages: with delays, any order and restarts, no process believes in a later naming than the true one, and all agree once they can', async () => {
--- a/test/peer-group.test.ts
+++ b/test/peer-group.test.ts
@@ -8,6 +8,7 @@
 import type {DirectoryPuller} from '../src/peers/directory-puller.ts';
 import {PeerGroup} from '../src/peers/peer-group.ts';
 import {PeerList} from '../src/peers/peer-list.ts';
+import {SyncRequests} from '../src/peers/sync-requests.ts';
 import {WatchCoverage} from '../src/peers/watch-duty.ts';
 import {ElapsedClock} from '../src/runtime/elapsed-clock.ts';
 import {createSilentLogger} from '../src/runtime/logger.ts';
@@ -30,8 +31,8 @@
 	requests = 0;
 	losesDatagrams = false;
 	readonly directories: Directory[] = [];
-	/** How long datagrams, and answers over connections, are under way, in milliseconds. */
-	delaysMs = {datagram: 1, answer: 0};
+	/** How long datagrams, and requests and answers over connections, are under way, in milliseconds. */
+	delaysMs = {datagram: 1, request: 0, answer: 0};
 	/** Hosts that answer nothing. */
 	readonly silent = new Set<string>();
 	private readonly receivers = new Map<string, Map<string, (message: unknown) => void>>();
@@ -61,6 +62,7 @@
 					throw new Error('no response');
 				}
 
+				await sleep(this.delaysMs.request);
 				const answer = this.groups[at]!.handleExchange(params);
 				await sleep(this.delaysMs.answer);
 				return answer;
@@ -154,7 +156,11 @@
 	});
 });
 
-for (const [kind, losesDatagrams, delaysMs] of [['datagrams', false, {datagram: 200, answer: 0}], ['answers over connections', true, {datagram: 1, answer: 800}]] as const) {
+for (const [kind, losesDatagrams, delaysMs] of [
+	['datagrams', false, {datagram: 200, request: 0, answer: 0}],
+	['messages between regions', false, {datagram: 1200, request: 1200, answer: 0}],
+	['answers over connections', true, {datagram: 1, request: 0, answer: 800}],
+] as const) {
 	it(`guards against old weights when messages are late: ${kind} that took long make no version look younger to others`, async () => {
 		await withGroup(6, async (network, tick) => {
 			network.losesDatagrams = losesDatagrams;
@@ -173,3 +179,13 @@
 		});
 	});
 }
+
+it('guards against an answer to a request from before a restart: it bounds nothing, and one that is late or comes from elsewhere is told apart', () => {
+	const [earlier, restarted] = [new SyncRequests(new RandomSource(1)), new SyncRequests(new RandomSource(2))];
+	const number = earlier.add('10.0.0.1:80', 1000);
+	restarted.add('10.0.0.1:80', 9000);
+	earlier.add('10.0.0.2:80', 2000);
+	expect(restarted.findSentMs('10.0.0.1:80', number)).to.equal(undefined);
+	expect(earlier.findSentMs('10.0.0.1:80', number)).to.equal(1000);
+	expect(earlier.findSentMs('10.0.0.2:80', number)).to.equal(undefined);
+});
