Extract the maximum that decays from the pause detector

The delay of the event loop counts less the older it is. Delays of paths to instances will follow the same rule, so the rule gets a class of its own. No behaviour changes.

--- a/src/runtime/pause-detector.ts
+++ b/src/runtime/pause-detector.ts
@@ -1,4 +1,5 @@
 /** Detects that the process was paused, for example by a frozen VM. After a pause, all state received from other processes may be outdated. */
+import {DecayingMaximum} from './decaying-maximum.ts';
 
 /** The interval of the timer that checks for pauses, in milliseconds. */
 const pauseCheckIntervalMs = 100;
@@ -34,7 +35,7 @@
 	private lastTickAtMs = performance.now();
 	/** How long the event loop has not run since the start, without the delay of the next tick, in milliseconds. */
 	private stalledMs = 0;
-	private largestDelay = {ms: 0, atMs: performance.now()};
+	private readonly recentDelay = new DecayingMaximum(delayHalfLifeMs);
 	/** The delay of the last tick, or half of that of an earlier one for each tick since, while messages from before it may still wait. */
 	private messageWaitMs = 0;
 	private readonly listeners = new Set<(gapMs: number) => void>();
@@ -55,7 +56,7 @@
 
 	/** The largest recent delay of the event loop, less the older it is, in milliseconds: how late a timer may run now. */
 	get recentDelayMs(): number {
-		return Math.max(this.decayedDelayMs, this.tickDelayMs);
+		return Math.max(this.recentDelay.value, this.tickDelayMs);
 	}
 
 	get listeningMs(): number {
@@ -72,11 +73,6 @@
 		return unnoticedMessageDelayMs + this.messageWaitMs + this.tickDelayMs;
 	}
 
-	/** What is left of the largest delay of an earlier tick, in milliseconds. */
-	private get decayedDelayMs(): number {
-		return this.largestDelay.ms * (0.5 ** ((performance.now() - this.largestDelay.atMs) / delayHalfLifeMs));
-	}
-
 	/** How late the next tick is, in milliseconds. */
 	private get tickDelayMs(): number {
 		return Math.max(0, performance.now() - this.lastTickAtMs - pauseCheckIntervalMs);
@@ -134,10 +130,7 @@
 
 	private recordDelay(): void {
 		const delayMs = this.tickDelayMs;
-		if (delayMs >= this.decayedDelayMs) {
-			this.largestDelay = {ms: delayMs, atMs: performance.now()};
-		}
-
+		this.recentDelay.record(delayMs);
 		this.stalledMs += delayMs;
 		this.messageWaitMs = Math.max(delayMs, this.messageWaitMs / 2);
 		this.lastTickAtMs = performance.now();
