Take calls back earlier the longer the path to their engine is

A call was sent 1.25 s before its engine got it, since the link of the engine's VM carried weights. The gateway took it back 0.5 s before the weights expired, but the reset waited behind the call in the same link, and the engine began the call 0.34 s after the expiry.

Cause: the margin before the expiry allowed 250 ms for the way to the engine, whatever the way takes. Class of fault: a decision with a time limit takes effect elsewhere, with a fixed guess of the time under way.

Change: PathDelays keeps the largest recent delay of the path to each instance, with a half-life of 2 s: the time to connect, the time to the answer of a load question, how much later than predicted a call begins. What is still unanswered counts at once, by the clock that stands still while this process does. A call that begins shows that everything sent before it has arrived, so that a lost question or a stager that is gone does not count for longer. The margin before the expiry grows by this delay, up to 2 s, where instances are selected, before a call is written and while it waits. Without a newer version nothing changes.

--- a/src/cli/gateway-process.ts
+++ b/src/cli/gateway-process.ts
@@ -59,7 +59,7 @@
 	const gatewayCount = () => peers.knownGateways.size;
 	const claims = new StartClaims({datagrams: base.datagrams, port: settings.listen.datagrams.port});
 	const coldStarts = createColdStarts({base, claims, metrics});
-	const tracker = new InstanceTracker(log, new InstanceSignals({log, random, gatewayCount}), {coldStarts, evacuations: directory.evacuations});
+	const tracker = new InstanceTracker(log, new InstanceSignals({log, random, gatewayCount}), {coldStarts, evacuations: directory.evacuations, clock: base.pauseDetector});
 	const loads = new LoadQueries({
 		vm: settings.process.vm,
 		inFlight: tracker.inFlight,
@@ -69,6 +69,7 @@
 		log,
 		clock: base.pauseDetector,
 		observations: createObservationExchange(tracker),
+		paths: tracker.paths,
 	});
 	base.datagrams.on('held', heldModelDatagramSchema, state => {
 		applyEngineState(state, directory, tracker);
@@ -131,6 +132,7 @@
 	const heads = new MemoryBudget(limits.callers.heads);
 	const bodies = new MemoryBudget(limits.callers.bodies);
 	metrics.gauge('cactusreach_slow_instances', 'Instances at which work takes at least 1.5 times as long as usual at this moment.', () => tracker.paces.countSlow(performance.now()));
+	metrics.gauge('cactusreach_longest_path_ms', 'The longest recent delay of messages to an instance and back, in milliseconds.', () => tracker.paths.longestMs);
 	metrics.gauge('cactusreach_body_bytes', 'Memory taken by the bodies of calls.', () => bodies.usedBytes);
 	metrics.gauge('cactusreach_head_bytes', 'Memory taken by calls and their heads, as estimated.', () => heads.usedBytes);
 	const callers = new CallerListener({
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -247,19 +247,17 @@
 		}
 	}
 
-	private startAttempt({instance, predictedMs, version, startTimeLeftMs, isStartPermitted}: SelectedInstance): UpstreamAttempt {
+	private startAttempt(selection: SelectedInstance): UpstreamAttempt {
+		const {instance, predictedMs, version} = selection;
 		const {call, boundary, route, writer, codec, tracker, buffers, bodiesInFlight, clock} = this.options;
 		this.tried.add(instance.id);
 		this.version = version;
 		this.possibleRuns++;
 		const attempt: UpstreamAttempt = new UpstreamAttempt({
+			...selection,
 			call,
 			boundary,
-			instance,
 			isStream: route.kind === 'stream',
-			predictedMs,
-			startTimeLeftMs,
-			isStartPermitted,
 			instructions: createInstructions(this.options, {
 				instance: instance.id, version, expiresAtMs: this.expiresAtMs, lastEventId: this.progress.lastEventId,
 			}),
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -6,7 +6,7 @@
 import type {Silence} from '../runtime/silence-timer.ts';
 import type {InFlightCall} from '../placement/in-flight-calls.ts';
 import type {AttemptSignals} from '../placement/instance-signals.ts';
-import {type BufferOwner, maxEventBytes, maxResponseBytes} from '../limits/response-buffers.ts';
+import {type BufferOwner, findBodyLength, maxEventBytes} from '../limits/response-buffers.ts';
 import {type AttemptTiming, describeAttemptTiming} from './attempt-timing.ts';
 import type {AttemptOutcome} from './decide-next-step.ts';
 import {EventOrder} from './event-order.ts';
@@ -14,6 +14,7 @@
 import {findHeadFault, firstServerError, notRunStatuses} from './response-status.ts';
 import {SilenceWatch} from './silence-watch.ts';
 import {UpstreamExchange} from './upstream-exchange.ts';
+import {AttemptPath} from './attempt-path.ts';
 import {StartDeadline} from './start-deadline.ts';
 import type {BufferedResponse, UpstreamAttemptOptions} from './upstream-attempt-options.ts';
 import type {ResponseHeaders} from './wire-codec.ts';
@@ -33,6 +34,7 @@
 	private exchange: UpstreamExchange | undefined;
 	private readonly inFlightCall: InFlightCall;
 	private readonly signals: AttemptSignals;
+	private readonly path: AttemptPath;
 	private readonly removeBody: () => void;
 	private readonly startedAtMs = performance.now();
 	private readonly silenceWatch: SilenceWatch;
@@ -49,6 +51,7 @@
 		const {call, boundary, instance, tracker, progress} = options;
 		this.order = new EventOrder(progress.lastEventId);
 		this.inFlightCall = tracker.inFlight.add(instance.id, call.headers.promptTokens);
+		this.path = new AttemptPath(tracker.paths, instance.id, options.isStream ? options.predictedMs : 0);
 		this.removeBody = options.bodiesInFlight.add(instance.id, call.body.length);
 		this.signals = tracker.signals.addAttempt(instance, boundary.wrap('signal', () => {
 			this.handleInstanceClosed();
@@ -75,7 +78,10 @@
 			headers: codec.writeCallHeaders(call.rawHeaders, instructions),
 			body: instructions.hasBody ? call.body : undefined,
 		}, {
-			mayWrite: () => this.options.isStartPermitted() && this.startDeadline.allowsStartIn(this.options.predictedMs),
+			mayWrite: () => {
+				this.path.markConnected();
+				return this.options.isStartPermitted() && this.startDeadline.allowsStartIn(this.options.predictedMs);
+			},
 			onWithheld: () => {
 				this.report({kind: 'not-run', reason: this.options.isStartPermitted() ? 'version_expired' : 'cold_start_expired'});
 			},
@@ -179,6 +185,7 @@
 		if (!this.inFlightCall.hasStarted) {
 			this.firstEventAtMs = nowMs;
 			this.startDeadline.stop();
+			this.path.markBegun();
 			this.options.firstByte.recordFirstByte();
 			tracker.inFlight.markStarted(this.inFlightCall);
 			tracker.recordFirstEvent(instance.id, nowMs - this.startedAtMs, predictedMs);
@@ -331,6 +338,7 @@
 		this.silenceWatch.stop();
 		this.options.firstByte.stop();
 		this.startDeadline.stop();
+		this.path.end();
 		this.options.tracker.inFlight.remove(this.inFlightCall);
 		this.signals.end();
 		this.removeBody();
@@ -338,10 +346,3 @@
 		this.body.clear();
 	}
 }
-
-/** Returns the published length of a body that is kept, in bytes; 0 if it is not known, or too large to be kept. */
-function findBodyLength(rawHeaders: readonly string[]): number {
-	const at = rawHeaders.findIndex((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length');
-	const bytes = at === -1 ? 0 : Number(rawHeaders[at + 1]);
-	return bytes > 0 && bytes <= maxResponseBytes ? bytes : 0;
-}
--- a/src/limits/response-buffers.ts
+++ b/src/limits/response-buffers.ts
@@ -8,6 +8,13 @@
 /** Maximum size of one response that is kept, in bytes; the same as the default limit of a call's body. */
 export const maxResponseBytes = 4_194_304;
 
+/** Returns the published length of a body that is kept, in bytes; 0 if it is not known, or too large to be kept. */
+export function findBodyLength(rawHeaders: readonly string[]): number {
+	const at = rawHeaders.findIndex((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-length');
+	const bytes = at === -1 ? 0 : Number(rawHeaders[at + 1]);
+	return bytes > 0 && bytes <= maxResponseBytes ? bytes : 0;
+}
+
 /** Maximum size of all responses that are kept, in bytes, unless the memory limit of the process is small. */
 const maxBufferedBytes = 33_554_432;
 
--- a/src/peers/load-queries.ts
+++ b/src/peers/load-queries.ts
@@ -6,6 +6,7 @@
 import type {Instance} from '../directory/directory-types.ts';
 import type {InFlightCalls} from '../placement/in-flight-calls.ts';
 import type {CounterAnswer, LoadSource} from '../placement/load-source.ts';
+import type {PathDelays, PathWait} from '../placement/path-delays.ts';
 import type {UrgencyReport} from '../placement/urgency-pressure.ts';
 import type {DatagramPort} from '../links/datagram-port.ts';
 import {type ListenAddress, parseAddress} from '../links/http-listener.ts';
@@ -46,6 +47,8 @@
 	lastAskedMs: number;
 	/** When the first question after the last answer was sent, by the listening clock; undefined if none was. */
 	unansweredSinceMs: number | undefined;
+	/** The wait for the answer, as far as it tells of the path. */
+	pathWait?: PathWait | undefined;
 	/** Whether the last question carried no urgency because the stager was silent. */
 	isAskedPlainly: boolean;
 	/** Until when questions carry no urgency. */
@@ -70,6 +73,8 @@
 	readonly clock: ListeningClock;
 	/** Passes on what engines say of themselves. */
 	readonly observations?: ObservationExchange;
+	/** Records how long answers are under way. */
+	readonly paths?: PathDelays;
 };
 
 /** Reports and asks by datagram. */
@@ -158,6 +163,8 @@
 
 		counter.lastAskedMs = nowMs;
 		counter.unansweredSinceMs ??= listeningMs;
+		counter.pathWait ??= this.options.paths?.wait(id);
+		counter.pathWait?.renew();
 		counter.isAskedPlainly = isSilent;
 		const question: AskDatagram = ['ask', this.options.vm, id];
 		const isPlain = urgency === undefined || isSilent || nowMs < counter.plainUntilMs;
@@ -202,6 +209,8 @@
 		}
 
 		counter.unansweredSinceMs = undefined;
+		counter.pathWait?.end();
+		counter.pathWait = undefined;
 		for (const query of counter.waiting) {
 			query.unanswered--;
 			if (query.unanswered === 0) {
--- a/src/placement/instance-selector.ts
+++ b/src/placement/instance-selector.ts
@@ -1,7 +1,7 @@
 /** Finds the instance for an attempt: a few random eligible ones, their load, and the choice among them. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {Directory} from '../directory/directory.ts';
-import type {HeldModel, Instance, ServiceInfo} from '../directory/directory-types.ts';
+import type {Instance, ServiceInfo} from '../directory/directory-types.ts';
 import type {ServiceId} from '../ids/service-id.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
@@ -21,6 +21,7 @@
 import {
 	type Candidate, hasFreeSlot, type Placement, selectEngineInstance, selectPlainInstance, shouldAskMore,
 } from './select-instance.ts';
+import {findHeldModel, StartWindows} from './start-windows.ts';
 import type {VersionExpiry} from './version-expiry.ts';
 import {warmShare} from './warm-share.ts';
 
@@ -71,11 +72,13 @@
 /** Selects instances for the calls of this gateway. */
 export class InstanceSelector {
 	private readonly shedding: LoadShedding;
+	private readonly startWindows: StartWindows;
 	private readonly crowdings = new Map<ServiceId, ZoneCrowding>();
 
 	/** @param options - dependencies */
 	constructor(private readonly options: InstanceSelectorOptions) {
 		this.shedding = new LoadShedding(options.random);
+		this.startWindows = new StartWindows(options.versionExpiry, options.tracker.paths);
 	}
 
 	/**
@@ -276,12 +279,11 @@
 
 		const held = findHeldModel(instance, headers.model);
 		return held?.fromLayer === 0 && held.toLayer >= service.engine.layers
-			&& this.options.versionExpiry.mayStart(held) && (requiredVersion === undefined || held.version === requiredVersion);
+			&& this.startWindows.timeLeftMs(instance.id, held) > 0 && (requiredVersion === undefined || held.version === requiredVersion);
 	}
 
 	private createCandidate(instance: Instance, {headers, permittedRegions}: InstanceQuery, service: ServiceInfo | undefined, others: CounterAnswer | undefined): Candidate {
-		const {tracker, homes, zone, versionExpiry} = this.options;
-		const held = findHeldModel(instance, headers.model);
+		const {tracker, homes, zone} = this.options;
 		const load = tracker.getLoad(instance.id, others);
 		return {
 			id: instance.id,
@@ -291,7 +293,7 @@
 			slots: instance.slots,
 			homeReserveMs: homes.reserveMs(instance, {calls: load.calls, slots: instance.slots}, permittedRegions),
 			isSuspect: tracker.isSuspect(instance.id),
-			startWindowMs: held ? versionExpiry.timeLeftMs(held) : Number.POSITIVE_INFINITY,
+			startWindowMs: this.startWindows.timeLeftMs(instance.id, findHeldModel(instance, headers.model)),
 			warmShare: this.warmShareOf(instance, service),
 		};
 	}
@@ -311,7 +313,6 @@
 
 	/** Describes the chosen instance, and reserves the trial there if one is due. */
 	private createSelection({id, predictedMs}: Extract<Placement, {kind: 'place'}>, {instances, candidates, permit}: Choice, model: string | undefined): SelectedInstance {
-		const {versionExpiry, tracker} = this.options;
 		const instance = instances.find(item => item.id === id)!;
 		const held = findHeldModel(instance, model);
 		return {
@@ -319,9 +320,9 @@
 			predictedMs,
 			hasFreeSlot: candidates.some(candidate => candidate.id === id && hasFreeSlot(candidate)),
 			version: held?.version,
-			startTimeLeftMs: () => (held ? versionExpiry.timeLeftMs(held) : Number.POSITIVE_INFINITY),
+			startTimeLeftMs: () => this.startWindows.timeLeftMs(id, held),
 			isStartPermitted: () => permit?.isValid() ?? true,
-			release: tracker.signals.reserveTrial(instance),
+			release: this.options.tracker.signals.reserveTrial(instance),
 		};
 	}
 }
@@ -341,7 +342,3 @@
 function findChosen({placement, instances}: Choice): Instance | undefined {
 	return placement.kind === 'place' ? instances.find(({id}) => id === placement.id) : undefined;
 }
-
-function findHeldModel(instance: Instance, model: string | undefined): HeldModel | undefined {
-	return instance.held.find(held => held.model === model);
-}
--- a/src/placement/instance-tracker.ts
+++ b/src/placement/instance-tracker.ts
@@ -2,11 +2,13 @@
 import type {Instance} from '../directory/directory-types.ts';
 import type {EvacuationView} from '../directory/evacuations.ts';
 import type {Logger} from '../runtime/logger.ts';
+import type {ListeningClock} from '../runtime/pause-detector.ts';
 import {misdirectedStatus} from '../forwarding/response-status.ts';
 import {type ConnectionProbe, probeConnection} from '../links/probe-connection.ts';
 import {ColdStarts} from './cold-starts.ts';
 import {InFlightCalls} from './in-flight-calls.ts';
 import {PaceRecords} from './pace-records.ts';
+import {PathDelays} from './path-delays.ts';
 import type {EngineLoad, InFlightCounts} from './engine-forecast.ts';
 import {type Barrier, findBarrier} from './instance-availability.ts';
 import {type InstanceSignals, isFrom, type ResponseHead} from './instance-signals.ts';
@@ -55,11 +57,12 @@
 	reported: {readonly others: number; readonly atMs: number} | undefined;
 };
 
-/** What closes instances beside their own health. */
+/** What closes instances beside their own health, and the clock for the delays of their paths. */
 type InstanceLimits = {
 	/** The limit on calls that start at cold instances. */
 	readonly coldStarts?: ColdStarts;
 	readonly evacuations?: EvacuationView;
+	readonly clock?: ListeningClock;
 };
 
 /** Holds load and health by instance ID. */
@@ -68,6 +71,8 @@
 	readonly inFlight = new InFlightCalls();
 	/** How long work takes at each instance at this moment. */
 	readonly paces = new PaceRecords();
+	/** How long messages are under way to each instance. */
+	readonly paths: PathDelays;
 	readonly coldStarts: ColdStarts;
 	private readonly evacuations: EvacuationView;
 	private readonly health = new Map<string, Health>();
@@ -80,6 +85,7 @@
 	constructor(private readonly log: Logger, readonly signals: InstanceSignals, limits: InstanceLimits = {}) {
 		this.coldStarts = limits.coldStarts ?? new ColdStarts();
 		this.evacuations = limits.evacuations ?? noEvacuations;
+		this.paths = new PathDelays(limits.clock);
 	}
 
 	/**
@@ -263,6 +269,7 @@
 		this.signals.retainOnly(present);
 		this.coldStarts.retainOnly(present);
 		this.paces.retainOnly(present);
+		this.paths.retainOnly(present);
 		for (const id of this.health.keys()) {
 			if (!present.has(id)) {
 				this.health.delete(id);
--- /dev/null
+++ b/src/placement/start-windows.ts
@@ -0,0 +1,24 @@
+/** Tells how long calls may still start at an instance, given the version that it holds and the delay of the path to it. */
+import type {HeldModel, Instance} from '../directory/directory-types.ts';
+import type {PathDelays} from './path-delays.ts';
+import type {VersionExpiry} from './version-expiry.ts';
+
+/** Combines the expiry of versions with the delays of paths. */
+export class StartWindows {
+	constructor(private readonly expiry: VersionExpiry, private readonly paths: PathDelays) {}
+
+	/**
+	 * Returns how long calls may still be sent to an instance, in milliseconds: infinite unless a newer version was announced.
+	 *
+	 * @param id - the instance ID
+	 * @param held - the model and version that it holds; undefined if it is no engine
+	 */
+	timeLeftMs(id: string, held: HeldModel | undefined): number {
+		return held ? this.expiry.timeLeftMs(held, this.paths.delayMs(id)) : Number.POSITIVE_INFINITY;
+	}
+}
+
+/** Returns what an instance holds of a model. */
+export function findHeldModel(instance: Instance, model: string | undefined): HeldModel | undefined {
+	return instance.held.find(held => held.model === model);
+}
--- a/src/placement/version-expiry.ts
+++ b/src/placement/version-expiry.ts
@@ -1,8 +1,9 @@
 /** Decides how long calls may start on a version of a model: after a newer one was announced, only for a limited time. */
 import type {Directory} from '../directory/directory.ts';
 import type {HeldModel} from '../directory/directory-types.ts';
+import {maxPathDelayMs} from './path-delays.ts';
 
-/** How much earlier than allowed an older version expires, in milliseconds; covers the network latency of a call and the error of its predicted start. */
+/** How much earlier than allowed an older version expires, in milliseconds; covers the usual network latency of a call and the error of its predicted start. */
 const safetyMarginMs = 250;
 
 /** Upper bound of what recent delays of the event loop add to the margin, in milliseconds, because callers get no service for its length. */
@@ -18,12 +19,13 @@
 	constructor(private readonly directory: Directory, private readonly versionBoundMs: number, private readonly eventLoopDelayMs: () => number) {}
 
 	/**
-	 * Returns whether calls may start on a version now.
+	 * Returns whether calls may be sent to a version now.
 	 *
 	 * @param held - the model and version that an instance holds
+	 * @param pathDelayMs - as in {@link timeLeftMs}
 	 */
-	mayStart(held: HeldModel): boolean {
-		return this.timeLeftMs(held) > 0;
+	mayStart(held: HeldModel, pathDelayMs = 0): boolean {
+		return this.timeLeftMs(held, pathDelayMs) > 0;
 	}
 
 	/**
@@ -37,16 +39,26 @@
 	}
 
 	/**
-	 * Returns how long calls may still start on a version, in milliseconds: infinite if no newer version was announced, and minus infinity
+	 * Returns how long calls may still be sent to a version, in milliseconds: infinite if no newer version was announced, and minus infinity
 	 * if it is unknown when, since the version may have expired.
 	 *
 	 * @param held - the model and version that an instance holds
+	 * @param pathDelayMs - how long a call, or the reset that takes it back, may be under way to the instance, in milliseconds
 	 */
-	timeLeftMs({model, version}: HeldModel): number {
+	timeLeftMs(held: HeldModel, pathDelayMs = 0): number {
+		const marginMs = safetyMarginMs + Math.min(maxDelayMarginMs, this.eventLoopDelayMs()) + Math.min(maxPathDelayMs, pathDelayMs);
+		return this.boundLeftMs(held) - marginMs;
+	}
+
+	/**
+	 * Returns the time until the bound for starts on a version, without any margin, in milliseconds; as {@link timeLeftMs}.
+	 *
+	 * @param held - the model and version that an instance holds
+	 */
+	boundLeftMs({model, version}: HeldModel): number {
 		const nowMs = performance.now();
-		const marginMs = safetyMarginMs + Math.min(maxDelayMarginMs, this.eventLoopDelayMs());
 		// The earliest announced newer version counts; later ones do not extend the time.
 		const newer = this.directory.versionsOf(model).filter(named => named.version > version);
-		return Math.min(...newer.map(({earliestMs}) => this.versionBoundMs - marginMs - (nowMs - earliestMs)));
+		return Math.min(...newer.map(({earliestMs}) => this.versionBoundMs - (nowMs - earliestMs)));
 	}
 }
--- /dev/null
+++ b/test/calls-under-way.test.ts
@@ -0,0 +1,169 @@
+/** Tests that calls on the way to their engine, behind a link that delays them, begin in time there or not at all. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {install} from '@sinonjs/fake-timers';
+import {expect} from 'chai';
+import {Directory} from '../src/directory/directory.ts';
+import {StartDeadline} from '../src/forwarding/start-deadline.ts';
+import {createServiceId} from '../src/ids/service-id.ts';
+import type {DatagramPort} from '../src/links/datagram-port.ts';
+import type {LoadDatagram} from '../src/messages/load-datagram.ts';
+import {LoadQueries} from '../src/peers/load-queries.ts';
+import {InFlightCalls} from '../src/placement/in-flight-calls.ts';
+import {PathDelays} from '../src/placement/path-delays.ts';
+import {StartWindows} from '../src/placement/start-windows.ts';
+import {VersionExpiry} from '../src/placement/version-expiry.ts';
+import {createSilentLogger} from '../src/runtime/logger.ts';
+import {monotonicClock} from '../src/runtime/pause-detector.ts';
+import {
+	callGateway, observedNow, startTestGateway, startUpstream, testBoundary, testConfiguration, testInstance,
+} from './support/direct-fixtures.ts';
+import {TcpRelay} from './support/tcp-relay.ts';
+
+const versionBoundMs = 8000;
+
+const held = {
+	model: 'm', version: 1, fromLayer: 0, toLayer: 16,
+};
+
+const engine = testInstance({
+	id: 'i-1', service: createServiceId('models'), slots: 16, held: [held],
+});
+
+const version2 = {revision: 3, changes: [{revision: 3, change: {kind: 'version', model: 'm', version: 2}}]} as const;
+
+const callHeaders = {model: 'm', 'token-usage': '100,50', 'deadline-ms': '4000'};
+
+it('guards against begins on expired weights by a call that is under way for long: it is not sent, or taken back early enough', async () => {
+	const begunAtMs: number[] = [];
+	const upstream = await startUpstream((req, res) => {
+		begunAtMs.push(performance.now());
+		res.writeHead(200, {
+			'attempt-id': req.headers['attempt-id'] as string, 'response-seal': 's', 'content-type': 'text/event-stream', 'weight-versions': '1',
+		});
+		res.end('id: 1\ndata: t\n\n');
+	});
+	const link = new TcpRelay(upstream.address);
+	link.delayMs = 1200;
+	const route = {
+		kind: 'stream', isResumable: true, aimMs: 4000, timeoutMs: 4000, targets: [{service: createServiceId('models'), weight: 1}],
+	} as const;
+	const gateway = await startTestGateway(testConfiguration(1, route), [{...engine, address: await link.start()}]);
+	try {
+		const namedAtMs = performance.now() - versionBoundMs + 3000;
+		gateway.directory.apply(version2, {namedAfterMs: namedAtMs, isAfterOutage: false});
+		const calls: Array<Promise<unknown>> = [];
+		const call = () => {
+			calls.push(callGateway(gateway.url, {headers: {...callHeaders, 'attempt-id': `id-${calls.length}`}}));
+		};
+
+		// The first call shows how long the path is, and begins in time.
+		call();
+		await sleep(1500);
+		while (performance.now() < namedAtMs + versionBoundMs) {
+			call();
+			await sleep(100);
+		}
+
+		await Promise.all(calls);
+		await sleep(link.delayMs + 100);
+		expect(begunAtMs).to.not.be.empty;
+		expect(Math.max(...begunAtMs) - namedAtMs).to.be.at.most(versionBoundMs);
+	} finally {
+		gateway.close();
+		link.stop();
+		upstream.close();
+	}
+});
+
+/** Runs a test of an engine whose path a gateway watches, with fake timers; version 2 has just been named. */
+async function withPaths(test: (setup: {clock: ReturnType<typeof install>; paths: PathDelays; windows: StartWindows; pauses: {ms: number}}) => unknown): Promise<void> {
+	const clock = install();
+	try {
+		const directory = new Directory(createSilentLogger());
+		directory.apply(version2, observedNow());
+		const pauses = {ms: 0};
+		const paths = new PathDelays({
+			get listeningMs() {
+				return performance.now() - pauses.ms;
+			},
+		});
+		await test({
+			clock, paths, pauses, windows: new StartWindows(new VersionExpiry(directory, versionBoundMs, () => 0), paths),
+		});
+	} finally {
+		clock.uninstall();
+	}
+}
+
+it('guards against a path that counts as short until the answer is there: what is overdue counts at once, later less, and a pause of this process does not', async () => {
+	await withPaths(({clock, paths, windows, pauses}) => {
+		const call = paths.wait('i-1', 100);
+		clock.tick(1000);
+		expect(windows.timeLeftMs('i-1', held)).to.equal(versionBoundMs - 250 - 1000 - 900);
+		expect(windows.timeLeftMs('i-2', held)).to.equal(versionBoundMs - 250 - 1000);
+		pauses.ms = 400;
+		expect(paths.delayMs('i-1')).to.equal(500);
+		call.end();
+		clock.tick(2000);
+		expect(paths.delayMs('i-1')).to.equal(250);
+		paths.wait('i-1', 0);
+		clock.tick(3000);
+		expect(paths.delayMs('i-1')).to.equal(2000);
+		paths.retainOnly(new Set());
+		expect(paths.longestMs).to.equal(0);
+	});
+});
+
+it('guards against a call that waits on a long path until it is too late to take it back: the longer it is overdue, the earlier that is done', async () => {
+	await withPaths(({clock, paths, windows}) => {
+		const passedAtMs: number[] = [];
+		const takesBack = new StartDeadline(() => windows.timeLeftMs('i-1', held), () => {
+			passedAtMs.push(performance.now());
+		}, testBoundary());
+		clock.tick(6000);
+		paths.wait('i-1', 100);
+		clock.tick(2000);
+		takesBack.stop();
+		// 6925 ms: 825 ms overdue, and 825 ms left beside the margin.
+		expect(passedAtMs[0]).to.be.within(6925, 7025);
+	});
+});
+
+it('guards against an engine that is shunned because its stager is gone or a question was lost: a later call that began in time clears the path, and an old question tells nothing', async () => {
+	await withPaths(({clock, paths}) => {
+		const lost = paths.wait('i-1');
+		clock.tick(1500);
+		const call = paths.wait('i-1', 100);
+		clock.tick(100);
+		call.endWithAnswer();
+		expect(paths.delayMs('i-1')).to.equal(0);
+		lost.renew();
+		clock.tick(300);
+		expect(paths.delayMs('i-1')).to.equal(300);
+		clock.tick(5000);
+		lost.end();
+		expect(paths.delayMs('i-1')).to.equal(0);
+	});
+});
+
+it('guards against a busy link that only the questions of a gateway meet: the time to their answers counts, and so does each answer that is missing', async () => {
+	await withPaths(async ({clock, paths}) => {
+		let answer: (message: LoadDatagram) => void = () => undefined;
+		const datagrams = {
+			on(kind: string, schema: unknown, handler: typeof answer) {
+				answer = handler;
+			}, send: () => undefined,
+		} as unknown as DatagramPort;
+		const log = createSilentLogger();
+		const queries = new LoadQueries({
+			vm: 'g', inFlight: new InFlightCalls(), directory: new Directory(log), datagrams, port: 1, log, clock: monotonicClock, paths,
+		});
+		void queries.ask([engine]);
+		await clock.tickAsync(700);
+		expect(paths.delayMs('i-1')).to.equal(700);
+		void queries.ask([engine]);
+		await clock.tickAsync(300);
+		answer(['load', 'i-1', [0, 0]]);
+		expect([paths.delayMs('i-1'), paths.isUnknown('i-1')]).to.deep.equal([1000, false]);
+	});
+});
