Log how long the path and the time left were when a call is taken back

A call that began on expired weights although it was taken back could have been late under way, taken back late, or sent on a wrong belief of when the version was named; the log told these apart only together with that of the engine. send_ended with the reason version_expired now has pathDelayMs, the delay that the gateway assumed of the path, and leftMs, the time left until the bound without a margin. No further lines. The test fails without the fields.

--- a/src/forwarding/call-log.ts
+++ b/src/forwarding/call-log.ts
@@ -20,6 +20,7 @@
 		const {log, call} = this.options;
 		log.info({
 			event: 'send_ended', id: call.headers.attemptId, instance: attempt.instance.id, ...fields, ...attempt.timing,
+			...(fields.reason === 'version_expired' ? attempt.options.describeStart() : {}),
 		}, 'attempt ended without a complete response');
 	}
 
--- a/src/forwarding/upstream-attempt-options.ts
+++ b/src/forwarding/upstream-attempt-options.ts
@@ -4,6 +4,7 @@
 import type {BodiesInFlight} from '../limits/bodies-in-flight.ts';
 import type {ListeningClock} from '../runtime/pause-detector.ts';
 import type {InstanceTracker} from '../placement/instance-tracker.ts';
+import type {StartBound} from '../placement/start-windows.ts';
 import type {ResponseBuffers} from '../limits/response-buffers.ts';
 import type {CallBoundary} from './call-boundary.ts';
 import type {AttemptOutcome} from './decide-next-step.ts';
@@ -32,6 +33,8 @@
 	readonly predictedMs: number;
 	/** Returns how long the call may still start on the selected version, in milliseconds; infinite unless a newer version was announced. */
 	readonly startTimeLeftMs: () => number;
+	/** Describes the time left and the delay of the path at this moment; undefined if the instance is no engine. */
+	readonly describeStart: () => StartBound | undefined;
 	/** Returns whether the instance still expects the start of the call; asked before anything is written. */
 	readonly isStartPermitted: () => boolean;
 	readonly instructions: AttemptInstructions;
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -47,7 +47,7 @@
 	private isFinished = false;
 
 	/** @param options - the call, the selected instance and dependencies */
-	constructor(private readonly options: UpstreamAttemptOptions) {
+	constructor(readonly options: UpstreamAttemptOptions) {
 		const {call, boundary, instance, tracker, progress} = options;
 		this.order = new EventOrder(progress.lastEventId);
 		this.inFlightCall = tracker.inFlight.add(instance.id, call.headers.promptTokens);
--- a/src/placement/instance-query.ts
+++ b/src/placement/instance-query.ts
@@ -3,6 +3,7 @@
 import type {RegionId} from '../ids/region-id.ts';
 import type {ServiceId} from '../ids/service-id.ts';
 import type {CallHeaders} from '../forwarding/wire-codec.ts';
+import type {StartBound} from './start-windows.ts';
 
 /** What an instance must satisfy to receive a call. */
 export type InstanceQuery = {
@@ -42,6 +43,8 @@
 	readonly version: number | undefined;
 	/** Returns how long calls may still start on this version, in milliseconds; infinite unless a newer version was announced. */
 	readonly startTimeLeftMs: () => number;
+	/** Describes the time left and the delay of the path at this moment; undefined if the instance is no engine. */
+	readonly describeStart: () => StartBound | undefined;
 	/** Returns whether the call may still be written; false some time after its start at a cold instance was allowed. */
 	readonly isStartPermitted: () => boolean;
 	/** Gives back the trial that is reserved at the instance, if the call is not sent there; does nothing otherwise. */
--- a/src/placement/instance-selector.ts
+++ b/src/placement/instance-selector.ts
@@ -321,6 +321,7 @@
 			hasFreeSlot: candidates.some(candidate => candidate.id === id && hasFreeSlot(candidate)),
 			version: held?.version,
 			startTimeLeftMs: () => this.startWindows.timeLeftMs(id, held),
+			describeStart: () => this.startWindows.describe(id, held),
 			isStartPermitted: () => permit?.isValid() ?? true,
 			release: this.options.tracker.signals.reserveTrial(instance),
 		};
--- a/src/placement/start-windows.ts
+++ b/src/placement/start-windows.ts
@@ -3,6 +3,14 @@
 import type {PathDelays} from './path-delays.ts';
 import type {VersionExpiry} from './version-expiry.ts';
 
+/** When a call was taken back, for the log; times in milliseconds. */
+export type StartBound = {
+	/** The delay that was assumed of the path. */
+	readonly pathDelayMs: number;
+	/** How long calls may still start on the version, without any margin; negative once they may not. */
+	readonly leftMs: number;
+};
+
 /** Combines the expiry of versions with the delays of paths. */
 export class StartWindows {
 	constructor(private readonly expiry: VersionExpiry, private readonly paths: PathDelays) {}
@@ -16,6 +24,11 @@
 	timeLeftMs(id: string, held: HeldModel | undefined): number {
 		return held ? this.expiry.timeLeftMs(held, this.paths.delayMs(id)) : Number.POSITIVE_INFINITY;
 	}
+
+	/** Describes the time left of a call to an instance, in whole milliseconds. */
+	describe(id: string, held: HeldModel | undefined): StartBound | undefined {
+		return held && {pathDelayMs: Math.round(this.paths.delayMs(id)), leftMs: Math.round(this.expiry.boundLeftMs(held))};
+	}
 }
 
 /** Returns what an instance holds of a model. */
--- a/test/calls-under-way.test.ts
+++ b/test/calls-under-way.test.ts
@@ -3,7 +3,9 @@
 import {install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import {Directory} from '../src/directory/directory.ts';
+import {CallLog} from '../src/forwarding/call-log.ts';
 import {StartDeadline} from '../src/forwarding/start-deadline.ts';
+import type {UpstreamAttempt} from '../src/forwarding/upstream-attempt.ts';
 import {createServiceId} from '../src/ids/service-id.ts';
 import type {DatagramPort} from '../src/links/datagram-port.ts';
 import type {LoadDatagram} from '../src/messages/load-datagram.ts';
@@ -12,7 +14,7 @@
 import {PathDelays} from '../src/placement/path-delays.ts';
 import {StartWindows} from '../src/placement/start-windows.ts';
 import {VersionExpiry} from '../src/placement/version-expiry.ts';
-import {createSilentLogger} from '../src/runtime/logger.ts';
+import {createSilentLogger, type Logger} from '../src/runtime/logger.ts';
 import {monotonicClock} from '../src/runtime/pause-detector.ts';
 import {
 	callGateway, observedNow, startTestGateway, startUpstream, testBoundary, testConfiguration, testInstance,
@@ -167,3 +169,26 @@
 		expect([paths.delayMs('i-1'), paths.isUnknown('i-1')]).to.deep.equal([1000, false]);
 	});
 });
+
+it('guards against a call taken back whose cause is not told: the delay that was assumed of the path, and the time that was left until the bound', async () => {
+	await withPaths(({clock, paths, windows}) => {
+		const lines: object[] = [];
+		const log = {
+			info(fields: object) {
+				lines.push(fields);
+			},
+		} as unknown as Logger;
+		const attempt = {instance: engine, timing: {waitedMs: 900}, options: {describeStart: () => windows.describe('i-1', held)}} as unknown as UpstreamAttempt;
+		const callLog = new CallLog({call: {headers: {attemptId: 'id-1'}}, log} as unknown as ConstructorParameters<typeof CallLog>[0]);
+		paths.wait('i-1', 100);
+		clock.tick(900);
+		for (const reason of ['version_expired', 'ECONNRESET']) {
+			callLog.recordAttemptEnd(attempt, {
+				outcome: 'failed', reason, step: 'fail', runs: 1, version: 1,
+			});
+		}
+
+		expect(lines[0]).to.include({waitedMs: 900, pathDelayMs: 800, leftMs: versionBoundMs - 900});
+		expect(lines[1]).to.not.have.any.keys('pathDelayMs', 'leftMs');
+	});
+});
