Count a path as long shortly before an expiry while an answer is missing

A gateway that has sent nothing to a VM for a while knows nothing of its link. Its question for the load is delayed there just as the call would be, and stays unanswered when the 20 ms for the answer are over; the path counted as 20 ms long then. In the last 3 s before an expiry, a path with a question that is unanswered for 15 ms or more counts as at least 500 ms long. At other times nothing changes.

--- a/test/calls-under-way.test.ts
+++ b/test/calls-under-way.test.ts
@@ -170,6 +170,25 @@
 	});
 });
 
+it('guards against a path that counts as short because nothing came back over it: an unanswered question counts half a second, but only shortly before the expiry', async () => {
+	await withPaths(({clock, paths, windows}) => {
+		const marginsMs = () => ['i-1', 'i-2'].map(id => versionBoundMs - performance.now() - windows.timeLeftMs(id, held));
+		paths.wait('i-1');
+		clock.tick(20);
+		expect(marginsMs()).to.deep.equal([270, 250]);
+		paths.retainOnly(new Set());
+		clock.tick(6000);
+		const question = paths.wait('i-1');
+		clock.tick(10);
+		expect(marginsMs()).to.deep.equal([260, 250]);
+		clock.tick(10);
+		expect(marginsMs()).to.deep.equal([750, 250]);
+		question.endWithAnswer();
+		expect(marginsMs()).to.deep.equal([270, 250]);
+		expect(windows.timeLeftMs('i-1', {...held, version: 2})).to.equal(Number.POSITIVE_INFINITY);
+	});
+});
+
 it('guards against a call taken back whose cause is not told: the delay that was assumed of the path, and the time that was left until the bound', async () => {
 	await withPaths(({clock, paths, windows}) => {
 		const lines: object[] = [];
