Send no call whose time ended while its connection was established

Callers got 504 for calls that their upstream was sent after their deadline, and could not know whether they ran. Cause: the time of a call was looked at before connecting only. The check before anything is written covers the time of the call now, too: the upstream gets nothing, and the caller gets 503, which is true, in place of 504. The timer itself stays an input timeout: it ends the wait for an answer, and an answer that is ready is delivered.

Test: start-expiry.test, an event loop blocked for 300 ms between the start of an attempt and its connection, a deadline of 200 ms.

--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -258,6 +258,7 @@
 			call,
 			boundary,
 			isStream: route.kind === 'stream',
+			hasTimeLeft: () => performance.now() < this.expiresAtMs,
 			instructions: createInstructions(this.options, {
 				instance: instance.id, version, expiresAtMs: this.expiresAtMs, lastEventId: this.progress.lastEventId,
 			}),
--- a/src/forwarding/upstream-attempt-options.ts
+++ b/src/forwarding/upstream-attempt-options.ts
@@ -35,6 +35,8 @@
 	readonly startTimeLeftMs: () => number;
 	/** Describes the time left and the delay of the path at this moment; undefined if the instance is no engine. */
 	readonly describeStart: () => StartBound | undefined;
+	/** Returns whether the time of the call is not over; asked before anything is written. */
+	readonly hasTimeLeft: () => boolean;
 	/** Returns whether the instance still expects the start of the call; asked before anything is written. */
 	readonly isStartPermitted: () => boolean;
 	readonly instructions: AttemptInstructions;
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -11,6 +11,7 @@
 import type {AttemptOutcome} from './decide-next-step.ts';
 import {EventOrder} from './event-order.ts';
 import {EventSplitter, type StreamEvent} from './event-splitter.ts';
+import {findWithholdReason} from './find-withhold-reason.ts';
 import {findHeadFault, firstServerError, notRunStatuses} from './response-status.ts';
 import {SilenceWatch} from './silence-watch.ts';
 import {UpstreamExchange} from './upstream-exchange.ts';
@@ -80,10 +81,10 @@
 		}, {
 			mayWrite: () => {
 				this.path.markConnected();
-				return this.options.isStartPermitted() && this.startDeadline.allowsStartIn(this.options.predictedMs);
+				return findWithholdReason(this.options, this.startDeadline) === undefined;
 			},
 			onWithheld: () => {
-				this.report({kind: 'not-run', reason: this.options.isStartPermitted() ? 'version_expired' : 'cold_start_expired'});
+				this.report({kind: 'not-run', reason: findWithholdReason(this.options, this.startDeadline)!});
 			},
 			onHeaders: this.handleHeaders.bind(this),
 			onData: this.handleData.bind(this),
--- a/test/start-expiry.test.ts
+++ b/test/start-expiry.test.ts
@@ -4,7 +4,7 @@
 import {PauseDetector} from '../src/runtime/pause-detector.ts';
 import {createServiceId} from '../src/ids/service-id.ts';
 import {
-	callGateway, observedNow, startTestGateway, startUpstream, testBoundary, testConfiguration, testInstance,
+	callGateway, observedNow, sendSignedResponse, startTestGateway, startUpstream, testBoundary, testConfiguration, testInstance,
 } from './support/direct-fixtures.ts';
 import {waitFor} from './support/fleet.ts';
 
@@ -83,6 +83,26 @@
 	}
 });
 
+it('guards against a call that is sent after its own time: if that ends before its connection is read, its upstream never gets it', async () => {
+	const upstream = await startUpstream((req, res) => {
+		sendSignedResponse(req, res, 200, 'ok');
+	});
+	const gateway = await startTestGateway(testConfiguration(1), [testInstance({id: 'i-1', address: upstream.address})]);
+	try {
+		// The attempt is reported right before it connects.
+		gateway.tracker.inFlight.setListener((_, isMore) => {
+			if (isMore) {
+				block(300);
+			}
+		});
+		const {status} = await callGateway(gateway.url, {headers: {'deadline-ms': '200'}});
+		expect([status, upstream.requests.length, gateway.ends.map(({reason}) => reason)]).to.deep.equal([503, 0, ['deadline_passed']]);
+	} finally {
+		gateway.close();
+		upstream.close();
+	}
+});
+
 it('guards against a late event loop that is forgotten with its next tick: in real time, the delay still counts after it', async () => {
 	const detector = new PauseDetector();
 	try {
