Keep the delay of a long path while a call waits for its start

Callers saw nothing of it, but engines could begin calls on expired weights. The delay of a path counts by half after 2 s. A call that waits in its engine's queue gives no new sign of the path until its start is due, so that the gateway took it back as if the path had become shorter meanwhile. Calls without a predicted start (no streams) were no wait at all.

Evidence: a path of 1,200 ms, a call predicted to begin after 2,500 ms, 4 s before the bound: taken back 850 ms before the bound, its reset arrives 350 ms after it. Test 'a reset that is late', red before for both kinds.

Change: each call that waits keeps the delay that its path showed when the call was written, until it or a later call begins. Only what was seen is kept, not what earlier calls keep, so that calls one after another don't prolong it; a second test guards that. Measured: the call is taken back 1,450 ms before the bound.

--- a/src/forwarding/attempt-path.ts
+++ b/src/forwarding/attempt-path.ts
@@ -4,7 +4,7 @@
 /** The waits of one attempt. */
 export class AttemptPath {
 	private readonly connection: PathWait;
-	private readonly begin: PathWait | undefined;
+	private readonly begin: PathWait;
 
 	/**
 	 * @param paths - records the delays
@@ -13,22 +13,23 @@
 	 */
 	constructor(paths: PathDelays, id: string, predictedMs: number) {
 		this.connection = paths.wait(id, 0);
-		this.begin = predictedMs > 0 ? paths.wait(id, predictedMs) : undefined;
+		this.begin = paths.wait(id, predictedMs > 0 ? predictedMs : Number.POSITIVE_INFINITY);
 	}
 
-	/** Records that the connection is established. */
+	/** Records that the connection is established, so that the call is written now. */
 	markConnected(): void {
 		this.connection.end();
+		this.begin.keepDelay();
 	}
 
 	/** Records that the call has begun. */
 	markBegun(): void {
-		this.begin?.endWithAnswer();
+		this.begin.endWithAnswer();
 	}
 
 	/** Ends the waits, because the attempt ends. */
 	end(): void {
 		this.connection.end();
-		this.begin?.end();
+		this.begin.end();
 	}
 }
--- a/src/placement/path-delays.ts
+++ b/src/placement/path-delays.ts
@@ -23,10 +23,22 @@
 class Path {
 	readonly recent = new DecayingMaximum(delayHalfLifeMs);
 	readonly waits = new Set<PathWait>();
+
+	/** The largest delay that was seen lately, less the older it is, or that a wait shows now, in milliseconds. */
+	get seenMs(): number {
+		return Math.max(this.recent.value, ...[...this.waits].map(({overdueMs}) => overdueMs));
+	}
+
+	/** The delay that is assumed, in milliseconds. */
+	get delayMs(): number {
+		return Math.max(this.seenMs, ...[...this.waits].map(({keptMs}) => keptMs));
+	}
 }
 
 /** The wait for an answer of an instance; it counts at once, without the answer. */
 export class PathWait {
+	/** The delay that counts until the answer is there, in milliseconds; 0 if none is kept. */
+	keptMs = 0;
 	private readonly createdMs: number;
 	private sinceMs: number;
 	private isArrived = false;
@@ -60,6 +72,11 @@
 		}
 	}
 
+	/** Lets the delay that the path shows now count until the answer is there, since a call that waits does not show that it became shorter. */
+	keepDelay(): void {
+		this.keptMs = this.path.seenMs;
+	}
+
 	/** Ends the wait, with an answer or without; does nothing if it has ended before. */
 	end(): void {
 		if (this.path.waits.delete(this) && this.waitedMs <= maxTellingWaitMs) {
@@ -71,7 +88,10 @@
 	endWithAnswer(): void {
 		this.end();
 		for (const wait of this.path.waits) {
-			wait.isArrived ||= wait.sinceMs <= this.sinceMs;
+			if (wait.sinceMs <= this.sinceMs) {
+				wait.isArrived = true;
+				wait.keptMs = 0;
+			}
 		}
 	}
 }
@@ -110,8 +130,7 @@
 	 * @param id - the instance ID
 	 */
 	delayMs(id: string): number {
-		const path = this.paths.get(id);
-		return path ? Math.max(path.recent.value, ...[...path.waits].map(({overdueMs}) => overdueMs)) : 0;
+		return this.paths.get(id)?.delayMs ?? 0;
 	}
 
 	/**
--- a/test/calls-under-way.test.ts
+++ b/test/calls-under-way.test.ts
@@ -3,6 +3,7 @@
 import {install} from '@sinonjs/fake-timers';
 import {expect} from 'chai';
 import {Directory} from '../src/directory/directory.ts';
+import {AttemptPath} from '../src/forwarding/attempt-path.ts';
 import {CallLog} from '../src/forwarding/call-log.ts';
 import {StartDeadline} from '../src/forwarding/start-deadline.ts';
 import type {UpstreamAttempt} from '../src/forwarding/upstream-attempt.ts';
@@ -131,6 +132,48 @@
 	});
 });
 
+for (const [kind, predictedMs] of [['stream', 2500], ['call without a predicted start', 0]] as const) {
+	it(`guards against a reset that is late since the delay of a long path is forgotten while a ${kind} waits: it counts until the start`, async () => {
+		await withPaths(({clock, paths, windows}) => {
+			const passedAtMs: number[] = [];
+			clock.tick(2800);
+			const question = paths.wait('i-1');
+			clock.tick(1200);
+			question.end();
+			const call = new AttemptPath(paths, 'i-1', predictedMs);
+			call.markConnected();
+			const takesBack = new StartDeadline(() => windows.timeLeftMs('i-1', held), () => {
+				passedAtMs.push(performance.now());
+			}, testBoundary());
+			clock.tick(2600);
+			takesBack.stop();
+			expect(passedAtMs[0]).to.be.within(versionBoundMs - 250 - 1200, versionBoundMs - 250 - 1200 + 10);
+			call.markBegun();
+			expect(paths.delayMs('i-1')).to.be.below(600);
+		});
+	});
+}
+
+it('guards against a long path that counts for good: calls that are sent one after another do not keep what earlier ones kept', async () => {
+	await withPaths(({clock, paths}) => {
+		const question = paths.wait('i-1');
+		clock.tick(1200);
+		question.end();
+		let last: AttemptPath | undefined;
+		for (let sent = 0; sent < 8; sent++) {
+			const call = new AttemptPath(paths, 'i-1', 2500);
+			call.markConnected();
+			last?.end();
+			last = call;
+			clock.tick(500);
+		}
+
+		expect(paths.delayMs('i-1')).to.be.within(300, 400);
+		last!.markBegun();
+		expect(paths.delayMs('i-1')).to.equal(300);
+	});
+});
+
 it('guards against an engine that is shunned because its stager is gone or a question was lost: a later call that began in time clears the path, and an old question tells nothing', async () => {
 	await withPaths(({clock, paths}) => {
 		const lost = paths.wait('i-1');
