Tell answers to earlier questions for the load apart from answers to the last

Callers saw nothing of it, but engines could begin calls on expired weights: the delay of a path that stays long shrank to the time between two answers. The answer to a question carries no number. With a path longer than the time between questions, each wait was ended by the answer to an earlier question. Only questions show a path over 300 ms before a call is sent where connections are established near the gateway.

Evidence: path of 1,000 ms, LoadQueries alone, fake timers.

A wait is ended by the answer to its question or to a later one; a lost question thus still ends with the next answer.

--- a/src/messages/load-datagram.ts
+++ b/src/messages/load-datagram.ts
@@ -27,15 +27,15 @@
 const urgencySchema = z.tuple([z.number().int().min(0).max(leastUrgency), z.number().min(0).max(1), byUrgencySchema.optional()]);
 
 /**
- * `['ask', gateway, instance, urgency]`: asks for the calls that other gateways have in flight at the engine, which the gateway knows as this
- * instance. The urgency is left out towards a stager that does not know it.
+ * `['ask', gateway, instance, urgency]`: asks for the calls that other gateways have in flight at the engine, which the gateway knows by this
+ * name, the instance ID with the number of the question. The urgency is left out towards a stager that does not know it.
  */
 export const askDatagramSchema = z.tuple([z.literal('ask'), z.string(), z.string(), urgencySchema.optional()]);
 
 /** What a `load` tells beside the counts: what the engine said of itself, and the calls that should give way to more urgent ones. */
 const loadExtrasSchema = observationSchema.extend({yields: byUrgencySchema.optional()});
 
-/** `['load', instance, counts, extras]`: the answer to an `ask`. The last element may be absent; only gateways that give an urgency get it, since those of earlier versions refuse it. */
+/** `['load', instance, counts, extras]`: the answer to an `ask`, whose name of the instance it repeats. The last element may be absent; only gateways that give an urgency get it, since those of earlier versions refuse it. */
 export const loadDatagramSchema = z.tuple([z.literal('load'), z.string(), countsSchema, loadExtrasSchema.optional()], z.unknown());
 
 /** A question to a stager. */
--- a/src/peers/load-queries.ts
+++ b/src/peers/load-queries.ts
@@ -17,6 +17,7 @@
 import type {Logger} from '../runtime/logger.ts';
 import type {ListeningClock} from '../runtime/pause-detector.ts';
 import {asTrailing, type ObservationExchange} from './engine-observation.ts';
+import {numberInstance, splitNumbered} from './numbered-instance.ts';
 import {decodeYields, encodeReport} from './urgency-wire.ts';
 
 /** Interval at which the counts of all calls in flight are reported again, in milliseconds; corrects counts after lost datagrams and keeps them from expiring. */
@@ -47,8 +48,8 @@
 	lastAskedMs: number;
 	/** When the first question after the last answer was sent, by the listening clock; undefined if none was. */
 	unansweredSinceMs: number | undefined;
-	/** The wait for the answer, as far as it tells of the path. */
-	pathWait?: PathWait | undefined;
+	/** The wait for the answer to one question, as far as it tells of the path, and the number of the question. */
+	timed?: {readonly wait: PathWait | undefined; readonly number: number} | undefined;
 	/** Whether the last question carried no urgency because the stager was silent. */
 	isAskedPlainly: boolean;
 	/** Until when questions carry no urgency. */
@@ -85,6 +86,8 @@
 	private progressTimer: NodeJS.Timeout | undefined;
 	/** Increases over restarts, since the stagers ignore reports with a lower number. */
 	private sequence = Date.now();
+	/** Number of the last question; increases over restarts, since an answer to an earlier question may still arrive. */
+	private questions = Date.now();
 
 	constructor(private readonly options: LoadQueriesOptions) {
 		options.datagrams.on('load', loadDatagramSchema, answer => {
@@ -163,10 +166,11 @@
 
 		counter.lastAskedMs = nowMs;
 		counter.unansweredSinceMs ??= listeningMs;
-		counter.pathWait ??= this.options.paths?.wait(id);
-		counter.pathWait?.renew();
+		this.questions++;
+		counter.timed ??= {wait: this.options.paths?.wait(id), number: this.questions};
+		counter.timed.wait?.renew();
 		counter.isAskedPlainly = isSilent;
-		const question: AskDatagram = ['ask', this.options.vm, id];
+		const question: AskDatagram = ['ask', this.options.vm, numberInstance(id, this.questions)];
 		const isPlain = urgency === undefined || isSilent || nowMs < counter.plainUntilMs;
 		this.options.datagrams.send(isPlain ? question : [...question, urgency], this.counterAddress(address));
 		return !isSilent;
@@ -194,7 +198,8 @@
 	}
 
 	/** Takes an answer, also one that arrives too late for the call that asked: it helps the next one. */
-	private handleAnswer([, instance, [calls, unreadTokens], extras]: LoadDatagram): void {
+	private handleAnswer([, numbered, [calls, unreadTokens], extras]: LoadDatagram): void {
+		const [instance, number] = splitNumbered(numbered);
 		const counter = this.counters.get(instance);
 		if (!counter) {
 			return;
@@ -209,8 +214,11 @@
 		}
 
 		counter.unansweredSinceMs = undefined;
-		counter.pathWait?.end();
-		counter.pathWait = undefined;
+		if (counter.timed && number >= counter.timed.number) {
+			counter.timed.wait?.end();
+			counter.timed = undefined;
+		}
+
 		for (const query of counter.waiting) {
 			query.unanswered--;
 			if (query.unanswered === 0) {
--- a/test/calls-under-way.test.ts
+++ b/test/calls-under-way.test.ts
@@ -9,7 +9,7 @@
 import type {UpstreamAttempt} from '../src/forwarding/upstream-attempt.ts';
 import {createServiceId} from '../src/ids/service-id.ts';
 import type {DatagramPort} from '../src/links/datagram-port.ts';
-import type {LoadDatagram} from '../src/messages/load-datagram.ts';
+import type {AskDatagram, LoadDatagram} from '../src/messages/load-datagram.ts';
 import {LoadQueries} from '../src/peers/load-queries.ts';
 import {InFlightCalls} from '../src/placement/in-flight-calls.ts';
 import {PathDelays} from '../src/placement/path-delays.ts';
@@ -213,6 +213,38 @@
 	});
 });
 
+it('guards against an answer that counts for a later question: on a path that stays long, the delay does not shrink to the time between answers', async () => {
+	await withPaths(async ({clock, paths}) => {
+		let answer: (message: LoadDatagram) => void = () => undefined;
+		const datagrams = {
+			on(kind: string, schema: unknown, handler: typeof answer) {
+				answer = handler;
+			},
+			send(question: AskDatagram) {
+				setTimeout(() => {
+					answer(['load', question[2], [0, 0]]);
+				}, 1000);
+			},
+		} as unknown as DatagramPort;
+		const log = createSilentLogger();
+		const queries = new LoadQueries({
+			vm: 'g', inFlight: new InFlightCalls(), directory: new Directory(log), datagrams, port: 1, log, clock: monotonicClock, paths,
+		});
+		const seenMs: number[] = [];
+		for (let asked = 0; asked < 60; asked++) {
+			void queries.ask([engine]);
+			await clock.tickAsync(150);
+			seenMs.push(paths.delayMs('i-1'));
+		}
+
+		expect(Math.min(...seenMs.slice(10))).to.be.at.least(650);
+		clock.tick(4000);
+		void queries.ask([engine]);
+		answer(['load', 'i-1', [0, 0]]);
+		expect(paths.isUnknown('i-1')).to.equal(false);
+	});
+});
+
 it('guards against a path that counts as short because nothing came back over it: an unanswered question counts half a second, but only shortly before the expiry', async () => {
 	await withPaths(({clock, paths, windows}) => {
 		const marginsMs = () => ['i-1', 'i-2'].map(id => versionBoundMs - performance.now() - windows.timeLeftMs(id, held));
