Keep the delay of a path while a call waits there, also if its instance is not listed

Callers saw nothing of it, but engines could begin calls on expired weights: when an instance left the list for a moment, what was known of its path was dropped. Its calls go on, and were taken back with the margin of an unknown path.

PathDelays.retainOnly keeps paths at which calls wait, not those at which only questions do, whose waits nobody ends. Paths go with the next change after the last call.

--- a/src/placement/path-delays.ts
+++ b/src/placement/path-delays.ts
@@ -24,6 +24,11 @@
 	readonly recent = new DecayingMaximum(delayHalfLifeMs);
 	readonly waits = new Set<PathWait>();
 
+	/** Whether a call waits for its start. */
+	get hasCalls(): boolean {
+		return [...this.waits].some(({isQuestion}) => !isQuestion);
+	}
+
 	/** The largest delay that was seen lately, less the older it is, or that a wait shows now, in milliseconds. */
 	get seenMs(): number {
 		return Math.max(this.recent.value, ...[...this.waits].map(({overdueMs}) => overdueMs));
@@ -50,9 +55,14 @@
 		path.waits.add(this);
 	}
 
+	/** Whether it is the wait for the answer to a question, not that of a call. */
+	get isQuestion(): boolean {
+		return this.expectedMs === undefined;
+	}
+
 	/** Whether it is a question that should have been answered. */
 	get isUnanswered(): boolean {
-		return this.expectedMs === undefined && this.clock.listeningMs - this.createdMs >= answerTimeMs;
+		return this.isQuestion && this.clock.listeningMs - this.createdMs >= answerTimeMs;
 	}
 
 	/** How much later than expected the answer is now, in milliseconds. */
@@ -143,13 +153,13 @@
 	}
 
 	/**
-	 * Discards what is known of other instances.
+	 * Discards what is known of other instances, unless a call waits there, which may have to be taken back in time.
 	 *
 	 * @param present - IDs of the instances to keep
 	 */
 	retainOnly(present: ReadonlySet<string>): void {
-		for (const id of this.paths.keys()) {
-			if (!present.has(id)) {
+		for (const [id, {hasCalls}] of this.paths) {
+			if (!present.has(id) && !hasCalls) {
 				this.paths.delete(id);
 			}
 		}
