Prefer engines with a short path

Calls to a VM whose link carries weights arrive about a second late, also when no version expires, and placement chose by the load alone. The recent delay of the path above 100 ms, up to 500 ms, now adds to the cost of an engine; it is no part of the prediction, and usual delays change nothing. The bound keeps an engine in use whose stager is gone, when the others are slower still.

The test is red without the change: the engine behind the busy link is chosen.

--- a/src/placement/instance-selector.ts
+++ b/src/placement/instance-selector.ts
@@ -294,6 +294,7 @@
 			homeReserveMs: homes.reserveMs(instance, {calls: load.calls, slots: instance.slots}, permittedRegions),
 			isSuspect: tracker.isSuspect(instance.id),
 			startWindowMs: this.startWindows.timeLeftMs(instance.id, findHeldModel(instance, headers.model)),
+			pathDelayMs: tracker.paths.delayMs(instance.id),
 			warmShare: this.warmShareOf(instance, service),
 		};
 	}
--- a/src/placement/select-instance.ts
+++ b/src/placement/select-instance.ts
@@ -24,6 +24,8 @@
 	readonly homeReserveMs?: number;
 	/** How long calls may still start on the version that the instance holds, in milliseconds; infinite unless a newer version was announced. */
 	readonly startWindowMs: number;
+	/** Recent delay of messages to the instance and back, in milliseconds; 0, the default, if none was seen. */
+	readonly pathDelayMs?: number;
 	/** Share of the slots that may be used, from 0 to 1; less than 1, the default, while the instance warms up or its zone is returned to. */
 	readonly warmShare?: number;
 };
@@ -64,6 +66,9 @@
 /** Cost added to an instance with recent failures, in milliseconds. */
 const suspectPenaltyMs = 300;
 
+/** Bounds of the delay of the path to an engine that adds to its cost, in milliseconds; shorter ones are usual, and longer ones may only be the lack of an answer. */
+const pathCostMs = {from: 100, to: 600};
+
 /** Cost added to an instance that uses its share of slots while it warms up, in milliseconds. */
 const warmingPenaltyMs = 150;
 
@@ -114,7 +119,7 @@
 export function selectEngineInstance(timing: EngineTiming, candidates: readonly Candidate[], call: CallRequirements, randomBelow: (bound: number) => number): Placement {
 	const ranked = candidates.map(candidate => {
 		const predictedMs = predictFirstEventMs(timing, candidate.load, call.promptTokens);
-		return {candidate, predictedMs, costMs: predictedMs + penaltyMs(candidate) + warmingMs(candidate)};
+		return {candidate, predictedMs, costMs: predictedMs + penaltyMs(candidate) + warmingMs(candidate) + busyPathMs(candidate)};
 	}).filter(({candidate, predictedMs}) => predictedMs <= candidate.startWindowMs);
 	if (ranked.length === 0) {
 		return {kind: 'refuse', reason: 'no_upstream', retryAfterMs: noUpstreamRetryAfterMs + randomBelow(retryJitterMs)};
@@ -231,6 +236,10 @@
 	return !hasFreeSlot(candidate) && usableSlots(candidate) < candidate.slots ? warmingPenaltyMs : 0;
 }
 
+function busyPathMs({pathDelayMs = 0}: Candidate): number {
+	return Math.max(0, Math.min(pathCostMs.to, pathDelayMs) - pathCostMs.from);
+}
+
 function pickLowestCost<Item extends {readonly costMs: number}>(items: readonly Item[], randomBelow: (bound: number) => number): Item | undefined {
 	const lowest = Math.min(...items.map(({costMs}) => costMs));
 	const tied = items.filter(({costMs}) => costMs <= lowest + tieToleranceMs);
--- a/test/forwarding-decisions.test.ts
+++ b/test/forwarding-decisions.test.ts
@@ -285,6 +285,16 @@
 	expect(selectEngineInstance(testEngineTiming, [near, idle], {...call, aimLeftMs: -200}, () => 0)).to.include({kind: 'place', id: 'idle'});
 });
 
+it('guards against calls behind a busy link: an engine with a short path gets them, one with a long path only if the others are slower still, and usual delays change nothing', () => {
+	const call = {
+		promptTokens: 900, aimLeftMs: 2000, deadlineLeftMs: 6000, isResponseStarted: false,
+	};
+	const select = (pathDelayMs: number, otherCalls: number) => selectEngineInstance(testEngineTiming, [candidate('behind', 0, {pathDelayMs}), candidate('other', otherCalls)], call, () => 0);
+	expect(select(1100, 10)).to.include({id: 'other'});
+	expect(select(1100, 30)).to.include({id: 'behind'});
+	expect(select(90, 10)).to.include({id: 'behind'});
+});
+
 it('guards against treating new calls as late: deadlines that vary from caller to caller count as first attempts, much shorter ones as retries', () => {
 	const deadlines = new DeadlineHistory();
 	expect([6033, 5130, 5600].map(deadlineMs => deadlines.estimateElapsedMs('/a/', deadlineMs))).to.deep.equal([0, 0, 0]);
