Count the time that answers of the source are under way in when a version was named

Callers saw nothing of it, but calls may begin on older weights after their expiry: a watch's answer counted as sent 250 ms before it was read at the earliest, however long the way from the source is. In a model with requests and answers under way for 1,000 ms each, the version counted as named 750 ms later than it was, and 1,354 ms if it was named between two watches. Another watcher that is told in time corrects it; if the links of all watchers are held up, nothing does.

A watch that ends without a change shows the delay: what it takes beyond its wait. The largest recent one (half-life 10 s) now goes off the times that answers of watches bound. Without delays nothing changes ('a quarter of a second before at most' is unchanged and green). Not covered: the first answer that is late.

Test: 'answers of the source are late', red before for both times.

--- a/src/directory/directory-watcher.ts
+++ b/src/directory/directory-watcher.ts
@@ -1,4 +1,5 @@
 /** Keeps a part of the directory up to date: one full read, then long-polling watches, with delayed retries when the source fails. */
+import {DecayingMaximum} from '../runtime/decaying-maximum.ts';
 import {setInputTimeout} from '../runtime/input-timeout.ts';
 import type {Logger} from '../runtime/logger.ts';
 import type {RandomSource} from '../runtime/random-source.ts';
@@ -26,6 +27,9 @@
 /** How long a request may be under way to a source that works, in milliseconds. A watch that is answered sooner may tell changes from before it. */
 const maxRequestMs = 250;
 
+/** The time after which the delay that a watch showed counts by half, in milliseconds: a few watches. */
+const delayHalfLifeMs = 10_000;
+
 /**
  * How long after a rise of the era writers may still repeat what the source has lost, in milliseconds. Versions that are named then may have
  * been named before the rise.
@@ -70,6 +74,8 @@
 	private completeUntilMs = Number.NEGATIVE_INFINITY;
 	/** Whether the last response came in a fraction of the time that one may take. */
 	private isFast = false;
+	/** How much longer than their wait watches took lately: requests and answers are under way for as long. */
+	private readonly delay = new DecayingMaximum(delayHalfLifeMs);
 	private failures = 0;
 	private failingSinceMs: number | undefined;
 	private respondedAtMs = Number.NEGATIVE_INFINITY;
@@ -174,10 +180,13 @@
 		const {part, source, directory: {clock}} = this.options;
 		if (watch) {
 			const changes = await source.watch(part, watch.after, watch.waitMs, signal);
-			const {arrivedAfterMs} = clock;
+			// Without a change, the source answers when the wait is over.
+			this.delay.record(Math.max(0, clock.nowMs - requestedAtMs - watch.waitMs));
+			const delayMs = this.delay.value;
+			const answeredAfterMs = clock.arrivedAfterMs - delayMs;
 			// The source answers a watch as soon as there is a change, so one that is answered late tells what has just changed.
-			const namedAfterMs = arrivedAfterMs > requestedAtMs + maxRequestMs ? arrivedAfterMs : this.completeUntilMs;
-			this.applyResponse(run, changes, {isFullRead: false, namedAfterMs, completeUntilMs: Math.max(requestedAtMs, arrivedAfterMs)});
+			const namedAfterMs = answeredAfterMs > requestedAtMs + maxRequestMs + delayMs ? answeredAfterMs : this.completeUntilMs;
+			this.applyResponse(run, changes, {isFullRead: false, namedAfterMs, completeUntilMs: Math.max(requestedAtMs, answeredAfterMs)});
 		} else {
 			const snapshot = await source.read(part, signal);
 			this.applyResponse(run, snapshot, {isFullRead: true, namedAfterMs: this.completeUntilMs, completeUntilMs: requestedAtMs});
--- a/test/naming-times.test.ts
+++ b/test/naming-times.test.ts
@@ -209,6 +209,8 @@
 class VersionSource implements DirectorySource {
 	isFailing = false;
 	losesHistory = false;
+	/** How long requests and answers are each under way, in milliseconds. */
+	underWayMs = 0;
 	private revision = 1;
 	private changes: DirectoryChanges['changes'] = [];
 	private wake: (() => void) | undefined;
@@ -225,6 +227,7 @@
 	}
 
 	async watch(part: unknown, after: number, waitMs: number, signal: AbortSignal): Promise<DirectoryChanges> {
+		await this.passLink();
 		if (after >= this.revision) {
 			await new Promise<void>(resolve => {
 				this.wake = resolve;
@@ -240,7 +243,17 @@
 			throw new HistoryLostError('lost');
 		}
 
-		return this.respond(after);
+		const response = this.respond(after);
+		await this.passLink();
+		return response;
+	}
+
+	private async passLink(): Promise<void> {
+		if (this.underWayMs > 0) {
+			await new Promise(resolve => {
+				setTimeout(resolve, this.underWayMs);
+			});
+		}
 	}
 
 	private respond(after: number): DirectoryChanges {
@@ -328,6 +341,18 @@
 	});
 }
 
+for (const afterMs of [500, 6800]) {
+	it(`guards against old weights when answers of the source are late: what earlier watches took beyond their wait counts as the time under way, ${afterMs} ms after one`, async () => {
+		await withWatcher(async ({source, clock, directory}) => {
+			source.underWayMs = 1000;
+			await clock.tickAsync(12_000 + afterMs);
+			const namedAtMs = source.nameVersion();
+			await clock.tickAsync(9000);
+			expect(earliestOf(directory)).to.be.within(namedAtMs - 4000, namedAtMs);
+		});
+	});
+}
+
 it('guards against weights that are given up too soon: a version that an uninterrupted watch tells counts as named a quarter of a second before at most', async () => {
 	await withWatcher(async ({source, clock, directory}) => {
 		await clock.tickAsync(1500);
