--- a/src/runtime/elapsed-clock.ts
+++ b/src/runtime/elapsed-clock.ts
@@ -9,7 +9,7 @@
 const minJumpMs = 100;
 
 /** How long a message may be under way, in milliseconds: links that carry weights hold messages up for about a second. */
-const maxUnderWayMs = 3000;
+const maxUnderWayMs = 1500;
 
 /** Tells the time, and when a message that is read now may have been sent. */
 export class ElapsedClock {
