--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -21,7 +21,6 @@
 import {TransferNode} from '../rollout/transfer-node.ts';
 import type {OriginChunk, TransferOptions} from '../rollout/transfer-options.ts';
 import {TransferPacer} from '../rollout/transfer-pacer.ts';
-import {UploadThrottle} from '../rollout/upload-throttle.ts';
 import {bufferGarbage} from '../runtime/buffer-garbage.ts';
 import {monotonicClock} from '../runtime/pause-detector.ts';
 import type {StagerSettings} from '../settings/direct-settings.ts';
@@ -83,8 +82,6 @@
 	private readonly origin: WeightOrigin;
 	private readonly node: TransferNode;
 	private readonly notices: NoticeDatagrams;
-	private readonly upPacer: TransferPacer;
-	private readonly throttle: UploadThrottle;
 	private readonly staging: StagingManager;
 	private readonly control: HttpListener;
 	private readonly manifests: ManifestFetcher<PeerInfo>;
@@ -98,12 +95,10 @@
 		}), adapter.createSource);
 		const {links, log, random, directory, settings, pauseDetector, peers} = this.base;
 		this.origin = adapter.createOrigin(links);
-		this.upPacer = new TransferPacer(() => this.transferRate, uploadBurstMs);
 		this.node = new TransferNode(this.transferOptions(), held => {
 			log.info({event: 'version_held', model: held.model, version: held.version}, 'all chunks of a version are held');
 		});
 		this.notices = new NoticeDatagrams(this.base.datagrams, settings.peers.datagram_port, params => this.node.handleNotice(params));
-		this.throttle = new UploadThrottle({pacer: this.upPacer, linkDelay: this.notices.linkDelay, hasCalls: () => this.staging.isServing});
 		const sender = new EngineStateSender(this.base.datagrams, () => peers.others.filter(({role}) => role === 'gateway'), settings.peers.datagram_port);
 		pauseDetector.onResume(() => {
 			this.node.wake();
@@ -119,7 +114,6 @@
 			fetchManifest: async (model, version) => this.manifests.fetch(model, version),
 			groupVms: () => this.stagers().vms,
 			versionBoundMs: settings.limits.version_bound_ms,
-			linkState: () => ({uploadShare: this.upPacer.share, linkRoundTripMs: this.notices.linkDelay.currentMs}),
 			onLoadStarted(startedAtMs) {
 				sender.send(['changing', formatAddress(settings.engine.address), startedAtMs]);
 			},
@@ -150,7 +144,6 @@
 		await control.start(base.settings.listen.control);
 		await base.start();
 		staging.start();
-		this.throttle.start();
 		// After a power failure, there may be no gateway yet that could send the published services.
 		this.scheduleServiceRead(base.random.jitter(firstServiceReadDelayMs));
 		base.log.info({event: 'stager_started', control: formatAddress(base.settings.listen.control)}, 'stager started');
@@ -159,7 +152,6 @@
 	async drain(): Promise<void> {
 		clearTimeout(this.serviceReadTimer);
 		this.staging.stop();
-		this.throttle.stop();
 		this.control.destroy();
 		await this.base.stop();
 	}
@@ -169,8 +161,6 @@
 		rpc.method(rolloutHaveMethod, rolloutHaveParamsSchema, params => this.node.handleNotice(params));
 		rpc.method(manifestGetMethod, manifestGetParamsSchema, async query => this.manifests.answer(query));
 		metrics.gauge('cactusreach_chunk_bytes', 'Weights held in memory.', () => this.chunks.bytes);
-		metrics.gauge('cactusreach_upload_share', 'Share of the upload rate that transfers may use; below 1 while packets wait at the link of the VM.', () => this.upPacer.share);
-		metrics.gauge('cactusreach_link_round_trip_ms', 'Round trip of notices over the link of the VM; 0 without recent notices.', () => this.notices.linkDelay.currentMs ?? 0);
 		return {
 			...createControlRoutes({
 				rpc, metrics, isReady: () => true, dump: () => ({role: 'stager', ...this.base.dump(), staging: this.staging.dump()}),
@@ -179,22 +169,18 @@
 		};
 	}
 
-	/** The rate that transfers may use in each direction, in bytes per second. An engine that serves no version sends no responses over the link. */
-	private get transferRate(): number {
-		const {transfer} = this.base.settings;
-		return transfer.link_mbps * bytesPerMegabit * (this.staging.isServing ? transfer.link_share : idleLinkShare);
-	}
-
 	private transferOptions(): TransferOptions {
 		const {links, random, log, settings, pauseDetector} = this.base;
 		const {process, transfer} = settings;
+		// An engine that serves no version sends no responses over the link.
+		const rate = () => transfer.link_mbps * bytesPerMegabit * (this.staging.isServing ? transfer.link_share : idleLinkShare);
 		return {
 			self: {vm: process.vm, region: process.region},
 			peers: () => this.stagers().others,
 			links,
 			chunks: this.chunks,
-			upPacer: this.upPacer,
-			downPacer: new TransferPacer(() => this.transferRate),
+			upPacer: new TransferPacer(rate, uploadBurstMs),
+			downPacer: new TransferPacer(rate),
 			originUrl: '',
 			originChunkUrl: chunk => this.originChunkUrl(chunk),
 			sendNotice: (peer, manifest, notice) => this.notices.send(peer.address, manifest, notice),
--- a/src/peers/notice-datagrams.ts
+++ b/src/peers/notice-datagrams.ts
@@ -7,16 +7,12 @@
 import {type ListenAddress, parseAddress} from '../links/http-listener.ts';
 import {type NoticeDatagram, noticeDatagramSchema} from '../messages/notice-datagram.ts';
 import type {RolloutHaveParams, TransferNotice} from '../messages/rollout-have.ts';
-import {LinkDelay} from '../rollout/link-delay.ts';
 
 /** Maximum length of the bitmaps of a notice, in characters, so that the notice fits into one packet. */
 const maxBitmapLength = 900;
 
 /** Sends notices, and answers those of other stagers. */
 export class NoticeDatagrams {
-	/** The delay of the link of this VM, by the round trips of the notices. */
-	readonly linkDelay = new LinkDelay();
-
 	/**
 	 * @param port - the number of the port on which all stagers receive datagrams
 	 * @param handleNotice - takes a stager's notice and returns this one's
@@ -24,9 +20,7 @@
 	constructor(private readonly datagrams: DatagramPort, private readonly port: number, private readonly handleNotice: (params: RolloutHaveParams) => TransferNotice) {
 		datagrams.on('notice', noticeDatagramSchema, ([, manifest, notice, isAnswer], from) => {
 			const own = this.handleNotice({manifest, notice});
-			if (isAnswer) {
-				this.linkDelay.recordAnswer(from.host);
-			} else {
+			if (!isAnswer) {
 				this.sendTo(from, ['notice', manifest, own, true]);
 			}
 		});
@@ -39,13 +33,7 @@
 	 * @returns whether it was sent; false if it is too large for a datagram
 	 */
 	send(address: string, manifest: string, notice: TransferNotice): boolean {
-		const {host} = parseAddress(address);
-		const isSent = this.sendTo({host, port: this.port}, ['notice', manifest, notice, false]);
-		if (isSent) {
-			this.linkDelay.recordSent(host);
-		}
-
-		return isSent;
+		return this.sendTo({host: parseAddress(address).host, port: this.port}, ['notice', manifest, notice, false]);
 	}
 
 	private sendTo(to: ListenAddress, datagram: NoticeDatagram): boolean {
--- a/src/staging/staging-manager.ts
+++ b/src/staging/staging-manager.ts
@@ -338,7 +338,6 @@
 				event: 'staging_step', step, model, version, servedVersion, isBusy, held,
 				total: manifest.chunks.length, staged: this.stagedChunks.count,
 				open: this.options.node.versions.flatMap(item => item.transfer.openSources),
-				...this.options.linkState?.(),
 			}, 'staging step');
 		}
 	}
--- a/src/staging/staging-options.ts
+++ b/src/staging/staging-options.ts
@@ -27,8 +27,6 @@
 	readonly onLoadStarted: (startedAtMs: number) => void;
 	/** Called when the engine serves another version than at the last poll. */
 	readonly onVersionServed: (served: {readonly model: string; readonly version: number; readonly layers: number; readonly startedAtMs: number}) => void;
-	/** Returns the state of the VM's link for the log. */
-	readonly linkState?: () => Readonly<Record<string, number | undefined>>;
 	/** Tells for how long this VM has run; pauses count as such time without it. */
 	readonly clock?: ListeningClock;
 	readonly log: Logger;
