--- a/src/cli/stager-process.ts
+++ b/src/cli/stager-process.ts
@@ -20,16 +20,16 @@
 } from '../rollout/manifest.ts';
 import {TransferNode} from '../rollout/transfer-node.ts';
 import type {OriginChunk, TransferOptions} from '../rollout/transfer-options.ts';
+import {TransferPacer} from '../rollout/transfer-pacer.ts';
 import {bufferGarbage} from '../runtime/buffer-garbage.ts';
 import {monotonicClock} from '../runtime/pause-detector.ts';
 import type {StagerSettings} from '../settings/direct-settings.ts';
 import type {LocalEngine, WeightOrigin} from '../staging/local-engine.ts';
 import {ManifestFetcher, type ManifestQuery} from '../staging/manifest-fetcher.ts';
 import {
-	downloadLimits, maxOriginBackoffMs, maxSourceBackoffMs, noticeLimits, transferLimits,
+	downloadLimits, maxOriginBackoffMs, maxSourceBackoffMs, noticeLimits, transferLimits, uploadBurstMs,
 } from '../staging/stager-limits.ts';
 import {StagingManager} from '../staging/staging-manager.ts';
-import {createTransferPacers} from '../staging/transfer-pacers.ts';
 import type {RunningProcess} from './entry-agent-base.ts';
 import {type CreateSource, GatewayStagerBase, type SettingsSource} from './gateway-stager-base.ts';
 
@@ -179,7 +179,8 @@
 			peers: () => this.stagers().others,
 			links,
 			chunks: this.chunks,
-			...createTransferPacers(rate),
+			upPacer: new TransferPacer(rate, uploadBurstMs),
+			downPacer: new TransferPacer(rate),
 			originUrl: '',
 			originChunkUrl: chunk => this.originChunkUrl(chunk),
 			sendNotice: (peer, manifest, notice) => this.notices.send(peer.address, manifest, notice),
