Keep an instance unconfirmed when a peer tells an older entry of it

What callers saw: after a return of the source from an older copy, a gateway whose zone had been cut off could list an instance for good that had left, and send calls to it. Waiting does not help, since no further message takes the instance off.

Cause: a gateway whose knowledge of an instance was old (revision 5) read the new era in full; the read (era 1, revision 8) lacked the instance, so it was marked as unconfirmed. Then a neighbour of its zone told its own list, at the same revision of the new era, with a newer entry of the instance from the earlier era (revision 105), and with the instance as unconfirmed at era 1, revision 8. InstanceTable.put stored the entry without the mark, and applyChanges skipped the neighbour's mark, because the receiver knew all up to that revision. No timeout was left.

Why the fix works: a mark says that the source lacked the entry at a revision. An entry that was written before that revision, in whatever era, does not contradict it. put keeps the mark unless the entry is newer than it, so the instance times out when it would have without the message. An instance that runs registers again with a newer revision, or is listed by a later read, and counts as confirmed as before.

--- a/src/directory/instance-table.ts
+++ b/src/directory/instance-table.ts
@@ -5,7 +5,9 @@
 import {withColdEnd, withColdLeft} from './cold-entry.ts';
 import type {HeldModel, Instance, InstanceChanges} from './directory-types.ts';
 import {EraHistory} from './era-history.ts';
-import {type KnownInstance, mayBeAlive, timesOutAtMs} from './known-instance.ts';
+import {
+	type KnownInstance, mayBeAlive, missingAfterEntry, timesOutAtMs,
+} from './known-instance.ts';
 import {type ReportedModel, withReportedModel} from './instance-states.ts';
 import {RemovalLog} from './removal-log.ts';
 import {
@@ -74,7 +76,7 @@
 		}
 
 		this.eras.recordChange(revision);
-		this.store(merged, revision, from);
+		this.store(merged, revision, from, missingAfterEntry(known, revision));
 	}
 
 	/**
--- a/src/directory/known-instance.ts
+++ b/src/directory/known-instance.ts
@@ -1,6 +1,6 @@
 /** An instance of the table, and how long it is kept after its entry was missing. */
 import type {Instance} from './directory-types.ts';
-import {eraOf, type StoreRevision} from './store-revision.ts';
+import {compareRevisions, eraOf, type StoreRevision} from './store-revision.ts';
 
 /**
  * How long an instance is kept after its entry was missing at the end of an outage of the source, in milliseconds.
@@ -36,3 +36,15 @@
 
 	return missing.sinceMs + (eraOf(missing.revision) === eraOf(revision) ? confirmationTimeoutMs : rewriteTimeoutMs);
 }
+
+/**
+ * Returns when the entry of an instance was missing, if it still counts as missing after another entry was learned of. Only an entry that
+ * was written after the read that lacked it shows that the instance still runs.
+ *
+ * @param known - the instance as it was known
+ * @param revision - the revision at which the other entry was written
+ */
+export function missingAfterEntry(known: KnownInstance | undefined, revision: StoreRevision): KnownInstance['missing'] {
+	const missing = known?.missing;
+	return missing && compareRevisions(missing.revision, revision) > 0 ? missing : undefined;
+}
--- a/test/store-era.test.ts
+++ b/test/store-era.test.ts
@@ -564,6 +564,25 @@
 	});
 });
 
+it('guards against a gone instance that an older entry of a peer confirms', () => {
+	const clock = install();
+	try {
+		const [behind, peer] = [6, 106].map(revision => {
+			const directory = new Directory(createSilentLogger());
+			directory.replaceInstances(responseOf(0, revision, [instanceChange('i-3')]));
+			directory.replaceInstances(responseOf(1, 8));
+			return directory;
+		}) as [Directory, Directory];
+		behind.mergeFromPeer(answerOf(peer, behind)!, performance.now());
+		clock.tick(rewriteTimeoutMs - 1);
+		expect(behind.instance('i-3')?.id).to.equal('i-3');
+		clock.tick(1);
+		expect(behind.instance('i-3')).to.equal(undefined);
+	} finally {
+		clock.uninstall();
+	}
+});
+
 it('guards against a process of an earlier version that cannot read the messages: without a rise of the era they are as before', () => {
 	const directory = new Directory(createSilentLogger());
 	directory.replaceInstances(responseOf(0, 7, [instanceChange('i-1')]));
