Move a call of which nothing was written when its instance drains or leaves the list

While a call connects (up to 300 ms), its instance may be listed as draining or leave the list. The call was written nevertheless and reached an instance that is ending. A test that changes the entry between placement and connection saw the draining instance serve the call, and the same for one that left the list.

Cause: a change of the directory moved unsent calls only from evacuated zones, and the look before the first byte is written checked only the deadline, the start at a cold instance and the version. What an instance says of itself (leaving, quiet) already moved unsent calls.

Now both look at whether the instance is listed and whether it is leaving, draining or evacuated. The call counts as not run and moves without a retry of the budget, as it does for evacuations. The look before writing also covers a change that came before the attempt was registered. Attempts that were written are left alone.

--- a/src/forwarding/call-attempts.ts
+++ b/src/forwarding/call-attempts.ts
@@ -2,7 +2,6 @@
  * The attempts of one call that are under way: usually one, and more while an upstream is silent. The first one that has something to
  * pass on answers the call, and the others are aborted.
  */
-import type {Instance} from '../directory/directory-types.ts';
 import type {UpstreamAttempt} from './upstream-attempt.ts';
 
 /** Holds the attempts of one call. */
@@ -67,16 +66,13 @@
 		}
 	}
 
-	/**
-	 * Applies a change of the announced versions and of the evacuated zones.
-	 *
-	 * @param isEvacuated - whether the zone of an instance is evacuated
-	 */
-	recheck(isEvacuated: (instance: Instance) => boolean): void {
+	/** Applies a change of the announced versions, the instances and the evacuated zones. */
+	recheck(): void {
 		for (const attempt of this.underWay) {
 			attempt.startDeadline.check();
-			if (isEvacuated(attempt.instance)) {
-				attempt.handleInstanceClosed('zone_evacuated', true);
+			const moveReason = attempt.isUnsent ? attempt.options.findMoveReason() : undefined;
+			if (moveReason) {
+				attempt.handleInstanceClosed(moveReason, true);
 			}
 		}
 	}
--- a/src/forwarding/find-withhold-reason.ts
+++ b/src/forwarding/find-withhold-reason.ts
@@ -17,5 +17,10 @@
 		return 'cold_start_expired';
 	}
 
+	const moveReason = options.findMoveReason();
+	if (moveReason) {
+		return moveReason;
+	}
+
 	return startDeadline.allowsStartIn(options.predictedMs) ? undefined : 'version_expired';
 }
--- a/src/forwarding/forwarded-call.ts
+++ b/src/forwarding/forwarded-call.ts
@@ -81,7 +81,7 @@
 	/** Applies a change of the directory to the attempts. */
 	recheckAttempts(): void {
 		this.options.boundary.run('signal', () => {
-			this.attempts.recheck(instance => this.options.tracker.isEvacuated(instance));
+			this.attempts.recheck();
 		});
 	}
 
--- a/src/forwarding/upstream-attempt-options.ts
+++ b/src/forwarding/upstream-attempt-options.ts
@@ -4,6 +4,7 @@
 import type {BodiesInFlight} from '../limits/bodies-in-flight.ts';
 import type {ListeningClock} from '../runtime/pause-detector.ts';
 import type {InstanceTracker} from '../placement/instance-tracker.ts';
+import type {MoveReason} from '../placement/find-move-reason.ts';
 import type {StartBound} from '../placement/start-windows.ts';
 import type {ResponseBuffers} from '../limits/response-buffers.ts';
 import type {CallBoundary} from './call-boundary.ts';
@@ -39,6 +40,8 @@
 	readonly hasTimeLeft: () => boolean;
 	/** Returns whether the instance still expects the start of the call; asked before anything is written. */
 	readonly isStartPermitted: () => boolean;
+	/** Returns why the call has to leave the instance if nothing of it was written; undefined if it may be written. */
+	readonly findMoveReason: () => MoveReason | undefined;
 	readonly instructions: AttemptInstructions;
 	/** What the caller has of the answer. */
 	readonly progress: AnswerProgress;
--- a/src/forwarding/upstream-attempt.ts
+++ b/src/forwarding/upstream-attempt.ts
@@ -84,7 +84,7 @@
 				return findWithholdReason(this.options, this.startDeadline) === undefined;
 			},
 			onWithheld: () => {
-				this.report({kind: 'not-run', reason: findWithholdReason(this.options, this.startDeadline)!});
+				this.report({kind: 'not-run', reason: findWithholdReason(this.options, this.startDeadline)!, isMoved: this.options.findMoveReason() !== undefined});
 			},
 			onHeaders: this.handleHeaders.bind(this),
 			onData: this.handleData.bind(this),
--- a/src/placement/instance-query.ts
+++ b/src/placement/instance-query.ts
@@ -3,6 +3,7 @@
 import type {RegionId} from '../ids/region-id.ts';
 import type {ServiceId} from '../ids/service-id.ts';
 import type {CallHeaders} from '../forwarding/wire-codec.ts';
+import type {MoveReason} from './find-move-reason.ts';
 import type {StartBound} from './start-windows.ts';
 
 /** What an instance must satisfy to receive a call. */
@@ -47,6 +48,8 @@
 	readonly describeStart: () => StartBound | undefined;
 	/** Returns whether the call may still be written; false some time after its start at a cold instance was allowed. */
 	readonly isStartPermitted: () => boolean;
+	/** Returns why the call has to leave the instance if nothing of it was written; undefined if it may be written. */
+	readonly findMoveReason: () => MoveReason | undefined;
 	/** Gives back the trial that is reserved at the instance, if the call is not sent there; does nothing otherwise. */
 	readonly release: () => void;
 };
--- a/src/placement/instance-selector.ts
+++ b/src/placement/instance-selector.ts
@@ -324,6 +324,7 @@
 			startTimeLeftMs: () => this.startWindows.timeLeftMs(id, held),
 			describeStart: () => this.startWindows.describe(id, held),
 			isStartPermitted: () => permit?.isValid() ?? true,
+			findMoveReason: () => this.options.tracker.findMoveReason(this.options.directory.instance(id)),
 			release: this.options.tracker.signals.reserveTrial(instance),
 		};
 	}
--- a/src/placement/instance-tracker.ts
+++ b/src/placement/instance-tracker.ts
@@ -9,6 +9,7 @@
 import {InFlightCalls} from './in-flight-calls.ts';
 import {PaceRecords} from './pace-records.ts';
 import {PathDelays} from './path-delays.ts';
+import {findMoveReason, type MoveReason} from './find-move-reason.ts';
 import type {EngineLoad, InFlightCounts} from './engine-forecast.ts';
 import {type Barrier, findBarrier} from './instance-availability.ts';
 import {type InstanceSignals, isFrom, type ResponseHead} from './instance-signals.ts';
@@ -118,9 +119,13 @@
 		}, performance.now());
 	}
 
-	/** Returns whether the zone of an instance is evacuated. */
-	isEvacuated({zone}: Instance): boolean {
-		return this.evacuations.evacuatedSinceMs(zone) !== undefined;
+	/**
+	 * Returns why a call of which nothing was written has to leave an instance; undefined if it may be written.
+	 *
+	 * @param listed - the present entry in the directory; undefined if there is none
+	 */
+	findMoveReason(listed: Instance | undefined): MoveReason | undefined {
+		return findMoveReason(listed !== undefined, listed && this.barrierAt(listed)?.reason);
 	}
 
 	/**
