Ignore arrived questions in unknown paths, and measure overdue calls from their predicted start

Near an expiry, the path to an engine counted as unknown (half a second more of margin) because of a question whose answer was lost, although a later call had begun there. And a call with a predicted start of several seconds told nothing of the path when it ended, if its whole wait was over 4 s, however little of it was overdue.

Cause: isUnanswered looked only at the age of the question, not at whether it had counted as arrived; and the limit on waits that tell of the path compared the whole wait. A question that is asked again counts from then, and the limit applies to what is overdue.

--- a/src/placement/path-delays.ts
+++ b/src/placement/path-delays.ts
@@ -13,8 +13,8 @@
 /** The time after which a delay counts by half, in milliseconds. */
 const delayHalfLifeMs = 2000;
 
-/** How long a wait may be that tells of the path when it ends, in milliseconds; after a longer one, a message was lost or a process stood still. */
-const maxTellingWaitMs = 4000;
+/** How much later than expected a wait may end that tells of the path, in milliseconds; after a longer time, a message was lost or a process stood still. */
+const maxTellingOverdueMs = 4000;
 
 /** How long a question may be unanswered before the path counts as unknown, in milliseconds. */
 const answerTimeMs = 15;
@@ -44,14 +44,12 @@
 export class PathWait {
 	/** The delay that counts until the answer is there, in milliseconds; 0 if none is kept. */
 	keptMs = 0;
-	private readonly createdMs: number;
 	private sinceMs: number;
 	private isArrived = false;
 
 	/** @param expectedMs - when the answer is expected if the path is short, in milliseconds; undefined for a question, which is answered at once */
 	constructor(private readonly path: Path, private readonly clock: ListeningClock, private readonly expectedMs?: number) {
-		this.createdMs = clock.listeningMs;
-		this.sinceMs = this.createdMs;
+		this.sinceMs = clock.listeningMs;
 		path.waits.add(this);
 	}
 
@@ -60,20 +58,25 @@
 		return this.expectedMs === undefined;
 	}
 
-	/** Whether it is a question that should have been answered. */
+	/** Whether it is a question that should have been answered; one that has arrived tells nothing of the path. */
 	get isUnanswered(): boolean {
-		return this.isQuestion && this.clock.listeningMs - this.createdMs >= answerTimeMs;
+		return this.isQuestion && !this.isArrived && this.waitedMs >= answerTimeMs;
 	}
 
 	/** How much later than expected the answer is now, in milliseconds. */
 	get overdueMs(): number {
-		return this.isArrived ? 0 : Math.min(maxPathDelayMs, Math.max(0, this.waitedMs - (this.expectedMs ?? 0)));
+		return this.isArrived ? 0 : Math.min(maxPathDelayMs, Math.max(0, this.lateMs));
 	}
 
 	private get waitedMs(): number {
 		return this.clock.listeningMs - this.sinceMs;
 	}
 
+	/** How much later than expected the answer is now, negative before; without regard to other answers. */
+	private get lateMs(): number {
+		return this.waitedMs - (this.expectedMs ?? 0);
+	}
+
 	/** Notes that the question was asked again; it counts anew if the one before has arrived and only its answer is missing. */
 	renew(): void {
 		if (this.isArrived) {
@@ -89,7 +92,7 @@
 
 	/** Ends the wait, with an answer or without; does nothing if it has ended before. */
 	end(): void {
-		if (this.path.waits.delete(this) && this.waitedMs <= maxTellingWaitMs) {
+		if (this.path.waits.delete(this) && this.lateMs <= maxTellingOverdueMs) {
 			this.path.recent.record(this.overdueMs);
 		}
 	}
--- a/test/calls-under-way.test.ts
+++ b/test/calls-under-way.test.ts
@@ -260,6 +260,24 @@
 	});
 });
 
+it('guards against a path that counts as unknown or short without cause: a question that has arrived is not missing, and a call may be overdue after a long prediction', async () => {
+	await withPaths(({clock, paths}) => {
+		const question = paths.wait('i-1');
+		const call = paths.wait('i-2', 6000);
+		clock.tick(100);
+		expect(paths.isUnknown('i-1')).to.equal(true);
+		paths.wait('i-1', 0).endWithAnswer();
+		expect(paths.isUnknown('i-1')).to.equal(false);
+		question.renew();
+		expect(paths.isUnknown('i-1')).to.equal(false);
+		clock.tick(15);
+		expect(paths.isUnknown('i-1')).to.equal(true);
+		clock.tick(6685);
+		call.end();
+		expect(paths.delayMs('i-2')).to.equal(800);
+	});
+});
+
 it('guards against a path that counts as short because nothing came back over it: an unanswered question counts half a second, but only shortly before the expiry', async () => {
 	await withPaths(({clock, paths, windows}) => {
 		const marginsMs = () => ['i-1', 'i-2'].map(id => versionBoundMs - performance.now() - windows.timeLeftMs(id, held));
