Measure the paths of waiting calls shortly before their version expires

When the link of an engine's VM fills after a call was written there, nothing told of it until the call was later than predicted. The gateway took the call back as late as on a short path, and the reset met the full link.

In the last 3 s before the expiry, each look at the time left of a waiting call now asks the stager beside its engine, unless a question went there within 200 ms. Answers, and answers that are missing, count for the path as those to other questions do. The looks are those of StartDeadline (100 ms at most apart, ended by the first event), so there are no new timers, and nothing is sent while no newer version is announced. Answers to these questions change neither the counts of calls nor whether a stager is silent, because a plain question is answered without urgencies.

--- a/src/peers/load-queries.ts
+++ b/src/peers/load-queries.ts
@@ -38,6 +38,12 @@
 /** Minimum interval between two questions to a stager that is not waited for, in milliseconds. */
 const silentAskIntervalMs = 250;
 
+/** Minimum interval between a question that only measures the path to a stager and the one before, in milliseconds. */
+const probeIntervalMs = 200;
+
+/** Number of unanswered probes of one stager that are remembered. */
+const maxProbes = 32;
+
 /** How long a stager gets questions without an urgency after it answered only such a one, in milliseconds; one of an earlier version drops others. */
 const plainQuestionsMs = 5000;
 
@@ -46,6 +52,10 @@
 	counts: CounterAnswer;
 	countedAtMs: number;
 	lastAskedMs: number;
+	/** When the last question was sent that only measures the path. */
+	lastProbedMs: number;
+	/** The numbers of such questions that are unanswered, oldest first. */
+	readonly probes: Set<number>;
 	/** When the first question after the last answer was sent, by the listening clock; undefined if none was. */
 	unansweredSinceMs: number | undefined;
 	/** The wait for the answer to one question, as far as it tells of the path, and the number of the question. */
@@ -135,6 +145,17 @@
 		}));
 	}
 
+	probe({id, address}: Instance): void {
+		const counter = this.getCounter(id);
+		const nowMs = performance.now();
+		if (nowMs - Math.max(counter.lastAskedMs, counter.lastProbedMs) >= probeIntervalMs) {
+			const question = this.createQuestion(id, counter);
+			counter.lastProbedMs = nowMs;
+			addProbe(counter.probes, this.questions);
+			this.options.datagrams.send(question, this.counterAddress(address));
+		}
+	}
+
 	/**
 	 * Discards what is known of other instances.
 	 *
@@ -150,10 +171,7 @@
 
 	/** Asks the stager beside an instance; returns whether an answer can be expected soon. */
 	private sendQuestion({id, address}: Instance, nowMs: number, urgency: AskDatagram[3]): boolean {
-		const counter = this.counters.get(id) ?? {
-			counts: {calls: 0, unreadTokens: 0}, countedAtMs: Number.NEGATIVE_INFINITY, lastAskedMs: Number.NEGATIVE_INFINITY, unansweredSinceMs: undefined, isAskedPlainly: false, plainUntilMs: Number.NEGATIVE_INFINITY, waiting: new Set<Query>(),
-		};
-		this.counters.set(id, counter);
+		const counter = this.getCounter(id);
 		const {listeningMs} = this.options.clock;
 		const isSilent = counter.unansweredSinceMs !== undefined && listeningMs - counter.unansweredSinceMs >= silenceMs;
 		if (isSilent && nowMs - counter.lastAskedMs < silentAskIntervalMs) {
@@ -166,16 +184,41 @@
 
 		counter.lastAskedMs = nowMs;
 		counter.unansweredSinceMs ??= listeningMs;
-		this.questions++;
-		counter.timed ??= {wait: this.options.paths?.wait(id), number: this.questions};
-		counter.timed.wait?.renew();
 		counter.isAskedPlainly = isSilent;
-		const question: AskDatagram = ['ask', this.options.vm, numberInstance(id, this.questions)];
+		const question = this.createQuestion(id, counter);
 		const isPlain = urgency === undefined || isSilent || nowMs < counter.plainUntilMs;
 		this.options.datagrams.send(isPlain ? question : [...question, urgency], this.counterAddress(address));
 		return !isSilent;
 	}
 
+	private getCounter(id: string): Counter {
+		let counter = this.counters.get(id);
+		if (!counter) {
+			counter = {
+				counts: {calls: 0, unreadTokens: 0},
+				countedAtMs: Number.NEGATIVE_INFINITY,
+				lastAskedMs: Number.NEGATIVE_INFINITY,
+				lastProbedMs: Number.NEGATIVE_INFINITY,
+				probes: new Set(),
+				unansweredSinceMs: undefined,
+				isAskedPlainly: false,
+				plainUntilMs: Number.NEGATIVE_INFINITY,
+				waiting: new Set<Query>(),
+			};
+			this.counters.set(id, counter);
+		}
+
+		return counter;
+	}
+
+	/** Creates the next question to a stager; the time until its answer, or that of an earlier one, tells of the path. */
+	private createQuestion(id: string, counter: Counter): AskDatagram {
+		this.questions++;
+		counter.timed ??= {wait: this.options.paths?.wait(id), number: this.questions};
+		counter.timed.wait?.renew();
+		return ['ask', this.options.vm, numberInstance(id, this.questions)];
+	}
+
 	/** Waits until all stagers have answered, or for a bounded time. */
 	private async waitForAnswers(instances: readonly Instance[]): Promise<void> {
 		const waitedFor = instances.map(({id}) => this.counters.get(id)!);
@@ -205,6 +248,18 @@
 			return;
 		}
 
+		if (counter.timed && number >= counter.timed.number) {
+			counter.timed.wait?.end();
+			counter.timed = undefined;
+		}
+
+		// An answer to a probe lacks what is told with an urgency.
+		if (!counter.probes.delete(number)) {
+			this.takeCounts(instance, counter, [calls, unreadTokens], extras);
+		}
+	}
+
+	private takeCounts(instance: string, counter: Counter, [calls, unreadTokens]: LoadDatagram[2], extras: LoadDatagram[3]): void {
 		this.takeObservation(instance, extras);
 		const yields = decodeYields(extras);
 		counter.counts = yields ? {calls, unreadTokens, yields} : {calls, unreadTokens};
@@ -214,11 +269,6 @@
 		}
 
 		counter.unansweredSinceMs = undefined;
-		if (counter.timed && number >= counter.timed.number) {
-			counter.timed.wait?.end();
-			counter.timed = undefined;
-		}
-
 		for (const query of counter.waiting) {
 			query.unanswered--;
 			if (query.unanswered === 0) {
@@ -269,3 +319,12 @@
 		}
 	}
 }
+
+function addProbe(probes: Set<number>, number: number): void {
+	const [oldest] = probes;
+	if (oldest !== undefined && probes.size >= maxProbes) {
+		probes.delete(oldest);
+	}
+
+	probes.add(number);
+}
--- a/src/placement/instance-selector.ts
+++ b/src/placement/instance-selector.ts
@@ -321,7 +321,7 @@
 			predictedMs,
 			hasFreeSlot: candidates.some(candidate => candidate.id === id && hasFreeSlot(candidate)),
 			version: held?.version,
-			startTimeLeftMs: () => this.startWindows.timeLeftMs(id, held),
+			startTimeLeftMs: () => this.startWindows.watchTimeLeft(instance, held, this.options.loads),
 			describeStart: () => this.startWindows.describe(id, held),
 			isStartPermitted: () => permit?.isValid() ?? true,
 			findMoveReason: () => this.options.tracker.findMoveReason(this.options.directory.instance(id)),
--- a/src/placement/load-source.ts
+++ b/src/placement/load-source.ts
@@ -18,4 +18,10 @@
 	 * @param report - the urgency of the call, and refusals; absent if nothing is to be told
 	 */
 	readonly ask: (instances: readonly Instance[], report?: UrgencyReport) => Promise<ReadonlyMap<string, CounterAnswer>>;
+	/**
+	 * Asks an instance only to learn how long its path is. Cheap to call often, since the questions to one instance are limited in rate.
+	 *
+	 * @param instance - the instance at which a call waits
+	 */
+	readonly probe?: (instance: Instance) => void;
 };
--- a/src/placement/start-windows.ts
+++ b/src/placement/start-windows.ts
@@ -1,9 +1,10 @@
 /** Tells how long calls may still start at an instance, given the version that it holds and the delay of the path to it. */
 import type {HeldModel, Instance} from '../directory/directory-types.ts';
+import type {LoadSource} from './load-source.ts';
 import type {PathDelays} from './path-delays.ts';
 import type {VersionExpiry} from './version-expiry.ts';
 
-/** The time left below which a path of unknown delay counts as long, in milliseconds. */
+/** The time left below which a path of unknown delay counts as long and the paths of waiting calls are measured, in milliseconds. */
 const shortWindowMs = 3000;
 
 /** The least delay that is assumed of a path while an answer is missing, in milliseconds. */
@@ -31,6 +32,23 @@
 		return held ? this.expiry.timeLeftMs(held, this.pathDelayMs(id, held)) : Number.POSITIVE_INFINITY;
 	}
 
+	/**
+	 * Returns the same for a call that waits for its start. Shortly before the expiry, the path is measured meanwhile: it may have become long
+	 * after the call was written, so that the reset which takes the call back would be late.
+	 *
+	 * @param instance - the instance that the call was sent to
+	 * @param held - as in {@link timeLeftMs}
+	 * @param loads - measures the path
+	 */
+	watchTimeLeft(instance: Instance, held: HeldModel | undefined, loads: LoadSource): number {
+		const leftMs = this.timeLeftMs(instance.id, held);
+		if (leftMs > 0 && leftMs < shortWindowMs) {
+			loads.probe?.(instance);
+		}
+
+		return leftMs;
+	}
+
 	/** Describes the time left of a call to an instance, in whole milliseconds. */
 	describe(id: string, held: HeldModel | undefined): StartBound | undefined {
 		return held && {pathDelayMs: Math.round(this.pathDelayMs(id, held)), leftMs: Math.round(this.expiry.boundLeftMs(held))};
--- a/test/calls-under-way.test.ts
+++ b/test/calls-under-way.test.ts
@@ -260,6 +260,83 @@
 	});
 });
 
+it('guards against a link that fills after a call was written, of which nothing tells until the call is overdue: shortly before the expiry, questions go there while it waits', async () => {
+	await withPaths(async ({clock, paths, windows}) => {
+		const askedAtMs: number[] = [];
+		const passedAtMs: number[] = [];
+		let answer: (message: LoadDatagram) => void = () => undefined;
+		let linkMs = 2;
+		const datagrams = {
+			on(kind: string, schema: unknown, handler: typeof answer) {
+				answer = handler;
+			},
+			send(question: AskDatagram) {
+				askedAtMs.push(performance.now());
+				setTimeout(() => {
+					answer(['load', question[2], [3, 0]]);
+				}, linkMs);
+			},
+		} as unknown as DatagramPort;
+		const log = createSilentLogger();
+		const queries = new LoadQueries({
+			vm: 'g', inFlight: new InFlightCalls(), directory: new Directory(log), datagrams, port: 1, log, clock: monotonicClock, paths,
+		});
+		const call = new AttemptPath(paths, 'i-1', 9000);
+		call.markConnected();
+		const deadlines = [1, 2, 3].map(() => new StartDeadline(() => windows.watchTimeLeft(engine, held, queries), () => {
+			passedAtMs.push(performance.now());
+		}, testBoundary()));
+		await clock.tickAsync(4700);
+		expect(askedAtMs).to.be.empty;
+		await clock.tickAsync(1300);
+		expect(askedAtMs.length).to.be.within(5, 7);
+		expect(paths.delayMs('i-1')).to.be.below(3);
+		linkMs = 1500;
+		await clock.tickAsync(2000);
+		// The first question meets the full link by 6200 ms, so that its delay uses up the time left by 7000 ms.
+		expect(passedAtMs[0]).to.be.within(6500, 7000);
+		expect(askedAtMs.every((atMs, index) => index === 0 || atMs - askedAtMs[index - 1]! >= 200)).to.equal(true);
+		expect(askedAtMs.at(-1)).to.be.at.most(passedAtMs.at(-1)!);
+		const asked = queries.ask([engine]);
+		await clock.tickAsync(30);
+		const answers = await asked;
+		expect(answers.size, 'counts from probes').to.equal(0);
+		for (const deadline of deadlines) {
+			deadline.stop();
+		}
+	});
+});
+
+it('guards against calls whose paths nobody measures: a gateway asks the engine of a call that waits for its start, until it starts', async () => {
+	const upstream = await startUpstream((req, res) => {
+		setTimeout(() => {
+			res.writeHead(200, {'attempt-id': req.headers['attempt-id'] as string, 'response-seal': 's', 'content-type': 'text/event-stream'});
+			res.write('id: 1\ndata: t\n\n');
+		}, 400);
+	});
+	const probedMs: number[] = [];
+	const loads = {
+		ask: async () => new Map(),
+		probe() {
+			probedMs.push(performance.now());
+		},
+	};
+	const route = {
+		kind: 'stream', aimMs: 4000, timeoutMs: 4000, targets: [{service: engine.service, weight: 1}],
+	} as const;
+	const gateway = await startTestGateway(testConfiguration(1, route), [{...engine, address: upstream.address}], {loads});
+	try {
+		const startedAtMs = performance.now();
+		gateway.directory.apply(version2, {namedAfterMs: startedAtMs - versionBoundMs + 2500, isAfterOutage: false});
+		await callGateway(gateway.url, {headers: callHeaders, disconnectAfterMs: 1000});
+		expect(probedMs.length).to.be.at.least(3);
+		expect(probedMs.at(-1)! - startedAtMs).to.be.below(700);
+	} finally {
+		gateway.close();
+		upstream.close();
+	}
+});
+
 it('guards against a path that counts as unknown or short without cause: a question that has arrived is not missing, and a call may be overdue after a long prediction', async () => {
 	await withPaths(({clock, paths}) => {
 		const question = paths.wait('i-1');
--- a/test/support/direct-fixtures.ts
+++ b/test/support/direct-fixtures.ts
@@ -13,6 +13,7 @@
 import {HomeRegions} from '../../src/placement/home-regions.ts';
 import {InstanceSignals} from '../../src/placement/instance-signals.ts';
 import {InstanceTracker} from '../../src/placement/instance-tracker.ts';
+import type {LoadSource} from '../../src/placement/load-source.ts';
 import {RegionMap} from '../../src/placement/region-map.ts';
 import type {WireCodec} from '../../src/forwarding/wire-codec.ts';
 import {bodyRoomFor} from '../../src/limits/body-room.ts';
@@ -117,11 +118,11 @@
 export type TestGateway = {readonly directory: Directory; readonly tracker: InstanceTracker; readonly forwarder: CallForwarder; readonly listener: CallerListener; readonly bodies: MemoryBudget; readonly quarantine: PromptQuarantine; readonly homes: HomeRegions; readonly crashes: readonly Crash[]; readonly ends: readonly CallEnd[]; readonly faults: {count: number}; readonly url: string; readonly close: () => void};
 
 /** What a test changes of a gateway. */
-type TestGatewayOptions = {readonly codec?: WireCodec; readonly retrySlack?: number; readonly homes?: HomeRegions; readonly hedgeRatio?: number; readonly onHedge?: (result: string) => void; readonly connections?: ConnectionLimits};
+type TestGatewayOptions = {readonly codec?: WireCodec; readonly retrySlack?: number; readonly homes?: HomeRegions; readonly hedgeRatio?: number; readonly onHedge?: (result: string) => void; readonly connections?: ConnectionLimits; readonly loads?: LoadSource};
 
 /** Starts the caller listener of a gateway with the given configuration and instances. */
 export async function startTestGateway(configuration: PublishedConfiguration | undefined, instances: readonly Instance[], options: TestGatewayOptions = {}): Promise<TestGateway> {
-	const {codec = platformCodec, retrySlack = 100, homes = new HomeRegions(new RegionMap({})), hedgeRatio = 0, onHedge, connections} = options;
+	const {codec = platformCodec, retrySlack = 100, homes = new HomeRegions(new RegionMap({})), hedgeRatio = 0, onHedge, connections, loads = {ask: async () => new Map()}} = options;
 	const log = createSilentLogger();
 	const directory = new Directory(log);
 	directory.apply({revision: 1, changes: configuration ? [{revision: 1, change: {kind: 'configuration', configuration}}] : []});
@@ -139,7 +140,7 @@
 		}, log,
 	});
 	const forwarder = new CallForwarder({
-		directory, codec, tracker, crashes, quarantine, loads: {ask: async () => new Map()}, homes, random: new RandomSource(7), log, zone: 'z',
+		directory, codec, tracker, crashes, quarantine, loads, homes, random: new RandomSource(7), log, zone: 'z',
 		retryBudget: {ratio: 0.2, slack: retrySlack, windowMs: 10_000}, versionBoundMs: 8000, clock: pauses, eventLoopDelayMs: () => 0, gatewayCount: () => 1, onEnd(end) {
 			ends.push(end);
 		},
